Settings loader, logging and metrics

The daemons need their settings, a logger and a metrics scope.

Settings: INI is read into the generated messages through protobuf reflection, so a key exists once, in the schema. Defaults, required keys and value checks stand in one table that a test holds against the schema and its comments. ini.v1 keeps no line numbers and stops at its first bad line, so lines are indexed first and unusable ones become findings and are hidden from it. Ruled out: stopping at the first error, and a second list of keys for the example file; the example is made from the schema's comments, embedded as a descriptor set (settings.binpb, written by api/generate.sh).

Whether named files are readable is looked at by Load (daemons), not by Check, so that an example or a file for another host can be checked anywhere.

--- a/api/generate.sh
+++ b/api/generate.sh
@@ -8,3 +8,6 @@
 go build -o "$plugin/protoc-gen-go" google.golang.org/protobuf/cmd/protoc-gen-go
 protoc --plugin="$plugin/protoc-gen-go" --proto_path=. --go_out=.. \
   --go_opt=module=eelgrasswharf.example/eelgrasswharf ./*/*.proto
+# The settings schema with its comments, for generated example files.
+protoc --proto_path=. --include_source_info \
+  --descriptor_set_out=settingspb/settings.binpb settingspb/settings.proto
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,197 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/settings"
+)
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file.ini")
+	is.New(t).NoErr(os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func findings(t *testing.T, err error) []string {
+	t.Helper()
+	is := is.New(t)
+	is.Helper()
+	var found settings.Findings
+	is.True(errors.As(err, &found)) // findings expected
+	return strings.Split(found.Error(), "\n")
+}
+
+func TestAllFindingsAtOnce(t *testing.T) {
+	is := is.New(t)
+	text := strings.Join([]string{
+		"[host]",                        // 1
+		"name = entry 1",                // 2
+		"failure_domian = oke-ado",      // 3
+		"just words",                    // 4
+		"[metrcs]",                      // 5
+		"listen = 127.0.0.1:0",          // 6
+		"[log]",                         // 7
+		"format = xml",                  // 8
+		"level = loud",                  // 9
+		"level = info",                  // 10
+		"[forwarding]",                  // 11
+		"frame_listen = localhost:7200", // 12
+		"workers = 0",                   // 13
+		"free_ports = yes",              // 14
+		"agent_networks = 192.0.2.0/24, 192.0.2.0/99", // 15
+	}, "\n")
+	err := settings.Parse("entry.ini", []byte(text), &settingspb.EntrySettings{})
+	is.Equal(findings(t, err), []string{
+		`entry.ini:1: host.failure_domain: required key is missing`,
+		`entry.ini:1: keys.authority: required key is missing`,
+		`entry.ini:1: keys.certificate: required key is missing`,
+		`entry.ini:1: keys.private_key: required key is missing`,
+		`entry.ini:1: keys.data_secrets: required key is missing`,
+		`entry.ini:1: control.addresses: required key is missing`,
+		`entry.ini:2: host.name: "entry 1" may hold letters, digits, '-', '_' and '.' only`,
+		`entry.ini:3: host.failure_domian: unknown key; did you mean "failure_domain"?`,
+		`entry.ini:4: neither a section, nor key = value, nor a comment`,
+		`entry.ini:5: metrcs: unknown section; did you mean "metrics"?`,
+		`entry.ini:8: log.format: "xml" is none of json, console`,
+		`entry.ini:9: log.level: "loud" is none of debug, info, warn, error`,
+		`entry.ini:10: log.level: the key is given twice`,
+		`entry.ini:12: forwarding.frame_listen: "localhost:7200" is not an address of the form ip:port`,
+		`entry.ini:13: forwarding.workers: has to be at least 1`,
+		`entry.ini:14: forwarding.free_ports: "yes" is neither true nor false`,
+		`entry.ini:15: forwarding.agent_networks: "192.0.2.0/99" is not a network of the form ip/bits`,
+	})
+}
+
+func TestBrokenLinesHideNoOthers(t *testing.T) {
+	is := is.New(t)
+	text := "stray = 1\n[]\n[host\n[DEFAULT]\n[host]\n\"name\" = a\nregion = `x\n[host]\n"
+	err := settings.Parse("f", []byte(text), &settingspb.EntrySettings{})
+	got := strings.Join(findings(t, err), "\n")
+	for _, want := range []string{
+		"f:1: stray: the key stands outside of a section",
+		"f:2: the section has no name",
+		"f:3: the section has no closing bracket",
+		"f:4: the section name DEFAULT is reserved",
+		"f:6: a key name may not be quoted",
+		"f:7: host.region: a value may not go over several lines",
+		"f:8: host: the section is given twice",
+	} {
+		is.True(strings.Contains(got, want)) // want among the findings
+	}
+}
+
+func TestFarNameGetsNoHint(t *testing.T) {
+	is := is.New(t)
+	err := settings.Parse("f", []byte("[host]\nname = a\nfailure_domain = b\n[elsewhere]\n"), &settingspb.ControlSettings{})
+	got := strings.Join(findings(t, err), "\n")
+	is.True(strings.Contains(got, "f:4: elsewhere: unknown section\n") || strings.HasSuffix(got, "f:4: elsewhere: unknown section"))
+}
+
+func TestExampleIsAccepted(t *testing.T) {
+	for _, role := range settings.Roles() {
+		t.Run(string(role), func(t *testing.T) {
+			is := is.New(t)
+			text, err := settings.Example(role)
+			is.NoErr(err)
+			path := write(t, text)
+			guessed, err := settings.GuessRole(path)
+			is.NoErr(err)
+			is.Equal(guessed, role)
+			m, err := settings.NewMessage(role)
+			is.NoErr(err)
+			is.NoErr(settings.Check(path, m))
+		})
+	}
+}
+
+// Every key that an example leaves as a comment has to be accepted too once
+// the comment sign is taken away, unless it has no default.
+func TestExampleDefaultsAreAccepted(t *testing.T) {
+	for _, role := range settings.Roles() {
+		t.Run(string(role), func(t *testing.T) {
+			is := is.New(t)
+			text, err := settings.Example(role)
+			is.NoErr(err)
+			m, err := settings.NewMessage(role)
+			is.NoErr(err)
+			is.NoErr(settings.Parse("f", []byte(strings.ReplaceAll(text, "\n;", "\n")), m))
+		})
+	}
+}
+
+func TestExampleCarriesSchemaComments(t *testing.T) {
+	is := is.New(t)
+	text, err := settings.Example(settings.RoleEntry)
+	is.NoErr(err)
+	is.True(strings.Contains(text, "# Failure domain that the host stands in.\nfailure_domain = "))
+	is.True(strings.Contains(text, "# Lowest level written: debug, info, warn or error. Default info.\n;level = info"))
+}
+
+func TestDefaultsAndRelativePaths(t *testing.T) {
+	is := is.New(t)
+	text, err := settings.Example(settings.RoleControl)
+	is.NoErr(err)
+	path := write(t, text)
+	m := &settingspb.ControlSettings{}
+	is.NoErr(settings.Check(path, m))
+	is.Equal(m.GetReplica().GetTickMs(), uint32(50))
+	is.Equal(m.GetLog().GetLevel(), "info")
+	is.Equal(m.GetReplica().GetDataFolder(), filepath.Join(filepath.Dir(path), "data"))
+	is.Equal(len(m.GetReplica().GetInitialVoters()), 3)
+}
+
+func TestLoadLooksAtFiles(t *testing.T) {
+	is := is.New(t)
+	text, err := settings.Example(settings.RoleEntry)
+	is.NoErr(err)
+	path := write(t, text)
+	found := findings(t, settings.Load(path, &settingspb.EntrySettings{}))
+	is.Equal(len(found), 4) // the four files of [keys]
+	is.True(strings.Contains(found[0], "keys.authority"))
+	is.True(strings.HasSuffix(found[0], "cannot be read: no such file or directory"))
+
+	folder := filepath.Join(filepath.Dir(path), "keys")
+	is.NoErr(os.Mkdir(folder, 0o700))
+	for _, name := range []string{"authority.pem", "entry-1.pem", "entry-1-key.pem", "data-secrets"} {
+		is.NoErr(os.WriteFile(filepath.Join(folder, name), nil, 0o600))
+	}
+	is.NoErr(settings.Load(path, &settingspb.EntrySettings{}))
+}
+
+func TestDataFolderBehindFile(t *testing.T) {
+	is := is.New(t)
+	text, err := settings.Example(settings.RoleControl)
+	is.NoErr(err)
+	path := write(t, strings.Replace(text, "data_folder = data", "data_folder = file.ini/data", 1))
+	got := strings.Join(findings(t, settings.Load(path, &settingspb.ControlSettings{})), "\n")
+	is.True(strings.Contains(got, "replica.data_folder"))
+}
+
+func TestPercentSignIsKept(t *testing.T) {
+	is := is.New(t)
+	m := &settingspb.EntrySettings{}
+	_ = settings.Parse("f", []byte("[keys]\nauthority = %(name)s#1 # comment\n"), m)
+	is.Equal(m.GetKeys().GetAuthority(), "%(name)s#1")
+}
+
+func TestUnreadableFile(t *testing.T) {
+	is := is.New(t)
+	err := settings.Load(filepath.Join(t.TempDir(), "missing.ini"), &settingspb.EntrySettings{})
+	is.True(errors.Is(err, os.ErrNotExist))
+}
+
+func TestUnknownRole(t *testing.T) {
+	is := is.New(t)
+	_, err := settings.Example("broker")
+	is.True(errors.Is(err, settings.ErrUnknownRole))
+	_, err = settings.GuessRole(write(t, "[host]\n"))
+	is.True(errors.Is(err, settings.ErrNoRole))
+}
