keys: authority, certificates, data secrets and reloadable credentials

Control links need process identities that survive a change of address, and files that change under open connections. Identities are URI names; the TLS configurations look up certificate and authorities at each handshake. Host name checks were ruled out, since hosts change their IP numbers.

--- /dev/null
+++ b/internal/keys/dir.go
@@ -0,0 +1,233 @@
+package keys
+
+import (
+	"io/fs"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Names of the files in a folder of keys.
+const (
+	AuthorityFile    = "authority.pem"
+	AuthorityKeyFile = "authority.key.pem"
+	DataSecretsFile  = "data-secrets"
+
+	certSuffix   = ".pem"
+	keySuffix    = ".key.pem"
+	callerPrefix = "caller-"
+
+	publicMode  fs.FileMode = 0o644
+	privateMode fs.FileMode = 0o600
+	dirMode     fs.FileMode = 0o700
+)
+
+// ErrExists is returned instead of writing over an authority.
+var ErrExists = errors.New("file exists")
+
+// Files names the files of one process. DataSecrets may be empty for a
+// process that neither encodes nor decodes connection IDs.
+type Files struct {
+	Authority   string
+	Certificate string
+	PrivateKey  string
+	DataSecrets string
+}
+
+// InitAuthority makes an authority and the first data secret in a folder. It
+// refuses a folder that holds an authority already.
+func InitAuthority(dir string) error {
+	certPath := filepath.Join(dir, AuthorityFile)
+	keyPath := filepath.Join(dir, AuthorityKeyFile)
+	for _, path := range []string{certPath, keyPath} {
+		if _, err := os.Lstat(path); err == nil {
+			return errors.Wrap(ErrExists, path)
+		}
+	}
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return errors.Wrap(err, "make folder")
+	}
+	a, err := NewAuthority(time.Now(), DefaultAuthorityValidity)
+	if err != nil {
+		return err
+	}
+	keyPEM, err := encodeKey(a.key)
+	if err != nil {
+		return err
+	}
+	if err := writeFile(keyPath, keyPEM, privateMode); err != nil {
+		return err
+	}
+	if err := writeFile(certPath, a.CertificatePEM(), publicMode); err != nil {
+		return err
+	}
+	if _, err := os.Lstat(filepath.Join(dir, DataSecretsFile)); err == nil {
+		return nil
+	}
+	_, err = AddDataSecret(dir)
+	return err
+}
+
+// LoadAuthority reads the authority of a folder. Of several certificates in
+// the authority file, the one that fits the private key signs.
+func LoadAuthority(dir string) (*Authority, error) {
+	certPath := filepath.Join(dir, AuthorityFile)
+	keyPath := filepath.Join(dir, AuthorityKeyFile)
+	certs, err := readCertificates(certPath)
+	if err != nil {
+		return nil, err
+	}
+	data, err := os.ReadFile(keyPath)
+	if err != nil {
+		return nil, errors.Wrap(err, "read authority key")
+	}
+	key, err := parseKey(data)
+	if err != nil {
+		return nil, errors.Wrap(err, keyPath)
+	}
+	for _, cert := range certs {
+		if key.PublicKey.Equal(cert.PublicKey) {
+			return &Authority{cert: cert, key: key}, nil
+		}
+	}
+	return nil, errors.Wrapf(ErrMismatch, "%s and %s", certPath, keyPath)
+}
+
+// Issue signs a certificate with the authority of a folder and writes it
+// there, in place of an older one of the same name. For RoleCaller the name
+// is ignored and the service names the certificate.
+func Issue(dir string, role Role, name, service string, ips []netip.Addr, validity time.Duration) (Files, error) {
+	a, err := LoadAuthority(dir)
+	if err != nil {
+		return Files{}, err
+	}
+	var pair *Pair
+	base := name
+	if role == RoleCaller {
+		base = callerPrefix + service
+		pair, err = a.Caller(service, ips, time.Now(), validity)
+	} else {
+		pair, err = a.Process(Identity{Role: role, Name: name, Service: service}, ips, time.Now(), validity)
+	}
+	if err != nil {
+		return Files{}, err
+	}
+	files := Files{
+		Authority:   filepath.Join(dir, AuthorityFile),
+		Certificate: filepath.Join(dir, base+certSuffix),
+		PrivateKey:  filepath.Join(dir, base+keySuffix),
+		DataSecrets: filepath.Join(dir, DataSecretsFile),
+	}
+	if files.Certificate == files.Authority {
+		return Files{}, errors.Wrapf(ErrName, "%q is the authority's", name)
+	}
+	if err := writeFile(files.PrivateKey, pair.PrivateKey, privateMode); err != nil {
+		return Files{}, err
+	}
+	return files, writeFile(files.Certificate, pair.Certificate, publicMode)
+}
+
+// AddDataSecret adds a data secret to the file of a folder and returns its
+// ID. The new one decodes only; once every process has loaded it, the
+// operator moves its line to the top with PreferDataSecret.
+func AddDataSecret(dir string) (uint8, error) {
+	path := filepath.Join(dir, DataSecretsFile)
+	var secrets []Secret
+	data, err := os.ReadFile(path)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+	case err != nil:
+		return 0, errors.Wrap(err, "read data secrets")
+	default:
+		if secrets, err = ParseSecrets(data); err != nil {
+			return 0, errors.Wrap(err, path)
+		}
+	}
+	secrets, added, err := appendSecret(secrets)
+	if err != nil {
+		return 0, errors.Wrap(err, path)
+	}
+	return added.ID, writeFile(path, FormatSecrets(secrets), privateMode)
+}
+
+// PreferDataSecret moves a data secret to the top of the file, where it
+// encodes.
+func PreferDataSecret(dir string, id uint8) error {
+	return editSecrets(dir, id, func(chosen Secret, others []Secret) []Secret {
+		return append([]Secret{chosen}, others...)
+	})
+}
+
+// RemoveDataSecret removes a data secret. Flows whose connection IDs it
+// protects can then no longer be forwarded.
+func RemoveDataSecret(dir string, id uint8) error {
+	return editSecrets(dir, id, func(_ Secret, others []Secret) []Secret {
+		return others
+	})
+}
+
+func editSecrets(dir string, id uint8, edit func(chosen Secret, others []Secret) []Secret) error {
+	path := filepath.Join(dir, DataSecretsFile)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read data secrets")
+	}
+	secrets, err := ParseSecrets(data)
+	if err != nil {
+		return errors.Wrap(err, path)
+	}
+	for i, s := range secrets {
+		if s.ID != id {
+			continue
+		}
+		others := append(append([]Secret{}, secrets[:i]...), secrets[i+1:]...)
+		result := edit(s, others)
+		if len(result) == 0 {
+			return errors.Wrapf(ErrFormat, "%s: the last data secret cannot be removed", path)
+		}
+		return writeFile(path, FormatSecrets(result), privateMode)
+	}
+	return errors.Wrapf(ErrFormat, "%s: no data secret has ID %d", path, id)
+}
+
+// writeFile replaces a file in one step, so that a process that reloads its
+// keys never reads half of one.
+func writeFile(path string, data []byte, mode fs.FileMode) error {
+	dir := filepath.Dir(path)
+	f, err := os.CreateTemp(dir, ".keys-*")
+	if err != nil {
+		return errors.Wrap(err, "make temporary file")
+	}
+	defer func() { _ = os.Remove(f.Name()) }()
+	if _, err := f.Write(data); err != nil {
+		_ = f.Close()
+		return errors.Wrapf(err, "write %s", path)
+	}
+	if err := f.Chmod(mode); err != nil {
+		_ = f.Close()
+		return errors.Wrapf(err, "set mode of %s", path)
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return errors.Wrapf(err, "sync %s", path)
+	}
+	if err := f.Close(); err != nil {
+		return errors.Wrapf(err, "close %s", path)
+	}
+	if err := os.Rename(f.Name(), path); err != nil {
+		return errors.Wrapf(err, "replace %s", path)
+	}
+	return syncDir(dir)
+}
+
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return errors.Wrap(err, "open folder")
+	}
+	defer func() { _ = d.Close() }()
+	return errors.Wrapf(d.Sync(), "sync %s", dir)
+}
--- /dev/null
+++ b/internal/keys/tls.go
@@ -0,0 +1,130 @@
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Errors of peers in a TLS handshake.
+var (
+	// ErrNoCertificate is returned for a peer that shows no certificate.
+	ErrNoCertificate = errors.New("peer shows no certificate")
+	// ErrStranger is returned for a peer whose certificate none of our
+	// authorities signed.
+	ErrStranger = errors.New("no authority of ours signed the certificate")
+)
+
+// ServerTLS returns the configuration of a listener that admits peers of the
+// given roles only. The caller sets NextProtos.
+func (c *Credentials) ServerTLS(allowed ...Role) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		// The certificate is asked for and checked in VerifyConnection, where
+		// a refusal has a reason of its own.
+		ClientAuth:             tls.RequestClientCert,
+		SessionTicketsDisabled: true,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return c.current.Load().certificate, nil
+		},
+		VerifyConnection: func(state tls.ConnectionState) error {
+			_, err := c.VerifyPeer(state, allowed...)
+			return err
+		},
+	}
+}
+
+// ClientTLS returns the configuration of a dialer that accepts peers of the
+// given roles only. The caller sets NextProtos.
+func (c *Credentials) ClientTLS(allowed ...Role) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		// Peers are known by their identity, not by a host name;
+		// VerifyConnection checks signature, validity and identity.
+		InsecureSkipVerify: true,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return c.current.Load().certificate, nil
+		},
+		VerifyConnection: func(state tls.ConnectionState) error {
+			_, err := c.VerifyPeer(state, allowed...)
+			return err
+		},
+	}
+}
+
+// VerifyPeer checks the peer's certificate against the current authorities
+// and its role against the allowed ones.
+func (c *Credentials) VerifyPeer(state tls.ConnectionState, allowed ...Role) (Identity, error) {
+	certs := state.PeerCertificates
+	if len(certs) == 0 {
+		return Identity{}, ErrNoCertificate
+	}
+	id, err := verify(certs[0], certs[1:], c.current.Load().authorities, time.Now())
+	if err != nil {
+		return Identity{}, err
+	}
+	if !slices.Contains(allowed, id.Role) {
+		return Identity{}, errors.Wrapf(ErrRole, "%s", id)
+	}
+	return id, nil
+}
+
+// CallerCertificate loads the certificate that an agent shows to callers.
+func CallerCertificate(certPath, keyPath string) (*tls.Certificate, error) {
+	certPEM, err := os.ReadFile(certPath)
+	if err != nil {
+		return nil, errors.Wrap(err, "read caller certificate")
+	}
+	keyPEM, err := os.ReadFile(keyPath)
+	if err != nil {
+		return nil, errors.Wrap(err, "read caller private key")
+	}
+	cert, err := ParseCallerCertificate(&Pair{Certificate: certPEM, PrivateKey: keyPEM})
+	return cert, errors.Wrapf(err, "caller certificate %s with private key %s", certPath, keyPath)
+}
+
+// ParseCallerCertificate is CallerCertificate for keys held in memory.
+func ParseCallerCertificate(pair *Pair) (*tls.Certificate, error) {
+	cert, err := parsePair(pair.Certificate, pair.PrivateKey)
+	if err != nil {
+		return nil, err
+	}
+	return cert, checkValidity(cert.Leaf, time.Now())
+}
+
+// verify checks who signed a certificate and returns its identity.
+func verify(leaf *x509.Certificate, others []*x509.Certificate, authorities *x509.CertPool, now time.Time) (Identity, error) {
+	if err := checkValidity(leaf, now); err != nil {
+		return Identity{}, err
+	}
+	intermediates := x509.NewCertPool()
+	for _, c := range others {
+		intermediates.AddCert(c)
+	}
+	_, err := leaf.Verify(x509.VerifyOptions{
+		Roots:         authorities,
+		Intermediates: intermediates,
+		CurrentTime:   now,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	var invalid x509.CertificateInvalidError
+	if errors.As(err, &invalid) && invalid.Reason == x509.Expired {
+		return Identity{}, errors.Wrap(ErrExpired, "authority")
+	}
+	if err != nil {
+		return Identity{}, errors.Wrapf(ErrStranger, "%s: %v", leaf.Subject, err)
+	}
+	return IdentityOf(leaf)
+}
+
+func checkValidity(cert *x509.Certificate, now time.Time) error {
+	if now.Before(cert.NotBefore) || now.After(cert.NotAfter) {
+		return errors.Wrapf(ErrExpired, "%s: valid from %s to %s", cert.Subject,
+			cert.NotBefore.Format(time.RFC3339), cert.NotAfter.Format(time.RFC3339))
+	}
+	return nil
+}
