--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -45,7 +45,7 @@
 
 	"Keys.authority":    {required: true, example: "keys/authority.pem", path: readableFile},
 	"Keys.certificate":  {required: true, example: "keys/NAME.pem", path: readableFile},
-	"Keys.private_key":  {required: true, example: "keys/NAME-key.pem", path: readableFile},
+	"Keys.private_key":  {required: true, example: "keys/NAME.key.pem", path: readableFile},
 	"Keys.data_secrets": {required: true, example: "keys/data-secrets", path: readableFile},
 
 	"ControlPeers.addresses": {
@@ -70,8 +70,8 @@
 
 	"Agent.frame_listen":        {required: true, example: "192.0.2.30:7300", check: checkFrameAddress},
 	"Agent.announce_listen":     {required: true, example: "127.0.0.1:7301", check: checkLoopback},
-	"Agent.caller_certificate":  {required: true, example: "keys/caller.pem", path: readableFile},
-	"Agent.caller_private_key":  {required: true, example: "keys/caller-key.pem", path: readableFile},
+	"Agent.caller_certificate":  {required: true, example: "keys/caller-lodgement.pem", path: readableFile},
+	"Agent.caller_private_key":  {required: true, example: "keys/caller-lodgement.key.pem", path: readableFile},
 	"Agent.max_request_bytes":   {fallback: "1048576", positive: true},
 	"Agent.queue_ms":            {fallback: "50", positive: true},
 	"Agent.default_deadline_ms": {fallback: "10000", positive: true},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -160,7 +160,7 @@
 
 	folder := filepath.Join(filepath.Dir(path), "keys")
 	is.NoErr(os.Mkdir(folder, 0o700))
-	for _, name := range []string{"authority.pem", "entry-1.pem", "entry-1-key.pem", "data-secrets"} {
+	for _, name := range []string{"authority.pem", "entry-1.pem", "entry-1.key.pem", "data-secrets"} {
 		is.NoErr(os.WriteFile(filepath.Join(folder, name), nil, 0o600))
 	}
 	is.NoErr(settings.Load(path, &settingspb.EntrySettings{}))
