Open-loop load generator with defined measures

Doubled runs are claimed only when every backend server tells its runs, else the report says why not.

Ran: go test -race -count=3 ./internal/loadgen, pass, 17 s.

--- a/internal/backend/handlers.go
+++ b/internal/backend/handlers.go
@@ -139,6 +139,8 @@
 	s.watching.Add(1)
 	defer s.watching.Add(-1)
 	period := max(milliseconds(r, defaultWatch), time.Millisecond)
+	// By this type an agent knows an answer without an end.
+	rw.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(rw)
 	for i := 1; ; i++ {
 		if _, err := fmt.Fprintf(rw, "event %d\n", i); err != nil {
--- /dev/null
+++ b/internal/loadgen/measure_test.go
@@ -0,0 +1,43 @@
+package loadgen
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestImbalance(t *testing.T) {
+	is := is.New(t)
+	targets := []string{"a", "b"}
+	windows := []map[string]int{
+		{"a": 10, "b": 10},
+		{"a": 15, "b": 5},
+		nil,
+		{"a": 1}, // too few to count
+	}
+	got := imbalance(map[string]int{"a": 26, "b": 15}, windows, targets)
+	is.Equal(got, Imbalance{Overall: 26 * 2.0 / 41, P99: 1.5, Windows: 2})
+	is.Equal(imbalance(nil, nil, nil), Imbalance{})
+}
+
+func TestIdleTargetLowersTheMean(t *testing.T) {
+	is := is.New(t)
+	targets := allTargets([]string{"a", "b"}, map[string]int{"a": 4})
+	is.Equal(maxOverMean(map[string]int{"a": 4}, targets), 2.0)
+}
+
+func TestJudge(t *testing.T) {
+	is := is.New(t)
+	is.Equal(judge(keyFate{told: ClassAnswered}, 1), Doubled{Keys: 1})
+	is.Equal(judge(keyFate{told: ClassAnswered}, 2), Doubled{Keys: 1, Doubled: 1})
+	is.Equal(judge(keyFate{told: ClassNotRun}, 1), Doubled{Keys: 1, DeniedFalsely: 1})
+	is.Equal(judge(keyFate{told: ClassAnswered}, 0), Doubled{Keys: 1, AnsweredUnrun: 1})
+	is.Equal(judge(keyFate{told: ClassUnknown}, 0), Doubled{Keys: 1})
+}
+
+func TestOrderedWindows(t *testing.T) {
+	is := is.New(t)
+	got := orderedWindows(map[int64]map[string]int{2: {"a": 1}})
+	is.Equal(len(got), 3)
+	is.Equal(got[2]["a"], 1)
+}
--- /dev/null
+++ b/internal/loadgen/options.go
@@ -0,0 +1,137 @@
+package loadgen
+
+import (
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/hex"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Defaults of Options.
+const (
+	DefaultConnections     = 16
+	DefaultRequestsPerFlow = 50
+	DefaultDeadline        = 5 * time.Second
+	DefaultAttempts        = 4
+	DefaultRetryPercent    = 20
+	DefaultWindow          = time.Second
+	DefaultWatchPeriod     = time.Second
+)
+
+const (
+	// SilenceFactor is the number of event periods without an event after
+	// which a session counts as broken.
+	SilenceFactor = 10
+	// MinPerTarget is the mean number of answers a target that a window
+	// needs in order to count for imbalance.
+	MinPerTarget = 10
+
+	// maxInFlight bounds the memory of a run against a service that hangs.
+	maxInFlight = 20000
+	// freeRetries is the part of the retry budget that needs no requests.
+	freeRetries = 10
+)
+
+// ErrOptions reports options that no run can be made from.
+var ErrOptions = errors.New("bad load options")
+
+// Options describe one run.
+type Options struct {
+	// Addresses (ip:port, UDP) that callers dial, each flow the next one.
+	Addresses []string
+	// Service is the server name that callers ask for.
+	Service string
+	// Roots verify the caller certificate.
+	Roots *x509.CertPool
+
+	// Rate of requests a second; 0 sends none.
+	Rate float64
+	// Connections is the number of flows that carry requests at a time.
+	Connections int
+	// RequestsPerFlow is how many requests a flow carries before the caller
+	// opens another in its place.
+	RequestsPerFlow int
+	// Sessions is the number of watch streams held open, each on its own flow.
+	Sessions int
+	// WatchPeriod is the time between two events that sessions ask for.
+	WatchPeriod time.Duration
+	// Duration of the run; requests under way at its end are waited for.
+	Duration time.Duration
+	// NonRepeatable is the share of requests, 0 to 1, that may not be repeated.
+	NonRepeatable float64
+	// Work is the time that each request asks a target to work.
+	Work time.Duration
+	// Deadline of each request, over all of its attempts.
+	Deadline time.Duration
+	// Attempts is the greatest number of attempts of one request.
+	Attempts int
+	// RetryPercent bounds retries per hundred requests of the run.
+	RetryPercent int
+	// Seed of schedule, kinds and jitter.
+	Seed uint64
+	// RunID makes idempotency keys unique among runs. Empty takes a random one.
+	RunID string
+
+	// Window of time for imbalance.
+	Window time.Duration
+	// Targets are the names of all targets of the service, if known.
+	Targets []string
+	// RunURLs are the base URLs of all backend servers, if they can be asked
+	// for their runs.
+	RunURLs []string
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Connections, DefaultConnections)
+	setDefault(&o.RequestsPerFlow, DefaultRequestsPerFlow)
+	setDefault(&o.Deadline, DefaultDeadline)
+	setDefault(&o.Attempts, DefaultAttempts)
+	setDefault(&o.RetryPercent, DefaultRetryPercent)
+	setDefault(&o.Window, DefaultWindow)
+	setDefault(&o.WatchPeriod, DefaultWatchPeriod)
+	if o.RunID == "" {
+		o.RunID = randomID()
+	}
+	return o
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+// randomID tells runs apart. It is an identity: the seed must not fix it, or
+// the keys of a second run with the same seed would be known already.
+func randomID() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+func (o Options) validate() error {
+	switch {
+	case len(o.Addresses) == 0:
+		return errors.Wrap(ErrOptions, "no address to call")
+	case o.Service == "":
+		return errors.Wrap(ErrOptions, "no service named")
+	case o.Rate < 0 || o.Sessions < 0 || o.Connections < 0 || o.RequestsPerFlow < 0 || o.Attempts < 0 || o.RetryPercent < 0:
+		return errors.Wrap(ErrOptions, "a number is negative")
+	case o.NonRepeatable < 0 || o.NonRepeatable > 1:
+		return errors.Wrap(ErrOptions, "the share of non-repeatable requests is not between 0 and 1")
+	case o.Duration <= 0:
+		return errors.Wrap(ErrOptions, "the duration is not positive")
+	case o.Window < 0 || o.WatchPeriod < 0 || o.Deadline < 0 || o.Work < 0:
+		return errors.Wrap(ErrOptions, "a time is negative")
+	}
+	for _, addr := range o.Addresses {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return errors.Wrapf(ErrOptions, "%q is not an address of the form ip:port", addr)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/loadgen/runs.go
@@ -0,0 +1,102 @@
+package loadgen
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc/pool"
+)
+
+const (
+	runsWorkers = 8
+	runsTimeout = 5 * time.Second
+)
+
+// ErrRuns reports that the backend servers could not all be asked how often
+// a key ran.
+var ErrRuns = errors.New("the backend servers cannot be asked for their runs")
+
+// checkRuns asks every backend server how often each key ran and fills in
+// report.Doubled.
+func (g *generator) checkRuns(ctx context.Context, report *Report) error {
+	if len(g.opts.RunURLs) == 0 {
+		return errors.Wrap(ErrRuns, "none is named")
+	}
+	client := &http.Client{
+		Timeout:   runsTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: runsWorkers},
+	}
+	defer client.CloseIdleConnections()
+	workers := pool.NewWithResults[Doubled]().WithContext(ctx).WithMaxGoroutines(runsWorkers).WithCancelOnError()
+	for _, fate := range g.rec.fates {
+		workers.Go(func(ctx context.Context) (Doubled, error) {
+			runs, err := totalRuns(ctx, client, g.opts.RunURLs, fate.key)
+			return judge(fate, runs), err
+		})
+	}
+	parts, err := workers.Wait()
+	if err != nil {
+		return err
+	}
+	report.Doubled = &Doubled{}
+	for _, p := range parts {
+		report.Doubled.Keys += p.Keys
+		report.Doubled.Doubled += p.Doubled
+		report.Doubled.DeniedFalsely += p.DeniedFalsely
+		report.Doubled.AnsweredUnrun += p.AnsweredUnrun
+	}
+	return nil
+}
+
+// judge compares what a caller was told with how often the key ran.
+func judge(fate keyFate, runs int) Doubled {
+	d := Doubled{Keys: 1}
+	if runs > 1 {
+		d.Doubled = 1
+	}
+	if fate.told == ClassNotRun && runs > 0 {
+		d.DeniedFalsely = 1
+	}
+	if fate.told == ClassAnswered && runs == 0 {
+		d.AnsweredUnrun = 1
+	}
+	return d
+}
+
+func totalRuns(ctx context.Context, client *http.Client, urls []string, key string) (int, error) {
+	total := 0
+	for _, base := range urls {
+		n, err := runsAt(ctx, client, base, key)
+		if err != nil {
+			return 0, errors.Wrapf(ErrRuns, "%s: %v", base, err)
+		}
+		total += n
+	}
+	return total, nil
+}
+
+func runsAt(ctx context.Context, client *http.Client, base, key string) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/runs?key="+url.QueryEscape(key), nil)
+	if err != nil {
+		return 0, err
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(res.Body, 64))
+	if err != nil {
+		return 0, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return 0, errors.Errorf("status %s", res.Status)
+	}
+	return strconv.Atoi(strings.TrimSpace(string(text)))
+}
