link: control links over QUIC with mutual TLS

Processes exchange requests and subscriptions over one connection with heartbeats; a silent path is redialled from a fresh UDP port. A connection counts only after an answered heartbeat, so a refusal of certificate, role or admission shows before any request leaves, and ErrNotSent stays a true claim.

--- /dev/null
+++ b/internal/link/client.go
@@ -0,0 +1,287 @@
+package link
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+)
+
+// Defaults of ClientOptions.
+const (
+	DefaultDialTimeout      = 3 * time.Second
+	DefaultHeartbeatPeriod  = 3 * time.Second
+	DefaultHeartbeatTimeout = 3 * time.Second
+	DefaultBackoffMin       = 100 * time.Millisecond
+	DefaultBackoffMax       = 5 * time.Second
+	DefaultMaxResponseBytes = 16 << 20
+
+	// clientStreams is negative because servers open no streams; 0 would mean
+	// the library's default.
+	clientStreams = -1
+	// jitterShare is how far a period is varied, up and down.
+	jitterShare = 0.2
+)
+
+// ClientOptions tune a client. Zero values mean the defaults.
+type ClientOptions struct {
+	Scope tally.Scope
+	Log   *zap.Logger
+	// Allowed lists the roles that a server may have; by default control.
+	Allowed []keys.Role
+	// LocalIP is the IP number that sockets are opened on; by default any.
+	LocalIP netip.Addr
+	// DialTimeout bounds one attempt: handshake and first heartbeat.
+	DialTimeout time.Duration
+	// HeartbeatPeriod is the time between heartbeats on a connection, and
+	// HeartbeatTimeout how long an answer may take before the path counts as
+	// silent.
+	HeartbeatPeriod  time.Duration
+	HeartbeatTimeout time.Duration
+	// BackoffMin and BackoffMax bound the pause between rounds of attempts.
+	BackoffMin time.Duration
+	BackoffMax time.Duration
+	// MaxRequestBytes and MaxResponseBytes bound messages.
+	MaxRequestBytes  int
+	MaxResponseBytes int
+	// Rand drives jitter and the order of addresses. By default it is seeded
+	// at random. The client alone may use it.
+	Rand *rand.Rand
+}
+
+func (o ClientOptions) withDefaults() ClientOptions {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if len(o.Allowed) == 0 {
+		o.Allowed = []keys.Role{keys.RoleControl}
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.HeartbeatPeriod, DefaultHeartbeatPeriod)
+	setDefault(&o.HeartbeatTimeout, DefaultHeartbeatTimeout)
+	setDefault(&o.BackoffMin, DefaultBackoffMin)
+	setDefault(&o.BackoffMax, DefaultBackoffMax)
+	setDefault(&o.MaxResponseBytes, DefaultMaxResponseBytes)
+	setDefault(&o.MaxRequestBytes, o.MaxResponseBytes)
+	return o
+}
+
+// Client keeps one connection to one out of several servers. All methods may
+// be called concurrently.
+type Client struct {
+	addrs  []string
+	creds  *keys.Credentials
+	opts   ClientOptions
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     conc.WaitGroup
+	// randMu guards opts.Rand.
+	randMu sync.Mutex
+
+	// mu guards the fields below; it is never held while calling out.
+	mu      sync.Mutex
+	current *connection
+	// ready is closed while there is a connection; a new one is made when it
+	// is lost.
+	ready chan struct{}
+	// next is where the client shall move to, if not empty.
+	next string
+	// move is signalled to leave the current connection.
+	move chan struct{}
+}
+
+// NewClient starts a client for servers at the given addresses (ip:port). It
+// connects at once and reconnects until it is closed.
+func NewClient(addrs []string, creds *keys.Credentials, opts ClientOptions) *Client {
+	c := &Client{
+		addrs: append([]string{}, addrs...),
+		creds: creds,
+		opts:  opts.withDefaults(),
+		ready: make(chan struct{}),
+		move:  make(chan struct{}, 1),
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.opts.Rand.Shuffle(len(c.addrs), func(i, j int) {
+		c.addrs[i], c.addrs[j] = c.addrs[j], c.addrs[i]
+	})
+	c.wg.Go(c.run)
+	return c
+}
+
+// Addresses returns the servers that the client may use.
+func (c *Client) Addresses() []string {
+	return append([]string{}, c.addrs...)
+}
+
+// Address returns the server of the current connection, or "" without one.
+func (c *Client) Address() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == nil {
+		return ""
+	}
+	return c.current.addr
+}
+
+// Move makes the client leave its connection for another one. An empty
+// address means any other server of the list. Requests on the old connection
+// end with ErrUnknown.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	c.next = addr
+	c.mu.Unlock()
+	select {
+	case c.move <- struct{}{}:
+	default:
+	}
+}
+
+// Close ends the connection and all that waits for one.
+func (c *Client) Close() {
+	c.cancel()
+	c.wg.Wait()
+}
+
+// Call sends a request and waits for its response, no longer than the
+// context. It waits for a connection first if there is none. The error is
+// ErrNotSent or ErrUnknown, ErrTooLarge for a request that was too large to
+// send, and ErrClosed on a closed client. A fault that the server answers is
+// a response: see FaultOf.
+func (c *Client) Call(ctx context.Context, req *controlpb.Request) (*controlpb.Response, error) {
+	conn, err := c.await(ctx)
+	if err != nil {
+		return nil, err
+	}
+	res, err := conn.call(ctx, req)
+	if err != nil {
+		c.countFailure(err)
+	}
+	return res, err
+}
+
+// Subscribe opens a subscription. It lives until it is closed, the context
+// ends or the connection is lost.
+func (c *Client) Subscribe(ctx context.Context, req *controlpb.Subscribe) (*ClientStream, error) {
+	conn, err := c.await(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s, err := conn.subscribe(ctx, req)
+	if err != nil {
+		c.countFailure(err)
+	}
+	return s, err
+}
+
+// Answer is what one server answered to CallEach.
+type Answer struct {
+	Address  string
+	Response *controlpb.Response
+	Err      error
+}
+
+// CallEach sends a request to every server of the list, each over a
+// connection of its own that is closed afterwards. It returns one answer an
+// address once all have answered or failed, or the context ends.
+func (c *Client) CallEach(ctx context.Context, req *controlpb.Request) []Answer {
+	answers := make([]Answer, len(c.addrs))
+	var wg conc.WaitGroup
+	for i, addr := range c.addrs {
+		wg.Go(func() {
+			answers[i] = c.callOnce(ctx, addr, req)
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+func (c *Client) callOnce(ctx context.Context, addr string, req *controlpb.Request) Answer {
+	conn, err := c.dial(ctx, addr)
+	if err != nil {
+		return Answer{Address: addr, Err: errors.Wrap(ErrNotSent, err.Error())}
+	}
+	defer conn.close(codeNone)
+	res, err := conn.call(ctx, req)
+	return Answer{Address: addr, Response: res, Err: err}
+}
+
+// await returns the current connection, waiting for one if need be.
+func (c *Client) await(ctx context.Context) (*connection, error) {
+	for {
+		if err := ctx.Err(); err != nil {
+			return nil, errors.Wrap(ErrNotSent, err.Error())
+		}
+		c.mu.Lock()
+		conn, ready := c.current, c.ready
+		c.mu.Unlock()
+		if conn != nil {
+			return conn, nil
+		}
+		select {
+		case <-ready:
+		case <-ctx.Done():
+			c.countReason("no_connection")
+			return nil, errors.Wrapf(ErrNotSent, "no connection: %v", ctx.Err())
+		case <-c.ctx.Done():
+			return nil, ErrClosed
+		}
+	}
+}
+
+func (c *Client) publish(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current = conn
+	close(c.ready)
+}
+
+func (c *Client) unpublish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current = nil
+	c.ready = make(chan struct{})
+}
+
+func (c *Client) countFailure(err error) {
+	switch {
+	case errors.Is(err, ErrNotSent):
+		c.countReason("not_sent")
+	case errors.Is(err, ErrUnknown):
+		c.countReason("unknown")
+	case errors.Is(err, ErrTooLarge):
+		c.countReason("too_large")
+	}
+}
+
+func (c *Client) countReason(reason string) {
+	byReason(c.opts.Scope, metricCallFailures, reason).Inc(1)
+}
+
+// jitter varies a duration, so that many clients do not act together.
+func (c *Client) jitter(d time.Duration) time.Duration {
+	c.randMu.Lock()
+	defer c.randMu.Unlock()
+	factor := 1 + jitterShare*(2*c.opts.Rand.Float64()-1)
+	return time.Duration(float64(d) * factor)
+}
+
+func (c *Client) quicConfig() *quic.Config {
+	idle := c.opts.HeartbeatPeriod + c.opts.HeartbeatTimeout
+	return quicConfig(2*idle, clientStreams)
+}
--- /dev/null
+++ b/internal/link/connection.go
@@ -0,0 +1,167 @@
+package link
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+)
+
+// connection is one established connection with a socket of its own.
+type connection struct {
+	addr      string
+	quic      *quic.Conn
+	transport *quic.Transport
+	socket    *net.UDPConn
+	// sendLimit and receiveLimit bound messages, in bytes.
+	sendLimit    int
+	receiveLimit int
+}
+
+// dial connects from a fresh UDP port and waits until the server has answered
+// a heartbeat: by then it has checked our certificate and admitted us.
+func (c *Client) dial(ctx context.Context, addr string) (*connection, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
+	defer cancel()
+	remote, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "server address")
+	}
+	var local *net.UDPAddr
+	if c.opts.LocalIP.IsValid() {
+		local = &net.UDPAddr{IP: c.opts.LocalIP.AsSlice()}
+	}
+	socket, err := net.ListenUDP("udp", local)
+	if err != nil {
+		return nil, errors.Wrap(err, "open socket")
+	}
+	conn := &connection{
+		addr:         addr,
+		socket:       socket,
+		transport:    &quic.Transport{Conn: socket},
+		sendLimit:    c.opts.MaxRequestBytes,
+		receiveLimit: c.opts.MaxResponseBytes,
+	}
+	tlsConfig := c.creds.ClientTLS(c.opts.Allowed...)
+	tlsConfig.NextProtos = []string{protocolName}
+	conn.quic, err = conn.transport.Dial(ctx, remote, tlsConfig, c.quicConfig())
+	if err != nil {
+		conn.close(codeNone)
+		return nil, errors.Wrapf(err, "dial %s", addr)
+	}
+	if err := conn.heartbeat(ctx); err != nil {
+		cause := context.Cause(conn.quic.Context())
+		conn.close(codeNone)
+		if cause != nil {
+			// The refusal of the connection says more than that of the stream.
+			err = cause
+		}
+		return nil, errors.Wrapf(err, "first heartbeat to %s", addr)
+	}
+	return conn, nil
+}
+
+func (c *connection) close(code quic.ApplicationErrorCode) {
+	if c.quic != nil {
+		_ = c.quic.CloseWithError(code, "")
+	}
+	_ = c.transport.Close()
+	_ = c.socket.Close()
+}
+
+// heartbeat asks the server for a sign of life.
+func (c *connection) heartbeat(ctx context.Context) error {
+	_, err := c.call(ctx, &controlpb.Request{
+		Body: &controlpb.Request_Heartbeat{Heartbeat: &controlpb.Heartbeat{}},
+	})
+	return err
+}
+
+func (c *connection) call(ctx context.Context, req *controlpb.Request) (*controlpb.Response, error) {
+	stream, err := c.quic.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotSent, "open stream: %v", err)
+	}
+	stop := context.AfterFunc(ctx, func() { abort(stream, streamCancelled) })
+	defer stop()
+	if err := c.write(ctx, stream, req); err != nil {
+		return nil, err
+	}
+	res := new(controlpb.Response)
+	if err := readMessage(stream, res, c.receiveLimit); err != nil {
+		return nil, c.failure(ctx, stream, err)
+	}
+	// Tells the server that the answer has arrived.
+	_ = stream.Close()
+	stream.CancelRead(streamDone)
+	return res, nil
+}
+
+func (c *connection) subscribe(ctx context.Context, req *controlpb.Subscribe) (*ClientStream, error) {
+	stream, err := c.quic.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotSent, "open stream: %v", err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(ctx, func() { abort(stream, streamCancelled) })
+	first := &controlpb.Request{Body: &controlpb.Request_Subscribe{Subscribe: req}}
+	if err := c.write(ctx, stream, first); err != nil {
+		cancel()
+		return nil, err
+	}
+	return &ClientStream{stream: stream, limit: c.receiveLimit, stop: stop, cancel: cancel}, nil
+}
+
+// write sends the request of a stream. A request that is too large is refused
+// before any byte of it leaves.
+func (c *connection) write(ctx context.Context, stream *quic.Stream, req *controlpb.Request) error {
+	err := writeMessage(stream, req, c.sendLimit)
+	if errors.Is(err, ErrTooLarge) {
+		abort(stream, streamCancelled)
+		return err
+	}
+	if err != nil {
+		return c.failure(ctx, stream, err)
+	}
+	return nil
+}
+
+// failure turns the error of a stream into an outcome and ends the stream.
+func (c *connection) failure(ctx context.Context, stream *quic.Stream, err error) error {
+	abort(stream, streamCancelled)
+	if ctx.Err() != nil {
+		return errors.Wrap(ErrUnknown, ctx.Err().Error())
+	}
+	return outcomeError(err)
+}
+
+// watch sends heartbeats until the connection ends, the server stops
+// answering or the client moves on. It returns why, and whether the same
+// server is worth another attempt at once.
+func (c *Client) watch(conn *connection) (reason string, silent bool) {
+	for {
+		timer := time.NewTimer(c.jitter(c.opts.HeartbeatPeriod))
+		select {
+		case <-c.ctx.Done():
+			timer.Stop()
+			return reasonClosed, false
+		case <-c.move:
+			timer.Stop()
+			return reasonMoved, false
+		case <-conn.quic.Context().Done():
+			timer.Stop()
+			return lossReason(context.Cause(conn.quic.Context())), false
+		case <-timer.C:
+		}
+		ctx, cancel := context.WithTimeout(c.ctx, c.opts.HeartbeatTimeout)
+		err := conn.heartbeat(ctx)
+		cancel()
+		if err != nil && conn.quic.Context().Err() == nil && c.ctx.Err() == nil {
+			return reasonSilent, true
+		}
+	}
+}
--- /dev/null
+++ b/internal/link/serve.go
@@ -0,0 +1,208 @@
+package link
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/sourcegraph/conc/panics"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+)
+
+func (s *Server) acceptLoop() {
+	for {
+		// Not the server's own context: while a graceful shutdown waits for
+		// calls, new connections are taken and refused with a reason.
+		conn, err := s.listener.Accept(context.Background())
+		if err != nil {
+			return
+		}
+		endHandshake(conn)
+		s.loops.Go(func() { s.serveConnection(conn) })
+	}
+}
+
+func (s *Server) serveConnection(conn *quic.Conn) {
+	id, err := keys.IdentityOf(conn.ConnectionState().TLS.PeerCertificates[0])
+	if err != nil {
+		// The handshake has checked it already.
+		_ = conn.CloseWithError(codeNone, "identity")
+		return
+	}
+	if !s.admit(conn, id) {
+		return
+	}
+	defer s.forget(conn)
+	peer := Peer{Role: id.Role, Name: id.Name, Service: id.Service}
+	for {
+		stream, err := conn.AcceptStream(conn.Context())
+		if err != nil {
+			return
+		}
+		s.startStream(peer, stream)
+	}
+}
+
+// admit registers a connection or refuses it with the time to come back.
+func (s *Server) admit(conn *quic.Conn, id keys.Identity) bool {
+	if s.isClosing() {
+		s.counters.refusedClosing.Inc(1)
+		_ = conn.CloseWithError(codeBusy, busyText(s.opts.DrainTimeout))
+		return false
+	}
+	if id.Role == keys.RoleControl {
+		s.admission.enter()
+	} else if why, wait := s.admission.admit(time.Now()); why != "" {
+		s.counters.refusedAdmission(why)
+		_ = conn.CloseWithError(codeBusy, busyText(wait))
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[conn] = struct{}{}
+	s.counters.connections.Update(float64(len(s.conns)))
+	return true
+}
+
+func (s *Server) forget(conn *quic.Conn) {
+	_ = conn.CloseWithError(codeNone, "")
+	s.admission.leave()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+	s.counters.connections.Update(float64(len(s.conns)))
+}
+
+func (s *Server) isClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
+func (s *Server) startStream(peer Peer, stream *quic.Stream) {
+	s.mu.Lock()
+	closing := s.closing
+	if !closing {
+		// Under the lock, so that Close waits for all streams or for none.
+		s.streams.Go(func() { s.guardStream(peer, stream) })
+	}
+	s.mu.Unlock()
+	if closing {
+		s.counters.refusedClosing.Inc(1)
+		abort(stream, streamNotDone)
+	}
+}
+
+// guardStream keeps a handler's panic to its own stream: the same request
+// would otherwise stop one control host after another.
+func (s *Server) guardStream(peer Peer, stream *quic.Stream) {
+	recovered := panics.Try(func() { s.serveStream(peer, stream) })
+	if recovered == nil {
+		return
+	}
+	abort(stream, streamFailed)
+	s.counters.panics.Inc(1)
+	s.opts.Log.Error("handler panicked", zap.String("peer", peer.Name), zap.Error(recovered.AsError()))
+}
+
+func (s *Server) serveStream(peer Peer, stream *quic.Stream) {
+	req, err := s.readRequest(peer, stream)
+	if err != nil {
+		s.counters.refusedRequest(err)
+		abort(stream, streamMalformed)
+		return
+	}
+	switch body := req.GetBody().(type) {
+	case nil:
+		s.counters.refusedRequest(ErrMalformed)
+		abort(stream, streamMalformed)
+	case *controlpb.Request_Heartbeat:
+		s.respond(stream, done())
+	case *controlpb.Request_Subscribe:
+		s.serveSubscription(peer, body.Subscribe, stream)
+	default:
+		s.respond(stream, s.handler.Call(stream.Context(), peer, req))
+	}
+}
+
+func (s *Server) readRequest(peer Peer, stream *quic.Stream) (*controlpb.Request, error) {
+	if err := stream.SetReadDeadline(time.Now().Add(s.opts.RequestTimeout)); err != nil {
+		return nil, errors.Wrap(err, "set deadline")
+	}
+	req := new(controlpb.Request)
+	if err := readMessage(stream, req, s.limitFor(peer)); err != nil {
+		return nil, err
+	}
+	return req, nil
+}
+
+func (s *Server) limitFor(peer Peer) int {
+	if peer.Role == keys.RoleControl {
+		return s.opts.MaxPeerBytes
+	}
+	return s.opts.MaxRequestBytes
+}
+
+// respond sends the only response of a stream and waits until the client has
+// it, so that a shutdown does not cut an answer that is still on its way.
+func (s *Server) respond(stream *quic.Stream, res *controlpb.Response) {
+	if res == nil {
+		s.counters.unanswered.Inc(1)
+		abort(stream, streamFailed)
+		return
+	}
+	_ = stream.SetWriteDeadline(time.Now().Add(s.opts.SendTimeout))
+	if err := writeMessage(stream, res, s.opts.MaxResponseBytes); err != nil {
+		s.counters.failedSend(err)
+		abort(stream, streamFailed)
+		return
+	}
+	_ = stream.Close()
+	awaitEnd(stream, s.opts.SendTimeout)
+}
+
+// awaitEnd waits until the client ends its side, which it does once it has
+// the answer.
+func awaitEnd(stream *quic.Stream, timeout time.Duration) {
+	_ = stream.SetReadDeadline(time.Now().Add(timeout))
+	var b [1]byte
+	_, _ = stream.Read(b[:])
+	stream.CancelRead(streamDone)
+}
+
+func (s *Server) serveSubscription(peer Peer, req *controlpb.Subscribe, stream *quic.Stream) {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	stop := context.AfterFunc(s.ctx, cancel)
+	defer stop()
+	sub := &ServerStream{
+		stream:      stream,
+		sendTimeout: s.opts.SendTimeout,
+		limit:       s.opts.MaxResponseBytes,
+		readLimit:   s.limitFor(peer),
+	}
+	// Heartbeats arrive at the subscriber's pace; the handler bounds the wait.
+	_ = stream.SetReadDeadline(time.Time{})
+	unblock := context.AfterFunc(ctx, func() { stream.CancelRead(streamDone) })
+	defer unblock()
+	s.counters.subscriptions.Inc(1)
+	err := s.handler.Subscribe(ctx, peer, req, sub)
+	sub.finish(err)
+	if err != nil && ctx.Err() == nil {
+		s.counters.failedSubscription.Inc(1)
+	}
+}
+
+func done() *controlpb.Response {
+	return &controlpb.Response{Body: &controlpb.Response_Done{Done: &controlpb.Done{}}}
+}
+
+// abort ends both sides of a stream at once.
+func abort(stream *quic.Stream, code quic.StreamErrorCode) {
+	stream.CancelRead(code)
+	stream.CancelWrite(code)
+}
--- /dev/null
+++ b/internal/link/server.go
@@ -0,0 +1,306 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+)
+
+// Defaults of ServerOptions.
+const (
+	DefaultMaxConnections  = 2000
+	DefaultMaxStreams      = 64
+	DefaultMaxHandshakes   = 256
+	DefaultAdmitPerSecond  = 100
+	DefaultAdmitBurst      = 200
+	DefaultLongestRetry    = 30 * time.Second
+	DefaultMaxRequestBytes = 1 << 20
+	DefaultMaxPeerBytes    = 16 << 20
+	DefaultServerIdle      = 15 * time.Second
+	DefaultRequestTimeout  = 5 * time.Second
+	DefaultSendTimeout     = 5 * time.Second
+	DefaultDrainTimeout    = 5 * time.Second
+)
+
+// Peer is the far end of a link, as its certificate names it.
+type Peer struct {
+	Role keys.Role
+	Name string
+	// Service is set for agents.
+	Service string
+}
+
+// Handler answers requests. Both methods are called from many goroutines.
+type Handler interface {
+	// Call answers one request. The context ends when the client gives up.
+	// A nil response ends the stream without an answer: the client does not
+	// learn what became of its request.
+	Call(ctx context.Context, peer Peer, req *controlpb.Request) *controlpb.Response
+	// Subscribe serves a subscription until the context ends or a method of
+	// the stream fails. It must send a heartbeat at least every
+	// SubscriptionHeartbeat while it has nothing else to send. A *FaultError
+	// that it returns reaches the subscriber.
+	Subscribe(ctx context.Context, peer Peer, req *controlpb.Subscribe, s *ServerStream) error
+}
+
+// ServerOptions bound what peers may take. Zero values mean the defaults.
+type ServerOptions struct {
+	Scope tally.Scope
+	Log   *zap.Logger
+	// Allowed lists the roles that are admitted; by default control, entry
+	// and agent.
+	Allowed []keys.Role
+	// MaxConnections bounds the connections of peers other than control hosts.
+	MaxConnections int
+	// MaxStreams bounds the requests and subscriptions of one connection.
+	MaxStreams int
+	// MaxHandshakes bounds the handshakes in progress.
+	MaxHandshakes int
+	// AdmitPerSecond and AdmitBurst limit how fast peers other than control
+	// hosts are admitted.
+	AdmitPerSecond float64
+	AdmitBurst     int
+	// LongestRetry bounds the time that a refused peer is told to wait.
+	LongestRetry time.Duration
+	// MaxRequestBytes bounds a request; MaxPeerBytes one of a control host.
+	MaxRequestBytes int
+	MaxPeerBytes    int
+	// MaxResponseBytes bounds what is sent; by default MaxPeerBytes.
+	MaxResponseBytes int
+	// IdleTimeout ends a connection on which nothing arrives.
+	IdleTimeout time.Duration
+	// RequestTimeout is how long a request may take to arrive.
+	RequestTimeout time.Duration
+	// SendTimeout is how long a peer may take to read what it is sent.
+	SendTimeout time.Duration
+	// DrainTimeout is how long Close waits for calls in progress.
+	DrainTimeout time.Duration
+}
+
+func (o ServerOptions) withDefaults() ServerOptions {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if len(o.Allowed) == 0 {
+		o.Allowed = []keys.Role{keys.RoleControl, keys.RoleEntry, keys.RoleAgent}
+	}
+	setDefault(&o.MaxConnections, DefaultMaxConnections)
+	setDefault(&o.MaxStreams, DefaultMaxStreams)
+	setDefault(&o.MaxHandshakes, DefaultMaxHandshakes)
+	setDefault(&o.AdmitPerSecond, DefaultAdmitPerSecond)
+	setDefault(&o.AdmitBurst, DefaultAdmitBurst)
+	setDefault(&o.LongestRetry, DefaultLongestRetry)
+	setDefault(&o.MaxRequestBytes, DefaultMaxRequestBytes)
+	setDefault(&o.MaxPeerBytes, DefaultMaxPeerBytes)
+	setDefault(&o.MaxResponseBytes, o.MaxPeerBytes)
+	setDefault(&o.IdleTimeout, DefaultServerIdle)
+	setDefault(&o.RequestTimeout, DefaultRequestTimeout)
+	setDefault(&o.SendTimeout, DefaultSendTimeout)
+	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
+	return o
+}
+
+func setDefault[T int | int64 | float64 | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Server is the listening end of control links.
+type Server struct {
+	opts      ServerOptions
+	creds     *keys.Credentials
+	handler   Handler
+	counters  serverCounters
+	admission *admission
+
+	socket    *net.UDPConn
+	transport *quic.Transport
+	listener  *quic.Listener
+
+	// ctx ends subscriptions and accept loops.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// loops are the goroutines of connections, streams those of requests.
+	loops   conc.WaitGroup
+	streams conc.WaitGroup
+
+	// mu guards the fields below; it is never held while calling out.
+	mu         sync.Mutex
+	closing    bool
+	conns      map[*quic.Conn]struct{}
+	handshakes int
+}
+
+// Listen opens a UDP socket (ip:port) and serves control links on it.
+func Listen(addr string, creds *keys.Credentials, h Handler, opts ServerOptions) (*Server, error) {
+	opts = opts.withDefaults()
+	udpAddr, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "link address")
+	}
+	socket, err := net.ListenUDP("udp", udpAddr)
+	if err != nil {
+		return nil, errors.Wrap(err, "open link socket")
+	}
+	s := &Server{
+		opts:      opts,
+		creds:     creds,
+		handler:   h,
+		counters:  newServerCounters(opts.Scope),
+		admission: newAdmission(opts.AdmitPerSecond, opts.AdmitBurst, opts.MaxConnections, opts.LongestRetry),
+		socket:    socket,
+		conns:     make(map[*quic.Conn]struct{}),
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	if err := s.listen(); err != nil {
+		s.cancel()
+		_ = socket.Close()
+		return nil, err
+	}
+	s.loops.Go(s.acceptLoop)
+	return s, nil
+}
+
+func (s *Server) listen() error {
+	resetKey := quic.StatelessResetKey(s.creds.StatelessResetKey())
+	s.transport = &quic.Transport{
+		Conn:              s.socket,
+		StatelessResetKey: &resetKey,
+		ConnContext:       s.beginHandshake,
+		VerifySourceAddress: func(net.Addr) bool {
+			// Under load, sources prove their address before they cost a
+			// handshake.
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.handshakes > s.opts.MaxHandshakes/2
+		},
+	}
+	var err error
+	config := quicConfig(s.opts.IdleTimeout, int64(s.opts.MaxStreams))
+	s.listener, err = s.transport.Listen(s.tlsConfig(), config)
+	return errors.Wrap(err, "listen for links")
+}
+
+// tlsConfig refuses peers in the handshake, each refusal counted by reason.
+func (s *Server) tlsConfig() *tls.Config {
+	config := s.creds.ServerTLS(s.opts.Allowed...)
+	config.NextProtos = []string{protocolName}
+	verify := config.VerifyConnection
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		err := verify(state)
+		if err != nil {
+			s.counters.refusedPeer(err)
+		}
+		return err
+	}
+	return config
+}
+
+type handshakeKey struct{}
+
+// beginHandshake bounds the handshakes in progress. The slot is given back by
+// endHandshake, or when the handshake fails and quic-go ends the context.
+func (s *Server) beginHandshake(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+	s.mu.Lock()
+	full := s.handshakes >= s.opts.MaxHandshakes
+	if !full {
+		s.handshakes++
+	}
+	s.mu.Unlock()
+	if full {
+		s.counters.refusedHandshake.Inc(1)
+		return nil, errors.New("too many handshakes")
+	}
+	once := new(sync.Once)
+	end := func() { once.Do(s.releaseHandshake) }
+	context.AfterFunc(ctx, end)
+	return context.WithValue(ctx, handshakeKey{}, end), nil
+}
+
+func (s *Server) releaseHandshake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handshakes--
+}
+
+func endHandshake(conn *quic.Conn) {
+	if end, ok := conn.Context().Value(handshakeKey{}).(func()); ok {
+		end()
+	}
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() net.Addr {
+	return s.socket.LocalAddr()
+}
+
+// Connections returns how many connections are open.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Close stops the server: it admits nothing more, ends subscriptions, lets
+// calls in progress finish within the drain timeout, and then closes the
+// connections.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	if s.closing {
+		s.mu.Unlock()
+		return ErrClosed
+	}
+	s.closing = true
+	s.mu.Unlock()
+
+	s.cancel()
+	s.awaitStreams()
+	s.closeConnections()
+	_ = s.listener.Close()
+	s.loops.Wait()
+	_ = s.transport.Close()
+	return errors.Wrap(s.socket.Close(), "close link socket")
+}
+
+func (s *Server) awaitStreams() {
+	done := make(chan struct{})
+	var waiter conc.WaitGroup
+	waiter.Go(func() {
+		defer close(done)
+		s.streams.Wait()
+	})
+	select {
+	case <-done:
+	case <-time.After(s.opts.DrainTimeout):
+		s.counters.drainCut.Inc(1)
+		s.opts.Log.Warn("calls in progress were cut by the shutdown",
+			zap.Duration("after", s.opts.DrainTimeout))
+	}
+}
+
+func (s *Server) closeConnections() {
+	s.mu.Lock()
+	conns := make([]*quic.Conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		_ = c.CloseWithError(codeShutdown, "shutdown")
+	}
+}
