link: tests over real QUIC on loopback

Strangers, wrong roles, expired and missing certificates, rough messages, garbage datagrams, silent paths, restarts, rotation and a wave of dials. The tests found that errors.Wrap of this library keeps a nil error as an error (mended here and in keys), and that a restarted server sent no stateless reset because heartbeats were shorter than quic-go's bound of 42 bytes: the server's connection IDs are now 20 bytes long, so that a restart shows at the next heartbeat.

--- a/internal/keys/credentials.go
+++ b/internal/keys/credentials.go
@@ -280,5 +280,8 @@
 		return nil, errors.Wrap(err, "read certificates")
 	}
 	certs, err := parseCertificates(data)
-	return certs, errors.Wrap(err, path)
+	if err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	return certs, nil
 }
--- a/internal/keys/dir.go
+++ b/internal/keys/dir.go
@@ -229,5 +229,8 @@
 		return errors.Wrap(err, "open folder")
 	}
 	defer func() { _ = d.Close() }()
-	return errors.Wrapf(d.Sync(), "sync %s", dir)
+	if err := d.Sync(); err != nil {
+		return errors.Wrapf(err, "sync %s", dir)
+	}
+	return nil
 }
--- a/internal/keys/inspect.go
+++ b/internal/keys/inspect.go
@@ -46,7 +46,10 @@
 		return nil, errors.Wrap(err, "read key file")
 	}
 	out, err := inspect(data)
-	return out, errors.Wrap(err, path)
+	if err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	return out, nil
 }
 
 func inspect(data []byte) ([]Inspection, error) {
--- a/internal/keys/tls.go
+++ b/internal/keys/tls.go
@@ -84,7 +84,10 @@
 		return nil, errors.Wrap(err, "read caller private key")
 	}
 	cert, err := ParseCallerCertificate(&Pair{Certificate: certPEM, PrivateKey: keyPEM})
-	return cert, errors.Wrapf(err, "caller certificate %s with private key %s", certPath, keyPath)
+	if err != nil {
+		return nil, errors.Wrapf(err, "caller certificate %s with private key %s", certPath, keyPath)
+	}
+	return cert, nil
 }
 
 // ParseCallerCertificate is CallerCertificate for keys held in memory.
@@ -93,7 +96,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return cert, checkValidity(cert.Leaf, time.Now())
+	if err := checkValidity(cert.Leaf, time.Now()); err != nil {
+		return nil, err
+	}
+	return cert, nil
 }
 
 // verify checks who signed a certificate and returns its identity.
--- /dev/null
+++ b/internal/link/fault_test.go
@@ -0,0 +1,375 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+)
+
+func TestStrangersAreRefused(t *testing.T) {
+	d := newDeployment(t)
+	other := newDeployment(t)
+	server := d.credentials(keys.RoleControl, "c1")
+	cases := []struct {
+		name   string
+		reason string
+		creds  func(t *testing.T) *keys.Credentials
+	}{
+		{"other authority", "stranger", func(t *testing.T) *keys.Credentials {
+			// Trusts the server, but is signed by another authority.
+			both := append(d.authority.CertificatePEM(), other.authority.CertificatePEM()...)
+			c, err := keys.InMemory(both, other.pair(keys.RoleEntry, "e1", time.Now()), nil)
+			is.New(t).NoErr(err)
+			return c
+		}},
+		{"wrong role", "role", func(*testing.T) *keys.Credentials {
+			return d.credentials(keys.RoleOperator, "o1")
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newFakeHandler()
+			s, scope := startServer(t, anyPort, server, h, ServerOptions{})
+			c, clientScope := startClient(t, tc.creds(t), quick(), s.Addr().String())
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			_, err := c.Call(ctx, versionQuery())
+			is.True(errors.Is(err, ErrNotSent))
+			eventually(t, "counted", func() bool { return count(scope, metricRefusedConnections, tc.reason) > 0 })
+			eventually(t, "counted by the client", func() bool {
+				return count(clientScope, metricDialFailures, "refused_certificate") > 0
+			})
+			is.Equal(h.calls(), 0)
+		})
+	}
+}
+
+// rawDial connects with a TLS configuration that Credentials would refuse.
+func rawDial(t *testing.T, s *Server, config *tls.Config) (*quic.Conn, error) {
+	t.Helper()
+	config.InsecureSkipVerify = true
+	config.NextProtos = []string{protocolName}
+	conn, err := quic.DialAddr(limited(t), s.Addr().String(), config, quicConfig(time.Second, clientStreams))
+	if err == nil {
+		t.Cleanup(func() { _ = conn.CloseWithError(0, "") })
+	}
+	return conn, err
+}
+
+func TestExpiredAndMissingCertificates(t *testing.T) {
+	d := newDeployment(t)
+	old := d.pair(keys.RoleEntry, "e1", time.Now().Add(-3*time.Hour))
+	expired, err := tls.X509KeyPair(old.Certificate, old.PrivateKey)
+	is.New(t).NoErr(err)
+	cases := []struct {
+		name, reason string
+		certs        []tls.Certificate
+	}{
+		{"expired", "expired", []tls.Certificate{expired}},
+		{"missing", "no_certificate", nil},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newFakeHandler()
+			s, scope := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), h, ServerOptions{})
+			conn, err := rawDial(t, s, &tls.Config{Certificates: tc.certs})
+			if err == nil {
+				// The client's side of the handshake ends before the refusal.
+				<-conn.Context().Done()
+				err = context.Cause(conn.Context())
+			}
+			var transport *quic.TransportError
+			is.True(errors.As(err, &transport))
+			is.True(transport.ErrorCode.IsCryptoError())
+			is.Equal(count(scope, metricRefusedConnections, tc.reason), int64(1))
+			is.Equal(h.calls(), 0)
+		})
+	}
+}
+
+func TestClientRefusesServerOfWrongRole(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newFakeHandler()
+	s, _ := startServer(t, anyPort, d.credentials(keys.RoleAgent, "a1"), h, ServerOptions{})
+	c, scope := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), s.Addr().String())
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err := c.Call(ctx, versionQuery())
+	is.True(errors.Is(err, ErrNotSent))
+	eventually(t, "counted", func() bool { return count(scope, metricDialFailures, "server_certificate") > 0 })
+	is.Equal(h.calls(), 0)
+}
+
+// tlsFor is the configuration of a peer that misbehaves after the handshake.
+func tlsFor(t *testing.T, d *deployment) *tls.Config {
+	t.Helper()
+	pair := d.pair(keys.RoleEntry, "rough", time.Now())
+	cert, err := tls.X509KeyPair(pair.Certificate, pair.PrivateKey)
+	is.New(t).NoErr(err)
+	return &tls.Config{Certificates: []tls.Certificate{cert}}
+}
+
+func TestRoughMessages(t *testing.T) {
+	d := newDeployment(t)
+	cases := []struct {
+		name, reason string
+		data         []byte
+	}{
+		{"oversized", "too_large", []byte{0xff, 0xff, 0xff, 0x7f}},
+		{"endless length", "malformed", []byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff}},
+		{"garbage", "malformed", []byte{3, 0xff, 0xff, 0xff}},
+		{"empty request", "malformed", []byte{0}},
+		{"cut off", "broken_off", []byte{100, 1, 2}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newFakeHandler()
+			s, scope := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), h, ServerOptions{MaxRequestBytes: 1000})
+			conn, err := rawDial(t, s, tlsFor(t, d))
+			is.NoErr(err)
+			stream, err := conn.OpenStream()
+			is.NoErr(err)
+			_, err = stream.Write(tc.data)
+			is.NoErr(err)
+			is.NoErr(stream.Close())
+			var b [1]byte
+			_, err = stream.Read(b[:])
+			var streamErr *quic.StreamError
+			is.True(errors.As(err, &streamErr))
+			is.Equal(streamErr.ErrorCode, streamMalformed)
+			is.Equal(count(scope, metricRefusedRequests, tc.reason), int64(1))
+			is.Equal(h.calls(), 0)
+			// The connection serves others all the same.
+			is.NoErr((&connection{quic: conn, sendLimit: 100, receiveLimit: 100}).heartbeat(limited(t)))
+		})
+	}
+}
+
+func TestClientRefusesLargeRequest(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newFakeHandler()
+	s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), h, ServerOptions{MaxRequestBytes: 1000})
+	opts := quick()
+	opts.MaxRequestBytes = 2000
+	c, _ := startClient(t, d.credentials(keys.RoleEntry, "e1"), opts, s.Addr().String())
+	propose := func(n int) *controlpb.Request {
+		return &controlpb.Request{Body: &controlpb.Request_Propose{Propose: &controlpb.Propose{Command: make([]byte, n)}}}
+	}
+	_, err := c.Call(limited(t), propose(3000))
+	is.True(errors.Is(err, ErrTooLarge))
+	_, err = c.Call(limited(t), propose(1500))
+	is.True(errors.Is(err, ErrNotSent)) // the server refused it unread
+	_, err = c.Call(limited(t), propose(500))
+	is.NoErr(err)
+	is.Equal(h.calls(), 1)
+}
+
+func TestGarbageDatagrams(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), newFakeHandler(), ServerOptions{})
+	c, scope := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), s.Addr().String())
+	sub, err := c.Subscribe(limited(t), &controlpb.Subscribe{})
+	is.NoErr(err)
+	defer sub.Close()
+	raw, err := net.Dial("udp", s.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = raw.Close() }()
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 2000 {
+		data := make([]byte, 1+rng.IntN(1400))
+		for i := range data {
+			data[i] = byte(rng.Uint32())
+		}
+		_, _ = raw.Write(data)
+	}
+	_, err = c.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	is.Equal(s.Connections(), 1)
+	is.Equal(count(scope, metricLostConnections, reasonSilent), int64(0))
+}
+
+func TestSilentPathIsRedialled(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		repliesOnly bool
+	}{{"both directions", false}, {"replies only", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t)
+			s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), newFakeHandler(),
+				ServerOptions{IdleTimeout: time.Second})
+			r := startRelay(t, s.Addr())
+			c, scope := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), r.addr())
+			sub, err := c.Subscribe(limited(t), &controlpb.Subscribe{})
+			is.NoErr(err)
+			defer sub.Close()
+			r.loseTrack(tc.repliesOnly)
+			// The subscription on the dead path ends instead of hanging.
+			_, err = sub.Receive()
+			is.True(err != nil)
+			_, err = c.Call(limited(t), versionQuery())
+			is.NoErr(err)
+			is.Equal(count(scope, metricLostConnections, reasonSilent), int64(1))
+			is.Equal(r.pathCount(), 2) // the redial came from a fresh port
+			eventually(t, "the dead connection is gone", func() bool { return s.Connections() == 1 })
+		})
+	}
+}
+
+func TestAnotherServerTakesOver(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	a, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), newFakeHandler(), ServerOptions{})
+	b, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c2"), newFakeHandler(), ServerOptions{})
+	servers := map[string]*Server{a.Addr().String(): a, b.Addr().String(): b}
+	c, scope := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), a.Addr().String(), b.Addr().String())
+	_, err := c.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	first := c.Address()
+	is.NoErr(servers[first].Close())
+	eventually(t, "the other server", func() bool { return c.Address() != "" && c.Address() != first })
+	_, err = c.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	is.Equal(count(scope, metricLostConnections, reasonShutdown), int64(1))
+}
+
+// kill ends a server as a crash would: no connection is told.
+func kill(s *Server) {
+	s.cancel()
+	_ = s.socket.Close()
+}
+
+func TestServerRestart(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	creds := d.credentials(keys.RoleControl, "c1")
+	s, _ := startServer(t, anyPort, creds, newFakeHandler(), ServerOptions{})
+	opts := quick()
+	// Long heartbeats show that the restarted server tells its former peers.
+	opts.HeartbeatTimeout = testLimit
+	c, scope := startClient(t, d.credentials(keys.RoleEntry, "e1"), opts, s.Addr().String())
+	_, err := c.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	kill(s)
+	h := newFakeHandler()
+	startServer(t, s.Addr().String(), creds, h, ServerOptions{})
+	eventually(t, "reset", func() bool { return count(scope, metricLostConnections, reasonReset) == 1 })
+	_, err = c.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	is.Equal(h.calls(), 1)
+}
+
+func TestRotationKeepsSubscriptions(t *testing.T) {
+	is := is.New(t)
+	old, fresh := newDeployment(t), newDeployment(t)
+	both := append(old.authority.CertificatePEM(), fresh.authority.CertificatePEM()...)
+	h := newFakeHandler()
+	serverCreds := old.credentials(keys.RoleControl, "c1")
+	clientCreds := old.credentials(keys.RoleEntry, "e1")
+	s, _ := startServer(t, anyPort, serverCreds, h, ServerOptions{})
+	c, scope := startClient(t, clientCreds, quick(), s.Addr().String())
+	sub, err := c.Subscribe(limited(t), &controlpb.Subscribe{})
+	is.NoErr(err)
+	defer sub.Close()
+	receive := func(v uint64) {
+		h.updates <- update(v)
+		u, err := sub.Receive()
+		is.NoErr(err)
+		is.Equal(u.GetHeartbeat().GetVersion(), v)
+	}
+	receive(1)
+	// Both trust both; then certificates of the new authority; then only it.
+	is.NoErr(serverCreds.Replace(both, old.pair(keys.RoleControl, "c1", time.Now()), nil))
+	is.NoErr(clientCreds.Replace(both, old.pair(keys.RoleEntry, "e1", time.Now()), nil))
+	receive(2)
+	is.NoErr(serverCreds.Replace(both, fresh.pair(keys.RoleControl, "c1", time.Now()), nil))
+	late, _ := startClient(t, clientCreds, quick(), s.Addr().String())
+	_, err = late.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	is.NoErr(clientCreds.Replace(fresh.authority.CertificatePEM(), fresh.pair(keys.RoleEntry, "e1", time.Now()), nil))
+	is.NoErr(serverCreds.Replace(fresh.authority.CertificatePEM(), fresh.pair(keys.RoleControl, "c1", time.Now()), nil))
+	receive(3)
+	last, _ := startClient(t, clientCreds, quick(), s.Addr().String())
+	_, err = last.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	is.Equal(c.Address(), s.Addr().String())
+	is.Equal(len(scope.Snapshot().Counters()), 0) // nothing was lost or refused
+}
+
+func TestWaveIsAdmittedBitByBit(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	s, scope := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), newFakeHandler(),
+		ServerOptions{AdmitPerSecond: 50, AdmitBurst: 2})
+	creds := d.credentials(keys.RoleEntry, "e1")
+	var busy int64
+	var clients []*Client
+	var scopes []func() int64
+	for range 10 {
+		c, cs := startClient(t, creds, quick(), s.Addr().String())
+		clients = append(clients, c)
+		scopes = append(scopes, func() int64 { return count(cs, metricDialFailures, "busy") })
+	}
+	for _, c := range clients {
+		_, err := c.Call(limited(t), versionQuery())
+		is.NoErr(err)
+	}
+	for _, f := range scopes {
+		busy += f()
+	}
+	is.True(busy > 0)
+	is.Equal(count(scope, metricRefusedConnections, string(refusalRate)), busy)
+	is.Equal(s.Connections(), 10)
+}
+
+func TestControlHostsAreExemptFromAdmission(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), newFakeHandler(),
+		ServerOptions{AdmitPerSecond: 0.001, AdmitBurst: 1, MaxConnections: 1})
+	entry, _ := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), s.Addr().String())
+	_, err := entry.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	peer, _ := startClient(t, d.credentials(keys.RoleControl, "c2"), quick(), s.Addr().String())
+	_, err = peer.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	other, scope := startClient(t, d.credentials(keys.RoleEntry, "e2"), quick(), s.Addr().String())
+	eventually(t, "refused", func() bool { return count(scope, metricDialFailures, "busy") > 0 })
+	is.Equal(other.Address(), "")
+}
+
+func TestHandshakesInProgressAreBounded(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	s, scope := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), newFakeHandler(), ServerOptions{MaxHandshakes: 1})
+	s.mu.Lock()
+	s.handshakes = 1
+	s.mu.Unlock()
+	c, clientScope := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), s.Addr().String())
+	eventually(t, "refused", func() bool { return count(scope, metricRefusedConnections, "handshakes") > 0 })
+	eventually(t, "seen", func() bool { return count(clientScope, metricDialFailures, "refused") > 0 })
+	s.releaseHandshake()
+	_, err := c.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	eventually(t, "slots given back", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.handshakes == 0
+	})
+}
--- /dev/null
+++ b/internal/link/fixture_test.go
@@ -0,0 +1,310 @@
+package link
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+)
+
+// testLimit bounds every wait of these tests. It is no measure: nothing that
+// works comes near it.
+const testLimit = 30 * time.Second
+
+var loopback = netip.MustParseAddr("127.0.0.1")
+
+// deployment makes credentials that share an authority.
+type deployment struct {
+	t         *testing.T
+	authority *keys.Authority
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	is := is.New(t)
+	a, err := keys.NewAuthority(time.Now(), time.Hour)
+	is.NoErr(err)
+	return &deployment{t: t, authority: a}
+}
+
+func (d *deployment) pair(role keys.Role, name string, now time.Time) *keys.Pair {
+	d.t.Helper()
+	is := is.New(d.t)
+	id := keys.Identity{Role: role, Name: name}
+	if role == keys.RoleAgent {
+		id.Service = "lodgement"
+	}
+	pair, err := d.authority.Process(id, nil, now, time.Hour)
+	is.NoErr(err)
+	return pair
+}
+
+func (d *deployment) credentials(role keys.Role, name string) *keys.Credentials {
+	d.t.Helper()
+	is := is.New(d.t)
+	c, err := keys.InMemory(d.authority.CertificatePEM(), d.pair(role, name, time.Now()), nil)
+	is.NoErr(err)
+	return c
+}
+
+// fakeHandler answers calls with the version of the query's sender and sends
+// each subscription what the test puts into updates.
+type fakeHandler struct {
+	call    func(ctx context.Context, peer Peer, req *controlpb.Request) *controlpb.Response
+	updates chan *controlpb.SubscribeUpdate
+
+	mu    sync.Mutex
+	peers []Peer
+	beats []uint64
+}
+
+func newFakeHandler() *fakeHandler {
+	return &fakeHandler{updates: make(chan *controlpb.SubscribeUpdate)}
+}
+
+func versionReply(v uint64) *controlpb.Response {
+	return &controlpb.Response{Body: &controlpb.Response_Version{Version: &controlpb.VersionReply{Version: v}}}
+}
+
+func versionQuery() *controlpb.Request {
+	return &controlpb.Request{Body: &controlpb.Request_Version{Version: &controlpb.VersionQuery{}}}
+}
+
+func (h *fakeHandler) Call(ctx context.Context, peer Peer, req *controlpb.Request) *controlpb.Response {
+	h.mu.Lock()
+	h.peers = append(h.peers, peer)
+	h.mu.Unlock()
+	if h.call != nil {
+		return h.call(ctx, peer, req)
+	}
+	return versionReply(7)
+}
+
+func (h *fakeHandler) calls() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.peers)
+}
+
+func (h *fakeHandler) Subscribe(ctx context.Context, _ Peer, req *controlpb.Subscribe, s *ServerStream) error {
+	if req.GetVersion() == 999 {
+		return &FaultError{Kind: controlpb.FaultKind_FAULT_NOT_DONE, Text: "later", RetryAfter: time.Second}
+	}
+	go func() {
+		for {
+			b, err := s.Receive()
+			if err != nil {
+				return
+			}
+			h.mu.Lock()
+			h.beats = append(h.beats, b.GetVersion())
+			h.mu.Unlock()
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case u := <-h.updates:
+			if err := s.Send(u); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (h *fakeHandler) lastBeat() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.beats) == 0 {
+		return 0
+	}
+	return h.beats[len(h.beats)-1]
+}
+
+func startServer(t *testing.T, addr string, creds *keys.Credentials, h Handler, opts ServerOptions) (*Server, tally.TestScope) {
+	t.Helper()
+	is := is.New(t)
+	scope := tally.NewTestScope("", nil)
+	opts.Scope = scope
+	s, err := Listen(addr, creds, h, opts)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = s.Close() })
+	return s, scope
+}
+
+// quick are client options whose heartbeats and pauses are short.
+func quick() ClientOptions {
+	return ClientOptions{
+		LocalIP:          loopback,
+		DialTimeout:      500 * time.Millisecond,
+		HeartbeatPeriod:  50 * time.Millisecond,
+		HeartbeatTimeout: 300 * time.Millisecond,
+		BackoffMin:       10 * time.Millisecond,
+		BackoffMax:       50 * time.Millisecond,
+		Rand:             rand.New(rand.NewPCG(1, 2)),
+	}
+}
+
+func startClient(t *testing.T, creds *keys.Credentials, opts ClientOptions, addrs ...string) (*Client, tally.TestScope) {
+	t.Helper()
+	scope := tally.NewTestScope("", nil)
+	opts.Scope = scope
+	c := NewClient(addrs, creds, opts)
+	t.Cleanup(c.Close)
+	return c, scope
+}
+
+func limited(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// count returns a counter by metric and reason; an empty reason means a
+// counter without one.
+func count(s tally.TestScope, metric, reason string) int64 {
+	for _, c := range s.Snapshot().Counters() {
+		if c.Name() == metric && c.Tags()[tagReason] == reason {
+			return c.Value()
+		}
+	}
+	return 0
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testLimit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not reached: %s", what)
+}
+
+// relay passes datagrams between clients and one server. It can lose track of
+// the 5-tuples that it knows, while it passes on those of new ones.
+type relay struct {
+	front  *net.UDPConn
+	target *net.UDPAddr
+
+	mu    sync.Mutex
+	paths map[netip.AddrPort]*relayPath
+}
+
+type relayPath struct {
+	back *net.UDPConn
+	dead bool
+	// deadBack drops replies only.
+	deadBack bool
+}
+
+func startRelay(t *testing.T, target net.Addr) *relay {
+	t.Helper()
+	is := is.New(t)
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: loopback.AsSlice()})
+	is.NoErr(err)
+	r := &relay{front: front, target: target.(*net.UDPAddr), paths: make(map[netip.AddrPort]*relayPath)}
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		r.forward(&wg)
+	}()
+	t.Cleanup(func() {
+		_ = front.Close()
+		r.mu.Lock()
+		for _, p := range r.paths {
+			_ = p.back.Close()
+		}
+		r.mu.Unlock()
+		wg.Wait()
+	})
+	return r
+}
+
+func (r *relay) addr() string { return r.front.LocalAddr().String() }
+
+func (r *relay) forward(wg *sync.WaitGroup) {
+	buf := make([]byte, 2048)
+	for {
+		n, from, err := r.front.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		p := r.path(from, wg)
+		if p == nil {
+			return
+		}
+		r.mu.Lock()
+		dead := p.dead
+		r.mu.Unlock()
+		if !dead {
+			_, _ = p.back.Write(buf[:n])
+		}
+	}
+}
+
+func (r *relay) path(from netip.AddrPort, wg *sync.WaitGroup) *relayPath {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.paths[from]; p != nil {
+		return p
+	}
+	back, err := net.DialUDP("udp", &net.UDPAddr{IP: loopback.AsSlice()}, r.target)
+	if err != nil {
+		return nil
+	}
+	p := &relayPath{back: back}
+	r.paths[from] = p
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		r.backward(p, from)
+	}()
+	return p
+}
+
+func (r *relay) backward(p *relayPath, to netip.AddrPort) {
+	buf := make([]byte, 2048)
+	for {
+		n, err := p.back.Read(buf)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		dead := p.dead || p.deadBack
+		r.mu.Unlock()
+		if !dead {
+			_, _ = r.front.WriteToUDPAddrPort(buf[:n], to)
+		}
+	}
+}
+
+// loseTrack makes all known paths silent; new ones work. With repliesOnly,
+// datagrams towards the server still pass.
+func (r *relay) loseTrack(repliesOnly bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.paths {
+		p.dead = p.dead || !repliesOnly
+		p.deadBack = true
+	}
+}
+
+func (r *relay) pathCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.paths)
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,205 @@
+package link
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+)
+
+const anyPort = "127.0.0.1:0"
+
+func update(version uint64) *controlpb.SubscribeUpdate {
+	return &controlpb.SubscribeUpdate{Heartbeat: &controlpb.Heartbeat{Version: version}}
+}
+
+func TestCallAndSubscribe(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newFakeHandler()
+	s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), h, ServerOptions{})
+	c, _ := startClient(t, d.credentials(keys.RoleAgent, "a1"), quick(), s.Addr().String())
+
+	res, err := c.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	is.Equal(res.GetVersion().GetVersion(), uint64(7))
+	is.Equal(h.peers[0], Peer{Role: keys.RoleAgent, Name: "a1", Service: "lodgement"})
+
+	sub, err := c.Subscribe(limited(t), &controlpb.Subscribe{})
+	is.NoErr(err)
+	defer sub.Close()
+	h.updates <- update(3)
+	u, err := sub.Receive()
+	is.NoErr(err)
+	is.Equal(u.GetHeartbeat().GetVersion(), uint64(3))
+	is.NoErr(sub.Send(&controlpb.Heartbeat{Version: 3}))
+	eventually(t, "heartbeat at the server", func() bool { return h.lastBeat() == 3 })
+}
+
+func TestSubscribeFault(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), newFakeHandler(), ServerOptions{})
+	c, _ := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), s.Addr().String())
+	sub, err := c.Subscribe(limited(t), &controlpb.Subscribe{Version: 999})
+	is.NoErr(err)
+	defer sub.Close()
+	_, err = sub.Receive()
+	var fault *FaultError
+	is.True(errors.As(err, &fault))
+	is.Equal(fault.RetryAfter, time.Second)
+	is.Equal(fault.Kind, controlpb.FaultKind_FAULT_NOT_DONE)
+}
+
+func TestNotSentWithoutServer(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newFakeHandler()
+	s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), h, ServerOptions{})
+	addr := s.Addr().String()
+	is.NoErr(s.Close())
+	c, _ := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), addr)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := c.Call(ctx, versionQuery())
+	is.True(errors.Is(err, ErrNotSent))
+	is.True(!errors.Is(err, ErrUnknown))
+	is.Equal(h.calls(), 0)
+}
+
+func TestUnknownAfterContextEnds(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newFakeHandler()
+	cancelled := make(chan struct{})
+	h.call = func(ctx context.Context, _ Peer, _ *controlpb.Request) *controlpb.Response {
+		<-ctx.Done()
+		close(cancelled)
+		return nil
+	}
+	s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), h, ServerOptions{})
+	c, scope := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), s.Addr().String())
+	_, err := c.Call(limited(t), &controlpb.Request{Body: &controlpb.Request_Heartbeat{}})
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err = c.Call(ctx, versionQuery())
+	is.True(errors.Is(err, ErrUnknown))
+	is.Equal(count(scope, metricCallFailures, "unknown"), int64(1))
+	select {
+	case <-cancelled:
+	case <-time.After(testLimit):
+		t.Fatal("the handler did not hear that its client gave up")
+	}
+}
+
+func TestPanicEndsOneRequestOnly(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newFakeHandler()
+	h.call = func(_ context.Context, _ Peer, req *controlpb.Request) *controlpb.Response {
+		if req.GetVersion() == nil {
+			panic("test")
+		}
+		return versionReply(1)
+	}
+	s, scope := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), h, ServerOptions{})
+	c, _ := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), s.Addr().String())
+	_, err := c.Call(limited(t), &controlpb.Request{Body: &controlpb.Request_Announce{Announce: &controlpb.Announce{}}})
+	is.True(errors.Is(err, ErrUnknown))
+	_, err = c.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	is.Equal(count(scope, "link_server_panics", ""), int64(1))
+}
+
+func TestCloseLetsCallsFinish(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newFakeHandler()
+	running, finish := make(chan struct{}), make(chan struct{})
+	h.call = func(context.Context, Peer, *controlpb.Request) *controlpb.Response {
+		close(running)
+		<-finish
+		return versionReply(42)
+	}
+	s, scope := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), h, ServerOptions{DrainTimeout: testLimit})
+	c, _ := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), s.Addr().String())
+	answers := make(chan Answer, 1)
+	ctx := limited(t)
+	go func() {
+		res, err := c.Call(ctx, versionQuery())
+		answers <- Answer{Response: res, Err: err}
+	}()
+	<-running
+	closed := make(chan error, 1)
+	go func() { closed <- s.Close() }()
+	eventually(t, "server closing", s.isClosing)
+	_, err := c.Call(ctx, versionQuery())
+	is.True(errors.Is(err, ErrNotSent)) // a request during the shutdown is refused unread
+	is.Equal(count(scope, metricRefusedConnections, "closing") > 0, true)
+	close(finish)
+	a := <-answers
+	is.NoErr(a.Err)
+	is.Equal(a.Response.GetVersion().GetVersion(), uint64(42))
+	is.NoErr(<-closed)
+	is.Equal(count(scope, "link_server_drains_cut", ""), int64(0))
+}
+
+func TestCallEachAsksEveryServer(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	var addrs []string
+	for i := range 3 {
+		h := newFakeHandler()
+		h.call = func(context.Context, Peer, *controlpb.Request) *controlpb.Response {
+			return versionReply(uint64(i + 1))
+		}
+		s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c"), h, ServerOptions{})
+		addrs = append(addrs, s.Addr().String())
+		if i == 2 {
+			is.NoErr(s.Close())
+		}
+	}
+	c, _ := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), addrs...)
+	answers := c.CallEach(limited(t), versionQuery())
+	is.Equal(len(answers), 3)
+	versions := make(map[string]uint64)
+	for _, a := range answers {
+		if a.Err == nil {
+			versions[a.Address] = a.Response.GetVersion().GetVersion()
+		} else {
+			is.True(errors.Is(a.Err, ErrNotSent))
+		}
+	}
+	is.Equal(versions, map[string]uint64{addrs[0]: 1, addrs[1]: 2})
+}
+
+func TestMoveChangesTheServer(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	a, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), newFakeHandler(), ServerOptions{})
+	b, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c2"), newFakeHandler(), ServerOptions{})
+	c, scope := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), a.Addr().String(), b.Addr().String())
+	_, err := c.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	first := c.Address()
+	c.Move("")
+	eventually(t, "another server", func() bool { return c.Address() != "" && c.Address() != first })
+	c.Move(first)
+	eventually(t, "the named server", func() bool { return c.Address() == first })
+	is.Equal(count(scope, metricLostConnections, reasonMoved), int64(2))
+}
+
+func TestClosedClient(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	c := NewClient(nil, d.credentials(keys.RoleEntry, "e1"), quick())
+	c.Close()
+	_, err := c.Call(limited(t), versionQuery())
+	is.True(errors.Is(err, ErrClosed))
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -179,9 +179,10 @@
 func (s *Server) listen() error {
 	resetKey := quic.StatelessResetKey(s.creds.StatelessResetKey())
 	s.transport = &quic.Transport{
-		Conn:              s.socket,
-		StatelessResetKey: &resetKey,
-		ConnContext:       s.beginHandshake,
+		Conn:               s.socket,
+		ConnectionIDLength: serverIDLength,
+		StatelessResetKey:  &resetKey,
+		ConnContext:        s.beginHandshake,
 		VerifySourceAddress: func(net.Addr) bool {
 			// Under load, sources prove their address before they cost a
 			// handshake.
@@ -192,8 +193,10 @@
 	}
 	var err error
 	config := quicConfig(s.opts.IdleTimeout, int64(s.opts.MaxStreams))
-	s.listener, err = s.transport.Listen(s.tlsConfig(), config)
-	return errors.Wrap(err, "listen for links")
+	if s.listener, err = s.transport.Listen(s.tlsConfig(), config); err != nil {
+		return errors.Wrap(err, "listen for links")
+	}
+	return nil
 }
 
 // tlsConfig refuses peers in the handshake, each refusal counted by reason.
@@ -274,7 +277,10 @@
 	_ = s.listener.Close()
 	s.loops.Wait()
 	_ = s.transport.Close()
-	return errors.Wrap(s.socket.Close(), "close link socket")
+	if err := s.socket.Close(); err != nil {
+		return errors.Wrap(err, "close link socket")
+	}
+	return nil
 }
 
 func (s *Server) awaitStreams() {
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -17,6 +17,11 @@
 	connectionWindow    = 32 << 10
 	maxConnectionWindow = 1 << 20
 
+	// serverIDLength is the longest connection ID. A restarted server answers
+	// a packet of a former connection with a stateless reset only if the
+	// packet is longer than 42 bytes; with a long ID a heartbeat is.
+	serverIDLength = 20
+
 	handshakeTimeout = 3 * time.Second
 )
 
