Configuration and grant state machines

The two replicated state machines of the control hosts, as pure packages.

Accepted and refused outcomes have separate bounds: with one bound a flood of refused patches would drive out accepted outcomes, and a resend would then be told 'wrong base' for a patch that took. A patch whose outcome is forgotten can never apply again, because its base is older than the current version; the refusal says that the outcome is no longer kept.

Held grants outlive answered ones (7 days against 24 hours of logical time) and nothing is driven out of a full table: both would be a grant on a guess.

Ruled out: expiring by log index (depends on load), by wall clock (jumps).

go test ./config ./grant: ok.

--- /dev/null
+++ b/config/bounds.go
@@ -0,0 +1,46 @@
+package config
+
+// Bounds of the replicated state. Replicas must agree on them, so a change of
+// one is a change of the format of the log.
+const (
+	// MaxAcceptedOutcomes is the number of accepted patches whose outcome is
+	// kept: about three days at 3,300 changes a day.
+	MaxAcceptedOutcomes = 10_000
+	// MaxRefusedOutcomes is the number of refused patches whose outcome is
+	// kept. It is a bound of its own, so that a flood of refused patches
+	// cannot drive out the outcomes of accepted ones.
+	MaxRefusedOutcomes = 1_000
+	// MaxHistory is the number of versions kept for deltas. The history is
+	// not part of snapshots.
+	MaxHistory = 512
+	// MaxTargets is the number of target identities kept. The identity whose
+	// last registration is the oldest is dropped first; its number is not
+	// used again.
+	MaxTargets = 32_768
+	// MaxNumber bounds target numbers and incarnations: connection IDs carry
+	// 24 bits of each.
+	MaxNumber = 1<<24 - 1
+	// MaxServices bounds the services of a configuration.
+	MaxServices = 16_384
+	// MaxAddresses bounds the public addresses of one service.
+	MaxAddresses = 1_024
+	// MaxNameLength bounds names of services and targets, in bytes.
+	MaxNameLength = 63
+	// MaxIDLength bounds identifiers of patches, in bytes.
+	MaxIDLength = 128
+	// MaxProcessLength bounds the identity of a process, in bytes.
+	MaxProcessLength = 64
+	// MaxOperations bounds the operations of one patch.
+	MaxOperations = 10_000
+	// MaxFindings bounds the findings kept with an outcome. One more tells
+	// how many were left out.
+	MaxFindings = 200
+	// MaxSlots bounds the slots of one target.
+	MaxSlots = 1 << 20
+	// MaxRampMS bounds the ramp after a cold start, in milliseconds.
+	MaxRampMS = 3_600_000
+	// MaxWeight bounds the weights of a policy.
+	MaxWeight = 1_000
+	// maxPercent bounds percentages.
+	maxPercent = 100
+)
--- /dev/null
+++ b/config/delta.go
@@ -0,0 +1,76 @@
+package config
+
+import (
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+)
+
+// Errors of Merge.
+var (
+	// ErrBase tells that a delta starts at another version than the one held.
+	ErrBase = errors.New("delta starts at another version")
+	// ErrOlder tells that an update leads to an older version than the one
+	// held.
+	ErrOlder = errors.New("update leads to an older version")
+)
+
+// Diff returns the delta that leads from one version to another in one step.
+// Either may be nil, which stands for no configuration.
+func Diff(from, to *configpb.Configuration) *controlpb.ConfigUpdate {
+	u := &controlpb.ConfigUpdate{BaseVersion: from.GetVersion(), Version: to.GetVersion()}
+	before := byName(from)
+	after := byName(to)
+	for _, s := range to.GetServices() {
+		old := before[s.GetName()]
+		if old != s && !proto.Equal(old, s) {
+			u.Put = append(u.Put, s)
+		}
+	}
+	for _, s := range from.GetServices() {
+		if after[s.GetName()] == nil {
+			u.Removed = append(u.Removed, s.GetName())
+		}
+	}
+	return u
+}
+
+// Merge returns the configuration that an update leads to from base. Neither
+// argument is changed. A whole configuration replaces any base that is not
+// newer; a delta needs the very base that it was made from. Errors: ErrBase,
+// ErrOlder.
+func Merge(base *configpb.Configuration, u *controlpb.ConfigUpdate) (*configpb.Configuration, error) {
+	if snapshot := u.GetSnapshot(); snapshot != nil {
+		if snapshot.GetVersion() < base.GetVersion() {
+			return nil, ErrOlder
+		}
+		return snapshot, nil
+	}
+	if u.GetBaseVersion() != base.GetVersion() {
+		return nil, ErrBase
+	}
+	if u.GetVersion() < base.GetVersion() {
+		return nil, ErrOlder
+	}
+	if u.GetVersion() == base.GetVersion() {
+		return base, nil
+	}
+	services := byName(base)
+	for _, name := range u.GetRemoved() {
+		delete(services, name)
+	}
+	for _, s := range u.GetPut() {
+		services[s.GetName()] = s
+	}
+	return assemble(u.GetVersion(), services), nil
+}
+
+func byName(c *configpb.Configuration) map[string]*configpb.Service {
+	services := make(map[string]*configpb.Service, len(c.GetServices()))
+	for _, s := range c.GetServices() {
+		services[s.GetName()] = s
+	}
+	return services
+}
--- /dev/null
+++ b/config/machine.go
@@ -0,0 +1,194 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+)
+
+// ErrState tells that a snapshot does not hold a state of this machine.
+var ErrState = errors.New("snapshot holds no configuration state")
+
+// Machine is the state machine of the configuration. It is not safe for use
+// by several goroutines.
+type Machine struct {
+	current      *configpb.Configuration
+	versionPatch string
+	outcomes     *outcomes
+	targets      *targets
+	// lastService is the highest service number ever assigned.
+	lastService uint32
+	// history has the newest versions, oldest first, current last.
+	history []*configpb.Configuration
+}
+
+// New returns a machine at version 0, without services.
+func New() *Machine {
+	m := &Machine{outcomes: newOutcomes(), targets: newTargets()}
+	m.publish(&configpb.Configuration{}, "")
+	return m
+}
+
+// Apply runs one command of the log and returns a configpb.Result. A command
+// that this release cannot read changes nothing; its result has no body.
+func (m *Machine) Apply(_ uint64, command []byte) []byte {
+	var c configpb.Command
+	result := &configpb.Result{}
+	if err := proto.Unmarshal(command, &c); err == nil {
+		result = m.run(&c)
+	}
+	// Marshalling fails only for invalid UTF-8, which Unmarshal refuses.
+	data, _ := proto.MarshalOptions{Deterministic: true}.Marshal(result)
+	return data
+}
+
+func (m *Machine) run(c *configpb.Command) *configpb.Result {
+	switch body := c.GetBody().(type) {
+	case *configpb.Command_Patch:
+		outcome := m.patch(body.Patch)
+		return &configpb.Result{Body: &configpb.Result_Outcome{Outcome: outcome}}
+	case *configpb.Command_Register:
+		registration := m.register(body.Register)
+		return &configpb.Result{Body: &configpb.Result_Registration{Registration: registration}}
+	}
+	return &configpb.Result{}
+}
+
+func (m *Machine) patch(p *configpb.Patch) *configpb.Outcome {
+	digest := Digest(p)
+	if first := m.outcomes.find(p.GetId()); first != nil {
+		return m.repeat(first, p, digest)
+	}
+	out := m.judge(p)
+	out.Digest = digest
+	// Without a proper identifier there is nothing to find it by later.
+	if p.GetId() != "" && len(p.GetId()) <= MaxIDLength {
+		m.outcomes.add(out)
+	}
+	return out
+}
+
+// repeat answers a patch whose identifier is known.
+func (m *Machine) repeat(first *configpb.Outcome, p *configpb.Patch, digest []byte) *configpb.Outcome {
+	if slices.Equal(first.GetDigest(), digest) {
+		return first
+	}
+	return &configpb.Outcome{
+		Id:           p.GetId(),
+		Verdict:      configpb.Verdict_VERDICT_REFUSED_ID,
+		Version:      first.GetVersion(),
+		VersionPatch: first.GetVersionPatch(),
+		Digest:       digest,
+	}
+}
+
+func (m *Machine) judge(p *configpb.Patch) *configpb.Outcome {
+	out := &configpb.Outcome{Id: p.GetId(), Version: m.current.GetVersion(), VersionPatch: m.versionPatch}
+	if p.GetBaseVersion() != m.current.GetVersion() {
+		out.Verdict = configpb.Verdict_VERDICT_REFUSED_BASE
+		out.Findings = []*configpb.Finding{m.baseFinding(p.GetBaseVersion())}
+		return out
+	}
+	d, findings := rehearse(m.current, p)
+	if len(findings) > 0 {
+		out.Verdict = configpb.Verdict_VERDICT_REFUSED_FINDINGS
+		out.Findings = findings
+		return out
+	}
+	m.accept(d, p.GetId())
+	out.Verdict = configpb.Verdict_VERDICT_ACCEPTED
+	out.Version = m.current.GetVersion()
+	out.VersionPatch = p.GetId()
+	return out
+}
+
+// baseFinding tells what became of the base version that a patch names.
+func (m *Machine) baseFinding(base uint64) *configpb.Finding {
+	f := &configpb.Finding{Place: "base version"}
+	current := m.current.GetVersion()
+	if base > current {
+		f.Text = fmt.Sprintf("there is no version %d yet, the current one is %d", base, current)
+		return f
+	}
+	if winner := m.outcomes.accepted(base + 1); winner != nil {
+		f.Text = fmt.Sprintf("patch %q turned version %d into version %d", winner.GetId(), base, base+1)
+		return f
+	}
+	// The outcome of this very patch may be among the forgotten ones.
+	f.Text = fmt.Sprintf("the outcomes of patches against version %d are no longer kept: "+
+		"compare the configuration before sending the change again", base)
+	return f
+}
+
+// accept makes the draft the next version.
+func (m *Machine) accept(d *draft, id string) {
+	names := make([]string, 0, len(d.putBy))
+	for name := range d.putBy {
+		names = append(names, name)
+	}
+	// The order in the patch decides the numbers, on every replica alike.
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(d.putBy[a], d.putBy[b]) })
+	known := m.numbers()
+	for _, name := range names {
+		number := known[name]
+		if number == 0 || d.removed[name] {
+			m.lastService++
+			number = m.lastService
+		}
+		d.services[name] = normalise(d.services[name], number)
+	}
+	m.publish(assemble(m.current.GetVersion()+1, d.services), id)
+	m.targets.keepServices(m.numberSet())
+}
+
+// normalise copies a service with its number and canonical addresses.
+func normalise(s *configpb.Service, number uint32) *configpb.Service {
+	out := proto.CloneOf(s)
+	out.Number = number
+	for i, text := range out.GetAddresses() {
+		addr, _ := publicAddress(text)
+		out.Addresses[i] = addr.String()
+	}
+	return out
+}
+
+// assemble lists services by name, so that equal configurations have equal
+// encodings.
+func assemble(version uint64, services map[string]*configpb.Service) *configpb.Configuration {
+	c := &configpb.Configuration{Version: version, Services: make([]*configpb.Service, 0, len(services))}
+	for _, s := range services {
+		c.Services = append(c.Services, s)
+	}
+	slices.SortFunc(c.Services, func(a, b *configpb.Service) int { return cmp.Compare(a.GetName(), b.GetName()) })
+	return c
+}
+
+func (m *Machine) publish(c *configpb.Configuration, id string) {
+	m.current = c
+	m.versionPatch = id
+	m.history = append(m.history, c)
+	if len(m.history) > MaxHistory {
+		m.history = slices.Delete(m.history, 0, len(m.history)-MaxHistory)
+	}
+}
+
+func (m *Machine) numbers() map[string]uint32 {
+	numbers := make(map[string]uint32, len(m.current.GetServices()))
+	for _, s := range m.current.GetServices() {
+		numbers[s.GetName()] = s.GetNumber()
+	}
+	return numbers
+}
+
+func (m *Machine) numberSet() map[uint32]bool {
+	set := make(map[uint32]bool, len(m.current.GetServices()))
+	for _, s := range m.current.GetServices() {
+		set[s.GetNumber()] = true
+	}
+	return set
+}
--- /dev/null
+++ b/config/read.go
@@ -0,0 +1,82 @@
+package config
+
+import (
+	"crypto/sha256"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+)
+
+// Digest returns the SHA-256 of what a patch asks for: its base version and
+// operations. Places are left out, since the same patch may be sent again
+// from a file that has moved.
+func Digest(p *configpb.Patch) []byte {
+	bare := &configpb.Patch{Id: p.GetId(), BaseVersion: p.GetBaseVersion(), Operations: p.GetOperations()}
+	// No message of a patch has a map field, so the encoding is in the order
+	// of field numbers. Marshalling fails only for invalid UTF-8.
+	data, _ := proto.MarshalOptions{Deterministic: true}.Marshal(bare)
+	sum := sha256.Sum256(data)
+	return sum[:]
+}
+
+// Current returns the newest version. It must not be changed.
+func (m *Machine) Current() *configpb.Configuration { return m.current }
+
+// VersionPatch returns the identifier of the patch that made the current
+// version, or nothing at version 0.
+func (m *Machine) VersionPatch() string { return m.versionPatch }
+
+// Version returns a version of the history, or nil if it is not held.
+func (m *Machine) Version(version uint64) *configpb.Configuration {
+	oldest := m.history[0].GetVersion()
+	if version < oldest || version > m.current.GetVersion() {
+		return nil
+	}
+	return m.history[version-oldest]
+}
+
+// Outcome returns what became of a patch, or nil if nothing is known of it.
+func (m *Machine) Outcome(id string) *configpb.Outcome { return m.outcomes.find(id) }
+
+// Target returns the agreed identity that holds a target number, or nil.
+func (m *Machine) Target(number uint32) *configpb.TargetIdentity { return m.targets.byNumber(number) }
+
+// Snapshot returns the encoded state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	state := &configpb.State{
+		Configuration:     m.current,
+		Outcomes:          m.outcomes.list(),
+		Targets:           m.targets.list(),
+		LastServiceNumber: m.lastService,
+		LastTargetNumber:  m.targets.last,
+		VersionPatch:      m.versionPatch,
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode configuration state")
+	}
+	return data, nil
+}
+
+// Restore replaces the state by a snapshot. On ErrState the machine is
+// unchanged.
+func (m *Machine) Restore(data []byte) error {
+	var state configpb.State
+	if err := proto.Unmarshal(data, &state); err != nil {
+		return errors.Wrap(ErrState, err.Error())
+	}
+	if state.GetConfiguration() == nil {
+		return ErrState
+	}
+	m.outcomes = newOutcomes()
+	for _, o := range state.GetOutcomes() {
+		m.outcomes.add(o)
+	}
+	m.targets = restoreTargets(state.GetTargets(), state.GetLastTargetNumber())
+	m.lastService = state.GetLastServiceNumber()
+	m.history = nil
+	m.publish(state.GetConfiguration(), state.GetVersionPatch())
+	return nil
+}
--- /dev/null
+++ b/config/validate.go
@@ -0,0 +1,237 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+)
+
+// Validate lists every finding of a patch against cfg, each with its place.
+// It does not look at the base version.
+func Validate(cfg *configpb.Configuration, patch *configpb.Patch) []*configpb.Finding {
+	_, findings := rehearse(cfg, patch)
+	return findings
+}
+
+// rehearse applies the operations of a patch to a copy of the list of
+// services. New services have no number yet.
+func rehearse(cfg *configpb.Configuration, patch *configpb.Patch) (*draft, []*configpb.Finding) {
+	d := newDraft(cfg, patch)
+	d.checkPatch()
+	for i, op := range patch.GetOperations() {
+		d.step(i, op)
+	}
+	d.checkShared()
+	return d, d.bounded()
+}
+
+// draft is a list of services under change.
+type draft struct {
+	patch    *configpb.Patch
+	services map[string]*configpb.Service
+	// putBy is the operation of the patch that put the service.
+	putBy map[string]int
+	// removed has the services that the patch removed.
+	removed  map[string]bool
+	findings []*configpb.Finding
+}
+
+func newDraft(cfg *configpb.Configuration, patch *configpb.Patch) *draft {
+	d := &draft{
+		patch:    patch,
+		services: make(map[string]*configpb.Service, len(cfg.GetServices())),
+		putBy:    map[string]int{},
+		removed:  map[string]bool{},
+	}
+	for _, s := range cfg.GetServices() {
+		d.services[s.GetName()] = s
+	}
+	return d
+}
+
+func (d *draft) find(place, format string, args ...any) {
+	d.findings = append(d.findings, &configpb.Finding{Place: place, Text: fmt.Sprintf(format, args...)})
+}
+
+// place names operation i and a field of it: by the operator's file if the
+// patch tells it, else by the service.
+func (d *draft) place(i int, name, field string) string {
+	where := fmt.Sprintf("operation %d", i+1)
+	if places := d.patch.GetPlaces(); i < len(places) && places[i] != "" {
+		where = places[i]
+	}
+	if name != "" {
+		where += fmt.Sprintf(", service %q", name)
+	}
+	if field != "" {
+		where += ", " + field
+	}
+	return where
+}
+
+func (d *draft) checkPatch() {
+	const place = "patch"
+	id := d.patch.GetId()
+	if id == "" {
+		d.find(place, "the identifier is empty")
+	}
+	if len(id) > MaxIDLength {
+		d.find(place, "the identifier is longer than %d bytes", MaxIDLength)
+	}
+	count := len(d.patch.GetOperations())
+	if count == 0 {
+		d.find(place, "the patch has no operations")
+	}
+	if count > MaxOperations {
+		d.find(place, "the patch has more than %d operations", MaxOperations)
+	}
+	if places := len(d.patch.GetPlaces()); places > count {
+		d.find(place, "the patch names %d places for %d operations", places, count)
+	}
+}
+
+func (d *draft) step(i int, op *configpb.Operation) {
+	switch body := op.GetBody().(type) {
+	case *configpb.Operation_PutService:
+		d.put(i, body.PutService)
+	case *configpb.Operation_RemoveService:
+		d.remove(i, body.RemoveService)
+	default:
+		d.find(d.place(i, "", ""), "the operation is empty")
+	}
+}
+
+func (d *draft) put(i int, s *configpb.Service) {
+	name := s.GetName()
+	d.checkName(i, name)
+	d.checkAddresses(i, s)
+	d.checkSlots(i, s)
+	d.checkPolicy(i, s)
+	if earlier, twice := d.putBy[name]; twice {
+		d.find(d.place(i, name, ""), "the service is put a second time, first by %s", d.place(earlier, "", ""))
+		return
+	}
+	d.putBy[name] = i
+	d.services[name] = s
+}
+
+func (d *draft) remove(i int, name string) {
+	if earlier, put := d.putBy[name]; put {
+		d.find(d.place(i, name, ""), "the service is removed after %s put it", d.place(earlier, "", ""))
+		return
+	}
+	if _, known := d.services[name]; !known {
+		d.find(d.place(i, name, ""), "there is no service of that name to remove")
+		return
+	}
+	d.removed[name] = true
+	delete(d.services, name)
+}
+
+func (d *draft) checkName(i int, name string) {
+	if text := nameFault(name); text != "" {
+		d.find(d.place(i, name, "name"), "%s", text)
+	}
+}
+
+// nameFault returns what is wrong with a name of a service or target: names
+// are host name labels, since they appear in certificates and counters.
+func nameFault(name string) string {
+	if name == "" {
+		return "the name is empty"
+	}
+	if len(name) > MaxNameLength {
+		return fmt.Sprintf("the name is longer than %d bytes", MaxNameLength)
+	}
+	for _, c := range []byte(name) {
+		if !nameByte(c) {
+			return "the name has bytes other than a-z, 0-9 and '-'"
+		}
+	}
+	if name[0] == '-' || name[len(name)-1] == '-' {
+		return "the name starts or ends with '-'"
+	}
+	return ""
+}
+
+func nameByte(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-'
+}
+
+func (d *draft) checkAddresses(i int, s *configpb.Service) {
+	place := d.place(i, s.GetName(), "addresses")
+	if len(s.GetAddresses()) == 0 {
+		d.find(place, "the service has no public address")
+	}
+	if len(s.GetAddresses()) > MaxAddresses {
+		d.find(place, "the service has more than %d public addresses", MaxAddresses)
+	}
+	seen := map[netip.AddrPort]bool{}
+	for _, text := range s.GetAddresses() {
+		addr, fault := publicAddress(text)
+		if fault != "" {
+			d.find(place, "%q: %s", text, fault)
+			continue
+		}
+		if seen[addr] {
+			d.find(place, "%q: the address is named twice", text)
+		}
+		seen[addr] = true
+	}
+}
+
+// publicAddress parses a public address, or tells what is wrong with it.
+func publicAddress(text string) (netip.AddrPort, string) {
+	parsed, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}, "not an address of the form ip:port"
+	}
+	addr := netip.AddrPortFrom(parsed.Addr().Unmap(), parsed.Port())
+	switch {
+	case addr.Port() == 0:
+		return addr, "port 0 is no public port"
+	case addr.Addr().Zone() != "":
+		return addr, "a public address has no zone"
+	case addr.Addr().IsUnspecified(), addr.Addr().IsMulticast():
+		return addr, "the address belongs to no single host"
+	}
+	return addr, ""
+}
+
+func (d *draft) checkSlots(i int, s *configpb.Service) {
+	place := d.place(i, s.GetName(), "slots")
+	if s.GetSlots() == 0 {
+		d.find(place, "a target needs at least one slot")
+	}
+	if s.GetSlots() > MaxSlots {
+		d.find(place, "a target has at most %d slots", MaxSlots)
+	}
+}
+
+func (d *draft) checkPolicy(i int, s *configpb.Service) {
+	p := s.GetPolicy()
+	if _, known := configpb.Strategy_name[int32(p.GetStrategy())]; !known {
+		d.find(d.place(i, s.GetName(), "policy.strategy"), "there is no strategy %d", p.GetStrategy())
+	}
+	d.checkWeight(i, s, "policy.broken_flow_weight", p.GetBrokenFlowWeight())
+	d.checkWeight(i, s, "policy.imbalance_weight", p.GetImbalanceWeight())
+	d.checkPercent(i, s, "policy.panic_percent", p.GetPanicPercent())
+	d.checkPercent(i, s, "policy.retry_percent", p.GetRetryPercent())
+	if p.GetRampMs() > MaxRampMS {
+		d.find(d.place(i, s.GetName(), "policy.ramp_ms"), "the ramp is at most %d ms", MaxRampMS)
+	}
+}
+
+func (d *draft) checkWeight(i int, s *configpb.Service, field string, weight float64) {
+	if math.IsNaN(weight) || weight < 0 || weight > MaxWeight {
+		d.find(d.place(i, s.GetName(), field), "a weight lies between 0 and %d, not at %v", MaxWeight, weight)
+	}
+}
+
+func (d *draft) checkPercent(i int, s *configpb.Service, field string, percent uint32) {
+	if percent > maxPercent {
+		d.find(d.place(i, s.GetName(), field), "a percentage lies between 0 and 100, not at %d", percent)
+	}
+}
--- /dev/null
+++ b/grant/bounds.go
@@ -0,0 +1,33 @@
+package grant
+
+import "time"
+
+// Bounds of the replicated state. Replicas must agree on them, so a change of
+// one is a change of the format of the log.
+const (
+	// MaxRecords bounds the keys that are kept.
+	MaxRecords = 200_000
+	// MaxBytes bounds the memory of keys and recorded bodies, in bytes.
+	MaxBytes = 64 << 20
+	// MaxBody is the longest body of an answer that is recorded, in bytes. Of
+	// a longer one only status and content type are known.
+	MaxBody = 4 << 10
+	// MaxKeyLength bounds an idempotency key, in bytes.
+	MaxKeyLength = 256
+	// MaxAttemptLength bounds the identity of an attempt, in bytes.
+	MaxAttemptLength = 64
+	// MaxDigestLength bounds the digest of a request, in bytes.
+	MaxDigestLength = 64
+	// MaxContentType bounds the content type of a recorded answer, in bytes.
+	MaxContentType = 256
+	// AnsweredRetention is how long an answer is kept, in logical time.
+	AnsweredRetention = 24 * time.Hour
+	// HeldRetention is how long a record without an answer is kept, in
+	// logical time. It exceeds by far the time that any request runs.
+	HeldRetention = 7 * 24 * time.Hour
+	// MaxAdvance bounds one step of the logical clock, so that a leader whose
+	// clock jumped cannot expire everything at once.
+	MaxAdvance = time.Minute
+	// recordOverhead stands for the memory of a record besides its fields.
+	recordOverhead = 256
+)
--- /dev/null
+++ b/grant/property_test.go
@@ -0,0 +1,84 @@
+package grant_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+	"eelgrasswharf.example/eelgrasswharf/grant"
+)
+
+// onlooker checks that no key is granted to two attempts unless the first one
+// released it or its record had the time to expire.
+type onlooker struct {
+	holder map[string]string
+	since  map[string]uint64
+}
+
+func (o *onlooker) granted(t *rapid.T, key, attempt string, now uint64) {
+	holder, held := o.holder[key]
+	expired := now-o.since[key] >= uint64(grant.AnsweredRetention.Milliseconds())
+	if held && holder != attempt && !expired {
+		t.Fatalf("key %s granted to %s and to %s", key, holder, attempt)
+	}
+	o.holder[key] = attempt
+	o.since[key] = now
+}
+
+func drawCommand(t *rapid.T) *grantpb.Command {
+	key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
+	attempt := fmt.Sprint(rapid.IntRange(1, 5).Draw(t, "attempt"))
+	switch rapid.IntRange(0, 7).Draw(t, "command") {
+	case 0:
+		return complete(key, attempt, &grantpb.Answer{Status: rapid.Uint32Range(200, 202).Draw(t, "status")})
+	case 1:
+		return release(key, attempt)
+	case 2:
+		return advance(rapid.Uint64Range(0, 200_000).Draw(t, "elapsed"))
+	}
+	return acquire(key, attempt, rapid.SampledFrom([]string{"d", "d", "e"}).Draw(t, "digest"))
+}
+
+func TestNeverGrantedTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, twin := grant.New(), grant.New()
+		o := &onlooker{holder: map[string]string{}, since: map[string]uint64{}}
+		for range rapid.IntRange(1, 80).Draw(t, "commands") {
+			c := drawCommand(t)
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				twin = restored(t, twin)
+			}
+			got, other := run(t, m, c), run(t, twin, c)
+			if got.String() != other.String() {
+				t.Fatalf("the restored replica answered %v, not %v", other, got)
+			}
+			if got.GetDecision() == grantpb.Decision_DECISION_GRANTED {
+				o.granted(t, c.GetAcquire().GetKey(), string(c.GetAcquire().GetAttempt()), m.Now())
+			}
+			if c.GetRelease() != nil && got.GetTaken() {
+				delete(o.holder, c.GetRelease().GetKey())
+			}
+		}
+		if string(encoded(t, m)) != string(encoded(t, twin)) {
+			t.Fatal("snapshot and replay differ")
+		}
+	})
+}
+
+func encoded(t *rapid.T, m *grant.Machine) []byte {
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func restored(t *rapid.T, m *grant.Machine) *grant.Machine {
+	out := grant.New()
+	if err := out.Restore(encoded(t, m)); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
