--- /dev/null
+++ b/internal/subscriber/counters.go
@@ -0,0 +1,92 @@
+package subscriber
+
+import (
+	"context"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
+
+	"eelgrasswharf.example/eelgrasswharf/config"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+)
+
+const (
+	tagReason = "reason"
+
+	metricRefusedUpdates     = "subscriber_refused_updates"
+	metricEndedSubscriptions = "subscriber_ended_subscriptions"
+	metricUnconfirmed        = "subscriber_unconfirmed_starts"
+	metricAsked              = "subscriber_rounds_of_asking"
+	metricOlderRecords       = "subscriber_refused_records"
+	metricAnnounceFailures   = "announcer_failures"
+)
+
+type counters struct {
+	scope             tally.Scope
+	unconfirmed       tally.Counter
+	asked             tally.Counter
+	unansweredQueries tally.Counter
+	moved             tally.Counter
+	olderRecords      tally.Counter
+	repeatedUpdates   tally.Counter
+	version           tally.Gauge
+	targets           tally.Gauge
+	connected         tally.Gauge
+}
+
+func newCounters(scope tally.Scope) counters {
+	return counters{
+		scope:             scope,
+		unconfirmed:       scope.Counter(metricUnconfirmed),
+		asked:             scope.Counter(metricAsked),
+		unansweredQueries: scope.Counter("subscriber_unanswered_version_queries"),
+		moved:             scope.Counter("subscriber_moves_to_newer"),
+		olderRecords:      byReason(scope, metricOlderRecords, "older"),
+		repeatedUpdates:   byReason(scope, metricRefusedUpdates, "repeated_directory"),
+		version:           scope.Gauge("subscriber_version"),
+		targets:           scope.Gauge("subscriber_targets"),
+		connected:         scope.Gauge("subscriber_connected"),
+	}
+}
+
+func byReason(scope tally.Scope, metric, reason string) tally.Counter {
+	return scope.Tagged(map[string]string{tagReason: reason}).Counter(metric)
+}
+
+func (c *counters) refused(err error) {
+	byReason(c.scope, metricRefusedUpdates, refusalReason(err)).Inc(1)
+}
+
+func (c *counters) ended(err error) {
+	byReason(c.scope, metricEndedSubscriptions, endReason(err)).Inc(1)
+}
+
+func (c *counters) observe(v *View) {
+	c.version.Update(float64(v.Config.GetVersion()))
+	c.targets.Update(float64(len(v.Targets)))
+	connected := 0.0
+	if v.Connected {
+		connected = 1
+	}
+	c.connected.Update(connected)
+}
+
+func endReason(err error) string {
+	var fault *link.FaultError
+	switch {
+	case errors.As(err, &fault):
+		return "fault"
+	case errors.Is(err, errBehind):
+		return "behind"
+	case errors.Is(err, config.ErrBase):
+		return "gap"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "silent"
+	case errors.Is(err, link.ErrMalformed), errors.Is(err, link.ErrTooLarge):
+		return "malformed"
+	case errors.Is(err, link.ErrNotSent), errors.Is(err, context.Canceled):
+		return "no_connection"
+	}
+	return "broken_off"
+}
--- /dev/null
+++ b/internal/subscriber/settle.go
@@ -0,0 +1,99 @@
+package subscriber
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+)
+
+// jitterShare is how far a period is varied, up and down.
+const jitterShare = 0.2
+
+// jitter varies a duration, so that many processes do not act together.
+func jitter(r *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + jitterShare*(2*r.Float64()-1)))
+}
+
+// settle brings a process that has just started to its first version: it asks
+// every control host, round by round, until there is one.
+func (s *Subscriber) settle(r *rand.Rand) {
+	pause := s.opts.AskDelay
+	for {
+		s.sleep(jitter(r, pause))
+		if s.ctx.Err() != nil || s.settled() {
+			return
+		}
+		s.learn(s.ask())
+		s.actUnconfirmed(time.Now())
+		pause = min(2*pause, s.opts.RetryMax)
+		pause = min(pause, max(s.untilUnconfirmed(time.Now()), s.opts.AskDelay))
+	}
+}
+
+func (s *Subscriber) settled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.versions.ready()
+}
+
+// ask queries the newest version of every control host that can be reached.
+func (s *Subscriber) ask() []answer {
+	ctx, cancel := context.WithTimeout(s.ctx, s.opts.AskTimeout)
+	defer cancel()
+	s.counters.asked.Inc(1)
+	req := &controlpb.Request{Body: &controlpb.Request_Version{Version: &controlpb.VersionQuery{}}}
+	var answers []answer
+	for _, a := range s.opts.Client.CallEach(ctx, req) {
+		reply := a.Response.GetVersion()
+		if a.Err != nil || reply == nil {
+			s.counters.unansweredQueries.Inc(1)
+			continue
+		}
+		answers = append(answers, answer{
+			address:   a.Address,
+			version:   reply.GetVersion(),
+			confirmed: reply.GetConfirmed(),
+		})
+	}
+	return answers
+}
+
+func (s *Subscriber) learn(answers []answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed, newer := s.versions.learn(answers)
+	if changed {
+		s.publish()
+	}
+	if newer != "" && newer != s.opts.Client.Address() {
+		s.counters.moved.Inc(1)
+		s.opts.Client.Move(newer)
+	}
+}
+
+func (s *Subscriber) actUnconfirmed(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.versions.ready() || !s.versions.settleUnconfirmed(now, s.opts.UnconfirmedWait) {
+		return
+	}
+	s.counters.unconfirmed.Inc(1)
+	s.opts.Log.Warn("no quorum confirmed the first version",
+		zap.Uint64("version", s.versions.acted.GetVersion()),
+		zap.Duration("waited", s.opts.UnconfirmedWait))
+	s.publish()
+}
+
+// untilUnconfirmed returns how long the candidate has to wait still.
+func (s *Subscriber) untilUnconfirmed(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.versions.candidate == nil {
+		return s.opts.RetryMax
+	}
+	return s.versions.candidateSince.Add(s.opts.UnconfirmedWait).Sub(now)
+}
--- /dev/null
+++ b/internal/subscriber/subscriber.go
@@ -0,0 +1,355 @@
+package subscriber
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+)
+
+// Defaults of Options.
+const (
+	DefaultAskDelay        = 250 * time.Millisecond
+	DefaultAskTimeout      = 3 * time.Second
+	DefaultUnconfirmedWait = 5 * time.Second
+	DefaultSilenceLimit    = 3 * link.SubscriptionHeartbeat
+	DefaultBehindLimit     = 10 * time.Second
+	DefaultReportPeriod    = 5 * time.Second
+	DefaultRetryMin        = 100 * time.Millisecond
+	DefaultRetryMax        = 5 * time.Second
+)
+
+// errBehind ends a subscription to a control host that serves an older version
+// than the one acted on.
+var errBehind = errors.New("control host is behind")
+
+// Options configure a Subscriber. Zero durations mean the defaults.
+type Options struct {
+	Client *link.Client
+	Scope  tally.Scope
+	Log    *zap.Logger
+	// OnView is called with each new view, one call at a time. It must not
+	// block and must not close the subscriber.
+	OnView func(*View)
+	// Services limits the directory to these service numbers; empty means all.
+	Services []uint32
+	// FailureDomain is told to the control host.
+	FailureDomain string
+	// AskDelay is how long a confirmed version is waited for before every
+	// control host is asked, and the pause between two rounds of asking.
+	AskDelay time.Duration
+	// AskTimeout bounds one round of asking.
+	AskTimeout time.Duration
+	// UnconfirmedWait is how long after its arrival an unconfirmed version may
+	// be acted on by a process that has acted on none.
+	UnconfirmedWait time.Duration
+	// SilenceLimit ends a subscription on which nothing arrives.
+	SilenceLimit time.Duration
+	// BehindLimit is how long a control host may be behind the version acted
+	// on before the subscriber leaves it for another one.
+	BehindLimit time.Duration
+	// ReportPeriod is the time between reports of the version acted on; a new
+	// version is reported at once.
+	ReportPeriod time.Duration
+	// RetryMin and RetryMax bound the pause before another subscription.
+	RetryMin time.Duration
+	RetryMax time.Duration
+	// Rand drives jitter; by default it is seeded at random. The subscriber
+	// alone may use it.
+	Rand *rand.Rand
+}
+
+func (o Options) withDefaults() Options {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.OnView == nil {
+		o.OnView = func(*View) {}
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	setDefault(&o.AskDelay, DefaultAskDelay)
+	setDefault(&o.AskTimeout, DefaultAskTimeout)
+	setDefault(&o.UnconfirmedWait, DefaultUnconfirmedWait)
+	setDefault(&o.SilenceLimit, DefaultSilenceLimit)
+	setDefault(&o.BehindLimit, DefaultBehindLimit)
+	setDefault(&o.ReportPeriod, DefaultReportPeriod)
+	setDefault(&o.RetryMin, DefaultRetryMin)
+	setDefault(&o.RetryMax, DefaultRetryMax)
+	return o
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Subscriber keeps a view of configuration and directory up to date.
+type Subscriber struct {
+	opts     Options
+	counters counters
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       conc.WaitGroup
+	ready    chan struct{}
+	view     atomic.Pointer[View]
+	// report is signalled when another version is acted on.
+	report chan struct{}
+
+	// mu guards the fields below and orders calls of OnView.
+	mu          sync.Mutex
+	versions    versions
+	directory   directory
+	connected   bool
+	behindSince time.Time
+	// wantSnapshot asks for a whole configuration after a delta did not fit.
+	wantSnapshot bool
+}
+
+// Start subscribes and keeps subscribed until Close.
+func Start(opts Options) *Subscriber {
+	opts = opts.withDefaults()
+	s := &Subscriber{
+		opts:     opts,
+		counters: newCounters(opts.Scope),
+		ready:    make(chan struct{}),
+		report:   make(chan struct{}, 1),
+	}
+	s.view.Store(&View{})
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	settleRand := rand.New(rand.NewPCG(opts.Rand.Uint64(), opts.Rand.Uint64()))
+	s.wg.Go(s.run)
+	s.wg.Go(func() { s.settle(settleRand) })
+	return s
+}
+
+// View returns the current view. It never returns nil.
+func (s *Subscriber) View() *View { return s.view.Load() }
+
+// Ready is closed once there is a version to act on.
+func (s *Subscriber) Ready() <-chan struct{} { return s.ready }
+
+// Close ends the subscription. The last view stays readable.
+func (s *Subscriber) Close() {
+	s.cancel()
+	s.wg.Wait()
+}
+
+// run opens one subscription after another.
+func (s *Subscriber) run() {
+	pause := s.opts.RetryMin
+	for s.ctx.Err() == nil {
+		received, err := s.follow()
+		s.setConnected(false)
+		if s.ctx.Err() != nil {
+			return
+		}
+		s.counters.ended(err)
+		if received {
+			pause = s.opts.RetryMin
+		}
+		s.sleep(max(jitter(s.opts.Rand, pause), requestedPause(err)))
+		pause = min(2*pause, s.opts.RetryMax)
+	}
+}
+
+func requestedPause(err error) time.Duration {
+	var fault *link.FaultError
+	if errors.As(err, &fault) {
+		return fault.RetryAfter
+	}
+	return 0
+}
+
+// follow serves one subscription. It reports whether any update arrived.
+func (s *Subscriber) follow() (received bool, err error) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	stream, err := s.opts.Client.Subscribe(ctx, s.request())
+	if err != nil {
+		return false, err
+	}
+	var reporter conc.WaitGroup
+	reporter.Go(func() { s.reportVersions(ctx, stream) })
+	defer reporter.Wait()
+	defer cancel()
+	defer stream.Close()
+	for {
+		if err := stream.SetReceiveDeadline(time.Now().Add(s.opts.SilenceLimit)); err != nil {
+			return received, err
+		}
+		u, err := stream.Receive()
+		if err != nil {
+			return received, err
+		}
+		received = true
+		if err := s.take(u, time.Now()); err != nil {
+			return received, err
+		}
+	}
+}
+
+func (s *Subscriber) request() *controlpb.Subscribe {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	req := &controlpb.Subscribe{
+		Services:      s.opts.Services,
+		FailureDomain: s.opts.FailureDomain,
+	}
+	if !s.wantSnapshot {
+		req.Version = s.versions.held().GetVersion()
+	}
+	req.DirectoryEpoch, req.DirectorySequence = s.directory.resume()
+	return req
+}
+
+// reportVersions tells the control host which version is acted on.
+func (s *Subscriber) reportVersions(ctx context.Context, stream *link.ClientStream) {
+	ticker := time.NewTicker(s.opts.ReportPeriod)
+	defer ticker.Stop()
+	for {
+		version := s.View().Config.GetVersion()
+		if err := stream.Send(&controlpb.Heartbeat{Version: version}); err != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.report:
+		case <-ticker.C:
+		}
+	}
+}
+
+// take applies one message of the subscription.
+func (s *Subscriber) take(u *controlpb.SubscribeUpdate, now time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := !s.connected
+	s.connected = true
+	if c := u.GetConfig(); c != nil {
+		acted, err := s.takeConfig(c, now)
+		if err != nil {
+			return err
+		}
+		changed = changed || acted
+	}
+	if d := u.GetDirectory(); d != nil {
+		changed = s.takeDirectory(d, now) || changed
+	}
+	if h := u.GetHeartbeat(); h != nil {
+		s.noteVersion(h.GetVersion(), now)
+	}
+	if changed {
+		s.publish()
+	}
+	if !s.behindSince.IsZero() && now.Sub(s.behindSince) >= s.opts.BehindLimit {
+		s.behindSince = time.Time{}
+		s.opts.Client.Move("")
+		return errBehind
+	}
+	return nil
+}
+
+func (s *Subscriber) takeConfig(u *controlpb.ConfigUpdate, now time.Time) (bool, error) {
+	acted, err := s.versions.receive(u, now)
+	if errors.Is(err, config.ErrOlder) {
+		// The control host is behind; it may catch up.
+		s.counters.refused(err)
+		s.noteVersion(u.GetVersion(), now)
+		return false, nil
+	}
+	if err != nil {
+		s.counters.refused(err)
+		s.wantSnapshot = true
+		return false, err
+	}
+	s.wantSnapshot = false
+	s.noteVersion(u.GetVersion(), now)
+	return acted, nil
+}
+
+func (s *Subscriber) takeDirectory(u *controlpb.DirectoryUpdate, now time.Time) bool {
+	res := s.directory.apply(u, now)
+	s.counters.olderRecords.Inc(int64(res.older))
+	if res.repeated {
+		s.counters.repeatedUpdates.Inc(1)
+	}
+	return res.changed
+}
+
+// noteVersion remembers since when the control host is behind.
+func (s *Subscriber) noteVersion(version uint64, now time.Time) {
+	switch {
+	case version >= s.versions.held().GetVersion():
+		s.behindSince = time.Time{}
+	case s.behindSince.IsZero():
+		s.behindSince = now
+	}
+}
+
+func (s *Subscriber) setConnected(connected bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.connected == connected {
+		return
+	}
+	s.connected = connected
+	s.behindSince = time.Time{}
+	s.publish()
+}
+
+// publish makes a new view. The caller holds mu.
+func (s *Subscriber) publish() {
+	old := s.view.Load()
+	v := &View{
+		Config:    s.versions.acted,
+		Targets:   s.directory.records,
+		Connected: s.connected,
+		heardAt:   s.directory.heardAt,
+	}
+	s.view.Store(v)
+	s.counters.observe(v)
+	if old.Config != v.Config {
+		s.announceVersion(old, v)
+	}
+	if old.Connected != v.Connected {
+		s.opts.Log.Info("subscription", zap.Bool("connected", v.Connected))
+	}
+	s.opts.OnView(v)
+}
+
+func (s *Subscriber) announceVersion(old, v *View) {
+	s.opts.Log.Info("acting on version", zap.Uint64("version", v.Config.GetVersion()))
+	if old.Config == nil {
+		close(s.ready)
+	}
+	select {
+	case s.report <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Subscriber) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.ctx.Done():
+	}
+}
