--- /dev/null
+++ b/internal/link/admission_test.go
@@ -0,0 +1,67 @@
+package link
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
+)
+
+func TestAdmissionRate(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	a := newAdmission(10, 3, 100, time.Second)
+	for range 3 {
+		why, _ := a.admit(now)
+		is.Equal(why, refusal(""))
+	}
+	// Refused peers get times of their own, at the rate, up to the longest.
+	for i := 1; i <= 12; i++ {
+		why, wait := a.admit(now)
+		is.Equal(why, refusalRate)
+		is.Equal(wait, min(time.Duration(i)*100*time.Millisecond, time.Second))
+	}
+	// Who comes back at its time is admitted.
+	for i := 1; i <= 10; i++ {
+		why, _ := a.admit(now.Add(time.Duration(i) * 100 * time.Millisecond))
+		is.Equal(why, refusal(""))
+	}
+	// The burst does not grow beyond its bound.
+	later := now.Add(time.Hour)
+	for range 3 {
+		why, _ := a.admit(later)
+		is.Equal(why, refusal(""))
+	}
+	why, _ := a.admit(later)
+	is.Equal(why, refusalRate)
+}
+
+func TestAdmissionCapacity(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	a := newAdmission(10, 100, 2, time.Second)
+	a.enter()
+	why, _ := a.admit(now)
+	is.Equal(why, refusal(""))
+	why, wait := a.admit(now)
+	is.Equal(why, refusalCapacity)
+	is.True(wait > 0)
+	a.leave()
+	why, _ = a.admit(now)
+	is.Equal(why, refusal(""))
+}
+
+func TestRetryAfterText(t *testing.T) {
+	is := is.New(t)
+	refused := &quic.ApplicationError{Remote: true, ErrorCode: codeBusy, ErrorMessage: busyText(1500 * time.Millisecond)}
+	wait, ok := retryAfter(errors.Wrap(refused, "dial"))
+	is.True(ok)
+	is.Equal(wait, 1500*time.Millisecond)
+	for _, text := range []string{"", "retry-after-ms=", "retry-after-ms=-5", "retry-after-ms=99999999999999", "later"} {
+		refused.ErrorMessage = text
+		_, ok := retryAfter(refused)
+		is.True(!ok)
+	}
+}
--- a/internal/subscriber/announcer.go
+++ b/internal/subscriber/announcer.go
@@ -202,7 +202,7 @@
 		wait := jitter(a.opts.Rand, lease/renewalsPerLease)
 		if err != nil {
 			a.failed("announce", err)
-			wait = jitter(a.opts.Rand, retry)
+			wait = max(jitter(a.opts.Rand, retry), requestedPause(err))
 			retry = min(2*retry, a.opts.RetryMax)
 		} else {
 			retry = a.opts.RetryMin
@@ -251,7 +251,7 @@
 			return true
 		}
 		a.failed("register", err)
-		if !a.pause(jitter(a.opts.Rand, retry)) {
+		if !a.pause(max(jitter(a.opts.Rand, retry), requestedPause(err))) {
 			return false
 		}
 		retry = min(2*retry, a.opts.RetryMax)
--- /dev/null
+++ b/internal/subscriber/announcer_test.go
@@ -0,0 +1,161 @@
+package subscriber
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+)
+
+func registered(refusal string) *controlpb.Response {
+	reg := &configpb.Registration{ServiceNumber: 1, TargetNumber: 42, Incarnation: 3, Refusal: refusal}
+	return &controlpb.Response{Body: &controlpb.Response_Registration{Registration: reg}}
+}
+
+func announced(lease time.Duration, refusal string) *controlpb.Response {
+	reply := &controlpb.AnnounceReply{LeaseMs: uint32(lease.Milliseconds()), Refusal: refusal}
+	return &controlpb.Response{Body: &controlpb.Response_Announce{Announce: reply}}
+}
+
+var serving = Status{State: controlpb.TargetState_TARGET_STATE_SERVING, Slots: 4}
+
+func startAnnouncer(t *testing.T, c *link.Client) (*Announcer, tally.TestScope) {
+	t.Helper()
+	scope := tally.NewTestScope("", nil)
+	a := StartAnnouncer(AnnouncerOptions{
+		Client:        c,
+		Scope:         scope,
+		Service:       "lodgement",
+		Target:        "t1",
+		Process:       []byte("process-identity"),
+		FailureDomain: "dugbe",
+		Address:       "127.0.0.1:4000",
+		Started:       time.Now().Add(-time.Minute),
+		Status:        serving,
+		CallTimeout:   time.Second,
+		RetryMin:      5 * time.Millisecond,
+		RetryMax:      20 * time.Millisecond,
+		Rand:          rand.New(rand.NewPCG(9, 10)),
+	})
+	t.Cleanup(a.Close)
+	return a, scope
+}
+
+func awaitRegistered(t *testing.T, a *Announcer) {
+	t.Helper()
+	select {
+	case <-a.Registered():
+	case <-time.After(testLimit):
+		t.Fatal("not registered")
+	}
+}
+
+func TestRegistrationSurvivesLostAnswers(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newControlHost(configuration(1), true)
+	h.register = func(n int) *controlpb.Response {
+		switch n {
+		case 1:
+			return nil // the answer is lost
+		case 2:
+			return registered("no such service")
+		}
+		return registered("")
+	}
+	h.announce = func(int) *controlpb.Response { return announced(time.Hour, "") }
+	a, scope := startAnnouncer(t, d.client(d.listen(anyPort, h)))
+	awaitRegistered(t, a)
+	is.Equal(a.Registration().GetTargetNumber(), uint32(42))
+	is.Equal(count(scope, metricAnnounceFailures, "register_failed"), int64(1))
+	is.Equal(count(scope, metricAnnounceFailures, "register_refused"), int64(1))
+	h.read(func() {
+		is.Equal(len(h.registers), 3)
+		for _, r := range h.registers {
+			is.Equal(string(r.GetProcess()), "process-identity")
+		}
+	})
+}
+
+func TestLeaseIsRenewedAndChangesAreAnnouncedAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newControlHost(configuration(1), true)
+	lease := 30 * time.Millisecond
+	h.register = func(int) *controlpb.Response { return registered("") }
+	h.announce = func(int) *controlpb.Response { return announced(lease, "") }
+	a, _ := startAnnouncer(t, d.client(d.listen(anyPort, h)))
+	renewed := func() (n int) {
+		h.read(func() { n = len(h.announces) })
+		return n
+	}
+	eventually(t, "renewals", func() bool { return renewed() >= 5 })
+	// From now on no renewal is due: only the change itself is announced.
+	h.read(func() { lease = time.Hour })
+	before := renewed()
+	eventually(t, "the long lease", func() bool { return renewed() > before })
+	a.Update(serving) // no change
+	draining := Status{State: controlpb.TargetState_TARGET_STATE_DRAINING, Slots: 4}
+	a.Update(draining)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	is.NoErr(a.AwaitAnnounced(ctx))
+	h.read(func() {
+		first, last := h.announces[0], h.announces[len(h.announces)-1]
+		is.Equal(first.GetSequence(), uint64(1))
+		is.Equal(first.GetState(), serving.State)
+		is.Equal(last.GetSequence(), uint64(2))
+		is.Equal(last.GetState(), draining.State)
+		is.Equal(last.GetNumber(), uint32(42))
+		is.Equal(last.GetIncarnation(), uint32(3))
+		is.Equal(last.GetAddress(), "127.0.0.1:4000")
+		is.True(last.GetAgeMs() >= 60_000)
+	})
+}
+
+func TestRefusedAnnouncementIsCountedAndRepeated(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newControlHost(configuration(1), true)
+	h.register = func(int) *controlpb.Response { return registered("") }
+	h.announce = func(n int) *controlpb.Response {
+		if n < 3 {
+			return announced(0, "directory full")
+		}
+		return announced(time.Hour, "")
+	}
+	a, scope := startAnnouncer(t, d.client(d.listen(anyPort, h)))
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	is.NoErr(a.AwaitAnnounced(ctx))
+	is.Equal(count(scope, metricAnnounceFailures, "announce_refused"), int64(2))
+}
+
+func TestAnnouncerFollowsARestartedControlHost(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	make1 := func() *controlHost {
+		h := newControlHost(configuration(1), true)
+		h.register = func(int) *controlpb.Response { return registered("") }
+		h.announce = func(int) *controlpb.Response { return announced(30*time.Millisecond, "") }
+		return h
+	}
+	server := d.listen(anyPort, make1())
+	a, _ := startAnnouncer(t, d.client(server))
+	awaitRegistered(t, a)
+	is.NoErr(server.Close())
+	next := make1()
+	d.listen(server.Addr().String(), next)
+	eventually(t, "announced again", func() bool {
+		var n int
+		next.read(func() { n = len(next.announces) })
+		return n > 0
+	})
+}
--- /dev/null
+++ b/internal/subscriber/fixture_test.go
@@ -0,0 +1,284 @@
+package subscriber
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+)
+
+// testLimit bounds every wait of these tests. It is no measure: nothing that
+// works comes near it.
+const testLimit = 30 * time.Second
+
+const anyPort = "127.0.0.1:0"
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testLimit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not reached: %s", what)
+}
+
+// count returns a counter by metric and reason; an empty reason means a
+// counter without one.
+func count(s tally.TestScope, metric, reason string) int64 {
+	for _, c := range s.Snapshot().Counters() {
+		if c.Name() == metric && c.Tags()[tagReason] == reason {
+			return c.Value()
+		}
+	}
+	return 0
+}
+
+type deployment struct {
+	t         *testing.T
+	authority *keys.Authority
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	a, err := keys.NewAuthority(time.Now(), time.Hour)
+	is.New(t).NoErr(err)
+	return &deployment{t: t, authority: a}
+}
+
+func (d *deployment) credentials(id keys.Identity) *keys.Credentials {
+	d.t.Helper()
+	is := is.New(d.t)
+	pair, err := d.authority.Process(id, nil, time.Now(), time.Hour)
+	is.NoErr(err)
+	c, err := keys.InMemory(d.authority.CertificatePEM(), pair, nil)
+	is.NoErr(err)
+	return c
+}
+
+// configuration is a version with one service named after it.
+func configuration(version uint64) *configpb.Configuration {
+	return &configpb.Configuration{Version: version, Services: []*configpb.Service{
+		{Number: 1, Name: "lodgement", Slots: uint32(version)},
+	}}
+}
+
+// controlHost is a fake control host: it serves a state that the test sets.
+type controlHost struct {
+	mu        sync.Mutex
+	config    *configpb.Configuration
+	confirmed bool
+	directory *controlpb.DirectoryUpdate
+	changed   chan struct{}
+	// raw are updates sent as they are.
+	raw chan *controlpb.SubscribeUpdate
+	// subscribes are the requests received, beats the versions reported.
+	subscribes []*controlpb.Subscribe
+	beats      []uint64
+	// announces are the records received; register and announce may be set.
+	announces []*controlpb.TargetRecord
+	registers []*configpb.RegisterTarget
+	register  func(n int) *controlpb.Response
+	announce  func(n int) *controlpb.Response
+}
+
+func newControlHost(c *configpb.Configuration, confirmed bool) *controlHost {
+	return &controlHost{
+		config:    c,
+		confirmed: confirmed,
+		changed:   make(chan struct{}),
+		raw:       make(chan *controlpb.SubscribeUpdate),
+	}
+}
+
+func (h *controlHost) set(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+func (h *controlHost) Call(_ context.Context, _ link.Peer, req *controlpb.Request) *controlpb.Response {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch body := req.GetBody().(type) {
+	case *controlpb.Request_Version:
+		return &controlpb.Response{Body: &controlpb.Response_Version{Version: &controlpb.VersionReply{
+			Version: h.config.GetVersion(), Confirmed: h.confirmed,
+		}}}
+	case *controlpb.Request_Register:
+		h.registers = append(h.registers, body.Register)
+		return h.register(len(h.registers))
+	case *controlpb.Request_Announce:
+		h.announces = append(h.announces, body.Announce.GetRecord())
+		return h.announce(len(h.announces))
+	}
+	return nil
+}
+
+func (h *controlHost) Subscribe(ctx context.Context, _ link.Peer, req *controlpb.Subscribe, s *link.ServerStream) error {
+	h.mu.Lock()
+	h.subscribes = append(h.subscribes, req)
+	h.mu.Unlock()
+	go func() {
+		for {
+			b, err := s.Receive()
+			if err != nil {
+				return
+			}
+			h.mu.Lock()
+			h.beats = append(h.beats, b.GetVersion())
+			h.mu.Unlock()
+		}
+	}()
+	var sent *configpb.Configuration
+	beat := time.NewTicker(20 * time.Millisecond)
+	defer beat.Stop()
+	for {
+		h.mu.Lock()
+		c, confirmed, dir, changed := h.config, h.confirmed, h.directory, h.changed
+		h.mu.Unlock()
+		u := &controlpb.SubscribeUpdate{Directory: dir, Heartbeat: &controlpb.Heartbeat{Version: c.GetVersion()}}
+		switch {
+		case sent == nil || c.GetVersion() < sent.GetVersion():
+			u.Config = &controlpb.ConfigUpdate{Snapshot: c, Version: c.GetVersion(), Confirmed: confirmed}
+		default:
+			u.Config = config.Diff(sent, c)
+			u.Config.Confirmed = confirmed
+		}
+		sent = c
+		if err := s.Send(u); err != nil {
+			return err
+		}
+		if err := h.idle(ctx, s, changed, beat.C); err != nil {
+			return err
+		}
+	}
+}
+
+// idle sends heartbeats and raw updates until the state changes.
+func (h *controlHost) idle(ctx context.Context, s *link.ServerStream, changed <-chan struct{}, beat <-chan time.Time) error {
+	for {
+		var u *controlpb.SubscribeUpdate
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+			return nil
+		case u = <-h.raw:
+		case <-beat:
+			h.mu.Lock()
+			u = &controlpb.SubscribeUpdate{Heartbeat: &controlpb.Heartbeat{Version: h.config.GetVersion()}}
+			h.mu.Unlock()
+		}
+		if err := s.Send(u); err != nil {
+			return err
+		}
+	}
+}
+
+func (h *controlHost) read(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+}
+
+func (d *deployment) listen(addr string, h *controlHost) *link.Server {
+	d.t.Helper()
+	creds := d.credentials(keys.Identity{Role: keys.RoleControl, Name: "c"})
+	s, err := link.Listen(addr, creds, h, link.ServerOptions{})
+	is.New(d.t).NoErr(err)
+	d.t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func (d *deployment) client(servers ...*link.Server) *link.Client {
+	d.t.Helper()
+	var addrs []string
+	for _, s := range servers {
+		addrs = append(addrs, s.Addr().String())
+	}
+	creds := d.credentials(keys.Identity{Role: keys.RoleAgent, Name: "a1", Service: "lodgement"})
+	c := link.NewClient(addrs, creds, link.ClientOptions{
+		LocalIP:          netip.MustParseAddr("127.0.0.1"),
+		DialTimeout:      500 * time.Millisecond,
+		HeartbeatPeriod:  50 * time.Millisecond,
+		HeartbeatTimeout: 500 * time.Millisecond,
+		BackoffMin:       10 * time.Millisecond,
+		BackoffMax:       50 * time.Millisecond,
+		Rand:             rand.New(rand.NewPCG(5, 6)),
+	})
+	d.t.Cleanup(c.Close)
+	return c
+}
+
+// recorder keeps the versions of all views, in order.
+type recorder struct {
+	mu       sync.Mutex
+	versions []uint64
+}
+
+func (r *recorder) onView(v *View) {
+	if v.Config == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.versions = append(r.versions, v.Config.GetVersion())
+}
+
+// neverBack fails the test if a view had an older version than one before.
+func (r *recorder) neverBack(t *testing.T) {
+	t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := 1; i < len(r.versions); i++ {
+		if r.versions[i] < r.versions[i-1] {
+			t.Fatalf("versions went back: %v", r.versions)
+		}
+	}
+}
+
+func start(t *testing.T, c *link.Client, change func(*Options)) (*Subscriber, tally.TestScope, *recorder) {
+	t.Helper()
+	scope := tally.NewTestScope("", nil)
+	rec := &recorder{}
+	opts := Options{
+		Client:   c,
+		Scope:    scope,
+		OnView:   rec.onView,
+		AskDelay: 10 * time.Millisecond,
+		// Long enough that a test which reaches it has failed.
+		UnconfirmedWait: testLimit,
+		RetryMin:        5 * time.Millisecond,
+		RetryMax:        20 * time.Millisecond,
+		Rand:            rand.New(rand.NewPCG(7, 8)),
+	}
+	if change != nil {
+		change(&opts)
+	}
+	s := Start(opts)
+	t.Cleanup(s.Close)
+	return s, scope, rec
+}
+
+func awaitReady(t *testing.T, s *Subscriber) {
+	t.Helper()
+	select {
+	case <-s.Ready():
+	case <-time.After(testLimit):
+		t.Fatal("not ready")
+	}
+}
--- /dev/null
+++ b/internal/subscriber/rules_test.go
@@ -0,0 +1,148 @@
+package subscriber
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
+)
+
+func record(number, incarnation uint32, sequence uint64) *controlpb.TargetRecord {
+	return &controlpb.TargetRecord{Number: number, Incarnation: incarnation, Sequence: sequence, AgeMs: 1000}
+}
+
+func numbers(d *directory) []uint32 {
+	out := []uint32{}
+	for _, r := range d.records {
+		out = append(out, r.GetNumber())
+	}
+	return out
+}
+
+func TestDirectoryUpdates(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	d := &directory{}
+	full := func(epoch, sequence uint64, put ...*controlpb.TargetRecord) *controlpb.DirectoryUpdate {
+		return &controlpb.DirectoryUpdate{Epoch: epoch, Sequence: sequence, Full: true, Put: put}
+	}
+	delta := func(epoch, sequence uint64, put ...*controlpb.TargetRecord) *controlpb.DirectoryUpdate {
+		return &controlpb.DirectoryUpdate{Epoch: epoch, Sequence: sequence, Put: put}
+	}
+	is.True(d.apply(full(1, 5, record(3, 1, 1), record(1, 1, 1)), now).changed)
+	is.Equal(numbers(d), []uint32{1, 3})
+	held := d.records
+
+	// A delta changes one record and leaves the slice that views hold alone.
+	is.True(d.apply(delta(1, 6, record(2, 1, 1)), now).changed)
+	is.Equal(numbers(d), []uint32{1, 2, 3})
+	is.Equal(len(held), 2)
+	gone := delta(1, 7)
+	gone.Removed = []uint32{3, 99}
+	is.True(d.apply(gone, now).changed)
+	is.Equal(numbers(d), []uint32{1, 2})
+
+	// An update from before does nothing.
+	is.True(d.apply(delta(1, 6, record(3, 1, 1)), now).repeated)
+	is.Equal(numbers(d), []uint32{1, 2})
+
+	// A record never goes back; an equal one may change the verdict on it.
+	is.True(d.apply(delta(1, 8, record(1, 2, 1)), now).changed)
+	is.Equal(d.apply(delta(1, 9, record(1, 1, 99)), now).older, 1)
+	ill := record(1, 2, 1)
+	ill.Ill = true
+	is.True(d.apply(delta(1, 10, ill), now).changed)
+	is.True(d.records[0].GetIll())
+	is.Equal(d.records[0].GetIncarnation(), uint32(2))
+
+	// A control host that has just started adds, and cannot resume.
+	is.True(d.apply(delta(2, 1, record(7, 1, 1)), now).changed)
+	is.Equal(numbers(d), []uint32{1, 2, 7})
+	epoch, _ := d.resume()
+	is.Equal(epoch, uint64(0))
+	// Its full list replaces what is known, newer records excepted.
+	res := d.apply(full(2, 2, record(1, 1, 1), record(7, 1, 1)), now)
+	is.Equal(res.older, 1)
+	is.Equal(numbers(d), []uint32{1, 7})
+	is.Equal(d.records[0].GetIncarnation(), uint32(2))
+	epoch, sequence := d.resume()
+	is.Equal(epoch, uint64(2))
+	is.Equal(sequence, uint64(2))
+}
+
+func TestAgesGrowFromReceipt(t *testing.T) {
+	is := is.New(t)
+	d := &directory{}
+	d.apply(&controlpb.DirectoryUpdate{Epoch: 1, Full: true, Put: []*controlpb.TargetRecord{record(2, 1, 1)}}, time.Unix(100, 0))
+	d.apply(&controlpb.DirectoryUpdate{Epoch: 1, Sequence: 1, Put: []*controlpb.TargetRecord{record(1, 1, 1)}}, time.Unix(110, 0))
+	v := &View{Targets: d.records, heardAt: d.heardAt}
+	is.Equal(v.Age(0, time.Unix(112, 0)), 3*time.Second)
+	is.Equal(v.Age(1, time.Unix(112, 0)), 13*time.Second)
+}
+
+// Whatever control hosts send in whatever order, the version acted on never
+// goes back, and none is acted on that is older than one known to exist.
+func TestVersionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var v versions
+		now := time.Unix(0, 0)
+		var acted uint64
+		var floor uint64
+		steps := rapid.IntRange(1, 60).Draw(rt, "steps")
+		for range steps {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond)
+			wasReady := v.ready()
+			step(rt, &v, now, &floor)
+			if !v.ready() {
+				if wasReady {
+					rt.Fatal("was ready before")
+				}
+				continue
+			}
+			got := v.acted.GetVersion()
+			if got < acted {
+				rt.Fatalf("acts on %d after %d", got, acted)
+			}
+			if !wasReady && got < floor {
+				rt.Fatalf("starts with %d though %d is known", got, floor)
+			}
+			acted = got
+		}
+	})
+}
+
+func step(rt *rapid.T, v *versions, now time.Time, floor *uint64) {
+	version := rapid.Uint64Range(0, 12).Draw(rt, "version")
+	confirmed := rapid.Bool().Draw(rt, "confirmed")
+	switch rapid.IntRange(0, 3).Draw(rt, "step") {
+	case 0:
+		u := &controlpb.ConfigUpdate{Snapshot: configuration(version), Version: version, Confirmed: confirmed}
+		_, _ = v.receive(u, now)
+	case 1:
+		base := rapid.Uint64Range(0, 12).Draw(rt, "base")
+		u := config.Diff(configuration(base), configuration(version))
+		u.Confirmed = confirmed
+		_, _ = v.receive(u, now)
+	case 2:
+		if !v.ready() {
+			*floor = max(*floor, version)
+		}
+		v.learn([]answer{{address: "a", version: version, confirmed: confirmed}})
+	case 3:
+		if !v.ready() {
+			v.settleUnconfirmed(now, time.Second)
+		}
+	}
+}
+
+func TestReasons(t *testing.T) {
+	is := is.New(t)
+	is.Equal(refusalReason(config.ErrOlder), "older")
+	is.Equal(refusalReason(config.ErrBase), "gap")
+	is.Equal(endReason(errBehind), "behind")
+	is.Equal(endReason(config.ErrBase), "gap")
+}
--- /dev/null
+++ b/internal/subscriber/subscriber_test.go
@@ -0,0 +1,197 @@
+package subscriber
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+)
+
+func TestConfirmedVersionMakesReadyAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newControlHost(configuration(3), true)
+	c := d.client(d.listen(anyPort, h))
+	s, scope, _ := start(t, c, func(o *Options) { o.AskDelay = testLimit })
+	awaitReady(t, s)
+	is.Equal(s.View().Config.GetVersion(), uint64(3))
+	is.True(s.View().Connected)
+	is.Equal(count(scope, metricAsked, ""), int64(0)) // nobody else was asked
+	h.set(func() { h.config = configuration(4) })
+	eventually(t, "version 4", func() bool { return s.View().Config.GetVersion() == 4 })
+	is.Equal(s.View().Config.GetServices()[0].GetSlots(), uint32(4))
+	eventually(t, "version 4 reported", func() bool {
+		var last uint64
+		h.read(func() { last = h.beats[len(h.beats)-1] })
+		return last == 4
+	})
+}
+
+func TestNoConfigurationYet(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newControlHost(&configpb.Configuration{}, true)
+	s, _, _ := start(t, d.client(d.listen(anyPort, h)), nil)
+	awaitReady(t, s)
+	is.Equal(s.View().Config.GetVersion(), uint64(0))
+	h.set(func() { h.config = configuration(1) })
+	eventually(t, "version 1", func() bool { return s.View().Config.GetVersion() == 1 })
+}
+
+func TestUnconfirmedOnlyAfterTheWait(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newControlHost(configuration(3), false)
+	const wait = 300 * time.Millisecond
+	begun := time.Now()
+	s, scope, _ := start(t, d.client(d.listen(anyPort, h)), func(o *Options) { o.UnconfirmedWait = wait })
+	awaitReady(t, s)
+	is.True(time.Since(begun) >= wait) // not a bar: it can only be later
+	is.Equal(count(scope, metricUnconfirmed, ""), int64(1))
+	is.True(count(scope, metricAsked, "") >= 1)
+	is.Equal(s.View().Config.GetVersion(), uint64(3))
+}
+
+func TestLateConfirmationEndsTheWait(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newControlHost(configuration(3), false)
+	s, scope, _ := start(t, d.client(d.listen(anyPort, h)), nil)
+	eventually(t, "asked", func() bool { return count(scope, metricAsked, "") >= 2 })
+	is.Equal(s.View().Config, nil)
+	h.set(func() { h.confirmed = true })
+	awaitReady(t, s)
+	is.Equal(count(scope, metricUnconfirmed, ""), int64(0))
+}
+
+// A process restarts beside a control host that was cut off and returned with
+// an old view: it acts on the newest version that any control host knows.
+func TestStartTakesTheNewest(t *testing.T) {
+	for _, first := range []int{0, 1} {
+		is := is.New(t)
+		d := newDeployment(t)
+		stale := newControlHost(configuration(5), false)
+		fresh := newControlHost(configuration(9), false)
+		a, b := d.listen(anyPort, stale), d.listen(anyPort, fresh)
+		c := d.client(a, b)
+		if first == 1 {
+			c.Move(a.Addr().String())
+		}
+		s, scope, rec := start(t, c, func(o *Options) { o.UnconfirmedWait = 100 * time.Millisecond })
+		awaitReady(t, s)
+		is.Equal(s.View().Config.GetVersion(), uint64(9))
+		is.Equal(count(scope, metricUnconfirmed, ""), int64(1))
+		rec.neverBack(t)
+	}
+}
+
+// The control host that knows the newer version may be out of reach by now:
+// neither the wait nor a confirmation of an older one puts that one in force.
+func TestKnownNewerVersionIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	var v versions
+	at := func(s int64) time.Time { return time.Unix(s, 0) }
+	_, err := v.receive(&controlpb.ConfigUpdate{Snapshot: configuration(5), Version: 5}, at(0))
+	is.NoErr(err)
+	changed, newer := v.learn([]answer{{address: "a", version: 5}, {address: "b", version: 9}})
+	is.True(!changed)
+	is.Equal(newer, "b")
+	is.True(!v.settleUnconfirmed(at(3600), time.Second))
+	changed, err = v.receive(&controlpb.ConfigUpdate{Snapshot: configuration(5), Version: 5, Confirmed: true}, at(3601))
+	is.NoErr(err)
+	is.True(!changed)
+	changed, err = v.receive(&controlpb.ConfigUpdate{Snapshot: configuration(9), Version: 9, Confirmed: true}, at(3602))
+	is.NoErr(err)
+	is.True(changed)
+	is.Equal(v.acted.GetVersion(), uint64(9))
+}
+
+// A control host restarts with an older state while it serves us.
+func TestStaleControlHostNeverReverts(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newControlHost(configuration(9), true)
+	server := d.listen(anyPort, h)
+	c := d.client(server)
+	s, scope, rec := start(t, c, func(o *Options) { o.BehindLimit = testLimit })
+	awaitReady(t, s)
+	is.NoErr(server.Close())
+	eventually(t, "cut off", func() bool { return !s.View().Connected })
+
+	stale := newControlHost(configuration(5), true)
+	d.listen(server.Addr().String(), stale)
+	eventually(t, "older update refused", func() bool { return count(scope, metricRefusedUpdates, "older") > 0 })
+	is.Equal(s.View().Config.GetVersion(), uint64(9))
+	var asked uint64
+	stale.read(func() { asked = stale.subscribes[0].GetVersion() })
+	is.Equal(asked, uint64(9)) // the control host was told what is acted on
+
+	stale.set(func() { stale.config = configuration(10) })
+	eventually(t, "version 10", func() bool { return s.View().Config.GetVersion() == 10 })
+	rec.neverBack(t)
+}
+
+func TestControlHostThatStaysBehindIsLeft(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	one, two := newControlHost(configuration(9), true), newControlHost(configuration(9), true)
+	a, b := d.listen(anyPort, one), d.listen(anyPort, two)
+	hosts := map[string]*controlHost{a.Addr().String(): one, b.Addr().String(): two}
+	c := d.client(a, b)
+	s, scope, rec := start(t, c, func(o *Options) { o.BehindLimit = 50 * time.Millisecond })
+	awaitReady(t, s)
+	first := c.Address()
+	hosts[first].set(func() { hosts[first].config = configuration(7) })
+	eventually(t, "left", func() bool { return count(scope, metricEndedSubscriptions, "behind") == 1 })
+	eventually(t, "with the other one", func() bool { return s.View().Connected && c.Address() != first })
+	is.Equal(s.View().Config.GetVersion(), uint64(9))
+	rec.neverBack(t)
+}
+
+func TestGapIsFilledByASnapshot(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newControlHost(configuration(3), true)
+	s, scope, rec := start(t, d.client(d.listen(anyPort, h)), nil)
+	awaitReady(t, s)
+	h.raw <- &controlpb.SubscribeUpdate{Config: &controlpb.ConfigUpdate{BaseVersion: 7, Version: 8}}
+	eventually(t, "ended", func() bool { return count(scope, metricEndedSubscriptions, "gap") == 1 })
+	h.set(func() { h.config = configuration(300) })
+	eventually(t, "version 300", func() bool { return s.View().Config.GetVersion() == 300 })
+	var again uint64
+	h.read(func() { again = h.subscribes[1].GetVersion() })
+	is.Equal(again, uint64(0)) // asks for a whole configuration
+	// No version between was shown.
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	for _, v := range rec.versions {
+		is.True(v == 3 || v == 300)
+	}
+}
+
+func TestLastDirectoryIsKeptWhenCutOff(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newControlHost(configuration(1), true)
+	h.directory = &controlpb.DirectoryUpdate{Epoch: 1, Sequence: 1, Full: true, Put: []*controlpb.TargetRecord{record(1, 1, 1)}}
+	server := d.listen(anyPort, h)
+	s, _, _ := start(t, d.client(server), nil)
+	awaitReady(t, s)
+	eventually(t, "directory", func() bool { return len(s.View().Targets) == 1 })
+	is.NoErr(server.Close())
+	eventually(t, "cut off", func() bool { return !s.View().Connected })
+	is.Equal(len(s.View().Targets), 1)
+	is.Equal(s.View().Config.GetVersion(), uint64(1))
+	is.True(s.View().Age(0, time.Now()) >= time.Second) // the record is a second old
+}
+
+func TestSilentSubscriptionIsLeft(t *testing.T) {
+	d := newDeployment(t)
+	h := newControlHost(configuration(1), true)
+	s, scope, _ := start(t, d.client(d.listen(anyPort, h)), func(o *Options) { o.SilenceLimit = time.Millisecond })
+	eventually(t, "silence noticed", func() bool { return count(scope, metricEndedSubscriptions, "silent") > 0 })
+	s.Close()
+}
