routing: choice of the target of a new flow

Cause: an entry host sends a first packet to the better of two candidates and names the other one as alternate.

Choices: loads ride on reply frames and are kept as one atomic word a target, shared between successive tables, so reports are learned without a lock and a table can be rebuilt each second for ages and averages. Cost weighs load against risk by the two weights of the policy, and their ratio shapes the ramp. Flows sent since the last report count in full, so bursts spread and a silent target loses until its count decays.

A map of loads as argument of Choose: two look-ups a flow more.

When all targets are draining they are still used: the list may be old, and a draining agent passes a new flow on. When all but draining ones exist they are never chosen (property test).

--- /dev/null
+++ b/routing/choose_test.go
@@ -0,0 +1,244 @@
+package routing_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/routing"
+)
+
+func TestReasons(t *testing.T) {
+	hashPolicy := &configpb.Policy{Strategy: configpb.Strategy_STRATEGY_HASH}
+	for _, tt := range []struct {
+		name   string
+		policy *configpb.Policy
+		change func(list []routing.Target)
+		learn  map[uint32]routing.Report
+		want   routing.Reason
+		target uint32 // 0: any
+	}{
+		{name: "equal", want: routing.Equal},
+		{name: "hash", policy: hashPolicy, want: routing.ByHash},
+		{
+			name:   "lower load",
+			learn:  map[uint32]routing.Report{1: {Load: 500}, 2: {Load: 400}},
+			want:   routing.ByCost,
+			target: 2,
+		},
+		{
+			name:   "no figure counts as average",
+			learn:  map[uint32]routing.Report{1: {Load: 500}},
+			want:   routing.Equal,
+			target: 0,
+		},
+		{
+			name:   "one draining",
+			change: func(list []routing.Target) { list[0].Draining = true },
+			want:   routing.Only,
+			target: 2,
+		},
+		{
+			name:   "one reports to be draining",
+			learn:  map[uint32]routing.Report{1: {Draining: true}},
+			want:   routing.Only,
+			target: 2,
+		},
+		{
+			name: "all draining",
+			change: func(list []routing.Target) {
+				list[0].Draining = true
+				list[1].Draining = true
+			},
+			want: routing.LastResort,
+		},
+		{
+			name:   "half ill is the panic threshold",
+			change: func(list []routing.Target) { list[0].Ill = true },
+			want:   routing.Panic,
+			target: 2, // risk still counts
+		},
+		{
+			name:   "ill below the panic threshold",
+			policy: &configpb.Policy{PanicPercent: 51},
+			change: func(list []routing.Target) { list[0].Ill = true },
+			want:   routing.Only,
+			target: 2,
+		},
+		{
+			name:   "all ill above any threshold",
+			policy: &configpb.Policy{PanicPercent: 1000},
+			change: func(list []routing.Target) {
+				list[0].Ill = true
+				list[1].Ill = true
+			},
+			want: routing.Panic,
+		},
+		{
+			name:   "the agent's own word is newer than the directory",
+			policy: &configpb.Policy{PanicPercent: 100},
+			change: func(list []routing.Target) { list[0].Ill = true },
+			learn:  map[uint32]routing.Report{1: {Ill: false}, 2: {Ill: true}},
+			want:   routing.Only,
+			target: 1,
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			list := targets(2)
+			if tt.change != nil {
+				tt.change(list)
+			}
+			loads := routing.NewLoads(nil, list)
+			for number, report := range tt.learn {
+				is.True(loads.Learn(number, 1, report, start))
+			}
+			table := routing.NewTable(tt.policy, service, list, loads, start)
+			choice, ok := table.Choose(hashes(1)[0], start)
+			is.True(ok)
+			is.Equal(choice.Reason, tt.want)
+			is.Equal(choice.Target.Address, address(choice.Target.Number))
+			if tt.target != 0 {
+				is.Equal(choice.Target.Number, tt.target)
+			}
+		})
+	}
+}
+
+func TestNoTarget(t *testing.T) {
+	is := is.New(t)
+	table, _ := build(nil, nil)
+	choice, ok := table.Choose(1, start)
+	is.True(!ok)
+	is.Equal(choice, routing.Choice{Reason: routing.NoTarget})
+}
+
+func TestAlternateIsTheOtherCandidate(t *testing.T) {
+	is := is.New(t)
+	table, _ := build(nil, targets(2))
+	for _, hash := range hashes(100) {
+		choice, ok := table.Choose(hash, start)
+		is.True(ok)
+		is.Equal(choice.Alternate, address(3-choice.Target.Number))
+	}
+
+	table, _ = build(nil, targets(1))
+	choice, ok := table.Choose(1, start)
+	is.True(ok)
+	is.Equal(choice.Reason, routing.Only)
+	is.Equal(choice.Alternate, netip.AddrPort{})
+}
+
+func TestUnusableAddressesAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	list := targets(4)
+	list[0].Address = netip.MustParseAddrPort("[2001:db8::1]:7000")
+	list[1].Address = netip.AddrPort{}
+	list[2].Address = netip.MustParseAddrPort("10.0.0.1:0")
+	table, _ := build(nil, list)
+	is.Equal(table.Len(), 1)
+}
+
+func TestOnlyTheNewestIncarnationTakesNewFlows(t *testing.T) {
+	is := is.New(t)
+	list := targets(1)
+	newer := list[0]
+	newer.Incarnation = 2
+	newer.Address = netip.MustParseAddrPort("10.9.9.9:7000")
+	for _, order := range [][]routing.Target{{list[0], newer}, {newer, list[0]}} {
+		table, loads := build(nil, order)
+		is.Equal(table.Len(), 1)
+		choice, ok := table.Choose(1, start)
+		is.True(ok)
+		is.Equal(choice.Target, routing.Picked{Number: 1, Incarnation: 2, Address: newer.Address})
+		is.True(!loads.Learn(1, 1, routing.Report{}, start)) // the old one's figures don't count
+	}
+}
+
+func TestReportTakesEffectWithoutANewTable(t *testing.T) {
+	is := is.New(t)
+	list := targets(7)
+	table, loads := build(nil, list)
+	loads.Learn(3, 1, routing.Report{Draining: true}, start)
+	counts := count(t, table, hashes(1000))
+	is.Equal(counts[3], 0)
+	is.Equal(len(counts), 6)
+}
+
+func TestStaleReportIsIgnored(t *testing.T) {
+	is := is.New(t)
+	list := targets(2)
+	loads := routing.NewLoads(nil, list)
+	loads.Learn(1, 1, routing.Report{Load: 900, Draining: true}, start)
+
+	later := start + routing.MaxReportAge + time.Millisecond
+	table := routing.NewTable(nil, service, list, loads, later)
+	is.Equal(table.Len(), 2)
+	choice, ok := table.Choose(1, later)
+	is.True(ok)
+	is.Equal(choice.Reason, routing.Equal)
+}
+
+func TestBurstBetweenReportsSpreads(t *testing.T) {
+	is := is.New(t)
+	table, loads := build(nil, targets(2))
+	loads.Learn(1, 1, routing.Report{Load: 100}, start)
+	loads.Learn(2, 1, routing.Report{Load: 110}, start)
+	counts := count(t, table, hashes(1000))
+	// The lead of 10 per mille counts half, as the weights are equal: after
+	// five flows the costs are the same, then flows alternate.
+	is.Equal(counts[1]+counts[2], 1000)
+	lead := counts[1] - counts[2]
+	is.True(lead >= 4 && lead <= 6)
+}
+
+func TestSilentTargetLosesUntilItsCountDecays(t *testing.T) {
+	is := is.New(t)
+	table, loads := build(nil, targets(2))
+	choose := func() uint32 {
+		choice, _ := table.Choose(hashes(1)[0], start)
+		return choice.Target.Number
+	}
+	silent := choose()
+	for range 100 {
+		choose()
+		loads.Learn(3-silent, 1, routing.Report{}, start) // the other one answers
+	}
+	is.Equal(choose(), 3-silent)
+
+	loads.Decay()
+	loads.Learn(3-silent, 1, routing.Report{}, start)
+	is.Equal(choose(), silent) // it is tried again
+}
+
+func TestBaselinesIgnoreRampAndRisk(t *testing.T) {
+	is := is.New(t)
+	list := targets(2)
+	list[0].Age = 0
+	for _, strategy := range []configpb.Strategy{
+		configpb.Strategy_STRATEGY_HASH,
+		configpb.Strategy_STRATEGY_TWO_CHOICES,
+	} {
+		table, _ := build(&configpb.Policy{Strategy: strategy}, list)
+		counts := count(t, table, hashes(10_000))
+		is.True(counts[1] > 4800 && counts[1] < 5200)
+	}
+}
+
+func TestNothingIsAllocated(t *testing.T) {
+	is := is.New(t)
+	list := targets(12)
+	list[3].Age = time.Second
+	table, loads := build(nil, list)
+	hash := uint64(0)
+	is.Equal(testing.AllocsPerRun(1000, func() {
+		hash += 0x9e3779b97f4a7c15
+		table.Choose(hash, start)
+	}), 0.0)
+	is.Equal(testing.AllocsPerRun(1000, func() {
+		loads.Learn(1, 1, routing.Report{Load: 1}, start)
+	}), 0.0)
+}
--- /dev/null
+++ b/routing/loads.go
@@ -0,0 +1,143 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// MaxReportAge is the age from which a report is stale: its load counts as
+// the average and its flags are ignored.
+const MaxReportAge = 5 * time.Second
+
+// Report is what a reply frame says of its sender.
+type Report struct {
+	// Load per mille of the target's capacity.
+	Load uint16
+	// Draining: the target takes no new flows.
+	Draining bool
+	// Ill: its agent holds the backend server to be ill.
+	Ill bool
+}
+
+// Loads holds the last report of each target of a list, and nothing of any
+// other one, so its size is bounded by the list. The set of targets is
+// immutable; reports may be learned and read concurrently without a lock.
+type Loads struct {
+	cells map[uint32]*cell
+}
+
+// cell holds the report of one incarnation of a target.
+type cell struct {
+	// report is a packed Report with its time, zero if there is none.
+	report atomic.Uint64
+	// unanswered counts flows sent since the last report.
+	unanswered  atomic.Uint32
+	incarnation uint32
+}
+
+// Layout of a packed report.
+const (
+	loadMask       = 1<<16 - 1
+	packedDraining = 1 << 16
+	packedIll      = 1 << 17
+	packedKnown    = 1 << 18
+	timeShift      = 19
+)
+
+// NewLoads returns the loads of a list of targets. Reports of incarnations
+// that previous holds as well are shared with it, so that a report learned
+// through either shows in both. Previous may be nil.
+func NewLoads(previous *Loads, targets []Target) *Loads {
+	l := &Loads{cells: make(map[uint32]*cell, len(targets))}
+	for i := range targets {
+		l.add(previous, &targets[i])
+	}
+	return l
+}
+
+func (l *Loads) add(previous *Loads, t *Target) {
+	if c := l.cells[t.Number]; c != nil && c.incarnation >= t.Incarnation {
+		return
+	}
+	if c := previous.find(t.Number, t.Incarnation); c != nil {
+		l.cells[t.Number] = c
+		return
+	}
+	l.cells[t.Number] = &cell{incarnation: t.Incarnation}
+}
+
+func (l *Loads) find(number, incarnation uint32) *cell {
+	if l == nil {
+		return nil
+	}
+	c := l.cells[number]
+	if c == nil || c.incarnation != incarnation {
+		return nil
+	}
+	return c
+}
+
+// Len returns the number of targets.
+func (l *Loads) Len() int {
+	return len(l.cells)
+}
+
+// Learn keeps a report and reports whether the incarnation is on the list. It
+// allocates nothing.
+func (l *Loads) Learn(number, incarnation uint32, r Report, now time.Duration) bool {
+	c := l.find(number, incarnation)
+	if c == nil {
+		return false
+	}
+	c.report.Store(pack(r, now))
+	if c.unanswered.Load() != 0 {
+		c.unanswered.Store(0)
+	}
+	return true
+}
+
+// Last returns the last report of an incarnation if it is not stale.
+func (l *Loads) Last(number, incarnation uint32, now time.Duration) (Report, bool) {
+	c := l.find(number, incarnation)
+	if c == nil {
+		return Report{}, false
+	}
+	return c.fresh(now)
+}
+
+// Decay halves the count of unanswered flows of every target. Called about
+// once a second, it lets a target that was silent be tried again.
+func (l *Loads) Decay() {
+	for _, c := range l.cells {
+		if n := c.unanswered.Load(); n != 0 {
+			c.unanswered.Store(n / 2)
+		}
+	}
+}
+
+func (c *cell) fresh(now time.Duration) (Report, bool) {
+	packed := c.report.Load()
+	if packed&packedKnown == 0 {
+		return Report{}, false
+	}
+	age := now - time.Duration(packed>>timeShift)*time.Millisecond
+	if age > MaxReportAge {
+		return Report{}, false
+	}
+	return Report{
+		Load:     uint16(packed & loadMask),
+		Draining: packed&packedDraining != 0,
+		Ill:      packed&packedIll != 0,
+	}, true
+}
+
+func pack(r Report, now time.Duration) uint64 {
+	packed := uint64(r.Load) | packedKnown | uint64(now.Milliseconds())<<timeShift
+	if r.Draining {
+		packed |= packedDraining
+	}
+	if r.Ill {
+		packed |= packedIll
+	}
+	return packed
+}
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,164 @@
+package routing
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+)
+
+// Table decides on the new flows of one service. It is immutable and safe for
+// concurrent use; the loads that it was built with go on changing.
+type Table struct {
+	policy     policy
+	candidates []candidate
+	// average load of the candidates with a fresh report.
+	average uint32
+	// whole overrides the reason of every choice if it isn't NoTarget.
+	whole   Reason
+	ramping bool
+}
+
+// candidate is a target that may be chosen. It is kept small, as the list of a
+// big service is read at random.
+type candidate struct {
+	cell        *cell
+	number      uint32
+	incarnation uint32
+	risk        uint32
+	ip          [4]byte
+	port        uint16
+	// share of the draws that it takes part in, of fullShare.
+	share uint16
+}
+
+// NewTable returns the table of a service. It ignores targets of other
+// services, those whose address is not IPv4, and all but the newest
+// incarnation of each target. Loads must have been made from a list that holds
+// all of these targets. A table is good for about a second: then a new one
+// takes in ages and reports. A nil policy means its defaults.
+func NewTable(p *configpb.Policy, service uint32, targets []Target, loads *Loads, now time.Duration) *Table {
+	b := builder{policy: newPolicy(p), loads: loads, now: now}
+	for i := range targets {
+		b.add(&targets[i], service)
+	}
+	return b.build()
+}
+
+// Len returns the number of candidates.
+func (t *Table) Len() int {
+	return len(t.candidates)
+}
+
+// Ramping reports whether some candidate is within its ramp.
+func (t *Table) Ramping() bool {
+	return t.ramping
+}
+
+// builder sorts the targets of one service into classes.
+type builder struct {
+	policy policy
+	loads  *Loads
+	now    time.Duration
+
+	well, ill, draining []candidate
+}
+
+func (b *builder) add(t *Target, service uint32) {
+	if t.Service != service || !usable(t.Address) {
+		return
+	}
+	c := b.loads.find(t.Number, t.Incarnation)
+	if c == nil {
+		// Another target of the list has a newer incarnation.
+		return
+	}
+
+	report, known := c.fresh(b.now)
+	ill := t.Ill
+	if known {
+		// The agent's own word is newer than the directory.
+		ill = report.Ill
+	}
+	made := b.candidate(t, c, ill)
+	switch {
+	case t.Draining || report.Draining:
+		b.draining = append(b.draining, made)
+	case ill:
+		b.ill = append(b.ill, made)
+	default:
+		b.well = append(b.well, made)
+	}
+}
+
+func (b *builder) candidate(t *Target, c *cell, ill bool) candidate {
+	return candidate{
+		cell:        c,
+		number:      t.Number,
+		incarnation: t.Incarnation,
+		risk:        b.policy.risk(ill, t.Age),
+		ip:          t.Address.Addr().Unmap().As4(),
+		port:        t.Address.Port(),
+		share:       b.policy.share(t.Age),
+	}
+}
+
+func (b *builder) build() *Table {
+	t := &Table{policy: b.policy}
+	serving := len(b.well) + len(b.ill)
+	switch {
+	case serving == 0:
+		t.candidates = b.draining
+		t.whole = LastResort
+	case len(b.well) == 0 || b.policy.panics(len(b.ill), serving):
+		t.candidates = append(b.well, b.ill...)
+		t.whole = Panic
+	default:
+		t.candidates = b.well
+	}
+
+	t.finish(b.now)
+	return t
+}
+
+// finish sorts the candidates, so that entry hosts with the same view choose
+// alike, and sums them up.
+func (t *Table) finish(now time.Duration) {
+	slices.SortFunc(t.candidates, func(a, b candidate) int {
+		return cmp.Compare(a.number, b.number)
+	})
+	t.candidates = slices.CompactFunc(t.candidates, func(a, b candidate) bool {
+		return a.number == b.number
+	})
+	t.candidates = slices.Clip(t.candidates)
+
+	var sum, known uint64
+	for i := range t.candidates {
+		c := &t.candidates[i]
+		if c.share != fullShare {
+			t.ramping = true
+		}
+		if report, ok := c.cell.fresh(now); ok {
+			sum += uint64(report.Load)
+			known++
+		}
+	}
+	if known > 0 {
+		t.average = uint32(sum / known)
+	}
+}
+
+func usable(a netip.AddrPort) bool {
+	ip := a.Addr().Unmap()
+	return ip.Is4() && !ip.IsUnspecified() && a.Port() != 0
+}
+
+func (c *candidate) address() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(c.ip), c.port)
+}
+
+func (c *candidate) picked() Picked {
+	return Picked{Number: c.number, Incarnation: c.incarnation, Address: c.address()}
+}
