entryd: forwarding between callers and agents

Choices: workers read immutable tables through atomic pointers and take no lock; the goroutine of Run alone applies views, opens and closes addresses and rebuilds tables. An address that passes to another service keeps its socket and swaps the service, so no datagram is lost and frames carry the new number from then on. A reply whose service is not that of the address is refused. A panic of a worker ends Run, as a missing worker would leave its address silent.

Ruled out: ReadBatch of x/net (recvmmsg), which allocates an address for each message.

--- /dev/null
+++ b/internal/entryd/change_test.go
@@ -0,0 +1,188 @@
+package entryd
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"eelgrasswharf.example/eelgrasswharf/connid"
+	"eelgrasswharf.example/eelgrasswharf/frame"
+)
+
+func TestNoDatagramIsLostWhileViewsChange(t *testing.T) {
+	is := is.New(t)
+	r := start(t, testOptions())
+	agent, caller := newSocket(t), newSocket(t)
+	target := connid.Target{Address: agent.addr(), Number: 1}
+	r.apply(view(1, services(serviceAt(lodgement, publicOne))))
+	local := r.local(publicOne)
+
+	for version := uint64(2); version < 200; version++ {
+		// Another address and other targets come and go with each version.
+		s := services(serviceAt(lodgement, publicOne))
+		if version%2 == 0 {
+			s = append(s, serviceAt(certificates, publicTwo))
+		}
+		r.f.Apply(view(version, s, record(lodgement, uint32(version), agent.addr())))
+
+		packet := shortPacket(t, oneSecret, target, fmt.Sprint(version))
+		caller.send(packet, local)
+		h, datagram, from := agent.receiveFrame()
+		is.Equal(datagram, packet)
+		is.Equal(h.Service, uint32(lodgement))
+		agent.send(encodeFrame(t, replyTo(h), datagram), from)
+		answer, _ := caller.receive()
+		is.Equal(answer, packet)
+	}
+	is.Equal(r.local(publicOne), local) // the address stayed open
+}
+
+func TestAddressPassesToAnotherService(t *testing.T) {
+	is := is.New(t)
+	r := start(t, testOptions())
+	agent, caller := newSocket(t), newSocket(t)
+	target := connid.Target{Address: agent.addr(), Number: 1}
+	packet := shortPacket(t, oneSecret, target, "")
+
+	r.apply(view(1, services(serviceAt(lodgement, publicOne))))
+	local := r.local(publicOne)
+	caller.send(packet, local)
+	before, _, from := agent.receiveFrame()
+	is.Equal(before.Service, uint32(lodgement))
+
+	r.apply(view(2, services(serviceAt(certificates, publicOne)),
+		record(certificates, 9, agent.addr())))
+	is.Equal(r.local(publicOne), local) // the socket stayed open
+	caller.send(packet, local)
+	after, _, _ := agent.receiveFrame()
+	is.Equal(after.Service, uint32(certificates)) // the agent can tell and refuse
+	is.Equal(after.Target, uint32(1))
+
+	caller.send(initialPacket("made-up-id"), local)
+	first, _, _ := agent.receiveFrame()
+	is.Equal(first.Service, uint32(certificates))
+	is.Equal(first.Target, uint32(9))
+
+	// A late answer of the former service doesn't leave through the address.
+	agent.send(encodeFrame(t, replyTo(before), []byte("late")), from)
+	r.await("the refusal", func() bool { return r.counter("refused", "other_service") == 1 })
+	agent.send(encodeFrame(t, replyTo(after), []byte("answer")), from)
+	answer, _ := caller.receive()
+	is.Equal(string(answer), "answer")
+}
+
+func TestAddressInUseIsRetriedWhileOthersServe(t *testing.T) {
+	is := is.New(t)
+	core, logs := observer.New(zapcore.InfoLevel)
+	o := testOptions()
+	o.FreePorts = false
+	o.PublicIP = netip.Addr{}
+	o.Log = zap.New(core)
+	r := start(t, o)
+
+	holder, free := newSocket(t), newSocket(t)
+	taken, other := holder.addr(), free.addr()
+	is.NoErr(free.conn.Close())
+	agent, caller := newSocket(t), newSocket(t)
+	packet := shortPacket(t, oneSecret, connid.Target{Address: agent.addr(), Number: 1}, "")
+
+	r.apply(view(1, services(serviceAt(lodgement, taken, other))))
+	r.await("several attempts", func() bool { return r.counter("public_address_open_failed", "") > 3 })
+	is.Equal(r.f.PublicAddrs(), map[string]string{other.String(): other.String()})
+	caller.send(packet, other)
+	_, datagram, _ := agent.receiveFrame()
+	is.Equal(datagram, packet)
+
+	lines := logs.FilterMessage("public address can't be opened, retrying").All()
+	is.Equal(len(lines), 1) // one line for the change, not one for each attempt
+	is.Equal(lines[0].ContextMap()["public"], taken.String())
+	is.True(lines[0].ContextMap()["error"] != nil)
+
+	is.NoErr(holder.conn.Close())
+	r.await("the address to open", func() bool { return len(r.f.PublicAddrs()) == 2 })
+	caller.send(packet, taken)
+	h, _, _ := agent.receiveFrame()
+	is.Equal(h.Public, taken)
+}
+
+func TestRemovedAddressIsClosed(t *testing.T) {
+	is := is.New(t)
+	r := start(t, testOptions())
+	r.apply(view(1, services(serviceAt(lodgement, publicOne, publicTwo))))
+	local := r.local(publicOne)
+
+	r.apply(view(2, services(serviceAt(lodgement, publicTwo))))
+	is.Equal(len(r.f.PublicAddrs()), 1)
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(local))
+	is.NoErr(err) // the port is free again
+	is.NoErr(conn.Close())
+
+	agent, caller := newSocket(t), newSocket(t)
+	h := frame.Header{Kind: frame.Reply, Service: lodgement, Caller: caller.addr(), Public: publicOne}
+	agent.send(encodeFrame(t, h, []byte("late")), r.f.FrameAddr())
+	r.await("the refusal", func() bool { return r.counter("refused", "unknown_address") == 1 })
+}
+
+func TestOlderVersionIsNotApplied(t *testing.T) {
+	is := is.New(t)
+	r := start(t, testOptions())
+	r.apply(view(7, services(serviceAt(lodgement, publicOne))))
+	r.f.Apply(view(6, services(serviceAt(certificates, publicOne, publicTwo))))
+	r.await("the refusal", func() bool { return r.counter("views_older_refused", "") == 1 })
+	is.Equal(len(r.f.PublicAddrs()), 1)
+
+	agent, caller := newSocket(t), newSocket(t)
+	caller.send(shortPacket(t, oneSecret, connid.Target{Address: agent.addr(), Number: 1}, ""), r.local(publicOne))
+	h, _, _ := agent.receiveFrame()
+	is.Equal(h.Service, uint32(lodgement))
+}
+
+func TestUnusableAddressesAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	r := start(t, testOptions())
+	broken := serviceAt(lodgement, publicOne)
+	broken.Addresses = append(broken.Addresses, "lodgement:443", publicTwo.String(), publicTwo.String())
+	r.apply(view(1, services(broken),
+		record(lodgement, 1, netip.MustParseAddrPort("10.0.0.1:7000")), // outside the agent networks
+		record(lodgement, 2, netip.MustParseAddrPort("127.0.0.1:0")),
+	))
+	is.Equal(len(r.f.PublicAddrs()), 2)
+	is.Equal(r.counter("public_address_unusable", ""), int64(2))
+	is.Equal(r.counter("target_address_unusable", ""), int64(2))
+
+	newSocket(t).send(initialPacket("made-up-id"), r.local(publicOne))
+	r.await("the refusal", func() bool { return r.counter("refused", "no_target") == 1 })
+}
+
+func TestShutdownClosesSocketsAndReturnsNil(t *testing.T) {
+	is := is.New(t)
+	o := testOptions()
+	o.Workers = 2
+	r := start(t, o)
+	r.apply(view(1, services(serviceAt(lodgement, publicOne))))
+	local := r.local(publicOne)
+
+	r.stop()
+	is.NoErr(<-r.done)
+	close(r.done)
+	for _, address := range []netip.AddrPort{local, r.f.FrameAddr()} {
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+		is.NoErr(err)
+		is.NoErr(conn.Close())
+	}
+}
+
+func TestPanicOfAWorkerEndsRun(t *testing.T) {
+	is := is.New(t)
+	r := start(t, testOptions())
+	r.f.guard(func() { panic("worker fault") })()
+	err := <-r.done
+	close(r.done)
+	is.True(err != nil)
+}
--- /dev/null
+++ b/internal/entryd/counters.go
@@ -0,0 +1,63 @@
+package entryd
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"eelgrasswharf.example/eelgrasswharf/routing"
+)
+
+const reasonTag = "reason"
+
+// counters are looked up once: a look-up for each datagram would allocate.
+type counters struct {
+	forwarded tally.Counter
+	replied   tally.Counter
+	// reports counts reply frames that carry a load figure and no datagram.
+	reports tally.Counter
+	// first counts new flows by what decided on their target.
+	first   [routing.ReasonCount]tally.Counter
+	refused [refusalCount]tally.Counter
+
+	// Failures of system calls.
+	readFailed     tally.Counter
+	toAgentFailed  tally.Counter
+	toCallerFailed tally.Counter
+
+	// Changes of state.
+	viewsApplied  tally.Counter
+	viewsOlder    tally.Counter
+	openFailed    tally.Counter
+	badAddress    tally.Counter
+	badTarget     tally.Counter
+	openAddresses tally.Gauge
+	version       tally.Gauge
+}
+
+func newCounters(scope tally.Scope) *counters {
+	c := &counters{
+		forwarded:      scope.Counter("datagrams_forwarded"),
+		replied:        scope.Counter("datagrams_replied"),
+		reports:        scope.Counter("load_reports"),
+		readFailed:     scope.Counter("read_failed"),
+		toAgentFailed:  scope.Counter("send_to_agent_failed"),
+		toCallerFailed: scope.Counter("send_to_caller_failed"),
+		viewsApplied:   scope.Counter("views_applied"),
+		viewsOlder:     scope.Counter("views_older_refused"),
+		openFailed:     scope.Counter("public_address_open_failed"),
+		badAddress:     scope.Counter("public_address_unusable"),
+		badTarget:      scope.Counter("target_address_unusable"),
+		openAddresses:  scope.Gauge("public_addresses_open"),
+		version:        scope.Gauge("configuration_version"),
+	}
+	for r := range c.first {
+		c.first[r] = tagged(scope, routing.Reason(r).String()).Counter("first_forwarded")
+	}
+	for r := range c.refused {
+		c.refused[r] = tagged(scope, refusal(r).String()).Counter("refused")
+	}
+	return c
+}
+
+func tagged(scope tally.Scope, reason string) tally.Scope {
+	return scope.Tagged(map[string]string{reasonTag: reason})
+}
--- /dev/null
+++ b/internal/entryd/directory.go
@@ -0,0 +1,88 @@
+package entryd
+
+import (
+	"net/netip"
+	"time"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/routing"
+)
+
+// life names one incarnation of a target.
+type life struct {
+	number, incarnation uint32
+}
+
+// directory holds the targets of a view by service. Only the goroutine of Run
+// uses it.
+type directory struct {
+	services map[uint32][]routing.Target
+	loads    *routing.Loads
+	// started holds when targets had their cold start, as a duration on the
+	// forwarder's clock. A record tells the age at the time it was made, which
+	// is not later than when it was first seen here, so the earliest start
+	// seen is the nearest to the truth.
+	started map[life]time.Duration
+}
+
+// directoryFrom returns the directory of a list of records. It leaves out
+// those that refuse returns true for. Reports and ages of targets that
+// previous holds as well are kept; previous may be nil.
+func directoryFrom(previous *directory, records []*controlpb.TargetRecord, now time.Duration, usable func(netip.AddrPort) bool) (d *directory, unusable int) {
+	d = &directory{
+		services: make(map[uint32][]routing.Target),
+		started:  make(map[life]time.Duration, len(records)),
+	}
+	list := make([]routing.Target, 0, len(records))
+	for _, record := range records {
+		address, err := netip.ParseAddrPort(record.GetAddress())
+		if err != nil || !usable(address) {
+			unusable++
+			continue
+		}
+		target := targetFrom(record, address)
+		d.start(previous, &target, record.GetAgeMs(), now)
+		list = append(list, target)
+		d.services[target.Service] = append(d.services[target.Service], target)
+	}
+
+	var loads *routing.Loads
+	if previous != nil {
+		loads = previous.loads
+	}
+	d.loads = routing.NewLoads(loads, list)
+	return d, unusable
+}
+
+func targetFrom(record *controlpb.TargetRecord, address netip.AddrPort) routing.Target {
+	return routing.Target{
+		Number:      record.GetNumber(),
+		Incarnation: record.GetIncarnation(),
+		Service:     record.GetService(),
+		Address:     address,
+		Draining:    record.GetState() == controlpb.TargetState_TARGET_STATE_DRAINING,
+		Ill:         record.GetIll(),
+	}
+}
+
+// start remembers when the target had its cold start.
+func (d *directory) start(previous *directory, t *routing.Target, ageMs uint64, now time.Duration) {
+	key := life{number: t.Number, incarnation: t.Incarnation}
+	started := now - time.Duration(ageMs)*time.Millisecond
+	if previous != nil {
+		if before, ok := previous.started[key]; ok {
+			started = min(started, before)
+		}
+	}
+	d.started[key] = started
+}
+
+// table builds the routing table of a service.
+func (d *directory) table(s *servicePolicy, now time.Duration) *routing.Table {
+	targets := d.services[s.number]
+	for i := range targets {
+		t := &targets[i]
+		t.Age = now - d.started[life{number: t.Number, incarnation: t.Incarnation}]
+	}
+	return routing.NewTable(s.policy, s.number, targets, d.loads, now)
+}
--- /dev/null
+++ b/internal/entryd/forward_test.go
@@ -0,0 +1,269 @@
+package entryd
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/connid"
+	"eelgrasswharf.example/eelgrasswharf/frame"
+)
+
+func TestEstablishedFlowNeedsNoDirectory(t *testing.T) {
+	is := is.New(t)
+	r := start(t, testOptions())
+	r.apply(view(1, services(serviceAt(lodgement, publicOne))))
+	agent, caller := newSocket(t), newSocket(t)
+	local := r.local(publicOne)
+
+	target := connid.Target{Address: agent.addr(), Number: 5, Incarnation: 3}
+	packet := shortPacket(t, oneSecret, target, "filing")
+	caller.send(packet, local)
+
+	h, datagram, from := agent.receiveFrame()
+	is.Equal(h, frame.Header{
+		Kind:        frame.Forward,
+		Service:     lodgement,
+		Caller:      caller.addr(),
+		Public:      publicOne,
+		Target:      5,
+		Incarnation: 3,
+	})
+	is.Equal(datagram, packet)      // the datagram is unchanged
+	is.Equal(from, r.f.FrameAddr()) // where the agent sends its answer
+
+	agent.send(encodeFrame(t, replyTo(h), []byte("stamped")), from)
+	answer, source := caller.receive()
+	is.Equal(string(answer), "stamped")
+	is.Equal(source, local) // the caller takes it from the public address only
+	is.Equal(r.counter("datagrams_forwarded", ""), int64(1))
+	is.Equal(r.counter("datagrams_replied", ""), int64(1))
+}
+
+func TestFirstPacketGoesToATargetWithAlternate(t *testing.T) {
+	is := is.New(t)
+	r := start(t, testOptions())
+	one, two, other, caller := newSocket(t), newSocket(t), newSocket(t), newSocket(t)
+	r.apply(view(1, services(serviceAt(lodgement, publicOne), serviceAt(certificates, publicTwo)),
+		record(lodgement, 11, one.addr()),
+		record(lodgement, 12, two.addr()),
+		record(certificates, 13, other.addr()),
+	))
+
+	packet := initialPacket("made-up-id")
+	caller.send(packet, r.local(publicTwo))
+	h, datagram, _ := other.receiveFrame()
+	is.Equal(datagram, packet)
+	is.Equal(h, frame.Header{
+		Kind:        frame.First,
+		Service:     certificates,
+		Caller:      caller.addr(),
+		Public:      publicTwo,
+		Target:      13,
+		Incarnation: 1,
+	})
+	is.Equal(r.counter("first_forwarded", "only"), int64(1))
+
+	// A draining report from one of the two sends all new flows to the other.
+	draining := frame.Header{Kind: frame.Reply, Service: lodgement, Public: publicOne, Target: 12, Incarnation: 1, Draining: true}
+	two.send(encodeFrame(t, draining, nil), r.f.FrameAddr())
+	r.await("the report", func() bool { return r.counter("refused", "no_caller") == 1 })
+	for i := range 20 {
+		caller.send(initialPacket(fmt.Sprintf("made-up-%d", i)), r.local(publicOne))
+		h, _, _ := one.receiveFrame()
+		is.Equal(h.Target, uint32(11))
+	}
+}
+
+func TestAlternateIsNamed(t *testing.T) {
+	is := is.New(t)
+	o := testOptions()
+	o.Refresh = time.Hour // counts of unanswered flows stay
+	r := start(t, o)
+	one, two, caller := newSocket(t), newSocket(t), newSocket(t)
+	r.apply(view(1, services(serviceAt(lodgement, publicOne)),
+		record(lodgement, 11, one.addr()),
+		record(lodgement, 12, two.addr()),
+	))
+	// The same flow gets the same first candidate; with equal costs the flow
+	// that is not answered yet sends the next one to the other target.
+	caller.send(initialPacket("made-up-id"), r.local(publicOne))
+	caller.send(initialPacket("made-up-id"), r.local(publicOne))
+	h, _, _ := one.receiveFrame()
+	is.Equal(h.Target, uint32(11))
+	is.Equal(h.Alternate, two.addr())
+	h, _, _ = two.receiveFrame()
+	is.Equal(h.Target, uint32(12))
+	is.Equal(h.Alternate, one.addr())
+}
+
+func TestDatagramsOfCallersAreRefused(t *testing.T) {
+	r := start(t, testOptions())
+	agent, caller := newSocket(t), newSocket(t)
+	r.apply(view(1, services(serviceAt(lodgement, publicOne), serviceAt(certificates, publicTwo)),
+		record(lodgement, 11, agent.addr())))
+
+	good := connid.Target{Address: agent.addr(), Number: 5, Incarnation: 1}
+	outside := good
+	outside.Address = netip.MustParseAddrPort("10.0.0.1:7000")
+	forged := shortPacket(t, oneSecret, good, "forged")
+	forged[5] ^= 1
+
+	for _, tt := range []struct {
+		name     string
+		datagram []byte
+		public   netip.AddrPort
+		want     refusal
+	}{
+		{"empty", nil, publicOne, garbage},
+		{"one byte", []byte{0x40}, publicOne, garbage},
+		{"cut long header", []byte{0xc0, 0, 0, 0, 1, 20, 1}, publicOne, garbage},
+		{"forged ID", forged, publicOne, unknownConnection},
+		{"ID of another deployment", shortPacket(t, nextSecret, good, ""), publicOne, unknownSecret},
+		{"agent outside the networks", shortPacket(t, oneSecret, outside, ""), publicOne, outsideNetworks},
+		{"handshake without our ID", longPacket(0xe0, []byte("made-up-id")), publicOne, unknownConnection},
+		{"retry", longPacket(0xf0, []byte("made-up-id")), publicOne, serverPacket},
+		{"first packet too short", initialPacket("made-up-id")[:1199], publicOne, shortFirst},
+		{"made-up ID too short", initialPacket("1234567"), publicOne, shortFirst},
+		{"no target", initialPacket("made-up-id"), publicTwo, noTarget},
+		{"too long", append(shortPacket(t, oneSecret, good, ""), make([]byte, maxDatagram)...), publicOne, oversized},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			before := r.counter("refused", tt.want.String())
+			caller.send(tt.datagram, r.local(tt.public))
+			r.await("the refusal", func() bool { return r.counter("refused", tt.want.String()) == before+1 })
+
+			// The next frame at the agent is that of the next good datagram.
+			packet := shortPacket(t, oneSecret, good, tt.name)
+			caller.send(packet, r.local(publicOne))
+			_, datagram, _ := agent.receiveFrame()
+			is.Equal(datagram, packet)
+		})
+	}
+}
+
+func TestFramesAreRefused(t *testing.T) {
+	r := start(t, testOptions())
+	agent, caller := newSocket(t), newSocket(t)
+	r.apply(view(1, services(serviceAt(lodgement, publicOne), serviceAt(certificates, publicTwo))))
+
+	good := frame.Header{Kind: frame.Reply, Service: lodgement, Caller: caller.addr(), Public: publicOne, Target: 1, Incarnation: 1}
+	with := func(change func(h *frame.Header)) []byte {
+		h := good
+		change(&h)
+		return encodeFrame(t, h, []byte("wrong"))
+	}
+	flip := func(offset int, bits byte) []byte {
+		src := encodeFrame(t, good, []byte("wrong"))
+		src[offset] ^= bits
+		return src
+	}
+
+	for _, tt := range []struct {
+		name string
+		src  []byte
+		want refusal
+	}{
+		{"cut", encodeFrame(t, good, nil)[:frame.HeaderLength-1], frameTooShort},
+		{"garbage", make([]byte, 200), frameVersion},
+		{"other version", flip(0, 0x80), frameVersion},
+		{"other secret", flip(1, 0x02), frameSecret},
+		{"forged caller", flip(36, 0x01), frameTag},
+		{"forged tag", flip(frame.HeaderLength-1, 0x01), frameTag},
+		{"frame for an agent", with(func(h *frame.Header) { h.Kind = frame.Forward }), frameKind},
+		{"first packet for an agent", with(func(h *frame.Header) { h.Kind = frame.First }), frameKind},
+		{"address not served here", with(func(h *frame.Header) { h.Public = netip.MustParseAddrPort("192.0.2.9:443") }), unknownAddress},
+		{"address of another service", with(func(h *frame.Header) { h.Public = publicTwo }), otherService},
+		{"no caller", with(func(h *frame.Header) { h.Caller = netip.AddrPort{} }), noCaller},
+		{"too long", append(encodeFrame(t, good, nil), make([]byte, maxDatagram+1)...), oversized},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			before := r.counter("refused", tt.want.String())
+			agent.send(tt.src, r.f.FrameAddr())
+			r.await("the refusal", func() bool { return r.counter("refused", tt.want.String()) == before+1 })
+
+			// The next datagram at the caller is that of the next good frame.
+			agent.send(encodeFrame(t, good, []byte(tt.name)), r.f.FrameAddr())
+			datagram, _ := caller.receive()
+			is.Equal(string(datagram), tt.name)
+		})
+	}
+}
+
+func TestFrameFromOutsideTheAgentNetworksIsRefused(t *testing.T) {
+	o := testOptions()
+	o.AgentNetworks = []netip.Prefix{netip.MustParsePrefix("127.0.0.2/32")}
+	r := start(t, o)
+	r.apply(view(1, services(serviceAt(lodgement, publicOne))))
+	agent, caller := newSocket(t), newSocket(t)
+
+	h := frame.Header{Kind: frame.Reply, Service: lodgement, Caller: caller.addr(), Public: publicOne}
+	agent.send(encodeFrame(t, h, []byte("answer")), r.f.FrameAddr())
+	r.await("the refusal", func() bool { return r.counter("refused", "outside_networks") == 1 })
+}
+
+func TestLongestDatagramPasses(t *testing.T) {
+	is := is.New(t)
+	r := start(t, testOptions())
+	r.apply(view(1, services(serviceAt(lodgement, publicOne))))
+	agent, caller := newSocket(t), newSocket(t)
+
+	packet := shortPacket(t, oneSecret, connid.Target{Address: agent.addr(), Number: 1}, "")
+	packet = append(packet, make([]byte, maxDatagram-len(packet))...)
+	caller.send(packet, r.local(publicOne))
+	h, datagram, from := agent.receiveFrame()
+	is.Equal(datagram, packet)
+
+	agent.send(encodeFrame(t, replyTo(h), packet), from)
+	answer, _ := caller.receive()
+	is.Equal(answer, packet)
+}
+
+func TestSeveralWorkersShareAnAddress(t *testing.T) {
+	is := is.New(t)
+	o := testOptions()
+	o.Workers = 4
+	r := start(t, o)
+	r.apply(view(1, services(serviceAt(lodgement, publicOne))))
+	agent := newSocket(t)
+	local := r.local(publicOne)
+
+	for range 50 {
+		caller := newSocket(t)
+		packet := shortPacket(t, oneSecret, connid.Target{Address: agent.addr(), Number: 1}, caller.addr().String())
+		caller.send(packet, local)
+		h, datagram, from := agent.receiveFrame()
+		is.Equal(datagram, packet)
+		is.Equal(from, r.f.FrameAddr())
+		agent.send(encodeFrame(t, replyTo(h), datagram), from)
+		answer, source := caller.receive()
+		is.Equal(answer, packet)
+		is.Equal(source, local)
+	}
+}
+
+func TestSecretsAreReplacedWhileFlowsGoOn(t *testing.T) {
+	is := is.New(t)
+	r := start(t, testOptions())
+	r.apply(view(1, services(serviceAt(lodgement, publicOne))))
+	agent, caller := newSocket(t), newSocket(t)
+	target := connid.Target{Address: agent.addr(), Number: 1}
+
+	is.NoErr(r.f.SetSecrets(append(append([]connid.Secret{}, oneSecret...), nextSecret...)))
+	for _, secrets := range [][]connid.Secret{oneSecret, nextSecret} {
+		packet := shortPacket(t, secrets, target, "")
+		caller.send(packet, r.local(publicOne))
+		_, datagram, _ := agent.receiveFrame()
+		is.Equal(datagram, packet)
+	}
+	is.True(r.f.SetSecrets(nil) != nil)
+	packet := shortPacket(t, oneSecret, target, "after the refused list")
+	caller.send(packet, r.local(publicOne))
+	_, datagram, _ := agent.receiveFrame()
+	is.Equal(datagram, packet)
+}
--- /dev/null
+++ b/internal/entryd/forwarder.go
@@ -0,0 +1,340 @@
+package entryd
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/connid"
+	"eelgrasswharf.example/eelgrasswharf/routing"
+)
+
+// tables are what frame workers share. They are immutable, but for the load
+// figures and the service of each listener.
+type tables struct {
+	listeners map[netip.AddrPort]*listener
+	loads     *routing.Loads
+}
+
+// Forwarder forwards datagrams by the views that it is given.
+type Forwarder struct {
+	options  Options
+	log      *zap.Logger
+	counters *counters
+	decider  decider
+	// began is the origin of the forwarder's clock.
+	began time.Time
+
+	// Read by workers, swapped whole.
+	codecs atomic.Pointer[codecs]
+	tables atomic.Pointer[tables]
+
+	// pending is the newest view that is not applied yet.
+	pending atomic.Pointer[View]
+	wake    chan struct{}
+	// failed gets the panic of a worker.
+	failed chan error
+	ready  chan struct{}
+
+	// Owned by the goroutine of Run.
+	view      *View
+	directory *directory
+	addresses map[netip.AddrPort]*servicePolicy
+	// refusedOpen holds the last error of each address that can't be opened.
+	refusedOpen map[netip.AddrPort]string
+
+	frameConns   []*net.UDPConn
+	frameAddr    netip.AddrPort
+	frameWorkers conc.WaitGroup
+}
+
+// NewForwarder opens the frame sockets. Nothing is read before Run.
+func NewForwarder(o Options) (*Forwarder, error) {
+	if err := o.complete(); err != nil {
+		return nil, err
+	}
+	c, err := newCodecs(o.Secrets)
+	if err != nil {
+		return nil, err
+	}
+
+	f := &Forwarder{
+		options:     o,
+		log:         o.Log,
+		counters:    newCounters(o.Scope),
+		decider:     decider{networks: o.AgentNetworks},
+		began:       time.Now(),
+		wake:        make(chan struct{}, 1),
+		failed:      make(chan error, 1),
+		ready:       make(chan struct{}),
+		refusedOpen: make(map[netip.AddrPort]string),
+	}
+	f.codecs.Store(c)
+	f.tables.Store(&tables{loads: routing.NewLoads(nil, nil)})
+
+	f.frameConns, f.frameAddr, err = openSockets(context.Background(), o.FrameListen, o.Workers)
+	if err != nil {
+		return nil, errors.Wrap(err, "frame address")
+	}
+	return f, nil
+}
+
+// Apply hands over a new view and returns at once. Of several views only the
+// newest is applied.
+func (f *Forwarder) Apply(v *View) {
+	f.pending.Store(v)
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// SetSecrets replaces the secrets for connection IDs and frames. On an error
+// the old ones stay.
+func (f *Forwarder) SetSecrets(secrets []connid.Secret) error {
+	c, err := newCodecs(secrets)
+	if err != nil {
+		return err
+	}
+	f.codecs.Store(c)
+	return nil
+}
+
+// Ready is closed when the first view has been applied.
+func (f *Forwarder) Ready() <-chan struct{} {
+	return f.ready
+}
+
+// FrameAddr returns the address that frames are received on.
+func (f *Forwarder) FrameAddr() netip.AddrPort {
+	return f.frameAddr
+}
+
+// PublicAddrs returns the local address of each public address that is open.
+func (f *Forwarder) PublicAddrs() map[string]string {
+	listeners := f.tables.Load().listeners
+	out := make(map[string]string, len(listeners))
+	for public, l := range listeners {
+		out[public.String()] = l.local.String()
+	}
+	return out
+}
+
+// Run forwards until the context is done, then closes all sockets and returns
+// nil. It returns an error only if a worker panics. It must be called once.
+func (f *Forwarder) Run(ctx context.Context) error {
+	for _, conn := range f.frameConns {
+		w := &frameWorker{f: f, conn: conn}
+		f.frameWorkers.Go(f.guard(w.run))
+	}
+	f.log.Info("frame address opened", zap.Stringer("local", f.frameAddr))
+
+	err := f.loop(ctx)
+	f.closeAll()
+	return err
+}
+
+func (f *Forwarder) loop(ctx context.Context) error {
+	ticker := time.NewTicker(f.options.Refresh)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-f.failed:
+			return err
+		case <-f.wake:
+			f.apply(ctx, f.pending.Swap(nil))
+		case <-ticker.C:
+			f.refresh(ctx)
+		}
+	}
+}
+
+// guard makes a panic of a worker end Run: a worker that is missing would
+// leave its address silent.
+func (f *Forwarder) guard(run func()) func() {
+	return func() {
+		recovered := panics.Try(run)
+		if recovered == nil {
+			return
+		}
+		select {
+		case f.failed <- errors.Wrap(recovered.AsError(), "worker"):
+		default:
+		}
+	}
+}
+
+// Close releases the sockets of a forwarder whose Run is never called.
+func (f *Forwarder) Close() {
+	closeAll(f.frameConns)
+}
+
+func (f *Forwarder) closeAll() {
+	for _, l := range f.tables.Load().listeners {
+		l.close()
+		f.log.Info("public address closed", zap.Stringer("public", l.public))
+	}
+	closeAll(f.frameConns)
+	f.frameWorkers.Wait()
+}
+
+func (f *Forwarder) now() time.Duration {
+	return time.Since(f.began)
+}
+
+// apply brings a view into force.
+func (f *Forwarder) apply(ctx context.Context, v *View) {
+	if v == nil || v.Config == nil {
+		return
+	}
+	if f.view != nil && v.Config.GetVersion() < f.view.Config.GetVersion() {
+		// A version that was in force never reverts.
+		f.counters.viewsOlder.Inc(1)
+		return
+	}
+
+	if f.view == nil || v.Config.GetVersion() != f.view.Config.GetVersion() {
+		f.addresses = f.publicAddresses(v.Config)
+		f.log.Info("configuration in force", zap.Uint64("version", v.Config.GetVersion()))
+	}
+	f.view = v
+	var unusable int
+	f.directory, unusable = directoryFrom(f.directory, v.Targets, f.now(), f.usable)
+	f.counters.badTarget.Inc(int64(unusable))
+	f.reconcile(ctx)
+
+	f.counters.viewsApplied.Inc(1)
+	f.counters.version.Update(float64(v.Config.GetVersion()))
+	select {
+	case <-f.ready:
+	default:
+		close(f.ready)
+	}
+}
+
+// refresh takes in ages and load figures and tries addresses that could not be
+// opened again.
+func (f *Forwarder) refresh(ctx context.Context) {
+	if f.view == nil {
+		return
+	}
+	f.directory.loads.Decay()
+	f.reconcile(ctx)
+}
+
+func (f *Forwarder) usable(address netip.AddrPort) bool {
+	return address.Port() != 0 && f.decider.inside(unmap(address).Addr())
+}
+
+// reconcile makes the open public addresses those of the configuration, each
+// with a fresh table of its service.
+func (f *Forwarder) reconcile(ctx context.Context) {
+	before := f.tables.Load().listeners
+	after := make(map[netip.AddrPort]*listener, len(f.addresses))
+	built := make(map[*servicePolicy]*service)
+	now := f.now()
+	f.closeRemoved(before)
+
+	for address, policy := range f.addresses {
+		s := built[policy]
+		if s == nil {
+			s = &service{number: policy.number, table: f.directory.table(policy, now)}
+			built[policy] = s
+		}
+		l := before[address]
+		if l != nil {
+			f.swap(l, s, policy)
+		} else {
+			l = f.open(ctx, address, s, policy)
+		}
+		if l != nil {
+			after[address] = l
+		}
+	}
+
+	f.tables.Store(&tables{listeners: after, loads: f.directory.loads})
+	f.counters.openAddresses.Update(float64(len(after)))
+	maps.DeleteFunc(f.refusedOpen, func(address netip.AddrPort, _ string) bool {
+		return f.addresses[address] == nil
+	})
+}
+
+func (f *Forwarder) closeRemoved(before map[netip.AddrPort]*listener) {
+	for address, l := range before {
+		if f.addresses[address] != nil {
+			continue
+		}
+		l.close()
+		f.log.Info("public address closed", zap.Stringer("public", address))
+	}
+}
+
+func (f *Forwarder) swap(l *listener, s *service, policy *servicePolicy) {
+	if l.service.Swap(s).number == s.number {
+		return
+	}
+	f.log.Info("public address passed to another service",
+		zap.Stringer("public", l.public),
+		zap.String("service", policy.name),
+	)
+}
+
+// open opens a public address and starts its workers. It returns nil if the
+// address can't be opened now.
+func (f *Forwarder) open(ctx context.Context, public netip.AddrPort, s *service, policy *servicePolicy) *listener {
+	conns, local, err := openSockets(ctx, f.localFor(public), f.options.Workers)
+	if err != nil {
+		f.openFailed(public, policy, err)
+		return nil
+	}
+	delete(f.refusedOpen, public)
+
+	l := &listener{public: public, local: local, conns: conns}
+	l.service.Store(s)
+	for i, conn := range conns {
+		w := &publicWorker{f: f, l: l, conn: conn, out: f.frameConns[i%len(f.frameConns)]}
+		l.workers.Go(f.guard(w.run))
+	}
+	f.log.Info("public address opened",
+		zap.Stringer("public", public),
+		zap.Stringer("local", local),
+		zap.String("service", policy.name),
+	)
+	return l
+}
+
+// openFailed counts each failure and logs the first of a kind.
+func (f *Forwarder) openFailed(public netip.AddrPort, policy *servicePolicy, err error) {
+	f.counters.openFailed.Inc(1)
+	if f.refusedOpen[public] == err.Error() {
+		return
+	}
+	f.refusedOpen[public] = err.Error()
+	f.log.Error("public address can't be opened, retrying",
+		zap.Stringer("public", public),
+		zap.String("service", policy.name),
+		zap.Error(err),
+	)
+}
+
+// localFor returns the address to open for a public address.
+func (f *Forwarder) localFor(public netip.AddrPort) netip.AddrPort {
+	ip, port := public.Addr(), public.Port()
+	if f.options.PublicIP.IsValid() {
+		ip = f.options.PublicIP
+	}
+	if f.options.FreePorts {
+		port = 0
+	}
+	return netip.AddrPortFrom(ip, port)
+}
--- /dev/null
+++ b/internal/entryd/worker.go
@@ -0,0 +1,178 @@
+package entryd
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"eelgrasswharf.example/eelgrasswharf/frame"
+	"eelgrasswharf.example/eelgrasswharf/routing"
+)
+
+const (
+	// maxDatagram is the longest datagram of a caller or agent that is
+	// forwarded, in bytes. QUIC packets fit an Ethernet frame; the room above
+	// that is small because every worker holds a buffer.
+	maxDatagram = 2048
+	// bufferLength has one byte more than the longest frame, which shows
+	// whether the system cut a datagram.
+	bufferLength = frame.HeaderLength + maxDatagram + 1
+	// readPause keeps a socket that fails at each read from taking a core.
+	readPause = 10 * time.Millisecond
+)
+
+// publicWorker reads one socket of a public address.
+type publicWorker struct {
+	f    *Forwarder
+	l    *listener
+	conn *net.UDPConn
+	// out is the frame socket that it sends through.
+	out    *net.UDPConn
+	buf    [bufferLength]byte
+	header frame.Header
+}
+
+func (w *publicWorker) run() {
+	w.header.Public = w.l.public
+	for {
+		n, caller, err := w.conn.ReadFromUDPAddrPort(w.buf[frame.HeaderLength:])
+		if err != nil {
+			if w.f.ended(err) {
+				return
+			}
+			continue
+		}
+		w.handle(n, unmap(caller))
+	}
+}
+
+// handle sends the datagram of n bytes that stands behind the room for the
+// header on to an agent, or counts why not.
+func (w *publicWorker) handle(n int, caller netip.AddrPort) {
+	to, refused := w.frame(n, caller)
+	if refused != accepted {
+		w.f.counters.refused[refused].Inc(1)
+		return
+	}
+	if _, err := w.out.WriteToUDPAddrPort(w.buf[:frame.HeaderLength+n], to); err != nil {
+		w.f.counters.toAgentFailed.Inc(1)
+	}
+}
+
+// frame decides on the datagram and puts the header before it.
+func (w *publicWorker) frame(n int, caller netip.AddrPort) (netip.AddrPort, refusal) {
+	if n > maxDatagram {
+		return netip.AddrPort{}, oversized
+	}
+	c := w.f.codecs.Load()
+	datagram := w.buf[frame.HeaderLength : frame.HeaderLength+n]
+	d := w.f.decider.decide(c, w.l.service.Load(), datagram, caller, w.f.now(), &w.header)
+	if d.refused != accepted {
+		return netip.AddrPort{}, d.refused
+	}
+
+	if d.kind == frame.First {
+		w.f.counters.first[d.reason].Inc(1)
+	} else {
+		w.f.counters.forwarded.Inc(1)
+	}
+	w.header.Caller = caller
+	c.frames.Put(w.buf[:], &w.header)
+	return d.to, accepted
+}
+
+// frameWorker reads one frame socket.
+type frameWorker struct {
+	f      *Forwarder
+	conn   *net.UDPConn
+	buf    [bufferLength]byte
+	header frame.Header
+}
+
+func (w *frameWorker) run() {
+	for {
+		n, agent, err := w.conn.ReadFromUDPAddrPort(w.buf[:])
+		if err != nil {
+			if w.f.ended(err) {
+				return
+			}
+			continue
+		}
+		w.handle(n, unmap(agent))
+	}
+}
+
+// handle sends the datagram of a reply frame to the caller, or counts why not.
+func (w *frameWorker) handle(n int, agent netip.AddrPort) {
+	l, refused := w.check(n, agent)
+	if refused != accepted {
+		w.f.counters.refused[refused].Inc(1)
+		return
+	}
+	if n == frame.HeaderLength {
+		w.f.counters.reports.Inc(1)
+		return
+	}
+
+	w.f.counters.replied.Inc(1)
+	datagram := w.buf[frame.HeaderLength:n]
+	if _, err := l.conns[0].WriteToUDPAddrPort(datagram, w.header.Caller); err != nil {
+		w.f.counters.toCallerFailed.Inc(1)
+	}
+}
+
+// check parses a reply frame, learns what it tells of its sender and returns
+// the public address that it leaves through.
+func (w *frameWorker) check(n int, agent netip.AddrPort) (*listener, refusal) {
+	if n == len(w.buf) {
+		return nil, oversized
+	}
+	if !w.f.decider.inside(agent.Addr()) {
+		return nil, outsideNetworks
+	}
+	h := &w.header
+	verdict := w.f.codecs.Load().frames.Parse(w.buf[:n], h)
+	if verdict != frame.OK {
+		return nil, refusalOfFrame(verdict)
+	}
+	if h.Kind != frame.Reply {
+		return nil, frameKind
+	}
+
+	t := w.f.tables.Load()
+	report := routing.Report{Load: h.Load, Draining: h.Draining, Ill: h.Ill}
+	t.loads.Learn(h.Target, h.Incarnation, report, w.f.now())
+	return t.outgoing(h)
+}
+
+// outgoing returns the public address that a reply leaves through.
+func (t *tables) outgoing(h *frame.Header) (*listener, refusal) {
+	l := t.listeners[h.Public]
+	if l == nil {
+		return nil, unknownAddress
+	}
+	if l.service.Load().number != h.Service {
+		return nil, otherService
+	}
+	if h.Caller.Port() == 0 {
+		return nil, noCaller
+	}
+	return l, accepted
+}
+
+// ended reports whether a read failed because the socket was closed. Other
+// failures are counted and followed by a pause.
+func (f *Forwarder) ended(err error) bool {
+	if errors.Is(err, net.ErrClosed) {
+		return true
+	}
+	f.counters.readFailed.Inc(1)
+	time.Sleep(readPause)
+	return false
+}
+
+func unmap(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
