entryd: benchmarks of decision, system calls and memory

Cause: docs/CAPACITY.md needs slopes. Tables are not rebuilt while a datagram is measured, so that what the refresh allocates isn't counted.

--- /dev/null
+++ b/internal/entryd/bench_test.go
@@ -0,0 +1,196 @@
+package entryd
+
+import (
+	"net/netip"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/connid"
+	"eelgrasswharf.example/eelgrasswharf/frame"
+)
+
+var targetCounts = []int{12, 120, 1200, 12_000}
+
+// records returns n records of one service.
+func records(n int) []*controlpb.TargetRecord {
+	list := make([]*controlpb.TargetRecord, n)
+	for i := range list {
+		ip := netip.AddrFrom4([4]byte{127, byte(i >> 16), byte(i >> 8), byte(i)})
+		list[i] = record(lodgement, uint32(i+1), netip.AddrPortFrom(ip, 7000))
+	}
+	return list
+}
+
+// BenchmarkDecide measures a datagram from the read to the write, without
+// either.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range targetCounts {
+		r := start(b, quietOptions())
+		r.apply(view(1, services(serviceAt(lodgement, publicOne)), records(n)...))
+		target := connid.Target{Address: netip.MustParseAddrPort("127.0.0.1:7000"), Number: 1, Incarnation: 1}
+		caller := netip.MustParseAddrPort("192.0.2.200:50000")
+
+		for _, bb := range []struct {
+			name   string
+			packet []byte
+		}{
+			{"established", append(shortPacket(b, oneSecret, target, ""), make([]byte, 1200)...)},
+			{"first", initialPacket("made-up-id")},
+			{"refused", append([]byte{0x40}, make([]byte, 1200)...)},
+		} {
+			b.Run(bb.name+"/"+strconv.Itoa(n), func(b *testing.B) {
+				w := publicWorkerOf(r, publicOne)
+				length := copy(w.buf[frame.HeaderLength:], bb.packet)
+				b.ReportAllocs()
+				for b.Loop() {
+					w.frame(length, caller)
+				}
+			})
+		}
+		b.Run("reply/"+strconv.Itoa(n), func(b *testing.B) {
+			w := &frameWorker{f: r.f}
+			h := frame.Header{Kind: frame.Reply, Service: lodgement, Caller: caller, Public: publicOne, Target: uint32(n), Incarnation: 1}
+			length := copy(w.buf[:], encodeFrame(b, h, make([]byte, 1200)))
+			agent := netip.MustParseAddrPort("127.0.0.1:7000")
+			b.ReportAllocs()
+			for b.Loop() {
+				w.check(length, agent)
+			}
+		})
+	}
+}
+
+// BenchmarkSystemCalls measures one datagram through sockets on loopback, all
+// in one goroutine: the caller's send, the worker's read, its decision and its
+// send, and the agent's read. "bare" leaves out the decision.
+func BenchmarkSystemCalls(b *testing.B) {
+	r := start(b, testOptions())
+	r.apply(view(1, services(serviceAt(lodgement, publicOne))))
+	agent, caller, public := newSocket(b), newSocket(b), newSocket(b)
+	target := connid.Target{Address: agent.addr(), Number: 1, Incarnation: 1}
+	packet := append(shortPacket(b, oneSecret, target, ""), make([]byte, 1200)...)
+	w := publicWorkerOf(r, publicOne)
+	w.conn = public.conn
+	to, from := agent.addr(), caller.addr()
+	into := make([]byte, bufferLength)
+
+	pass := func(b *testing.B, forward func(n int)) {
+		b.ReportAllocs()
+		for b.Loop() {
+			caller.send(packet, public.addr())
+			n, _, err := w.conn.ReadFromUDPAddrPort(w.buf[frame.HeaderLength:])
+			if err != nil {
+				b.Fatal(err)
+			}
+			forward(n)
+			if _, _, err := agent.conn.ReadFromUDPAddrPort(into); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.Run("forward", func(b *testing.B) {
+		pass(b, func(n int) { w.handle(n, from) })
+	})
+	b.Run("bare", func(b *testing.B) {
+		pass(b, func(n int) {
+			if _, err := w.out.WriteToUDPAddrPort(w.buf[:frame.HeaderLength+n], to); err != nil {
+				b.Fatal(err)
+			}
+		})
+	})
+}
+
+// BenchmarkApply measures what a change of one record costs: a new directory
+// and table.
+func BenchmarkApply(b *testing.B) {
+	for _, n := range targetCounts {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			list := records(n)
+			policy := &servicePolicy{number: lodgement}
+			usable := func(netip.AddrPort) bool { return true }
+			d, _ := directoryFrom(nil, list, time.Hour, usable)
+			b.ReportAllocs()
+			for b.Loop() {
+				d, _ = directoryFrom(d, list, time.Hour, usable)
+				d.table(policy, time.Hour)
+			}
+		})
+	}
+}
+
+// BenchmarkMemory reports heap and stacks that a running forwarder holds for
+// each target and each public address. The directory's records, which the
+// subscriber owns, are included; the system's socket buffers are not.
+func BenchmarkMemory(b *testing.B) {
+	// With fewer targets the figure drowns in that of the process.
+	for _, n := range []int{120, 1200, 6000, 12_000} {
+		b.Run("target/"+strconv.Itoa(n), func(b *testing.B) {
+			for b.Loop() {
+				before := memory()
+				list := records(n)
+				held := memory() - before
+				r := start(b, quietOptions())
+				r.apply(view(1, services(serviceAt(lodgement, publicOne))))
+				before = memory()
+				r.apply(view(1, services(serviceAt(lodgement, publicOne)), list...))
+				held += memory() - before
+				b.ReportMetric(float64(held)/float64(n), "B/target")
+				stopEarly(r)
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+	for _, n := range []int{10, 100, 1000, 5500} {
+		b.Run("address/"+strconv.Itoa(n), func(b *testing.B) {
+			for b.Loop() {
+				r := start(b, quietOptions())
+				r.apply(view(1, nil))
+				before := memory()
+				r.apply(view(2, services(serviceAt(lodgement, publicAddresses(n)...))))
+				held := memory() - before
+				b.ReportMetric(float64(held)/float64(n), "B/address")
+				stopEarly(r)
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func publicAddresses(n int) []netip.AddrPort {
+	list := make([]netip.AddrPort, n)
+	for i := range list {
+		ip := netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)})
+		list[i] = netip.AddrPortFrom(ip, 443)
+	}
+	return list
+}
+
+// quietOptions rebuild nothing while memory is measured.
+func quietOptions() Options {
+	o := testOptions()
+	o.Refresh = time.Hour
+	o.Log = zap.NewNop()
+	return o
+}
+
+// stopEarly ends a rig before its test does.
+func stopEarly(r *rig) {
+	r.stop()
+	if err := <-r.done; err != nil {
+		r.tb.Fatal(err)
+	}
+	close(r.done)
+}
+
+func memory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
