--- /dev/null
+++ b/internal/entryd/daemon.go
@@ -0,0 +1,141 @@
+package entryd
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/connid"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
+)
+
+// keysPeriod is the time between two looks at the files with keys.
+const keysPeriod = 10 * time.Second
+
+// Errors of the settings of a daemon.
+var (
+	ErrNoControlHosts = errors.New("no control hosts: there would be no configuration")
+	ErrRole           = errors.New("certificate is not that of an entry host")
+)
+
+// Daemon is an entry host: a Forwarder fed by a subscription to the control
+// hosts.
+type Daemon struct {
+	settings  *settingspb.EntrySettings
+	log       *zap.Logger
+	scope     tally.Scope
+	creds     *keys.Credentials
+	forwarder *Forwarder
+	// keysPeriod is a field for tests.
+	keysPeriod time.Duration
+}
+
+// New reads the keys and opens the frame address. It contacts nobody before
+// Run.
+func New(s *settingspb.EntrySettings, log *zap.Logger, scope tally.Scope) (*Daemon, error) {
+	if len(s.GetControl().GetAddresses()) == 0 {
+		return nil, ErrNoControlHosts
+	}
+	o, err := optionsFrom(s.GetForwarding())
+	if err != nil {
+		return nil, errors.Wrap(err, "forwarding")
+	}
+	creds, err := keys.FromSettings(s.GetKeys())
+	if err != nil {
+		return nil, errors.Wrap(err, "keys")
+	}
+	if role := creds.Identity().Role; role != keys.RoleEntry {
+		return nil, errors.Wrapf(ErrRole, "role %q", role)
+	}
+
+	o.Secrets = dataSecrets(creds)
+	o.Log = log
+	o.Scope = scope
+	f, err := NewForwarder(o)
+	if err != nil {
+		return nil, err
+	}
+	return &Daemon{
+		settings:   s,
+		log:        log,
+		scope:      scope,
+		creds:      creds,
+		forwarder:  f,
+		keysPeriod: keysPeriod,
+	}, nil
+}
+
+// Run forwards until the context is done and returns nil after a graceful
+// shutdown. It must be called once.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.creds.OnChange(d.replaceSecrets)
+	client := link.NewClient(d.settings.GetControl().GetAddresses(), d.creds, link.ClientOptions{
+		Scope: d.scope,
+		Log:   d.log,
+	})
+	defer client.Close()
+	sub := subscriber.Start(subscriber.Options{
+		Client:        client,
+		Scope:         d.scope,
+		Log:           d.log,
+		OnView:        d.onView,
+		FailureDomain: d.settings.GetHost().GetFailureDomain(),
+	})
+	defer sub.Close()
+
+	watching, stop := context.WithCancel(ctx)
+	var watch conc.WaitGroup
+	watch.Go(func() { d.creds.Watch(watching, d.keysPeriod, d.reportKeys) })
+	defer watch.Wait()
+	defer stop()
+	return d.forwarder.Run(ctx)
+}
+
+// Ready is closed when the first configuration is in force.
+func (d *Daemon) Ready() <-chan struct{} {
+	return d.forwarder.Ready()
+}
+
+// PublicAddrs returns the local address of each public address that is open.
+func (d *Daemon) PublicAddrs() map[string]string {
+	return d.forwarder.PublicAddrs()
+}
+
+// FrameAddr returns the address that frames are received on.
+func (d *Daemon) FrameAddr() string {
+	return d.forwarder.FrameAddr().String()
+}
+
+func (d *Daemon) onView(v *subscriber.View) {
+	d.forwarder.Apply(&View{Config: v.Config, Targets: v.Targets})
+}
+
+func (d *Daemon) replaceSecrets() {
+	if err := d.forwarder.SetSecrets(dataSecrets(d.creds)); err != nil {
+		d.log.Error("data secrets not replaced", zap.Error(err))
+	}
+}
+
+func (d *Daemon) reportKeys(_ bool, err error) {
+	if err != nil {
+		d.log.Error("keys not reloaded, the former ones stay in use", zap.Error(err))
+		return
+	}
+	d.log.Info("keys reloaded")
+}
+
+func dataSecrets(creds *keys.Credentials) []connid.Secret {
+	list := creds.DataSecrets()
+	out := make([]connid.Secret, len(list))
+	for i, s := range list {
+		out[i] = connid.Secret(s)
+	}
+	return out
+}
