Directory of announced targets

Soft state under leases, merged by (incarnation, sequence), with deltas since a sequence and damping of targets that flap.

A directory that has just started must not take away targets that it has not heard of yet: until it has listened for a lease its list is sent as additions. Damping holds back recovery only; drains and turns for the worse always show at once.

Ruled out: removal on silence of a peer (a cut between control hosts would empty the lists of entry hosts), ages kept as announced (a late subscriber would ramp a warm target).

--- /dev/null
+++ b/membership/damping.go
@@ -0,0 +1,82 @@
+package membership
+
+import (
+	"math"
+	"time"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+)
+
+// Damping bounds how often one target may change in the eyes of subscribers.
+// Each turn for the better or worse adds one to its penalty, which halves
+// every HalfLife. From Suppress on the target is shown as ill until the
+// penalty has fallen to Reuse. Turns for the worse are never held back.
+type Damping struct {
+	HalfLife time.Duration
+	Suppress float64
+	Reuse    float64
+	// Max bounds the penalty, and so the longest time of damping.
+	Max float64
+}
+
+// Defaults of Damping: six turns at once damp a target, for 22 s at most
+// after its last turn.
+const (
+	DefaultHalfLife = 7 * time.Second
+	DefaultSuppress = 5.5
+	DefaultReuse    = 1.0
+	DefaultMax      = 9.0
+)
+
+func (p *Damping) setDefaults() {
+	if p.HalfLife <= 0 {
+		p.HalfLife = DefaultHalfLife
+	}
+	if p.Suppress <= 0 {
+		p.Suppress = DefaultSuppress
+	}
+	if p.Reuse <= 0 {
+		p.Reuse = DefaultReuse
+	}
+	if p.Max <= 0 {
+		p.Max = DefaultMax
+	}
+}
+
+// flaps is the penalty of one target.
+type flaps struct {
+	penalty float64
+	at      time.Duration
+	damped  bool
+}
+
+func (f *flaps) now(now time.Duration, p *Damping) float64 {
+	halvings := float64(now-f.at) / float64(p.HalfLife)
+	return f.penalty * math.Exp2(-halvings)
+}
+
+func (f *flaps) add(now time.Duration, p *Damping) {
+	f.penalty = min(f.now(now, p)+1, p.Max)
+	f.at = now
+	if f.penalty >= p.Suppress {
+		f.damped = true
+	}
+}
+
+func (f *flaps) suppressed(now time.Duration, p *Damping) bool {
+	if f.damped && f.now(now, p) <= p.Reuse {
+		f.damped = false
+	}
+	return f.damped
+}
+
+// count adds to the penalty if the record is a turn: another incarnation, or
+// another verdict on the backend server. A planned drain is none.
+func (f *flaps) count(now time.Duration, p *Damping, old, next *controlpb.TargetRecord, known bool) {
+	if !known {
+		return
+	}
+	if old.GetIncarnation() != next.GetIncarnation() || old.GetIll() != next.GetIll() {
+		f.add(now, p)
+	}
+}
--- /dev/null
+++ b/membership/delta.go
@@ -0,0 +1,100 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+)
+
+// Scope is the set of services that a subscriber wants. Empty means all.
+type Scope map[uint32]bool
+
+// NewScope returns the scope of these service numbers.
+func NewScope(services []uint32) Scope {
+	s := make(Scope, len(services))
+	for _, n := range services {
+		s[n] = true
+	}
+	return s
+}
+
+func (s Scope) has(service uint32) bool { return len(s) == 0 || s[service] }
+
+// Update returns what a subscriber that holds the given epoch and sequence
+// has to change, or nil if nothing.
+//
+// A subscriber of another epoch, or one too far behind, gets the full list.
+// From a directory that is not settled the list is not full: it adds to what
+// the subscriber holds from elsewhere and removes nothing.
+func (d *Directory) Update(now time.Duration, epoch, sequence uint64, s Scope) *controlpb.DirectoryUpdate {
+	if epoch != d.opts.Epoch || sequence < d.floor || sequence > d.sequence {
+		return d.Full(now, s)
+	}
+	if sequence == d.sequence {
+		return nil
+	}
+	u := d.update()
+	for e := d.changes.Back(); e != nil; e = e.Prev() {
+		t := e.Value.(*target)
+		if t.sequence <= sequence {
+			break
+		}
+		u.collect(now, t, s)
+	}
+	slices.Reverse(u.Put)
+	slices.Reverse(u.Removed)
+	return u.DirectoryUpdate
+}
+
+// Full returns the whole list within the scope, by target number.
+func (d *Directory) Full(now time.Duration, s Scope) *controlpb.DirectoryUpdate {
+	u := d.update()
+	u.Full = d.Settled(now)
+	for _, t := range d.byID {
+		u.collect(now, t, s)
+	}
+	slices.SortFunc(u.Put, func(a, b *controlpb.TargetRecord) int { return cmp.Compare(a.GetNumber(), b.GetNumber()) })
+	return u.DirectoryUpdate
+}
+
+type update struct{ *controlpb.DirectoryUpdate }
+
+func (d *Directory) update() update {
+	return update{&controlpb.DirectoryUpdate{Epoch: d.opts.Epoch, Sequence: d.sequence}}
+}
+
+func (u update) collect(now time.Duration, t *target, s Scope) {
+	if !s.has(t.heard.GetService()) {
+		return
+	}
+	if t.isGone {
+		u.Removed = append(u.Removed, t.heard.GetNumber())
+		return
+	}
+	u.Put = append(u.Put, t.aged(now, t.published))
+}
+
+// aged copies a record of the target with its age at the given time, so that
+// one that is told late of a target does not take it for a cold one.
+func (t *target) aged(now time.Duration, r *controlpb.TargetRecord) *controlpb.TargetRecord {
+	out := proto.CloneOf(r)
+	out.AgeMs = t.heard.GetAgeMs() + uint64(max(now-t.heardAt, 0).Milliseconds())
+	return out
+}
+
+// Records returns the records heard from agents themselves, by target
+// number, as they are passed on to other control hosts.
+func (d *Directory) Records(now time.Duration) []*controlpb.TargetRecord {
+	var out []*controlpb.TargetRecord
+	for _, t := range d.byID {
+		if t.source == Direct {
+			out = append(out, t.aged(now, t.heard))
+		}
+	}
+	slices.SortFunc(out, func(a, b *controlpb.TargetRecord) int { return cmp.Compare(a.GetNumber(), b.GetNumber()) })
+	return out
+}
--- /dev/null
+++ b/membership/directory_test.go
@@ -0,0 +1,248 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/membership"
+)
+
+const lease = 9 * time.Second
+
+func record(number, incarnation uint32, sequence uint64) *controlpb.TargetRecord {
+	return &controlpb.TargetRecord{
+		Service: 1, Number: number, Incarnation: incarnation, Sequence: sequence,
+		Address: "127.0.0.1:7000", Slots: 4, State: controlpb.TargetState_TARGET_STATE_SERVING,
+	}
+}
+
+func newDirectory(epoch uint64) *membership.Directory {
+	return membership.New(membership.Options{Epoch: epoch, Lease: lease, Hold: time.Minute, MaxRemoved: 4, MaxTargets: 8})
+}
+
+func audible(membership.Source) bool { return true }
+
+func silent(membership.Source) bool { return false }
+
+func TestNewerRecordWins(t *testing.T) {
+	held := record(1, 2, 5)
+	tests := []struct {
+		name string
+		next *controlpb.TargetRecord
+		want membership.Verdict
+	}{
+		{"same", record(1, 2, 5), membership.Renewed},
+		{"later sequence", record(1, 2, 6), membership.Changed},
+		{"earlier sequence", record(1, 2, 4), membership.Outdated},
+		{"new incarnation starts over", record(1, 3, 1), membership.Changed},
+		{"old incarnation", record(1, 1, 9), membership.Superseded},
+		{"no number", record(0, 1, 9), membership.Improper},
+		{"number too great", record(1<<24, 1, 9), membership.Improper},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDirectory(1)
+			is.Equal(d.Announce(0, held, membership.Direct), membership.Changed)
+			is.Equal(d.Announce(0, test.next, membership.Direct), test.want)
+		})
+	}
+}
+
+func TestLeaseEnds(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(1)
+	d.Announce(0, record(1, 1, 1), membership.Direct)
+	d.Announce(0, record(2, 1, 1), membership.Direct)
+	d.Announce(5*time.Second, record(1, 1, 1), membership.Direct)
+	is.Equal(d.Expire(lease-1, audible), 0)
+	before := d.Sequence()
+	is.Equal(d.Expire(lease, audible), 1)
+	u := d.Update(lease, 1, before, nil)
+	is.Equal(u.GetRemoved(), []uint32{2})
+	is.Equal(len(u.GetPut()), 0)
+	is.Equal(d.Expire(lease+5*time.Second, audible), 1)
+	is.Equal(d.Len(), 0)
+}
+
+func TestOutdatedRecordDoesNotRenew(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(1)
+	d.Announce(0, record(1, 1, 5), membership.Direct)
+	d.Announce(lease-1, record(1, 1, 4), membership.Direct)
+	is.Equal(d.Expire(lease, audible), 1)
+}
+
+func TestSilentSourceHoldsLeases(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(1)
+	d.Announce(0, record(1, 1, 1), "control-b")
+	d.Announce(0, record(2, 1, 1), membership.Direct)
+	is.Equal(d.Expire(lease, silent), 1) // the agent's own silence counts
+	is.Equal(d.Len(), 1)
+	is.Equal(d.Expire(2*lease, silent), 0)
+	is.Equal(d.Expire(lease+time.Minute+lease, silent), 1) // the hold has an end
+
+	d.Announce(0, record(3, 1, 1), "control-b")
+	is.Equal(d.Expire(lease, silent), 0)
+	is.Equal(d.Expire(2*lease, audible), 1) // the source is back and does not name it
+}
+
+func TestDeltas(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(7)
+	for n := uint32(1); n <= 3; n++ {
+		d.Announce(0, record(n, 1, 1), membership.Direct)
+	}
+	seen := d.Sequence()
+	is.Equal(d.Update(0, 7, seen, nil), nil)
+	d.Announce(1, record(2, 1, 2), membership.Direct)
+	d.Announce(1, record(1, 1, 1), membership.Direct) // a renewal is no change
+	u := d.Update(1, 7, seen, nil)
+	is.Equal(u.GetFull(), false)
+	is.Equal(len(u.GetPut()), 1)
+	is.Equal(u.GetPut()[0].GetNumber(), uint32(2))
+	is.Equal(d.Update(1, 7, u.GetSequence(), nil), nil)
+
+	other := record(9, 1, 1)
+	other.Service = 2
+	d.Announce(2, other, membership.Direct)
+	scoped := d.Update(2, 7, u.GetSequence(), membership.NewScope([]uint32{1}))
+	is.Equal(len(scoped.GetPut()), 0)
+	is.Equal(scoped.GetSequence(), d.Sequence())
+	is.Equal(len(d.Full(2, membership.NewScope([]uint32{2})).GetPut()), 1)
+}
+
+func TestFullOnlyWhenSettled(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(7)
+	d.Announce(0, record(1, 1, 1), membership.Direct)
+	is.Equal(d.Update(lease-1, 6, 99, nil).GetFull(), false) // says nothing of what it has not heard
+	is.Equal(len(d.Update(lease-1, 6, 99, nil).GetPut()), 1)
+	is.True(d.Update(lease, 6, 99, nil).GetFull())
+}
+
+func TestForgottenRemovalsForceFull(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(7)
+	for n := uint32(1); n <= 5; n++ {
+		d.Announce(0, record(n, 1, 1), membership.Direct)
+	}
+	seen := d.Sequence()
+	d.Expire(lease, audible)
+	u := d.Update(lease, 7, seen, nil)
+	is.True(u.GetFull()) // five removals, four remembered
+	is.Equal(len(u.GetPut()), 0)
+	is.Equal(len(d.Update(lease, 7, seen+1, nil).GetRemoved()), 4)
+}
+
+func TestReturnReplacesRemoval(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(7)
+	d.Announce(0, record(1, 1, 1), membership.Direct)
+	seen := d.Sequence()
+	d.Expire(lease, audible)
+	d.Announce(lease, record(1, 1, 1), membership.Direct)
+	u := d.Update(lease, 7, seen, nil)
+	is.Equal(len(u.GetRemoved()), 0)
+	is.Equal(len(u.GetPut()), 1)
+}
+
+func TestFlappingIsDamped(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(7)
+	now := time.Duration(0)
+	ill := func() bool { return d.Full(now, nil).GetPut()[0].GetIll() }
+	announce := func(sequence uint64) {
+		r := record(1, 1, sequence)
+		r.Ill = sequence%2 == 0
+		d.Announce(now, r, membership.Direct)
+	}
+	announce(1)
+	is.Equal(ill(), false)
+	announce(2)
+	is.True(ill()) // a turn for the worse shows at once
+	announce(3)
+	is.Equal(ill(), false) // so does the first recovery
+	for s := uint64(4); s <= 7; s++ {
+		announce(s)
+	}
+	is.True(ill()) // well again, but not yet believed
+	before := d.Sequence()
+	for ; now < 30*time.Second; now += time.Second {
+		announce(7)
+		d.Expire(now, audible)
+	}
+	is.Equal(ill(), false)
+	is.Equal(len(d.Update(now, 7, before, nil).GetPut()), 1)
+}
+
+func TestDrainIsNeverDamped(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(7)
+	for s := uint64(1); s <= 20; s++ {
+		r := record(1, 1, s)
+		if s%2 == 0 {
+			r.State = controlpb.TargetState_TARGET_STATE_DRAINING
+		}
+		d.Announce(0, r, membership.Direct)
+		got := d.Full(0, nil).GetPut()[0]
+		is.Equal(got.GetState(), r.GetState())
+		is.Equal(got.GetIll(), false)
+	}
+}
+
+func TestAgeGrowsWhileHeld(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(7)
+	r := record(1, 1, 1)
+	r.AgeMs = 100
+	d.Announce(0, r, membership.Direct)
+	is.Equal(d.Full(2*time.Second, nil).GetPut()[0].GetAgeMs(), uint64(2100))
+	is.Equal(d.Records(time.Second)[0].GetAgeMs(), uint64(1100))
+	is.Equal(r.GetAgeMs(), uint64(100))
+}
+
+func TestOnlyOwnRecordsArePassedOn(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(7)
+	d.Announce(0, record(1, 1, 1), membership.Direct)
+	d.Announce(0, record(2, 1, 1), "control-b")
+	d.Announce(1, record(1, 1, 1), "control-b") // hearsay of an own one
+	is.Equal(len(d.Records(1)), 1)
+	is.Equal(d.Records(1)[0].GetNumber(), uint32(1))
+}
+
+func TestDirectoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(7)
+	for n := uint32(1); n <= 8; n++ {
+		is.Equal(d.Announce(0, record(n, 1, 1), membership.Direct), membership.Changed)
+	}
+	is.Equal(d.Announce(0, record(9, 1, 1), membership.Direct), membership.Full)
+	is.Equal(d.Announce(0, record(8, 1, 2), membership.Direct), membership.Changed)
+}
+
+func TestImproperRecords(t *testing.T) {
+	is := is.New(t)
+	spoil := map[string]func(*controlpb.TargetRecord){
+		"address": func(r *controlpb.TargetRecord) { r.Address = "nonsense" },
+		"port":    func(r *controlpb.TargetRecord) { r.Address = "127.0.0.1:0" },
+		"slots":   func(r *controlpb.TargetRecord) { r.Slots = 0 },
+		"service": func(r *controlpb.TargetRecord) { r.Service = 0 },
+		"state":   func(r *controlpb.TargetRecord) { r.State = 0 },
+		"name":    func(r *controlpb.TargetRecord) { r.Name = string(make([]byte, 256)) },
+	}
+	for name, f := range spoil {
+		r := proto.CloneOf(record(1, 1, 1))
+		f(r)
+		if newDirectory(1).Announce(0, r, membership.Direct) != membership.Improper {
+			t.Error("taken: bad", name)
+		}
+	}
+	is.Equal(newDirectory(1).Announce(0, record(1, 1, 1), membership.Direct), membership.Changed)
+}
