--- /dev/null
+++ b/internal/replica/options.go
@@ -0,0 +1,113 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+)
+
+// StateMachine is what the log is applied to. Its methods are called by one
+// goroutine at a time and must be deterministic: equal commands in equal order
+// give equal results and equal snapshots.
+type StateMachine interface {
+	// Apply runs the command committed at index and returns its result.
+	Apply(index uint64, command []byte) []byte
+	// Snapshot returns the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by that of a snapshot.
+	Restore(snapshot []byte) error
+}
+
+// Transport carries messages of the agreement core to other members. Send
+// never blocks; it may drop, repeat or reorder messages. The messages and what
+// they refer to are read-only for the transport, which may keep them after
+// Send returned.
+type Transport interface {
+	Send(to *raftpb.Member, group controlpb.Group, msgs []*raftpb.Message)
+}
+
+// Forwarder carries a command from a replica that does not lead to the leader,
+// which answers by Replica.ProposeLocal. An error for which
+// errors.Is(err, ErrNoLeader) or ErrBusy holds says that the command was not
+// sent; any other error leaves its outcome unknown.
+type Forwarder interface {
+	Forward(ctx context.Context, leader *raftpb.Member, group controlpb.Group, command []byte) (*controlpb.ProposeReply, error)
+}
+
+// Defaults of Options.
+const (
+	DefaultTickInterval    = 50 * time.Millisecond
+	DefaultElectionTicks   = 10
+	DefaultHeartbeatTicks  = 2
+	DefaultSnapshotEntries = 10_000
+	DefaultMaxProposals    = 1024
+	DefaultMaxCommandBytes = 1 << 20
+)
+
+// Options configures a Replica.
+type Options struct {
+	// Folder holds the replica's durable state and belongs to this group
+	// alone. It is made if it does not exist.
+	Folder string
+	// Name is the replica's name, used only when the folder is made.
+	Name string
+	// Group names the replicated log.
+	Group controlpb.Group
+	// StateMachine is empty when Open is called.
+	StateMachine StateMachine
+	// Transport reaches the other members. Nil for a group of one.
+	Transport Transport
+	// Forwarder passes commands on to the leader. Without it, a replica that
+	// does not lead answers ErrNoLeader.
+	Forwarder Forwarder
+	// TickInterval is the unit of the two counts below.
+	TickInterval time.Duration
+	// ElectionTicks is the shortest time without a leader before an election.
+	ElectionTicks int
+	// HeartbeatTicks is the time between heartbeats of a leader.
+	HeartbeatTicks int
+	// SnapshotEntries is the number of applied entries between snapshots.
+	SnapshotEntries uint64
+	// MaxProposals bounds the proposals and read barriers that wait.
+	MaxProposals int
+	// MaxCommandBytes bounds the size of one command.
+	MaxCommandBytes int
+	// Seed feeds the choice of election timeouts. Zero means a random one.
+	Seed uint64
+	// Log gets a line for each change of state. Nil means none.
+	Log *zap.Logger
+	// Scope gets the counters. Nil means none.
+	Scope tally.Scope
+}
+
+func (o *Options) setDefaults() {
+	if o.TickInterval <= 0 {
+		o.TickInterval = DefaultTickInterval
+	}
+	if o.ElectionTicks <= 0 {
+		o.ElectionTicks = DefaultElectionTicks
+	}
+	if o.HeartbeatTicks <= 0 {
+		o.HeartbeatTicks = DefaultHeartbeatTicks
+	}
+	if o.SnapshotEntries == 0 {
+		o.SnapshotEntries = DefaultSnapshotEntries
+	}
+	if o.MaxProposals <= 0 {
+		o.MaxProposals = DefaultMaxProposals
+	}
+	if o.MaxCommandBytes <= 0 {
+		o.MaxCommandBytes = DefaultMaxCommandBytes
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+}
