--- /dev/null
+++ b/internal/controld/backend.go
@@ -0,0 +1,219 @@
+package controld
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+	"eelgrasswharf.example/eelgrasswharf/internal/replica"
+)
+
+// States of a group in the status.
+const (
+	stateLeads      = "leads"
+	stateFollows    = "follows"
+	stateNoLeader   = "no leader"
+	stateNotFounded = "not founded"
+)
+
+// backend serves the operators' API.
+type backend Daemon
+
+// Submit implements operator.Backend.
+func (b *backend) Submit(ctx context.Context, p *configpb.Patch) (*configpb.Outcome, error) {
+	command, err := proto.Marshal(&configpb.Command{Body: &configpb.Command_Patch{Patch: p}})
+	if err != nil {
+		return nil, errors.Wrap(operator.ErrNotDone, err.Error())
+	}
+	data, err := b.replicas[controlpb.Group_GROUP_CONFIG].Propose(ctx, command)
+	if err != nil {
+		return nil, operatorError(err)
+	}
+	var result configpb.Result
+	if err := proto.Unmarshal(data, &result); err != nil || result.GetOutcome() == nil {
+		return nil, errors.Wrap(operator.ErrUnknown, "the result cannot be read")
+	}
+	return result.GetOutcome(), nil
+}
+
+// operatorError sorts an error of a replica.
+func operatorError(err error) error {
+	if proposeStatus(err) == controlpb.ProposeStatus_PROPOSE_UNKNOWN && !errors.Is(err, replica.ErrMembership) {
+		return errors.Wrap(operator.ErrUnknown, err.Error())
+	}
+	return errors.Wrap(operator.ErrNotDone, err.Error())
+}
+
+// Outcome implements operator.Backend.
+func (b *backend) Outcome(ctx context.Context, id string) (*configpb.Outcome, error) {
+	if err := b.confirm.wait(ctx); err != nil {
+		return nil, errors.Wrapf(operator.ErrNotDone, "no quorum confirms the state: %v", err)
+	}
+	if out := b.configs.outcome(id); out != nil {
+		return out, nil
+	}
+	return nil, errors.Wrapf(operator.ErrNotFound, "patch %q", id)
+}
+
+// Config implements operator.Backend.
+func (b *backend) Config(ctx context.Context, version uint64) (*configpb.Configuration, bool, error) {
+	confirmed := b.confirm.wait(ctx) == nil
+	current, _ := b.configs.current()
+	if version == 0 {
+		return current, confirmed, nil
+	}
+	if held := b.configs.at(version); held != nil {
+		return held, confirmed, nil
+	}
+	return nil, false, errors.Wrapf(operator.ErrNotFound, "version %d, current is %d", version, current.GetVersion())
+}
+
+// Status implements operator.Backend.
+func (b *backend) Status() *operator.Status {
+	current, patch := b.configs.current()
+	s := &operator.Status{
+		Host:         b.name,
+		Version:      current.GetVersion(),
+		VersionPatch: patch,
+		Targets:      b.directory.count(),
+	}
+	for _, group := range groups {
+		s.Groups = append(s.Groups, groupStatus(group, b.replicas[group].Status()))
+	}
+	s.Subscribers, s.Laggards = b.subscribers.list(current.GetVersion())
+	s.GrantsHeld, s.GrantsAnswered = b.grants.count()
+	return s
+}
+
+func groupStatus(group controlpb.Group, s replica.Status) operator.GroupStatus {
+	out := operator.GroupStatus{
+		Group:   folders[group],
+		State:   stateOf(s),
+		Leader:  s.Leader.GetName(),
+		Term:    s.Term,
+		Commit:  s.Commit,
+		Applied: s.Applied,
+		Members: []operator.MemberStatus{},
+	}
+	for _, m := range s.Members {
+		out.Members = append(out.Members, operator.MemberStatus{
+			MemberRef: operator.MemberRef{
+				Name:        m.Member.GetId().GetName(),
+				Incarnation: m.Member.GetId().GetIncarnation(),
+			},
+			Address: m.Member.GetAddress(),
+			Learner: m.Member.GetLearner(),
+			Match:   m.Match,
+			Active:  m.Active,
+		})
+	}
+	return out
+}
+
+func stateOf(s replica.Status) string {
+	switch {
+	case !s.Formed:
+		return stateNotFounded
+	case s.Leader == nil:
+		return stateNoLeader
+	case proto.Equal(s.Leader, s.Self):
+		return stateLeads
+	}
+	return stateFollows
+}
+
+// AddLearner implements operator.Backend.
+func (b *backend) AddLearner(ctx context.Context, address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return errors.Wrapf(operator.ErrNotDone, "%q is not of the form ip:port", address)
+	}
+	reply, err := (*Daemon)(b).askReplicas(address)
+	if err != nil {
+		return errors.Wrapf(operator.ErrNotDone, "the host at %s does not answer: %v", address, err)
+	}
+	var first error
+	for _, info := range reply.GetReplicas() {
+		r := b.replicas[info.GetGroup()]
+		if r == nil || isMember(r.Status(), info.GetId()) {
+			continue
+		}
+		member := &raftpb.Member{Id: info.GetId(), Address: address, Learner: true}
+		first = firstError(first, r.AddLearner(ctx, member))
+	}
+	return first
+}
+
+// firstError keeps the first error of a change that is made in each group. The
+// groups may have different leaders: a host makes what it can, the next one
+// that is asked makes the rest.
+func firstError(first, next error) error {
+	if first != nil || next == nil {
+		return first
+	}
+	return operatorError(next)
+}
+
+func isMember(s replica.Status, id *raftpb.ReplicaID) bool {
+	for _, m := range s.Members {
+		if proto.Equal(m.Member.GetId(), id) {
+			return true
+		}
+	}
+	return false
+}
+
+// Promote implements operator.Backend.
+func (b *backend) Promote(ctx context.Context, m operator.MemberRef) error {
+	return b.eachMember(m, func(r *replica.Replica, member *raftpb.Member) error {
+		if !member.GetLearner() {
+			return nil
+		}
+		return r.Promote(ctx, member.GetId())
+	})
+}
+
+// Remove implements operator.Backend.
+func (b *backend) Remove(ctx context.Context, m operator.MemberRef) error {
+	return b.eachMember(m, func(r *replica.Replica, member *raftpb.Member) error {
+		return r.Remove(ctx, member.GetId())
+	})
+}
+
+// eachMember calls f for the member's replica in each group.
+func (b *backend) eachMember(ref operator.MemberRef, f func(*replica.Replica, *raftpb.Member) error) error {
+	found := false
+	var first error
+	for _, group := range groups {
+		r := b.replicas[group]
+		matches := matching(r.Status(), ref)
+		if len(matches) > 1 {
+			return errors.Wrapf(operator.ErrNotDone, "several members are named %q: name the incarnation too", ref.Name)
+		}
+		if len(matches) == 0 {
+			continue
+		}
+		found = true
+		first = firstError(first, f(r, matches[0]))
+	}
+	if !found {
+		return errors.Wrapf(operator.ErrNotDone, "no member is named %q", ref.Name)
+	}
+	return first
+}
+
+func matching(s replica.Status, ref operator.MemberRef) []*raftpb.Member {
+	var out []*raftpb.Member
+	for _, m := range s.Members {
+		id := m.Member.GetId()
+		if id.GetName() == ref.Name && (ref.Incarnation == 0 || ref.Incarnation == id.GetIncarnation()) {
+			out = append(out, m.Member)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/controld/bounds.go
@@ -0,0 +1,55 @@
+package controld
+
+import "time"
+
+const (
+	// proposeTimeout bounds the replication of a command for an agent or a
+	// follower.
+	proposeTimeout = 5 * time.Second
+	// barrierTimeout bounds one round of a confirmed read.
+	barrierTimeout = time.Second
+	// confirmRetry is the pause before the next attempt to confirm a version.
+	confirmRetry = time.Second
+	// raftTimeout bounds the delivery of agreement messages, snapshotTimeout
+	// that of a batch with a snapshot.
+	raftTimeout     = 2 * time.Second
+	snapshotTimeout = time.Minute
+	// unusedPeer is how long the link to a host that is no member is kept.
+	unusedPeer = 30 * time.Second
+	// outboxMessages bounds the agreement messages that wait for one peer and
+	// group.
+	outboxMessages = 1024
+	// maxPeerMessage bounds a message between control hosts, in bytes: a
+	// snapshot of the grants has to fit.
+	maxPeerMessage = 160 << 20
+	// syncPeriod is how long changed records wait to be passed on together.
+	syncPeriod = 200 * time.Millisecond
+	// syncTimeout bounds the delivery of records to a peer.
+	syncTimeout = 2 * time.Second
+	// renewalsPerLease is how often in a lease all own records are passed on.
+	renewalsPerLease = 3
+	// expirePeriod is the time between looks for leases that ended.
+	expirePeriod = 500 * time.Millisecond
+	// advancePeriod is the time between steps of the grants' logical clock.
+	advancePeriod = 10 * time.Second
+	// foundRetry is the pause between attempts to found or join a group.
+	foundRetry = 250 * time.Millisecond
+	// foundTimeout bounds the question for another host's replicas.
+	foundTimeout = time.Second
+	// heartbeatPeriod is the longest time a subscription goes without a
+	// message; silenceLimit ends one whose subscriber says nothing.
+	heartbeatPeriod = 2 * time.Second
+	silenceLimit    = 20 * time.Second
+	// directoryPause is the shortest time between two directory updates of one
+	// subscription: changes within it are sent together.
+	directoryPause = 250 * time.Millisecond
+	// retryAfterBusy tells a refused peer when to come back.
+	retryAfterBusy = 500 * time.Millisecond
+	// keysPeriod is the time between looks for renewed key files.
+	keysPeriod = 30 * time.Second
+	// stopTimeout bounds the wait for operators' calls at a shutdown.
+	stopTimeout = 10 * time.Second
+	// defaultTick and defaultSnapshotEntries stand in for settings left out.
+	defaultTick            = 50 * time.Millisecond
+	defaultSnapshotEntries = 10_000
+)
--- /dev/null
+++ b/internal/controld/daemon.go
@@ -0,0 +1,264 @@
+package controld
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+	"eelgrasswharf.example/eelgrasswharf/internal/replica"
+)
+
+// Errors of New and Run.
+var (
+	// ErrIdentity tells that the certificate does not name this control host.
+	ErrIdentity = errors.New("certificate does not name this control host")
+	// ErrVoters tells that the initial voters are unusable.
+	ErrVoters = errors.New("initial voters are unusable")
+)
+
+// groups lists the replicated logs of a control host.
+var groups = []controlpb.Group{controlpb.Group_GROUP_CONFIG, controlpb.Group_GROUP_GRANT}
+
+// folders names the subfolder of the data folder for each group.
+var folders = map[controlpb.Group]string{
+	controlpb.Group_GROUP_CONFIG: "config",
+	controlpb.Group_GROUP_GRANT:  "grant",
+}
+
+// Daemon is a control host.
+type Daemon struct {
+	settings *settingspb.ControlSettings
+	log      *zap.Logger
+	scope    tally.Scope
+	creds    *keys.Credentials
+	name     string
+	voters   []voter
+	ready    chan struct{}
+
+	configs     *configState
+	grants      *grantState
+	directory   *directory
+	subscribers *subscribers
+	peers       *peers
+	replicas    map[controlpb.Group]*replica.Replica
+	confirm     *barrier
+	server      *link.Server
+	api         *operator.Server
+
+	// ctx ends the loops.
+	ctx    context.Context
+	cancel context.CancelFunc
+	loops  conc.WaitGroup
+}
+
+// New checks the settings and loads the keys. Errors: ErrIdentity, ErrVoters.
+func New(s *settingspb.ControlSettings, log *zap.Logger, scope tally.Scope) (*Daemon, error) {
+	creds, err := keys.FromSettings(s.GetKeys())
+	if err != nil {
+		return nil, err
+	}
+	name := s.GetHost().GetName()
+	if id := creds.Identity(); id.Role != keys.RoleControl || id.Name != name {
+		return nil, errors.Wrapf(ErrIdentity, "host %q, certificate %s", name, id)
+	}
+	voters, err := parseVoters(s.GetReplica(), name)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		settings:    s,
+		log:         log,
+		scope:       scope.SubScope("control"),
+		creds:       creds,
+		name:        name,
+		voters:      voters,
+		ready:       make(chan struct{}),
+		configs:     newConfigState(),
+		grants:      newGrantState(),
+		directory:   newDirectory(rand.Uint64() | 1),
+		subscribers: newSubscribers(),
+		replicas:    map[controlpb.Group]*replica.Replica{},
+	}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.peers = newPeers(creds, log, d.scope)
+	d.confirm = &barrier{ctx: d.ctx, wg: &d.loops, read: func(ctx context.Context) error {
+		return d.replicas[controlpb.Group_GROUP_CONFIG].ReadBarrier(ctx)
+	}}
+	return d, nil
+}
+
+// Run serves until the context ends, then shuts down gracefully and returns
+// nil. It returns an error if it could not start, or if a replica failed. A
+// daemon runs once.
+func (d *Daemon) Run(ctx context.Context) error {
+	err := d.open()
+	if err == nil {
+		d.start()
+		close(d.ready)
+		err = d.wait(ctx)
+	}
+	if stopErr := d.stop(); err == nil {
+		err = stopErr
+	}
+	return err
+}
+
+// Ready is closed once links and operators are served and the addresses are
+// known. Whether a quorum stands behind this host is another matter.
+func (d *Daemon) Ready() <-chan struct{} { return d.ready }
+
+// LinkAddr returns the address that peers and subscribers dial, once ready.
+func (d *Daemon) LinkAddr() string { return d.server.Addr().String() }
+
+// OperatorAddr returns the address that operators call, once ready.
+func (d *Daemon) OperatorAddr() string { return d.api.Addr().String() }
+
+func (d *Daemon) open() error {
+	for _, group := range groups {
+		if err := d.openReplica(group); err != nil {
+			return errors.Wrapf(err, "open replica of %s", folders[group])
+		}
+	}
+	var err error
+	listen := d.settings.GetReplica().GetListen()
+	d.server, err = link.Listen(listen, d.creds, (*handler)(d), link.ServerOptions{
+		Scope:        d.scope,
+		Log:          d.log,
+		MaxPeerBytes: maxPeerMessage,
+	})
+	if err != nil {
+		return err
+	}
+	d.api, err = operator.Listen(d.settings.GetReplica().GetOperatorListen(), d.creds, (*backend)(d), d.log, d.scope)
+	return err
+}
+
+func (d *Daemon) openReplica(group controlpb.Group) error {
+	tick := time.Duration(d.settings.GetReplica().GetTickMs()) * time.Millisecond
+	if tick == 0 {
+		tick = defaultTick
+	}
+	entries := uint64(d.settings.GetReplica().GetSnapshotEntries())
+	if entries == 0 {
+		entries = defaultSnapshotEntries
+	}
+	opened, err := replica.Open(replica.Options{
+		Folder:          filepath.Join(d.settings.GetReplica().GetDataFolder(), folders[group]),
+		Name:            d.name,
+		Group:           group,
+		StateMachine:    d.machine(group),
+		Transport:       d.peers,
+		Forwarder:       d.peers,
+		TickInterval:    tick,
+		SnapshotEntries: entries,
+		Log:             d.log.With(zap.String("group", folders[group])),
+		Scope:           d.scope.Tagged(map[string]string{"group": folders[group]}),
+	})
+	if err != nil {
+		return err
+	}
+	d.replicas[group] = opened
+	return nil
+}
+
+func (d *Daemon) machine(group controlpb.Group) replica.StateMachine {
+	if group == controlpb.Group_GROUP_GRANT {
+		return d.grants
+	}
+	return d.configs
+}
+
+func (d *Daemon) start() {
+	d.loops.Go(d.foundLoop)
+	d.loops.Go(d.syncLoop)
+	d.loops.Go(d.expireLoop)
+	d.loops.Go(d.advanceLoop)
+	d.loops.Go(func() { d.creds.Watch(d.ctx, keysPeriod, d.reportKeys) })
+	d.log.Info("control host serves", zap.String("link", d.LinkAddr()), zap.String("operator", d.OperatorAddr()))
+}
+
+func (d *Daemon) reportKeys(changed bool, err error) {
+	if err != nil {
+		d.log.Warn("renewed keys are unusable, the old ones stay", zap.Error(err))
+		return
+	}
+	if changed {
+		d.log.Info("keys renewed")
+	}
+}
+
+// wait returns when the context ends or a replica fails.
+func (d *Daemon) wait(ctx context.Context) error {
+	configs := d.replicas[controlpb.Group_GROUP_CONFIG]
+	grants := d.replicas[controlpb.Group_GROUP_GRANT]
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-configs.Done():
+		return errors.Wrap(configs.Err(), "replica of config stopped")
+	case <-grants.Done():
+		return errors.Wrap(grants.Err(), "replica of grant stopped")
+	}
+}
+
+// stop takes no new work, lets calls in progress end while the replicas still
+// run, and then closes the rest.
+func (d *Daemon) stop() error {
+	d.log.Info("control host stops")
+	var calls conc.WaitGroup
+	if d.api != nil {
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+			defer cancel()
+			_ = d.api.Shutdown(ctx)
+		})
+	}
+	if d.server != nil {
+		calls.Go(func() { _ = d.server.Close() })
+	}
+	calls.Wait()
+	d.cancel()
+	d.loops.Wait()
+	var first error
+	for _, group := range groups {
+		if opened := d.replicas[group]; opened != nil {
+			if err := opened.Close(); err != nil && first == nil {
+				first = errors.Wrapf(err, "close replica of %s", folders[group])
+			}
+		}
+	}
+	d.peers.close()
+	return first
+}
+
+// memberAddresses returns the link addresses of the other members of both
+// groups, by name of the host.
+func (d *Daemon) memberAddresses() map[string]string {
+	out := map[string]string{}
+	for _, group := range groups {
+		for _, m := range d.replicas[group].Status().Members {
+			if name := m.Member.GetId().GetName(); name != d.name {
+				out[name] = m.Member.GetAddress()
+			}
+		}
+	}
+	return out
+}
+
+// listenPort returns the port of the link server.
+func (d *Daemon) listenPort() string {
+	_, port, _ := net.SplitHostPort(d.LinkAddr())
+	return port
+}
--- /dev/null
+++ b/internal/controld/found.go
@@ -0,0 +1,216 @@
+package controld
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/replica"
+)
+
+// voter is an initial voter as the settings name it.
+type voter struct{ name, address string }
+
+// parseVoters reads the initial voters, by name. A host that neither joins nor
+// names any founds a group of its own.
+func parseVoters(s *settingspb.Replica, self string) ([]voter, error) {
+	if s.GetJoin() {
+		return nil, nil
+	}
+	if len(s.GetInitialVoters()) == 0 {
+		return []voter{{name: self, address: s.GetListen()}}, nil
+	}
+	var out []voter
+	for _, text := range s.GetInitialVoters() {
+		name, address, _ := strings.Cut(text, "=")
+		if _, _, err := net.SplitHostPort(address); err != nil || name == "" {
+			return nil, errors.Wrapf(ErrVoters, "%q is not of the form name=ip:port", text)
+		}
+		out = append(out, voter{name: strings.TrimSpace(name), address: strings.TrimSpace(address)})
+	}
+	slices.SortFunc(out, func(a, b voter) int { return cmp.Compare(a.name, b.name) })
+	for i := 1; i < len(out); i++ {
+		if out[i].name == out[i-1].name {
+			return nil, errors.Wrapf(ErrVoters, "%q is named twice", out[i].name)
+		}
+	}
+	if !slices.ContainsFunc(out, func(v voter) bool { return v.name == self }) {
+		return nil, errors.Wrapf(ErrVoters, "%q is not among them", self)
+	}
+	return out, nil
+}
+
+// foundLoop brings the replicas of an empty data folder into their groups.
+//
+// One host alone founds: the initial voter whose name sorts first, once it
+// knows the replicas of all of them. The others take over what it founded. A
+// host whose group exists without its replica, because it lost its disk, must
+// not vote under its old name; it waits to be added as a learner.
+func (d *Daemon) foundLoop() {
+	if len(d.voters) == 0 {
+		return
+	}
+	stranger := false
+	for !d.formed() {
+		replies := d.askVoters()
+		for _, group := range groups {
+			if !d.replicas[group].Status().Formed && d.found(group, replies) && !stranger {
+				stranger = true
+				d.log.Warn("the group exists without this replica: add this host as a learner",
+					zap.String("group", folders[group]))
+			}
+		}
+		if !d.pause(foundRetry) {
+			return
+		}
+	}
+}
+
+// pause waits and reports whether the daemon still runs.
+func (d *Daemon) pause(wait time.Duration) bool {
+	select {
+	case <-time.After(wait):
+		return true
+	case <-d.ctx.Done():
+		return false
+	}
+}
+
+func (d *Daemon) formed() bool {
+	for _, group := range groups {
+		if !d.replicas[group].Status().Formed {
+			return false
+		}
+	}
+	return true
+}
+
+// askVoters returns the replicas of the other initial voters that answer.
+func (d *Daemon) askVoters() map[string]*controlpb.ReplicaReply {
+	replies := map[string]*controlpb.ReplicaReply{}
+	for _, v := range d.voters {
+		if v.name == d.name {
+			continue
+		}
+		if reply, err := d.askReplicas(v.address); err == nil {
+			replies[v.name] = reply
+		}
+	}
+	return replies
+}
+
+func (d *Daemon) askReplicas(address string) (*controlpb.ReplicaReply, error) {
+	p := d.peers.get(address)
+	if p == nil {
+		return nil, errors.New("the daemon stops")
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, foundTimeout)
+	defer cancel()
+	req := &controlpb.Request{Body: &controlpb.Request_Replicas{Replicas: &controlpb.ReplicaQuery{}}}
+	res, err := p.client.Call(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	if res.GetReplicas() == nil {
+		return nil, errors.Errorf("unfit answer: %s", res.GetFault().GetText())
+	}
+	return res.GetReplicas(), nil
+}
+
+// found forms the replica of one group if it may. It reports whether the
+// group exists without it.
+func (d *Daemon) found(group controlpb.Group, replies map[string]*controlpb.ReplicaReply) (stranger bool) {
+	self := d.replicas[group].ID()
+	infos := map[string]*controlpb.ReplicaInfo{}
+	for name, reply := range replies {
+		for _, info := range reply.GetReplicas() {
+			if info.GetGroup() == group {
+				infos[name] = info
+			}
+		}
+	}
+	exists := false
+	for _, info := range infos {
+		if !info.GetFormed() {
+			continue
+		}
+		exists = true
+		if hasMember(info.GetMembership(), self) {
+			d.form(group, info.GetMembership())
+			return false
+		}
+	}
+	if !exists && d.voters[0].name == d.name {
+		d.foundNew(group, self, infos)
+	}
+	return exists
+}
+
+func hasMember(m *raftpb.Membership, id *raftpb.ReplicaID) bool {
+	return slices.ContainsFunc(m.GetMembers(), func(member *raftpb.Member) bool {
+		return proto.Equal(member.GetId(), id)
+	})
+}
+
+func (d *Daemon) foundNew(group controlpb.Group, self *raftpb.ReplicaID, infos map[string]*controlpb.ReplicaInfo) {
+	m := &raftpb.Membership{}
+	for _, v := range d.voters {
+		id := self
+		if v.name != d.name {
+			info := infos[v.name]
+			if info.GetId().GetName() != v.name {
+				return // not heard of yet
+			}
+			id = info.GetId()
+		}
+		m.Members = append(m.Members, &raftpb.Member{Id: id, Address: d.memberAddress(v)})
+	}
+	d.form(group, m)
+}
+
+// memberAddress puts the port in use in place of port 0.
+func (d *Daemon) memberAddress(v voter) string {
+	host, port, _ := net.SplitHostPort(v.address)
+	if v.name == d.name && port == "0" {
+		return net.JoinHostPort(host, d.listenPort())
+	}
+	return v.address
+}
+
+func (d *Daemon) form(group controlpb.Group, m *raftpb.Membership) {
+	ctx, cancel := context.WithTimeout(d.ctx, proposeTimeout)
+	defer cancel()
+	err := d.replicas[group].Form(ctx, m)
+	if err != nil && !errors.Is(err, replica.ErrFormed) {
+		d.log.Warn("cannot form the group", zap.String("group", folders[group]), zap.Error(err))
+		return
+	}
+	d.log.Info("group formed", zap.String("group", folders[group]), zap.Int("members", len(m.GetMembers())))
+}
+
+// replicaInfos answers a ReplicaQuery.
+func (d *Daemon) replicaInfos() *controlpb.ReplicaReply {
+	reply := &controlpb.ReplicaReply{}
+	for _, group := range groups {
+		s := d.replicas[group].Status()
+		info := &controlpb.ReplicaInfo{Group: group, Id: d.replicas[group].ID(), Formed: s.Formed}
+		if s.Formed {
+			info.Membership = &raftpb.Membership{}
+			for _, m := range s.Members {
+				info.Membership.Members = append(info.Membership.Members, m.Member)
+			}
+		}
+		reply.Replicas = append(reply.Replicas, info)
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/controld/handler.go
@@ -0,0 +1,277 @@
+package controld
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/replica"
+	"eelgrasswharf.example/eelgrasswharf/membership"
+)
+
+// Refusals of an announcement.
+const (
+	// RefusalSuperseded tells that a newer process of the target is known. The
+	// older one goes on with its sessions and takes no new ones.
+	RefusalSuperseded = "a newer process of this target is known"
+	// RefusalIdentity tells that the record contradicts the registration or
+	// the certificate of the agent.
+	RefusalIdentity = "the record does not match the registration"
+	// RefusalImproper tells that the record breaks a bound.
+	RefusalImproper = "the record is improper"
+	// RefusalFull tells that the directory is full.
+	RefusalFull = "the directory is full"
+)
+
+// refusalReason is a value of the tag of the counter of refusals.
+type refusalReason string
+
+const (
+	refusedRole       refusalReason = "role"
+	refusedService    refusalReason = "service"
+	refusedSender     refusalReason = "sender"
+	refusedRequest    refusalReason = "request"
+	refusedNoLeader   refusalReason = "no_leader"
+	refusedBusy       refusalReason = "busy"
+	refusedUnknown    refusalReason = "unknown_outcome"
+	refusedSuperseded refusalReason = "superseded"
+	refusedIdentity   refusalReason = "identity"
+	refusedImproper   refusalReason = "improper_record"
+	refusedFull       refusalReason = "directory_full"
+)
+
+// handler answers the requests of peers.
+type handler Daemon
+
+// allowed has the roles that may send each kind of request.
+func allowed(req *controlpb.Request) []keys.Role {
+	switch req.GetBody().(type) {
+	case *controlpb.Request_Raft, *controlpb.Request_Propose, *controlpb.Request_DirectorySync, *controlpb.Request_Replicas:
+		return []keys.Role{keys.RoleControl}
+	case *controlpb.Request_Register, *controlpb.Request_Announce, *controlpb.Request_Grant:
+		return []keys.Role{keys.RoleAgent}
+	case *controlpb.Request_Version:
+		return []keys.Role{keys.RoleControl, keys.RoleEntry, keys.RoleAgent}
+	}
+	return nil
+}
+
+func mayAsk(peer link.Peer, roles []keys.Role) bool {
+	for _, role := range roles {
+		if peer.Role == role {
+			return true
+		}
+	}
+	return false
+}
+
+// Call implements link.Handler.
+func (h *handler) Call(ctx context.Context, peer link.Peer, req *controlpb.Request) *controlpb.Response {
+	roles := allowed(req)
+	if roles == nil {
+		return h.fault(refusedRequest, controlpb.FaultKind_FAULT_NOT_DONE, "no such request")
+	}
+	if !mayAsk(peer, roles) {
+		return h.fault(refusedRole, controlpb.FaultKind_FAULT_FORBIDDEN, "the role may not ask this")
+	}
+	switch body := req.GetBody().(type) {
+	case *controlpb.Request_Raft:
+		return h.raft(peer, body.Raft)
+	case *controlpb.Request_Propose:
+		return h.propose(ctx, body.Propose)
+	case *controlpb.Request_DirectorySync:
+		h.directory.hear(peer.Name, body.DirectorySync.GetRecords())
+		return done()
+	case *controlpb.Request_Replicas:
+		reply := (*Daemon)(h).replicaInfos()
+		return &controlpb.Response{Body: &controlpb.Response_Replicas{Replicas: reply}}
+	case *controlpb.Request_Register:
+		return h.register(ctx, peer, body.Register)
+	case *controlpb.Request_Announce:
+		return h.announce(peer, body.Announce.GetRecord())
+	case *controlpb.Request_Grant:
+		return h.grant(ctx, peer, body.Grant)
+	}
+	return h.version(ctx)
+}
+
+func done() *controlpb.Response {
+	return &controlpb.Response{Body: &controlpb.Response_Done{Done: &controlpb.Done{}}}
+}
+
+func (h *handler) count(reason refusalReason) {
+	h.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("refusals").Inc(1)
+}
+
+func (h *handler) fault(reason refusalReason, kind controlpb.FaultKind, text string) *controlpb.Response {
+	h.count(reason)
+	f := &controlpb.Fault{Kind: kind, Text: text}
+	if kind != controlpb.FaultKind_FAULT_FORBIDDEN {
+		f.RetryAfterMs = uint32(retryAfterBusy.Milliseconds())
+	}
+	return &controlpb.Response{Body: &controlpb.Response_Fault{Fault: f}}
+}
+
+func (h *handler) raft(peer link.Peer, batch *controlpb.RaftBatch) *controlpb.Response {
+	r := h.replicas[batch.GetGroup()]
+	if r == nil {
+		return h.fault(refusedRequest, controlpb.FaultKind_FAULT_NOT_DONE, "no such group")
+	}
+	for _, m := range batch.GetMessages() {
+		// A control host speaks for itself only.
+		if m.GetFrom().GetName() != peer.Name {
+			return h.fault(refusedSender, controlpb.FaultKind_FAULT_FORBIDDEN, "message of another host")
+		}
+	}
+	r.Receive(batch.GetMessages())
+	return done()
+}
+
+// propose replicates a command that a follower forwards.
+func (h *handler) propose(ctx context.Context, p *controlpb.Propose) *controlpb.Response {
+	r := h.replicas[p.GetGroup()]
+	if r == nil {
+		return h.fault(refusedRequest, controlpb.FaultKind_FAULT_NOT_DONE, "no such group")
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, err := r.ProposeLocal(ctx, p.GetCommand())
+	reply := &controlpb.ProposeReply{Result: result, Status: proposeStatus(err)}
+	return &controlpb.Response{Body: &controlpb.Response_Propose{Propose: reply}}
+}
+
+func proposeStatus(err error) controlpb.ProposeStatus {
+	switch {
+	case err == nil:
+		return controlpb.ProposeStatus_PROPOSE_OK
+	case errors.Is(err, replica.ErrBusy):
+		return controlpb.ProposeStatus_PROPOSE_BUSY
+	case errors.Is(err, replica.ErrNoLeader), errors.Is(err, replica.ErrClosed):
+		return controlpb.ProposeStatus_PROPOSE_NO_LEADER
+	}
+	return controlpb.ProposeStatus_PROPOSE_UNKNOWN
+}
+
+// replicate runs a command of an agent and decodes its result. On failure it
+// returns the fault to answer.
+func (h *handler) replicate(ctx context.Context, group controlpb.Group, command, result proto.Message) *controlpb.Response {
+	data, err := proto.Marshal(command)
+	if err != nil {
+		return h.fault(refusedRequest, controlpb.FaultKind_FAULT_NOT_DONE, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	answer, err := h.replicas[group].Propose(ctx, data)
+	switch proposeStatus(err) {
+	case controlpb.ProposeStatus_PROPOSE_NO_LEADER:
+		return h.fault(refusedNoLeader, controlpb.FaultKind_FAULT_NOT_DONE, err.Error())
+	case controlpb.ProposeStatus_PROPOSE_BUSY:
+		return h.fault(refusedBusy, controlpb.FaultKind_FAULT_NOT_DONE, err.Error())
+	case controlpb.ProposeStatus_PROPOSE_UNKNOWN:
+		return h.fault(refusedUnknown, controlpb.FaultKind_FAULT_UNKNOWN, err.Error())
+	}
+	if err := proto.Unmarshal(answer, result); err != nil {
+		return h.fault(refusedUnknown, controlpb.FaultKind_FAULT_UNKNOWN, err.Error())
+	}
+	return nil
+}
+
+func (h *handler) register(ctx context.Context, peer link.Peer, r *configpb.RegisterTarget) *controlpb.Response {
+	if r.GetService() != peer.Service {
+		return h.fault(refusedService, controlpb.FaultKind_FAULT_FORBIDDEN, "the certificate is for another service")
+	}
+	command := &configpb.Command{Body: &configpb.Command_Register{Register: r}}
+	result := new(configpb.Result)
+	if fault := h.replicate(ctx, controlpb.Group_GROUP_CONFIG, command, result); fault != nil {
+		return fault
+	}
+	registration := result.GetRegistration()
+	if registration == nil {
+		return h.fault(refusedRequest, controlpb.FaultKind_FAULT_NOT_DONE, "the registration was not understood")
+	}
+	return &controlpb.Response{Body: &controlpb.Response_Registration{Registration: registration}}
+}
+
+func (h *handler) grant(ctx context.Context, peer link.Peer, c *grantpb.Command) *controlpb.Response {
+	service, proper := grantService(c)
+	if !proper {
+		return h.fault(refusedRequest, controlpb.FaultKind_FAULT_FORBIDDEN, "an agent may not ask this")
+	}
+	if h.foreign(peer, service) {
+		return h.fault(refusedService, controlpb.FaultKind_FAULT_FORBIDDEN, "the certificate is for another service")
+	}
+	result := new(grantpb.Result)
+	if fault := h.replicate(ctx, controlpb.Group_GROUP_GRANT, c, result); fault != nil {
+		return fault
+	}
+	return &controlpb.Response{Body: &controlpb.Response_Grant{Grant: result}}
+}
+
+// grantService returns the service of a command that agents may send.
+func grantService(c *grantpb.Command) (service uint32, proper bool) {
+	switch body := c.GetBody().(type) {
+	case *grantpb.Command_Acquire:
+		return body.Acquire.GetService(), true
+	case *grantpb.Command_Complete:
+		return body.Complete.GetService(), true
+	case *grantpb.Command_Release:
+		return body.Release.GetService(), true
+	}
+	return 0, false
+}
+
+// foreign reports whether a service number is known to be that of another
+// service than the agent's. A host that lags behind may not know the number.
+func (h *handler) foreign(peer link.Peer, service uint32) bool {
+	name := h.configs.serviceName(service)
+	return name != "" && name != peer.Service
+}
+
+func (h *handler) announce(peer link.Peer, r *controlpb.TargetRecord) *controlpb.Response {
+	reply := &controlpb.AnnounceReply{LeaseMs: uint32(h.directory.lease().Milliseconds())}
+	if reason, text := h.admit(peer, r); text != "" {
+		h.count(reason)
+		reply.Refusal = text
+	}
+	return &controlpb.Response{Body: &controlpb.Response_Announce{Announce: reply}}
+}
+
+// admit merges the record of an agent or tells why not.
+func (h *handler) admit(peer link.Peer, r *controlpb.TargetRecord) (refusalReason, string) {
+	if h.foreign(peer, r.GetService()) || h.contradicts(r) {
+		return refusedIdentity, RefusalIdentity
+	}
+	switch h.directory.announce(r) {
+	case membership.Superseded:
+		return refusedSuperseded, RefusalSuperseded
+	case membership.Improper:
+		return refusedImproper, RefusalImproper
+	case membership.Full:
+		return refusedFull, RefusalFull
+	}
+	// An outdated record is an announcement that was overtaken by a later one
+	// of the same process.
+	return "", ""
+}
+
+// contradicts reports whether a record speaks for a target number of another
+// service or name.
+func (h *handler) contradicts(r *controlpb.TargetRecord) bool {
+	id := h.configs.target(r.GetNumber())
+	if id == nil {
+		return false
+	}
+	return id.GetServiceNumber() != r.GetService() || id.GetTarget() != r.GetName()
+}
+
+func (h *handler) version(ctx context.Context) *controlpb.Response {
+	err := h.confirm.wait(ctx)
+	reply := &controlpb.VersionReply{Version: h.configs.version(), Confirmed: err == nil}
+	return &controlpb.Response{Body: &controlpb.Response_Version{Version: reply}}
+}
--- /dev/null
+++ b/internal/controld/loops.go
@@ -0,0 +1,110 @@
+package controld
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+)
+
+// every calls f at each period until the daemon stops.
+func (d *Daemon) every(period time.Duration, f func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f()
+		case <-d.ctx.Done():
+			return
+		}
+	}
+}
+
+// syncLoop passes records on to the other control hosts: changes soon, all
+// own records a few times in a lease.
+func (d *Daemon) syncLoop() {
+	var renewed time.Time
+	d.every(syncPeriod, func() {
+		fresh := d.directory.takeFresh()
+		if time.Since(renewed) >= d.directory.lease()/renewalsPerLease {
+			renewed = time.Now()
+			d.passOn(d.directory.own())
+			return
+		}
+		if len(fresh) > 0 {
+			d.passOn(fresh)
+		}
+	})
+}
+
+func (d *Daemon) passOn(records []*controlpb.TargetRecord) {
+	for _, address := range d.memberAddresses() {
+		if p := d.peers.get(address); p != nil {
+			p.pass(records)
+		}
+	}
+}
+
+// expireLoop ends leases, closes links to former members and counts laggards.
+func (d *Daemon) expireLoop() {
+	behind := d.scope.Gauge("subscribers_behind")
+	all := d.scope.Gauge("subscribers")
+	d.every(expirePeriod, func() {
+		d.directory.expire()
+		if d.formed() {
+			d.peers.keep(d.peerAddresses())
+		}
+		list, laggards := d.subscribers.list(d.configs.version())
+		all.Update(float64(len(list)))
+		behind.Update(float64(len(laggards)))
+	})
+}
+
+func (d *Daemon) peerAddresses() map[string]bool {
+	out := map[string]bool{}
+	for _, address := range d.memberAddresses() {
+		out[address] = true
+	}
+	return out
+}
+
+// advanceLoop moves the logical clock of the grants while this host leads.
+func (d *Daemon) advanceLoop() {
+	last := time.Now()
+	d.every(advancePeriod, func() {
+		elapsed := time.Since(last)
+		last = time.Now()
+		d.advance(elapsed)
+	})
+}
+
+func (d *Daemon) advance(elapsed time.Duration) {
+	held, answered := d.grants.count()
+	d.scope.Gauge("grants_held").Update(float64(held))
+	d.scope.Gauge("grants_answered").Update(float64(answered))
+	if held+answered == 0 || !d.leads(controlpb.Group_GROUP_GRANT) {
+		return
+	}
+	command, err := proto.Marshal(&grantpb.Command{Body: &grantpb.Command_Advance{
+		Advance: &grantpb.Advance{ElapsedMs: uint64(elapsed.Milliseconds())},
+	}})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, proposeTimeout)
+	defer cancel()
+	// A step that fails is left out: records live longer, no grant depends
+	// on it.
+	if _, err := d.replicas[controlpb.Group_GROUP_GRANT].ProposeLocal(ctx, command); err != nil {
+		d.scope.Counter("failed_advances").Inc(1)
+	}
+}
+
+func (d *Daemon) leads(group controlpb.Group) bool {
+	s := d.replicas[group].Status()
+	return s.Leader != nil && proto.Equal(s.Leader, s.Self)
+}
--- /dev/null
+++ b/internal/controld/peers.go
@@ -0,0 +1,269 @@
+package controld
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/replica"
+)
+
+// peers holds a link to each of the other control hosts, by address.
+type peers struct {
+	creds *keys.Credentials
+	log   *zap.Logger
+	scope tally.Scope
+
+	mu     sync.Mutex
+	byAddr map[string]*peer
+	closed bool
+}
+
+func newPeers(creds *keys.Credentials, log *zap.Logger, scope tally.Scope) *peers {
+	return &peers{creds: creds, log: log, scope: scope.SubScope("peers"), byAddr: map[string]*peer{}}
+}
+
+// get returns the link to a control host, made at first use, or nil after
+// close.
+func (p *peers) get(addr string) *peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
+	held, ok := p.byAddr[addr]
+	if !ok {
+		held = newPeer(addr, p.creds, p.log, p.scope)
+		p.byAddr[addr] = held
+	}
+	held.usedAt = time.Now()
+	return held
+}
+
+// keep closes the links to hosts that are not among addrs and have not been
+// used for unusedPeer.
+func (p *peers) keep(addrs map[string]bool) {
+	for _, old := range p.outside(addrs, unusedPeer) {
+		old.close()
+	}
+}
+
+func (p *peers) outside(addrs map[string]bool, unused time.Duration) []*peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*peer
+	for addr, held := range p.byAddr {
+		if !addrs[addr] && time.Since(held.usedAt) >= unused {
+			out = append(out, held)
+			delete(p.byAddr, addr)
+		}
+	}
+	return out
+}
+
+func (p *peers) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	for _, old := range p.outside(nil, 0) {
+		old.close()
+	}
+}
+
+// Send implements replica.Transport.
+func (p *peers) Send(to *raftpb.Member, group controlpb.Group, msgs []*raftpb.Message) {
+	if to := p.get(to.GetAddress()); to != nil {
+		to.enqueue(group, msgs)
+	}
+}
+
+// Forward implements replica.Forwarder.
+func (p *peers) Forward(ctx context.Context, leader *raftpb.Member, group controlpb.Group, command []byte) (*controlpb.ProposeReply, error) {
+	to := p.get(leader.GetAddress())
+	if to == nil || to.client.Address() == "" {
+		// Refused at once: waiting for a link is the caller's choice.
+		return nil, errors.Wrap(replica.ErrNoLeader, "no link to the leader")
+	}
+	req := &controlpb.Request{Body: &controlpb.Request_Propose{
+		Propose: &controlpb.Propose{Group: group, Command: command},
+	}}
+	res, err := to.client.Call(ctx, req)
+	if errors.Is(err, link.ErrNotSent) || errors.Is(err, link.ErrClosed) {
+		return nil, errors.Wrap(replica.ErrNoLeader, err.Error())
+	}
+	if err != nil {
+		return nil, err
+	}
+	if res.GetPropose() == nil {
+		return nil, errors.Errorf("the leader answered %s", res.GetFault().GetText())
+	}
+	return res.GetPropose(), nil
+}
+
+// peer is the link to one control host. A loop for each group and one for the
+// directory send what waits, so that neither holds up another.
+type peer struct {
+	client *link.Client
+	// usedAt is guarded by the mutex of peers.
+	usedAt time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     conc.WaitGroup
+	scope  tally.Scope
+	wake   map[controlpb.Group]chan struct{}
+	sync   chan struct{}
+
+	mu sync.Mutex
+	// messages wait for the far end, bounded for each group.
+	messages map[controlpb.Group][]*raftpb.Message
+	// records wait for the far end, the newest of each target.
+	records map[uint32]*controlpb.TargetRecord
+	// beat asks for a message even without records.
+	beat bool
+}
+
+func newPeer(addr string, creds *keys.Credentials, log *zap.Logger, scope tally.Scope) *peer {
+	options := link.ClientOptions{
+		Scope:            scope,
+		Log:              log,
+		MaxRequestBytes:  maxPeerMessage,
+		MaxResponseBytes: maxPeerMessage,
+	}
+	p := &peer{
+		client:   link.NewClient([]string{addr}, creds, options),
+		scope:    scope,
+		wake:     map[controlpb.Group]chan struct{}{},
+		sync:     make(chan struct{}, 1),
+		messages: map[controlpb.Group][]*raftpb.Message{},
+		records:  map[uint32]*controlpb.TargetRecord{},
+	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	for _, group := range groups {
+		p.wake[group] = make(chan struct{}, 1)
+	}
+	for _, group := range groups {
+		p.wg.Go(func() { p.loop(p.wake[group], func() { p.sendMessages(group) }) })
+	}
+	p.wg.Go(func() { p.loop(p.sync, p.sendRecords) })
+	return p
+}
+
+func (p *peer) close() {
+	p.cancel()
+	p.client.Close()
+	p.wg.Wait()
+}
+
+func (p *peer) loop(wake chan struct{}, send func()) {
+	for {
+		select {
+		case <-wake:
+			send()
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
+
+func signal(wake chan struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
+// enqueue adds agreement messages. What exceeds the bound is dropped, oldest
+// first: the agreement core sends anew what matters.
+func (p *peer) enqueue(group controlpb.Group, msgs []*raftpb.Message) {
+	p.mu.Lock()
+	queue := append(p.messages[group], msgs...)
+	excess := max(len(queue)-outboxMessages, 0)
+	p.messages[group] = queue[excess:]
+	p.mu.Unlock()
+	p.drop("queue_full", excess)
+	signal(p.wake[group])
+}
+
+func (p *peer) drop(reason string, count int) {
+	if count > 0 {
+		p.scope.Tagged(map[string]string{"reason": reason}).Counter("dropped_messages").Inc(int64(count))
+	}
+}
+
+func (p *peer) takeMessages(group controlpb.Group) []*raftpb.Message {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	msgs := p.messages[group]
+	p.messages[group] = nil
+	return msgs
+}
+
+func (p *peer) sendMessages(group controlpb.Group) {
+	msgs := p.takeMessages(group)
+	if len(msgs) == 0 {
+		return
+	}
+	if p.client.Address() == "" {
+		p.drop("no_link", len(msgs))
+		return
+	}
+	timeout := raftTimeout
+	for _, m := range msgs {
+		if m.GetSnapshot() != nil {
+			timeout = snapshotTimeout
+		}
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, timeout)
+	defer cancel()
+	batch := &controlpb.RaftBatch{Group: group, Messages: msgs}
+	if _, err := p.client.Call(ctx, &controlpb.Request{Body: &controlpb.Request_Raft{Raft: batch}}); err != nil {
+		p.drop("failed", len(msgs))
+	}
+}
+
+// pass adds records to what the far end is told next.
+func (p *peer) pass(records []*controlpb.TargetRecord) {
+	p.mu.Lock()
+	for _, r := range records {
+		p.records[r.GetNumber()] = r
+	}
+	p.beat = true
+	p.mu.Unlock()
+	signal(p.sync)
+}
+
+func (p *peer) takeRecords() ([]*controlpb.TargetRecord, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]*controlpb.TargetRecord, 0, len(p.records))
+	for _, r := range p.records {
+		out = append(out, r)
+	}
+	clear(p.records)
+	beat := p.beat
+	p.beat = false
+	return out, beat
+}
+
+func (p *peer) sendRecords() {
+	records, beat := p.takeRecords()
+	if !beat || p.client.Address() == "" {
+		// All records follow with the next renewal.
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, syncTimeout)
+	defer cancel()
+	body := &controlpb.DirectorySync{Records: records}
+	if _, err := p.client.Call(ctx, &controlpb.Request{Body: &controlpb.Request_DirectorySync{DirectorySync: body}}); err != nil {
+		p.scope.Counter("failed_syncs").Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/controld/state.go
@@ -0,0 +1,156 @@
+package controld
+
+import (
+	"sync"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
+	"eelgrasswharf.example/eelgrasswharf/grant"
+)
+
+// configState lets the configuration's state machine be read while the
+// replica applies commands. What it returns is immutable.
+type configState struct {
+	changed *hub
+
+	mu      sync.RWMutex
+	machine *config.Machine
+	// names has the services of the current version by number.
+	names map[uint32]string
+}
+
+func newConfigState() *configState {
+	return &configState{changed: newHub(), machine: config.New()}
+}
+
+// Apply implements replica.StateMachine.
+func (s *configState) Apply(index uint64, command []byte) []byte {
+	result, changed := s.apply(index, command)
+	if changed {
+		s.changed.notify()
+	}
+	return result
+}
+
+func (s *configState) apply(index uint64, command []byte) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.machine.Current()
+	result := s.machine.Apply(index, command)
+	changed := s.machine.Current() != before
+	if changed {
+		s.index()
+	}
+	return result, changed
+}
+
+// index rebuilds names. The lock is held.
+func (s *configState) index() {
+	services := s.machine.Current().GetServices()
+	s.names = make(map[uint32]string, len(services))
+	for _, service := range services {
+		s.names[service.GetNumber()] = service.GetName()
+	}
+}
+
+// Snapshot implements replica.StateMachine.
+func (s *configState) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.machine.Snapshot()
+}
+
+// Restore implements replica.StateMachine.
+func (s *configState) Restore(snapshot []byte) error {
+	s.mu.Lock()
+	err := s.machine.Restore(snapshot)
+	s.index()
+	s.mu.Unlock()
+	s.changed.notify()
+	return err
+}
+
+func (s *configState) current() (*configpb.Configuration, string) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.machine.Current(), s.machine.VersionPatch()
+}
+
+func (s *configState) version() uint64 {
+	c, _ := s.current()
+	return c.GetVersion()
+}
+
+// at returns a version of the history, or nil.
+func (s *configState) at(version uint64) *configpb.Configuration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.machine.Version(version)
+}
+
+func (s *configState) outcome(id string) *configpb.Outcome {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.machine.Outcome(id)
+}
+
+func (s *configState) target(number uint32) *configpb.TargetIdentity {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.machine.Target(number)
+}
+
+// serviceName returns the name of a service number, or nothing if this host
+// does not know the number.
+func (s *configState) serviceName(number uint32) string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.names[number]
+}
+
+// update returns what leads a subscriber from the version it has to the
+// current one: a delta where the history allows, else a snapshot.
+func (s *configState) update(from uint64) *controlpb.ConfigUpdate {
+	current, _ := s.current()
+	// A subscriber without a configuration has nothing to apply a delta to.
+	if base := s.at(from); base != nil && from != 0 {
+		return config.Diff(base, current)
+	}
+	return &controlpb.ConfigUpdate{Snapshot: current, Version: current.GetVersion()}
+}
+
+// grantState is the same for the state machine of grants.
+type grantState struct {
+	mu      sync.Mutex
+	machine *grant.Machine
+}
+
+func newGrantState() *grantState { return &grantState{machine: grant.New()} }
+
+// Apply implements replica.StateMachine.
+func (s *grantState) Apply(index uint64, command []byte) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Apply(index, command)
+}
+
+// Snapshot implements replica.StateMachine.
+func (s *grantState) Snapshot() ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Snapshot()
+}
+
+// Restore implements replica.StateMachine.
+func (s *grantState) Restore(snapshot []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Restore(snapshot)
+}
+
+func (s *grantState) count() (held, answered int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Len()
+}
--- /dev/null
+++ b/internal/controld/subscription.go
@@ -0,0 +1,216 @@
+package controld
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/membership"
+)
+
+// subscription is one subscriber's stream. One goroutine sends; it compares
+// what the subscriber was sent with the present state whenever it is woken, so
+// a slow subscriber gets one collapsed update in place of many.
+type subscription struct {
+	daemon *Daemon
+	stream *link.ServerStream
+	info   *subscriber
+	// sent is the version that the subscriber has or was sent.
+	sent uint64
+	// confirmed says that the subscriber was told of a confirmed version.
+	confirmed bool
+	// owed says that it has yet to be told so.
+	owed bool
+	// reported says that its newer version has been logged.
+	reported bool
+	follower follower
+	// directoryAt is when the last directory update was sent.
+	directoryAt time.Time
+	// messageAt is when the last message was sent.
+	messageAt time.Time
+}
+
+// Subscribe implements link.Handler.
+func (h *handler) Subscribe(ctx context.Context, peer link.Peer, req *controlpb.Subscribe, s *link.ServerStream) error {
+	if !mayAsk(peer, []keys.Role{keys.RoleEntry, keys.RoleAgent}) {
+		h.count(refusedRole)
+		return &link.FaultError{Kind: controlpb.FaultKind_FAULT_FORBIDDEN, Text: "the role may not subscribe"}
+	}
+	d := (*Daemon)(h)
+	sub := &subscription{
+		daemon: d,
+		stream: s,
+		info:   newSubscriber(peer, req),
+		sent:   req.GetVersion(),
+		follower: follower{
+			epoch:    req.GetDirectoryEpoch(),
+			sequence: req.GetDirectorySequence(),
+			scope:    membership.NewScope(req.GetServices()),
+		},
+	}
+	sub.follower.whole = sub.follower.epoch != 0
+	d.subscribers.add(sub.info)
+	defer d.subscribers.remove(sub.info)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// It ends when the stream does, soon after this method has returned.
+	d.loops.Go(func() {
+		defer cancel()
+		sub.listen()
+	})
+	return sub.run(ctx)
+}
+
+// listen notes the versions in force that the subscriber reports.
+func (s *subscription) listen() {
+	for {
+		beat, err := s.stream.Receive()
+		if err != nil {
+			return
+		}
+		s.info.heard(beat.GetVersion())
+	}
+}
+
+func (s *subscription) run(ctx context.Context) error {
+	configs := s.daemon.configs.changed.join()
+	defer s.daemon.configs.changed.leave(configs)
+	targets := s.daemon.directory.changed.join()
+	defer s.daemon.directory.changed.leave(targets)
+	if err := s.first(ctx); err != nil {
+		return err
+	}
+	tick := time.NewTicker(directoryPause)
+	defer tick.Stop()
+	confirm := time.NewTicker(confirmRetry)
+	defer confirm.Stop()
+	pending := true
+	for ctx.Err() == nil {
+		if s.info.silent() > silenceLimit {
+			s.daemon.scope.Counter("silent_subscribers").Inc(1)
+			return nil
+		}
+		err := s.step(ctx, &pending)
+		if err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+		case <-configs:
+		case <-targets:
+			pending = true
+		case <-tick.C:
+		case <-confirm.C:
+			s.tryConfirm(ctx)
+		}
+	}
+	return nil
+}
+
+// first brings the subscriber to this host's version. Whether that is the
+// newest one is asked of a quorum before, so that most subscribers never act
+// on an unconfirmed version.
+func (s *subscription) first(ctx context.Context) error {
+	s.tryConfirm(ctx)
+	if s.confirmed {
+		return s.sendConfig(true)
+	}
+	s.daemon.scope.Counter("unconfirmed_subscriptions").Inc(1)
+	return s.sendConfig(false)
+}
+
+// tryConfirm asks a quorum unless it has been asked with success.
+func (s *subscription) tryConfirm(ctx context.Context) {
+	if s.confirmed {
+		return
+	}
+	if err := s.daemon.confirm.wait(ctx); err != nil {
+		return
+	}
+	s.confirmed = true
+	// Even without a change the subscriber has to learn of it.
+	s.owed = true
+}
+
+// step sends what the subscriber lacks.
+func (s *subscription) step(ctx context.Context, pending *bool) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	if s.owed || s.daemon.configs.version() > s.sent {
+		if err := s.sendConfig(s.confirmed); err != nil {
+			return err
+		}
+	}
+	if *pending && time.Since(s.directoryAt) >= directoryPause {
+		*pending = false
+		if err := s.sendDirectory(); err != nil {
+			return err
+		}
+	}
+	if time.Since(s.messageAt) >= heartbeatPeriod {
+		beat := &controlpb.Heartbeat{Version: s.daemon.configs.version()}
+		return s.send(&controlpb.SubscribeUpdate{Heartbeat: beat})
+	}
+	return nil
+}
+
+// sendConfig sends the current version. A subscriber that knows a newer one is
+// sent nothing: this host lags behind.
+func (s *subscription) sendConfig(confirmed bool) error {
+	current, _ := s.daemon.configs.current()
+	if current.GetVersion() < s.sent {
+		s.reportLag(current, confirmed)
+		return nil
+	}
+	u := s.daemon.configs.update(s.sent)
+	u.Confirmed = confirmed
+	if u.GetVersion() < s.sent {
+		return nil
+	}
+	if err := s.send(&controlpb.SubscribeUpdate{Config: u}); err != nil {
+		return err
+	}
+	s.sent = u.GetVersion()
+	s.owed = false
+	return nil
+}
+
+// reportLag tells of a subscriber ahead of a quorum's newest version: state
+// was lost.
+func (s *subscription) reportLag(current *configpb.Configuration, confirmed bool) {
+	if !confirmed || s.reported {
+		return
+	}
+	s.reported = true
+	s.daemon.scope.Counter("subscribers_ahead").Inc(1)
+	s.daemon.log.Error("a subscriber has a version that the group does not know",
+		zap.String("subscriber", s.info.name), zap.Uint64("its_version", s.sent),
+		zap.Uint64("version", current.GetVersion()))
+}
+
+func (s *subscription) sendDirectory() error {
+	u := s.daemon.directory.next(&s.follower)
+	if u == nil {
+		return nil
+	}
+	if err := s.send(&controlpb.SubscribeUpdate{Directory: u}); err != nil {
+		return err
+	}
+	s.follower.sent(u)
+	s.directoryAt = time.Now()
+	return nil
+}
+
+func (s *subscription) send(u *controlpb.SubscribeUpdate) error {
+	if err := s.stream.Send(u); err != nil {
+		return err
+	}
+	s.messageAt = time.Now()
+	return nil
+}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -44,6 +44,10 @@
 	Config(ctx context.Context, version uint64) (*configpb.Configuration, bool, error)
 	// Status returns the host's view. It does not wait for other hosts.
 	Status() *Status
+	// A change of members is made in both groups, which may have different
+	// leaders: ErrNotDone then means that it was not made in both of them.
+	// Making it again is safe.
+
 	// AddLearner adds the control host at a link address (ip:port) to both
 	// groups, without a vote. Errors: ErrNotDone, ErrUnknown.
 	AddLearner(ctx context.Context, address string) error
@@ -56,7 +60,7 @@
 }
 
 // MemberRef names a member. Incarnation tells lives of one host apart and may
-// be 0 where the name alone is unambiguous.
+// be 0 where the name alone is unambiguous. Each group has its own.
 type MemberRef struct {
 	Name        string `json:"name"`
 	Incarnation uint64 `json:"incarnation,omitempty,string"`
