--- /dev/null
+++ b/raft/election.go
@@ -0,0 +1,145 @@
+package raft
+
+import "eelgrasswharf.example/eelgrasswharf/api/raftpb"
+
+// becomeFollower goes to term, which is not below the current one.
+func (n *Node) becomeFollower(term uint64, leader *raftpb.ReplicaID) {
+	if term > n.term {
+		n.term = term
+		n.vote = nil
+	}
+	n.failReads()
+	n.role = RoleFollower
+	n.leader = leader
+	n.progress = nil
+	n.resetElectionTimer()
+}
+
+func (n *Node) resetElectionTimer() {
+	n.electionElapsed = 0
+	n.electionTimeout = n.opts.ElectionTicks + n.rand.IntN(n.opts.ElectionTicks)
+}
+
+// hearsLeader says whether this replica leads or has heard from its leader
+// within the least election timeout.
+func (n *Node) hearsLeader() bool {
+	if n.role == RoleLeader {
+		return true
+	}
+	return n.leader != nil && n.electionElapsed < n.opts.ElectionTicks
+}
+
+func (n *Node) isOnlyVoter() bool {
+	return isVoter(n.membership(), n.key) && countVoters(n.membership()) == 1
+}
+
+// electionTimedOut starts a pre-vote if this replica may lead.
+func (n *Node) electionTimedOut() {
+	n.leader = nil
+	n.resetElectionTimer()
+	if !isVoter(n.membership(), n.key) {
+		n.role = RoleFollower
+		return
+	}
+	n.preCampaign()
+}
+
+// preCampaign asks whether an election could be won. The term does not change
+// yet: a replica that was cut off does not come back with a higher term and
+// unseat a leader that the others follow.
+func (n *Node) preCampaign() {
+	n.role = RolePreCandidate
+	n.granted = map[replicaKey]bool{n.key: true}
+	if n.hasVotes() {
+		n.campaign()
+		return
+	}
+	n.askForVotes(raftpb.MessageKind_MESSAGE_PRE_VOTE, n.term+1)
+}
+
+// campaign starts an election in the next term. The own vote counts at once:
+// the term and the vote are synced with the batch, before any message that
+// depends on them is sent.
+func (n *Node) campaign() {
+	n.term++
+	n.vote = n.self
+	n.role = RoleCandidate
+	n.leader = nil
+	n.resetElectionTimer()
+	n.granted = map[replicaKey]bool{n.key: true}
+	if n.hasVotes() {
+		n.becomeLeader()
+		return
+	}
+	n.askForVotes(raftpb.MessageKind_MESSAGE_VOTE, n.term)
+}
+
+func (n *Node) askForVotes(kind raftpb.MessageKind, term uint64) {
+	for _, member := range n.membership().GetMembers() {
+		if member.GetLearner() || keyOf(member.GetId()) == n.key {
+			continue
+		}
+		n.send(member.GetId(), &raftpb.Message{
+			Kind:     kind,
+			Term:     term,
+			LogIndex: n.log.lastIndex(),
+			LogTerm:  n.log.lastTerm(),
+		})
+	}
+}
+
+// hasVotes counts the grants of the present voters only: the grant of a
+// learner, or of an incarnation that is no member, is not counted.
+func (n *Node) hasVotes() bool {
+	return hasQuorum(n.membership(), func(key replicaKey) bool { return n.granted[key] })
+}
+
+func isPreVoteGrant(m *raftpb.Message) bool {
+	return m.GetKind() == raftpb.MessageKind_MESSAGE_PRE_VOTE_REPLY && !m.GetReject()
+}
+
+// handlePreVote answers without any change of state: a pre-vote promises
+// nothing.
+func (n *Node) handlePreVote(m *raftpb.Message) {
+	grant := m.GetTerm() > n.term &&
+		!n.hearsLeader() &&
+		n.log.upToDate(m.GetLogIndex(), m.GetLogTerm())
+	reply := &raftpb.Message{Kind: raftpb.MessageKind_MESSAGE_PRE_VOTE_REPLY, Reject: !grant}
+	if grant {
+		reply.Term = m.GetTerm()
+	}
+	n.send(m.GetFrom(), reply)
+}
+
+func (n *Node) handlePreVoteReply(m *raftpb.Message) {
+	if n.role != RolePreCandidate || m.GetReject() || m.GetTerm() != n.term+1 {
+		return
+	}
+	n.granted[keyOf(m.GetFrom())] = true
+	if n.hasVotes() {
+		n.campaign()
+	}
+}
+
+// handleVote grants a vote whether or not this replica knows itself as a
+// voter: the candidate may know of a later membership. The candidate counts
+// voters only.
+func (n *Node) handleVote(m *raftpb.Message) {
+	free := n.vote == nil && n.leader == nil || keyOf(n.vote) == keyOf(m.GetFrom())
+	grant := free && n.log.upToDate(m.GetLogIndex(), m.GetLogTerm())
+	if grant {
+		n.vote = m.GetFrom()
+		n.electionElapsed = 0
+	}
+	n.send(m.GetFrom(), &raftpb.Message{Kind: raftpb.MessageKind_MESSAGE_VOTE_REPLY, Reject: !grant})
+}
+
+func (n *Node) handleVoteReply(m *raftpb.Message) {
+	if n.role != RoleCandidate || m.GetReject() {
+		return
+	}
+	n.granted[keyOf(m.GetFrom())] = true
+	if n.hasVotes() {
+		n.becomeLeader()
+	}
+}
--- /dev/null
+++ b/raft/follower.go
@@ -0,0 +1,171 @@
+package raft
+
+import (
+	"github.com/go-faster/errors"
+
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+)
+
+// handleFromLeader handles what only the leader of the current term sends.
+func (n *Node) handleFromLeader(m *raftpb.Message) error {
+	if n.leader != nil && keyOf(n.leader) != keyOf(m.GetFrom()) {
+		return errors.Wrapf(ErrInconsistent, "two leaders in term %d", n.term)
+	}
+	if n.leader == nil || n.role != RoleFollower {
+		n.becomeFollower(n.term, m.GetFrom())
+	}
+	n.electionElapsed = 0
+	switch m.GetKind() {
+	case raftpb.MessageKind_MESSAGE_APPEND:
+		return n.handleAppend(m)
+	case raftpb.MessageKind_MESSAGE_SNAPSHOT:
+		return n.handleSnapshot(m)
+	}
+	n.handleHeartbeat(m)
+	return nil
+}
+
+func (n *Node) handleHeartbeat(m *raftpb.Message) {
+	n.commitTo(m.GetCommit())
+	n.send(m.GetFrom(), &raftpb.Message{
+		Kind:      raftpb.MessageKind_MESSAGE_HEARTBEAT_REPLY,
+		ReadRound: m.GetReadRound(),
+	})
+}
+
+func (n *Node) handleAppend(m *raftpb.Message) error {
+	if err := checkAppend(m); err != nil {
+		return errors.Wrapf(ErrInvalidMessage, "append: %v", err)
+	}
+	if m.GetLogIndex() < n.log.commit {
+		// Committed entries are the same everywhere.
+		n.acknowledge(m.GetFrom(), n.log.commit)
+		return nil
+	}
+	if !n.log.matches(m.GetLogIndex(), m.GetLogTerm()) {
+		n.rejectAppend(m)
+		return nil
+	}
+	fresh := n.freshEntries(m.GetEntries())
+	if len(fresh) > 0 {
+		if err := n.takeEntries(fresh); err != nil {
+			return err
+		}
+	}
+	// Only up to the last entry that this message vouches for: what the own
+	// log holds beyond it may be of another leader.
+	last := m.GetLogIndex() + uint64(len(m.GetEntries()))
+	n.commitTo(min(m.GetCommit(), last))
+	n.acknowledge(m.GetFrom(), last)
+	return nil
+}
+
+func checkAppend(m *raftpb.Message) error {
+	if err := checkEntries(m.GetEntries()); err != nil {
+		return err
+	}
+	if len(m.GetEntries()) == 0 {
+		return nil
+	}
+	if m.GetEntries()[0].GetIndex() != m.GetLogIndex()+1 {
+		return errors.Errorf("entries start at %d after %d", m.GetEntries()[0].GetIndex(), m.GetLogIndex())
+	}
+	return nil
+}
+
+// freshEntries leaves out the entries that the log already holds. A delayed
+// append must not cut off entries that came after it.
+func (n *Node) freshEntries(entries []*raftpb.Entry) []*raftpb.Entry {
+	for i, e := range entries {
+		if !n.log.matches(e.GetIndex(), e.GetTerm()) {
+			return entries[i:]
+		}
+	}
+	return nil
+}
+
+func (n *Node) takeEntries(entries []*raftpb.Entry) error {
+	if first := entries[0].GetIndex(); first <= n.log.commit {
+		return errors.Wrapf(ErrInconsistent, "entry %d replaces a committed one", first)
+	}
+	if err := n.recordMemberships(entries); err != nil {
+		return err
+	}
+	n.log.append(entries...)
+	return nil
+}
+
+// acknowledge says that the log agrees with the leader's up to index. The
+// message leaves after the entries are synced.
+func (n *Node) acknowledge(to *raftpb.ReplicaID, index uint64) {
+	n.send(to, &raftpb.Message{
+		Kind:     raftpb.MessageKind_MESSAGE_APPEND_REPLY,
+		LogIndex: index,
+	})
+}
+
+func (n *Node) rejectAppend(m *raftpb.Message) {
+	hint := n.log.lastAtMost(m.GetLogIndex(), m.GetLogTerm())
+	hintTerm, _ := n.log.term(hint)
+	n.send(m.GetFrom(), &raftpb.Message{
+		Kind:     raftpb.MessageKind_MESSAGE_APPEND_REPLY,
+		Reject:   true,
+		LogIndex: m.GetLogIndex(),
+		LogTerm:  hintTerm,
+		Hint:     hint,
+	})
+}
+
+func (n *Node) commitTo(index uint64) {
+	n.log.commit = max(n.log.commit, min(index, n.log.lastIndex()))
+}
+
+func (n *Node) handleSnapshot(m *raftpb.Message) error {
+	s := m.GetSnapshot()
+	if s.GetIndex() == 0 || s.GetTerm() == 0 || validateMembership(s.GetMembership()) != nil {
+		return errors.Wrap(ErrInvalidMessage, "snapshot")
+	}
+	switch {
+	case s.GetIndex() <= n.log.commit:
+	case n.log.matches(s.GetIndex(), s.GetTerm()):
+		n.commitTo(s.GetIndex())
+	default:
+		n.restoreSnapshot(s)
+	}
+	n.acknowledge(m.GetFrom(), n.log.commit)
+	return nil
+}
+
+// restoreSnapshot replaces the log by a snapshot.
+func (n *Node) restoreSnapshot(s *raftpb.Snapshot) {
+	n.log.reset(s.GetIndex(), s.GetTerm())
+	n.memberships = []membershipRecord{{index: s.GetIndex(), membership: s.GetMembership()}}
+	n.log.applied = s.GetIndex()
+	n.snapshot = s
+	n.unsavedSnapshot = s
+	n.restore = s
+}
+
+// Compact takes a snapshot that the state machine took at s.Index, which must
+// be applied, and fills in its term and membership. Entries behind it leave the
+// node's memory. The caller syncs the snapshot before it drops stored entries:
+// the other order could lose both.
+func (n *Node) Compact(s *raftpb.Snapshot) error {
+	index := s.GetIndex()
+	term, ok := n.log.term(index)
+	if !ok || index > n.log.applied || index <= n.snapshot.GetIndex() {
+		return errors.Wrapf(ErrCompact, "index %d, applied %d", index, n.log.applied)
+	}
+	membership := n.membershipAt(index)
+	if membership == nil {
+		return errors.Wrapf(ErrCompact, "no membership known at index %d", index)
+	}
+	s.Term = term
+	s.Membership = membership
+	n.snapshot = s
+	n.forgetMemberships(index)
+	if retain := uint64(n.opts.RetainEntries); index > retain {
+		n.log.compact(index - retain)
+	}
+	return nil
+}
--- /dev/null
+++ b/raft/replicate.go
@@ -0,0 +1,146 @@
+package raft
+
+import "eelgrasswharf.example/eelgrasswharf/api/raftpb"
+
+// broadcastAppend sends each replica what it lacks. With commits, replicas that
+// lack nothing get an empty append that carries the commit index.
+func (n *Node) broadcastAppend(commits bool) {
+	for _, p := range n.progress {
+		if p.key == n.key {
+			continue
+		}
+		if !n.sendEntries(p) && commits {
+			n.sendAppend(p, true)
+		}
+	}
+}
+
+// sendEntries sends as many appends as the replica may have in flight, and
+// says whether it sent any.
+func (n *Node) sendEntries(p *progress) bool {
+	sent := false
+	for n.sendAppend(p, false) {
+		sent = true
+	}
+	return sent
+}
+
+// sendAppend sends one append, or a snapshot where the entries are compacted.
+func (n *Node) sendAppend(p *progress, empty bool) bool {
+	if p.paused || p.state == stateSnapshot {
+		return false
+	}
+	if p.state == stateReplicate && len(p.inflight) >= n.opts.MaxInflight {
+		return false
+	}
+	before := p.next - 1
+	beforeTerm, ok := n.log.term(before)
+	if !ok {
+		return n.sendSnapshot(p)
+	}
+	entries := n.log.slice(p.next, n.log.lastIndex(), n.opts.MaxBatchBytes)
+	if len(entries) == 0 && !empty {
+		return false
+	}
+	n.send(p.id, &raftpb.Message{
+		Kind:     raftpb.MessageKind_MESSAGE_APPEND,
+		LogIndex: before,
+		LogTerm:  beforeTerm,
+		Entries:  entries,
+		Commit:   n.log.commit,
+	})
+	if p.state == stateProbe {
+		p.paused = true
+		return true
+	}
+	if len(entries) > 0 {
+		p.next += uint64(len(entries))
+		p.inflight = append(p.inflight, p.next-1)
+	}
+	return true
+}
+
+func (n *Node) sendSnapshot(p *progress) bool {
+	if n.snapshot == nil || !p.active {
+		// A silent replica may stay away for long; a snapshot waits for its
+		// first answer.
+		return false
+	}
+	n.send(p.id, &raftpb.Message{
+		Kind:     raftpb.MessageKind_MESSAGE_SNAPSHOT,
+		Snapshot: n.snapshot,
+	})
+	p.becomeSnapshot(n.snapshot.GetIndex())
+	return true
+}
+
+func (n *Node) handleAppendReply(m *raftpb.Message) {
+	p := n.progressOf(keyOf(m.GetFrom()))
+	if n.role != RoleLeader || p == nil || m.GetLogIndex() > n.log.lastIndex() {
+		return
+	}
+	p.active = true
+	if m.GetReject() {
+		n.handleAppendReject(p, m)
+		return
+	}
+	p.acknowledge(m.GetLogIndex())
+	switch {
+	case p.state == stateProbe:
+		p.becomeReplicate()
+	case p.state == stateSnapshot && p.match >= p.snapshotIndex:
+		p.becomeReplicate()
+	}
+	n.maybeCommit()
+	if n.role == RoleLeader {
+		n.sendEntries(p)
+	}
+}
+
+// handleAppendReject moves back to where the logs may agree.
+func (n *Node) handleAppendReject(p *progress, m *raftpb.Message) {
+	switch p.state {
+	case stateSnapshot:
+		return
+	case stateReplicate:
+		if m.GetLogIndex() <= p.match {
+			return
+		}
+	case stateProbe:
+		if m.GetLogIndex() != p.next-1 {
+			return
+		}
+	}
+	// The hint is the last place on that replica whose term is not above
+	// ours there. Entries of ours with a higher term than the hint's cannot
+	// be in its log up to the hint, so all of them are skipped at once.
+	agree := n.log.lastAtMost(m.GetHint(), m.GetLogTerm())
+	if m.GetHint() < n.log.offset {
+		agree = m.GetHint()
+	}
+	p.becomeProbe(min(agree+1, m.GetLogIndex()))
+	n.sendAppend(p, true)
+}
+
+func (n *Node) handleHeartbeatReply(m *raftpb.Message) {
+	p := n.progressOf(keyOf(m.GetFrom()))
+	if n.role != RoleLeader || p == nil {
+		return
+	}
+	p.active = true
+	p.readRound = max(p.readRound, m.GetReadRound())
+	n.confirmReads()
+	if p.state == stateSnapshot {
+		return
+	}
+	p.paused = false
+	if p.match >= n.log.lastIndex() {
+		return
+	}
+	// The last append or its reply may be lost. An append without effect is
+	// answered all the same and shows where the replica stands.
+	if p.state == stateReplicate && len(p.inflight) >= n.opts.MaxInflight {
+		p.inflight = p.inflight[1:]
+	}
+	n.sendAppend(p, true)
+}
