--- /dev/null
+++ b/internal/controld/daemon_test.go
@@ -0,0 +1,295 @@
+package controld_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap/zaptest"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/controld"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+)
+
+// patience bounds waits for what must come; it measures nothing.
+const patience = 30 * time.Second
+
+// deployment is a set of control hosts in this process.
+type deployment struct {
+	t       *testing.T
+	dir     string
+	hosts   map[string]*host
+	voters  []string
+	address map[string]string
+}
+
+type host struct {
+	name   string
+	data   string
+	daemon *controld.Daemon
+	scope  tally.TestScope
+	cancel context.CancelFunc
+	result error
+	wg     conc.WaitGroup
+}
+
+func newDeployment(t *testing.T, names ...string) *deployment {
+	t.Helper()
+	d := &deployment{t: t, dir: t.TempDir(), hosts: map[string]*host{}, address: map[string]string{}}
+	if err := keys.InitAuthority(d.dir); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		d.address[name] = freeAddress(t)
+		d.voters = append(d.voters, name+"="+d.address[name])
+	}
+	t.Cleanup(d.stopAll)
+	return d
+}
+
+// freeAddress returns a loopback address whose UDP port was free just now:
+// the hosts have to know each other's ports before they start.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().String()
+}
+
+func (d *deployment) issue(role keys.Role, name, service string) keys.Files {
+	d.t.Helper()
+	loopback := []netip.Addr{netip.MustParseAddr("127.0.0.1")}
+	files, err := keys.Issue(d.dir, role, name, service, loopback, time.Hour)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return files
+}
+
+func (d *deployment) credentials(role keys.Role, name, service string) *keys.Credentials {
+	d.t.Helper()
+	creds, err := keys.Load(d.issue(role, name, service))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return creds
+}
+
+func (d *deployment) settings(name, data string, join bool) *settingspb.ControlSettings {
+	files := d.issue(keys.RoleControl, name, "")
+	return &settingspb.ControlSettings{
+		Host: &settingspb.Host{Name: name, FailureDomain: "bodija"},
+		Keys: &settingspb.Keys{
+			Authority: files.Authority, Certificate: files.Certificate,
+			PrivateKey: files.PrivateKey, DataSecrets: files.DataSecrets,
+		},
+		Replica: &settingspb.Replica{
+			DataFolder: data, Listen: d.address[name], OperatorListen: "127.0.0.1:0",
+			InitialVoters: d.voters, Join: join, TickMs: 20,
+		},
+	}
+}
+
+// start runs a host on a data folder, a new one if none is named.
+func (d *deployment) start(name, data string, join bool) *host {
+	d.t.Helper()
+	if data == "" {
+		data = d.t.TempDir()
+	}
+	h := &host{name: name, data: data, scope: tally.NewTestScope("", nil)}
+	daemon, err := controld.New(d.settings(name, data, join), zaptest.NewLogger(d.t), h.scope)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	h.daemon = daemon
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	h.wg.Go(func() { h.result = daemon.Run(ctx) })
+	select {
+	case <-daemon.Ready():
+	case <-time.After(patience):
+		d.t.Fatalf("%s is not ready", name)
+	}
+	d.hosts[name] = h
+	return h
+}
+
+func (d *deployment) startAll(names ...string) {
+	d.t.Helper()
+	for _, name := range names {
+		d.start(name, "", false)
+	}
+}
+
+func (d *deployment) stop(name string) *host {
+	h := d.hosts[name]
+	delete(d.hosts, name)
+	h.cancel()
+	h.wg.Wait()
+	if h.result != nil {
+		d.t.Errorf("%s stopped with %v", name, h.result)
+	}
+	return h
+}
+
+func (d *deployment) stopAll() {
+	for name := range d.hosts {
+		d.stop(name)
+	}
+}
+
+// operator returns a client for some hosts.
+func (d *deployment) operator(names ...string) *operator.Client {
+	d.t.Helper()
+	var addrs []string
+	for _, name := range names {
+		addrs = append(addrs, d.hosts[name].daemon.OperatorAddr())
+	}
+	c := operator.NewClient(addrs, d.credentials(keys.RoleOperator, "ada", ""))
+	d.t.Cleanup(c.Close)
+	return c
+}
+
+// link returns a link client to some hosts.
+func (d *deployment) link(role keys.Role, name, service string, hosts ...string) *link.Client {
+	d.t.Helper()
+	var addrs []string
+	for _, h := range hosts {
+		addrs = append(addrs, d.hosts[h].daemon.LinkAddr())
+	}
+	c := link.NewClient(addrs, d.credentials(role, name, service), link.ClientOptions{})
+	d.t.Cleanup(c.Close)
+	return c
+}
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never came: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func put(name, address string) *configpb.Operation {
+	return &configpb.Operation{Body: &configpb.Operation_PutService{PutService: &configpb.Service{
+		Name: name, Addresses: []string{address}, Slots: 4,
+	}}}
+}
+
+func patch(id string, base uint64, ops ...*configpb.Operation) *configpb.Patch {
+	return &configpb.Patch{Id: id, BaseVersion: base, Operations: ops}
+}
+
+// accept submits a patch until it is accepted: a group may have no leader yet.
+func (d *deployment) accept(c *operator.Client, p *configpb.Patch) *configpb.Outcome {
+	d.t.Helper()
+	var out *configpb.Outcome
+	eventually(d.t, "acceptance of "+p.GetId(), func() bool {
+		var err error
+		out, err = c.Submit(testContext(d.t), p)
+		return err == nil
+	})
+	if out.GetVerdict() != configpb.Verdict_VERDICT_ACCEPTED {
+		d.t.Fatalf("patch %s: %v", p.GetId(), out)
+	}
+	return out
+}
+
+// watcher is a subscriber that keeps what it was sent.
+type watcher struct {
+	t      *testing.T
+	stream *link.ClientStream
+}
+
+func (d *deployment) subscribe(c *link.Client, req *controlpb.Subscribe) *watcher {
+	d.t.Helper()
+	var stream *link.ClientStream
+	eventually(d.t, "a subscription", func() bool {
+		var err error
+		stream, err = c.Subscribe(testContext(d.t), req)
+		return err == nil
+	})
+	d.t.Cleanup(stream.Close)
+	return &watcher{t: d.t, stream: stream}
+}
+
+// await returns the first update that fits.
+func (w *watcher) await(what string, fits func(*controlpb.SubscribeUpdate) bool) *controlpb.SubscribeUpdate {
+	w.t.Helper()
+	if err := w.stream.SetReceiveDeadline(time.Now().Add(patience)); err != nil {
+		w.t.Fatal(err)
+	}
+	for {
+		u, err := w.stream.Receive()
+		if err != nil {
+			w.t.Fatalf("waiting for %s: %v", what, err)
+		}
+		if fits(u) {
+			return u
+		}
+	}
+}
+
+func (w *watcher) awaitVersion(version uint64) *controlpb.ConfigUpdate {
+	w.t.Helper()
+	return w.await(fmt.Sprintf("version %d", version), func(u *controlpb.SubscribeUpdate) bool {
+		return u.GetConfig() != nil && u.GetConfig().GetVersion() == version
+	}).GetConfig()
+}
+
+func TestSingleHostPatchReachesSubscriber(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, "c1")
+	d.startAll("c1")
+	ops := d.operator("c1")
+	w := d.subscribe(d.link(keys.RoleEntry, "e1", "", "c1"), &controlpb.Subscribe{FailureDomain: "dugbe"})
+
+	first := w.await("a first configuration", func(u *controlpb.SubscribeUpdate) bool { return u.GetConfig() != nil })
+	is.Equal(first.GetConfig().GetVersion(), uint64(0))
+
+	out := d.accept(ops, patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	is.Equal(out.GetVersion(), uint64(1))
+	u := w.awaitVersion(1)
+	is.Equal(u.GetSnapshot().GetServices()[0].GetName(), "lodgement")
+	is.True(u.GetConfirmed())
+
+	d.accept(ops, patch("p2", 1, put("certificates", "192.0.2.2:443")))
+	u = w.awaitVersion(2)
+	is.Equal(u.GetSnapshot(), nil) // a delta
+	is.Equal(u.GetBaseVersion(), uint64(1))
+	is.Equal(len(u.GetPut()), 1)
+
+	status := ops.Status(testContext(t))
+	is.NoErr(status[0].Err)
+	is.Equal(status[0].Status.Laggards, []string{"entry/e1"}) // it has reported no version yet
+	is.NoErr(w.stream.Send(&controlpb.Heartbeat{Version: 2}))
+	eventually(t, "the version in force in the status", func() bool {
+		s := ops.Status(testContext(t))[0].Status
+		return len(s.Laggards) == 0 && s.Subscribers[0].Version == 2 && s.Subscribers[0].FailureDomain == "dugbe"
+	})
+}
