--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
@@ -293,3 +294,5 @@
 		return len(s.Laggards) == 0 && s.Subscribers[0].Version == 2 && s.Subscribers[0].FailureDomain == "dugbe"
 	})
 }
+
+func isError(err, target error) bool { return errors.Is(err, target) }
