--- a/internal/controld/backend.go
+++ b/internal/controld/backend.go
@@ -174,10 +174,27 @@
 		if !member.GetLearner() {
 			return nil
 		}
+		if !caughtUp(r.Status(), member.GetId()) {
+			return errors.Wrap(replica.ErrMembership, "the learner has not caught up")
+		}
 		return r.Promote(ctx, member.GetId())
 	})
 }
 
+// caughtUp reports whether a vote of the learner would not hold up the group.
+// Only the leader knows; elsewhere the replica itself refuses the change.
+func caughtUp(s replica.Status, id *raftpb.ReplicaID) bool {
+	if !proto.Equal(s.Leader, s.Self) {
+		return true
+	}
+	for _, m := range s.Members {
+		if proto.Equal(m.Member.GetId(), id) {
+			return m.Match+promoteLag >= s.Commit
+		}
+	}
+	return false
+}
+
 // Remove implements operator.Backend.
 func (b *backend) Remove(ctx context.Context, m operator.MemberRef) error {
 	return b.eachMember(m, func(r *replica.Replica, member *raftpb.Member) error {
--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -16,6 +16,8 @@
 	snapshotTimeout = time.Minute
 	// unusedPeer is how long the link to a host that is no member is kept.
 	unusedPeer = 30 * time.Second
+	// promoteLag is how many entries a learner may lack and yet get a vote.
+	promoteLag = 64
 	// outboxMessages bounds the agreement messages that wait for one peer and
 	// group.
 	outboxMessages = 1024
--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -187,13 +187,22 @@
 // eventually waits until the condition holds.
 func eventually(t *testing.T, what string, condition func() bool) {
 	t.Helper()
+	if !poll(condition) {
+		t.Fatalf("never came: %s", what)
+	}
+}
+
+// poll reports whether the condition came to hold. Goroutines besides the
+// test's own use it in place of eventually.
+func poll(condition func() bool) bool {
 	deadline := time.Now().Add(patience)
 	for !condition() {
 		if time.Now().After(deadline) {
-			t.Fatalf("never came: %s", what)
+			return false
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
+	return true
 }
 
 func put(name, address string) *configpb.Operation {
--- /dev/null
+++ b/internal/controld/group_test.go
@@ -0,0 +1,257 @@
+package controld_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+)
+
+// status returns the view of one host.
+func (d *deployment) status(name string) *operator.Status {
+	d.t.Helper()
+	s := d.operator(name).Status(testContext(d.t))[0]
+	if s.Err != nil {
+		d.t.Fatal(s.Err)
+	}
+	return s.Status
+}
+
+// leader waits for a leader of the configuration group and returns its name.
+func (d *deployment) leader() string {
+	d.t.Helper()
+	name := ""
+	eventually(d.t, "a leader", func() bool {
+		for host := range d.hosts {
+			if d.status(host).Groups[0].State == "leads" {
+				name = host
+				return true
+			}
+		}
+		return false
+	})
+	return name
+}
+
+func newGroup(t *testing.T) *deployment {
+	t.Helper()
+	d := newDeployment(t, "c1", "c2", "c3")
+	d.startAll("c1", "c2", "c3")
+	d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	return d
+}
+
+// others returns the names of the hosts besides one, in order.
+func others(not string) []string {
+	var out []string
+	for _, name := range []string{"c1", "c2", "c3"} {
+		if name != not {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func TestGroupTakesPatchesOnEveryHost(t *testing.T) {
+	is := is.New(t)
+	d := newGroup(t)
+	var watchers []*watcher
+	for _, name := range []string{"c1", "c2", "c3"} {
+		c := d.link(keys.RoleEntry, "e-"+name, "", name)
+		watchers = append(watchers, d.subscribe(c, &controlpb.Subscribe{}))
+	}
+	for i, name := range []string{"c1", "c2", "c3"} {
+		p := patch(fmt.Sprintf("via-%s", name), uint64(i+1), put("certificates", fmt.Sprintf("192.0.2.%d:443", 10+i)))
+		first := d.accept(d.operator(name), p)
+		for _, other := range others(name) {
+			again, err := d.operator(other).Submit(testContext(t), p)
+			is.NoErr(err)
+			is.True(proto.Equal(first, again)) // a resend elsewhere gets the first outcome
+		}
+	}
+	for _, w := range watchers {
+		w.awaitVersion(4)
+	}
+}
+
+func TestOneOfTwoRacingPatchesWins(t *testing.T) {
+	is := is.New(t)
+	d := newGroup(t)
+	for round := range uint64(5) {
+		var accepted, refused atomic.Int32
+		var wg conc.WaitGroup
+		for _, name := range []string{"c1", "c2", "c3"} {
+			c := d.operator(name)
+			id := fmt.Sprintf("%s-%d", name, round)
+			p := patch(id, round+1, put("lodgement", "192.0.2.1:443"))
+			wg.Go(func() {
+				out, err := c.Submit(testContext(t), p)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if out.GetVerdict() == configpb.Verdict_VERDICT_ACCEPTED {
+					accepted.Add(1)
+				}
+				if out.GetVerdict() == configpb.Verdict_VERDICT_REFUSED_BASE && out.GetVersion() == round+2 {
+					refused.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		is.Equal(accepted.Load(), int32(1))
+		is.Equal(refused.Load(), int32(2))
+	}
+}
+
+func TestMinoritySaysSo(t *testing.T) {
+	is := is.New(t)
+	d := newGroup(t)
+	eventually(t, "version 1 everywhere", func() bool {
+		return d.status("c1").Version == 1 && d.status("c2").Version == 1 && d.status("c3").Version == 1
+	})
+	c1 := d.stop("c1")
+	d.stop("c2")
+	ops := d.operator("c3")
+	p := patch("p2", 1, put("certificates", "192.0.2.2:443"))
+	_, err := ops.Submit(testContext(t), p)
+	// At first the host may still trust a leader that is gone.
+	is.True(isError(err, operator.ErrNotDone) || isError(err, operator.ErrUnknown))
+	eventually(t, "loss of the leader", func() bool { return d.status("c3").Groups[0].State == "no leader" })
+	_, err = ops.Submit(testContext(t), patch("p3", 1, put("certificates", "192.0.2.2:443")))
+	is.True(isError(err, operator.ErrNotDone))
+	_, err = ops.Outcome(testContext(t), "p1")
+	is.True(isError(err, operator.ErrNotDone))
+	cfg, confirmed, err := ops.Config(testContext(t), 0)
+	is.NoErr(err)
+	is.Equal(cfg.GetVersion(), uint64(1))
+	is.Equal(confirmed, false)
+
+	w := d.subscribe(d.link(keys.RoleEntry, "e1", "", "c3"), &controlpb.Subscribe{})
+	u := w.awaitVersion(1)
+	is.Equal(u.GetConfirmed(), false)
+	ahead := d.subscribe(d.link(keys.RoleEntry, "e2", "", "c3"), &controlpb.Subscribe{Version: 9})
+	beat := ahead.await("a heartbeat", func(u *controlpb.SubscribeUpdate) bool { return u.GetHeartbeat() != nil || u.GetConfig() != nil })
+	is.Equal(beat.GetConfig(), nil) // nothing older than what it has
+	is.Equal(beat.GetHeartbeat().GetVersion(), uint64(1))
+
+	d.start("c1", c1.data, false)
+	w.await("the confirmation", func(u *controlpb.SubscribeUpdate) bool { return u.GetConfig().GetConfirmed() })
+	d.accept(ops, p)
+	w.awaitVersion(2)
+}
+
+func TestGroupSurvivesLossOfLeader(t *testing.T) {
+	d := newGroup(t)
+	leader := d.leader()
+	rest := others(leader)
+	w := d.subscribe(d.link(keys.RoleEntry, "e1", "", rest[0]), &controlpb.Subscribe{})
+	w.awaitVersion(1)
+	old := d.stop(leader)
+	d.accept(d.operator(rest...), patch("p2", 1, put("certificates", "192.0.2.2:443")))
+	w.awaitVersion(2)
+
+	for i := range uint64(40) {
+		d.accept(d.operator(rest...), patch(fmt.Sprintf("q%d", i), i+2, put("certificates", "192.0.2.2:443")))
+	}
+	d.start(leader, old.data, false)
+	back := d.subscribe(d.link(keys.RoleEntry, "e2", "", leader), &controlpb.Subscribe{Version: 2})
+	back.await("a confirmed newest version", func(u *controlpb.SubscribeUpdate) bool {
+		return u.GetConfig().GetVersion() == 42 && u.GetConfig().GetConfirmed()
+	})
+}
+
+func TestLostDiskComesBackAsLearner(t *testing.T) {
+	is := is.New(t)
+	d := newGroup(t)
+	d.stop("c3")
+	d.start("c3", "", false) // the same settings, an empty data folder
+	ops := d.operator("c1", "c2")
+	for i := range uint64(5) {
+		d.accept(ops, patch(fmt.Sprintf("q%d", i), i+1, put("lodgement", "192.0.2.1:443")))
+	}
+	for _, g := range d.status("c3").Groups {
+		is.Equal(g.State, "not founded") // it takes no part under its old name
+	}
+	eventually(t, "removal of the lost replica", func() bool {
+		_, err := ops.Remove(testContext(t), operator.MemberRef{Name: "c3"})
+		return err == nil || len(d.status("c1").Groups[0].Members)+len(d.status("c1").Groups[1].Members) == 4
+	})
+	eventually(t, "addition of the learner", func() bool {
+		_, err := ops.AddLearner(testContext(t), d.address["c3"])
+		return err == nil
+	})
+	eventually(t, "the learner to catch up", func() bool { return d.status("c3").Version == 6 })
+	eventually(t, "promotion", func() bool {
+		_, err := ops.Promote(testContext(t), operator.MemberRef{Name: "c3"})
+		return err == nil
+	})
+	d.stop("c1") // a second loss soon after the repair
+	d.accept(d.operator("c2", "c3"), patch("last", 6, put("certificates", "192.0.2.2:443")))
+	eventually(t, "the last version on c3", func() bool { return d.status("c3").Version == 7 })
+}
+
+func TestAnnouncementReachesOtherHosts(t *testing.T) {
+	is := is.New(t)
+	d := newGroup(t)
+	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
+	var reg *configpb.Registration
+	eventually(t, "a registration", func() bool {
+		reg = call(t, agent, registerRequest("lodgement", "t1", "x")).GetRegistration()
+		return reg.GetTargetNumber() != 0
+	})
+	r := &controlpb.TargetRecord{
+		Service: reg.GetServiceNumber(), Number: reg.GetTargetNumber(), Incarnation: reg.GetIncarnation(),
+		Name: "t1", Address: "127.0.0.1:7000", Slots: 4, Sequence: 1, State: controlpb.TargetState_TARGET_STATE_SERVING,
+	}
+	is.Equal(call(t, agent, announceRequest(r)).GetAnnounce().GetRefusal(), "")
+	for _, name := range []string{"c2", "c3"} {
+		w := d.subscribe(d.link(keys.RoleEntry, "e-"+name, "", name), &controlpb.Subscribe{})
+		w.await("the target on "+name, func(u *controlpb.SubscribeUpdate) bool {
+			return len(u.GetDirectory().GetPut()) == 1
+		})
+	}
+}
+
+func TestGrantIsGivenOnceInTheGroup(t *testing.T) {
+	d := newGroup(t)
+	var wg conc.WaitGroup
+	var granted [20]atomic.Int32
+	for _, name := range []string{"c1", "c2", "c3"} {
+		agent := d.link(keys.RoleAgent, "a-"+name, "lodgement", name)
+		wg.Go(func() {
+			for key := range granted {
+				req := acquireRequest(1, fmt.Sprint(key), "attempt-"+name)
+				ctx := testContext(t)
+				decided := poll(func() bool {
+					res, err := agent.Call(ctx, req)
+					if err != nil || res.GetGrant() == nil {
+						return false // asking again is safe: it is the same attempt
+					}
+					if res.GetGrant().GetDecision() == grantpb.Decision_DECISION_GRANTED {
+						granted[key].Add(1)
+					}
+					return true
+				})
+				if !decided {
+					t.Error("no decision on key", key)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for key := range granted {
+		if got := granted[key].Load(); got != 1 {
+			t.Errorf("key %d was granted to %d attempts", key, got)
+		}
+	}
+}
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -249,6 +249,10 @@
 	}
 	switch h.directory.announce(r) {
 	case membership.Superseded:
+		if r.GetState() == controlpb.TargetState_TARGET_STATE_DRAINING {
+			// What the older process asks for is so already.
+			return "", ""
+		}
 		return refusedSuperseded, RefusalSuperseded
 	case membership.Improper:
 		return refusedImproper, RefusalImproper
--- a/internal/controld/roles_test.go
+++ b/internal/controld/roles_test.go
@@ -163,6 +163,8 @@
 		spoil(bad)
 		is.Equal(call(t, agent, announceRequest(bad)).GetAnnounce().GetRefusal(), want)
 	}
+	draining.Sequence++ // the older process drains: nothing to refuse
+	is.Equal(call(t, agent, announceRequest(draining)).GetAnnounce().GetRefusal(), "")
 }
 
 func TestGrantOverLinks(t *testing.T) {
