--- /dev/null
+++ b/reason/reason.go
@@ -0,0 +1,183 @@
+package reason
+
+// Kind groups reasons by what was refused or repeated.
+type Kind uint8
+
+// Kinds of reasons.
+const (
+	// KindNotRun is told to a caller whose request was provably not run.
+	KindNotRun Kind = iota + 1
+	// KindUnknown is told to a caller whose request may have run.
+	KindUnknown
+	// KindRetry counts a repeated attempt at the backend server.
+	KindRetry
+	// KindFrame counts a frame that the agent refused.
+	KindFrame
+	// KindFlow counts a new flow that the agent handed on or refused.
+	KindFlow
+)
+
+// String returns the name of the kind as used in counters and pages.
+func (k Kind) String() string {
+	switch k {
+	case KindNotRun:
+		return "not-run"
+	case KindUnknown:
+		return "unknown"
+	case KindRetry:
+		return "retry"
+	case KindFrame:
+		return "frame"
+	case KindFlow:
+		return "flow"
+	default:
+		return "unspecified"
+	}
+}
+
+// Code names one reason.
+type Code uint8
+
+// Reasons. Names and texts stand in the table below.
+const (
+	None Code = iota
+
+	SlotsFull
+	QueueFull
+	WaitTooLong
+	DeadlineTooClose
+	DeadlineInQueue
+	CallerGone
+	Leaving
+	BackendAbsent
+	BackendUnreachable
+	BackendRefused
+	RequestTooLarge
+	RequestInvalid
+	BodiesFull
+	WatchesFull
+	GrantUnavailable
+	GrantsFull
+	KeyMismatch
+	KeyInvalid
+	KeysFull
+
+	Deadline
+	AnswerTruncated
+	AnswerCrossed
+	AnswerUndelimited
+	BackendReset
+	Held
+	AnswerOmitted
+
+	RetryConnect
+	RetryRefused
+	RetryBudget
+	RetryAttempts
+	RetryDeadline
+
+	FrameInvalid
+	FrameKind
+	FrameService
+	FrameTarget
+	FrameIncarnation
+	FrameConnectionID
+	FrameUnregistered
+
+	FlowLeaving
+	FlowLoaded
+	FlowHops
+	FlowNoAlternate
+	FlowRefused
+
+	last
+)
+
+// Info describes one reason.
+type Info struct {
+	Code Code
+	Kind Kind
+	// Name is the value of the Request-Reason header and of the counter's tag.
+	Name string
+	// Text explains the reason to operators.
+	Text string
+}
+
+var table = [last]Info{
+	SlotsFull:          {Kind: KindNotRun, Name: "slots-full", Text: "All slots are taken and the queue is turned off."},
+	QueueFull:          {Kind: KindNotRun, Name: "queue-full", Text: "All slots are taken and the queue for them is full."},
+	WaitTooLong:        {Kind: KindNotRun, Name: "wait-too-long", Text: "The expected wait for a slot is longer than the bound of the queue, or the wait reached it."},
+	DeadlineTooClose:   {Kind: KindNotRun, Name: "deadline-too-close", Text: "The deadline leaves less time than the request is expected to wait and run."},
+	DeadlineInQueue:    {Kind: KindNotRun, Name: "deadline-in-queue", Text: "The deadline passed before the request was handed to the backend server."},
+	CallerGone:         {Kind: KindNotRun, Name: "caller-gone", Text: "The caller gave up before the request was handed to the backend server."},
+	Leaving:            {Kind: KindNotRun, Name: "leaving", Text: "The target is leaving and takes no new requests."},
+	BackendAbsent:      {Kind: KindNotRun, Name: "backend-absent", Text: "No backend server has announced itself."},
+	BackendUnreachable: {Kind: KindNotRun, Name: "backend-unreachable", Text: "No connection to the backend server could be opened."},
+	BackendRefused:     {Kind: KindNotRun, Name: "backend-refused", Text: "The backend server answered that it did not run the request."},
+	RequestTooLarge:    {Kind: KindNotRun, Name: "request-too-large", Text: "The request body is larger than max_request_bytes."},
+	RequestInvalid:     {Kind: KindNotRun, Name: "request-invalid", Text: "The request or one of its protocol headers is malformed."},
+	BodiesFull:         {Kind: KindNotRun, Name: "bodies-full", Text: "Too many bytes of request bodies are held at the same time."},
+	WatchesFull:        {Kind: KindNotRun, Name: "watches-full", Text: "Too many watch sessions are open."},
+	GrantUnavailable:   {Kind: KindNotRun, Name: "grant-unavailable", Text: "No quorum of control hosts granted the right to run the request."},
+	GrantsFull:         {Kind: KindNotRun, Name: "grants-full", Text: "Too many requests wait for a grant on this host."},
+	KeyMismatch:        {Kind: KindNotRun, Name: "key-mismatch", Text: "The idempotency key belongs to another request."},
+	KeyInvalid:         {Kind: KindNotRun, Name: "key-invalid", Text: "The idempotency key is empty, repeated or too long."},
+	KeysFull:           {Kind: KindNotRun, Name: "keys-full", Text: "The table of idempotency keys is full."},
+
+	Deadline:          {Kind: KindUnknown, Name: "deadline", Text: "The deadline passed while the backend server had the request."},
+	AnswerTruncated:   {Kind: KindUnknown, Name: "answer-truncated", Text: "The answer of the backend server ended early."},
+	AnswerCrossed:     {Kind: KindUnknown, Name: "answer-crossed", Text: "The answer of the backend server belongs to another request."},
+	AnswerUndelimited: {Kind: KindUnknown, Name: "answer-undelimited", Text: "The answer of the backend server has neither a length nor chunks, so that its end cannot be told from an abort."},
+	BackendReset:      {Kind: KindUnknown, Name: "backend-reset", Text: "The connection to the backend server broke after the request was sent."},
+	Held:              {Kind: KindUnknown, Name: "held", Text: "Another attempt with the same idempotency key holds the right to run and has no recorded answer."},
+	AnswerOmitted:     {Kind: KindUnknown, Name: "answer-omitted", Text: "The request ran once; its answer was too long to be recorded."},
+
+	RetryConnect:  {Kind: KindRetry, Name: "connect", Text: "Repeated because no connection could be opened."},
+	RetryRefused:  {Kind: KindRetry, Name: "refused", Text: "Repeated because the backend server did not run the request."},
+	RetryBudget:   {Kind: KindRetry, Name: "budget-spent", Text: "Not repeated: the retry budget of the host is spent."},
+	RetryAttempts: {Kind: KindRetry, Name: "attempts-spent", Text: "Not repeated: the request had all its attempts."},
+	RetryDeadline: {Kind: KindRetry, Name: "deadline-too-close", Text: "Not repeated: the deadline leaves no time."},
+
+	FrameInvalid:      {Kind: KindFrame, Name: "invalid", Text: "The frame is malformed or its tag is wrong."},
+	FrameKind:         {Kind: KindFrame, Name: "kind", Text: "The frame is of a kind that agents do not receive."},
+	FrameService:      {Kind: KindFrame, Name: "service", Text: "The frame is for another service."},
+	FrameTarget:       {Kind: KindFrame, Name: "target", Text: "The frame is for another target."},
+	FrameIncarnation:  {Kind: KindFrame, Name: "incarnation", Text: "The frame is for another incarnation of the target."},
+	FrameConnectionID: {Kind: KindFrame, Name: "connection-id", Text: "The connection ID in the datagram does not name this target."},
+	FrameUnregistered: {Kind: KindFrame, Name: "unregistered", Text: "The target is not registered yet."},
+
+	FlowLeaving:     {Kind: KindFlow, Name: "leaving", Text: "A new flow was handed on because the target is leaving."},
+	FlowLoaded:      {Kind: KindFlow, Name: "loaded", Text: "A new flow was handed on because the target is far more loaded than usual."},
+	FlowHops:        {Kind: KindFlow, Name: "hops", Text: "A new flow could not be handed on again: it had its hops."},
+	FlowNoAlternate: {Kind: KindFlow, Name: "no-alternate", Text: "A new flow could not be handed on: no other target is known."},
+	FlowRefused:     {Kind: KindFlow, Name: "refused", Text: "A handshake was refused because the target is leaving."},
+}
+
+// Info returns the description of the reason.
+func (c Code) Info() Info {
+	if c >= last {
+		return Info{Code: c}
+	}
+	info := table[c]
+	info.Code = c
+	return info
+}
+
+// String returns the name of the reason, empty for None.
+func (c Code) String() string {
+	return c.Info().Name
+}
+
+// Kind returns the group of the reason, 0 for None.
+func (c Code) Kind() Kind {
+	return c.Info().Kind
+}
+
+// Table returns every reason in stable order.
+func Table() []Info {
+	all := make([]Info, 0, last)
+	for c := None + 1; c < last; c++ {
+		all = append(all, c.Info())
+	}
+	return all
+}
--- /dev/null
+++ b/reason/reason_test.go
@@ -0,0 +1,32 @@
+package reason_test
+
+import (
+	"regexp"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/reason"
+)
+
+func TestTableIsWholeAndUnique(t *testing.T) {
+	is := is.New(t)
+	name := regexp.MustCompile(`^[a-z]+(-[a-z]+)*$`)
+	type key struct {
+		kind reason.Kind
+		name string
+	}
+	seen := map[key]bool{}
+	for _, info := range reason.Table() {
+		is.True(name.MatchString(info.Name))         // lower-case words
+		is.True(info.Text != "")                     // has an explanation
+		is.True(info.Kind >= reason.KindNotRun)      // has a kind
+		is.True(info.Kind <= reason.KindFlow)        // of the known ones
+		is.True(!seen[key{info.Kind, info.Name}])    // stands once
+		is.Equal(info.Code.String(), info.Name)      // found by its code
+		is.True(info.Kind.String() != "unspecified") // kind has a name
+		seen[key{info.Kind, info.Name}] = true
+	}
+	is.Equal(reason.None.String(), "")
+	is.Equal(reason.Code(255).String(), "")
+}
--- /dev/null
+++ b/returnpath/path.go
@@ -0,0 +1,82 @@
+package returnpath
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// Depth is the number of entry hosts that a flow remembers.
+	Depth = 4
+	// SilentDatagrams is the number of datagrams sent with nothing heard
+	// after which a flow may move to its next entry host.
+	SilentDatagrams = 4
+	// SilentTime must also have passed since the last datagram was heard: a
+	// burst within one round trip is no sign of a dead path.
+	SilentTime = 150 * time.Millisecond
+)
+
+// Path holds the entry hosts that one flow was heard through, the one to use
+// next in front. The zero value is empty. It is not safe for use by several
+// goroutines at once.
+type Path struct {
+	hosts  [Depth]netip.AddrPort
+	count  uint8
+	silent uint16
+	// moves counts how often the path moved on since it last heard anything.
+	moves uint16
+	since time.Duration
+}
+
+// Heard records that a datagram of the flow came through the entry host. now
+// is the time on any monotonic scale.
+func (p *Path) Heard(entry netip.AddrPort, now time.Duration) {
+	p.silent = 0
+	p.moves = 0
+	p.since = now
+	p.toFront(entry)
+}
+
+// Next returns the entry host for the next datagram and counts the datagram.
+// It moves to the next entry host once SilentDatagrams were sent and
+// SilentTime passed with nothing heard. ok is false when no entry host is
+// known. exhausted is set once every remembered entry host was tried in vain.
+func (p *Path) Next(now time.Duration) (entry netip.AddrPort, exhausted, ok bool) {
+	if p.count == 0 {
+		return netip.AddrPort{}, true, false
+	}
+	if p.silent >= SilentDatagrams && now-p.since >= SilentTime {
+		p.rotate(now)
+	}
+	p.silent++
+	return p.hosts[0], p.moves >= uint16(p.count), true
+}
+
+// rotate moves the front entry host to the end and starts a new wait.
+func (p *Path) rotate(now time.Duration) {
+	front := p.hosts[0]
+	copy(p.hosts[:p.count], p.hosts[1:p.count])
+	p.hosts[p.count-1] = front
+	p.silent = 0
+	p.since = now
+	if p.moves < ^uint16(0) {
+		p.moves++
+	}
+}
+
+// toFront puts the entry host first; the oldest one falls out of a full path.
+func (p *Path) toFront(entry netip.AddrPort) {
+	at := int(p.count)
+	for i := range int(p.count) {
+		if p.hosts[i] == entry {
+			at = i
+			break
+		}
+	}
+	if at == int(p.count) && p.count < Depth {
+		p.count++
+	}
+	at = min(at, Depth-1)
+	copy(p.hosts[1:at+1], p.hosts[:at])
+	p.hosts[0] = entry
+}
--- /dev/null
+++ b/returnpath/recent.go
@@ -0,0 +1,68 @@
+package returnpath
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// RecentHosts bounds the entry hosts that a host remembers.
+	RecentHosts = 64
+	// RecentAge is the age after which an entry host is no longer offered.
+	RecentAge = 30 * time.Second
+)
+
+// Recent holds the entry hosts that any flow was heard through lately. It is
+// the last resort of a flow whose own entry hosts all went silent. It is not
+// safe for use by several goroutines at once.
+type Recent struct {
+	heard map[netip.AddrPort]time.Duration
+	order []netip.AddrPort
+	next  int
+}
+
+// NewRecent returns an empty list.
+func NewRecent() *Recent {
+	return &Recent{heard: make(map[netip.AddrPort]time.Duration, RecentHosts)}
+}
+
+// Heard records that a frame came from the entry host.
+func (r *Recent) Heard(entry netip.AddrPort, now time.Duration) {
+	if _, known := r.heard[entry]; known {
+		r.heard[entry] = now
+		return
+	}
+	if len(r.order) >= RecentHosts {
+		r.evictOldest()
+	}
+	r.heard[entry] = now
+	r.order = append(r.order, entry)
+}
+
+// Next returns one entry host heard within RecentAge, another one each time.
+func (r *Recent) Next(now time.Duration) (netip.AddrPort, bool) {
+	for range r.order {
+		r.next = (r.next + 1) % len(r.order)
+		entry := r.order[r.next]
+		if now-r.heard[entry] <= RecentAge {
+			return entry, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// Len returns the number of entry hosts remembered.
+func (r *Recent) Len() int {
+	return len(r.order)
+}
+
+func (r *Recent) evictOldest() {
+	oldest := 0
+	for i, entry := range r.order {
+		if r.heard[entry] < r.heard[r.order[oldest]] {
+			oldest = i
+		}
+	}
+	delete(r.heard, r.order[oldest])
+	r.order = append(r.order[:oldest], r.order[oldest+1:]...)
+}
--- /dev/null
+++ b/returnpath/returnpath_test.go
@@ -0,0 +1,118 @@
+package returnpath_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"eelgrasswharf.example/eelgrasswharf/returnpath"
+)
+
+func host(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(n >> 8), byte(n)}), 4000)
+}
+
+func TestPathUsesTheLastHeard(t *testing.T) {
+	is := is.New(t)
+	var p returnpath.Path
+	_, _, ok := p.Next(0)
+	is.True(!ok) // nothing heard yet
+	for n := range 6 {
+		p.Heard(host(n), time.Duration(n))
+	}
+	entry, exhausted, ok := p.Next(10)
+	is.True(ok)
+	is.True(!exhausted)
+	is.Equal(entry, host(5))
+}
+
+func TestPathMovesOnWhenSilent(t *testing.T) {
+	is := is.New(t)
+	var p returnpath.Path
+	p.Heard(host(1), 0)
+	p.Heard(host(2), 0)
+	for range returnpath.SilentDatagrams {
+		entry, _, _ := p.Next(time.Millisecond)
+		is.Equal(entry, host(2))
+	}
+	entry, _, _ := p.Next(time.Millisecond)
+	is.Equal(entry, host(2)) // a burst within one round trip does not move it
+	entry, exhausted, _ := p.Next(returnpath.SilentTime)
+	is.Equal(entry, host(1))
+	is.True(!exhausted)
+	for range returnpath.SilentDatagrams {
+		p.Next(returnpath.SilentTime)
+	}
+	_, exhausted, _ = p.Next(2 * returnpath.SilentTime)
+	is.True(exhausted) // both were tried in vain
+	p.Heard(host(1), 2*returnpath.SilentTime)
+	entry, exhausted, _ = p.Next(2 * returnpath.SilentTime)
+	is.Equal(entry, host(1))
+	is.True(!exhausted)
+}
+
+func TestPathOffersOnlyWhatItHeard(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p returnpath.Path
+		heard := map[netip.AddrPort]bool{}
+		last := netip.AddrPort{}
+		justHeard := false
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			if rapid.Bool().Draw(t, "hear") {
+				last = host(rapid.IntRange(0, 8).Draw(t, "host"))
+				p.Heard(last, now)
+				heard[last] = true
+				justHeard = true
+				continue
+			}
+			entry, _, ok := p.Next(now)
+			if ok != (len(heard) > 0) || (ok && !heard[entry]) {
+				t.Fatalf("offered %v, heard %v", entry, heard)
+			}
+			if justHeard && entry != last {
+				t.Fatalf("offered %v right after hearing %v", entry, last)
+			}
+			justHeard = false
+		}
+	})
+}
+
+func TestPathTriesEveryHostInTurn(t *testing.T) {
+	is := is.New(t)
+	var p returnpath.Path
+	for n := range returnpath.Depth {
+		p.Heard(host(n), 0)
+	}
+	tried := map[netip.AddrPort]bool{}
+	now := time.Duration(0)
+	for range returnpath.Depth * (returnpath.SilentDatagrams + 1) {
+		now += returnpath.SilentTime
+		entry, _, _ := p.Next(now)
+		tried[entry] = true
+	}
+	is.Equal(len(tried), returnpath.Depth)
+}
+
+func TestRecentIsBoundedAndForgets(t *testing.T) {
+	is := is.New(t)
+	r := returnpath.NewRecent()
+	for n := range 3 * returnpath.RecentHosts {
+		r.Heard(host(n), time.Duration(n))
+	}
+	is.Equal(r.Len(), returnpath.RecentHosts)
+	seen := map[netip.AddrPort]bool{}
+	for range returnpath.RecentHosts {
+		entry, ok := r.Next(time.Second)
+		is.True(ok)
+		seen[entry] = true
+	}
+	is.Equal(len(seen), returnpath.RecentHosts) // takes turns
+	is.True(!seen[host(0)])                     // the oldest fell out
+	_, ok := r.Next(returnpath.RecentAge + time.Minute)
+	is.True(!ok) // all too old
+}
