--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,112 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"eelgrasswharf.example/eelgrasswharf/admission"
+	"eelgrasswharf.example/eelgrasswharf/reason"
+)
+
+const far = time.Minute
+
+func TestGateRunsThenQueuesThenSheds(t *testing.T) {
+	is := is.New(t)
+	g := admission.NewGate(admission.Limits{Slots: 2, Queue: 1, MaxWait: 50 * time.Millisecond})
+	is.Equal(g.Arrive(far).Action, admission.Run)
+	is.Equal(g.Arrive(far).Action, admission.Run)
+	is.Equal(g.Arrive(far).Action, admission.Wait)
+	v := g.Arrive(far)
+	is.Equal(v.Action, admission.Shed)
+	is.Equal(v.Reason, reason.QueueFull)
+	is.True(v.ComeBack > 0)
+	is.Equal(g.Load(), uint32(1500))
+	is.True(!g.Start()) // no slot is free
+	g.Done(time.Millisecond)
+	is.True(g.Start())
+	is.Equal(g.Running(), 2)
+	is.Equal(g.Waiting(), 0)
+}
+
+func TestGateShedsOnExpectedWait(t *testing.T) {
+	is := is.New(t)
+	g := admission.NewGate(admission.Limits{Slots: 1, Queue: 8, MaxWait: 50 * time.Millisecond})
+	is.Equal(g.Arrive(far).Action, admission.Run)
+	g.Done(time.Second)
+	is.Equal(g.Arrive(far).Action, admission.Run)
+	v := g.Arrive(far)
+	is.Equal(v.Reason, reason.WaitTooLong)
+	is.Equal(v.ComeBack, time.Second) // the time after which a slot is expected
+}
+
+func TestGateShedsOnDeadline(t *testing.T) {
+	is := is.New(t)
+	g := admission.NewGate(admission.Limits{Slots: 2, Queue: 8, MaxWait: time.Second})
+	is.Equal(g.Arrive(far).Action, admission.Run)
+	g.Done(100 * time.Millisecond)
+	is.Equal(g.Arrive(0).Reason, reason.DeadlineTooClose)
+	is.Equal(g.Arrive(50*time.Millisecond).Action, admission.Run)            // idle: observes again
+	is.Equal(g.Arrive(50*time.Millisecond).Reason, reason.DeadlineTooClose)  // would not end in time
+	is.Equal(g.Arrive(far).Action, admission.Run)                            // takes the second slot
+	is.Equal(g.Arrive(120*time.Millisecond).Reason, reason.DeadlineTooClose) // wait and run do not fit
+	is.Equal(g.Arrive(200*time.Millisecond).Action, admission.Wait)          // both fit
+	is.Equal(g.Leave(reason.WaitTooLong).Reason, reason.WaitTooLong)
+	is.Equal(g.Waiting(), 0)
+}
+
+func TestGateWithoutQueue(t *testing.T) {
+	is := is.New(t)
+	g := admission.NewGate(admission.Limits{})
+	for range admission.DefaultSlots {
+		is.Equal(g.Arrive(far).Action, admission.Run)
+	}
+	is.Equal(g.Arrive(far).Reason, reason.SlotsFull)
+}
+
+func TestGateNeverExceedsItsLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		queue := rapid.IntRange(0, 6).Draw(t, "queue")
+		g := admission.NewGate(admission.Limits{Slots: slots, Queue: queue, MaxWait: 100 * time.Millisecond})
+		running, waiting := 0, 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				v := g.Arrive(time.Duration(rapid.Int64Range(-10, 500).Draw(t, "remaining")) * time.Millisecond)
+				running += count(v.Action == admission.Run)
+				waiting += count(v.Action == admission.Wait)
+				if v.Action == admission.Shed && (v.Reason == reason.None || v.ComeBack <= 0) {
+					t.Fatalf("shed without reason or time to come back: %+v", v)
+				}
+			case 1:
+				if running > 0 {
+					g.Done(time.Duration(rapid.Int64Range(0, 300).Draw(t, "took")) * time.Millisecond)
+					running--
+				}
+			case 2:
+				if g.Start() {
+					waiting--
+					running++
+				}
+			case 3:
+				if waiting > 0 {
+					g.Leave(reason.CallerGone)
+					waiting--
+				}
+			}
+			if g.Running() != running || g.Waiting() != waiting || running > slots || waiting > queue {
+				t.Fatalf("running %d/%d of %d, waiting %d/%d of %d", g.Running(), running, slots, g.Waiting(), waiting, queue)
+			}
+		}
+	})
+}
+
+func count(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/health/health_test.go
@@ -0,0 +1,170 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"eelgrasswharf.example/eelgrasswharf/health"
+)
+
+const tick = 100 * time.Millisecond
+
+// serve lets one request end in the given way.
+func serve(t *health.Tracker, now time.Duration, r health.Result) {
+	t.Started(now)
+	t.Ended(now, r)
+}
+
+func TestObservationBeatsEndpointAlwaysIll(t *testing.T) {
+	is := is.New(t)
+	tr := health.NewTracker()
+	now := time.Duration(0)
+	for range health.ReportsInRow {
+		tr.Reported(now, health.ReportIll)
+	}
+	is.Equal(tr.Verdict(now), health.Verdict{Ill: true, Basis: health.BasisReport})
+	for range health.MinSamples {
+		serve(tr, now, health.Answered)
+	}
+	is.Equal(tr.Verdict(now), health.Verdict{Basis: health.BasisObservation})
+	now += 2 * health.Window // no observation is left, the report stays refuted
+	tr.Reported(now, health.ReportIll)
+	is.True(!tr.Verdict(now).Ill)
+	tr.Reported(now, health.ReportWell) // it changed, so it counts again
+	for range health.ReportsInRow {
+		tr.Reported(now, health.ReportIll)
+	}
+	is.True(tr.Verdict(now).Ill)
+}
+
+func TestReportsAloneHoldOnlyForATime(t *testing.T) {
+	is := is.New(t)
+	tr := health.NewTracker()
+	for now := time.Duration(0); now < health.ReportTrust; now += time.Second {
+		tr.Reported(now, health.ReportIll)
+	}
+	is.True(tr.Verdict(health.ReportTrust).Ill)
+	is.True(!tr.Verdict(health.ReportTrust + tick).Ill) // gets work again
+}
+
+func TestObservationBeatsEndpointAlwaysWell(t *testing.T) {
+	is := is.New(t)
+	tr := health.NewTracker()
+	now := time.Second
+	tr.Reported(now, health.ReportWell)
+	for range health.MinSamples {
+		serve(tr, now, health.Broken)
+		tr.Reported(now, health.ReportWell)
+	}
+	is.Equal(tr.Verdict(now), health.Verdict{Ill: true, Basis: health.BasisObservation})
+	now += health.HoldFirst + health.Window + tick
+	is.True(!tr.Verdict(now).Ill) // gets work again
+}
+
+func TestRefusedConnectionsDecideSoon(t *testing.T) {
+	is := is.New(t)
+	tr := health.NewTracker()
+	for range health.RefusedInRow - 1 {
+		serve(tr, 0, health.Refused)
+	}
+	is.True(!tr.Verdict(0).Ill)
+	serve(tr, 0, health.Refused)
+	is.True(tr.Verdict(0).Ill)
+}
+
+func TestFrozenEndpoint(t *testing.T) {
+	is := is.New(t)
+	tr := health.NewTracker()
+	now := time.Duration(0)
+	for range health.MinSamples {
+		serve(tr, now, health.Answered)
+		tr.Reported(now, health.ReportSilent)
+	}
+	is.True(!tr.Verdict(now).Ill) // the endpoint hangs, but requests are answered
+	tr.Started(now)
+	now += health.StallTime
+	is.Equal(tr.Verdict(now), health.Verdict{Ill: true, Basis: health.BasisStall}) // both hang
+	tr.Ended(now, health.Answered)
+	is.True(!tr.Verdict(now).Ill)
+}
+
+func TestCancelledRequestsSayNothing(t *testing.T) {
+	is := is.New(t)
+	tr := health.NewTracker()
+	for range 3 * health.MinSamples {
+		serve(tr, 0, health.Cancelled)
+	}
+	is.Equal(tr.Verdict(0), health.Verdict{})
+	is.Equal(tr.InFlight(), 0)
+}
+
+func TestHoldDoublesWhileIllnessReturns(t *testing.T) {
+	is := is.New(t)
+	tr := health.NewTracker()
+	now, holds := time.Second, []time.Duration{}
+	for range 6 {
+		for range health.RefusedInRow {
+			serve(tr, now, health.Refused)
+		}
+		began := now
+		for tr.Verdict(now).Ill && now-began < time.Minute {
+			now += tick
+			if tr.Verdict(now).Basis == health.BasisObservation && now-began > health.HoldMax+health.Window {
+				break
+			}
+		}
+		holds = append(holds, now-began)
+	}
+	for i := 1; i < len(holds); i++ {
+		is.True(holds[i] >= holds[i-1]) // never shorter while it returns
+	}
+	is.True(holds[len(holds)-1] <= health.HoldMax+health.Window+tick)
+}
+
+func TestFewFailuresNeverMakeIll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := health.NewTracker()
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 100).Draw(t, "rounds") {
+			now += time.Duration(rapid.Int64Range(0, 300).Draw(t, "ms")) * time.Millisecond
+			tr.Reported(now, health.Report(rapid.IntRange(1, 3).Draw(t, "report")))
+			serve(tr, now, health.Answered)
+			serve(tr, now, health.Answered)
+			serve(tr, now, health.Answered)
+			serve(tr, now, health.Result(rapid.IntRange(1, 5).Draw(t, "result")))
+			serve(tr, now, health.Answered)
+			if v := tr.Verdict(now); v.Ill {
+				t.Fatalf("one failure in five made the verdict %+v", v)
+			}
+		}
+	})
+}
+
+func TestLoadIsMovedLittleByReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := health.LoadInput{
+			Running:         rapid.IntRange(0, 10).Draw(t, "running"),
+			Waiting:         rapid.IntRange(0, 10).Draw(t, "waiting"),
+			Slots:           rapid.IntRange(0, 8).Draw(t, "slots"),
+			ReportedRunning: -1,
+			Flows:           rapid.IntRange(0, 4000).Draw(t, "flows"),
+			FlowCapacity:    2000,
+		}
+		honest := health.Load(in)
+		in.ReportedRunning = rapid.IntRange(-5, 1<<40).Draw(t, "reported")
+		told := health.Load(in)
+		if told < honest || told > honest+250 {
+			t.Fatalf("a report moved the load from %d to %d", honest, told)
+		}
+	})
+}
+
+func TestLoad(t *testing.T) {
+	is := is.New(t)
+	is.Equal(health.Load(health.LoadInput{Running: 2, Slots: 4, ReportedRunning: -1}), uint16(500))
+	is.Equal(health.Load(health.LoadInput{Running: 4, Waiting: 2, Slots: 4, ReportedRunning: -1}), uint16(1500))
+	is.Equal(health.Load(health.LoadInput{Slots: 4, Flows: 100, FlowCapacity: 2000, ReportedRunning: -1}), uint16(50))
+}
