--- /dev/null
+++ b/internal/agentd/chance.go
@@ -0,0 +1,21 @@
+package agentd
+
+import (
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+)
+
+// newRand returns a source of chance for jitter, seeded by the system.
+func newRand() *rand.Rand {
+	var seed [16]byte
+	_, _ = crand.Read(seed[:])
+	first := binary.LittleEndian.Uint64(seed[:8])
+	second := binary.LittleEndian.Uint64(seed[8:])
+	return rand.New(rand.NewPCG(first, second))
+}
+
+// randomByte returns a random byte for connection IDs.
+func randomByte() byte {
+	return byte(rand.Uint32())
+}
--- /dev/null
+++ b/internal/agentd/clock.go
@@ -0,0 +1,17 @@
+package agentd
+
+import "time"
+
+// clock measures time since the start of the process on the monotonic clock.
+type clock struct {
+	start time.Time
+}
+
+func newClock() clock {
+	return clock{start: time.Now()}
+}
+
+// now returns the time since the start.
+func (c clock) now() time.Duration {
+	return time.Since(c.start)
+}
--- /dev/null
+++ b/internal/agentd/control.go
@@ -0,0 +1,77 @@
+package agentd
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+)
+
+// controlCaller asks the control hosts. link.Client implements it.
+type controlCaller interface {
+	Call(ctx context.Context, req *controlpb.Request) (*controlpb.Response, error)
+}
+
+// control is what the agent asks of the control hosts.
+type control struct {
+	caller controlCaller
+}
+
+// grant has a command applied by the grant group. It returns ErrNotDone or
+// ErrUnknown, wrapped.
+func (c control) grant(ctx context.Context, command *grantpb.Command) (*grantpb.Result, error) {
+	req := &controlpb.Request{Body: &controlpb.Request_Grant{Grant: command}}
+	res, err := c.call(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	result := res.GetGrant()
+	if result == nil {
+		return nil, errors.Wrap(ErrUnknown, "no grant result in the answer")
+	}
+	return result, nil
+}
+
+// register asks for the identity of a target.
+func (c control) register(ctx context.Context, ask *configpb.RegisterTarget) (*configpb.Registration, error) {
+	req := &controlpb.Request{Body: &controlpb.Request_Register{Register: ask}}
+	res, err := c.call(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	registration := res.GetRegistration()
+	if registration == nil {
+		return nil, errors.Wrap(ErrUnknown, "no registration in the answer")
+	}
+	if text := registration.GetRefusal(); text != "" {
+		return nil, errors.Wrap(ErrRegistration, text)
+	}
+	return registration, nil
+}
+
+func (c control) call(ctx context.Context, req *controlpb.Request) (*controlpb.Response, error) {
+	res, err := c.caller.Call(ctx, req)
+	if errors.Is(err, link.ErrNotSent) {
+		return nil, errors.Wrap(ErrNotDone, err.Error())
+	}
+	if err != nil {
+		return nil, errors.Wrap(ErrUnknown, err.Error())
+	}
+	return res, faultError(res.GetFault())
+}
+
+func faultError(fault *controlpb.Fault) error {
+	if fault == nil {
+		return nil
+	}
+	switch fault.GetKind() {
+	case controlpb.FaultKind_FAULT_NOT_DONE, controlpb.FaultKind_FAULT_FORBIDDEN:
+		return errors.Wrap(ErrNotDone, fault.GetText())
+	default:
+		return errors.Wrap(ErrUnknown, fault.GetText())
+	}
+}
--- /dev/null
+++ b/internal/agentd/counters.go
@@ -0,0 +1,73 @@
+package agentd
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"eelgrasswharf.example/eelgrasswharf/reason"
+	"eelgrasswharf.example/eelgrasswharf/retry"
+)
+
+// counterNames maps kinds of reasons to the names of their counters.
+var counterNames = map[reason.Kind]string{
+	reason.KindNotRun:  "requests_refused",
+	reason.KindUnknown: "requests_unknown",
+	reason.KindRetry:   "retries",
+	reason.KindFrame:   "frames_refused",
+	reason.KindFlow:    "flows_handed_on",
+}
+
+// counters holds every counter of the agent.
+type counters struct {
+	reasons  map[reason.Code]tally.Counter
+	outcomes map[retry.Outcome]tally.Counter
+
+	frames      tally.Counter
+	datagrams   tally.Counter
+	pathMoved   tally.Counter
+	lastResort  tally.Counter
+	replayed    tally.Counter
+	resets      tally.Counter
+	unrecorded  tally.Counter
+	sessions    tally.Gauge
+	watches     tally.Gauge
+	running     tally.Gauge
+	waiting     tally.Gauge
+	ill         tally.Gauge
+	requestTime tally.Timer
+}
+
+func newCounters(scope tally.Scope) *counters {
+	c := &counters{
+		reasons:     make(map[reason.Code]tally.Counter),
+		outcomes:    make(map[retry.Outcome]tally.Counter),
+		frames:      scope.Counter("frames_received"),
+		datagrams:   scope.Counter("datagrams_sent"),
+		pathMoved:   scope.Counter("return_paths_silent"),
+		lastResort:  scope.Counter("return_paths_last_resort"),
+		replayed:    scope.Counter("answers_replayed"),
+		resets:      scope.Counter("answers_reset"),
+		unrecorded:  scope.Counter("answers_unrecorded"),
+		sessions:    scope.Gauge("sessions"),
+		watches:     scope.Gauge("watches"),
+		running:     scope.Gauge("requests_running"),
+		waiting:     scope.Gauge("requests_waiting"),
+		ill:         scope.Gauge("backend_ill"),
+		requestTime: scope.Timer("request_time"),
+	}
+	for _, info := range reason.Table() {
+		tagged := scope.Tagged(map[string]string{"reason": info.Name})
+		c.reasons[info.Code] = tagged.Counter(counterNames[info.Kind])
+	}
+	for _, o := range []retry.Outcome{retry.NotRun, retry.Unknown, retry.Answered} {
+		tagged := scope.Tagged(map[string]string{"outcome": o.String()})
+		c.outcomes[o] = tagged.Counter("requests")
+	}
+	return c
+}
+
+// count adds one to the counter of the reason.
+func (c *counters) count(code reason.Code) {
+	if counter, ok := c.reasons[code]; ok {
+		counter.Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/agentd/errors.go
@@ -0,0 +1,23 @@
+package agentd
+
+import "github.com/go-faster/errors"
+
+// Errors of the agent.
+var (
+	// ErrSettings is returned for settings that the agent cannot run with.
+	ErrSettings = errors.New("settings of the agent")
+	// ErrNoEntryHost is returned when a datagram has no way back: no entry
+	// host was heard lately.
+	ErrNoEntryHost = errors.New("no entry host known")
+	// ErrLeaving refuses a handshake because the target is leaving.
+	ErrLeaving = errors.New("target is leaving")
+	// ErrSealed is returned for a write after the outcome of a request was
+	// decided.
+	ErrSealed = errors.New("connection sealed")
+	// ErrNotDone means that a control host certainly did nothing.
+	ErrNotDone = errors.New("control host did nothing")
+	// ErrUnknown means that it is not known what a control host did.
+	ErrUnknown = errors.New("outcome at control host unknown")
+	// ErrRegistration is returned when the control hosts refuse the target.
+	ErrRegistration = errors.New("registration refused")
+)
--- /dev/null
+++ b/internal/agentd/gate.go
@@ -0,0 +1,113 @@
+package agentd
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"eelgrasswharf.example/eelgrasswharf/admission"
+	"eelgrasswharf.example/eelgrasswharf/reason"
+)
+
+// gate gives out the slots of the backend server in the order of arrival.
+type gate struct {
+	mu    sync.Mutex
+	state *admission.Gate
+	queue []*waiter
+}
+
+// waiter is one request in the queue. Its channel is closed when it has a
+// slot.
+type waiter struct {
+	ready chan struct{}
+}
+
+func newGate(limits admission.Limits) *gate {
+	return &gate{state: admission.NewGate(limits)}
+}
+
+func (g *gate) setLimits(limits admission.Limits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.state.SetLimits(limits)
+	g.wake()
+}
+
+// enter waits for a slot, for no longer than the verdict allows. The caller
+// gives a slot back by leave.
+func (g *gate) enter(ctx context.Context, remaining time.Duration) admission.Verdict {
+	verdict, w := g.arrive(remaining)
+	if verdict.Action != admission.Wait {
+		return verdict
+	}
+	timer := time.NewTimer(verdict.MaxWait)
+	defer timer.Stop()
+	select {
+	case <-w.ready:
+		return admission.Verdict{Action: admission.Run}
+	case <-timer.C:
+		return g.abandon(w, reason.WaitTooLong)
+	case <-ctx.Done():
+		return g.abandon(w, ctxReason(ctx, reason.DeadlineInQueue, reason.CallerGone))
+	}
+}
+
+func (g *gate) arrive(remaining time.Duration) (admission.Verdict, *waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	verdict := g.state.Arrive(remaining)
+	if verdict.Action != admission.Wait {
+		return verdict, nil
+	}
+	w := &waiter{ready: make(chan struct{})}
+	g.queue = append(g.queue, w)
+	return verdict, w
+}
+
+// abandon takes a request out of the queue. It may have got its slot in the
+// meantime, and then keeps it.
+func (g *gate) abandon(w *waiter, why reason.Code) admission.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, other := range g.queue {
+		if other == w {
+			g.queue = append(g.queue[:i], g.queue[i+1:]...)
+			return g.state.Leave(why)
+		}
+	}
+	return admission.Verdict{Action: admission.Run}
+}
+
+// leave gives a slot back. took is 0 for a request that did not run to its
+// end.
+func (g *gate) leave(took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.state.Done(took)
+	g.wake()
+}
+
+// wake gives free slots to the requests that wait longest.
+func (g *gate) wake() {
+	for len(g.queue) > 0 && g.state.Start() {
+		close(g.queue[0].ready)
+		g.queue = g.queue[1:]
+	}
+}
+
+// gateFigures is a look at a gate.
+type gateFigures struct {
+	running, waiting, slots int
+	comeBack                time.Duration
+}
+
+func (g *gate) figures() gateFigures {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return gateFigures{
+		running:  g.state.Running(),
+		waiting:  g.state.Waiting(),
+		slots:    g.state.Slots(),
+		comeBack: g.state.ComeBack(),
+	}
+}
--- /dev/null
+++ b/internal/agentd/once.go
@@ -0,0 +1,214 @@
+package agentd
+
+import (
+	"context"
+	"crypto/rand"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+
+	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+	"eelgrasswharf.example/eelgrasswharf/reason"
+	"eelgrasswharf.example/eelgrasswharf/retry"
+)
+
+const (
+	// attemptBytes is the length of an attempt's identity.
+	attemptBytes = 16
+	// grantBackoff and maxGrantBackoff space the calls for one grant.
+	grantBackoff    = 20 * time.Millisecond
+	maxGrantBackoff = time.Second
+	// grantComeBack is told to callers when no grant could be had.
+	grantComeBack = time.Second
+	// heldComeBack is told to callers whose key another attempt holds.
+	heldComeBack = time.Second
+)
+
+// granter has commands applied by the grant group.
+type granter interface {
+	grant(ctx context.Context, command *grantpb.Command) (*grantpb.Result, error)
+}
+
+// right is the right to run the request of one idempotency key.
+type right struct {
+	service uint32
+	key     string
+	attempt []byte
+}
+
+// once runs requests at most once, by grants of the control hosts.
+type once struct {
+	granter  granter
+	service  uint32
+	timing   timing
+	counters *counters
+
+	asking    atomic.Int64
+	finishing atomic.Int64
+	wait      conc.WaitGroup
+	ctx       context.Context
+}
+
+// verdict is the answer to the question whether a request may run.
+type grantVerdict struct {
+	// right is set when the request may run.
+	right *right
+	// answer is set when the request ran before.
+	answer *grantpb.Answer
+	// refusal is set otherwise.
+	refusal *refusal
+}
+
+// acquire asks for the right to run the request.
+func (o *once) acquire(c *call) grantVerdict {
+	defer o.asking.Add(-1)
+	if o.asking.Add(1) > maxGrants {
+		return o.refused(retry.NotRun, reason.GrantsFull, scopeAttempt)
+	}
+	r := &right{service: o.service, key: c.key, attempt: newAttempt()}
+	command := &grantpb.Command{Body: &grantpb.Command_Acquire{Acquire: &grantpb.Acquire{
+		Service: r.service, Key: r.key, Attempt: r.attempt, Digest: c.digest(),
+	}}}
+	ctx, cancel := context.WithTimeout(c.ctx, o.timing.grantWait)
+	defer cancel()
+	result, maybe, err := o.repeat(ctx, command)
+	if err != nil {
+		return o.unavailable(c, r, maybe)
+	}
+	return o.decide(r, result)
+}
+
+// unavailable refuses a request that got no grant. This attempt never runs, so
+// a right that it may have got is given back.
+func (o *once) unavailable(c *call, r *right, maybe bool) grantVerdict {
+	if maybe {
+		o.finish(r.release())
+	}
+	why := reason.GrantUnavailable
+	if c.request.Context().Err() != nil {
+		why = reason.CallerGone
+	}
+	return o.refused(retry.NotRun, why, scopeAttempt)
+}
+
+func (o *once) decide(r *right, result *grantpb.Result) grantVerdict {
+	switch result.GetDecision() {
+	case grantpb.Decision_DECISION_GRANTED:
+		return grantVerdict{right: r}
+	case grantpb.Decision_DECISION_ANSWERED:
+		if result.GetAnswer().GetBodyOmitted() {
+			return o.refused(retry.Unknown, reason.AnswerOmitted, "")
+		}
+		return grantVerdict{answer: result.GetAnswer()}
+	case grantpb.Decision_DECISION_HELD:
+		return o.refused(retry.Unknown, reason.Held, "")
+	case grantpb.Decision_DECISION_MISMATCH:
+		return o.refused(retry.NotRun, reason.KeyMismatch, "")
+	case grantpb.Decision_DECISION_FULL:
+		return o.refused(retry.NotRun, reason.KeysFull, "")
+	default:
+		return o.refused(retry.NotRun, reason.GrantUnavailable, scopeAttempt)
+	}
+}
+
+func (o *once) refused(outcome retry.Outcome, why reason.Code, scope string) grantVerdict {
+	comeBack := grantComeBack
+	if why == reason.Held {
+		comeBack = heldComeBack
+	}
+	return grantVerdict{refusal: &refusal{outcome: outcome, reason: why, comeBack: comeBack, scope: scope}}
+}
+
+// complete records the answer before the caller is told. If that takes too
+// long it goes on in the background: the request ran, whether the record
+// succeeds or not.
+func (o *once) complete(r *right, answer *grantpb.Answer) {
+	o.settle(r.complete(answer))
+}
+
+// release gives the right back, before the caller is told, so that a caller
+// that comes back at once does not meet its own former attempt.
+func (o *once) release(r *right) {
+	o.settle(r.release())
+}
+
+func (o *once) settle(command *grantpb.Command) {
+	ctx, cancel := context.WithTimeout(o.ctx, o.timing.completeWait)
+	defer cancel()
+	if _, _, err := o.repeat(ctx, command); err != nil {
+		o.finish(command)
+	}
+}
+
+// finish repeats a command in the background for a bounded time.
+func (o *once) finish(command *grantpb.Command) {
+	if o.finishing.Add(1) > maxFinishes {
+		o.finishing.Add(-1)
+		o.counters.unrecorded.Inc(1)
+		return
+	}
+	o.wait.Go(func() {
+		defer o.finishing.Add(-1)
+		ctx, cancel := context.WithTimeout(o.ctx, o.timing.finishLimit)
+		defer cancel()
+		if _, _, err := o.repeat(ctx, command); err != nil {
+			o.counters.unrecorded.Inc(1)
+		}
+	})
+}
+
+// repeat has a command applied, and repeats it until it is known what became
+// of it: every command carries its attempt, so that a repetition changes
+// nothing. maybe is set if a failed command may have been applied.
+func (o *once) repeat(ctx context.Context, command *grantpb.Command) (result *grantpb.Result, maybe bool, err error) {
+	policy := retry.Policy{Base: grantBackoff, Max: maxGrantBackoff}
+	for n := 1; ; n++ {
+		try, cancel := context.WithTimeout(ctx, o.timing.grantTry)
+		result, err = o.granter.grant(try, command)
+		cancel()
+		if err == nil {
+			return result, maybe, nil
+		}
+		maybe = maybe || !errors.Is(err, ErrNotDone)
+		if !pause(ctx, policy.Backoff(n, newRand())) {
+			return nil, maybe, err
+		}
+	}
+}
+
+// drain waits until the background work has ended.
+func (o *once) drain() {
+	o.wait.Wait()
+}
+
+func (r *right) complete(answer *grantpb.Answer) *grantpb.Command {
+	return &grantpb.Command{Body: &grantpb.Command_Complete{Complete: &grantpb.Complete{
+		Service: r.service, Key: r.key, Attempt: r.attempt, Answer: answer,
+	}}}
+}
+
+func (r *right) release() *grantpb.Command {
+	return &grantpb.Command{Body: &grantpb.Command_Release{Release: &grantpb.Release{
+		Service: r.service, Key: r.key, Attempt: r.attempt,
+	}}}
+}
+
+func newAttempt() []byte {
+	b := make([]byte, attemptBytes)
+	_, _ = rand.Read(b)
+	return b
+}
+
+// pause waits and reports whether the context lasted that long.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/agentd/plane.go
@@ -0,0 +1,157 @@
+package agentd
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/sourcegraph/conc"
+
+	"eelgrasswharf.example/eelgrasswharf/connid"
+	"eelgrasswharf.example/eelgrasswharf/reason"
+)
+
+// plane is the data plane of a registered target: the frame socket, QUIC on
+// top of it, and the callers' sessions.
+type plane struct {
+	self      identity
+	socket    *frameSocket
+	transport *quic.Transport
+	listener  *quic.Listener
+	sessions  *sessions
+	counters  *counters
+	timing    timing
+	clock     clock
+
+	leaving atomic.Bool
+	since   atomic.Int64
+	state   atomic.Pointer[targetState]
+	wait    conc.WaitGroup
+}
+
+// planeOptions is what a plane is made of.
+type planeOptions struct {
+	conn        *net.UDPConn
+	self        identity
+	secrets     []connid.Secret
+	certificate func() *tls.Certificate
+	proxy       *proxy
+	flows       *flowTable
+	handOn      *handOn
+	counters    *counters
+	timing      timing
+	clock       clock
+}
+
+func newPlane(o planeOptions) (*plane, error) {
+	socket, err := newFrameSocket(o.conn, o.self, o.secrets)
+	if err != nil {
+		return nil, err
+	}
+	p := &plane{
+		self:     o.self,
+		socket:   socket,
+		sessions: newSessions(o.proxy, o.clock, o.timing),
+		counters: o.counters,
+		timing:   o.timing,
+		clock:    o.clock,
+	}
+	p.state.Store(&targetState{})
+	socket.flows = o.flows
+	socket.clock = o.clock
+	socket.counters = o.counters
+	socket.state = p.current
+	o.handOn.leaving = p.leaving.Load
+	o.handOn.state = p.current
+	socket.elsewhere = o.handOn.elsewhere
+	p.transport = p.newTransport(o.secrets[0])
+	p.listener, err = p.transport.Listen(callerTLS(o.certificate), quicConfig(o.timing))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen on frames")
+	}
+	return p, nil
+}
+
+// newTransport returns the QUIC end of the frame socket. It answers every
+// first packet that carries no token by a Retry, whose connection ID names
+// this agent.
+func (p *plane) newTransport(secret connid.Secret) *quic.Transport {
+	return &quic.Transport{
+		Conn: p.socket,
+		ConnectionIDGenerator: &idGenerator{
+			codec:  p.socket.ids,
+			target: p.self.connTarget(),
+			random: randomByte,
+		},
+		StatelessResetKey:   resetKey(secret, p.self.number, p.self.incarnation),
+		VerifySourceAddress: func(net.Addr) bool { return true },
+		ConnContext:         p.admit,
+	}
+}
+
+// admit refuses new connections of a target that has been leaving for longer
+// than the grace for handshakes under way.
+func (p *plane) admit(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+	if !p.leaving.Load() {
+		return ctx, nil
+	}
+	if p.clock.now()-time.Duration(p.since.Load()) <= p.timing.acceptGrace {
+		return ctx, nil
+	}
+	p.counters.count(reason.FlowRefused)
+	return nil, ErrLeaving
+}
+
+func (p *plane) current() targetState {
+	return *p.state.Load()
+}
+
+// run accepts connections until the plane is closed.
+func (p *plane) run() {
+	p.wait.Go(func() { p.sessions.accept(p.listener) })
+}
+
+// setLeaving starts or ends the refusal of new flows. goAway also moves the
+// callers' next requests elsewhere.
+func (p *plane) setLeaving(leaving, goAway bool) {
+	if leaving && !p.leaving.Load() {
+		p.since.Store(int64(p.clock.now()))
+	}
+	p.leaving.Store(leaving)
+	p.sessions.setLeaving(goAway)
+}
+
+// close ends the plane. Sessions still open are cut off.
+func (p *plane) close() {
+	p.sessions.closeAll()
+	_ = p.listener.Close()
+	p.sessions.wait.Wait()
+	_ = p.transport.Close()
+	_ = p.socket.Close()
+	p.wait.Wait()
+}
+
+func callerTLS(certificate func() *tls.Certificate) *tls.Config {
+	return http3.ConfigureTLSConfig(&tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return certificate(), nil
+		},
+	})
+}
+
+func quicConfig(t timing) *quic.Config {
+	return &quic.Config{
+		MaxIncomingStreams:    maxStreams,
+		MaxIncomingUniStreams: 8,
+		KeepAlivePeriod:       t.keepAlive,
+		MaxIdleTimeout:        t.idleTimeout,
+		// Frames leave no room to probe for larger packets.
+		DisablePathMTUDiscovery: true,
+	}
+}
