--- /dev/null
+++ b/internal/agentd/fakes_test.go
@@ -0,0 +1,357 @@
+package agentd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+)
+
+// controlMode is how the fake control hosts behave.
+type controlMode int32
+
+const (
+	controlWell controlMode = iota
+	// controlGone does nothing and says so.
+	controlGone
+	// controlDeaf does what it is asked and loses the answer.
+	controlDeaf
+)
+
+// fakeControl stands for the control hosts.
+type fakeControl struct {
+	mode atomic.Int32
+
+	mu           sync.Mutex
+	numbers      map[string]uint32
+	incarnations map[string]uint32
+	records      map[string]*grantpb.Record
+	commands     []*grantpb.Command
+}
+
+func newFakeControl() *fakeControl {
+	return &fakeControl{
+		numbers:      map[string]uint32{},
+		incarnations: map[string]uint32{},
+		records:      map[string]*grantpb.Record{},
+	}
+}
+
+func (f *fakeControl) set(mode controlMode) { f.mode.Store(int32(mode)) }
+
+// Call implements controlCaller.
+func (f *fakeControl) Call(ctx context.Context, req *controlpb.Request) (*controlpb.Response, error) {
+	mode := controlMode(f.mode.Load())
+	if mode == controlGone {
+		return nil, link.ErrNotSent
+	}
+	res := f.apply(req)
+	if mode == controlDeaf {
+		<-ctx.Done()
+		return nil, link.ErrUnknown
+	}
+	return res, nil
+}
+
+func (f *fakeControl) apply(req *controlpb.Request) *controlpb.Response {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ask := req.GetRegister(); ask != nil {
+		return &controlpb.Response{Body: &controlpb.Response_Registration{Registration: f.register(ask)}}
+	}
+	f.commands = append(f.commands, req.GetGrant())
+	return &controlpb.Response{Body: &controlpb.Response_Grant{Grant: f.grant(req.GetGrant())}}
+}
+
+func (f *fakeControl) register(ask *configpb.RegisterTarget) *configpb.Registration {
+	if f.numbers[ask.GetTarget()] == 0 {
+		f.numbers[ask.GetTarget()] = uint32(len(f.numbers) + 1)
+	}
+	f.incarnations[ask.GetTarget()]++
+	return &configpb.Registration{
+		ServiceNumber: 1,
+		TargetNumber:  f.numbers[ask.GetTarget()],
+		Incarnation:   f.incarnations[ask.GetTarget()],
+	}
+}
+
+func (f *fakeControl) grant(command *grantpb.Command) *grantpb.Result {
+	switch body := command.GetBody().(type) {
+	case *grantpb.Command_Acquire:
+		return f.acquire(body.Acquire)
+	case *grantpb.Command_Complete:
+		record := f.records[body.Complete.GetKey()]
+		if record == nil || !bytes.Equal(record.GetAttempt(), body.Complete.GetAttempt()) {
+			return &grantpb.Result{}
+		}
+		record.Answer = body.Complete.GetAnswer()
+		return &grantpb.Result{Taken: true}
+	case *grantpb.Command_Release:
+		record := f.records[body.Release.GetKey()]
+		if record == nil || !bytes.Equal(record.GetAttempt(), body.Release.GetAttempt()) {
+			return &grantpb.Result{}
+		}
+		delete(f.records, body.Release.GetKey())
+		return &grantpb.Result{Taken: true}
+	}
+	return &grantpb.Result{}
+}
+
+func (f *fakeControl) acquire(ask *grantpb.Acquire) *grantpb.Result {
+	record := f.records[ask.GetKey()]
+	switch {
+	case record == nil:
+		f.records[ask.GetKey()] = &grantpb.Record{Key: ask.GetKey(), Attempt: ask.GetAttempt(), Digest: ask.GetDigest()}
+		return &grantpb.Result{Decision: grantpb.Decision_DECISION_GRANTED}
+	case !bytes.Equal(record.GetDigest(), ask.GetDigest()):
+		return &grantpb.Result{Decision: grantpb.Decision_DECISION_MISMATCH}
+	case record.GetAnswer() != nil:
+		return &grantpb.Result{Decision: grantpb.Decision_DECISION_ANSWERED, Answer: record.GetAnswer()}
+	case bytes.Equal(record.GetAttempt(), ask.GetAttempt()):
+		return &grantpb.Result{Decision: grantpb.Decision_DECISION_GRANTED}
+	default:
+		return &grantpb.Result{Decision: grantpb.Decision_DECISION_HELD}
+	}
+}
+
+func (f *fakeControl) record(key string) *grantpb.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	record := f.records[key]
+	if record == nil {
+		return nil
+	}
+	return proto.CloneOf(record)
+}
+
+// fakeBackend is a backend server whose faults a test switches on by path.
+type fakeBackend struct {
+	server  *httptest.Server
+	mu      sync.Mutex
+	runs    map[string]int
+	seen    []http.Header
+	gone    atomic.Int64
+	running atomic.Int64
+	refuse  atomic.Int64
+	events  chan string
+	hold    chan struct{}
+}
+
+func newFakeBackend(t *testing.T) *fakeBackend {
+	t.Helper()
+	b := &fakeBackend{runs: map[string]int{}, events: make(chan string, 16), hold: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/echo", b.echo)
+	mux.HandleFunc("/run", b.run)
+	mux.HandleFunc("/watch", b.watch)
+	mux.HandleFunc("/hold", b.holdOn)
+	mux.HandleFunc("/large", b.large)
+	mux.HandleFunc("/cut", b.cut)
+	mux.HandleFunc("/crossed", b.crossed)
+	mux.HandleFunc("/twice", b.twice)
+	mux.HandleFunc("/undelimited", b.undelimited)
+	mux.HandleFunc("/reset", b.reset)
+	mux.HandleFunc("/status", b.status)
+	b.server = httptest.NewServer(mux)
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+func (b *fakeBackend) note(r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seen = append(b.seen, r.Header.Clone())
+	b.runs[r.Header.Get(headerKey)]++
+}
+
+func (b *fakeBackend) ran(key string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[key]
+}
+
+func (b *fakeBackend) lastHeader() http.Header {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seen[len(b.seen)-1]
+}
+
+func (b *fakeBackend) echo(w http.ResponseWriter, r *http.Request) {
+	if b.refuse.Add(-1) >= 0 {
+		w.Header().Set(headerOutcome, notRun)
+		w.Header().Set(headerRetryAfter, "3")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b.note(r)
+	w.Header().Set("Content-Type", "text/x-echo")
+	w.Header().Set(headerOutcome, "forged")
+	_, _ = io.Copy(w, r.Body)
+	_, _ = io.WriteString(w, r.URL.Query().Get("text"))
+}
+
+func (b *fakeBackend) run(w http.ResponseWriter, r *http.Request) {
+	b.note(r)
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Content-Type", "text/x-run")
+	w.WriteHeader(http.StatusCreated)
+	_, _ = fmt.Fprintf(w, "ran %s", body)
+}
+
+func (b *fakeBackend) watch(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	for {
+		select {
+		case event := <-b.events:
+			_, _ = io.WriteString(w, event+"\n")
+			_ = control.Flush()
+		case <-r.Context().Done():
+			b.gone.Add(1)
+			return
+		}
+	}
+}
+
+// holdOn answers once the test closes hold.
+func (b *fakeBackend) holdOn(w http.ResponseWriter, r *http.Request) {
+	b.note(r)
+	b.running.Add(1)
+	defer b.running.Add(-1)
+	select {
+	case <-b.hold:
+		_, _ = io.WriteString(w, "held")
+	case <-r.Context().Done():
+		b.gone.Add(1)
+	}
+}
+
+func (b *fakeBackend) large(w http.ResponseWriter, r *http.Request) {
+	b.note(r)
+	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
+	_, _ = w.Write(bytes.Repeat([]byte("x"), size))
+}
+
+// cut answers with fewer bytes than announced, or with a broken chunk.
+func (b *fakeBackend) cut(w http.ResponseWriter, r *http.Request) {
+	b.note(r)
+	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
+	head := fmt.Sprintf("Content-Length: %d\r\n\r\n", size+1)
+	if r.URL.Query().Get("chunked") != "" {
+		head = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size+1)
+	}
+	raw(w, "HTTP/1.1 200 OK\r\n"+head+string(bytes.Repeat([]byte("y"), size)))
+}
+
+func (b *fakeBackend) crossed(w http.ResponseWriter, r *http.Request) {
+	b.note(r)
+	raw(w, "HTTP/1.1 200 OK\r\nRequest-ID: of-another\r\nContent-Length: 5\r\n\r\nother")
+}
+
+// twice follows its answer with another one that nobody asked for.
+func (b *fakeBackend) twice(w http.ResponseWriter, r *http.Request) {
+	b.note(r)
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst" +
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+	_ = buffer.Flush()
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	_, _ = conn.Read(make([]byte, 1))
+	_ = conn.Close()
+}
+
+func (b *fakeBackend) undelimited(w http.ResponseWriter, r *http.Request) {
+	b.note(r)
+	raw(w, "HTTP/1.1 200 OK\r\n\r\nsome of it")
+}
+
+func (b *fakeBackend) reset(w http.ResponseWriter, r *http.Request) {
+	b.note(r)
+	raw(w, "")
+}
+
+func (b *fakeBackend) status(w http.ResponseWriter, r *http.Request) {
+	b.note(r)
+	code, _ := strconv.Atoi(r.URL.Query().Get("code"))
+	w.WriteHeader(code)
+}
+
+func raw(w http.ResponseWriter, text string) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = buffer.WriteString(text)
+	_ = buffer.Flush()
+	_ = conn.Close()
+}
+
+// announceState posts an announcement, as a backend server does.
+func (a *agent) announceState(t *testing.T, target, url, state string) {
+	t.Helper()
+	if code := a.announceRaw(t, announcement{
+		Service: testService, Target: target, URL: url, Slots: 4, State: backendState(state),
+	}); code != http.StatusOK {
+		t.Fatalf("announcement answered %d", code)
+	}
+}
+
+func (a *agent) announceRaw(t *testing.T, what announcement) int {
+	t.Helper()
+	body, err := json.Marshal(what)
+	must(t, err)
+	res, err := http.Post("http://"+a.AnnounceAddr()+"/announce", "application/json", bytes.NewReader(body))
+	must(t, err)
+	_ = res.Body.Close()
+	return res.StatusCode
+}
+
+// answer is a whole answer as a caller saw it.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// send makes a request and reads the whole answer.
+func send(client *http.Client, method, url string, body string, headers ...string) (answer, error) {
+	req, err := http.NewRequest(method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return answer{}, err
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	return answer{status: res.StatusCode, header: res.Header, body: string(data)}, err
+}
+
+func mustSend(t *testing.T, client *http.Client, method, url string, body string, headers ...string) answer {
+	t.Helper()
+	got, err := send(client, method, url, body, headers...)
+	must(t, err)
+	return got
+}
--- /dev/null
+++ b/internal/agentd/fixture_test.go
@@ -0,0 +1,362 @@
+package agentd
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/connid"
+	"eelgrasswharf.example/eelgrasswharf/frame"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/quicheader"
+)
+
+const (
+	testService = "lodgement"
+	// patience bounds waits for what must happen; nothing passes by it.
+	patience = 20 * time.Second
+)
+
+func testTiming() timing {
+	t := defaultTiming()
+	t.acceptGrace = 50 * time.Millisecond
+	t.handOn = 300 * time.Millisecond
+	t.idleClose = 300 * time.Millisecond
+	t.announceLease = time.Minute
+	t.completeWait = 200 * time.Millisecond
+	t.finishLimit = 5 * time.Second
+	t.grantWait = 300 * time.Millisecond
+	t.grantTry = 100 * time.Millisecond
+	t.registerRetry = 10 * time.Millisecond
+	t.listenRetry = 10 * time.Millisecond
+	t.checkEvery = 10 * time.Millisecond
+	t.keepAlive = time.Second
+	return t
+}
+
+// world is one deployment on loopback: an entry host, control hosts and the
+// keys that agents share.
+type world struct {
+	t       *testing.T
+	secrets []connid.Secret
+	roots   *x509.CertPool
+	cert    *tls.Certificate
+	control *fakeControl
+	entry   *fakeEntry
+	known   *fakeDirectory
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, control: newFakeControl(), known: &fakeDirectory{}}
+	w.secrets = []connid.Secret{{ID: 1, Key: [connid.SecretLength]byte{1, 2, 3}}}
+	authority, err := keys.NewAuthority(time.Now(), time.Hour)
+	must(t, err)
+	pair, err := authority.Caller(testService, []netip.Addr{netip.MustParseAddr("127.0.0.1")}, time.Now(), time.Hour)
+	must(t, err)
+	w.cert, err = keys.ParseCallerCertificate(pair)
+	must(t, err)
+	w.roots = x509.NewCertPool()
+	w.roots.AppendCertsFromPEM(authority.CertificatePEM())
+	w.entry = newFakeEntry(t, w.secrets, 2)
+	return w
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// agent is a running daemon under test.
+type agent struct {
+	*Daemon
+	scope     tally.TestScope
+	published *fakePublisher
+	stop      context.CancelFunc
+	done      chan error
+}
+
+// startAgent runs a daemon and announces the backend server to it.
+func (w *world) startAgent(target string, backendURL string) *agent {
+	return w.startAgentWith(target, backendURL, testTiming(), nil)
+}
+
+func (w *world) startAgentWith(target, backendURL string, timing timing, change func(*settingspb.Agent)) *agent {
+	w.t.Helper()
+	settings := &settingspb.AgentSettings{
+		Host:  &settingspb.Host{Name: "host-" + target, FailureDomain: "bodija"},
+		Agent: &settingspb.Agent{FrameListen: "127.0.0.1:0", AnnounceListen: "127.0.0.1:0", PollMs: 20},
+	}
+	if change != nil {
+		change(settings.Agent)
+	}
+	a := &agent{scope: tally.NewTestScope("", nil), published: &fakePublisher{}, done: make(chan error, 1)}
+	p := parts{
+		control: w.control, directory: w.known, publisher: a.published, secrets: w.secrets,
+		certificate: func() *tls.Certificate { return w.cert }, service: testService, close: func() {},
+	}
+	daemon, err := newDaemon(settings, zap.NewNop(), a.scope, p, timing)
+	must(w.t, err)
+	a.Daemon = daemon
+	ctx, cancel := context.WithCancel(context.Background())
+	a.stop = cancel
+	go func() { a.done <- daemon.Run(ctx) }()
+	w.t.Cleanup(func() {
+		cancel()
+		if one := daemon.plane.Load(); one != nil {
+			one.sessions.closeAll()
+		}
+		a.waitDone(w.t)
+	})
+	<-daemon.Ready()
+	if backendURL != "" {
+		a.announceState(w.t, target, backendURL, "serving")
+		eventually(w.t, "registration", func() bool { return a.serving() })
+	}
+	return a
+}
+
+func (a *agent) serving() bool {
+	one := a.plane.Load()
+	return one != nil && a.published.last().GetState() == controlpb.TargetState_TARGET_STATE_SERVING
+}
+
+func (a *agent) waitDone(t *testing.T) {
+	t.Helper()
+	select {
+	case err := <-a.done:
+		if err != nil {
+			t.Errorf("agent ended with %v", err)
+		}
+		a.done <- err
+	case <-time.After(patience):
+		t.Error("agent did not end")
+	}
+}
+
+// counter returns the sum of a counter over the tags that hold the reason,
+// or over all of them if it is empty.
+func (a *agent) counter(name, reason string) int64 {
+	sum := int64(0)
+	for _, c := range a.scope.Snapshot().Counters() {
+		if c.Name() == name && (reason == "" || c.Tags()["reason"] == reason) {
+			sum += c.Value()
+		}
+	}
+	return sum
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never happened: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// caller returns an HTTP/3 client that reaches the entry host.
+func (w *world) caller() *http.Client {
+	transport := &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: w.roots, ServerName: testService},
+		QUICConfig:      &quic.Config{KeepAlivePeriod: 200 * time.Millisecond, MaxIdleTimeout: 10 * time.Second},
+	}
+	w.t.Cleanup(func() { _ = transport.Close() })
+	return &http.Client{Transport: transport}
+}
+
+func (w *world) url(path string) string {
+	return "https://" + w.entry.public.LocalAddr().String() + path
+}
+
+// fakeEntry relays between callers and agents as entry hosts do, by frames.
+type fakeEntry struct {
+	public *net.UDPConn
+	// hosts are the frame sockets; each stands for one entry host.
+	hosts  []*net.UDPConn
+	dead   []atomic.Bool
+	turn   atomic.Uint32
+	frames *frame.Codec
+	ids    *connid.Codec
+
+	mu        sync.Mutex
+	target    netip.AddrPort
+	alternate netip.AddrPort
+	service   uint32
+	load      uint16
+	draining  bool
+}
+
+func newFakeEntry(t *testing.T, secrets []connid.Secret, hosts int) *fakeEntry {
+	t.Helper()
+	frames, err := frame.NewCodec(secrets)
+	must(t, err)
+	ids, err := connid.NewCodec(secrets)
+	must(t, err)
+	e := &fakeEntry{frames: frames, ids: ids, service: 1, dead: make([]atomic.Bool, hosts)}
+	e.public = listenUDP(t)
+	for range hosts {
+		e.hosts = append(e.hosts, listenUDP(t))
+	}
+	for n := range hosts {
+		go e.fromAgents(n)
+	}
+	go e.fromCallers()
+	return e
+}
+
+func listenUDP(t *testing.T) *net.UDPConn {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	must(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// choose sets where first packets go.
+func (e *fakeEntry) choose(target, alternate string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.target = netip.MustParseAddrPort(target)
+	e.alternate = netip.AddrPort{}
+	if alternate != "" {
+		e.alternate = netip.MustParseAddrPort(alternate)
+	}
+}
+
+func (e *fakeEntry) publicAddr() netip.AddrPort {
+	return e.public.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func (e *fakeEntry) fromCallers() {
+	buffer := make([]byte, maxFrame)
+	for {
+		n, caller, err := e.public.ReadFromUDPAddrPort(buffer[frame.HeaderLength:])
+		if err != nil {
+			return
+		}
+		datagram := buffer[frame.HeaderLength : frame.HeaderLength+n]
+		h, to := e.route(datagram, netip.AddrPortFrom(caller.Addr().Unmap(), caller.Port()))
+		host := int(e.turn.Add(1)) % len(e.hosts)
+		if !to.IsValid() || e.dead[host].Load() {
+			continue
+		}
+		e.frames.Put(buffer, &h)
+		_, _ = e.hosts[host].WriteToUDPAddrPort(buffer[:frame.HeaderLength+n], to)
+	}
+}
+
+func (e *fakeEntry) route(datagram []byte, caller netip.AddrPort) (frame.Header, netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h := frame.Header{Kind: frame.First, Service: e.service, Caller: caller, Public: e.publicAddr(), Alternate: e.alternate}
+	header, ok := quicheader.Parse(datagram, connid.Length)
+	if !ok {
+		return h, netip.AddrPort{}
+	}
+	named, verdict := e.ids.Decode(header.Destination)
+	if verdict != connid.OK {
+		return h, e.target
+	}
+	h.Kind = frame.Forward
+	h.Alternate = netip.AddrPort{}
+	h.Target = named.Number
+	h.Incarnation = named.Incarnation
+	return h, named.Address
+}
+
+func (e *fakeEntry) fromAgents(host int) {
+	buffer := make([]byte, maxFrame)
+	for {
+		n, _, err := e.hosts[host].ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		var h frame.Header
+		if e.dead[host].Load() || e.frames.Parse(buffer[:n], &h) != frame.OK || h.Kind != frame.Reply {
+			continue
+		}
+		e.mu.Lock()
+		e.load, e.draining = h.Load, h.Draining
+		e.mu.Unlock()
+		_, _ = e.public.WriteToUDPAddrPort(buffer[frame.HeaderLength:n], h.Caller)
+	}
+}
+
+// fakeDirectory is what agents know of the deployment.
+type fakeDirectory struct {
+	mu      sync.Mutex
+	service *configpb.Service
+	targets []*controlpb.TargetRecord
+}
+
+func (f *fakeDirectory) Service(uint32) *configpb.Service {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.service
+}
+
+func (f *fakeDirectory) Targets() []*controlpb.TargetRecord {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets
+}
+
+func (f *fakeDirectory) set(targets ...*controlpb.TargetRecord) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets = targets
+}
+
+// fakePublisher remembers the records of one agent.
+type fakePublisher struct {
+	mu      sync.Mutex
+	records []*controlpb.TargetRecord
+}
+
+func (f *fakePublisher) Publish(record *controlpb.TargetRecord) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.records = append(f.records, record)
+}
+
+func (f *fakePublisher) Close() {}
+
+func (f *fakePublisher) last() *controlpb.TargetRecord {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.records) == 0 {
+		return nil
+	}
+	return f.records[len(f.records)-1]
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	for _, listen := range []string{"", "0.0.0.0:0", "[::1]:0", "127.0.0.1"} {
+		t.Run(listen, func(t *testing.T) {
+			is := is.New(t)
+			_, _, err := openFrameSocket(listen)
+			is.True(err != nil)
+		})
+	}
+}
