agentd: tests of requests, grants, drain and frames

Truncated, crossed, undelimited, late and stray answers, deadline, cancellation, shed, retry and its budget, at-most-once with a fake grant group that fails in three ways, shutdown with a watch open, old and new process overlapping, misdirected frames, return through another entry host.

--- a/internal/agentd/call.go
+++ b/internal/agentd/call.go
@@ -60,8 +60,6 @@
 	key     string
 	id      string
 	body    []byte
-	// scope is set when a not-run speaks of this attempt only.
-	scope string
 }
 
 // newCall reads the protocol headers of a request.
--- /dev/null
+++ b/internal/agentd/drain_test.go
@@ -0,0 +1,172 @@
+package agentd
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+)
+
+func TestShutdownWaitsForTheWatch(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	client := w.caller()
+	session := openWatch(t, client, w.url("/watch"))
+	second := newFakeBackend(t)
+	b := w.startAgent("t2", second.server.URL)
+	w.entry.choose(a.FrameAddr(), b.FrameAddr())
+
+	a.stop()
+	eventually(t, "draining announced", func() bool {
+		return a.published.last().GetState() == controlpb.TargetState_TARGET_STATE_DRAINING
+	})
+	// The same caller's next requests move to a new connection, which the
+	// leaving agent hands on.
+	for range 3 {
+		got := mustSend(t, client, "GET", w.url("/echo?text=x"), "")
+		is.Equal(got.body, "x")
+		is.Equal(got.header.Get(headerTarget), b.plane.Load().self.String())
+	}
+	is.True(a.counter("flows_handed_on", "leaving") >= 1)
+	// Long after the span in which the agent could have gone, the watch lives.
+	for range 5 {
+		time.Sleep(a.timing.handOn / 2)
+		backend.events <- "still here"
+		is.Equal(session.line(t), "still here")
+	}
+	select {
+	case err := <-a.done:
+		t.Fatalf("agent ended with a session open: %v", err)
+	default:
+	}
+	is.Equal(backend.gone.Load(), int64(0))
+	session.close()
+	a.waitDone(t)
+	is.Equal(second.ran(""), 3)
+}
+
+func TestShutdownWithoutSessionsEnds(t *testing.T) {
+	_, a, _ := oneAgent(t)
+	a.stop()
+	a.waitDone(t)
+}
+
+func TestShutdownCutsNoRequestInFlight(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	client := w.caller()
+	done := make(chan answer, 4)
+	for range 4 {
+		go func() {
+			got, _ := send(client, "GET", w.url("/hold"), "")
+			done <- got
+		}()
+	}
+	eventually(t, "requests run", func() bool { return backend.running.Load() == 4 })
+	a.stop()
+	time.Sleep(2 * a.timing.handOn)
+	close(backend.hold)
+	for range 4 {
+		is.Equal((<-done).body, "held")
+	}
+	a.waitDone(t)
+}
+
+// The brief's rolling replacement: a new process of the same target takes
+// over while the old one still holds sessions.
+func TestOldAndNewProcessOverlap(t *testing.T) {
+	is := is.New(t)
+	w, old, backend := oneAgent(t)
+	first := w.caller()
+	session := openWatch(t, first, w.url("/watch"))
+	old.stop()
+	next := w.startAgent("t1", backend.server.URL)
+	w.known.set(next.published.last())
+	is.Equal(next.plane.Load().self.String(), "t1/1/2") // the same target, a new incarnation
+	w.entry.choose(old.FrameAddr(), "")                 // an entry host with an old view
+	got := mustSend(t, w.caller(), "GET", w.url("/echo?text=x"), "")
+	is.Equal(got.header.Get(headerTarget), "t1/1/2")
+	got = mustSend(t, first, "GET", w.url("/echo?text=x"), "")
+	is.Equal(got.header.Get(headerTarget), "t1/1/2")
+	backend.events <- "through the old one"
+	is.Equal(session.line(t), "through the old one")
+	session.close()
+	old.waitDone(t)
+	got = mustSend(t, first, "GET", w.url("/echo?text=y"), "")
+	is.Equal(got.body, "y")
+}
+
+func TestDrainingBackendGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	client := w.caller()
+	session := openWatch(t, client, w.url("/watch"))
+	second := newFakeBackend(t)
+	b := w.startAgent("t2", second.server.URL)
+	w.known.set(b.published.last())
+	a.announceState(t, "t1", backend.server.URL, "draining")
+	eventually(t, "draining", func() bool { return a.plane.Load().leaving.Load() })
+	before := backend.ran("")
+	for range 5 {
+		got := mustSend(t, client, "GET", w.url("/echo?text=x"), "")
+		is.Equal(got.header.Get(headerTarget), b.plane.Load().self.String())
+	}
+	is.Equal(backend.ran(""), before)
+	backend.events <- "kept"
+	is.Equal(session.line(t), "kept")
+	session.close()
+	// It comes back: new flows are taken again, by the same process.
+	a.announceState(t, "t1", backend.server.URL, "serving")
+	eventually(t, "serving", a.serving)
+	got := mustSend(t, w.caller(), "GET", w.url("/echo?text=x"), "")
+	is.Equal(got.header.Get(headerTarget), "t1/1/1")
+}
+
+func TestLapsedAnnouncementKeepsEstablishedFlows(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	backend := newFakeBackend(t)
+	timing := testTiming()
+	timing.announceLease = 200 * time.Millisecond
+	a := w.startAgentWith("t1", backend.server.URL, timing, nil)
+	w.entry.choose(a.FrameAddr(), "")
+	client := w.caller()
+	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+	eventually(t, "leaving", func() bool { return !a.serving() })
+	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+}
+
+func TestLeavingWithNowhereToGoRefuses(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	session := openWatch(t, w.caller(), w.url("/watch"))
+	defer session.close()
+	a.stop()
+	eventually(t, "leaving for longer than the grace", func() bool {
+		one := a.plane.Load()
+		return one.leaving.Load() && one.clock.now()-time.Duration(one.since.Load()) > a.timing.acceptGrace
+	})
+	_, err := send(w.caller(), "GET", w.url("/echo"), "")
+	is.True(err != nil) // refused at once, not held
+	is.True(a.counter("flows_handed_on", "refused") >= 1)
+	is.True(a.counter("flows_handed_on", "no-alternate") >= 1)
+	is.Equal(backend.ran(""), 0)
+}
+
+func TestNewProcessWaitsForTheAnnouncementAddress(t *testing.T) {
+	is := is.New(t)
+	w, old, backend := oneAgent(t)
+	address := old.AnnounceAddr()
+	next := w.launch("t1", testTiming(), func(s *settingspb.Agent) { s.AnnounceListen = address })
+	is.Equal(mustSend(t, w.caller(), "GET", w.url("/echo?text=x"), "").status, http.StatusOK)
+	is.Equal(next.AnnounceAddr(), "") // the old one holds it
+	old.stop()
+	<-next.Ready()
+	is.Equal(next.AnnounceAddr(), address)
+	next.announceState(t, "t1", backend.server.URL, "serving")
+	eventually(t, "registration", next.serving)
+}
--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -100,6 +100,16 @@
 }
 
 func (w *world) startAgentWith(target, backendURL string, timing timing, change func(*settingspb.Agent)) *agent {
+	w.t.Helper()
+	a := w.launch(target, timing, change)
+	<-a.Ready()
+	a.announceState(w.t, target, backendURL, "serving")
+	eventually(w.t, "registration", func() bool { return a.serving() })
+	return a
+}
+
+// launch runs a daemon and waits for nothing.
+func (w *world) launch(target string, timing timing, change func(*settingspb.Agent)) *agent {
 	w.t.Helper()
 	settings := &settingspb.AgentSettings{
 		Host:  &settingspb.Host{Name: "host-" + target, FailureDomain: "bodija"},
@@ -126,11 +136,6 @@
 		}
 		a.waitDone(w.t)
 	})
-	<-daemon.Ready()
-	if backendURL != "" {
-		a.announceState(w.t, target, backendURL, "serving")
-		eventually(w.t, "registration", func() bool { return a.serving() })
-	}
 	return a
 }
 
--- /dev/null
+++ b/internal/agentd/once_test.go
@@ -0,0 +1,210 @@
+package agentd
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+)
+
+func TestResendGetsTheRecordedAnswer(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	client := w.caller()
+	first := mustSend(t, client, "POST", w.url("/run"), "stamp", headerKey, "k1")
+	is.Equal(first.status, http.StatusCreated)
+	is.Equal(first.body, "ran stamp")
+	is.Equal(first.header.Get(headerReplayed), "")
+	again := mustSend(t, client, "POST", w.url("/run"), "stamp", headerKey, "k1")
+	is.Equal(again.status, http.StatusCreated)
+	is.Equal(again.body, "ran stamp")
+	is.Equal(again.header.Get("Content-Type"), "text/x-run")
+	is.Equal(again.header.Get(headerOutcome), "answered")
+	is.Equal(again.header.Get(headerReplayed), "true")
+	is.Equal(backend.ran("k1"), 1)
+	is.Equal(a.counter("answers_replayed", ""), int64(1))
+	other := mustSend(t, client, "POST", w.url("/run"), "another", headerKey, "k1")
+	is.Equal(other.status, http.StatusConflict)
+	is.Equal(other.header.Get(headerOutcome), "not-run")
+	is.Equal(other.header.Get(headerReason), "key-mismatch")
+	is.Equal(backend.ran("k1"), 1)
+}
+
+func TestResendToAnotherTarget(t *testing.T) {
+	is := is.New(t)
+	w, _, backend := oneAgent(t)
+	first := mustSend(t, w.caller(), "POST", w.url("/run"), "stamp", headerKey, "k1")
+	is.Equal(first.status, http.StatusCreated)
+	second := newFakeBackend(t)
+	b := w.startAgent("t2", second.server.URL)
+	w.entry.choose(b.FrameAddr(), "")
+	again := mustSend(t, w.caller(), "POST", w.url("/run"), "stamp", headerKey, "k1")
+	is.Equal(again.header.Get(headerTarget), b.plane.Load().self.String())
+	is.Equal(again.body, "ran stamp")
+	is.Equal(backend.ran("k1")+second.ran("k1"), 1)
+}
+
+func TestUnknownIsFinal(t *testing.T) {
+	for _, path := range []string{"/cut?size=100", "/reset", "/crossed", "/cut?size=100&chunked=1"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			w, _, backend := oneAgent(t)
+			client := w.caller()
+			first := mustSend(t, client, "POST", w.url(path), "x", headerKey, "k1")
+			is.Equal(first.header.Get(headerOutcome), "unknown")
+			again := mustSend(t, client, "POST", w.url(path), "x", headerKey, "k1")
+			is.Equal(again.status, http.StatusBadGateway)
+			is.Equal(again.header.Get(headerOutcome), "unknown")
+			is.Equal(again.header.Get(headerReason), "held")
+			is.Equal(backend.ran("k1"), 1)
+		})
+	}
+}
+
+func TestHeldWhileTheFirstAttemptRuns(t *testing.T) {
+	is := is.New(t)
+	w, _, backend := oneAgent(t)
+	client := w.caller()
+	done := make(chan answer, 1)
+	go func() {
+		got, _ := send(client, "POST", w.url("/hold"), "", headerKey, "k1")
+		done <- got
+	}()
+	eventually(t, "first attempt runs", func() bool { return backend.running.Load() == 1 })
+	again := mustSend(t, client, "POST", w.url("/hold"), "", headerKey, "k1")
+	is.Equal(again.header.Get(headerReason), "held")
+	close(backend.hold)
+	is.Equal((<-done).body, "held")
+	again = mustSend(t, client, "POST", w.url("/hold"), "", headerKey, "k1")
+	is.Equal(again.body, "held")
+	is.Equal(again.header.Get(headerReplayed), "true")
+	is.Equal(backend.ran("k1"), 1)
+}
+
+func TestProvenNotRunGivesTheRightBack(t *testing.T) {
+	is := is.New(t)
+	w, _, backend := oneAgent(t)
+	client := w.caller()
+	backend.refuse.Store(3)
+	first := mustSend(t, client, "POST", w.url("/echo"), "x", headerKey, "k1")
+	is.Equal(first.header.Get(headerOutcome), "not-run")
+	is.Equal(first.header.Get(headerScope), "") // rests on the grant
+	is.True(w.control.record("k1") == nil)      // given back before the caller was told
+	again := mustSend(t, client, "POST", w.url("/echo"), "x", headerKey, "k1")
+	is.Equal(again.body, "x")
+	is.Equal(backend.ran("k1"), 1)
+}
+
+func TestNoQuorumNoRun(t *testing.T) {
+	is := is.New(t)
+	w, _, backend := oneAgent(t)
+	client := w.caller()
+	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+	w.control.set(controlGone)
+	got := mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "k1")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.header.Get(headerOutcome), "not-run")
+	is.Equal(got.header.Get(headerReason), "grant-unavailable")
+	is.Equal(got.header.Get(headerScope), "attempt")
+	is.True(got.header.Get(headerRetryAfter) != "")
+	is.Equal(backend.ran("k1"), 0)
+	// What may be repeated is served without the control hosts.
+	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=y"), "").body, "y")
+}
+
+func TestLostGrantIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	w, _, backend := oneAgent(t)
+	client := w.caller()
+	w.control.set(controlDeaf) // grants, but the agent never hears of it
+	got := mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "k1")
+	is.Equal(got.header.Get(headerOutcome), "not-run")
+	is.Equal(got.header.Get(headerReason), "grant-unavailable")
+	w.control.set(controlWell)
+	eventually(t, "right given back", func() bool { return w.control.record("k1") == nil })
+	is.Equal(mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "k1").body, "ran x")
+	is.Equal(backend.ran("k1"), 1)
+}
+
+func TestAnswerIsToldWhenItsRecordFails(t *testing.T) {
+	is := is.New(t)
+	w, _, backend := oneAgent(t)
+	client := w.caller()
+	done := make(chan answer, 1)
+	go func() {
+		got, _ := send(client, "POST", w.url("/hold"), "", headerKey, "k1")
+		done <- got
+	}()
+	eventually(t, "request runs", func() bool { return backend.running.Load() == 1 })
+	w.control.set(controlGone)
+	close(backend.hold)
+	is.Equal((<-done).body, "held") // told all the same
+	w.control.set(controlWell)
+	eventually(t, "recorded in the background", func() bool { return w.control.record("k1").GetAnswer() != nil })
+	is.Equal(string(w.control.record("k1").GetAnswer().GetBody()), "held")
+}
+
+func TestLongAnswerIsRecordedWithoutItsBody(t *testing.T) {
+	is := is.New(t)
+	w, _, backend := oneAgent(t)
+	client := w.caller()
+	first := mustSend(t, client, "GET", w.url("/large?size=200000"), "", headerKey, "k1")
+	is.Equal(len(first.body), 200000)
+	eventually(t, "recorded", func() bool { return w.control.record("k1").GetAnswer().GetBodyOmitted() })
+	again := mustSend(t, client, "GET", w.url("/large?size=200000"), "", headerKey, "k1")
+	is.Equal(again.header.Get(headerOutcome), "unknown")
+	is.Equal(again.header.Get(headerReason), "answer-omitted")
+	is.Equal(backend.ran("k1"), 1)
+}
+
+func TestAnsweredErrorsAreRecorded(t *testing.T) {
+	is := is.New(t)
+	w, _, backend := oneAgent(t)
+	client := w.caller()
+	for range 2 {
+		got := mustSend(t, client, "POST", w.url("/status?code=500"), "", headerKey, "k1")
+		is.Equal(got.status, 500)
+		is.Equal(got.header.Get(headerOutcome), "answered")
+	}
+	is.Equal(backend.ran("k1"), 1)
+}
+
+func TestKeysAreChecked(t *testing.T) {
+	is := is.New(t)
+	w, _, backend := oneAgent(t)
+	long := make([]byte, maxKeyBytes+1)
+	for i := range long {
+		long[i] = 'k'
+	}
+	got := mustSend(t, w.caller(), "POST", w.url("/run"), "x", headerKey, string(long))
+	is.Equal(got.status, http.StatusBadRequest)
+	is.Equal(got.header.Get(headerReason), "key-invalid")
+	is.Equal(backend.ran(string(long)), 0)
+}
+
+func TestDecisionsOfTheGrantGroup(t *testing.T) {
+	cases := []struct {
+		decision grantpb.Decision
+		reason   string
+		outcome  string
+		scope    string
+	}{
+		{grantpb.Decision_DECISION_HELD, "held", "unknown", ""},
+		{grantpb.Decision_DECISION_MISMATCH, "key-mismatch", "not-run", ""},
+		{grantpb.Decision_DECISION_FULL, "keys-full", "not-run", ""},
+		{grantpb.Decision_DECISION_UNSPECIFIED, "grant-unavailable", "not-run", "attempt"},
+	}
+	for _, c := range cases {
+		t.Run(c.decision.String(), func(t *testing.T) {
+			is := is.New(t)
+			o := &once{}
+			got := o.decide(&right{}, &grantpb.Result{Decision: c.decision})
+			is.True(got.right == nil)
+			is.Equal(got.refusal.reason.String(), c.reason)
+			is.Equal(got.refusal.outcome.String(), c.outcome)
+			is.Equal(got.refusal.scope, c.scope)
+		})
+	}
+}
--- /dev/null
+++ b/internal/agentd/request_test.go
@@ -0,0 +1,270 @@
+package agentd
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+)
+
+// oneAgent returns a world with one agent in front of a fake backend server.
+func oneAgent(t *testing.T) (*world, *agent, *fakeBackend) {
+	t.Helper()
+	w := newWorld(t)
+	backend := newFakeBackend(t)
+	a := w.startAgent("t1", backend.server.URL)
+	w.entry.choose(a.FrameAddr(), "")
+	return w, a, backend
+}
+
+func TestBrokenAnswersAreNeverWhole(t *testing.T) {
+	w, a, backend := oneAgent(t)
+	client := w.caller()
+	refused := []struct {
+		path, reason string
+	}{
+		{"/cut?size=100", "answer-truncated"},
+		{"/crossed", "answer-crossed"},
+		{"/undelimited", "answer-undelimited"},
+		{"/reset", "backend-reset"},
+	}
+	for _, c := range refused {
+		t.Run(c.path, func(t *testing.T) {
+			is := is.New(t)
+			got := mustSend(t, client, "GET", w.url(c.path), "")
+			is.Equal(got.status, http.StatusBadGateway)
+			is.Equal(got.header.Get(headerOutcome), "unknown")
+			is.Equal(got.header.Get(headerReason), c.reason)
+			is.Equal(got.header.Get(headerRetryAfter), "")
+			is.Equal(a.counter("requests_unknown", c.reason), int64(1))
+		})
+	}
+	for _, path := range []string{"/cut?size=200000", "/cut?size=100&chunked=1", "/cut?size=200000&chunked=1"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			_, err := send(client, "GET", w.url(path), "")
+			is.True(err != nil) // the stream is reset, no whole answer
+		})
+	}
+	is := is.New(t)
+	is.Equal(backend.ran(""), len(refused)+3) // none was repeated
+}
+
+func TestStrayAnswerReachesNobody(t *testing.T) {
+	is := is.New(t)
+	w, _, _ := oneAgent(t)
+	client := w.caller()
+	for range 5 {
+		is.Equal(mustSend(t, client, "GET", w.url("/twice"), "").body, "first")
+		is.Equal(mustSend(t, client, "GET", w.url("/echo?text=own"), "").body, "own")
+	}
+}
+
+func TestAnswersOfManyCallersAreNotCrossed(t *testing.T) {
+	is := is.New(t)
+	w, _, _ := oneAgent(t)
+	client := w.caller()
+	var wait sync.WaitGroup
+	wrong := make(chan string, 200)
+	for n := range 200 {
+		wait.Go(func() {
+			text := strings.Repeat(string(rune('a'+n%26)), n+1)
+			got, err := send(client, "POST", w.url("/echo"), text)
+			if err != nil || (got.status == http.StatusOK && got.body != text) {
+				wrong <- got.body
+			}
+		})
+	}
+	wait.Wait()
+	is.Equal(len(wrong), 0)
+}
+
+func TestDeadlinePasses(t *testing.T) {
+	is := is.New(t)
+	w, _, backend := oneAgent(t)
+	client := w.caller()
+	got := mustSend(t, client, "GET", w.url("/hold"), "", headerTimeout, "100")
+	is.Equal(got.status, http.StatusGatewayTimeout)
+	is.Equal(got.header.Get(headerOutcome), "unknown")
+	is.Equal(got.header.Get(headerReason), "deadline")
+	eventually(t, "backend connection closed", func() bool { return backend.gone.Load() == 1 })
+	for _, bad := range []string{"0", "-1", "soon"} {
+		got = mustSend(t, client, "GET", w.url("/echo"), "", headerTimeout, bad)
+		is.Equal(got.header.Get(headerReason), "request-invalid")
+		is.Equal(got.header.Get(headerOutcome), "not-run")
+	}
+}
+
+func TestCallerCancels(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "GET", w.url("/hold"), nil)
+	is.NoErr(err)
+	done := make(chan error, 1)
+	client := w.caller()
+	go func() {
+		_, err := client.Do(req)
+		done <- err
+	}()
+	eventually(t, "request runs", func() bool { return backend.running.Load() == 1 })
+	cancel()
+	is.True(<-done != nil)
+	eventually(t, "backend connection closed", func() bool { return backend.gone.Load() == 1 })
+	eventually(t, "slot given back", func() bool { return a.gate.figures().running == 0 })
+}
+
+func TestOverloadIsShedAtOnce(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	client := w.caller()
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for range 4 {
+		wait.Go(func() { _, _ = send(client, "GET", w.url("/hold"), "") })
+	}
+	eventually(t, "slots taken", func() bool { return backend.running.Load() == 4 })
+	got := mustSend(t, client, "GET", w.url("/echo"), "")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.header.Get(headerOutcome), "not-run")
+	is.Equal(got.header.Get(headerReason), "wait-too-long")
+	is.True(got.header.Get(headerRetryAfter) != "")
+	is.Equal(a.counter("requests_refused", "wait-too-long"), int64(1))
+	is.Equal(backend.ran(""), 4) // it never reached the backend server
+	close(backend.hold)
+}
+
+func TestNotRunIsRetriedAndThenTold(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	client := w.caller()
+	backend.refuse.Store(2)
+	got := mustSend(t, client, "GET", w.url("/echo?text=x"), "")
+	is.Equal(got.body, "x") // the third attempt ran
+	is.Equal(a.counter("retries", "refused"), int64(2))
+	backend.refuse.Store(3)
+	got = mustSend(t, client, "GET", w.url("/echo?text=x"), "")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.header.Get(headerOutcome), "not-run")
+	is.Equal(got.header.Get(headerReason), "backend-refused")
+	is.True(got.header.Get(headerRetryAfter) >= "3") // as the backend server asked
+	is.Equal(a.counter("retries", "attempts-spent"), int64(1))
+	is.Equal(backend.ran(""), 1)
+}
+
+func TestRetryBudgetIsShared(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	client := w.caller()
+	backend.refuse.Store(1 << 30)
+	for range 20 {
+		mustSend(t, client, "GET", w.url("/echo"), "")
+	}
+	retries := a.counter("retries", "refused")
+	is.True(retries <= 5+20/10) // reserve and a tenth of the requests
+	is.True(a.counter("retries", "budget-spent") >= 13)
+}
+
+func TestUnreachableBackend(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	client := w.caller()
+	backend.server.Close()
+	got := mustSend(t, client, "POST", w.url("/run"), "x")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.header.Get(headerOutcome), "not-run")
+	is.Equal(got.header.Get(headerReason), "backend-unreachable")
+	is.True(got.header.Get(headerRetryAfter) != "")
+	is.True(a.counter("retries", "connect") >= 1)
+	for range 3 {
+		mustSend(t, client, "GET", w.url("/echo"), "")
+	}
+	eventually(t, "ill verdict", func() bool { return a.published.last().GetIll() })
+}
+
+func TestRequestBodiesAreBounded(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	backend := newFakeBackend(t)
+	a := w.startAgentWith("t1", backend.server.URL, testTiming(), func(s *settingspb.Agent) { s.MaxRequestBytes = 1000 })
+	w.entry.choose(a.FrameAddr(), "")
+	client := w.caller()
+	is.Equal(mustSend(t, client, "POST", w.url("/echo"), strings.Repeat("b", 1000)).status, http.StatusOK)
+	got := mustSend(t, client, "POST", w.url("/echo"), strings.Repeat("b", 1001))
+	is.Equal(got.status, http.StatusRequestEntityTooLarge)
+	is.Equal(got.header.Get(headerOutcome), "not-run")
+	is.Equal(got.header.Get(headerReason), "request-too-large")
+	is.Equal(got.header.Get(headerRetryAfter), "") // the same request never fits
+	unsized, err := http.NewRequest("POST", w.url("/echo"), io.MultiReader(strings.NewReader(strings.Repeat("b", 1001))))
+	is.NoErr(err)
+	res, err := client.Do(unsized)
+	is.NoErr(err)
+	defer func() { _ = res.Body.Close() }()
+	is.Equal(res.StatusCode, http.StatusRequestEntityTooLarge)
+	eventually(t, "body bytes given back", func() bool { return a.proxy.bodies.held.Load() == 0 })
+}
+
+func TestWatchTakesNoSlotAndOutlivesTheDefaultDeadline(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	backend := newFakeBackend(t)
+	a := w.startAgentWith("t1", backend.server.URL, testTiming(), func(s *settingspb.Agent) { s.DefaultDeadlineMs = 100 })
+	w.entry.choose(a.FrameAddr(), "")
+	client := w.caller()
+	for range 6 { // more than there are slots
+		watch := openWatch(t, client, w.url("/watch"))
+		defer watch.close()
+	}
+	is.Equal(a.gate.figures().running, 0)
+	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+	time.Sleep(150 * time.Millisecond) // the default deadline
+	go func() { backend.events <- "late" }()
+	is.Equal(backend.gone.Load(), int64(0))
+}
+
+// watch is an open watch session.
+type watch struct {
+	res    *http.Response
+	cancel context.CancelFunc
+}
+
+func openWatch(t *testing.T, client *http.Client, url string) *watch {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, "GET", url, nil)
+	must(t, err)
+	res, err := client.Do(req)
+	must(t, err)
+	if res.StatusCode != http.StatusOK {
+		t.Fatalf("watch answered %d %v", res.StatusCode, res.Header)
+	}
+	return &watch{res: res, cancel: cancel}
+}
+
+// line reads the next line of the watch.
+func (w *watch) line(t *testing.T) string {
+	t.Helper()
+	var line []byte
+	var b [1]byte
+	for {
+		if _, err := w.res.Body.Read(b[:]); err != nil {
+			t.Fatalf("watch ended: %v", err)
+		}
+		if b[0] == '\n' {
+			return string(line)
+		}
+		line = append(line, b[0])
+	}
+}
+
+func (w *watch) close() {
+	w.cancel()
+	_ = w.res.Body.Close()
+}
