--- /dev/null
+++ b/internal/faultproxy/control.go
@@ -0,0 +1,74 @@
+package faultproxy
+
+import "net/netip"
+
+// SetHosts replaces the hosts that receive datagrams of callers. Replies of
+// hosts that are no longer among them still return to their callers.
+func (r *Relay) SetHosts(hosts ...netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hosts = append([]netip.AddrPort(nil), hosts...)
+}
+
+// SetFaults sets the faults of one direction for all hosts without faults of
+// their own.
+func (r *Relay) SetFaults(direction Direction, faults Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.defaults[direction] = faults
+}
+
+// SetHostFaults sets the faults of one direction of the path to one host.
+func (r *Relay) SetHostFaults(host netip.AddrPort, direction Direction, faults Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults[pathKey{host, direction}] = faults
+}
+
+// Cut loses everything in both directions, without a sign to either end.
+func (r *Relay) Cut() {
+	r.SetFaults(ToHost, Faults{Cut: true})
+	r.SetFaults(ToCaller, Faults{Cut: true})
+}
+
+// Heal removes all faults, but leaves stale flows stale.
+func (r *Relay) Heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.defaults = [directions]Faults{}
+	clear(r.faults)
+}
+
+// CutExisting makes the flows of all callers known by now stale in the given
+// directions: their datagrams are lost for good, while a caller that comes
+// from another port gets through.
+func (r *Relay) CutExisting(ways ...Direction) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.flows {
+		for _, direction := range ways {
+			f.stale[direction] = true
+		}
+	}
+}
+
+// Counts tells what was done with the datagrams of one path.
+func (r *Relay) Counts(host netip.AddrPort, direction Direction) Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts[pathKey{host, direction}]
+}
+
+// Flows returns the number of callers in the table.
+func (r *Relay) Flows() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.flows)
+}
+
+func (r *Relay) faultsLocked(key pathKey) Faults {
+	if faults, ok := r.faults[key]; ok {
+		return faults
+	}
+	return r.defaults[key.direction]
+}
--- /dev/null
+++ b/internal/faultproxy/relay.go
@@ -0,0 +1,242 @@
+package faultproxy
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	defaultMaxFlows   = 4096
+	maxDatagram       = 65535
+	maxPending        = 65536
+	socketBufferBytes = 4 << 20
+)
+
+// Options configures a Relay.
+type Options struct {
+	// Listen is the front address. Port 0 takes a free one.
+	Listen netip.AddrPort
+	// Hosts receive the datagrams of callers.
+	Hosts []netip.AddrPort
+	// Rand decides on faults and hosts.
+	Rand *rand.Rand
+	// MaxFlows bounds the table of callers; the one idle for longest is
+	// forgotten when it is full. Default 4096.
+	MaxFlows int
+}
+
+// Counts tells what a relay did with the datagrams of one path.
+type Counts struct {
+	// Received counts datagrams taken in for the path.
+	Received int
+	// Delivered counts datagrams sent on, copies included.
+	Delivered int
+	// Lost counts datagrams dropped on purpose.
+	Lost int
+}
+
+// pathKey names one direction of the path to one host.
+type pathKey struct {
+	host      netip.AddrPort
+	direction Direction
+}
+
+// Relay passes datagrams between callers and hosts.
+type Relay struct {
+	front    *net.UDPConn
+	maxFlows int
+	workers  conc.WaitGroup
+
+	// mu guards the fields below. No other lock is taken under it.
+	mu       sync.Mutex
+	random   *rand.Rand
+	hosts    []netip.AddrPort
+	defaults [directions]Faults
+	faults   map[pathKey]Faults
+	counts   map[pathKey]Counts
+	flows    map[netip.AddrPort]*flow
+	pending  int
+	closed   bool
+}
+
+// flow is the state of one caller address.
+type flow struct {
+	caller   netip.AddrPort
+	upstream *net.UDPConn
+	lastUsed time.Time
+	stale    [directions]bool
+}
+
+// NewRelay opens the front address and starts to relay.
+func NewRelay(opts Options) (*Relay, error) {
+	front, err := listenUDP(opts.Listen)
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{
+		front:    front,
+		maxFlows: opts.MaxFlows,
+		random:   opts.Rand,
+		hosts:    append([]netip.AddrPort(nil), opts.Hosts...),
+		faults:   make(map[pathKey]Faults),
+		counts:   make(map[pathKey]Counts),
+		flows:    make(map[netip.AddrPort]*flow),
+	}
+	if r.maxFlows == 0 {
+		r.maxFlows = defaultMaxFlows
+	}
+	r.workers.Go(r.readCallers)
+	return r, nil
+}
+
+func listenUDP(addr netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	// Best effort: with smaller buffers the relay loses more than asked for,
+	// which callers have to survive anyway.
+	_ = conn.SetReadBuffer(socketBufferBytes)
+	_ = conn.SetWriteBuffer(socketBufferBytes)
+	return conn, nil
+}
+
+// Addr returns the front address.
+func (r *Relay) Addr() netip.AddrPort {
+	return r.front.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Close stops the relay and waits for its workers.
+func (r *Relay) Close() {
+	r.mu.Lock()
+	r.closed = true
+	for _, f := range r.flows {
+		f.upstream.Close()
+	}
+	r.mu.Unlock()
+	r.front.Close()
+	r.workers.Wait()
+}
+
+func (r *Relay) readCallers() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, caller, err := r.front.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		r.toHost(caller, buf[:n])
+	}
+}
+
+// toHost sends one datagram of a caller to a host chosen at random.
+func (r *Relay) toHost(caller netip.AddrPort, datagram []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || len(r.hosts) == 0 {
+		return
+	}
+	f := r.flowLocked(caller)
+	if f == nil {
+		return
+	}
+	host := r.hosts[r.random.IntN(len(r.hosts))]
+	r.sendLocked(pathKey{host, ToHost}, f, f.upstream, host, datagram)
+}
+
+func (r *Relay) readHosts(f *flow) {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, host, err := f.upstream.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		r.toCaller(f, host, buf[:n])
+	}
+}
+
+// toCaller sends one datagram of a host to the caller of the flow.
+func (r *Relay) toCaller(f *flow, host netip.AddrPort, datagram []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
+	r.sendLocked(pathKey{host, ToCaller}, f, r.front, f.caller, datagram)
+}
+
+// sendLocked applies the faults of the path and sends what is left over.
+func (r *Relay) sendLocked(key pathKey, f *flow, from *net.UDPConn, to netip.AddrPort, datagram []byte) {
+	counts := r.counts[key]
+	defer func() { r.counts[key] = counts }()
+	counts.Received++
+	delays := r.faultsLocked(key).delays(r.random)
+	if f.stale[key.direction] {
+		delays = nil
+	}
+	if len(delays) == 0 {
+		counts.Lost++
+		return
+	}
+	f.lastUsed = time.Now()
+	for _, delay := range delays {
+		counts.Delivered++
+		r.deliverLocked(from, to, datagram, delay)
+	}
+}
+
+// deliverLocked sends at once or after the delay. A failed send is a lost
+// datagram, as on any network.
+func (r *Relay) deliverLocked(from *net.UDPConn, to netip.AddrPort, datagram []byte, delay time.Duration) {
+	if delay == 0 {
+		_, _ = from.WriteToUDPAddrPort(datagram, to)
+		return
+	}
+	if r.pending >= maxPending {
+		return
+	}
+	r.pending++
+	held := append([]byte(nil), datagram...)
+	time.AfterFunc(delay, func() {
+		_, _ = from.WriteToUDPAddrPort(held, to)
+		r.mu.Lock()
+		r.pending--
+		r.mu.Unlock()
+	})
+}
+
+// flowLocked returns the flow of the caller, a new one if there is none, or
+// nil if no socket can be opened for it.
+func (r *Relay) flowLocked(caller netip.AddrPort) *flow {
+	if f, ok := r.flows[caller]; ok {
+		return f
+	}
+	for len(r.flows) >= r.maxFlows {
+		r.forgetOldestLocked()
+	}
+	upstream, err := listenUDP(netip.AddrPortFrom(r.Addr().Addr(), 0))
+	if err != nil {
+		return nil
+	}
+	f := &flow{caller: caller, upstream: upstream, lastUsed: time.Now()}
+	r.flows[caller] = f
+	r.workers.Go(func() { r.readHosts(f) })
+	return f
+}
+
+func (r *Relay) forgetOldestLocked() {
+	var oldest *flow
+	for _, f := range r.flows {
+		if oldest == nil || f.lastUsed.Before(oldest.lastUsed) {
+			oldest = f
+		}
+	}
+	oldest.upstream.Close()
+	delete(r.flows, oldest.caller)
+}
