--- a/config/property_test.go
+++ b/config/property_test.go
@@ -7,6 +7,8 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	_ "eelgrasswharf.example/eelgrasswharf/internal/fixedseed"
+
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
 )
--- a/frame/frame_test.go
+++ b/frame/frame_test.go
@@ -9,6 +9,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "eelgrasswharf.example/eelgrasswharf/internal/fixedseed"
+
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
 )
--- a/grant/property_test.go
+++ b/grant/property_test.go
@@ -6,6 +6,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "eelgrasswharf.example/eelgrasswharf/internal/fixedseed"
+
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
 	"eelgrasswharf.example/eelgrasswharf/grant"
 )
--- a/membership/property_test.go
+++ b/membership/property_test.go
@@ -8,6 +8,8 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	_ "eelgrasswharf.example/eelgrasswharf/internal/fixedseed"
+
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/membership"
 )
--- a/quicheader/quicheader_test.go
+++ b/quicheader/quicheader_test.go
@@ -7,6 +7,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "eelgrasswharf.example/eelgrasswharf/internal/fixedseed"
+
 	"eelgrasswharf.example/eelgrasswharf/quicheader"
 )
 
--- a/returnpath/returnpath_test.go
+++ b/returnpath/returnpath_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "eelgrasswharf.example/eelgrasswharf/internal/fixedseed"
+
 	"eelgrasswharf.example/eelgrasswharf/returnpath"
 )
 
