agentd: real control links

The announcer of internal/subscriber registers the target and keeps its lease, a subscription scoped to the own service gives configuration and the targets to hand new flows on to. Tests: go test -race ./internal/agentd passes.

--- a/internal/agentd/backend.go
+++ b/internal/agentd/backend.go
@@ -54,7 +54,8 @@
 	draining bool
 	lapsed   bool
 	slots    uint32
-	age      time.Duration
+	// since is the time of the cold start.
+	since time.Duration
 }
 
 func (b *backendRecord) figures(now, lease time.Duration) backendFigures {
@@ -67,6 +68,6 @@
 		draining: b.current.State == backendDraining,
 		lapsed:   now-b.at > lease,
 		slots:    b.current.Slots,
-		age:      now - b.since,
+		since:    b.since,
 	}
 }
--- a/internal/agentd/clock.go
+++ b/internal/agentd/clock.go
@@ -15,3 +15,8 @@
 func (c clock) now() time.Duration {
 	return time.Since(c.start)
 }
+
+// at returns the point in time, monotonic, of a time since the start.
+func (c clock) at(since time.Duration) time.Time {
+	return c.start.Add(since)
+}
--- a/internal/agentd/control.go
+++ b/internal/agentd/control.go
@@ -5,7 +5,6 @@
 
 	"github.com/go-faster/errors"
 
-	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
@@ -36,23 +35,6 @@
 	return result, nil
 }
 
-// register asks for the identity of a target.
-func (c control) register(ctx context.Context, ask *configpb.RegisterTarget) (*configpb.Registration, error) {
-	req := &controlpb.Request{Body: &controlpb.Request_Register{Register: ask}}
-	res, err := c.call(ctx, req)
-	if err != nil {
-		return nil, err
-	}
-	registration := res.GetRegistration()
-	if registration == nil {
-		return nil, errors.Wrap(ErrUnknown, "no registration in the answer")
-	}
-	if text := registration.GetRefusal(); text != "" {
-		return nil, errors.Wrap(ErrRegistration, text)
-	}
-	return registration, nil
-}
-
 func (c control) call(ctx context.Context, req *controlpb.Request) (*controlpb.Response, error) {
 	res, err := c.caller.Call(ctx, req)
 	if errors.Is(err, link.ErrNotSent) {
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,46 +14,14 @@
 	"go.uber.org/zap"
 
 	"eelgrasswharf.example/eelgrasswharf/admission"
-	"eelgrasswharf.example/eelgrasswharf/api/configpb"
-	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
-	"eelgrasswharf.example/eelgrasswharf/connid"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 	"eelgrasswharf.example/eelgrasswharf/retry"
 )
 
 // defaultRetryPercent is the retry budget until a configuration names one.
 const defaultRetryPercent = 10
 
-// directory is what the agent knows of the deployment.
-type directory interface {
-	// Service returns the service of that number, nil if it is not known.
-	Service(number uint32) *configpb.Service
-	// Targets returns the known targets, of any service.
-	Targets() []*controlpb.TargetRecord
-}
-
-// publisher keeps the announcement of the own target alive at the control
-// hosts.
-type publisher interface {
-	// Publish replaces the record. It does not block.
-	Publish(record *controlpb.TargetRecord)
-	Close()
-}
-
-// parts are what the daemon is connected to.
-type parts struct {
-	control   controlCaller
-	directory directory
-	publisher publisher
-	// secrets protect connection IDs and frames, the first one encodes.
-	secrets     []connid.Secret
-	certificate func() *tls.Certificate
-	// service is the one that the agent's certificate names.
-	service string
-	// close frees the parts once the daemon has ended.
-	close func()
-}
-
 // Daemon is the agent of one backend server.
 type Daemon struct {
 	settings *settingspb.AgentSettings
@@ -81,9 +48,11 @@
 	plane    atomic.Pointer[plane]
 	stopping atomic.Bool
 
-	// Used by housekeeping only.
-	published *controlpb.TargetRecord
-	sequence  uint64
+	// Set by enroll, used by housekeeping only.
+	announcer announcer
+	directory directory
+	status    subscriber.Status
+	started   time.Duration
 	wait      conc.WaitGroup
 }
 
@@ -189,6 +158,7 @@
 	if !ok {
 		return nil, nil
 	}
+	d.directory = d.parts.subscribe(self.serviceNumber)
 	one, err := d.openPlane(self)
 	if err != nil {
 		return nil, err
@@ -199,28 +169,27 @@
 	return one, nil
 }
 
-// register asks the control hosts for an identity until they give one.
+// register announces the target and waits for its identity, as long as the
+// control hosts take to give one.
 func (d *Daemon) register(ctx context.Context, a *announcement) (identity, bool) {
-	ask := &configpb.RegisterTarget{Service: a.Service, Target: a.Target, Process: d.process}
-	told := ""
-	for {
-		try, cancel := context.WithTimeout(ctx, d.timing.grantWait)
-		got, err := control{caller: d.parts.control}.register(try, ask)
-		cancel()
-		if err == nil {
-			return identity{
-				service: a.Service, target: a.Target, serviceNumber: got.GetServiceNumber(),
-				number: got.GetTargetNumber(), incarnation: got.GetIncarnation(), address: d.address,
-			}, true
-		}
-		if text := err.Error(); text != told && ctx.Err() == nil {
-			told = text
-			d.log.Warn("registration failed, trying again", zap.Error(err))
-		}
-		if !pause(ctx, d.timing.registerRetry) {
-			return identity{}, false
-		}
+	figures := d.backend.figures(d.clock.now(), d.timing.announceLease)
+	d.started = figures.since
+	d.status = subscriber.Status{State: stateOf(figures.draining), Slots: uint32(d.gate.figures().slots)}
+	d.announcer = d.parts.enlist(enlistment{
+		service: a.Service, target: a.Target, process: d.process,
+		failureDomain: d.settings.GetHost().GetFailureDomain(), address: d.address.String(),
+		started: d.clock.at(d.started), status: d.status,
+	})
+	select {
+	case <-d.announcer.Registered():
+	case <-ctx.Done():
+		return identity{}, false
 	}
+	got := d.announcer.Registration()
+	return identity{
+		service: a.Service, target: a.Target, serviceNumber: got.GetServiceNumber(),
+		number: got.GetTargetNumber(), incarnation: got.GetIncarnation(), address: d.address,
+	}, true
 }
 
 func (d *Daemon) openPlane(self identity) (*plane, error) {
@@ -235,7 +204,7 @@
 	return newPlane(planeOptions{
 		conn: d.socket, self: self, secrets: d.parts.secrets, certificate: d.parts.certificate,
 		proxy: d.proxy, flows: newFlowTable(maxFlows), counters: d.counters, timing: d.timing, clock: d.clock,
-		handOn: &handOn{self: self, counters: d.counters, targets: d.parts.directory.Targets},
+		handOn: &handOn{self: self, counters: d.counters, targets: d.directory.Targets},
 	})
 }
 
@@ -259,6 +228,8 @@
 	d.stopping.Store(true)
 	d.log.Info("leaving", zap.Int("sessions", one.sessions.count()))
 	began := d.clock.now()
+	d.check(one)
+	d.wait.Go(d.sayFarewell)
 	ticker := time.NewTicker(d.timing.checkEvery)
 	defer ticker.Stop()
 	for {
@@ -274,9 +245,24 @@
 	d.log.Info("left")
 }
 
+// sayFarewell waits until a control host has heard that the target leaves. It
+// only makes the lists better: the agent itself takes no new flow.
+func (d *Daemon) sayFarewell() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.timing.farewell)
+	defer cancel()
+	if err := d.announcer.AwaitAnnounced(ctx); err != nil {
+		d.log.Warn("no control host heard of the leaving", zap.Error(err))
+	}
+}
+
 // free closes what New opened.
 func (d *Daemon) free() {
-	d.parts.publisher.Close()
+	if d.announcer != nil {
+		d.announcer.Close()
+	}
+	if d.directory != nil {
+		d.directory.Close()
+	}
 	_ = d.socket.Close()
 	d.wait.Wait()
 	d.parts.close()
--- a/internal/agentd/errors.go
+++ b/internal/agentd/errors.go
@@ -18,6 +18,4 @@
 	ErrNotDone = errors.New("control host did nothing")
 	// ErrUnknown means that it is not known what a control host did.
 	ErrUnknown = errors.New("outcome at control host unknown")
-	// ErrRegistration is returned when the control hosts refuse the target.
-	ErrRegistration = errors.New("registration refused")
 )
--- a/internal/agentd/fakes_test.go
+++ b/internal/agentd/fakes_test.go
@@ -20,6 +20,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 )
 
 // controlMode is how the fake control hosts behave.
@@ -71,9 +72,6 @@
 func (f *fakeControl) apply(req *controlpb.Request) *controlpb.Response {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if ask := req.GetRegister(); ask != nil {
-		return &controlpb.Response{Body: &controlpb.Response_Registration{Registration: f.register(ask)}}
-	}
 	f.commands = append(f.commands, req.GetGrant())
 	return &controlpb.Response{Body: &controlpb.Response_Grant{Grant: f.grant(req.GetGrant())}}
 }
@@ -139,6 +137,70 @@
 	return proto.CloneOf(record)
 }
 
+// fakeAnnouncer stands for the announcer of one agent.
+type fakeAnnouncer struct {
+	mu           sync.Mutex
+	registered   chan struct{}
+	registration *configpb.Registration
+	record       *controlpb.TargetRecord
+	restarts     int
+}
+
+// enlist returns what a daemon calls to announce its target.
+func (f *fakeAnnouncer) enlist(control *fakeControl) func(enlistment) announcer {
+	return func(e enlistment) announcer {
+		control.mu.Lock()
+		got := control.register(&configpb.RegisterTarget{Service: e.service, Target: e.target, Process: e.process})
+		control.mu.Unlock()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.registered = make(chan struct{})
+		close(f.registered)
+		f.registration = got
+		f.record = &controlpb.TargetRecord{
+			Service: got.GetServiceNumber(), Number: got.GetTargetNumber(), Incarnation: got.GetIncarnation(),
+			Name: e.target, Address: e.address, FailureDomain: e.failureDomain,
+		}
+		f.apply(e.status)
+		return f
+	}
+}
+
+func (f *fakeAnnouncer) apply(status subscriber.Status) {
+	f.record = proto.CloneOf(f.record)
+	f.record.Sequence++
+	f.record.State = status.State
+	f.record.Ill = status.Ill
+	f.record.Slots = status.Slots
+}
+
+func (f *fakeAnnouncer) Registered() <-chan struct{} { return f.registered }
+
+func (f *fakeAnnouncer) Registration() *configpb.Registration { return f.registration }
+
+func (f *fakeAnnouncer) Update(status subscriber.Status) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(status)
+}
+
+func (f *fakeAnnouncer) Restarted(time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restarts++
+}
+
+func (f *fakeAnnouncer) AwaitAnnounced(context.Context) error { return nil }
+
+func (f *fakeAnnouncer) Close() {}
+
+// last returns the record as announced last, nil before the first one.
+func (f *fakeAnnouncer) last() *controlpb.TargetRecord {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.record
+}
+
 // fakeBackend is a backend server whose faults a test switches on by path.
 type fakeBackend struct {
 	server  *httptest.Server
--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -43,7 +43,7 @@
 	t.finishLimit = 5 * time.Second
 	t.grantWait = 300 * time.Millisecond
 	t.grantTry = 100 * time.Millisecond
-	t.registerRetry = 10 * time.Millisecond
+	t.farewell = time.Second
 	t.listenRetry = 10 * time.Millisecond
 	t.checkEvery = 10 * time.Millisecond
 	t.keepAlive = time.Second
@@ -89,7 +89,7 @@
 type agent struct {
 	*Daemon
 	scope     tally.TestScope
-	published *fakePublisher
+	published *fakeAnnouncer
 	stop      context.CancelFunc
 	done      chan error
 }
@@ -118,9 +118,10 @@
 	if change != nil {
 		change(settings.Agent)
 	}
-	a := &agent{scope: tally.NewTestScope("", nil), published: &fakePublisher{}, done: make(chan error, 1)}
+	a := &agent{scope: tally.NewTestScope("", nil), published: &fakeAnnouncer{}, done: make(chan error, 1)}
 	p := parts{
-		control: w.control, directory: w.known, publisher: a.published, secrets: w.secrets,
+		control: w.control, enlist: a.published.enlist(w.control), secrets: w.secrets,
+		subscribe:   func(uint32) directory { return w.known },
 		certificate: func() *tls.Certificate { return w.cert }, service: testService, close: func() {},
 	}
 	daemon, err := newDaemon(settings, zap.NewNop(), a.scope, p, timing)
@@ -327,35 +328,14 @@
 	return f.targets
 }
 
+func (f *fakeDirectory) Close() {}
+
 func (f *fakeDirectory) set(targets ...*controlpb.TargetRecord) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.targets = targets
 }
 
-// fakePublisher remembers the records of one agent.
-type fakePublisher struct {
-	mu      sync.Mutex
-	records []*controlpb.TargetRecord
-}
-
-func (f *fakePublisher) Publish(record *controlpb.TargetRecord) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.records = append(f.records, record)
-}
-
-func (f *fakePublisher) Close() {}
-
-func (f *fakePublisher) last() *controlpb.TargetRecord {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.records) == 0 {
-		return nil
-	}
-	return f.records[len(f.records)-1]
-}
-
 func TestSettingsAreChecked(t *testing.T) {
 	for _, listen := range []string{"", "0.0.0.0:0", "[::1]:0", "127.0.0.1"} {
 		t.Run(listen, func(t *testing.T) {
--- a/internal/agentd/housekeeping.go
+++ b/internal/agentd/housekeeping.go
@@ -1,11 +1,13 @@
 package agentd
 
 import (
+	"time"
+
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/health"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 )
 
 // check brings the state of the target up to date and tells the control hosts
@@ -33,7 +35,7 @@
 		one.sessions.closeIdle()
 	}
 	d.gauges(one, gate, verdict)
-	d.publish(one.self, state, gate.slots, uint64(backend.age.Milliseconds()))
+	d.publish(state, gate.slots, backend.since)
 }
 
 func (d *Daemon) logChange(old, now targetState, verdict health.Verdict) {
@@ -49,7 +51,7 @@
 // of the configured and the announced number of slots holds.
 func (d *Daemon) applyConfig(service, announced uint32) {
 	slots := announced
-	config := d.parts.directory.Service(service)
+	config := d.directory.Service(service)
 	if configured := config.GetSlots(); configured > 0 && (slots == 0 || configured < slots) {
 		slots = configured
 	}
@@ -73,29 +75,22 @@
 	d.counters.ill.Update(ill)
 }
 
-// publish tells the control hosts of the target when its record changed. Its
-// age is sent along but is no change: control hosts count on by themselves.
-func (d *Daemon) publish(self identity, state *targetState, slots int, ageMS uint64) {
-	record := &controlpb.TargetRecord{
-		Service:       self.serviceNumber,
-		Number:        self.number,
-		Incarnation:   self.incarnation,
-		Name:          self.target,
-		FailureDomain: d.settings.GetHost().GetFailureDomain(),
-		Address:       self.address.String(),
-		State:         controlpb.TargetState_TARGET_STATE_SERVING,
-		Slots:         uint32(slots),
-		Ill:           state.ill,
+// publish tells the control hosts of the target when its status changed.
+func (d *Daemon) publish(state *targetState, slots int, since time.Duration) {
+	if since != d.started {
+		d.started = since
+		d.announcer.Restarted(d.clock.at(since))
 	}
-	if state.draining {
-		record.State = controlpb.TargetState_TARGET_STATE_DRAINING
+	status := subscriber.Status{State: stateOf(state.draining), Ill: state.ill, Slots: uint32(slots)}
+	if status != d.status {
+		d.status = status
+		d.announcer.Update(status)
 	}
-	if d.published != nil && proto.Equal(d.published, record) {
-		return
+}
+
+func stateOf(draining bool) controlpb.TargetState {
+	if draining {
+		return controlpb.TargetState_TARGET_STATE_DRAINING
 	}
-	d.published = proto.CloneOf(record)
-	d.sequence++
-	record.Sequence = d.sequence
-	record.AgeMs = ageMS
-	d.parts.publisher.Publish(record)
+	return controlpb.TargetState_TARGET_STATE_SERVING
 }
--- a/internal/agentd/timing.go
+++ b/internal/agentd/timing.go
@@ -25,8 +25,8 @@
 	grantWait time.Duration
 	// grantTry bounds one call for a grant.
 	grantTry time.Duration
-	// registerRetry is the wait between two tries to register.
-	registerRetry time.Duration
+	// farewell bounds the wait for a control host to hear of the leaving.
+	farewell time.Duration
 	// listenRetry is the wait between two tries to open the announcement
 	// address, which an older process may still hold.
 	listenRetry time.Duration
@@ -46,7 +46,7 @@
 		finishLimit:   time.Minute,
 		grantWait:     2 * time.Second,
 		grantTry:      500 * time.Millisecond,
-		registerRetry: 200 * time.Millisecond,
+		farewell:      5 * time.Second,
 		listenRetry:   100 * time.Millisecond,
 		checkEvery:    200 * time.Millisecond,
 		keepAlive:     10 * time.Second,
