Command line: daemons, operator tools, keys, backend, load and dev

One binary runs every role and every operator tool. Exit statuses are part of the interface (0 accepted, 1 failure, 2 usage, 3 refused, 4 not known), and an outcome that is not known comes with the command that tells it. The first signal asks for a graceful shutdown without a time limit, the second ends the process, since the forced end of sessions is the operator's choice.

--- a/cmd/eelgrasswharf/main.go
+++ b/cmd/eelgrasswharf/main.go
@@ -2,4 +2,13 @@
 // operator tool in one binary.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/cli/daemon.go
@@ -0,0 +1,173 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"path/filepath"
+
+	"github.com/sourcegraph/conc"
+	"github.com/spf13/cobra"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/agentd"
+	"eelgrasswharf.example/eelgrasswharf/internal/controld"
+	"eelgrasswharf.example/eelgrasswharf/internal/entryd"
+	"eelgrasswharf.example/eelgrasswharf/internal/logging"
+	"eelgrasswharf.example/eelgrasswharf/internal/metrics"
+	"eelgrasswharf.example/eelgrasswharf/internal/settings"
+)
+
+// readyMessage is the log line by which scripts know that a daemon serves.
+const readyMessage = "ready"
+
+// daemon is what all roles have in common.
+type daemon interface {
+	Run(ctx context.Context) error
+	Ready() <-chan struct{}
+}
+
+// commonSettings are the sections that every role has.
+type commonSettings interface {
+	proto.Message
+	GetHost() *settingspb.Host
+	GetLog() *settingspb.Log
+	GetMetrics() *settingspb.Metrics
+}
+
+// role describes the command of one daemon with settings S.
+type role[S commonSettings, D daemon] struct {
+	name    settings.Role
+	short   string
+	long    string
+	message S
+	open    func(S, *zap.Logger, tally.Scope) (D, error)
+	// bound lists the addresses that the daemon opened, once it is ready.
+	bound func(D) []zap.Field
+}
+
+func newControl() *cobra.Command {
+	return daemonCommand(role[*settingspb.ControlSettings, *controld.Daemon]{
+		name:  settings.RoleControl,
+		short: "Run a control host",
+		long: `Runs a control host in the foreground: a replica of the configuration and of
+the right to run requests that may not be repeated.`,
+		message: &settingspb.ControlSettings{},
+		open:    controld.New,
+		bound: func(d *controld.Daemon) []zap.Field {
+			return []zap.Field{zap.String("link", d.LinkAddr()), zap.String("operator", d.OperatorAddr())}
+		},
+	})
+}
+
+func newEntry() *cobra.Command {
+	return daemonCommand(role[*settingspb.EntrySettings, *entryd.Daemon]{
+		name:  settings.RoleEntry,
+		short: "Run an entry host",
+		long: `Runs an entry host in the foreground: it forwards the packets of callers to
+the agents of targets and keeps no state of any flow.`,
+		message: &settingspb.EntrySettings{},
+		open:    entryd.New,
+		bound: func(d *entryd.Daemon) []zap.Field {
+			return []zap.Field{zap.String("frames", d.FrameAddr()), zap.Any("public", d.PublicAddrs())}
+		},
+	})
+}
+
+func newAgent() *cobra.Command {
+	return daemonCommand(role[*settingspb.AgentSettings, *agentd.Daemon]{
+		name:  settings.RoleAgent,
+		short: "Run the agent beside a backend server",
+		long: `Runs the agent of one backend server in the foreground: it ends the callers'
+connections and passes their requests on to the backend server.
+
+An agent that is told to stop takes no new flow and exits when its last session
+has ended, however long that takes.`,
+		message: &settingspb.AgentSettings{},
+		open:    agentd.New,
+		bound: func(d *agentd.Daemon) []zap.Field {
+			return []zap.Field{zap.String("frames", d.FrameAddr()), zap.String("announce", d.AnnounceAddr())}
+		},
+	})
+}
+
+func daemonCommand[S commonSettings, D daemon](r role[S, D]) *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   string(r.name) + " -c FILE",
+		Short: r.short,
+		Long: r.long + `
+
+SIGTERM or SIGINT asks for a graceful shutdown, which ends with exit status 0.
+A second signal ends the process at once, with exit status 1.
+
+The log goes to standard error. The line with the message "` + readyMessage + `" names the
+addresses that the process has opened.`,
+		Example: fmt.Sprintf(`  eelgrasswharf config example %[1]s > %[1]s.ini
+  eelgrasswharf config check %[1]s.ini
+  eelgrasswharf %[1]s -c %[1]s.ini`, r.name),
+		Args: noArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return r.serve(cmd, path) },
+	}
+	cmd.Flags().StringVarP(&path, "settings", "c", "", "settings `FILE` (INI)")
+	require(cmd, "settings")
+	return cmd
+}
+
+// serve runs the daemon until a signal.
+func (r role[S, D]) serve(cmd *cobra.Command, path string) error {
+	s := proto.Clone(r.message).(S)
+	if err := settings.Load(filepath.Clean(path), s); err != nil {
+		return err
+	}
+	log, err := logging.New(s.GetLog(), cmd.ErrOrStderr())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	scope, closer, metricsAddr, err := metrics.New(s.GetMetrics(), func(err error) {
+		log.Error("metric not registered", zap.Error(err))
+	})
+	if err != nil {
+		return err
+	}
+	defer closer.Close()
+	d, err := r.open(s, log, scope)
+	if err != nil {
+		return err
+	}
+	fields := []zap.Field{zap.String("role", string(r.name)), zap.String("name", s.GetHost().GetName())}
+	return untilSignal(cmd.Context(), func(ctx context.Context) error {
+		return runAnnounced(ctx, d, func() {
+			fields = append(fields, r.bound(d)...)
+			log.Info(readyMessage, append(fields, metricsField(metricsAddr))...)
+		})
+	})
+}
+
+// runAnnounced runs d and calls ready once d serves.
+func runAnnounced(ctx context.Context, d daemon, ready func()) error {
+	ended := make(chan struct{})
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		select {
+		case <-d.Ready():
+			ready()
+		case <-ended:
+		}
+	})
+	err := d.Run(ctx)
+	close(ended)
+	wg.Wait()
+	return err
+}
+
+func metricsField(addr netip.AddrPort) zap.Field {
+	if !addr.IsValid() {
+		return zap.Skip()
+	}
+	return zap.Stringer("metrics", addr)
+}
--- /dev/null
+++ b/internal/cli/keys.go
@@ -0,0 +1,221 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+)
+
+func newKeys() *cobra.Command {
+	return group("keys", "Make and look at keys and certificates",
+		`Keys live in a folder of the operator. Each host gets copies of the files that
+its settings name; the authority's private key stays in the folder.`,
+		`  eelgrasswharf keys init keys
+  eelgrasswharf keys issue keys control control-1
+  eelgrasswharf keys issue keys agent agent-1 --service lodgement
+  eelgrasswharf keys issue keys caller --service lodgement
+  eelgrasswharf keys issue keys operator ada`,
+		newKeysInit(), newKeysIssue(), newKeysSecret(), newKeysInspect())
+}
+
+func newKeysInit() *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:     "init FOLDER",
+		Short:   "Make an authority and the first data secret",
+		Long:    "Makes the certificate authority and the first data secret of a deployment. It never overwrites an authority.",
+		Example: "  eelgrasswharf keys init keys",
+		Args:    exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := keys.InitAuthority(args[0]); err != nil {
+				return err
+			}
+			return done(cmd.OutOrStdout(), asJSON, keyReport{Folder: args[0]}, "authority and data secret made in "+args[0])
+		},
+	}
+	jsonFlag(cmd, &asJSON)
+	return cmd
+}
+
+// keyReport is the JSON form of what a keys command did.
+type keyReport struct {
+	Folder      string `json:"folder,omitempty"`
+	Certificate string `json:"certificate,omitempty"`
+	PrivateKey  string `json:"private_key,omitempty"`
+	SecretID    *uint8 `json:"secret_id,omitempty"`
+}
+
+func done(w io.Writer, asJSON bool, report keyReport, text string) error {
+	if asJSON {
+		return writeJSON(w, report)
+	}
+	_, err := fmt.Fprintln(w, text)
+	return err
+}
+
+func newKeysIssue() *cobra.Command {
+	var service string
+	var ips []string
+	var valid time.Duration
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:   "issue FOLDER ROLE [NAME]",
+		Short: "Sign a certificate",
+		Long: `Signs a certificate with the authority of the folder and writes it there, in
+place of an older one of the same name. Roles are control, entry, agent,
+operator and caller. An agent's certificate names its service. A caller
+certificate is the one that agents show to callers; it has a service in place
+of a name.`,
+		Example: `  eelgrasswharf keys issue keys entry entry-1
+  eelgrasswharf keys issue keys agent agent-1 --service lodgement
+  eelgrasswharf keys issue keys caller --service lodgement --ip 192.0.2.80`,
+		Args: usageArgs(cobra.RangeArgs(2, 3)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			role, err := keys.ParseRole(args[1])
+			if err != nil {
+				return usage(err)
+			}
+			name := ""
+			if len(args) == 3 {
+				name = args[2]
+			}
+			addrs, err := parseIPs(ips)
+			if err != nil {
+				return usage(err)
+			}
+			files, err := keys.Issue(args[0], role, name, service, addrs, valid)
+			if err != nil {
+				return err
+			}
+			report := keyReport{Certificate: files.Certificate, PrivateKey: files.PrivateKey}
+			return done(cmd.OutOrStdout(), asJSON, report, files.Certificate+"\n"+files.PrivateKey)
+		},
+	}
+	cmd.Flags().StringVar(&service, "service", "", "`SERVICE` of an agent or caller certificate")
+	cmd.Flags().StringSliceVar(&ips, "ip", nil, "IP `NUMBERS` that the certificate names, comma-separated")
+	cmd.Flags().DurationVar(&valid, "valid", keys.DefaultValidity, "validity")
+	jsonFlag(cmd, &asJSON)
+	return cmd
+}
+
+func parseIPs(texts []string) ([]netip.Addr, error) {
+	var out []netip.Addr
+	for _, text := range texts {
+		ip, err := netip.ParseAddr(text)
+		if err != nil {
+			return nil, errors.Wrapf(err, "--ip %q", text)
+		}
+		out = append(out, ip)
+	}
+	return out, nil
+}
+
+func newKeysSecret() *cobra.Command {
+	return group("secret", "Replace the data secrets step by step",
+		`Data secrets protect connection IDs and frames. Every process decodes with all
+secrets of its file and encodes with the first. To replace one: add a new
+secret and copy the file to every host; prefer the new one and copy again; when
+the flows of the old one have ended, remove it and copy again.`,
+		`  eelgrasswharf keys secret add keys
+  eelgrasswharf keys secret prefer keys 1
+  eelgrasswharf keys secret remove keys 0`,
+		newSecretAdd(),
+		newSecretEdit("prefer", "Encode with a secret from now on", keys.PreferDataSecret),
+		newSecretEdit("remove", "Remove a secret; flows that need it are lost", keys.RemoveDataSecret))
+}
+
+func newSecretAdd() *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:     "add FOLDER",
+		Short:   "Add a secret that decodes only",
+		Long:    "Adds a data secret, which decodes only until it is preferred, and prints its ID.",
+		Example: "  eelgrasswharf keys secret add keys",
+		Args:    exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			id, err := keys.AddDataSecret(args[0])
+			if err != nil {
+				return err
+			}
+			return done(cmd.OutOrStdout(), asJSON, keyReport{Folder: args[0], SecretID: &id}, strconv.Itoa(int(id)))
+		},
+	}
+	jsonFlag(cmd, &asJSON)
+	return cmd
+}
+
+func newSecretEdit(verb, short string, edit func(dir string, id uint8) error) *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:     verb + " FOLDER ID",
+		Short:   short,
+		Long:    short + ".",
+		Example: "  eelgrasswharf keys secret " + verb + " keys 1",
+		Args:    exactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			n, err := strconv.ParseUint(args[1], 10, 8)
+			if err != nil {
+				return usage(errors.Errorf("%q is not the ID of a secret", args[1]))
+			}
+			id := uint8(n)
+			if err := edit(args[0], id); err != nil {
+				return err
+			}
+			return done(cmd.OutOrStdout(), asJSON, keyReport{Folder: args[0], SecretID: &id}, "done")
+		},
+	}
+	jsonFlag(cmd, &asJSON)
+	return cmd
+}
+
+func newKeysInspect() *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:     "inspect FILE...",
+		Short:   "Tell what key files hold",
+		Long:    "Tells what each file holds: whose certificate, until when, which IDs of secrets. It never prints a secret.",
+		Example: "  eelgrasswharf keys inspect keys/*.pem keys/data-secrets",
+		Args:    minArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			all := map[string][]keys.Inspection{}
+			for _, path := range args {
+				found, err := keys.InspectFile(path)
+				if err != nil {
+					return err
+				}
+				all[path] = found
+				if !asJSON {
+					writeInspections(cmd.OutOrStdout(), path, found)
+				}
+			}
+			if asJSON {
+				return writeJSON(cmd.OutOrStdout(), all)
+			}
+			return nil
+		},
+	}
+	jsonFlag(cmd, &asJSON)
+	return cmd
+}
+
+func writeInspections(w io.Writer, path string, found []keys.Inspection) {
+	for _, i := range found {
+		switch i.Kind {
+		case keys.KindDataSecrets:
+			fmt.Fprintf(w, "%s: %s, IDs %v, the first encodes\n", path, i.Kind, i.SecretIDs)
+		case keys.KindPrivateKey:
+			fmt.Fprintf(w, "%s: %s\n", path, i.Kind)
+		case keys.KindProcess:
+			fmt.Fprintf(w, "%s: %s of %s, until %s\n", path, i.Kind, i.Identity, i.NotAfter.Format(time.RFC3339))
+		default:
+			fmt.Fprintf(w, "%s: %s %s %v, until %s\n", path, i.Kind, i.Subject, i.DNSNames, i.NotAfter.Format(time.RFC3339))
+		}
+	}
+}
--- /dev/null
+++ b/internal/cli/replica.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+)
+
+func newReplica() *cobra.Command {
+	return group("replica", "Add, promote and remove control hosts",
+		`Changes the members of the replicated logs, one at a time. A new control host
+starts with "join = true" in its settings, is added as a learner, catches up,
+and is promoted to a voter.`,
+		"  eelgrasswharf replica add 192.0.2.4:7100 "+operatorExample,
+		newReplicaAdd(),
+		newReplicaMember("promote NAME", "Give a learner that has caught up a vote",
+			"Gives the learner NAME a vote once it has caught up.", (*operator.Client).Promote),
+		newReplicaMember("remove NAME", "Take a control host out of both logs",
+			"Removes the control host NAME for good. Its data folder must not be used again.", (*operator.Client).Remove),
+	)
+}
+
+func newReplicaAdd() *cobra.Command {
+	var asJSON bool
+	o := &operatorFlags{}
+	cmd := &cobra.Command{
+		Use:     "add ADDRESS",
+		Short:   "Add a control host as a learner",
+		Long:    "Adds the control host at the link address (ip:port) to both logs, without a vote.",
+		Example: "  eelgrasswharf replica add 192.0.2.4:7100 " + operatorExample,
+		Args:    exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return o.call(cmd, func(c *operator.Client) error {
+				s, err := c.AddLearner(cmd.Context(), args[0])
+				return reportMember(cmd, s, err, asJSON)
+			})
+		},
+	}
+	jsonFlag(cmd, &asJSON)
+	o.add(cmd)
+	return cmd
+}
+
+// memberCall is a change of one member.
+type memberCall func(*operator.Client, context.Context, operator.MemberRef) (*operator.Status, error)
+
+func newReplicaMember(use, short, long string, change memberCall) *cobra.Command {
+	var asJSON bool
+	var incarnation uint64
+	o := &operatorFlags{}
+	cmd := &cobra.Command{
+		Use:     use,
+		Short:   short,
+		Long:    long + "\n\n--incarnation tells lives of one host apart where the name is ambiguous.",
+		Example: "  eelgrasswharf replica " + use[:len(use)-len("NAME")] + "control-4 " + operatorExample,
+		Args:    exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return o.call(cmd, func(c *operator.Client) error {
+				ref := operator.MemberRef{Name: args[0], Incarnation: incarnation}
+				s, err := change(c, cmd.Context(), ref)
+				return reportMember(cmd, s, err, asJSON)
+			})
+		},
+	}
+	cmd.Flags().Uint64Var(&incarnation, "incarnation", 0, "incarnation `N` of the member")
+	jsonFlag(cmd, &asJSON)
+	o.add(cmd)
+	return cmd
+}
+
+// reportMember shows the members after a change.
+func reportMember(cmd *cobra.Command, s *operator.Status, err error, asJSON bool) error {
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return writeJSON(cmd.OutOrStdout(), s)
+	}
+	writeHost(cmd.OutOrStdout(), hostReport{Address: "done", Status: s})
+	return nil
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,99 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+)
+
+var errNoAnswer = errors.New("no control host answered")
+
+func newStatus() *cobra.Command {
+	var asJSON bool
+	o := &operatorFlags{}
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show what each control host sees",
+		Long: `Asks every control host for its own view: the state of both replicated logs,
+the version it knows, the directory of targets, and the subscribers on which
+that version is not yet in force. It does not wait for a quorum.
+
+Exit status: 0 when at least one control host answered.`,
+		Example: "  eelgrasswharf status " + operatorExample,
+		Args:    noArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return o.call(cmd, func(c *operator.Client) error {
+				return reportStatus(cmd.OutOrStdout(), c.Status(cmd.Context()), asJSON)
+			})
+		},
+	}
+	jsonFlag(cmd, &asJSON)
+	o.add(cmd)
+	return cmd
+}
+
+// hostReport is the JSON form of one host's answer.
+type hostReport struct {
+	Address string           `json:"address"`
+	Status  *operator.Status `json:"status,omitempty"`
+	Error   string           `json:"error,omitempty"`
+}
+
+func reportStatus(w io.Writer, hosts []operator.HostStatus, asJSON bool) error {
+	answered := 0
+	var reports []hostReport
+	for _, h := range hosts {
+		report := hostReport{Address: h.Address, Status: h.Status}
+		if h.Err != nil {
+			report.Error = h.Err.Error()
+		} else {
+			answered++
+		}
+		reports = append(reports, report)
+	}
+	if asJSON {
+		if err := writeJSON(w, reports); err != nil {
+			return err
+		}
+	} else {
+		for _, r := range reports {
+			writeHost(w, r)
+		}
+	}
+	if answered == 0 {
+		return errNoAnswer
+	}
+	return nil
+}
+
+func writeHost(w io.Writer, r hostReport) {
+	if r.Status == nil {
+		fmt.Fprintf(w, "%s: no answer: %s\n", r.Address, r.Error)
+		return
+	}
+	s := r.Status
+	fmt.Fprintf(w, "%s: %s, version %d by patch %q, %d targets, %d subscribers\n",
+		r.Address, s.Host, s.Version, s.VersionPatch, s.Targets, len(s.Subscribers))
+	for _, g := range s.Groups {
+		fmt.Fprintf(w, "  group %s: %s, leader %q, term %d, commit %d, applied %d\n",
+			g.Group, g.State, g.Leader, g.Term, g.Commit, g.Applied)
+		for _, m := range g.Members {
+			fmt.Fprintf(w, "    %s %s%s\n", m.Name, m.Address, learnerMark(m.Learner))
+		}
+	}
+	if len(s.Laggards) > 0 {
+		fmt.Fprintf(w, "  not yet in force on: %s\n", strings.Join(s.Laggards, ", "))
+	}
+}
+
+func learnerMark(learner bool) string {
+	if learner {
+		return " (learner)"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/dev/load.go
@@ -0,0 +1,21 @@
+package dev
+
+import (
+	"context"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/loadgen"
+)
+
+// Load runs o against a service of the deployment; what the deployment knows
+// better (addresses, roots, targets, backend servers) is filled in.
+func (d *Deployment) Load(ctx context.Context, service string, o loadgen.Options) (*loadgen.Report, error) {
+	o.Service = service
+	o.Addresses = d.Addresses(service)
+	o.Roots = d.roots
+	o.Targets = d.Targets(service)
+	o.RunURLs = nil
+	for _, b := range d.Backends(service) {
+		o.RunURLs = append(o.RunURLs, b.URL())
+	}
+	return loadgen.Run(ctx, o)
+}
--- /dev/null
+++ b/internal/settings/format.go
@@ -0,0 +1,46 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+)
+
+// FormatService writes a service as the section of a patch file that creates
+// it. Unset keys are left out.
+func FormatService(s *configpb.Service) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[%s %s]\n", putPrefix, s.GetName())
+	for _, m := range []protoreflect.Message{s.ProtoReflect(), s.GetPolicy().ProtoReflect()} {
+		fields := m.Descriptor().Fields()
+		for i := range fields.Len() {
+			f := fields.Get(i)
+			if hiddenFields[f.Name()] || !m.Has(f) {
+				continue
+			}
+			fmt.Fprintf(&b, "%s = %s\n", f.Name(), formatValue(f, m.Get(f)))
+		}
+	}
+	return b.String()
+}
+
+func formatValue(f protoreflect.FieldDescriptor, v protoreflect.Value) string {
+	if f.IsList() {
+		var parts []string
+		for i := range v.List().Len() {
+			parts = append(parts, v.List().Get(i).String())
+		}
+		return strings.Join(parts, ", ")
+	}
+	if f.Kind() == protoreflect.EnumKind {
+		value := f.Enum().Values().ByNumber(v.Enum())
+		if value == nil {
+			return fmt.Sprint(v.Enum())
+		}
+		return enumNames(f.Enum())[value.Index()]
+	}
+	return v.String()
+}
--- a/internal/settings/patch_test.go
+++ b/internal/settings/patch_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/internal/settings"
@@ -46,3 +47,14 @@
 	_, err := settings.ParsePatch("p.ini", []byte("# nothing\n"))
 	is.Equal(len(findings(t, err)), 1)
 }
+
+func TestFormattedServiceReadsBack(t *testing.T) {
+	is := is.New(t)
+	want := &configpb.Service{
+		Name: "lodgement", Addresses: []string{"192.0.2.1:443", "192.0.2.2:443"}, Slots: 4,
+		Policy: &configpb.Policy{Strategy: configpb.Strategy_STRATEGY_HASH, ImbalanceWeight: 0.25},
+	}
+	patch, err := settings.ParsePatch("p.ini", []byte(settings.FormatService(want)))
+	is.NoErr(err)
+	is.True(proto.Equal(patch.GetOperations()[0].GetPutService(), want))
+}
