--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,148 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/cli"
+)
+
+// result is what one command did.
+type result struct {
+	status         int
+	stdout, stderr string
+}
+
+func run(t *testing.T, args ...string) result {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	status := cli.Main(context.Background(), args, &stdout, &stderr)
+	return result{status, stdout.String(), stderr.String()}
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file.ini")
+	is.New(t).NoErr(os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestUsageErrors(t *testing.T) {
+	for name, args := range map[string][]string{
+		"unknown command":  {"controll"},
+		"unknown flag":     {"entry", "--sttings", "a"},
+		"no settings":      {"entry"},
+		"too few args":     {"config", "check"},
+		"unknown role":     {"config", "example", "broker"},
+		"missing flags":    {"patch", "submit", "p.ini"},
+		"bad key role":     {"keys", "issue", "folder", "broker", "b"},
+		"bad secret":       {"keys", "secret", "prefer", "folder", "x"},
+		"bad fault":        {"backend", "--service", "s", "--target", "t", "--fault-health", "odd"},
+		"bad load address": {"dev", "--log-level", "loud"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := run(t, args...)
+			is.Equal(got.status, cli.ExitUsage)
+			is.True(strings.HasPrefix(got.stderr, "eelgrasswharf"))
+			is.Equal(strings.Count(got.stderr, "\n"), 1) // one line
+		})
+	}
+}
+
+func TestEveryCommandHasHelpWithExample(t *testing.T) {
+	for _, args := range []string{
+		"", "control", "entry", "agent", "config", "config check", "config example", "config show",
+		"patch", "patch submit", "patch show", "status", "replica", "replica add", "replica promote",
+		"replica remove", "keys", "keys init", "keys issue", "keys secret", "keys secret add",
+		"keys secret prefer", "keys secret remove", "keys inspect", "backend", "load", "dev",
+	} {
+		t.Run(args, func(t *testing.T) {
+			is := is.New(t)
+			got := run(t, append(strings.Fields(args), "--help")...)
+			is.Equal(got.status, cli.ExitOK)
+			is.True(strings.Contains(got.stdout, "Examples:\n  "))
+		})
+	}
+}
+
+func TestConfigExampleIsAccepted(t *testing.T) {
+	for _, role := range []string{"control", "entry", "agent"} {
+		t.Run(role, func(t *testing.T) {
+			is := is.New(t)
+			example := run(t, "config", "example", role)
+			is.Equal(example.status, cli.ExitOK)
+			path := write(t, example.stdout)
+			got := run(t, "config", "check", path)
+			is.Equal(got.status, cli.ExitOK)
+			got = run(t, "config", "check", "--json", path)
+			is.Equal(got.status, cli.ExitOK)
+			var report struct {
+				Role     string
+				Findings []struct{ Place, Text string }
+			}
+			is.NoErr(json.Unmarshal([]byte(got.stdout), &report))
+			is.Equal(report.Role, role)
+			is.Equal(len(report.Findings), 0)
+		})
+	}
+}
+
+func TestConfigCheckFindings(t *testing.T) {
+	is := is.New(t)
+	example := run(t, "config", "example", "entry").stdout
+	path := write(t, strings.Replace(example, "failure_domain = oke-ado", "failure_domian = oke-ado", 1))
+	got := run(t, "config", "check", path)
+	is.Equal(got.status, cli.ExitFailure)
+	is.True(strings.Contains(got.stdout, path+":"))
+	is.True(strings.Contains(got.stdout, `did you mean "failure_domain"?`))
+	is.Equal(got.stderr, "")
+	got = run(t, "config", "check", "--json", path)
+	is.Equal(got.status, cli.ExitFailure)
+	is.True(strings.Contains(got.stdout, `"place": "`+path))
+	got = run(t, "config", "check", "--role", "agent", path)
+	is.Equal(got.status, cli.ExitFailure)
+	got = run(t, "config", "check", filepath.Join(t.TempDir(), "missing.ini"))
+	is.Equal(got.status, cli.ExitFailure)
+	is.Equal(strings.Count(got.stderr, "\n"), 1)
+}
+
+func TestDaemonReportsUnreadableFiles(t *testing.T) {
+	is := is.New(t)
+	path := write(t, run(t, "config", "example", "entry").stdout)
+	got := run(t, "entry", "-c", path)
+	is.Equal(got.status, cli.ExitFailure)
+	is.True(strings.Contains(got.stderr, "keys.authority"))
+	is.True(strings.Contains(got.stderr, "no such file or directory"))
+}
+
+func TestKeys(t *testing.T) {
+	is := is.New(t)
+	dir := filepath.Join(t.TempDir(), "keys")
+	is.Equal(run(t, "keys", "init", dir).status, cli.ExitOK)
+	is.Equal(run(t, "keys", "init", dir).status, cli.ExitFailure) // never overwrites
+	got := run(t, "keys", "issue", dir, "agent", "agent-1", "--service", "lodgement", "--json")
+	is.Equal(got.status, cli.ExitOK)
+	var files struct{ Certificate string }
+	is.NoErr(json.Unmarshal([]byte(got.stdout), &files))
+	got = run(t, "keys", "inspect", files.Certificate)
+	is.Equal(got.status, cli.ExitOK)
+	is.True(strings.Contains(got.stdout, "agent-1"))
+	is.True(strings.Contains(got.stdout, "lodgement"))
+	got = run(t, "keys", "secret", "add", dir)
+	is.Equal(got.status, cli.ExitOK)
+	id := strings.TrimSpace(got.stdout)
+	is.Equal(run(t, "keys", "secret", "prefer", dir, id).status, cli.ExitOK)
+	got = run(t, "keys", "inspect", filepath.Join(dir, "data-secrets"))
+	is.True(strings.Contains(got.stdout, "IDs ["+id+" "))
+	is.Equal(run(t, "keys", "secret", "remove", dir, "0").status, cli.ExitOK)
+	is.Equal(run(t, "keys", "secret", "remove", dir, "0").status, cli.ExitFailure)
+	is.Equal(run(t, "keys", "issue", dir, "entry", "entry-1", "--ip", "localhost").status, cli.ExitUsage)
+}
--- /dev/null
+++ b/internal/cli/process_test.go
@@ -0,0 +1,187 @@
+package cli_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/cli"
+)
+
+// asCommand makes this test binary act as the command line, so that tests
+// see real processes with signals and exit statuses.
+const asCommand = "EELGRASSWHARF_TEST_AS_COMMAND"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asCommand) != "" {
+		os.Exit(cli.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// process is a running command.
+type process struct {
+	cmd  *exec.Cmd
+	logs *bufio.Scanner
+}
+
+func launch(t *testing.T, args ...string) *process {
+	t.Helper()
+	is := is.New(t)
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), asCommand+"=1")
+	stderr, err := cmd.StderrPipe()
+	is.NoErr(err)
+	is.NoErr(cmd.Start())
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	return &process{cmd: cmd, logs: bufio.NewScanner(stderr)}
+}
+
+// awaitLine reads log lines up to the one with that message.
+func (p *process) awaitLine(t *testing.T, message string) map[string]any {
+	t.Helper()
+	for p.logs.Scan() {
+		var line map[string]any
+		if json.Unmarshal(p.logs.Bytes(), &line) == nil && line["msg"] == message {
+			return line
+		}
+		t.Log(p.logs.Text())
+	}
+	t.Fatalf("the process ended without %q", message)
+	return nil
+}
+
+// exit waits for the end and returns the exit status.
+func (p *process) exit(t *testing.T) int {
+	t.Helper()
+	for p.logs.Scan() {
+		t.Log(p.logs.Text())
+	}
+	err := p.cmd.Wait()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func backendArgs() []string {
+	return []string{"backend", "--service", "lodgement", "--target", "lodgement-1"}
+}
+
+func TestSignalShutsDownGracefully(t *testing.T) {
+	is := is.New(t)
+	p := launch(t, backendArgs()...)
+	line := p.awaitLine(t, "ready")
+	is.Equal(line["role"], "backend")
+	is.NoErr(p.cmd.Process.Signal(syscall.SIGTERM))
+	is.Equal(p.exit(t), cli.ExitOK)
+}
+
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := launch(t, backendArgs()...)
+	url := p.awaitLine(t, "ready")["url"].(string)
+	res, err := http.Get(url + "/watch?ms=1")
+	is.NoErr(err)
+	defer res.Body.Close()
+	is.NoErr(p.cmd.Process.Signal(syscall.SIGTERM))
+	p.awaitLine(t, "draining")
+	_, err = bufio.NewReader(res.Body).ReadString('\n') // the watch goes on
+	is.NoErr(err)
+	is.NoErr(p.cmd.Process.Signal(syscall.SIGINT))
+	is.Equal(p.exit(t), cli.ExitFailure)
+}
+
+func TestAddressInUse(t *testing.T) {
+	is := is.New(t)
+	holder, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer holder.Close()
+	got := run(t, append(backendArgs(), "--listen", holder.Addr().String())...)
+	is.Equal(got.status, cli.ExitFailure)
+	is.Equal(strings.Count(got.stderr, "\n"), 1)
+	is.True(strings.Contains(got.stderr, "address already in use"))
+}
+
+// roleFiles makes the keys and an example settings file of a role with the
+// given replacements.
+func roleFiles(t *testing.T, role string, replace ...string) string {
+	t.Helper()
+	is := is.New(t)
+	dir := t.TempDir()
+	keyDir := filepath.Join(dir, "keys")
+	is.Equal(run(t, "keys", "init", keyDir).status, cli.ExitOK)
+	is.Equal(run(t, "keys", "issue", keyDir, role, role+"-1", "--service", serviceOf(role)).status, cli.ExitOK)
+	is.Equal(run(t, "keys", "issue", keyDir, "caller", "--service", "lodgement").status, cli.ExitOK)
+	text := strings.NewReplacer(replace...).Replace(run(t, "config", "example", role).stdout)
+	path := filepath.Join(dir, role+".ini")
+	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func serviceOf(role string) string {
+	if role == "agent" {
+		return "lodgement"
+	}
+	return ""
+}
+
+func TestDaemonAddressInUse(t *testing.T) {
+	is := is.New(t)
+	holder, err := net.ListenPacket("udp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer holder.Close()
+	path := roleFiles(t, "entry", "192.0.2.20:7200", holder.LocalAddr().String())
+	got := run(t, "entry", "-c", path)
+	is.Equal(got.status, cli.ExitFailure)
+	is.True(strings.Contains(got.stderr, "address already in use"))
+}
+
+func TestMetricsAddressInUse(t *testing.T) {
+	is := is.New(t)
+	holder, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer holder.Close()
+	path := roleFiles(t, "entry", "192.0.2.20:7200", "127.0.0.1:0", "listen = 127.0.0.1:0", "listen = "+holder.Addr().String())
+	got := run(t, "entry", "-c", path)
+	is.Equal(got.status, cli.ExitFailure)
+	is.True(strings.Contains(got.stderr, "metrics.listen"))
+}
+
+func TestUnwritableDataFolder(t *testing.T) {
+	is := is.New(t)
+	path := roleFiles(t, "control", "data_folder = data", "data_folder = control.ini")
+	got := run(t, "control", "-c", path)
+	is.Equal(got.status, cli.ExitFailure)
+	is.Equal(strings.Count(got.stderr, "\n"), 1)
+	is.True(strings.Contains(got.stderr, "replica.data_folder"))
+}
+
+func TestLoadAgainstNobody(t *testing.T) {
+	is := is.New(t)
+	dir := filepath.Join(t.TempDir(), "keys")
+	is.Equal(run(t, "keys", "init", dir).status, cli.ExitOK)
+	got := run(t, "load", "--service", "lodgement", "--address", "127.0.0.1:1", "--rate", "0", "--sessions", "0",
+		"--authority", filepath.Join(dir, "authority.pem"), "--duration", "1ms", "--json")
+	is.Equal(got.status, cli.ExitOK)
+	var report struct{ Service string }
+	is.NoErr(json.Unmarshal([]byte(got.stdout), &report))
+	is.Equal(report.Service, "lodgement")
+	got = run(t, "load", "--service", "lodgement", "--address", "localhost",
+		"--authority", filepath.Join(dir, "authority.pem"))
+	is.Equal(got.status, cli.ExitUsage)
+	got = run(t, "load", "--service", "lodgement", "--address", "127.0.0.1:1", "--authority", "missing.pem")
+	is.Equal(got.status, cli.ExitFailure)
+}
