--- a/internal/entryd/bench_test.go
+++ b/internal/entryd/bench_test.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
@@ -123,6 +124,34 @@
 	}
 }
 
+// BenchmarkRefresh measures what a second costs an idle entry host: the rebuild
+// of all tables. The proportions are those of 12,000 targets behind 5,500
+// addresses, with 12 targets a service.
+func BenchmarkRefresh(b *testing.B) {
+	for _, n := range targetCounts {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			r := start(b, quietOptions())
+			list := records(n)
+			addresses := publicAddresses(n * 5500 / 12_000)
+			perService := len(addresses) / (n / 12)
+			var s []*configpb.Service
+			for i := range n / 12 {
+				s = append(s, serviceAt(uint32(i+1), addresses[i*perService:(i+1)*perService]...))
+			}
+			for i, target := range list {
+				target.Service = uint32(i/12 + 1)
+			}
+			r.apply(view(1, s, list...))
+			stopEarly(r)
+			// The tables are rebuilt as if the sockets were still open.
+			b.ReportAllocs()
+			for b.Loop() {
+				r.f.refresh(b.Context())
+			}
+		})
+	}
+}
+
 // BenchmarkMemory reports heap and stacks that a running forwarder holds for
 // each target and each public address. The directory's records, which the
 // subscriber owns, are included; the system's socket buffers are not.
--- a/internal/entryd/change_test.go
+++ b/internal/entryd/change_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -43,6 +44,21 @@
 	is.Equal(r.local(publicOne), local) // the address stayed open
 }
 
+func TestNewestOfManyViewsIsApplied(t *testing.T) {
+	is := is.New(t)
+	o := testOptions()
+	o.Pause = 50 * time.Millisecond
+	r := start(t, o)
+	const last = 500
+	for version := uint64(1); version <= last; version++ {
+		r.f.Apply(view(version, services(serviceAt(lodgement, publicOne))))
+	}
+	r.await("the last version", func() bool {
+		return r.scope.Snapshot().Gauges()[scopeName+".configuration_version+"].Value() == last
+	})
+	is.True(r.counter("views_applied", "") < last) // a wave costs less than a view each
+}
+
 func TestAddressPassesToAnotherService(t *testing.T) {
 	is := is.New(t)
 	r := start(t, testOptions())
@@ -111,6 +127,35 @@
 	is.Equal(h.Public, taken)
 }
 
+func TestPublicAddressOfIPv6(t *testing.T) {
+	is := is.New(t)
+	loopback6 := netip.IPv6Loopback()
+	probe, err := net.ListenUDP("udp6", net.UDPAddrFromAddrPort(netip.AddrPortFrom(loopback6, 0)))
+	if err != nil {
+		t.Skip("this host has no IPv6 loopback")
+	}
+	defer func() { _ = probe.Close() }()
+	caller := &socket{tb: t, conn: probe}
+	agent := newSocket(t)
+
+	o := testOptions()
+	o.PublicIP = loopback6
+	r := start(t, o)
+	public := netip.MustParseAddrPort("[2001:db8::1]:443")
+	r.apply(view(1, services(serviceAt(lodgement, public))))
+
+	packet := shortPacket(t, oneSecret, connid.Target{Address: agent.addr(), Number: 1}, "")
+	caller.send(packet, r.local(public))
+	h, datagram, from := agent.receiveFrame()
+	is.Equal(datagram, packet)
+	is.Equal(h.Caller, caller.addr())
+	is.Equal(h.Public, public)
+	agent.send(encodeFrame(t, replyTo(h), []byte("answer")), from)
+	answer, source := caller.receive()
+	is.Equal(string(answer), "answer")
+	is.Equal(source, r.local(public))
+}
+
 func TestRemovedAddressIsClosed(t *testing.T) {
 	is := is.New(t)
 	r := start(t, testOptions())
--- a/internal/entryd/counters.go
+++ b/internal/entryd/counters.go
@@ -6,7 +6,11 @@
 	"eelgrasswharf.example/eelgrasswharf/routing"
 )
 
-const reasonTag = "reason"
+const (
+	// scopeName keeps the names of counters apart from those of other packages.
+	scopeName = "entry"
+	reasonTag = "reason"
+)
 
 // counters are looked up once: a look-up for each datagram would allocate.
 type counters struct {
--- a/internal/entryd/directory.go
+++ b/internal/entryd/directory.go
@@ -16,7 +16,7 @@
 // directory holds the targets of a view by service. Only the goroutine of Run
 // uses it.
 type directory struct {
-	services map[uint32][]routing.Target
+	services map[uint32]*members
 	loads    *routing.Loads
 	// started holds when targets had their cold start, as a duration on the
 	// forwarder's clock. A record tells the age at the time it was made, which
@@ -25,12 +25,19 @@
 	started map[life]time.Duration
 }
 
+// members are the targets of one service with the start of each. The starts
+// stand beside the targets because every refresh needs all of them.
+type members struct {
+	targets []routing.Target
+	started []time.Duration
+}
+
 // directoryFrom returns the directory of a list of records. It leaves out
-// those that refuse returns true for. Reports and ages of targets that
+// and counts those whose address isn't usable. Reports and ages of targets that
 // previous holds as well are kept; previous may be nil.
 func directoryFrom(previous *directory, records []*controlpb.TargetRecord, now time.Duration, usable func(netip.AddrPort) bool) (d *directory, unusable int) {
 	d = &directory{
-		services: make(map[uint32][]routing.Target),
+		services: make(map[uint32]*members),
 		started:  make(map[life]time.Duration, len(records)),
 	}
 	list := make([]routing.Target, 0, len(records))
@@ -41,9 +48,8 @@
 			continue
 		}
 		target := targetFrom(record, address)
-		d.start(previous, &target, record.GetAgeMs(), now)
+		d.add(target, d.start(previous, &target, record.GetAgeMs(), now))
 		list = append(list, target)
-		d.services[target.Service] = append(d.services[target.Service], target)
 	}
 
 	var loads *routing.Loads
@@ -65,8 +71,18 @@
 	}
 }
 
-// start remembers when the target had its cold start.
-func (d *directory) start(previous *directory, t *routing.Target, ageMs uint64, now time.Duration) {
+func (d *directory) add(t routing.Target, started time.Duration) {
+	m := d.services[t.Service]
+	if m == nil {
+		m = &members{}
+		d.services[t.Service] = m
+	}
+	m.targets = append(m.targets, t)
+	m.started = append(m.started, started)
+}
+
+// start remembers and returns when the target had its cold start.
+func (d *directory) start(previous *directory, t *routing.Target, ageMs uint64, now time.Duration) time.Duration {
 	key := life{number: t.Number, incarnation: t.Incarnation}
 	started := now - time.Duration(ageMs)*time.Millisecond
 	if previous != nil {
@@ -75,14 +91,17 @@
 		}
 	}
 	d.started[key] = started
+	return started
 }
 
 // table builds the routing table of a service.
 func (d *directory) table(s *servicePolicy, now time.Duration) *routing.Table {
-	targets := d.services[s.number]
-	for i := range targets {
-		t := &targets[i]
-		t.Age = now - d.started[life{number: t.Number, incarnation: t.Incarnation}]
+	m := d.services[s.number]
+	if m == nil {
+		m = &members{}
+	}
+	for i := range m.targets {
+		m.targets[i].Age = now - m.started[i]
 	}
-	return routing.NewTable(s.policy, s.number, targets, d.loads, now)
+	return routing.NewTable(s.policy, s.number, m.targets, d.loads, now)
 }
--- a/internal/entryd/forwarder.go
+++ b/internal/entryd/forwarder.go
@@ -69,7 +69,7 @@
 	f := &Forwarder{
 		options:     o,
 		log:         o.Log,
-		counters:    newCounters(o.Scope),
+		counters:    newCounters(o.Scope.SubScope(scopeName)),
 		decider:     decider{networks: o.AgentNetworks},
 		began:       time.Now(),
 		wake:        make(chan struct{}, 1),
@@ -145,14 +145,23 @@
 func (f *Forwarder) loop(ctx context.Context) error {
 	ticker := time.NewTicker(f.options.Refresh)
 	defer ticker.Stop()
+	pause := time.NewTimer(f.options.Pause)
+	defer pause.Stop()
+
+	// wake is nil during the pause after a view was applied.
+	wake := f.wake
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case err := <-f.failed:
 			return err
-		case <-f.wake:
+		case <-wake:
 			f.apply(ctx, f.pending.Swap(nil))
+			wake = nil
+			pause.Reset(f.options.Pause)
+		case <-pause.C:
+			wake = f.wake
 		case <-ticker.C:
 			f.refresh(ctx)
 		}
--- a/internal/entryd/helpers_test.go
+++ b/internal/entryd/helpers_test.go
@@ -51,6 +51,7 @@
 		AgentNetworks: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")},
 		Secrets:       oneSecret,
 		Refresh:       20 * time.Millisecond,
+		Pause:         time.Nanosecond,
 		Log:           zap.NewNop(),
 	}
 }
@@ -101,7 +102,7 @@
 
 // counter returns the value of a counter, with the reason if it isn't empty.
 func (r *rig) counter(name, reason string) int64 {
-	key := name + "+"
+	key := scopeName + "." + name + "+"
 	if reason != "" {
 		key += reasonTag + "=" + reason
 	}
--- a/internal/entryd/options.go
+++ b/internal/entryd/options.go
@@ -19,11 +19,15 @@
 	// defaultRefresh is the time between two rebuilds of the tables and two
 	// attempts to open an address that is in use.
 	defaultRefresh = time.Second
+	// defaultPause bounds what a wave of changes costs: a view of 12,000
+	// targets takes some 15 ms to apply.
+	defaultPause = 100 * time.Millisecond
 )
 
 // Errors of the settings of an entry host.
 var (
 	ErrNoAgentNetworks = errors.New("no agent networks: every target would be refused")
+	ErrAgentNetwork    = errors.New("agent network must be a CIDR")
 	ErrFrameAddress    = errors.New("frame address must be an IPv4 ip:port")
 	ErrPublicIP        = errors.New("public IP must be an IP number")
 )
@@ -51,33 +55,44 @@
 	Secrets []connid.Secret
 	// Refresh is the time between two rebuilds of the tables. Default 1 s.
 	Refresh time.Duration
+	// Pause is the least time between two views that are applied. Default
+	// 100 ms.
+	Pause time.Duration
 
 	Log   *zap.Logger
 	Scope tally.Scope
 }
 
-// optionsFrom reads the section [forwarding]. Secrets, Log and Scope are left
-// to the caller.
+// optionsFrom reads the section [forwarding] and reports all that is wrong with
+// it. Secrets, Log and Scope are left to the caller.
 func optionsFrom(s *settingspb.Forwarding) (Options, error) {
 	o := Options{FreePorts: s.GetFreePorts(), Workers: int(s.GetWorkers())}
+	var findings []error
 
-	var err error
-	if o.FrameListen, err = netip.ParseAddrPort(s.GetFrameListen()); err != nil {
-		return Options{}, errors.Wrapf(ErrFrameAddress, "%q", s.GetFrameListen())
+	frameListen, err := netip.ParseAddrPort(s.GetFrameListen())
+	if err != nil {
+		findings = append(findings, errors.Wrapf(ErrFrameAddress, "frame_listen %q", s.GetFrameListen()))
 	}
+	o.FrameListen = frameListen
+
 	if ip := s.GetPublicIp(); ip != "" {
-		if o.PublicIP, err = netip.ParseAddr(ip); err != nil {
-			return Options{}, errors.Wrapf(ErrPublicIP, "%q", ip)
+		o.PublicIP, err = netip.ParseAddr(ip)
+		if err != nil {
+			findings = append(findings, errors.Wrapf(ErrPublicIP, "public_ip %q", ip))
 		}
 	}
+
 	for _, text := range s.GetAgentNetworks() {
 		network, err := netip.ParsePrefix(text)
 		if err != nil {
-			return Options{}, errors.Wrap(err, "agent network")
+			findings = append(findings, errors.Wrapf(ErrAgentNetwork, "agent_networks %q", text))
 		}
 		o.AgentNetworks = append(o.AgentNetworks, network.Masked())
 	}
-	return o, nil
+	if len(o.AgentNetworks) == 0 {
+		findings = append(findings, errors.Wrap(ErrNoAgentNetworks, "agent_networks"))
+	}
+	return o, errors.Join(findings...)
 }
 
 // complete fills in defaults and reports what is missing.
@@ -94,6 +109,9 @@
 	if o.Refresh <= 0 {
 		o.Refresh = defaultRefresh
 	}
+	if o.Pause <= 0 {
+		o.Pause = defaultPause
+	}
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
--- a/internal/entryd/unit_test.go
+++ b/internal/entryd/unit_test.go
@@ -39,12 +39,19 @@
 
 func TestWrongOptions(t *testing.T) {
 	is := is.New(t)
-	_, err := optionsFrom(&settingspb.Forwarding{FrameListen: "frames"})
-	is.True(errors.Is(err, ErrFrameAddress))
-	_, err = optionsFrom(&settingspb.Forwarding{FrameListen: "10.0.0.1:1", PublicIp: "public"})
+	_, err := optionsFrom(&settingspb.Forwarding{
+		FrameListen:   "frames",
+		PublicIp:      "public",
+		AgentNetworks: []string{"10.0.0.1"},
+	})
+	is.True(errors.Is(err, ErrFrameAddress)) // all findings at once, each with its place
 	is.True(errors.Is(err, ErrPublicIP))
-	_, err = optionsFrom(&settingspb.Forwarding{FrameListen: "10.0.0.1:1", AgentNetworks: []string{"10.0.0.1"}})
-	is.True(err != nil)
+	is.True(errors.Is(err, ErrAgentNetwork))
+	for _, place := range []string{"frame_listen", "public_ip", "agent_networks"} {
+		is.True(strings.Contains(err.Error(), place))
+	}
+	_, err = optionsFrom(&settingspb.Forwarding{FrameListen: "10.0.0.1:1"})
+	is.True(errors.Is(err, ErrNoAgentNetworks))
 
 	o := testOptions()
 	o.AgentNetworks = nil
@@ -77,7 +84,7 @@
 	list := []*controlpb.TargetRecord{young}
 	ageAt := func(d *directory, now time.Duration) time.Duration {
 		d.table(&servicePolicy{number: lodgement}, now)
-		return d.services[lodgement][0].Age
+		return d.services[lodgement].targets[0].Age
 	}
 
 	const begin = time.Hour
--- /dev/null
+++ b/routing/loads_test.go
@@ -0,0 +1,76 @@
+package routing_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"eelgrasswharf.example/eelgrasswharf/routing"
+)
+
+func TestLoadsAreBoundedByTheList(t *testing.T) {
+	is := is.New(t)
+	loads := routing.NewLoads(nil, targets(3))
+	is.True(!loads.Learn(4, 1, routing.Report{}, start)) // not on the list
+	is.True(!loads.Learn(3, 2, routing.Report{}, start)) // another incarnation
+	is.Equal(loads.Len(), 3)
+}
+
+func TestReportsGoOnInTheNextList(t *testing.T) {
+	is := is.New(t)
+	list := targets(2)
+	before := routing.NewLoads(nil, list)
+	report := routing.Report{Load: 1<<16 - 1, Draining: true, Ill: true}
+	is.True(before.Learn(1, 1, report, start))
+	is.True(before.Learn(2, 1, report, start))
+
+	list[1].Incarnation = 2
+	after := routing.NewLoads(before, list)
+	got, ok := after.Last(1, 1, start)
+	is.True(ok)
+	is.Equal(got, report)
+	_, ok = after.Last(2, 2, start)
+	is.True(!ok) // a restarted target starts without figures
+	_, ok = after.Last(2, 1, start)
+	is.True(!ok)
+
+	// A worker that still has the former loads reports for both.
+	is.True(before.Learn(1, 1, routing.Report{Load: 5}, start))
+	got, ok = after.Last(1, 1, start)
+	is.True(ok)
+	is.Equal(got.Load, uint16(5))
+}
+
+func TestReportsGrowStale(t *testing.T) {
+	is := is.New(t)
+	loads := routing.NewLoads(nil, targets(1))
+	_, ok := loads.Last(1, 1, start)
+	is.True(!ok) // none yet
+	loads.Learn(1, 1, routing.Report{}, start)
+	_, ok = loads.Last(1, 1, start+routing.MaxReportAge)
+	is.True(ok)
+	_, ok = loads.Last(1, 1, start+routing.MaxReportAge+time.Millisecond)
+	is.True(!ok)
+}
+
+func TestLoadsAndTablesAreSharedBetweenWorkers(t *testing.T) {
+	list := targets(7)
+	table, loads := build(nil, list)
+	var workers conc.WaitGroup
+	for worker := range 4 {
+		workers.Go(func() {
+			for i, hash := range hashes(2000) {
+				loads.Learn(uint32(1+i%7), 1, routing.Report{Load: uint16(worker)}, start)
+				table.Choose(hash, start)
+				if i%100 == 0 {
+					loads.Decay()
+					next := routing.NewLoads(loads, list)
+					routing.NewTable(nil, service, list, next, start)
+				}
+			}
+		})
+	}
+	workers.Wait()
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -17,8 +17,7 @@
 	// average load of the candidates with a fresh report.
 	average uint32
 	// whole overrides the reason of every choice if it isn't NoTarget.
-	whole   Reason
-	ramping bool
+	whole Reason
 }
 
 // candidate is a target that may be chosen. It is kept small, as the list of a
@@ -52,11 +51,6 @@
 	return len(t.candidates)
 }
 
-// Ramping reports whether some candidate is within its ramp.
-func (t *Table) Ramping() bool {
-	return t.ramping
-}
-
 // builder sorts the targets of one service into classes.
 type builder struct {
 	policy policy
@@ -137,9 +131,6 @@
 	var sum, known uint64
 	for i := range t.candidates {
 		c := &t.candidates[i]
-		if c.share != fullShare {
-			t.ramping = true
-		}
 		if report, ok := c.cell.fresh(now); ok {
 			sum += uint64(report.Load)
 			known++
