--- a/internal/controld/peers.go
+++ b/internal/controld/peers.go
@@ -22,14 +22,27 @@
 	creds *keys.Credentials
 	log   *zap.Logger
 	scope tally.Scope
+	// initial has the addresses of the initial voters by name: a replica that
+	// is not formed yet does not know where to answer.
+	initial map[string]string
 
 	mu     sync.Mutex
 	byAddr map[string]*peer
 	closed bool
 }
 
-func newPeers(creds *keys.Credentials, log *zap.Logger, scope tally.Scope) *peers {
-	return &peers{creds: creds, log: log, scope: scope.SubScope("peers"), byAddr: map[string]*peer{}}
+func newPeers(creds *keys.Credentials, voters []voter, log *zap.Logger, scope tally.Scope) *peers {
+	p := &peers{
+		creds:   creds,
+		log:     log,
+		scope:   scope.SubScope("peers"),
+		initial: map[string]string{},
+		byAddr:  map[string]*peer{},
+	}
+	for _, v := range voters {
+		p.initial[v.name] = v.address
+	}
+	return p
 }
 
 // get returns the link to a control host, made at first use, or nil after
@@ -81,8 +94,16 @@
 
 // Send implements replica.Transport.
 func (p *peers) Send(to *raftpb.Member, group controlpb.Group, msgs []*raftpb.Message) {
-	if to := p.get(to.GetAddress()); to != nil {
-		to.enqueue(group, msgs)
+	address := to.GetAddress()
+	if address == "" {
+		address = p.initial[to.GetId().GetName()]
+	}
+	if address == "" {
+		p.scope.Tagged(map[string]string{"reason": "no_address"}).Counter("dropped_messages").Inc(int64(len(msgs)))
+		return
+	}
+	if far := p.get(address); far != nil {
+		far.enqueue(group, msgs)
 	}
 }
 
