agentd: body bounds, resets for flows of a killed process, more tests

Requests without a Content-Length reserved a whole max_request_bytes each (1 MiB), so 33 parallel GETs would have been refused; the reservation now grows with the body. A killed process leaves callers that only wait: its successor on the same address answers their packets by a stateless reset made from the data secret and the identity in the connection ID.

--- /dev/null
+++ b/internal/agentd/announce_test.go
@@ -0,0 +1,112 @@
+package agentd
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/health"
+)
+
+func TestAnnouncementsAreChecked(t *testing.T) {
+	good := `{"service":"lodgement","target":"t1","url":"http://127.0.0.1:80","state":"serving"}`
+	cases := []struct {
+		name, old, new string
+		ok             bool
+	}{
+		{"good", "", "", true},
+		{"no JSON", `{"service"`, `"service"`, false},
+		{"no service", "lodgement", "", false},
+		{"no target", "t1", "", false},
+		{"https", "http://", "https://", false},
+		{"no host", "127.0.0.1:80", "", false},
+		{"state", "serving", "dead", false},
+		{"path", `"state"`, `"health_path":"health","state"`, false},
+		{"watch path", `"state"`, `"watch_paths":["w"],"state"`, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := readAnnouncement(strings.NewReader(strings.Replace(good, c.old, c.new, 1)))
+			is.Equal(err == nil, c.ok)
+		})
+	}
+}
+
+func TestAnnouncementForAnotherTargetIsRefused(t *testing.T) {
+	is := is.New(t)
+	_, a, backend := oneAgent(t)
+	what := announcement{Service: testService, Target: "t1", URL: backend.server.URL, State: backendServing}
+	is.Equal(a.announceRaw(t, what), http.StatusOK)
+	what.Target = "t2"
+	is.Equal(a.announceRaw(t, what), http.StatusConflict)
+	what.Target = "t1"
+	what.Service = "certificates"
+	is.Equal(a.announceRaw(t, what), http.StatusConflict) // not what the agent's certificate names
+	what.State = "dead"
+	is.Equal(a.announceRaw(t, what), http.StatusBadRequest)
+}
+
+func TestAnnouncementsComeFromTheOwnHost(t *testing.T) {
+	is := is.New(t)
+	_, a, _ := oneAgent(t)
+	request := httptest.NewRequest("POST", "/announce", strings.NewReader("{}"))
+	request.RemoteAddr = "192.0.2.1:1"
+	recorder := httptest.NewRecorder()
+	a.announceHandler().ServeHTTP(recorder, request)
+	is.Equal(recorder.Code, http.StatusForbidden)
+}
+
+func TestSlotsAndRestartOfTheBackend(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	is.Equal(a.published.last().GetSlots(), uint32(4))
+	w.known.mu.Lock()
+	w.known.service = &configpb.Service{Number: 1, Slots: 2}
+	w.known.mu.Unlock()
+	eventually(t, "the smaller number of slots", func() bool { return a.published.last().GetSlots() == 2 })
+	second := newFakeBackend(t)
+	a.announceState(t, "t1", second.server.URL, "serving")
+	eventually(t, "restart told", func() bool {
+		a.published.mu.Lock()
+		defer a.published.mu.Unlock()
+		return a.published.restarts == 1
+	})
+	is.Equal(mustSend(t, w.caller(), "GET", w.url("/echo?text=x"), "").body, "x")
+	is.Equal(backend.ran(""), 0)
+	is.Equal(second.ran(""), 1)
+}
+
+func TestPollReadsBothEndpoints(t *testing.T) {
+	cases := []struct {
+		name    string
+		health  http.HandlerFunc
+		load    string
+		want    health.Report
+		running int
+	}{
+		{"well", func(http.ResponseWriter, *http.Request) {}, `{"running":3,"slots":4}`, health.ReportWell, 3},
+		{"ill", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, `{"running":-3}`, health.ReportIll, -1},
+		{"frozen", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, `{`, health.ReportSilent, -1},
+		{"no figure", func(http.ResponseWriter, *http.Request) {}, `{}`, health.ReportWell, -1},
+		{"absurd", func(http.ResponseWriter, *http.Request) {}, `{"running":99999999999}`, health.ReportWell, -1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			mux := http.NewServeMux()
+			mux.HandleFunc("/health", c.health)
+			mux.HandleFunc("/load", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(c.load)) })
+			server := httptest.NewServer(mux)
+			defer server.Close()
+			p := newPoller(&backendRecord{}, newHealthState(newClock()), 200*time.Millisecond)
+			is.Equal(p.askHealth(t.Context(), server.URL+"/health"), c.want)
+			is.Equal(p.askLoad(t.Context(), server.URL+"/load"), c.running)
+		})
+	}
+}
--- a/internal/agentd/bodies.go
+++ b/internal/agentd/bodies.go
@@ -11,53 +11,89 @@
 	"eelgrasswharf.example/eelgrasswharf/reason"
 )
 
+// bodyChunk is the number of bytes read and reserved at a time for a body of
+// unknown length.
+const bodyChunk = 16 << 10
+
 // bodies bounds the request bodies that the agent holds. A body is read whole
 // before its request asks for a slot, so that a slow caller takes no slot.
 type bodies struct {
-	// limit bounds one body, total bounds all of them.
+	// limit bounds one body, total bounds all of them, in bytes.
 	limit, total int64
 	held         atomic.Int64
 }
 
+// reservation is the share of one request.
+type reservation struct {
+	bodies *bodies
+	bytes  int64
+}
+
+// grow reserves more bytes and reports whether there was room.
+func (r *reservation) grow(bytes int64) bool {
+	if r.bodies.held.Add(bytes) > r.bodies.total {
+		r.bodies.held.Add(-bytes)
+		return false
+	}
+	r.bytes += bytes
+	return true
+}
+
+func (r *reservation) release() {
+	r.bodies.held.Add(-r.bytes)
+	r.bytes = 0
+}
+
 // read returns the body of a request. The caller calls release when it is done
 // with the body, unless a reason is returned.
 func (b *bodies) read(r *http.Request) (body []byte, release func(), why reason.Code) {
 	if r.ContentLength > b.limit {
 		return nil, nil, reason.RequestTooLarge
 	}
-	reserve := b.limit
-	if r.ContentLength >= 0 {
-		reserve = r.ContentLength
-	}
-	if b.held.Add(reserve) > b.total {
-		b.held.Add(-reserve)
+	held := &reservation{bodies: b}
+	if !held.grow(max(r.ContentLength, 0)) {
 		return nil, nil, reason.BodiesFull
 	}
-	release = func() { b.held.Add(-reserve) }
-	body, why = readBounded(r.Body, b.limit)
+	body, why = b.collect(r.Body, held)
 	if why != reason.None {
-		release()
+		held.release()
 		return nil, nil, why
 	}
-	return body, release, reason.None
+	return body, held.release, reason.None
 }
 
-func readBounded(r io.Reader, limit int64) ([]byte, reason.Code) {
-	if r == nil {
+// collect reads a body to its end. It reserves what the length did not tell.
+func (b *bodies) collect(from io.Reader, held *reservation) ([]byte, reason.Code) {
+	if from == nil {
 		return nil, reason.None
 	}
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if int64(len(body)) > limit {
-		return nil, reason.RequestTooLarge
-	}
-	if errors.Is(err, io.ErrUnexpectedEOF) {
-		return nil, reason.RequestInvalid
+	var body []byte
+	chunk := make([]byte, bodyChunk)
+	for {
+		n, err := from.Read(chunk)
+		body = append(body, chunk[:n]...)
+		if int64(len(body)) > b.limit {
+			return nil, reason.RequestTooLarge
+		}
+		if missing := int64(len(body)) - held.bytes; missing > 0 && !held.grow(missing) {
+			return nil, reason.BodiesFull
+		}
+		if err != nil {
+			return body, endOfBody(err)
+		}
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, reason.DeadlineInQueue
-	}
-	if err != nil {
-		return nil, reason.CallerGone
+}
+
+// endOfBody tells why a body ended, None for its proper end.
+func endOfBody(err error) reason.Code {
+	switch {
+	case errors.Is(err, io.EOF):
+		return reason.None
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return reason.RequestInvalid
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return reason.DeadlineInQueue
+	default:
+		return reason.CallerGone
 	}
-	return body, reason.None
 }
--- /dev/null
+++ b/internal/agentd/call_test.go
@@ -0,0 +1,156 @@
+package agentd
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"eelgrasswharf.example/eelgrasswharf/admission"
+	"eelgrasswharf.example/eelgrasswharf/reason"
+	"eelgrasswharf.example/eelgrasswharf/retry"
+)
+
+func TestWatchIsTold(t *testing.T) {
+	cases := []struct {
+		method, path, accept string
+		watch                bool
+	}{
+		{"GET", "/watch", "", true},
+		{"GET", "/watch/mine", "", true},
+		{"GET", "/watchmen", "", false},
+		{"POST", "/watch", "", false},
+		{"GET", "/other", "text/event-stream", true},
+		{"GET", "/other", "text/plain", false},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		r := httptest.NewRequest(c.method, c.path, nil)
+		r.Header.Set("Accept", c.accept)
+		is.Equal(isWatch(r, []string{"/watch"}), c.watch)
+	}
+}
+
+// A frozen process finds its timers late: the clock decides before a request
+// is handed to the backend server.
+func TestThawedProcessRunsNothingLate(t *testing.T) {
+	is := is.New(t)
+	backend := newFakeBackend(t)
+	base, err := url.Parse(backend.server.URL)
+	is.NoErr(err)
+	p := &proxy{
+		counters: newCounters(tally.NoopScope), health: newHealthState(newClock()),
+		transport: newBackendTransport(), budget: retry.NewBudget(10, 5),
+	}
+	c, why := newCall(httptest.NewRequest("GET", "/echo", nil), nil, time.Minute)
+	is.Equal(why, reason.None)
+	defer c.end()
+	c.timer.Stop() // as if it had not fired yet
+	c.deadline = time.Now().Add(-time.Millisecond)
+	res := p.attempts(c, backendView{url: base})
+	is.Equal(res.outcome, retry.NotRun)
+	is.Equal(res.reason, reason.DeadlineInQueue)
+	is.Equal(backend.ran(""), 0)
+}
+
+func TestHeadersThatAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	from := http.Header{
+		"Connection": {"X-Own, close"}, "X-Own": {"1"}, "Keep-Alive": {"1"}, "Te": {"1"},
+		"Request-Outcome": {"forged"}, "Target": {"forged"}, "X-Kept": {"1"},
+	}
+	is.Equal(passedHeaders(from), http.Header{"X-Kept": {"1"}})
+	is.Equal(len(passedHeaders(nil)), 0)
+}
+
+func TestBodilessAnswers(t *testing.T) {
+	is := is.New(t)
+	w, _, _ := oneAgent(t)
+	client := w.caller()
+	for _, code := range []string{"204", "304"} {
+		got := mustSend(t, client, "GET", w.url("/status?code="+code), "")
+		is.Equal(http.StatusText(got.status) != "", true)
+		is.Equal(got.body, "")
+		is.Equal(got.header.Get(headerOutcome), "answered")
+	}
+	got := mustSend(t, client, "HEAD", w.url("/echo?text=abc"), "")
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.header.Get("Content-Length"), "3")
+	is.Equal(got.body, "")
+}
+
+func TestBodiesAreReservedAsTheyGrow(t *testing.T) {
+	is := is.New(t)
+	b := &bodies{limit: 100, total: 150}
+	unsized := func(n int) *http.Request {
+		r := httptest.NewRequest("POST", "/", strings.NewReader(strings.Repeat("x", n)))
+		r.ContentLength = -1
+		return r
+	}
+	for range 1000 { // requests without a body hold nothing
+		_, _, why := b.read(unsized(0))
+		is.Equal(why, reason.None)
+	}
+	body, release, why := b.read(unsized(100))
+	is.Equal(why, reason.None)
+	is.Equal(len(body), 100)
+	_, _, why = b.read(unsized(100))
+	is.Equal(why, reason.BodiesFull)
+	_, _, why = b.read(httptest.NewRequest("POST", "/", strings.NewReader(strings.Repeat("x", 60))))
+	is.Equal(why, reason.BodiesFull)
+	release()
+	_, release, why = b.read(unsized(100))
+	is.Equal(why, reason.None)
+	release()
+	_, _, why = b.read(unsized(101))
+	is.Equal(why, reason.RequestTooLarge)
+	is.Equal(b.held.Load(), int64(0))
+}
+
+func TestGateServesInOrder(t *testing.T) {
+	is := is.New(t)
+	g := newGate(admission.Limits{Slots: 1, Queue: 3, MaxWait: time.Minute})
+	is.Equal(g.enter(t.Context(), time.Minute).Action, admission.Run)
+	order := make(chan int, 3)
+	for n := range 3 {
+		go func() {
+			g.enter(t.Context(), time.Minute)
+			order <- n
+		}()
+		eventually(t, "waits", func() bool { return g.figures().waiting == n+1 })
+	}
+	for n := range 3 {
+		g.leave(time.Millisecond)
+		is.Equal(<-order, n)
+	}
+	g.leave(0)
+	is.Equal(g.figures().running, 0)
+}
+
+func TestRefusalStatus(t *testing.T) {
+	is := is.New(t)
+	for _, info := range reason.Table() {
+		if info.Kind != reason.KindNotRun && info.Kind != reason.KindUnknown {
+			continue
+		}
+		outcome := retry.NotRun
+		if info.Kind == reason.KindUnknown {
+			outcome = retry.Unknown
+		}
+		f := refusal{outcome: outcome, reason: info.Code, comeBack: 1500 * time.Millisecond}
+		w := httptest.NewRecorder()
+		f.write(w, "t1/1/1", 1)
+		is.Equal(w.Header().Get(headerReason), info.Name)
+		is.Equal(w.Header().Get(headerOutcome), outcome.String())
+		is.True(w.Code >= 400)
+		if w.Code == http.StatusServiceUnavailable {
+			is.Equal(w.Header().Get(headerRetryAfter), "3") // jitter lengthens, seconds round up
+			is.Equal(w.Header().Get(headerRetryAfterMS), "2250")
+		}
+	}
+}
--- a/internal/agentd/counters.go
+++ b/internal/agentd/counters.go
@@ -23,7 +23,7 @@
 
 	frames      tally.Counter
 	datagrams   tally.Counter
-	pathMoved   tally.Counter
+	formerLives tally.Counter
 	lastResort  tally.Counter
 	replayed    tally.Counter
 	resets      tally.Counter
@@ -42,7 +42,7 @@
 		outcomes:    make(map[retry.Outcome]tally.Counter),
 		frames:      scope.Counter("frames_received"),
 		datagrams:   scope.Counter("datagrams_sent"),
-		pathMoved:   scope.Counter("return_paths_silent"),
+		formerLives: scope.Counter("flows_of_former_process"),
 		lastResort:  scope.Counter("return_paths_last_resort"),
 		replayed:    scope.Counter("answers_replayed"),
 		resets:      scope.Counter("answers_reset"),
--- a/internal/agentd/flow_test.go
+++ b/internal/agentd/flow_test.go
@@ -6,10 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
 	"github.com/uber-go/tally/v4"
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
 	"eelgrasswharf.example/eelgrasswharf/reason"
@@ -191,6 +194,27 @@
 	}
 }
 
+// A killed process leaves callers behind that only wait. Its successor at the
+// same address tells them at once.
+func TestSuccessorResetsFlowsOfAKilledProcess(t *testing.T) {
+	is := is.New(t)
+	w, old, backend := oneAgent(t)
+	client := w.caller()
+	session := openWatch(t, client, w.url("/watch"))
+	defer session.close()
+	frames := old.FrameAddr()
+	must(t, old.socket.Close()) // it says no more
+	next := w.launch("t1", testTiming(), func(s *settingspb.Agent) { s.FrameListen = frames })
+	<-next.Ready()
+	next.announceState(t, "t1", backend.server.URL, "serving")
+	_, err := session.res.Body.Read(make([]byte, 1))
+	is.True(err != nil)
+	var reset *quic.StatelessResetError
+	is.True(errors.As(err, &reset))
+	is.True(next.counter("flows_of_former_process", "") >= 1)
+	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").header.Get(headerTarget), "t1/1/2")
+}
+
 func TestHandedOnFrameNamesItsEntryHost(t *testing.T) {
 	is := is.New(t)
 	sender, entry := netip.MustParseAddrPort("127.0.0.1:7"), netip.MustParseAddrPort("127.0.0.1:8")
--- a/internal/agentd/flows.go
+++ b/internal/agentd/flows.go
@@ -98,10 +98,3 @@
 	}
 	return len(t.flows) < t.limit
 }
-
-// size returns the number of flows held.
-func (t *flowTable) size() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.flows)
-}
--- a/internal/agentd/plane.go
+++ b/internal/agentd/plane.go
@@ -128,12 +128,12 @@
 
 // close ends the plane. Sessions still open are cut off.
 func (p *plane) close() {
-	p.sessions.closeAll()
 	_ = p.listener.Close()
+	p.wait.Wait()
+	p.sessions.closeAll()
 	p.sessions.wait.Wait()
 	_ = p.transport.Close()
 	_ = p.socket.Close()
-	p.wait.Wait()
 }
 
 func callerTLS(certificate func() *tls.Certificate) *tls.Config {
--- a/internal/agentd/sessions.go
+++ b/internal/agentd/sessions.go
@@ -101,15 +101,14 @@
 func (s *sessions) setLeaving(leaving bool) {
 	s.mu.Lock()
 	s.leaving = leaving
-	open := make([]*session, 0, len(s.open))
+	var staying []*session
 	for one := range s.open {
-		open = append(open, one)
+		if leaving && !one.leaving.Load() {
+			staying = append(staying, one)
+		}
 	}
 	s.mu.Unlock()
-	if !leaving {
-		return
-	}
-	for _, one := range open {
+	for _, one := range staying {
 		s.goAway(one)
 	}
 }
--- a/internal/agentd/socket.go
+++ b/internal/agentd/socket.go
@@ -31,6 +31,7 @@
 	conn     *net.UDPConn
 	frames   *frame.Codec
 	ids      *connid.Codec
+	secrets  []connid.Secret
 	self     identity
 	flows    *flowTable
 	clock    clock
@@ -52,7 +53,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connection ID codec")
 	}
-	s := &frameSocket{conn: conn, frames: frames, ids: ids, self: self}
+	s := &frameSocket{conn: conn, frames: frames, ids: ids, secrets: secrets, self: self}
 	s.buffers.New = func() any { return new([maxFrame]byte) }
 	return s, nil
 }
@@ -86,6 +87,7 @@
 	datagram := data[frame.HeaderLength:]
 	if why := s.check(&h, datagram); why != reason.None {
 		s.counters.count(why)
+		s.answerFormerLife(&h, datagram, entry)
 		return nil, nil
 	}
 	if h.Kind == frame.First {
@@ -98,6 +100,19 @@
 	return s.flows.heard(key, entry, s.clock.now(), h.Kind == frame.Forward), datagram
 }
 
+// answerFormerLife resets a flow of an earlier process at this address.
+func (s *frameSocket) answerFormerLife(h *frame.Header, datagram []byte, entry netip.AddrPort) {
+	if h.Kind != frame.Forward || h.Service != s.self.serviceNumber {
+		return
+	}
+	reset := s.formerLife(datagram)
+	if reset == nil {
+		return
+	}
+	s.counters.formerLives.Inc(1)
+	s.send(reset, newFlow(flowKey{caller: h.Caller, public: h.Public}), entry)
+}
+
 // check tells why a frame is not for this target. A frame that names it in the
 // header only is refused too: the connection ID within the datagram decides.
 func (s *frameSocket) check(h *frame.Header, datagram []byte) reason.Code {
