agentd: trial with a real control host behind real links

New's own wiring under test: registration, scoped subscription, grants, and a leaving agent that hands new flows on to a target it knows from the directory.

--- /dev/null
+++ b/internal/agentd/deployment_test.go
@@ -0,0 +1,174 @@
+package agentd
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/connid"
+	"eelgrasswharf.example/eelgrasswharf/internal/controld"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+)
+
+// deployment is a control host with a service, and keys on disk.
+type deployment struct {
+	t       *testing.T
+	dir     string
+	control *controld.Daemon
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, dir: t.TempDir()}
+	must(t, keys.InitAuthority(d.dir))
+	address := freeAddress(t)
+	control, err := controld.New(&settingspb.ControlSettings{
+		Host: &settingspb.Host{Name: "c1", FailureDomain: "bodija"},
+		Keys: d.keys(keys.RoleControl, "c1", ""),
+		Replica: &settingspb.Replica{
+			DataFolder: t.TempDir(), Listen: address, OperatorListen: "127.0.0.1:0",
+			InitialVoters: []string{"c1=" + address}, TickMs: 20,
+		},
+	}, zap.NewNop(), tally.NoopScope)
+	must(t, err)
+	d.control = control
+	d.run(control.Run)
+	<-control.Ready()
+	d.putService()
+	return d
+}
+
+// run runs a daemon until the test ends.
+func (d *deployment) run(run func(context.Context) error) context.CancelFunc {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	wait.Go(func() {
+		if err := run(ctx); err != nil {
+			d.t.Errorf("daemon ended with %v", err)
+		}
+	})
+	d.t.Cleanup(func() {
+		cancel()
+		wait.Wait()
+	})
+	return cancel
+}
+
+// freeAddress returns an address that was free just now: a control host has
+// to know its own address before it starts.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	must(t, err)
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().String()
+}
+
+func (d *deployment) files(role keys.Role, name, service string) keys.Files {
+	d.t.Helper()
+	loopback := []netip.Addr{netip.MustParseAddr("127.0.0.1")}
+	files, err := keys.Issue(d.dir, role, name, service, loopback, time.Hour)
+	must(d.t, err)
+	return files
+}
+
+func (d *deployment) keys(role keys.Role, name, service string) *settingspb.Keys {
+	files := d.files(role, name, service)
+	return &settingspb.Keys{
+		Authority: files.Authority, Certificate: files.Certificate,
+		PrivateKey: files.PrivateKey, DataSecrets: files.DataSecrets,
+	}
+}
+
+// putService has the service accepted by the control host.
+func (d *deployment) putService() {
+	d.t.Helper()
+	credentials, err := keys.Load(d.files(keys.RoleOperator, "ada", ""))
+	must(d.t, err)
+	client := operator.NewClient([]string{d.control.OperatorAddr()}, credentials)
+	defer client.Close()
+	patch := &configpb.Patch{Id: "p1", Operations: []*configpb.Operation{{
+		Body: &configpb.Operation_PutService{PutService: &configpb.Service{
+			Name: testService, Addresses: []string{"127.0.0.1:4433"}, Slots: 3,
+		}},
+	}}}
+	eventually(d.t, "service accepted", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		out, err := client.Submit(ctx, patch)
+		return err == nil && out.GetVerdict() == configpb.Verdict_VERDICT_ACCEPTED
+	})
+}
+
+// agent runs an agent that New made, with its own links to the control host.
+func (d *deployment) agent(target, backendURL string) (*agent, context.CancelFunc) {
+	d.t.Helper()
+	caller := d.files(keys.RoleCaller, "", testService)
+	scope := tally.NewTestScope("", nil)
+	daemon, err := New(&settingspb.AgentSettings{
+		Host:    &settingspb.Host{Name: target, FailureDomain: "bodija"},
+		Keys:    d.keys(keys.RoleAgent, target, testService),
+		Control: &settingspb.ControlPeers{Addresses: []string{d.control.LinkAddr()}},
+		Agent: &settingspb.Agent{
+			FrameListen: "127.0.0.1:0", AnnounceListen: "127.0.0.1:0", PollMs: 20,
+			CallerCertificate: caller.Certificate, CallerPrivateKey: caller.PrivateKey,
+		},
+	}, zap.NewNop(), scope)
+	must(d.t, err)
+	daemon.timing = testTiming()
+	daemon.timing.grantTry = time.Second
+	daemon.timing.grantWait = patience
+	a := &agent{Daemon: daemon, scope: scope}
+	stop := d.run(daemon.Run)
+	<-daemon.Ready()
+	a.announceState(d.t, target, backendURL, "serving")
+	eventually(d.t, "registration", func() bool { return daemon.plane.Load() != nil })
+	return a, stop
+}
+
+func (d *deployment) secrets() []connid.Secret {
+	d.t.Helper()
+	credentials, err := keys.Load(d.files(keys.RoleEntry, "e1", ""))
+	must(d.t, err)
+	return dataSecrets(credentials)
+}
+
+// The agent as New makes it, with a real control host behind real links.
+func TestAgentWithControlHost(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	w := newWorld(t)
+	w.entry = newFakeEntry(t, d.secrets(), 1)
+	authority, err := os.ReadFile(d.files(keys.RoleEntry, "e1", "").Authority)
+	is.NoErr(err)
+	w.roots.AppendCertsFromPEM(authority)
+	backend := newFakeBackend(t)
+	a, stop := d.agent("t1", backend.server.URL)
+	b, _ := d.agent("t2", backend.server.URL)
+	w.entry.choose(a.FrameAddr(), "")
+	client := w.caller()
+	got := mustSend(t, client, "POST", w.url("/run"), "stamp", headerKey, "k1")
+	is.Equal(got.status, http.StatusCreated)
+	is.Equal(got.body, "ran stamp")
+	eventually(t, "slots of the configuration", func() bool { return a.gate.figures().slots == 3 })
+
+	stop() // no alternate is named: the directory tells where to hand on
+	other := b.plane.Load().self.String()
+	eventually(t, "next requests at the other target", func() bool {
+		got, err := send(client, "POST", w.url("/run"), "stamp", headerKey, "k1")
+		return err == nil && got.header.Get(headerTarget) == other && got.header.Get(headerReplayed) == "true"
+	})
+	is.Equal(backend.ran("k1"), 1)
+}
