Durable log of a replica

Cause: a replica must survive a crash at any point, and an operator must hear of damage instead of a log that silently lost what it had acknowledged. One record and one sync for each batch, so a batch is there as a whole or not at all. Considered and dropped: one record for each entry (a torn batch leaves part of it), pre-allocated segments (a tail of zeros is then the ordinary case). Open writes the newest segment anew, because after a failed sync a new process may read bytes that were never on the disk.

--- /dev/null
+++ b/internal/wal/errors.go
@@ -0,0 +1,28 @@
+package wal
+
+import "github.com/go-faster/errors"
+
+var (
+	// ErrDamaged: acknowledged data cannot be read back. The text names the
+	// file and the offset in bytes.
+	ErrDamaged = errors.New("data folder is damaged")
+	// ErrLocked: another process uses the folder.
+	ErrLocked = errors.New("data folder is in use by another process")
+	// ErrUnwritable: the folder cannot be written to.
+	ErrUnwritable = errors.New("data folder is not writable")
+	// ErrFull: the file system of the folder has no room left.
+	ErrFull = errors.New("no space left for the data folder")
+	// ErrFailed: an earlier write or sync failed, so that what is on the disk
+	// is not known; only opening the folder anew helps.
+	ErrFailed = errors.New("log has failed")
+	// ErrClosed: the log was closed.
+	ErrClosed = errors.New("log is closed")
+	// ErrOrder: the entries do not continue the log.
+	ErrOrder = errors.New("entries do not continue the log")
+	// ErrTooLarge: one batch is larger than a record may be.
+	ErrTooLarge = errors.New("batch is too large")
+)
+
+func damaged(file string, offset int64, reason string) error {
+	return errors.Wrapf(ErrDamaged, "file %s, offset %d: %s", file, offset, reason)
+}
--- /dev/null
+++ b/internal/wal/items.go
@@ -0,0 +1,104 @@
+package wal
+
+import (
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+)
+
+// The payload of a log record is a series of protobuf fields.
+const (
+	hardStateField protowire.Number = 1
+	entryField     protowire.Number = 2
+	// snapshotField holds index and term of a snapshot that took effect.
+	snapshotField protowire.Number = 3
+	// resetField holds the same, and the entries before it are void.
+	resetField protowire.Number = 4
+)
+
+var errPayload = errors.New("payload is not well-formed")
+
+// items is the content of one log record.
+type items struct {
+	// mark and reset come first: entries follow the snapshot.
+	mark      *raftpb.Snapshot
+	reset     bool
+	hardState *raftpb.HardState
+	entries   []*raftpb.Entry
+}
+
+func appendMessage(dst []byte, field protowire.Number, m proto.Message) ([]byte, error) {
+	dst = protowire.AppendTag(dst, field, protowire.BytesType)
+	dst = protowire.AppendVarint(dst, uint64(proto.Size(m)))
+	dst, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(dst, m)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode")
+	}
+	return dst, nil
+}
+
+func (it *items) encode(dst []byte) ([]byte, error) {
+	var err error
+	if it.mark != nil {
+		field := snapshotField
+		if it.reset {
+			field = resetField
+		}
+		if dst, err = appendMessage(dst, field, it.mark); err != nil {
+			return nil, err
+		}
+	}
+	if it.hardState != nil {
+		if dst, err = appendMessage(dst, hardStateField, it.hardState); err != nil {
+			return nil, err
+		}
+	}
+	for _, e := range it.entries {
+		if dst, err = appendMessage(dst, entryField, e); err != nil {
+			return nil, err
+		}
+	}
+	return dst, nil
+}
+
+func decodeItems(payload []byte) (*items, error) {
+	it := &items{}
+	for len(payload) > 0 {
+		field, kind, n := protowire.ConsumeTag(payload)
+		if n < 0 || kind != protowire.BytesType {
+			return nil, errPayload
+		}
+		payload = payload[n:]
+		value, n := protowire.ConsumeBytes(payload)
+		if n < 0 {
+			return nil, errPayload
+		}
+		payload = payload[n:]
+		if err := it.decodeItem(field, value); err != nil {
+			return nil, err
+		}
+	}
+	return it, nil
+}
+
+func (it *items) decodeItem(field protowire.Number, value []byte) error {
+	switch field {
+	case hardStateField:
+		it.hardState = &raftpb.HardState{}
+		return proto.Unmarshal(value, it.hardState)
+	case entryField:
+		e := &raftpb.Entry{}
+		it.entries = append(it.entries, e)
+		return proto.Unmarshal(value, e)
+	case snapshotField, resetField:
+		it.mark = &raftpb.Snapshot{}
+		it.reset = field == resetField
+		return proto.Unmarshal(value, it.mark)
+	default:
+		// An unknown field was written by a newer version and must not be
+		// dropped in silence.
+		return errors.Wrapf(errPayload, "field %d", field)
+	}
+}
--- /dev/null
+++ b/internal/wal/replay.go
@@ -0,0 +1,167 @@
+package wal
+
+import (
+	"fmt"
+
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+)
+
+// replay reads the segments and opens the newest one for writing.
+func (l *Log) replay(names []string, state *State) error {
+	if len(names) == 0 {
+		return damaged(l.folder, 0, "no segment")
+	}
+	r := &replayer{log: l}
+	for i, name := range names {
+		if err := r.segment(name, i == 0, i == len(names)-1); err != nil {
+			return err
+		}
+	}
+	if err := r.checkStart(); err != nil {
+		return err
+	}
+	state.HardState = l.hardState
+	state.Entries = r.entries
+	state.TornBytes = r.torn
+	l.tail.last = l.mark.GetIndex()
+	for _, e := range r.entries {
+		l.tail.append(e.Index, e.Term)
+	}
+	return l.renewNewest(r.data)
+}
+
+// renewNewest writes the valid part of the newest segment anew. What was read
+// may be in the memory of the operating system only, left there by a sync that
+// failed before this process started.
+func (l *Log) renewNewest(data []byte) error {
+	name := l.segments[len(l.segments)-1].name
+	if err := writeWhole(l.fs, l.path(name), data); err != nil {
+		return err
+	}
+	l.size = len(data)
+	return l.openSegment(name)
+}
+
+// replayer applies records in the order in which they were written.
+type replayer struct {
+	log     *Log
+	entries []*raftpb.Entry
+	// data is the valid part of the newest segment read.
+	data []byte
+	torn int
+}
+
+// segment reads one segment. Only the newest one may have a torn tail.
+func (r *replayer) segment(name string, oldest, newest bool) error {
+	path := r.log.path(name)
+	data, err := r.log.fs.ReadFile(path)
+	if err != nil {
+		return explain(err, "read", path)
+	}
+	named, _ := parseNumberedName(name, segmentSuffix)
+	s, sequence, rest, ok := parseFirstRecord(data)
+	if !ok || sequence != named {
+		return damaged(path, 0, "no valid first record")
+	}
+	if !oldest && sequence != r.log.sequence {
+		return damaged(path, 0, fmt.Sprintf("begins at record %d, want %d", sequence, r.log.sequence))
+	}
+	r.log.salt = s
+	r.log.sequence = sequence + 1
+	r.log.segments = append(r.log.segments, segment{name: name})
+	at := len(data) - len(rest)
+	for at < len(data) {
+		n, err := r.record(path, data, at)
+		if err != nil {
+			return err
+		}
+		if n == 0 {
+			break
+		}
+		at += n
+	}
+	if r.log.sequence < sequence+segmentHeadRecords {
+		return damaged(path, int64(at), "no valid second record")
+	}
+	if at < len(data) && (!newest || hasRecord(data[at:], s)) {
+		return damaged(path, int64(at), "invalid record before valid ones")
+	}
+	r.torn += len(data) - at
+	r.data = data[:at]
+	return nil
+}
+
+// record applies the record at the offset and returns its length, or 0 if
+// there is no valid one.
+func (r *replayer) record(path string, data []byte, at int) (int, error) {
+	sequence, payload, ok := parseRecord(data[at:], r.log.salt)
+	if !ok {
+		return 0, nil
+	}
+	if sequence != r.log.sequence {
+		return 0, damaged(path, int64(at), fmt.Sprintf("record %d, want %d", sequence, r.log.sequence))
+	}
+	it, err := decodeItems(payload)
+	if err != nil {
+		return 0, damaged(path, int64(at), err.Error())
+	}
+	if it.hardState != nil {
+		r.log.hardState = it.hardState
+	}
+	if it.mark != nil {
+		r.log.mark = it.mark
+		r.drop(it.mark.Index, it.reset)
+	}
+	newest := &r.log.segments[len(r.log.segments)-1]
+	for _, e := range it.entries {
+		if !r.append(e) {
+			return 0, damaged(path, int64(at), fmt.Sprintf("entry %d leaves a gap", e.Index))
+		}
+		newest.lastIndex = max(newest.lastIndex, e.Index)
+	}
+	r.log.sequence++
+	return headerLength + len(payload), nil
+}
+
+// drop forgets the entries up to index, with reset also those after.
+func (r *replayer) drop(index uint64, reset bool) {
+	if reset || len(r.entries) == 0 {
+		r.entries = nil
+		return
+	}
+	first := r.entries[0].Index
+	if index < first {
+		return
+	}
+	n := min(index-first+1, uint64(len(r.entries)))
+	r.entries = append([]*raftpb.Entry(nil), r.entries[n:]...)
+}
+
+// append adds an entry, which replaces those from its index on. The segments
+// that held earlier entries may be gone, so the log may begin at any index;
+// checkStart judges that at the end.
+func (r *replayer) append(e *raftpb.Entry) bool {
+	if len(r.entries) == 0 || e.Index <= r.entries[0].Index {
+		r.entries = append(r.entries[:0], e)
+		return true
+	}
+	n := e.Index - r.entries[0].Index
+	if n > uint64(len(r.entries)) {
+		return false
+	}
+	r.entries = append(r.entries[:n], e)
+	return true
+}
+
+// checkStart tells whether the entries follow the snapshot.
+func (r *replayer) checkStart() error {
+	if len(r.entries) == 0 {
+		return nil
+	}
+	first, want := r.entries[0].Index, r.log.mark.GetIndex()+1
+	if first == want {
+		return nil
+	}
+	oldest := r.log.path(r.log.segments[0].name)
+	return damaged(oldest, 0, fmt.Sprintf("log begins at entry %d, want %d", first, want))
+}
