dev: end-to-end tests; backend drains without its agent too

A backend server whose agent had gone could not drain: it waited for the agent to take the announcement. It now waits for that no longer than the grace and then for its requests and streams, still without a time limit.

--- a/internal/backend/announce.go
+++ b/internal/backend/announce.go
@@ -52,6 +52,8 @@
 	// changed asks for an announcement at once; the channel is closed when
 	// that one was taken.
 	changed chan chan struct{}
+	// done is closed when run returns.
+	done chan struct{}
 }
 
 func newAnnouncer(address string, period time.Duration, log *zap.Logger) *announcer {
@@ -60,11 +62,13 @@
 		period:  period,
 		log:     log,
 		changed: make(chan chan struct{}),
+		done:    make(chan struct{}),
 	}
 }
 
 // run announces what current returns until ctx ends.
 func (a *announcer) run(ctx context.Context, current func() Announcement) {
+	defer close(a.done)
 	taken := false
 	var waiting []chan struct{}
 	for {
@@ -96,17 +100,22 @@
 	}
 }
 
-// announceNow waits until the agent took an announcement made after the call.
+// announceNow waits until the agent took an announcement made after the call,
+// or the server was closed.
 func (a *announcer) announceNow(ctx context.Context) error {
 	taken := make(chan struct{})
 	select {
 	case a.changed <- taken:
+	case <-a.done:
+		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	select {
 	case <-taken:
 		return nil
+	case <-a.done:
+		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/internal/backend/drain_test.go
+++ b/internal/backend/drain_test.go
@@ -104,3 +104,10 @@
 	cancel()
 	is.True(errors.Is(s.Drain(ctx), context.Canceled))
 }
+
+func TestDrainWithoutAgent(t *testing.T) {
+	is := is.New(t)
+	s := start(t, backend.Options{Announce: "127.0.0.1:1", DrainGrace: time.Millisecond})
+	is.NoErr(s.Drain(t.Context()))
+	is.NoErr(s.Drain(t.Context())) // again is harmless
+}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -143,9 +143,9 @@
 func (s *Server) LateRequests() int { return int(s.lateNew.Load()) }
 
 // Drain announces that the server leaves, waits until its agent has taken
-// that and every request and watch stream has ended, and closes the server.
-// There is no time limit but ctx, at whose end the rest is cut off and its
-// error returned.
+// that (or the grace has passed, when the agent is gone) and every request and
+// watch stream has ended, and closes the server. There is no time limit but ctx, at whose end the rest is cut off and its
+// error returned. Draining a closed server does nothing.
 func (s *Server) Drain(ctx context.Context) error {
 	now := time.Now()
 	s.drainFrom.CompareAndSwap(nil, &now)
@@ -159,7 +159,7 @@
 
 func (s *Server) awaitQuiet(ctx context.Context) error {
 	if s.announce != nil {
-		if err := s.announce.announceNow(ctx); err != nil {
+		if err := s.sayLeaving(ctx); err != nil {
 			return err
 		}
 	}
@@ -175,6 +175,16 @@
 	return nil
 }
 
+// sayLeaving returns only the error of ctx.
+func (s *Server) sayLeaving(ctx context.Context) error {
+	graced, cancel := context.WithTimeout(ctx, s.opts.DrainGrace)
+	defer cancel()
+	if err := s.announce.announceNow(graced); err != nil && ctx.Err() == nil {
+		s.opts.Log.Warn("the agent did not hear of the leaving", zap.Error(err))
+	}
+	return ctx.Err()
+}
+
 // Close ends the server at once, with whatever still runs.
 func (s *Server) Close() error {
 	s.stop()
--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -214,14 +214,11 @@
 func (d *Deployment) Close() {
 	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
 	defer cancel()
+	// Backend servers first: their agents have to hear of it.
 	var wg conc.WaitGroup
 	for _, servers := range d.backends {
 		for _, s := range servers {
-			wg.Go(func() {
-				if err := s.Drain(ctx); err != nil {
-					d.log.Warn("backend server cut off", zap.Error(err))
-				}
-			})
+			wg.Go(func() { d.drain(ctx, s) })
 		}
 	}
 	wg.Wait()
@@ -236,6 +233,12 @@
 	}
 }
 
+func (d *Deployment) drain(ctx context.Context, s *backend.Server) {
+	if err := s.Drain(ctx); err != nil {
+		d.log.Warn("backend server cut off", zap.Error(err))
+	}
+}
+
 func (d *Deployment) end(stop context.CancelFunc, wg *conc.WaitGroup) {
 	if stop == nil {
 		return
--- /dev/null
+++ b/internal/dev/dev_test.go
@@ -0,0 +1,107 @@
+package dev_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap/zaptest"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/backend"
+	"eelgrasswharf.example/eelgrasswharf/internal/dev"
+	"eelgrasswharf.example/eelgrasswharf/internal/loadgen"
+)
+
+func start(t *testing.T) *dev.Deployment {
+	t.Helper()
+	d, err := dev.Start(t.Context(), dev.Options{Log: zaptest.NewLogger(t)})
+	is.New(t).NoErr(err)
+	t.Cleanup(d.Close)
+	return d
+}
+
+// options leave a busy machine time enough.
+func options(duration time.Duration) loadgen.Options {
+	return loadgen.Options{
+		Rate: 60, Sessions: 6, WatchPeriod: 100 * time.Millisecond, NonRepeatable: 0.3, Connections: 6,
+		RequestsPerFlow: 10, Duration: duration, Deadline: 30 * time.Second, Seed: 7,
+	}
+}
+
+// check holds a report against what must always hold.
+func check(t *testing.T, r *loadgen.Report) {
+	t.Helper()
+	is := is.New(t)
+	is.Helper()
+	is.True(r.Requests > 0)
+	is.Equal(r.Outcomes["answered"], r.Requests)
+	is.Equal(r.BrokenFlows, 0)
+	is.Equal(r.BrokenSessions, 0)
+	is.Equal(r.Misrouted, 0)
+	is.Equal(r.WrongAnswers, 0)
+	is.True(r.Doubled != nil)
+	is.Equal(*r.Doubled, loadgen.Doubled{Keys: r.Doubled.Keys})
+}
+
+func TestBothServicesServe(t *testing.T) {
+	is := is.New(t)
+	d := start(t)
+	is.Equal(d.Services(), []string{"certificates", "lodgement"})
+	var wg conc.WaitGroup
+	for _, service := range d.Services() {
+		is.Equal(len(d.Addresses(service)), 2) // one on each entry host
+		wg.Go(func() {
+			r, err := d.Load(t.Context(), service, options(time.Second))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			check(t, r)
+		})
+	}
+	wg.Wait()
+	is.NoErr(d.Err())
+}
+
+// A backend server drains under load: its sessions go on until their callers
+// end them, and its agent brings it no new work once the grace is over.
+func TestSessionsSurviveDrain(t *testing.T) {
+	is := is.New(t)
+	d := start(t)
+	leaving := d.Backends("lodgement")[0]
+	var wg conc.WaitGroup
+	drained := make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	wg.Go(func() {
+		if awaitWatch(ctx, leaving) {
+			drained <- leaving.Drain(ctx)
+		}
+	})
+	r, err := d.Load(t.Context(), "lodgement", options(2*backend.DefaultDrainGrace))
+	is.NoErr(err)
+	watched := r.SessionsPerTarget["lodgement-1"]
+	if watched > 0 {
+		is.NoErr(<-drained)
+	}
+	cancel()
+	wg.Wait()
+	is.True(watched > 0)
+	is.Equal(r.Outcomes["answered"], r.Requests)
+	is.Equal(r.BrokenFlows, 0)
+	is.Equal(r.BrokenSessions, 0)
+	is.Equal(leaving.LateRequests(), 0)
+}
+
+// awaitWatch waits for a session and reports whether there was one.
+func awaitWatch(ctx context.Context, s *backend.Server) bool {
+	for s.Watching() == 0 {
+		if ctx.Err() != nil {
+			return false
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return true
+}
