settings: initial voters have to name this host, each once

The daemon refused such a file only at its start, one fault at a time; config check now finds it with its line.

Ran: go test ./internal/settings ./internal/cli, pass.

--- /dev/null
+++ b/internal/settings/cross.go
@@ -0,0 +1,39 @@
+package settings
+
+import (
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+)
+
+// checkTogether reports keys that are good by themselves and contradict each
+// other.
+func checkTogether(m proto.Message, c *collector, lines keyLines) {
+	control, ok := m.(*settingspb.ControlSettings)
+	if !ok {
+		return
+	}
+	checkVoters(control, c, lines[keyName{"replica", "initial_voters"}])
+}
+
+// checkVoters wants each voter once and this host among them, unless it joins
+// a group that exists.
+func checkVoters(s *settingspb.ControlSettings, c *collector, line int) {
+	voters := s.GetReplica().GetInitialVoters()
+	if len(voters) == 0 || s.GetReplica().GetJoin() {
+		return
+	}
+	seen := map[string]bool{}
+	for _, voter := range voters {
+		name, _, _ := strings.Cut(voter, "=")
+		if seen[name] {
+			c.add(line, "replica.initial_voters: %q is named twice", name)
+		}
+		seen[name] = true
+	}
+	if self := s.GetHost().GetName(); self != "" && !seen[self] {
+		c.add(line, "replica.initial_voters: this host, %q, is not among them and replica.join is not set", self)
+	}
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -128,6 +128,7 @@
 		parseSection(s, m.Mutable(field).Message(), c, lines)
 	}
 	checkRequired(m, c, lines)
+	checkTogether(m.Interface(), c, lines)
 	Defaults(m.Interface())
 	return lines
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -195,3 +195,19 @@
 	_, err = settings.GuessRole(write(t, "[host]\n"))
 	is.True(errors.Is(err, settings.ErrNoRole))
 }
+
+func TestVotersNameThisHost(t *testing.T) {
+	is := is.New(t)
+	example, err := settings.Example(settings.RoleControl)
+	is.NoErr(err)
+	foreign := strings.Replace(example, "name = control-1", "name = control-9", 1)
+	m := &settingspb.ControlSettings{}
+	found := findings(t, settings.Parse("f", []byte(foreign), m))
+	is.Equal(len(found), 1)
+	is.True(strings.Contains(found[0], `this host, "control-9", is not among them`))
+	joining := strings.Replace(foreign, ";join = false", "join = true", 1)
+	is.NoErr(settings.Parse("f", []byte(joining), &settingspb.ControlSettings{}))
+	twice := strings.Replace(example, "control-2=", "control-3=", 1)
+	found = findings(t, settings.Parse("f", []byte(twice), &settingspb.ControlSettings{}))
+	is.True(strings.Contains(found[0], `"control-3" is named twice`))
+}
