--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -85,8 +85,8 @@
 	gone chan struct{}
 }
 
-// Start starts a deployment and waits until every service is in force on
-// every entry host and every target is known. It ends what it started when
+// Start starts a deployment and waits until every target has answered a call
+// through every entry host. It ends what it started when
 // ctx ends first or a daemon fails.
 func Start(ctx context.Context, o Options) (*Deployment, error) {
 	if len(o.Services) == 0 {
@@ -120,7 +120,7 @@
 
 func (d *Deployment) start(ctx context.Context) error {
 	steps := []func(context.Context) error{
-		d.makeKeys, d.startControl, d.submitServices, d.startEntries, d.startTargets, d.awaitService,
+		d.makeKeys, d.startControl, d.submitServices, d.startEntries, d.startTargets, d.awaitService, d.awaitTargets,
 	}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -35,6 +35,7 @@
 	t.Helper()
 	is := is.New(t)
 	is.Helper()
+	t.Logf("%+v", *r)
 	is.True(r.Requests > 0)
 	is.Equal(r.Outcomes["answered"], r.Requests)
 	is.Equal(r.BrokenFlows, 0)
@@ -88,6 +89,7 @@
 	}
 	cancel()
 	wg.Wait()
+	t.Logf("%+v", *r)
 	is.True(watched > 0)
 	is.Equal(r.Outcomes["answered"], r.Requests)
 	is.Equal(r.BrokenFlows, 0)
--- a/internal/loadgen/request.go
+++ b/internal/loadgen/request.go
@@ -117,21 +117,29 @@
 		return notRun(reasonGoAway), false
 	}
 	if err != nil {
-		g.dialer.requestLost(f)
-		return lostOutcome(ctx, err), true
+		return g.lost(ctx, f, err), true
 	}
 	defer res.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		return unknown(reasonTruncated), true
+	}
 	if err != nil {
-		g.dialer.requestLost(f)
-		if errors.Is(err, io.ErrUnexpectedEOF) {
-			return unknown(reasonTruncated), true
-		}
-		return lostOutcome(ctx, err), true
+		return g.lost(ctx, f, err), true
 	}
 	return g.check(q, answerOutcome(res), body), true
 }
 
+// lost explains a request that failed after it was sent. A flow whose end
+// left the outcome unknown is broken; one that refused the request is not.
+func (g *generator) lost(ctx context.Context, f *flow, err error) outcome {
+	out := lostOutcome(ctx, err)
+	if out.class == ClassUnknown {
+		g.dialer.requestLost(f)
+	}
+	return out
+}
+
 // check holds an answer against its request.
 func (g *generator) check(q request, out outcome, body []byte) outcome {
 	if out.class != ClassAnswered || out.reason != "" {
--- a/internal/loadgen/session.go
+++ b/internal/loadgen/session.go
@@ -57,10 +57,9 @@
 		cancelStream(stream)
 	})
 	defer guard.Stop()
-	res, out := g.openWatch(ctx, stream)
+	res, out := g.openWatch(ctx, f, stream)
 	if res == nil {
 		if ctx.Err() == nil {
-			g.dialer.requestLost(f)
 			g.rec.sessionRefused(out)
 		}
 		return out.comeBack
@@ -81,7 +80,7 @@
 }
 
 // openWatch returns the response of an accepted watch, or why there is none.
-func (g *generator) openWatch(ctx context.Context, stream *http3.RequestStream) (*http.Response, outcome) {
+func (g *generator) openWatch(ctx context.Context, f *flow, stream *http3.RequestStream) (*http.Response, outcome) {
 	err := stream.SendRequestHeader(&http.Request{
 		Method: http.MethodGet,
 		URL: &url.URL{
@@ -97,7 +96,7 @@
 	_ = stream.Close()
 	res, err := stream.ReadResponse()
 	if err != nil {
-		return nil, lostOutcome(ctx, err)
+		return nil, g.lost(ctx, f, err)
 	}
 	out := answerOutcome(res)
 	if out.class != ClassAnswered || out.reason != "" {
