--- /dev/null
+++ b/internal/replica/group_test.go
@@ -0,0 +1,321 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/wal"
+)
+
+func TestThreeReplicasAgree(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{SnapshotEntries: 20})
+	c.leader()
+	c.setLoss(0.05)
+	for i := range 60 {
+		h := c.hosts[i%3]
+		err := errors.New("not tried")
+		for n := 0; err != nil; n++ {
+			_, changed := h.replica.Watch()
+			// A new name each time: an unknown outcome may take effect.
+			_, err = h.replica.Propose(t.Context(), fmt.Appendf(nil, "%d-%d", i, n))
+			if err != nil {
+				<-changed
+			}
+		}
+	}
+	c.setLoss(0)
+	c.propose(c.hosts[0], "last")
+	c.converge("last")
+	for i, h := range c.hosts {
+		is.NoErr(h.replica.ReadBarrier(t.Context()))
+		is.True(h.counter("snapshots_taken")+h.counter("snapshots_restored") > 0)
+		is.Equal(h.replica.Status().Self.GetName(), hostNames[i])
+	}
+}
+
+func TestLeaderKilledAndRestarted(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	old := c.leader()
+	c.propose(old, "before")
+	c.kill(old)
+	next := c.leader()
+	is.True(next != old)
+	is.Equal(next.journal.count("before"), 1) // or after the barrier below
+	for _, h := range others(c, old) {
+		c.propose(h, "while down, at "+h.name)
+	}
+	c.start(old)
+	c.propose(old, "after")
+	c.converge("after")
+	is.Equal(old.journal.count("before"), 1)
+}
+
+func TestReadBarrierOnAFollowerSeesWhatWasAnswered(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	leader := c.leader()
+	for i := range 20 {
+		command := fmt.Sprint(i)
+		c.propose(leader, command)
+		for _, h := range others(c, leader) {
+			if err := h.replica.ReadBarrier(t.Context()); err != nil {
+				is.True(errors.Is(err, ErrNoLeader)) // does not know the leader yet
+				continue
+			}
+			is.Equal(h.journal.count(command), 1)
+		}
+	}
+}
+
+func TestReadBarrierNeedsAQuorum(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	leader := c.leader()
+	c.propose(leader, "x")
+	c.isolate(leader, true)
+	next := c.leader(leader)
+	c.propose(next, "y")
+	// It believes to lead until its quorum check; whichever comes first, no
+	// read without y may pass.
+	err := leader.replica.ReadBarrier(t.Context())
+	is.True(errors.Is(err, ErrNoLeader))
+	c.isolate(leader, false)
+	c.converge("y")
+}
+
+func TestLostFolderComesBackAsLearner(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{SnapshotEntries: 5})
+	leader := c.leader()
+	for i := range 12 {
+		c.propose(leader, fmt.Sprint("before-", i))
+	}
+	lost := others(c, leader)[0]
+	oldID := lost.replica.ID()
+	c.kill(lost)
+	is.NoErr(os.RemoveAll(lost.folder))
+	c.start(lost)
+	newID := lost.replica.ID()
+	is.True(newID.GetIncarnation() != oldID.GetIncarnation())
+
+	leader = c.leader()
+	c.propose(leader, "while lost") // before an entry of its term the leader is busy
+	r := leader.replica
+	is.True(errors.Is(r.Promote(t.Context(), newID), ErrMembership)) // not a member
+	is.NoErr(r.AddLearner(t.Context(), &raftpb.Member{Id: newID, Address: lost.name}))
+	is.NoErr(r.AddLearner(t.Context(), &raftpb.Member{Id: newID, Address: lost.name})) // idempotent
+	c.wait("learner catches up", func() bool {
+		s := r.Status()
+		for _, m := range s.Members {
+			if sameReplica(m.Member.GetId(), newID) {
+				return m.CaughtUp
+			}
+		}
+		return false
+	})
+	is.NoErr(r.Promote(t.Context(), newID))
+	is.NoErr(r.Remove(t.Context(), oldID))
+	is.NoErr(r.Remove(t.Context(), oldID)) // idempotent
+	is.Equal(len(r.Status().Members), 3)
+
+	// Soon after the repair a second host is lost.
+	for _, h := range others(c, leader) {
+		if h != lost {
+			c.kill(h)
+		}
+	}
+	c.propose(leader, "after")
+	c.converge("after")
+	is.Equal(lost.journal.count("before-0"), 1)
+}
+
+func TestLostFolderDoesNotVoteAgain(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	leader := c.leader()
+	c.propose(leader, "accepted")
+	lost, other := others(c, leader)[0], others(c, leader)[1]
+	c.kill(lost)
+	is.NoErr(os.RemoveAll(lost.folder))
+	c.start(lost)
+	c.kill(leader)
+	// One of three members and an amnesiac are no quorum. By the fifth round of
+	// pre-votes the answers to the first have long come.
+	rounds := make(chan struct{})
+	stop := make(chan struct{})
+	c.setTap(func(from, to string, m *raftpb.Message) {
+		if from != other.name || to != lost.name || m.GetKind() != raftpb.MessageKind_MESSAGE_PRE_VOTE {
+			return
+		}
+		select {
+		case rounds <- struct{}{}:
+		case <-stop:
+		}
+	})
+	term := other.replica.Status().Term
+	for range 5 {
+		<-rounds
+		s := other.replica.Status()
+		is.Equal(s.Term, term) // no election was begun
+		is.True(!s.Leading())
+	}
+	c.setTap(nil)
+	close(stop)
+	c.start(leader)
+	c.propose(other, "later")
+	is.Equal(other.journal.count("accepted"), 1)
+}
+
+func TestLaggingFollowerCatchesUpBySnapshot(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{SnapshotEntries: 10})
+	leader := c.leader()
+	slow := others(c, leader)[0]
+	c.isolate(slow, true)
+	for i := range 50 {
+		c.propose(leader, fmt.Sprint(i))
+	}
+	restored := slow.counter("snapshots_restored")
+	c.isolate(slow, false)
+	c.propose(leader, "last")
+	c.converge("last")
+	is.True(slow.counter("snapshots_restored") > restored)
+	want := slow.journal.text()
+	c.kill(slow)
+	c.start(slow)
+	c.propose(leader, "after")
+	c.converge("after")
+	is.Equal(slow.journal.text(), want+"\nafter")
+}
+
+// A leader is frozen in a sync while the others go on without it. What it does
+// on thawing must neither contradict them nor serve a stale read.
+func TestFrozenLeaderThaws(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	old := c.leader()
+	c.propose(old, "before")
+	thaw, outcome := waitFrozen(t, old, "frozen")
+	next := c.leader(old)
+	c.propose(next, "meanwhile")
+	status := old.replica.Status()
+	is.True(status.Leading()) // it knows nothing of it
+	read := make(chan error, 1)
+	go func() { read <- old.replica.ReadBarrier(t.Context()) }()
+	thaw()
+	err := <-read
+	if err == nil {
+		is.Equal(old.journal.count("meanwhile"), 1)
+	}
+	err = <-outcome
+	is.True(err != nil) // another entry was committed at its index
+	is.True(errors.Is(err, ErrNoLeader) || errors.Is(err, ErrUnknown))
+	c.propose(next, "after")
+	c.converge("after")
+	if errors.Is(err, ErrNoLeader) {
+		is.Equal(next.journal.count("frozen"), 0)
+	}
+}
+
+func TestLeaderWithABadDiskIsReplaced(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	old := c.leader()
+	c.propose(old, "before")
+	old.disk.fail(errors.New("bad disk"))
+	_, err := old.replica.Propose(t.Context(), []byte("unsure"))
+	is.True(errors.Is(err, ErrUnknown))
+	<-old.replica.Done()
+	is.True(errors.Is(old.replica.Err(), wal.ErrFailed))
+	c.kill(old)
+	c.propose(c.leader(), "after")
+	c.start(old)
+	c.propose(c.leader(), "last")
+	c.converge("last")
+}
+
+func TestMembershipChangesNeedTheLeader(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	leader := c.leader()
+	follower := others(c, leader)[0]
+	id := &raftpb.ReplicaID{Name: "d", Incarnation: 4}
+	is.True(errors.Is(follower.replica.AddLearner(t.Context(), &raftpb.Member{Id: id}), ErrNoLeader))
+	voter := &raftpb.Member{Id: follower.replica.ID()}
+	is.True(errors.Is(leader.replica.AddLearner(t.Context(), voter), ErrMembership))
+	c.propose(leader, "x") // before an entry of its term the leader is busy
+	is.NoErr(leader.replica.AddLearner(t.Context(), &raftpb.Member{Id: id, Address: "d"}))
+	is.True(errors.Is(leader.replica.Promote(t.Context(), id), ErrMembership)) // never heard of
+}
+
+type fixedForwarder struct {
+	reply *controlpb.ProposeReply
+	err   error
+}
+
+func (f fixedForwarder) Forward(context.Context, *raftpb.Member, controlpb.Group, []byte) (*controlpb.ProposeReply, error) {
+	return f.reply, f.err
+}
+
+func TestForwardedOutcomes(t *testing.T) {
+	reply := func(s controlpb.ProposeStatus) *controlpb.ProposeReply {
+		return &controlpb.ProposeReply{Status: s, Result: []byte("result")}
+	}
+	cases := []struct {
+		name string
+		fixedForwarder
+		want error
+	}{
+		{"ok", fixedForwarder{reply: reply(controlpb.ProposeStatus_PROPOSE_OK)}, nil},
+		{"no leader", fixedForwarder{reply: reply(controlpb.ProposeStatus_PROPOSE_NO_LEADER)}, ErrNoLeader},
+		{"busy", fixedForwarder{reply: reply(controlpb.ProposeStatus_PROPOSE_BUSY)}, ErrBusy},
+		{"unknown", fixedForwarder{reply: reply(controlpb.ProposeStatus_PROPOSE_UNKNOWN)}, ErrUnknown},
+		{"status of a newer version", fixedForwarder{reply: reply(99)}, ErrUnknown},
+		{"no reply", fixedForwarder{}, ErrUnknown},
+		{"lost", fixedForwarder{err: errLost}, ErrUnknown},
+		{"cancelled", fixedForwarder{err: context.Canceled}, ErrUnknown},
+		{"not sent", fixedForwarder{err: ErrNoLeader}, ErrNoLeader},
+	}
+	c := newCluster(t, 3, Options{})
+	leader := c.leader()
+	follower := others(c, leader)[0]
+	c.wait("follower knows the leader", func() bool { return follower.replica.Status().Leader != nil })
+	r := &Replica{id: follower.replica.id, metrics: follower.replica.metrics, opts: follower.replica.opts}
+	r.published.Store(follower.replica.published.Load())
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r.opts.Forwarder = tc.fixedForwarder
+			result, err := r.Propose(t.Context(), []byte("x"))
+			if tc.want == nil {
+				is.NoErr(err)
+				is.Equal(string(result), "result")
+				return
+			}
+			is.True(errors.Is(err, tc.want))
+			for _, other := range []error{ErrNoLeader, ErrBusy, ErrUnknown} {
+				is.Equal(errors.Is(err, other), other == tc.want) // exactly one
+			}
+		})
+	}
+}
+
+func TestReplyKeepsWhatIsCertain(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Reply(nil, nil).Status, controlpb.ProposeStatus_PROPOSE_OK)
+	is.Equal(Reply(nil, ErrNoLeader).Status, controlpb.ProposeStatus_PROPOSE_NO_LEADER)
+	is.Equal(Reply(nil, ErrClosed).Status, controlpb.ProposeStatus_PROPOSE_NO_LEADER)
+	is.Equal(Reply(nil, ErrBusy).Status, controlpb.ProposeStatus_PROPOSE_BUSY)
+	is.Equal(Reply(nil, ErrUnknown).Status, controlpb.ProposeStatus_PROPOSE_UNKNOWN)
+	is.Equal(Reply(nil, errLost).Status, controlpb.ProposeStatus_PROPOSE_UNKNOWN)
+	is.Equal(Reply(nil, errors.Join(ErrUnknown, ErrBusy)).Status, controlpb.ProposeStatus_PROPOSE_UNKNOWN)
+}
--- /dev/null
+++ b/internal/replica/loop.go
@@ -0,0 +1,274 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc/panics"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/wal"
+	"eelgrasswharf.example/eelgrasswharf/raft"
+)
+
+// run is the goroutine that owns the core, the log and the state machine.
+func (r *Replica) run() {
+	defer close(r.stopped)
+	// A panic of the state machine ends this replica; its callers must not
+	// wait for ever.
+	if recovered := panics.Try(r.loop); recovered != nil {
+		r.fail(recovered.AsError())
+	}
+	r.abandonAll()
+	r.flush()
+	if err := r.closeLog(); err != nil {
+		r.fail(err)
+	}
+	if r.failure != nil {
+		r.log.Error("replica failed", zap.Error(r.failure))
+		return
+	}
+	r.log.Info("replica closed", zap.Uint64("applied", r.applied))
+}
+
+// fail keeps the first failure. The loop ends at the next look at it.
+func (r *Replica) fail(err error) {
+	if r.failure == nil {
+		r.failure = err
+	}
+}
+
+func (r *Replica) loop() {
+	// A ticker drops ticks that come late: a process that was frozen gets one
+	// tick when it thaws, and the core lets no tick decide what is right.
+	ticker := time.NewTicker(r.opts.TickInterval)
+	defer ticker.Stop()
+	for r.failure == nil {
+		select {
+		case <-r.stop:
+			return
+		case <-ticker.C:
+			r.tick()
+		case <-r.intake.wake:
+		}
+		if err := r.takeIn(); err != nil {
+			r.fail(err)
+			return
+		}
+		if err := r.work(); err != nil {
+			r.fail(err)
+			return
+		}
+		r.flush()
+	}
+}
+
+func (r *Replica) tick() {
+	r.ticks++
+	r.node.Tick()
+	r.expireCommits()
+	r.forgetDeparted()
+}
+
+// takeIn hands all that waits to the core. Messages go first: they may tell
+// that another replica leads.
+func (r *Replica) takeIn() error {
+	requests, messages := r.intake.take()
+	for _, m := range messages {
+		err := r.node.Step(m)
+		if errors.Is(err, raft.ErrInconsistent) {
+			return errors.Wrap(err, "message")
+		}
+		if err != nil {
+			r.metrics.messagesRefused.Inc(1)
+		}
+	}
+	for _, q := range requests {
+		if !q.move(requestQueued, requestTaken) {
+			r.intake.release(q)
+			continue
+		}
+		q.start(q)
+	}
+	return r.failure
+}
+
+// work does all batches of the core.
+func (r *Replica) work() error {
+	for {
+		r.noteRole()
+		batch, ok := r.node.Ready()
+		if !ok {
+			return nil
+		}
+		if err := r.handle(batch); err != nil {
+			return err
+		}
+		r.node.Advance(batch)
+		r.flush()
+		if err := r.maybeSnapshot(); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *Replica) noteRole() {
+	leads := r.node.Status().Role == raft.RoleLeader
+	if r.leading && !leads {
+		r.leadershipLost()
+	}
+	r.leading = leads
+}
+
+// handle does the work of a batch. The order is that of the package comment of
+// raft: nothing is sent or answered before it is synced.
+func (r *Replica) handle(b raft.Batch) error {
+	if err := r.persist(b); err != nil {
+		return errors.Wrap(err, "persist")
+	}
+	r.send(b.Messages)
+	if err := r.restore(b.Restore); err != nil {
+		return err
+	}
+	for _, e := range b.Committed {
+		r.apply(e)
+	}
+	r.answerReads(b.Reads)
+	r.answerApplied()
+	return nil
+}
+
+// persist saves a batch. A commit index alone may be lost and is saved with the
+// next batch, which spares a sync for each round of proposals.
+func (r *Replica) persist(b raft.Batch) error {
+	if b.HardState != nil {
+		r.hardState = b.HardState
+		r.commitUnsaved = true
+	}
+	if !b.MustSync {
+		return nil
+	}
+	batch := wal.Batch{Snapshot: b.Snapshot, Entries: b.Entries}
+	if r.commitUnsaved {
+		batch.HardState = r.hardState
+	}
+	return r.save(batch)
+}
+
+func (r *Replica) save(b wal.Batch) error {
+	r.metrics.syncs.Inc(1)
+	if err := r.wal.Save(b); err != nil {
+		return err
+	}
+	if b.HardState != nil {
+		r.hardState = b.HardState
+		r.commitUnsaved = false
+	}
+	if b.Snapshot != nil {
+		r.snapshotIndex = b.Snapshot.GetIndex()
+		r.appliedBytes = 0
+	}
+	return nil
+}
+
+// send hands messages to the transport, in order, grouped by receiver.
+func (r *Replica) send(msgs []*raftpb.Message) {
+	if r.opts.Transport == nil || len(msgs) == 0 {
+		return
+	}
+	r.metrics.messagesSent.Inc(int64(len(msgs)))
+	type key struct {
+		name        string
+		incarnation uint64
+	}
+	groups := map[key][]*raftpb.Message{}
+	var order []*raftpb.ReplicaID
+	for _, m := range msgs {
+		k := key{name: m.GetTo().GetName(), incarnation: m.GetTo().GetIncarnation()}
+		if groups[k] == nil {
+			order = append(order, m.GetTo())
+		}
+		groups[k] = append(groups[k], m)
+	}
+	members := r.node.Status().Membership
+	for _, id := range order {
+		to := findMember(members, id)
+		if to == nil {
+			to = &raftpb.Member{Id: id, Address: r.opts.Addresses[id.GetName()]}
+		}
+		r.opts.Transport.Send(to, r.opts.Group, groups[key{name: id.GetName(), incarnation: id.GetIncarnation()}])
+	}
+}
+
+func (r *Replica) apply(e *raftpb.Entry) {
+	var result []byte
+	if e.GetKind() == raftpb.EntryKind_ENTRY_COMMAND {
+		result = r.opts.StateMachine.Apply(e.GetIndex(), e.GetData())
+	}
+	r.applied = e.GetIndex()
+	r.appliedBytes += len(e.GetData())
+	r.metrics.applied.Inc(1)
+	r.answerCommit(e, result)
+}
+
+// restore replaces the state machine's state by that of a snapshot.
+func (r *Replica) restore(s *raftpb.Snapshot) error {
+	if s == nil {
+		return nil
+	}
+	if err := r.opts.StateMachine.Restore(s.GetData()); err != nil {
+		return errors.Wrapf(err, "restore snapshot at %d", s.GetIndex())
+	}
+	r.applied = s.GetIndex()
+	r.metrics.restored.Inc(1)
+	r.answerSkipped(s.GetIndex())
+	return nil
+}
+
+// maybeSnapshot takes a snapshot when enough entries were applied. A state
+// machine that cannot give one is asked again after as many entries more.
+func (r *Replica) maybeSnapshot() error {
+	if r.applied < r.snapshotIndex+r.opts.SnapshotEntries && r.appliedBytes < maxAppliedBytes {
+		return nil
+	}
+	r.snapshotIndex = r.applied
+	r.appliedBytes = 0
+	s := &raftpb.Snapshot{Index: r.applied}
+	var err error
+	if s.Data, err = r.opts.StateMachine.Snapshot(); err != nil {
+		r.noteSnapshotFailure(err)
+		return nil
+	}
+	// Fills in term and membership.
+	if err := r.node.Compact(s); err != nil {
+		r.noteSnapshotFailure(err)
+		return nil
+	}
+	err = r.wal.Compact(s)
+	if errors.Is(err, wal.ErrTooLarge) {
+		r.noteSnapshotFailure(err)
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "snapshot")
+	}
+	r.metrics.snapshots.Inc(1)
+	return nil
+}
+
+func (r *Replica) noteSnapshotFailure(err error) {
+	r.metrics.snapshotsFailed.Inc(1)
+	r.log.Warn("snapshot not taken", zap.Uint64("applied", r.applied), zap.Error(err))
+}
+
+// closeLog saves a commit index that is still unsaved, so that a restart need
+// not learn it from others, and closes the log.
+func (r *Replica) closeLog() error {
+	if r.failure == nil && r.commitUnsaved {
+		if err := r.save(wal.Batch{HardState: r.hardState}); err != nil {
+			r.fail(err)
+		}
+	}
+	return r.wal.Close()
+}
--- /dev/null
+++ b/internal/replica/metrics.go
@@ -0,0 +1,72 @@
+package replica
+
+import (
+	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
+)
+
+// counters counts what a replica does, and each reason of a refusal apart.
+type counters struct {
+	proposals   tally.Counter
+	forwarded   tally.Counter
+	noLeader    tally.Counter
+	busy        tally.Counter
+	closed      tally.Counter
+	command     tally.Counter
+	unknown     tally.Counter
+	superseded  tally.Counter
+	readsFailed tally.Counter
+
+	messagesSent     tally.Counter
+	messagesReceived tally.Counter
+	messagesDropped  tally.Counter
+	messagesRefused  tally.Counter
+
+	syncs           tally.Counter
+	applied         tally.Counter
+	snapshots       tally.Counter
+	snapshotsFailed tally.Counter
+	restored        tally.Counter
+	leaderChanges   tally.Counter
+}
+
+func newCounters(scope tally.Scope) counters {
+	refused := func(reason string) tally.Counter {
+		return scope.Tagged(map[string]string{"reason": reason}).Counter("proposals_refused")
+	}
+	return counters{
+		proposals:   scope.Counter("proposals"),
+		forwarded:   scope.Counter("proposals_forwarded"),
+		noLeader:    refused("no_leader"),
+		busy:        refused("busy"),
+		closed:      refused("closed"),
+		command:     refused("command"),
+		unknown:     scope.Counter("proposals_unknown"),
+		superseded:  scope.Counter("proposals_superseded"),
+		readsFailed: scope.Counter("reads_failed"),
+
+		messagesSent:     scope.Counter("messages_sent"),
+		messagesReceived: scope.Counter("messages_received"),
+		messagesDropped:  scope.Counter("messages_dropped"),
+		messagesRefused:  scope.Counter("messages_refused"),
+
+		syncs:           scope.Counter("log_syncs"),
+		applied:         scope.Counter("entries_applied"),
+		snapshots:       scope.Counter("snapshots_taken"),
+		snapshotsFailed: scope.Counter("snapshots_failed"),
+		restored:        scope.Counter("snapshots_restored"),
+		leaderChanges:   scope.Counter("leader_changes"),
+	}
+}
+
+func (c *counters) countRefusal(err error) {
+	switch {
+	case err == nil, errors.Is(err, ErrUnknown):
+	case errors.Is(err, ErrNoLeader):
+		c.noLeader.Inc(1)
+	case errors.Is(err, ErrBusy):
+		c.busy.Inc(1)
+	case errors.Is(err, ErrClosed):
+		c.closed.Inc(1)
+	}
+}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -9,13 +9,15 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/wal"
 )
 
 // StateMachine is what the log is applied to. Its methods are called by one
 // goroutine at a time and must be deterministic: equal commands in equal order
 // give equal results and equal snapshots.
 type StateMachine interface {
-	// Apply runs the command committed at index and returns its result.
+	// Apply runs the command committed at index and returns its result. It
+	// must not change the command.
 	Apply(index uint64, command []byte) []byte
 	// Snapshot returns the whole state.
 	Snapshot() ([]byte, error)
@@ -26,7 +28,7 @@
 // Transport carries messages of the agreement core to other members. Send
 // never blocks; it may drop, repeat or reorder messages. The messages and what
 // they refer to are read-only for the transport, which may keep them after
-// Send returned.
+// Send returned. The member's address is empty if it is not known.
 type Transport interface {
 	Send(to *raftpb.Member, group controlpb.Group, msgs []*raftpb.Message)
 }
@@ -49,12 +51,22 @@
 	DefaultMaxCommandBytes = 1 << 20
 )
 
+// Bounds of the intake, in bytes.
+const (
+	maxRequestBytes = 16 << 20
+	maxMessageBytes = 64 << 20
+)
+
+// maxAppliedBytes is the size of the commands, in bytes, after which a snapshot
+// is taken, because they stay in memory until then.
+const maxAppliedBytes = 64 << 20
+
 // Options configures a Replica.
 type Options struct {
-	// Folder holds the replica's durable state and belongs to this group
-	// alone. It is made if it does not exist.
+	// Folder holds the durable state of this replica in this group and
+	// nothing else. It is made if it does not exist.
 	Folder string
-	// Name is the replica's name, used only when the folder is made.
+	// Name is the replica's name. A folder made under another one is refused.
 	Name string
 	// Group names the replicated log.
 	Group controlpb.Group
@@ -62,6 +74,10 @@
 	StateMachine StateMachine
 	// Transport reaches the other members. Nil for a group of one.
 	Transport Transport
+	// Addresses are link addresses by name of replica. They serve only for
+	// replicas that no membership known here names: one that joins answers
+	// its leader before it has learned who is a member.
+	Addresses map[string]string
 	// Forwarder passes commands on to the leader. Without it, a replica that
 	// does not lead answers ErrNoLeader.
 	Forwarder Forwarder
@@ -71,14 +87,18 @@
 	ElectionTicks int
 	// HeartbeatTicks is the time between heartbeats of a leader.
 	HeartbeatTicks int
-	// SnapshotEntries is the number of applied entries between snapshots.
+	// SnapshotEntries is the number of applied entries between snapshots. One
+	// is also taken when 64 MiB of commands were applied.
 	SnapshotEntries uint64
-	// MaxProposals bounds the proposals and read barriers that wait.
+	// MaxProposals bounds the requests of callers that wait: proposals, read
+	// barriers and membership changes.
 	MaxProposals int
 	// MaxCommandBytes bounds the size of one command.
 	MaxCommandBytes int
 	// Seed feeds the choice of election timeouts. Zero means a random one.
 	Seed uint64
+	// FS is the file system of Folder. Nil means that of the operating system.
+	FS wal.FS
 	// Log gets a line for each change of state. Nil means none.
 	Log *zap.Logger
 	// Scope gets the counters. Nil means none.
@@ -111,3 +131,17 @@
 		o.Scope = tally.NoopScope
 	}
 }
+
+// retainEntries is the number of entries kept in memory behind a snapshot, for
+// followers that lag a little. The core takes a negative number for none.
+func (o *Options) retainEntries() int {
+	const (
+		part = 10
+		most = 1024
+	)
+	n := min(o.SnapshotEntries/part, most)
+	if n == 0 {
+		return -1
+	}
+	return int(n)
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,124 +1,154 @@
 package replica
 
 import (
-	"context"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
 	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/wal"
+	"eelgrasswharf.example/eelgrasswharf/raft"
 )
 
 // Replica is one running replica. Its methods may be called by any goroutine.
 type Replica struct {
-	mu      sync.Mutex
 	opts    Options
 	id      *raftpb.ReplicaID
-	members *raftpb.Membership
-	index   uint64
-	closed  bool
+	log     *zap.Logger
+	metrics counters
+	intake  *intake
+
+	published atomic.Pointer[published]
+	stop      chan struct{}
+	stopOnce  sync.Once
+	stopped   chan struct{}
+	workers   conc.WaitGroup
+	// failure is written by the loop before stopped is closed.
+	failure error
+
+	// The loop alone uses what follows.
+	node    *raft.Node
+	rand    *rand.Rand
+	wal     *wal.Log
+	waiters waiters
+	answers []answer
+	ticks   uint64
+	leading bool
+	applied uint64
+	// snapshotIndex is the index of the last snapshot, appliedBytes the size of
+	// the commands applied since.
+	snapshotIndex uint64
+	appliedBytes  int
+	// hardState is the last one that was saved or waits to be.
+	hardState *raftpb.HardState
+	// commitUnsaved says that hardState differs from the saved one, in the
+	// commit index alone.
+	commitUnsaved bool
 }
 
-// Open opens or makes the data folder and starts the replica.
+// Open opens or makes the data folder, loads what it holds into the state
+// machine and starts the replica.
 func Open(opts Options) (*Replica, error) {
 	opts.setDefaults()
 	if opts.StateMachine == nil {
-		return nil, errors.New("no state machine")
+		return nil, errors.New("replica needs a state machine")
 	}
-	return &Replica{opts: opts, id: &raftpb.ReplicaID{Name: opts.Name, Incarnation: 1}}, nil
-}
-
-// ID returns the replica's name and incarnation.
-func (r *Replica) ID() *raftpb.ReplicaID { return r.id }
-
-// Form makes the replica a first member of a new group with these members.
-// Every one of them must be given the same list, and none may have belonged to
-// a group before; ErrFormed tells that this one has.
-func (r *Replica) Form(_ context.Context, members *raftpb.Membership) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.members != nil {
-		return ErrFormed
+	log, state, err := wal.Open(opts.Folder, wal.Options{Name: opts.Name, FS: opts.FS})
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
 	}
-	r.members = members
-	return nil
-}
-
-// Propose replicates the command, through the leader where another replica
-// leads, and returns the state machine's result. ErrNoLeader, ErrBusy and
-// ErrClosed say that the command was not replicated; ErrUnknown and the errors
-// that wrap it say that it may have been.
-func (r *Replica) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	return r.ProposeLocal(ctx, command)
-}
-
-// ProposeLocal is Propose for a forwarded command: it does not forward again.
-func (r *Replica) ProposeLocal(_ context.Context, command []byte) ([]byte, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.closed {
-		return nil, ErrClosed
+	r := &Replica{
+		opts:    opts,
+		id:      state.Self,
+		log:     opts.Log.With(zap.String("replica", state.Self.GetName()), zap.Stringer("group", opts.Group)),
+		metrics: newCounters(opts.Scope),
+		intake:  newIntake(opts.MaxProposals),
+		stop:    make(chan struct{}),
+		stopped: make(chan struct{}),
+		wal:     log,
+		waiters: newWaiters(),
 	}
-	if r.members == nil {
-		return nil, ErrNoLeader
+	if err := r.load(state); err != nil {
+		return nil, errors.Join(err, log.Close())
 	}
-	r.index++
-	return r.opts.StateMachine.Apply(r.index, command), nil
+	r.workers.Go(r.run)
+	return r, nil
 }
 
-// ReadBarrier returns once the state machine holds everything that was
-// committed in the group when ReadBarrier was called.
-func (r *Replica) ReadBarrier(context.Context) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.members == nil {
-		return ErrNoLeader
+func (r *Replica) load(state *wal.State) error {
+	r.hardState = state.HardState
+	r.snapshotIndex = state.Snapshot.GetIndex()
+	seed := r.opts.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	r.rand = rand.New(rand.NewPCG(seed, r.id.GetIncarnation()))
+	node, err := r.newNode(state)
+	if err != nil {
+		return errors.Wrap(err, "start agreement core")
 	}
+	r.node = node
+	if err := r.work(); err != nil {
+		return err
+	}
+	r.flush()
+	r.log.Info("replica opened",
+		zap.Uint64("incarnation", r.id.GetIncarnation()),
+		zap.Bool("new", state.New),
+		zap.Uint64("applied", r.applied),
+		zap.Int("torn_bytes", state.TornBytes))
 	return nil
 }
 
-// AddLearner adds a replica that receives the log and does not vote.
-func (r *Replica) AddLearner(_ context.Context, member *raftpb.Member) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.members.Members = append(r.members.Members, member)
-	return nil
+func (r *Replica) newNode(state *wal.State) (*raft.Node, error) {
+	return raft.New(raft.Options{
+		Self:           state.Self,
+		ElectionTicks:  r.opts.ElectionTicks,
+		HeartbeatTicks: r.opts.HeartbeatTicks,
+		Rand:           r.rand,
+		HardState:      state.HardState,
+		Snapshot:       state.Snapshot,
+		Entries:        state.Entries,
+		// The same as the snapshot's, so that it is checked.
+		Membership:    state.Snapshot.GetMembership(),
+		RetainEntries: r.opts.retainEntries(),
+	})
 }
 
-// Promote makes a learner that has caught up a voter.
-func (r *Replica) Promote(context.Context, *raftpb.ReplicaID) error { return nil }
-
-// Remove takes a member out of the group.
-func (r *Replica) Remove(context.Context, *raftpb.ReplicaID) error { return nil }
-
-// Receive takes messages of other members. It does not block.
-func (r *Replica) Receive([]*raftpb.Message) {}
-
-// Done is closed when the replica has stopped, closed or by a failure.
-func (r *Replica) Done() <-chan struct{} { return nil }
-
-// Err returns the failure that stopped the replica, nil while it runs.
-func (r *Replica) Err() error { return nil }
+// ID returns the replica's name and incarnation.
+func (r *Replica) ID() *raftpb.ReplicaID { return r.id }
 
-// Status returns the replica's view of the group.
-func (r *Replica) Status() Status {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := Status{Self: r.id, Term: 1, Commit: r.index, Applied: r.index, Formed: r.members != nil}
-	if r.members == nil {
-		return s
+// Receive takes messages of other members. It does not block, and drops
+// messages when too many wait. The replica keeps the messages.
+func (r *Replica) Receive(msgs []*raftpb.Message) {
+	r.metrics.messagesReceived.Inc(int64(len(msgs)))
+	if dropped := r.intake.addMessages(msgs); dropped > 0 {
+		r.metrics.messagesDropped.Inc(int64(dropped))
 	}
-	s.Leader = r.id
-	for _, m := range r.members.Members {
-		s.Members = append(s.Members, MemberStatus{Member: m, Match: r.index, Active: true})
+}
+
+// Done is closed when the replica has stopped, by Close or by a failure.
+func (r *Replica) Done() <-chan struct{} { return r.stopped }
+
+// Err returns the failure that stopped the replica, nil while it runs and
+// after Close.
+func (r *Replica) Err() error {
+	select {
+	case <-r.stopped:
+		return r.failure
+	default:
+		return nil
 	}
-	return s
 }
 
-// Close stops the replica. Proposals that wait get ErrUnknown.
+// Close stops the replica and waits until its folder is free. Proposals that
+// wait get ErrUnknown. The error is that of Err, or of closing the log.
 func (r *Replica) Close() error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.closed = true
-	return nil
+	r.stopOnce.Do(func() { close(r.stop) })
+	r.workers.Wait()
+	return r.failure
 }
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,282 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/wal"
+)
+
+func TestUnformedReplicaRefuses(t *testing.T) {
+	is := is.New(t)
+	r, err := Open(Options{Folder: t.TempDir(), Name: "a", StateMachine: &journal{}})
+	is.NoErr(err)
+	is.True(!r.Status().Formed)
+	_, err = r.Propose(t.Context(), []byte("x"))
+	is.True(errors.Is(err, ErrNoLeader))
+	is.True(errors.Is(r.ReadBarrier(t.Context()), ErrNoLeader))
+	other := &raftpb.Membership{Members: []*raftpb.Member{{Id: &raftpb.ReplicaID{Name: "b", Incarnation: 1}}}}
+	is.True(errors.Is(r.Form(t.Context(), other), ErrMembership))
+	learner := &raftpb.Membership{Members: []*raftpb.Member{{Id: r.ID(), Learner: true}}}
+	is.True(errors.Is(r.Form(t.Context(), learner), ErrMembership)) // no voter
+	is.NoErr(r.Close())
+	_, err = r.Propose(t.Context(), []byte("x"))
+	is.True(errors.Is(err, ErrClosed))
+}
+
+func TestFormOnlyOnce(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, Options{})
+	h := c.hosts[0]
+	members := &raftpb.Membership{Members: []*raftpb.Member{{Id: h.replica.ID()}}}
+	is.True(errors.Is(h.replica.Form(t.Context(), members), ErrFormed))
+	c.kill(h)
+	c.start(h)
+	is.True(errors.Is(h.replica.Form(t.Context(), members), ErrFormed))
+}
+
+func TestResultsAreThoseOfApply(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, Options{})
+	r := c.leader().replica
+	result, err := r.Propose(t.Context(), []byte("x"))
+	is.NoErr(err)
+	is.Equal(string(result), "1:x")
+	result, err = r.Propose(t.Context(), []byte("y"))
+	is.NoErr(err)
+	is.Equal(string(result), "2:y")
+	is.NoErr(r.ReadBarrier(t.Context()))
+}
+
+func TestCommandsOfWrongSizeAreRefused(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, Options{MaxCommandBytes: 4})
+	r := c.leader().replica
+	_, err := r.Propose(t.Context(), nil)
+	is.True(errors.Is(err, ErrCommand))
+	_, err = r.Propose(t.Context(), []byte("12345"))
+	is.True(errors.Is(err, ErrCommand))
+	_, err = r.ProposeLocal(t.Context(), []byte("12345"))
+	is.True(errors.Is(err, ErrCommand))
+	_, err = r.Propose(t.Context(), []byte("1234"))
+	is.NoErr(err)
+}
+
+// The replica is killed and started again after every step of its life:
+// making, forming, each command, each snapshot.
+func TestRestartAfterEachStep(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, Options{SnapshotEntries: 3})
+	h := c.hosts[0]
+	id := h.replica.ID()
+	want := ""
+	for i := range 12 {
+		c.kill(h)
+		c.start(h)
+		is.Equal(h.replica.ID().String(), id.String())
+		is.Equal(h.journal.text(), want) // loaded before Open returned
+		command := fmt.Sprintf("command-%d", i)
+		c.propose(h, command)
+		want += "\n" + command
+		if i == 0 {
+			want = command
+		}
+		is.Equal(h.journal.text(), want)
+	}
+	is.Equal(h.counter("snapshots_restored"), int64(1))
+}
+
+func TestGracefulCloseKeepsTheCommitIndex(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	h := c.leader()
+	c.propose(h, "x")
+	c.converge("x")
+	for _, h := range c.hosts {
+		is.NoErr(c.detach(h).Close())
+		c.start(h)
+		is.Equal(h.journal.text(), "x") // applied without a word from the others
+	}
+	c.propose(c.leader(), "y")
+}
+
+func TestFailedSyncStopsTheReplica(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, Options{})
+	h := c.leader()
+	c.propose(h, "acknowledged")
+	failure := errors.New("bad disk")
+	h.disk.fail(failure)
+	_, err := h.replica.Propose(t.Context(), []byte("lost"))
+	is.True(errors.Is(err, ErrUnknown))
+	<-h.replica.Done()
+	is.True(errors.Is(h.replica.Err(), wal.ErrFailed))
+	is.True(errors.Is(h.replica.Err(), failure))
+	_, err = h.replica.Propose(t.Context(), []byte("x"))
+	is.True(errors.Is(err, ErrClosed))
+	is.True(errors.Is(h.replica.ReadBarrier(t.Context()), ErrClosed))
+	is.True(errors.Is(c.detach(h).Close(), failure))
+	c.start(h)
+	is.Equal(h.journal.count("acknowledged"), 1)
+}
+
+func TestFailedSnapshotWriteStopsTheReplica(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, Options{SnapshotEntries: 5})
+	h := c.leader()
+	h.journal.onApply = func(string) { h.disk.fail(os.ErrPermission) }
+	var err error
+	for err == nil {
+		_, err = h.replica.Propose(t.Context(), []byte("x"))
+	}
+	<-h.replica.Done()
+	is.True(errors.Is(h.replica.Err(), wal.ErrUnwritable))
+}
+
+func TestDamagedFolderDoesNotOpen(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, Options{})
+	h := c.leader()
+	c.propose(h, "x")
+	is.NoErr(c.detach(h).Close())
+	paths, err := filepath.Glob(filepath.Join(h.folder, "*.wal"))
+	is.NoErr(err)
+	data, err := os.ReadFile(paths[0])
+	is.NoErr(err)
+	data[len(data)/2] ^= 1
+	is.NoErr(os.WriteFile(paths[0], data, 0o600))
+	_, err = Open(c.options(h))
+	is.True(errors.Is(err, wal.ErrDamaged))
+}
+
+func TestFailedRestoreDoesNotOpen(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, Options{})
+	h := c.leader()
+	is.NoErr(c.detach(h).Close())
+	h.journal = &journal{failRestore: errors.New("bad snapshot")}
+	_, err := Open(c.options(h))
+	is.True(errors.Is(err, h.journal.failRestore))
+	c.start(h) // the folder is free again
+}
+
+func TestPanicOfTheStateMachineStopsTheReplica(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, Options{})
+	h := c.leader()
+	h.journal.onApply = func(string) { panic("broken state machine") }
+	_, err := h.replica.Propose(t.Context(), []byte("x"))
+	is.True(errors.Is(err, ErrUnknown))
+	<-h.replica.Done()
+	is.True(h.replica.Err() != nil)
+}
+
+// waitFrozen freezes the leader in the sync of a proposal. The proposal's
+// outcome comes on the channel.
+func waitFrozen(t *testing.T, h *host, command string) (thaw func(), outcome chan error) {
+	t.Helper()
+	thaw = h.disk.freeze()
+	outcome = make(chan error, 1)
+	r := h.replica
+	go func() {
+		_, err := r.Propose(context.WithoutCancel(t.Context()), []byte(command))
+		outcome <- err
+	}()
+	<-h.disk.blocked
+	return thaw, outcome
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, Options{MaxProposals: 3})
+	h := c.leader()
+	thaw, outcome := waitFrozen(t, h, "first")
+	// Two more fill the queue. Their callers give up before they were taken.
+	ctx, cancel := context.WithCancel(t.Context())
+	refused := make(chan error, 2)
+	for i := range 2 {
+		go func() {
+			_, err := h.replica.Propose(ctx, fmt.Appendf(nil, "given-up-%d", i))
+			refused <- err
+		}()
+	}
+	for queued := 0; queued < 2; {
+		h.replica.intake.mu.Lock()
+		queued = len(h.replica.intake.requests)
+		h.replica.intake.mu.Unlock()
+		runtime.Gosched()
+	}
+	_, err := h.replica.Propose(t.Context(), []byte("too-many"))
+	is.True(errors.Is(err, ErrBusy))
+	cancel()
+	for range 2 {
+		err := <-refused
+		is.True(errors.Is(err, ErrBusy)) // certain, because the loop had not seen them
+		is.True(errors.Is(err, context.Canceled))
+		is.True(!errors.Is(err, ErrUnknown))
+	}
+	thaw()
+	is.NoErr(<-outcome)
+	c.propose(h, "last")
+	is.Equal(h.journal.text(), "first\nlast")
+	is.Equal(h.replica.intake.waiting, 0)
+	is.Equal(h.replica.intake.waitingBytes, 0)
+}
+
+func TestCallerThatGivesUpOnATakenProposalGetsUnknown(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, Options{})
+	h := c.leader()
+	thaw := h.disk.freeze()
+	ctx, cancel := context.WithCancel(t.Context())
+	outcome := make(chan error, 1)
+	go func() {
+		_, err := h.replica.Propose(ctx, []byte("x"))
+		outcome <- err
+	}()
+	<-h.disk.blocked
+	cancel()
+	err := <-outcome
+	is.True(errors.Is(err, ErrUnknown))
+	is.True(errors.Is(err, context.Canceled))
+	is.True(!errors.Is(err, ErrBusy))
+	thaw()
+	c.converge("x") // and it took effect
+}
+
+func TestCloseAnswersThoseThatWait(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	h := c.leader()
+	c.propose(h, "before")
+	for _, o := range others(c, h) {
+		c.isolate(o, true)
+	}
+	outcome := make(chan error, 1)
+	r := h.replica
+	before := r.Status()
+	go func() {
+		_, err := r.Propose(t.Context(), []byte("x"))
+		outcome <- err
+	}()
+	c.wait("entry on the leader's disk", func() bool {
+		s := r.Status()
+		for _, m := range s.Members {
+			if sameReplica(m.Member.GetId(), s.Self) && m.Match > before.Commit {
+				return true
+			}
+		}
+		return !s.Leading()
+	})
+	is.NoErr(c.detach(h).Close())
+	err := <-outcome
+	is.True(errors.Is(err, ErrUnknown))
+}
