--- a/raft/election.go
+++ b/raft/election.go
@@ -37,13 +37,21 @@
 func (n *Node) electionTimedOut() {
 	n.leader = nil
 	n.resetElectionTimer()
-	if !isVoter(n.membership(), n.key) {
+	if !n.mayCampaign() {
 		n.role = RoleFollower
 		return
 	}
 	n.preCampaign()
 }
 
+// mayCampaign says whether this replica is a voter, or leaves by a change that
+// is not known to be committed. The others may need the entries of one that
+// leaves: it then leads, without a vote of its own, until the change is
+// committed.
+func (n *Node) mayCampaign() bool {
+	return isVoter(n.membership(), n.key) || isVoter(n.membershipAt(n.log.commit), n.key)
+}
+
 // preCampaign asks whether an election could be won. The term does not change
 // yet: a replica that was cut off does not come back with a higher term and
 // unseat a leader that the others follow.
--- a/raft/node.go
+++ b/raft/node.go
@@ -129,17 +129,23 @@
 	if err := checkEntries(entries); err != nil {
 		return nil, errors.Wrapf(ErrInconsistent, "stored entries: %v", err)
 	}
-	offset := n.log.offset
-	if len(entries) == 0 || entries[len(entries)-1].GetIndex() <= offset {
+	if len(entries) == 0 {
 		return nil, nil
 	}
-	first := entries[0].GetIndex()
+	offset := n.log.offset
+	first, last := entries[0].GetIndex(), entries[len(entries)-1].GetIndex()
 	if first > offset+1 {
 		return nil, errors.Wrapf(ErrInconsistent, "entries start at %d, snapshot ends at %d", first, offset)
 	}
-	if first <= offset && entries[offset-first].GetTerm() != n.log.offsetTerm {
+	if first == offset+1 {
+		return entries, nil
+	}
+	if last < offset || entries[offset-first].GetTerm() != n.log.offsetTerm {
 		// A snapshot that replaced the log was synced, and a crash came
-		// before the old log was dropped.
+		// before the old log was dropped. The snapshot comes with the first
+		// batch again, so that the log is dropped before anything is written
+		// behind it.
+		n.unsavedSnapshot = n.snapshot
 		return nil, nil
 	}
 	return entries[offset+1-first:], nil
--- /dev/null
+++ b/raft/random_test.go
@@ -0,0 +1,630 @@
+package raft
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+)
+
+// defaultSeeds are run by each test run. RAFT_SEEDS sets another count and
+// RAFT_SEED a single seed.
+const (
+	defaultSeeds = 200
+	randomEvents = 20000
+	settleEvents = 8000
+	founderCount = 3
+	replicaNames = "abcde"
+)
+
+func seeds(t *testing.T) []uint64 {
+	if one, err := strconv.ParseUint(os.Getenv("RAFT_SEED"), 10, 64); err == nil {
+		return []uint64{one}
+	}
+	count := defaultSeeds
+	if n, err := strconv.Atoi(os.Getenv("RAFT_SEEDS")); err == nil {
+		count = n
+	}
+	list := make([]uint64, count)
+	for i := range list {
+		list[i] = uint64(i + 1)
+	}
+	return list
+}
+
+func TestRandomSchedules(t *testing.T) {
+	var total counts
+	for _, seed := range seeds(t) {
+		c := newCluster(seed)
+		if err := c.run(); err != nil {
+			t.Fatalf("RAFT_SEED=%d: event %d: %v", seed, c.events, err)
+		}
+		total.add(&c.counts)
+	}
+	t.Logf("%+v", total)
+	if len(seeds(t)) < defaultSeeds {
+		return
+	}
+	// A schedule that reaches none of these proves nothing.
+	is := is.New(t)
+	for name, count := range map[string]int{
+		"leaders": total.Leaders, "commits": total.Commits, "reads": total.Reads, "failed reads": total.FailedReads,
+		"crashes": total.Crashes, "wipes": total.Wipes, "promotions": total.Promotions, "removals": total.Removals,
+		"restores": total.Restores, "settled": total.Settled,
+	} {
+		t.Log(name, count)
+		is.True(count > 50) // each kind of event happened
+	}
+}
+
+func TestSameInputsSameOutputs(t *testing.T) {
+	is := is.New(t)
+	for seed := uint64(1); seed <= 5; seed++ {
+		first, second := newCluster(seed), newCluster(seed)
+		is.NoErr(first.run())
+		is.NoErr(second.run())
+		is.Equal(first.trace, second.trace) // messages of both runs
+	}
+}
+
+// counts says what a schedule brought about.
+type counts struct {
+	Leaders, Commits, Reads, FailedReads, Crashes, Wipes, Promotions, Removals, Restores, Settled int
+}
+
+func (c *counts) add(o *counts) {
+	c.Leaders += o.Leaders
+	c.Commits += o.Commits
+	c.Reads += o.Reads
+	c.FailedReads += o.FailedReads
+	c.Crashes += o.Crashes
+	c.Wipes += o.Wipes
+	c.Promotions += o.Promotions
+	c.Removals += o.Removals
+	c.Restores += o.Restores
+	c.Settled += o.Settled
+}
+
+// chain is a state machine whose state is its position and a hash of all
+// entries applied so far.
+type chain struct{ index, hash uint64 }
+
+func (s chain) next(e *raftpb.Entry) chain {
+	h := fnv.New64a()
+	fmt.Fprint(h, s.hash, e.GetTerm(), e.GetIndex(), e.GetKind(), e.GetData())
+	return chain{index: e.GetIndex(), hash: h.Sum64()}
+}
+
+// server is one replica with its disk.
+type server struct {
+	name        string
+	incarnation uint64
+	founder     bool
+	durable     bool // the state machine survives a crash
+	node        *Node
+	state       chain
+	// The disk.
+	hard     *raftpb.HardState
+	snapshot *raftpb.Snapshot
+	entries  []*raftpb.Entry
+	// The batch at work and its next step.
+	batch   Batch
+	stage   int
+	reads   map[uint64]uint64 // token to the least index it must see
+	tookOff uint64            // commit seen by checkCommits
+	frozen  int               // events until it thaws
+}
+
+func (s *server) id() *raftpb.ReplicaID {
+	return &raftpb.ReplicaID{Name: s.name, Incarnation: s.incarnation}
+}
+
+type committed struct {
+	entryTerm, seenTerm, hash uint64
+}
+
+type envelope struct {
+	m   *raftpb.Message
+	due int
+}
+
+type voteKey struct {
+	voter replicaKey
+	term  uint64
+}
+
+// cluster runs servers under a random schedule and checks invariants.
+type cluster struct {
+	rng      *rand.Rand
+	events   int
+	calm     bool
+	quiet    int // the higher, the fewer faults
+	servers  []*server
+	net      []envelope
+	blocked  map[string]bool
+	leaders  map[uint64]replicaKey
+	votes    map[voteKey]replicaKey
+	log      map[uint64]committed
+	lost     map[replicaKey]bool // incarnations without a disk
+	highest  uint64              // last committed index anywhere
+	token    uint64
+	trace    uint64
+	counts   counts
+	founders *raftpb.Membership
+}
+
+func newCluster(seed uint64) *cluster {
+	c := &cluster{
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		blocked: map[string]bool{},
+		leaders: map[uint64]replicaKey{},
+		votes:   map[voteKey]replicaKey{},
+		log:     map[uint64]committed{},
+		lost:    map[replicaKey]bool{},
+	}
+	c.quiet = 2000 << c.rng.IntN(5)
+	c.founders = &raftpb.Membership{}
+	for i, name := range replicaNames {
+		s := &server{name: string(name), incarnation: 1, founder: i < founderCount, durable: c.chance(50)}
+		if s.founder {
+			c.founders.Members = append(c.founders.Members, &raftpb.Member{Id: s.id()})
+		}
+		c.servers = append(c.servers, s)
+	}
+	return c
+}
+
+func (c *cluster) chance(percent int) bool { return c.rng.IntN(100) < percent }
+
+func (c *cluster) start(s *server) error {
+	o := Options{
+		Self: s.id(), Rand: rand.New(rand.NewPCG(c.rng.Uint64(), 2)),
+		HardState: s.hard, Snapshot: s.snapshot, Entries: slices.Clone(s.entries),
+		MaxInflight: 3, MaxBatchBytes: 150, RetainEntries: 4,
+	}
+	if s.founder {
+		o.Membership = c.founders
+	}
+	if s.durable {
+		o.Applied = s.state.index
+	} else {
+		s.state = chain{}
+	}
+	node, err := New(o)
+	s.node, s.stage, s.reads, s.tookOff = node, 0, map[uint64]uint64{}, 0
+	return err
+}
+
+func (c *cluster) run() error {
+	for c.events = 0; c.events < randomEvents; c.events++ {
+		if err := c.event(); err != nil {
+			return err
+		}
+	}
+	return c.settle()
+}
+
+// settle heals everything and expects a leader that commits.
+func (c *cluster) settle() error {
+	c.calm = true
+	c.blocked = map[string]bool{}
+	before := c.highest
+	for range settleEvents {
+		c.events++
+		if err := c.event(); err != nil {
+			return err
+		}
+	}
+	if err := c.checkLogs(); err != nil {
+		return err
+	}
+	if !c.shouldSettle() {
+		return nil
+	}
+	c.counts.Settled++
+	if c.highest <= before {
+		return errors.Errorf("nothing committed after %d although a quorum is up", before)
+	}
+	for _, s := range c.servers {
+		if s.node.leader == nil && isVoter(c.latest(), keyOf(s.id())) {
+			return errors.Errorf("%s knows no leader", s.name)
+		}
+	}
+	return nil
+}
+
+// latest returns the membership with the highest index anywhere.
+func (c *cluster) latest() *raftpb.Membership {
+	best := c.servers[0].node
+	for _, s := range c.servers {
+		if s.node.membershipIndex() > best.membershipIndex() || best.membership() == nil {
+			best = s.node
+		}
+	}
+	return best.membership()
+}
+
+// shouldSettle says whether each membership in force somewhere has a quorum
+// with disks.
+func (c *cluster) shouldSettle() bool {
+	for _, s := range c.servers {
+		m := s.node.membership()
+		if m != nil && !hasQuorum(m, func(k replicaKey) bool { return !c.lost[k] }) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *cluster) event() error {
+	s := c.servers[c.rng.IntN(len(c.servers))]
+	if s.node == nil {
+		if c.calm || c.chance(5) || c.events < 10 {
+			return c.start(s)
+		}
+		return nil
+	}
+	if s.frozen--; s.frozen > 0 && !c.calm {
+		return nil
+	}
+	if !c.calm {
+		c.disturb(s)
+		if s.node == nil {
+			return nil
+		}
+	}
+	var err error
+	switch n := c.rng.IntN(100); {
+	case n < 10:
+		s.node.Tick()
+	case n < 55:
+		// Several, so that the servers keep up with what they are sent.
+		for range c.rng.IntN(5) {
+			if err = c.deliver(s); err != nil {
+				return err
+			}
+		}
+	case n < 90:
+		err = c.work(s)
+	case n < 95:
+		c.propose(s)
+	case n < 97:
+		c.read(s)
+	case n < 98:
+		err = c.compact(s)
+	default:
+		c.changeMembership(s)
+	}
+	if err != nil || s.node == nil {
+		return err
+	}
+	return c.check(s)
+}
+
+// disturb brings about faults.
+func (c *cluster) disturb(s *server) {
+	switch n := c.rng.IntN(c.quiet); {
+	case n < 10:
+		c.crash(s)
+	case n < 13:
+		c.wipe(s)
+	case n < 20:
+		s.frozen = c.rng.IntN(400)
+	case n < 30:
+		c.blocked = map[string]bool{}
+		for range c.rng.IntN(8) {
+			from := c.servers[c.rng.IntN(len(c.servers))].name
+			c.blocked[from+c.servers[c.rng.IntN(len(c.servers))].name] = true
+		}
+	}
+}
+
+func (c *cluster) crash(s *server) {
+	s.node = nil
+	c.counts.Crashes++
+}
+
+// wipe loses the disk, where each membership in force keeps a quorum.
+func (c *cluster) wipe(s *server) {
+	kept := func(k replicaKey) bool { return !c.lost[k] && k != keyOf(s.id()) }
+	for _, o := range c.servers {
+		if o.node == nil || o.node.membership() != nil && !hasQuorum(o.node.membership(), kept) {
+			return
+		}
+	}
+	c.crash(s)
+	c.counts.Wipes++
+	c.lost[keyOf(s.id())] = true
+	*s = server{name: s.name, incarnation: s.incarnation + 1, durable: s.durable}
+}
+
+func (c *cluster) deliver(s *server) error {
+	i := slices.IndexFunc(c.net, func(e envelope) bool {
+		return e.m.GetTo().GetName() == s.name && e.due <= c.events
+	})
+	if i < 0 {
+		return nil
+	}
+	m := c.net[i].m
+	c.net = slices.Delete(c.net, i, i+1)
+	if err := s.node.Step(m); err != nil && !errors.Is(err, ErrOtherReplica) {
+		return errors.Wrapf(err, "%s steps %v", s.name, m)
+	}
+	return nil
+}
+
+func (c *cluster) send(m *raftpb.Message) error {
+	if m.GetKind() == raftpb.MessageKind_MESSAGE_VOTE_REPLY && !m.GetReject() {
+		key := voteKey{voter: keyOf(m.GetFrom()), term: m.GetTerm()}
+		if to, ok := c.votes[key]; ok && to != keyOf(m.GetTo()) {
+			return errors.Errorf("%v votes for %v and %v", key, to, keyOf(m.GetTo()))
+		}
+		c.votes[key] = keyOf(m.GetTo())
+	}
+	h := fnv.New64a()
+	fmt.Fprint(h, c.trace, m.GetKind(), m.GetFrom().GetName(), m.GetTo().GetName(), m.GetTerm(), m.GetLogIndex(), m.GetCommit(), len(m.GetEntries()))
+	c.trace = h.Sum64()
+	if !c.calm && (c.blocked[m.GetFrom().GetName()+m.GetTo().GetName()] || c.chance(5)) {
+		return nil
+	}
+	for copies := 1; copies > 0; copies-- {
+		delay := c.rng.IntN(30)
+		if !c.calm && c.chance(5) {
+			delay = c.rng.IntN(600)
+		}
+		c.net = append(c.net, envelope{m: proto.Clone(m).(*raftpb.Message), due: c.events + delay})
+		if !c.calm && c.chance(5) {
+			copies++
+		}
+	}
+	return nil
+}
+
+// work does the next step of a server's batch. A crash between two steps
+// leaves what the steps before it did.
+func (c *cluster) work(s *server) error {
+	b := &s.batch
+	switch s.stage {
+	case 0:
+		batch, ok := s.node.Ready()
+		if !ok {
+			return nil
+		}
+		s.batch = batch
+	case 1:
+		if b.Snapshot != nil {
+			s.snapshot = b.Snapshot
+		}
+	case 2:
+		c.persist(s)
+	case 3:
+		for _, m := range b.Messages {
+			if err := c.send(m); err != nil {
+				return err
+			}
+		}
+	case 4:
+		if err := c.apply(s); err != nil {
+			return err
+		}
+		s.node.Advance(s.batch)
+		s.stage = -1
+	}
+	s.stage++
+	return nil
+}
+
+func (c *cluster) persist(s *server) {
+	b := &s.batch
+	if b.Snapshot != nil {
+		s.entries = nil
+	}
+	if b.HardState != nil && (b.MustSync || c.chance(50)) {
+		s.hard = b.HardState
+	}
+	if len(b.Entries) == 0 {
+		return
+	}
+	first := b.Entries[0].GetIndex()
+	s.entries = slices.DeleteFunc(slices.Clone(s.entries), func(e *raftpb.Entry) bool { return e.GetIndex() >= first })
+	s.entries = append(s.entries, b.Entries...)
+}
+
+func (c *cluster) apply(s *server) error {
+	if r := s.batch.Restore; r != nil {
+		hash, err := strconv.ParseUint(string(r.GetData()), 10, 64)
+		if err != nil {
+			return err
+		}
+		s.state = chain{index: r.GetIndex(), hash: hash}
+		c.counts.Restores++
+		if c.log[r.GetIndex()].hash != hash {
+			return errors.Errorf("%s restores another state at %d", s.name, r.GetIndex())
+		}
+	}
+	for _, e := range s.batch.Committed {
+		if e.GetIndex() != s.state.index+1 {
+			return errors.Errorf("%s applies %d after %d", s.name, e.GetIndex(), s.state.index)
+		}
+		s.state = s.state.next(e)
+		known, ok := c.log[e.GetIndex()]
+		if ok && known.hash != 0 && known.hash != s.state.hash {
+			return errors.Errorf("%s applies another entry at %d", s.name, e.GetIndex())
+		}
+		known.hash = s.state.hash
+		c.log[e.GetIndex()] = known
+	}
+	for _, r := range s.batch.Reads {
+		if r.Failed {
+			c.counts.FailedReads++
+			continue
+		}
+		c.counts.Reads++
+		if floor := s.reads[r.Token]; r.Index < floor || s.state.index < floor {
+			return errors.Errorf("%s: stale read at %d, state %d, floor %d", s.name, r.Index, s.state.index, floor)
+		}
+	}
+	return nil
+}
+
+func (c *cluster) propose(s *server) {
+	c.token++
+	_, _, err := s.node.Propose(fmt.Appendf(nil, "%d", c.token))
+	_ = err // most servers do not lead
+}
+
+func (c *cluster) read(s *server) {
+	c.token++
+	if s.node.ReadIndex(c.token) == nil {
+		s.reads[c.token] = c.highest
+	}
+}
+
+func (c *cluster) compact(s *server) error {
+	snapshot := &raftpb.Snapshot{Index: s.state.index, Data: strconv.AppendUint(nil, s.state.hash, 10)}
+	// Between two batches only, like a caller with one goroutine.
+	if s.stage != 0 || s.node.Compact(snapshot) != nil {
+		return nil
+	}
+	s.snapshot = snapshot
+	if c.chance(50) {
+		s.entries = slices.DeleteFunc(slices.Clone(s.entries), func(e *raftpb.Entry) bool { return e.GetIndex() <= snapshot.GetIndex() })
+	}
+	return nil
+}
+
+// changeMembership proposes to drop lost incarnations, or else a random change.
+func (c *cluster) changeMembership(s *server) {
+	if c.calm || s.node.role != RoleLeader {
+		return
+	}
+	to := proto.Clone(s.node.membership()).(*raftpb.Membership)
+	i := c.rng.IntN(len(to.Members))
+	if lost := slices.IndexFunc(to.Members, func(m *raftpb.Member) bool { return c.lost[keyOf(m.GetId())] }); lost >= 0 {
+		i = lost
+	}
+	o := c.servers[c.rng.IntN(len(c.servers))]
+	promoted, removed := 0, 0
+	switch n := c.rng.IntN(10); {
+	case findMember(to, keyOf(o.id())) == nil && n < 5:
+		to.Members = append(to.Members, &raftpb.Member{Id: o.id(), Learner: true})
+	case to.Members[i].Learner && n < 8:
+		to.Members[i].Learner = false
+		promoted = 1
+	case n == 8:
+		to.Members[i].Learner = true
+	case countVoters(to) > 2 || to.Members[i].Learner:
+		to.Members = slices.Delete(to.Members, i, i+1)
+		removed = 1
+	}
+	if !hasQuorum(to, func(k replicaKey) bool { return !c.lost[k] }) {
+		return
+	}
+	if _, _, err := s.node.ProposeMembership(to); err == nil {
+		c.counts.Promotions += promoted
+		c.counts.Removals += removed
+	}
+}
+
+// check looks at the server that just did something.
+func (c *cluster) check(s *server) error {
+	n := s.node
+	newLeader := false
+	if n.role == RoleLeader {
+		known, ok := c.leaders[n.term]
+		if ok && known != n.key {
+			return errors.Errorf("election safety: %v and %v lead term %d", known, n.key, n.term)
+		}
+		c.leaders[n.term] = n.key
+		newLeader = !ok
+	}
+	if err := c.checkCommits(s); err != nil {
+		return err
+	}
+	if newLeader {
+		c.counts.Leaders++
+		if err := c.checkLeader(n, 1); err != nil {
+			return err
+		}
+	}
+	if c.events%500 == 0 {
+		return c.checkLogs()
+	}
+	return nil
+}
+
+// checkCommits records newly committed entries.
+func (c *cluster) checkCommits(s *server) error {
+	n := s.node
+	first := c.highest + 1
+	for i := max(s.tookOff, n.log.offset) + 1; i <= n.log.commit; i++ {
+		term, _ := n.log.term(i)
+		known, ok := c.log[i]
+		if ok && known.entryTerm != term {
+			return errors.Errorf("%s commits term %d at %d, was %d", s.name, term, i, known.entryTerm)
+		}
+		if !ok {
+			c.log[i] = committed{entryTerm: term, seenTerm: n.term}
+			c.counts.Commits++
+			c.highest = max(c.highest, i)
+		}
+	}
+	s.tookOff = n.log.commit
+	if c.highest < first {
+		return nil
+	}
+	for _, o := range c.servers {
+		if o.node != nil && o.node.role == RoleLeader {
+			if err := c.checkLeader(o.node, first); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// checkLeader: a leader has all entries committed in earlier terms.
+func (c *cluster) checkLeader(n *Node, first uint64) error {
+	for i := max(first, n.log.offset+1); i <= c.highest; i++ {
+		if known := c.log[i]; known.seenTerm < n.term && !n.log.matches(i, known.entryTerm) {
+			return errors.Errorf("leader completeness: %v of term %d lacks %d/%d", n.key, n.term, i, known.entryTerm)
+		}
+	}
+	return nil
+}
+
+// checkLogs: where two logs agree on an entry, they agree on all before it.
+func (c *cluster) checkLogs() error {
+	for i, a := range c.servers {
+		for _, b := range c.servers[:i] {
+			if a.node == nil || b.node == nil {
+				continue
+			}
+			if err := checkPair(&a.node.log, &b.node.log); err != nil {
+				return errors.Wrapf(err, "log matching: %s and %s", a.name, b.name)
+			}
+		}
+	}
+	return nil
+}
+
+func checkPair(a, b *entryLog) error {
+	agreed := false
+	for i := min(a.lastIndex(), b.lastIndex()); i > max(a.offset, b.offset); i-- {
+		x, y := a.entries[i-a.offset-1], b.entries[i-b.offset-1]
+		agreed = agreed || x.GetTerm() == y.GetTerm()
+		if agreed && !proto.Equal(x, y) {
+			return errors.Errorf("entry %d is %v and %v", i, x, y)
+		}
+	}
+	return nil
+}
