raft: send once for each batch; a bounded inbox under reordering

Cause: a leader answered each acknowledgement and each proposal with messages of its own. Now replicate runs once for each batch, empty appends carry a commit index only where it is news, and a heartbeat reply provokes an append only if nothing was acknowledged since the one before.

--- a/raft/batch.go
+++ b/raft/batch.go
@@ -57,7 +57,10 @@
 	if n.outstanding {
 		return Batch{}, false
 	}
-	n.startReadRound()
+	if n.role == RoleLeader {
+		n.startReadRound()
+		n.replicate()
+	}
 	applied := n.log.applied
 	b := Batch{
 		Entries:   n.log.slice(n.log.stable+1, n.log.lastIndex(), math.MaxInt),
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -21,7 +21,6 @@
 	n.uncommittedBytes = n.log.bytes(n.log.commit+1, n.log.lastIndex())
 	n.appendOwn(raftpb.EntryKind_ENTRY_EMPTY, nil)
 	n.heartbeatCommit = n.log.lastIndex()
-	n.broadcastAppend(true)
 }
 
 // Propose appends a command. It is committed when a batch hands it out under
@@ -31,7 +30,6 @@
 		return 0, 0, err
 	}
 	index = n.appendOwn(raftpb.EntryKind_ENTRY_COMMAND, data)
-	n.broadcastAppend(false)
 	return index, n.term, nil
 }
 
@@ -61,7 +59,6 @@
 	}
 	term = n.term
 	index = n.appendOwn(raftpb.EntryKind_ENTRY_MEMBERSHIP, data)
-	n.broadcastAppend(false)
 	// A smaller quorum may already hold earlier entries.
 	n.maybeCommit()
 	return index, term, nil
@@ -177,10 +174,10 @@
 	}
 	n.uncommittedBytes -= n.log.bytes(n.log.commit+1, index)
 	n.log.commit = index
-	n.broadcastAppend(true)
 	if !isVoter(n.membership(), n.key) && n.membershipIndex() <= index {
-		// Its own removal is committed. The others learn so from the
-		// messages just queued and elect a leader among themselves.
+		// Its own removal is committed. The others learn so from these last
+		// messages and elect a leader among themselves.
+		n.replicate()
 		n.becomeFollower(n.term, nil)
 	}
 }
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -37,6 +37,12 @@
 	// snapshotIndex and snapshotTicks describe the snapshot in flight.
 	snapshotIndex uint64
 	snapshotTicks int
+	// commitSent is the latest commit index sent with an append.
+	commitSent uint64
+	// heartbeatMatch is match at the last heartbeat reply; stalled says that
+	// it has not moved since the one before.
+	heartbeatMatch uint64
+	stalled        bool
 	// readRound is the latest read round that it confirmed.
 	readRound uint64
 }
--- a/raft/read.go
+++ b/raft/read.go
@@ -51,7 +51,7 @@
 // batch. It waits until an entry of this term is committed: before that, the
 // commit index may lag behind what an earlier leader has answered.
 func (n *Node) startReadRound() {
-	if len(n.reads.waiting) == 0 || n.role != RoleLeader || !n.committedInTerm() {
+	if len(n.reads.waiting) == 0 || !n.committedInTerm() {
 		return
 	}
 	n.reads.round++
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -2,16 +2,19 @@
 
 import "eelgrasswharf.example/eelgrasswharf/api/raftpb"
 
-// broadcastAppend sends each replica what it lacks. With commits, replicas that
-// lack nothing get an empty append that carries the commit index.
-func (n *Node) broadcastAppend(commits bool) {
+// replicate sends each replica what it lacks. It runs once for each batch, so
+// that all that came since the last one goes into the same messages; sending at
+// each proposal and at each acknowledgement would multiply them when a leader
+// is busy, and its replies would pile up.
+func (n *Node) replicate() {
 	for _, p := range n.progress {
 		if p.key == n.key {
 			continue
 		}
-		if !n.sendEntries(p) && commits {
+		if !n.sendEntries(p) && (p.stalled || p.commitSent < n.log.commit) {
 			n.sendAppend(p, true)
 		}
+		p.stalled = false
 	}
 }
 
@@ -42,6 +45,7 @@
 	if len(entries) == 0 && !empty {
 		return false
 	}
+	p.commitSent = n.log.commit
 	n.send(p.id, &raftpb.Message{
 		Kind:     raftpb.MessageKind_MESSAGE_APPEND,
 		LogIndex: before,
@@ -92,9 +96,6 @@
 		p.becomeReplicate()
 	}
 	n.maybeCommit()
-	if n.role == RoleLeader {
-		n.sendEntries(p)
-	}
 }
 
 // handleAppendReject moves back to where the logs may agree.
@@ -119,7 +120,6 @@
 		agree = m.GetHint()
 	}
 	p.becomeProbe(min(agree+1, m.GetLogIndex()))
-	n.sendAppend(p, true)
 }
 
 func (n *Node) handleHeartbeatReply(m *raftpb.Message) {
@@ -130,17 +130,17 @@
 	p.active = true
 	p.readRound = max(p.readRound, m.GetReadRound())
 	n.confirmReads()
-	if p.state == stateSnapshot {
+	moved := p.match > p.heartbeatMatch
+	p.heartbeatMatch = p.match
+	if moved || p.match >= n.log.lastIndex() || p.state == stateSnapshot {
 		return
 	}
+	// Nothing was acknowledged for a heartbeat: the last append or its reply
+	// may be lost. An append without effect is answered all the same and
+	// shows where the replica stands.
+	p.stalled = true
 	p.paused = false
-	if p.match >= n.log.lastIndex() {
-		return
-	}
-	// The last append or its reply may be lost. An append without effect is
-	// answered all the same and shows where the replica stands.
 	if p.state == stateReplicate && len(p.inflight) >= n.opts.MaxInflight {
 		p.inflight = p.inflight[1:]
 	}
-	n.sendAppend(p, true)
 }
