--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -150,6 +150,8 @@
 	switch {
 	case err == nil:
 		return controlpb.ProposeStatus_PROPOSE_OK
+	case errors.Is(err, replica.ErrUnknown):
+		return controlpb.ProposeStatus_PROPOSE_UNKNOWN
 	case errors.Is(err, replica.ErrBusy):
 		return controlpb.ProposeStatus_PROPOSE_BUSY
 	case errors.Is(err, replica.ErrNoLeader), errors.Is(err, replica.ErrClosed):
--- /dev/null
+++ b/internal/controld/internal_test.go
@@ -0,0 +1,159 @@
+package controld
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/replica"
+)
+
+func TestBarrierSharesReads(t *testing.T) {
+	is := is.New(t)
+	var reads atomic.Int32
+	entered, leave := make(chan struct{}, 100), make(chan struct{})
+	var wg conc.WaitGroup
+	b := &barrier{ctx: context.Background(), wg: &wg, read: func(context.Context) error {
+		reads.Add(1)
+		entered <- struct{}{}
+		<-leave
+		return nil
+	}}
+	var waiters conc.WaitGroup
+	waiters.Go(func() { is.NoErr(b.wait(context.Background())) })
+	<-entered
+	enlisted := make(chan *round, 50)
+	for range 50 {
+		r, first := b.enlist()
+		is.Equal(first, false) // the running read started too early for it
+		enlisted <- r
+	}
+	close(leave)
+	for range 50 {
+		<-(<-enlisted).done
+	}
+	waiters.Wait()
+	wg.Wait()
+	is.Equal(reads.Load(), int32(2))
+}
+
+func TestBarrierPassesFailureOn(t *testing.T) {
+	is := is.New(t)
+	lost := errors.New("no quorum")
+	var wg conc.WaitGroup
+	b := &barrier{ctx: context.Background(), wg: &wg, read: func(context.Context) error { return lost }}
+	is.Equal(b.wait(context.Background()), lost)
+	wg.Wait()
+	is.Equal(b.wait(context.Background()), lost) // and starts anew
+	wg.Wait()
+}
+
+func TestHubCollapsesWakeUps(t *testing.T) {
+	is := is.New(t)
+	h := newHub()
+	c := h.join()
+	for range 10 {
+		h.notify()
+	}
+	is.Equal(len(c), 1)
+	h.leave(c)
+	<-c
+	h.notify()
+	is.Equal(len(c), 0)
+}
+
+func TestParseVoters(t *testing.T) {
+	tests := []struct {
+		name   string
+		voters []string
+		join   bool
+		want   []voter
+		fails  bool
+	}{
+		{"alone", nil, false, []voter{{"c2", "127.0.0.1:0"}}, false},
+		{"joins", []string{"c1=127.0.0.1:1"}, true, nil, false},
+		{"sorted", []string{"c2=127.0.0.1:2", "c1=127.0.0.1:1"}, false, []voter{{"c1", "127.0.0.1:1"}, {"c2", "127.0.0.1:2"}}, false},
+		{"not named", []string{"c1=127.0.0.1:1"}, false, nil, true},
+		{"twice", []string{"c2=127.0.0.1:2", "c2=127.0.0.1:3"}, false, nil, true},
+		{"no address", []string{"c2"}, false, nil, true},
+		{"no name", []string{"=127.0.0.1:1", "c2=127.0.0.1:2"}, false, nil, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			got, err := parseVoters(&settingspb.Replica{InitialVoters: test.voters, Join: test.join, Listen: "127.0.0.1:0"}, "c2")
+			is.Equal(errors.Is(err, ErrVoters), test.fails)
+			if !test.fails {
+				is.Equal(got, test.want)
+			}
+		})
+	}
+}
+
+func TestProposeStatusNeverDeniesWhatMayHaveHappened(t *testing.T) {
+	is := is.New(t)
+	is.Equal(proposeStatus(nil), controlpb.ProposeStatus_PROPOSE_OK)
+	is.Equal(proposeStatus(replica.ErrNoLeader), controlpb.ProposeStatus_PROPOSE_NO_LEADER)
+	is.Equal(proposeStatus(replica.ErrBusy), controlpb.ProposeStatus_PROPOSE_BUSY)
+	is.Equal(proposeStatus(errors.Join(replica.ErrUnknown, replica.ErrNoLeader)), controlpb.ProposeStatus_PROPOSE_UNKNOWN)
+	is.Equal(proposeStatus(context.DeadlineExceeded), controlpb.ProposeStatus_PROPOSE_UNKNOWN)
+}
+
+func record(number uint32) *controlpb.TargetRecord {
+	return &controlpb.TargetRecord{
+		Service: 1, Number: number, Incarnation: 1, Sequence: 1, Address: "127.0.0.1:7000", Slots: 4,
+		State: controlpb.TargetState_TARGET_STATE_SERVING,
+	}
+}
+
+func TestFreshDirectoryRemovesNothingYet(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(7)
+	d.announce(record(1))
+	f := &follower{epoch: 6, sequence: 9, whole: true} // followed another life
+	u := d.next(f)
+	is.Equal(u.GetFull(), false)
+	is.Equal(len(u.GetPut()), 1)
+	f.sent(u)
+	is.Equal(d.next(f), nil)
+
+	d.start = d.start.Add(-d.lease()) // a lease later
+	u = d.next(f)
+	is.True(u.GetFull())
+	f.sent(u)
+	is.Equal(d.next(f), nil)
+	d.announce(record(2))
+	u = d.next(f)
+	is.Equal(u.GetFull(), false)
+	is.Equal(len(u.GetPut()), 1)
+}
+
+func TestRecordsOfSilentHostAreKept(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(7)
+	d.hear("c2", []*controlpb.TargetRecord{record(1)})
+	d.hear("c3", []*controlpb.TargetRecord{record(2)})
+	d.start = d.start.Add(-d.lease() - time.Second)
+	d.hear("c3", nil) // c3 is there and no longer names its target
+	d.expire()
+	is.Equal(d.count(), 1)
+	is.Equal(len(d.own()), 0) // hearsay is not passed on
+}
+
+func TestFreshRecordsAreTakenOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(7)
+	d.announce(record(1))
+	d.announce(record(1))
+	d.hear("c2", []*controlpb.TargetRecord{record(2)})
+	is.Equal(len(d.takeFresh()), 1)
+	is.Equal(len(d.takeFresh()), 0)
+	is.Equal(len(d.own()), 1)
+}
--- a/internal/controld/peers.go
+++ b/internal/controld/peers.go
@@ -118,7 +118,7 @@
 		Propose: &controlpb.Propose{Group: group, Command: command},
 	}}
 	res, err := to.client.Call(ctx, req)
-	if errors.Is(err, link.ErrNotSent) || errors.Is(err, link.ErrClosed) {
+	if errors.Is(err, link.ErrNotSent) || errors.Is(err, link.ErrClosed) || errors.Is(err, link.ErrTooLarge) {
 		return nil, errors.Wrap(replica.ErrNoLeader, err.Error())
 	}
 	if err != nil {
