--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -150,6 +150,8 @@
 	switch {
 	case err == nil:
 		return controlpb.ProposeStatus_PROPOSE_OK
+	case errors.Is(err, replica.ErrUnknown):
+		return controlpb.ProposeStatus_PROPOSE_UNKNOWN
 	case errors.Is(err, replica.ErrBusy):
 		return controlpb.ProposeStatus_PROPOSE_BUSY
 	case errors.Is(err, replica.ErrNoLeader), errors.Is(err, replica.ErrClosed):
@@ -249,6 +251,10 @@
 	}
 	switch h.directory.announce(r) {
 	case membership.Superseded:
+		if r.GetState() == controlpb.TargetState_TARGET_STATE_DRAINING {
+			// What the older process asks for is so already.
+			return "", ""
+		}
 		return refusedSuperseded, RefusalSuperseded
 	case membership.Improper:
 		return refusedImproper, RefusalImproper
