entryd, routing: shorter tests

The daemon test is now two with a fixture, the reasons of a choice stand in a table of their own. Same checks; the daemon tests also compare the forwarded datagram.

--- a/internal/entryd/daemon_test.go
+++ b/internal/entryd/daemon_test.go
@@ -13,6 +13,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/connid"
+	"eelgrasswharf.example/eelgrasswharf/frame"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
 )
@@ -78,67 +79,107 @@
 	}
 }
 
-func TestDaemonForwardsAndOutlivesItsControlHost(t *testing.T) {
+// daemonRig is a running daemon with one target, fed by a control host over a
+// real link.
+type daemonRig struct {
+	*rig
+	d      *Daemon
+	dir    string
+	files  keys.Files
+	server *link.Server
+	agent  *socket
+	caller *socket
+}
+
+func startDaemon(t *testing.T) *daemonRig {
+	t.Helper()
 	is := is.New(t)
-	dir := t.TempDir()
-	is.NoErr(keys.InitAuthority(dir))
-	controlFiles := issue(t, dir, keys.RoleControl, "control-1")
-	entryFiles := issue(t, dir, keys.RoleEntry, "entry-1")
-	agent, caller := newSocket(t), newSocket(t)
+	r := &daemonRig{dir: t.TempDir(), agent: newSocket(t), caller: newSocket(t)}
+	is.NoErr(keys.InitAuthority(r.dir))
+	r.files = issue(t, r.dir, keys.RoleEntry, "entry-1")
+	r.serve(t, view(4, services(serviceAt(lodgement, publicOne)), record(lodgement, 1, r.agent.addr())))
 
-	v := view(4, services(serviceAt(lodgement, publicOne)), record(lodgement, 1, agent.addr()))
+	d, err := New(entrySettings(r.files, r.server.Addr().String()), zap.NewNop(), tally.NoopScope)
+	is.NoErr(err)
+	d.keysPeriod = 10 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	r.d = d
+	r.rig = &rig{tb: t, f: d.forwarder, stop: cancel, done: make(chan error, 1)}
+	go func() { r.done <- d.Run(ctx) }()
+	t.Cleanup(r.end)
+	<-d.Ready()
+	return r
+}
+
+// serve starts a control host that holds a view.
+func (r *daemonRig) serve(t *testing.T, v *View) {
+	t.Helper()
+	is := is.New(t)
 	handler := &controlHost{update: &controlpb.SubscribeUpdate{
-		Config:    &controlpb.ConfigUpdate{Snapshot: v.Config, Version: 4, Confirmed: true},
+		Config:    &controlpb.ConfigUpdate{Snapshot: v.Config, Version: v.Config.GetVersion(), Confirmed: true},
 		Directory: &controlpb.DirectoryUpdate{Epoch: 1, Sequence: 1, Full: true, Put: v.Targets},
 	}}
-	controlCreds, err := keys.FromSettings(keySettings(controlFiles))
+	creds, err := keys.FromSettings(keySettings(issue(t, r.dir, keys.RoleControl, "control-1")))
 	is.NoErr(err)
-	server, err := link.Listen("127.0.0.1:0", controlCreds, handler, link.ServerOptions{})
+	r.server, err = link.Listen("127.0.0.1:0", creds, handler, link.ServerOptions{})
 	is.NoErr(err)
-	defer func() { _ = server.Close() }()
+	t.Cleanup(func() { _ = r.server.Close() })
+}
 
-	d, err := New(entrySettings(entryFiles, server.Addr().String()), zap.NewNop(), tally.NoopScope)
-	is.NoErr(err)
-	d.keysPeriod = 10 * time.Millisecond
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- d.Run(ctx) }()
-	<-d.Ready()
-	r := &rig{tb: t, f: d.forwarder}
+// established returns a packet of a flow, with an ID that the newest secrets
+// of the files encode.
+func (r *daemonRig) established(t *testing.T) []byte {
+	t.Helper()
+	creds, err := keys.FromSettings(keySettings(r.files))
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := connid.Target{Address: r.agent.addr(), Number: 1, Incarnation: 1}
+	return shortPacket(t, dataSecrets(creds), target, "")
+}
+
+func TestDaemonOutlivesItsControlHost(t *testing.T) {
+	is := is.New(t)
+	r := startDaemon(t)
 	local := r.local(publicOne)
+	first, flow := initialPacket("made-up-id"), r.established(t)
+	pass := func(packet []byte) {
+		r.caller.send(packet, local)
+		src, from := r.agent.receive()
+		is.Equal(from.String(), r.d.FrameAddr())
+		is.Equal(src[frame.HeaderLength:], packet)
+	}
+	pass(first)
+	pass(flow)
 
-	caller.send(initialPacket("made-up-id"), local)
-	_, from := agent.receive()
-	is.Equal(from.String(), d.FrameAddr())
+	is.NoErr(r.server.Close())
+	pass(first)
+	pass(flow)
 
-	// Without any control host it goes on, for flows and for new ones.
-	is.NoErr(server.Close())
-	creds, err := keys.FromSettings(keySettings(entryFiles))
-	is.NoErr(err)
-	target := connid.Target{Address: agent.addr(), Number: 1, Incarnation: 1}
-	packet := shortPacket(t, dataSecrets(creds), target, "")
-	caller.send(packet, local)
-	agent.receive()
-	caller.send(initialPacket("made-up-id"), local)
-	agent.receive()
-
-	// A secret that is added to the file is known soon.
-	id, err := keys.AddDataSecret(dir)
-	is.NoErr(err)
-	r.await("the added secret", func() bool { return len(d.creds.DataSecrets()) == 2 })
-	is.NoErr(keys.PreferDataSecret(dir, id))
-	_, err = creds.Reload()
+	r.stop()
+	is.NoErr(<-r.done)
+	close(r.done)
+}
+
+func TestDaemonTakesInAnAddedSecret(t *testing.T) {
+	is := is.New(t)
+	r := startDaemon(t)
+	before := r.established(t)
+
+	id, err := keys.AddDataSecret(r.dir)
 	is.NoErr(err)
-	r.await("the codecs", func() bool {
-		id := shortPacket(t, dataSecrets(creds), target, "")[1:]
-		_, verdict := d.forwarder.codecs.Load().ids.Decode(id)
+	is.NoErr(keys.PreferDataSecret(r.dir, id))
+	after := r.established(t)
+	r.await("the added secret", func() bool {
+		_, verdict := r.f.codecs.Load().ids.Decode(after[1:])
 		return verdict == connid.OK
 	})
-	caller.send(shortPacket(t, dataSecrets(creds), target, ""), local)
-	agent.receive()
 
-	cancel()
-	is.NoErr(<-done)
+	for _, packet := range [][]byte{before, after} {
+		r.caller.send(packet, r.local(publicOne))
+		src, _ := r.agent.receive()
+		is.Equal(src[frame.HeaderLength:], packet)
+	}
 }
 
 func TestNewChecksSettings(t *testing.T) {
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -11,81 +11,88 @@
 	"eelgrasswharf.example/eelgrasswharf/routing"
 )
 
-func TestReasons(t *testing.T) {
-	hashPolicy := &configpb.Policy{Strategy: configpb.Strategy_STRATEGY_HASH}
-	for _, tt := range []struct {
-		name   string
-		policy *configpb.Policy
-		change func(list []routing.Target)
-		learn  map[uint32]routing.Report
-		want   routing.Reason
-		target uint32 // 0: any
-	}{
-		{name: "equal", want: routing.Equal},
-		{name: "hash", policy: hashPolicy, want: routing.ByHash},
-		{
-			name:   "lower load",
-			learn:  map[uint32]routing.Report{1: {Load: 500}, 2: {Load: 400}},
-			want:   routing.ByCost,
-			target: 2,
-		},
-		{
-			name:   "no figure counts as average",
-			learn:  map[uint32]routing.Report{1: {Load: 500}},
-			want:   routing.Equal,
-			target: 0,
-		},
-		{
-			name:   "one draining",
-			change: func(list []routing.Target) { list[0].Draining = true },
-			want:   routing.Only,
-			target: 2,
-		},
-		{
-			name:   "one reports to be draining",
-			learn:  map[uint32]routing.Report{1: {Draining: true}},
-			want:   routing.Only,
-			target: 2,
-		},
-		{
-			name: "all draining",
-			change: func(list []routing.Target) {
-				list[0].Draining = true
-				list[1].Draining = true
-			},
-			want: routing.LastResort,
-		},
-		{
-			name:   "half ill is the panic threshold",
-			change: func(list []routing.Target) { list[0].Ill = true },
-			want:   routing.Panic,
-			target: 2, // risk still counts
-		},
-		{
-			name:   "ill below the panic threshold",
-			policy: &configpb.Policy{PanicPercent: 51},
-			change: func(list []routing.Target) { list[0].Ill = true },
-			want:   routing.Only,
-			target: 2,
-		},
-		{
-			name:   "all ill above any threshold",
-			policy: &configpb.Policy{PanicPercent: 1000},
-			change: func(list []routing.Target) {
-				list[0].Ill = true
-				list[1].Ill = true
-			},
-			want: routing.Panic,
+var hashPolicy = &configpb.Policy{Strategy: configpb.Strategy_STRATEGY_HASH}
+
+// reasonCase is a choice between two targets that serve and are past any ramp,
+// but for what the case changes.
+type reasonCase struct {
+	name   string
+	policy *configpb.Policy
+	change func(list []routing.Target)
+	learn  map[uint32]routing.Report
+	want   routing.Reason
+	target uint32 // 0: any
+}
+
+var reasonCases = []reasonCase{
+	{name: "equal", want: routing.Equal},
+	{name: "hash", policy: hashPolicy, want: routing.ByHash},
+	{
+		name:   "lower load",
+		learn:  map[uint32]routing.Report{1: {Load: 500}, 2: {Load: 400}},
+		want:   routing.ByCost,
+		target: 2,
+	},
+	{
+		name:   "no figure counts as average",
+		learn:  map[uint32]routing.Report{1: {Load: 500}},
+		want:   routing.Equal,
+		target: 0,
+	},
+	{
+		name:   "one draining",
+		change: func(list []routing.Target) { list[0].Draining = true },
+		want:   routing.Only,
+		target: 2,
+	},
+	{
+		name:   "one reports to be draining",
+		learn:  map[uint32]routing.Report{1: {Draining: true}},
+		want:   routing.Only,
+		target: 2,
+	},
+	{
+		name: "all draining",
+		change: func(list []routing.Target) {
+			list[0].Draining = true
+			list[1].Draining = true
 		},
-		{
-			name:   "the agent's own word is newer than the directory",
-			policy: &configpb.Policy{PanicPercent: 100},
-			change: func(list []routing.Target) { list[0].Ill = true },
-			learn:  map[uint32]routing.Report{1: {Ill: false}, 2: {Ill: true}},
-			want:   routing.Only,
-			target: 1,
+		want: routing.LastResort,
+	},
+	{
+		name:   "half ill is the panic threshold",
+		change: func(list []routing.Target) { list[0].Ill = true },
+		want:   routing.Panic,
+		target: 2, // risk still counts
+	},
+	{
+		name:   "ill below the panic threshold",
+		policy: &configpb.Policy{PanicPercent: 51},
+		change: func(list []routing.Target) { list[0].Ill = true },
+		want:   routing.Only,
+		target: 2,
+	},
+	{
+		name:   "all ill above any threshold",
+		policy: &configpb.Policy{PanicPercent: 1000},
+		change: func(list []routing.Target) {
+			list[0].Ill = true
+			list[1].Ill = true
 		},
-	} {
+		want: routing.Panic,
+	},
+	{
+		name:   "the agent's own word is newer than the directory",
+		policy: &configpb.Policy{PanicPercent: 100},
+		change: func(list []routing.Target) { list[0].Ill = true },
+		learn:  map[uint32]routing.Report{1: {Ill: false}, 2: {Ill: true}},
+		want:   routing.Only,
+		target: 1,
+	},
+}
+
+func TestReasons(t *testing.T) {
+	for _, tt := range reasonCases {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			list := targets(2)
