--- /dev/null
+++ b/internal/processtest/caller.go
@@ -0,0 +1,140 @@
+package processtest
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// Headers of the caller protocol.
+const (
+	HeaderKey     = "Idempotency-Key"
+	HeaderTimeout = "Request-Timeout"
+	HeaderOutcome = "Request-Outcome"
+	HeaderReason  = "Request-Reason"
+	HeaderTarget  = "Target"
+)
+
+// keepAlive is shorter than the idle timeout of either end, so that only a
+// dead path ends a quiet connection.
+const keepAlive = 5 * time.Second
+
+// Caller calls one service over HTTP/3 through the fabric. It keeps one
+// connection and opens another one when that was asked to go away.
+type Caller struct {
+	t         testing.TB
+	service   string
+	transport *http3.Transport
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status  int
+	Outcome string
+	Reason  string
+	Target  string
+	Header  http.Header
+	Body    []byte
+}
+
+// NewCaller makes a caller with an address of its own.
+func (s *Service) NewCaller() *Caller {
+	c := s.cluster
+	c.t.Helper()
+	authority, err := os.ReadFile(s.caller.Authority)
+	c.must(err)
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(authority)
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(c.ip, 0)))
+	c.must(err)
+	transport := &quic.Transport{Conn: conn}
+	caller := &Caller{t: c.t, service: s.Name}
+	caller.transport = &http3.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: roots, ServerName: s.Name},
+		QUICConfig:      &quic.Config{KeepAlivePeriod: keepAlive},
+		Dial: func(ctx context.Context, _ string, t *tls.Config, q *quic.Config) (*quic.Conn, error) {
+			return transport.Dial(ctx, net.UDPAddrFromAddrPort(s.Fabric.Addr()), t, q)
+		},
+	}
+	c.t.Cleanup(func() {
+		caller.transport.Close()
+		transport.Close()
+		conn.Close()
+	})
+	return caller
+}
+
+// Do sends a request and reads its whole answer.
+func (c *Caller) Do(ctx context.Context, method, path string, header http.Header, body []byte) (*Answer, error) {
+	resp, err := c.open(ctx, method, path, header, body)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	return &Answer{
+		Status:  resp.StatusCode,
+		Outcome: resp.Header.Get(HeaderOutcome),
+		Reason:  resp.Header.Get(HeaderReason),
+		Target:  resp.Header.Get(HeaderTarget),
+		Header:  resp.Header,
+		Body:    content,
+	}, nil
+}
+
+func (c *Caller) open(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "https://"+c.service+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	if header != nil {
+		req.Header = header
+	}
+	return c.transport.RoundTrip(req)
+}
+
+// MustDo is Do within the wait limit; an error fails the test.
+func (c *Caller) MustDo(method, path string, header http.Header, body []byte) *Answer {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	answer, err := c.Do(ctx, method, path, header, body)
+	if err != nil {
+		c.t.Fatalf("%s %s of %s: %v", method, path, c.service, err)
+	}
+	return answer
+}
+
+// Echo asks for the text back.
+func (c *Caller) Echo(text string) *Answer {
+	c.t.Helper()
+	return c.MustDo(http.MethodGet, "/echo?text="+url.QueryEscape(text), nil, nil)
+}
+
+// RunPath is the path of a run that takes the given time.
+func RunPath(lasts time.Duration) string {
+	return "/run?ms=" + strconv.FormatInt(lasts.Milliseconds(), 10)
+}
+
+// KeyHeader is the header of a request that may not be repeated.
+func KeyHeader(key string) http.Header {
+	header := make(http.Header)
+	header.Set(HeaderKey, key)
+	return header
+}
--- /dev/null
+++ b/internal/processtest/cluster.go
@@ -0,0 +1,85 @@
+package processtest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+)
+
+const (
+	seed = 20260101
+
+	keyValidity = 24 * time.Hour
+)
+
+// Cluster is one deployment of real processes.
+type Cluster struct {
+	t        testing.TB
+	dir      string
+	keyDir   string
+	ip       netip.Addr
+	random   *rand.Rand
+	controls []*Control
+	entries  []*Entry
+	services []*Service
+	operator keys.Files
+}
+
+// New makes the keys of a deployment without any process.
+func New(t testing.TB) *Cluster {
+	t.Helper()
+	c := &Cluster{
+		t:      t,
+		dir:    t.TempDir(),
+		ip:     addresses.newHost(t),
+		random: rand.New(rand.NewPCG(seed, seed)),
+	}
+	c.keyDir = filepath.Join(c.dir, "keys")
+	c.must(keys.InitAuthority(c.keyDir))
+	c.operator = c.issue(keys.RoleOperator, "operator", "")
+	return c
+}
+
+func (c *Cluster) must(err error) {
+	c.t.Helper()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *Cluster) issue(role keys.Role, name, service string) keys.Files {
+	c.t.Helper()
+	files, err := keys.Issue(c.keyDir, role, name, service, nil, keyValidity)
+	c.must(err)
+	return files
+}
+
+func keySettings(files keys.Files) *settingspb.Keys {
+	return &settingspb.Keys{
+		Authority:   files.Authority,
+		Certificate: files.Certificate,
+		PrivateKey:  files.PrivateKey,
+		DataSecrets: files.DataSecrets,
+	}
+}
+
+func hostSettings(name, domain string) *settingspb.Host {
+	return &settingspb.Host{Name: name, FailureDomain: domain}
+}
+
+// path returns the name of a file in the folder of the deployment.
+func (c *Cluster) path(format string, args ...any) string {
+	return filepath.Join(c.dir, fmt.Sprintf(format, args...))
+}
+
+// newRand returns a generator of its own, so that relays which run at the
+// same time do not change each other's sequence.
+func (c *Cluster) newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(c.random.Uint64(), c.random.Uint64()))
+}
--- /dev/null
+++ b/internal/processtest/control.go
@@ -0,0 +1,80 @@
+package processtest
+
+import (
+	"fmt"
+	"net/netip"
+
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+)
+
+// Control is a control host. Its addresses outlive its process.
+type Control struct {
+	*Process
+	// Link is where peers and subscribers dial it.
+	Link netip.AddrPort
+	// Operator is where operators call it.
+	Operator netip.AddrPort
+
+	cluster  *Cluster
+	name     string
+	settings *settingspb.ControlSettings
+}
+
+// StartControls starts the founding control hosts and waits until they are
+// ready.
+func (c *Cluster) StartControls(count int) []*Control {
+	c.t.Helper()
+	var voters []string
+	for i := range count {
+		host := c.newControl(i + 1)
+		voters = append(voters, fmt.Sprintf("%s=%s", host.name, host.Link))
+		c.controls = append(c.controls, host)
+	}
+	for _, host := range c.controls {
+		host.settings.Replica.InitialVoters = voters
+		host.Launch()
+	}
+	for _, host := range c.controls {
+		host.WaitReady()
+	}
+	return c.controls
+}
+
+func (c *Cluster) newControl(number int) *Control {
+	name := fmt.Sprintf("control-%d", number)
+	ip := addresses.newHost(c.t)
+	host := &Control{
+		Link:     addresses.newPort(c.t, ip),
+		Operator: addresses.newPort(c.t, ip),
+		cluster:  c,
+		name:     name,
+	}
+	host.settings = &settingspb.ControlSettings{
+		Host: hostSettings(name, name),
+		Keys: keySettings(c.issue(keys.RoleControl, name, "")),
+		Replica: &settingspb.Replica{
+			DataFolder:     c.path("data-%s", name),
+			Listen:         host.Link.String(),
+			OperatorListen: host.Operator.String(),
+		},
+	}
+	return host
+}
+
+// Launch starts the process of the host, again after it ended.
+func (h *Control) Launch() {
+	h.cluster.t.Helper()
+	path := h.cluster.path("%s.ini", h.name)
+	writeSettings(h.cluster.t, path, h.settings)
+	h.Process = Start(h.cluster.t, h.name, "control", "--settings", path)
+}
+
+// links returns the link addresses of all control hosts.
+func (c *Cluster) links() []string {
+	var all []string
+	for _, host := range c.controls {
+		all = append(all, host.Link.String())
+	}
+	return all
+}
--- /dev/null
+++ b/internal/processtest/entry.go
@@ -0,0 +1,84 @@
+package processtest
+
+import (
+	"fmt"
+	"net/netip"
+
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+)
+
+// loopbackNetwork is where agents stand in tests.
+const loopbackNetwork = "127.0.0.0/8"
+
+// Entry is an entry host. Its addresses outlive its process.
+type Entry struct {
+	*Process
+
+	cluster  *Cluster
+	name     string
+	ip       netip.Addr
+	settings *settingspb.EntrySettings
+}
+
+// StartEntry starts an entry host, waits until it is ready and adds it to the
+// fabric. Without control addresses it dials the control hosts directly.
+func (c *Cluster) StartEntry(control ...netip.AddrPort) *Entry {
+	c.t.Helper()
+	name := fmt.Sprintf("entry-%d", len(c.entries)+1)
+	ip := addresses.newHost(c.t)
+	e := &Entry{cluster: c, name: name, ip: ip}
+	e.settings = &settingspb.EntrySettings{
+		Host:    hostSettings(name, name),
+		Keys:    keySettings(c.issue(keys.RoleEntry, name, "")),
+		Control: &settingspb.ControlPeers{Addresses: c.linksOr(control)},
+		Forwarding: &settingspb.Forwarding{
+			PublicIp:      ip.String(),
+			FrameListen:   addresses.newPort(c.t, ip).String(),
+			AgentNetworks: []string{loopbackNetwork},
+		},
+	}
+	c.entries = append(c.entries, e)
+	e.Launch()
+	e.WaitReady()
+	e.Join()
+	return e
+}
+
+// Launch starts the process of the host, again after it ended.
+func (e *Entry) Launch() {
+	e.cluster.t.Helper()
+	path := e.cluster.path("%s.ini", e.name)
+	writeSettings(e.cluster.t, path, e.settings)
+	e.Process = Start(e.cluster.t, e.name, "entry", "--settings", path)
+}
+
+// Join lets the fabric send packets to the host.
+func (e *Entry) Join() {
+	for _, s := range e.cluster.services {
+		s.addHost(e.public(s))
+	}
+}
+
+// Leave takes the host out of the fabric.
+func (e *Entry) Leave() {
+	for _, s := range e.cluster.services {
+		s.removeHost(e.public(s))
+	}
+}
+
+// public returns where the host opens the public address of the service.
+func (e *Entry) public(s *Service) netip.AddrPort {
+	return netip.AddrPortFrom(e.ip, s.Address.Port())
+}
+
+func (c *Cluster) linksOr(control []netip.AddrPort) []string {
+	if len(control) == 0 {
+		return c.links()
+	}
+	var all []string
+	for _, addr := range control {
+		all = append(all, addr.String())
+	}
+	return all
+}
