--- a/internal/processtest/service.go
+++ b/internal/processtest/service.go
@@ -20,7 +20,6 @@
 	cluster *Cluster
 	caller  keys.Files
 	hosts   []netip.AddrPort
-	targets int
 }
 
 // NewService prepares a service: its public address, its stretch of the
