--- a/internal/processtest/caller.go
+++ b/internal/processtest/caller.go
@@ -52,6 +52,13 @@
 
 // NewCaller makes a caller with an address of its own.
 func (s *Service) NewCaller() *Caller {
+	s.cluster.t.Helper()
+	return s.NewCallerAs(s.Name)
+}
+
+// NewCallerAs makes a caller that expects the service of that name behind the
+// address of s.
+func (s *Service) NewCallerAs(name string) *Caller {
 	c := s.cluster
 	c.t.Helper()
 	authority, err := os.ReadFile(s.caller.Authority)
@@ -61,9 +68,9 @@
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(c.ip, 0)))
 	c.must(err)
 	transport := &quic.Transport{Conn: conn}
-	caller := &Caller{t: c.t, service: s.Name}
+	caller := &Caller{t: c.t, service: name}
 	caller.transport = &http3.Transport{
-		TLSClientConfig: &tls.Config{RootCAs: roots, ServerName: s.Name},
+		TLSClientConfig: &tls.Config{RootCAs: roots, ServerName: name},
 		QUICConfig:      &quic.Config{KeepAlivePeriod: keepAlive},
 		Dial: func(ctx context.Context, _ string, t *tls.Config, q *quic.Config) (*quic.Conn, error) {
 			return transport.Dial(ctx, net.UDPAddrFromAddrPort(s.Fabric.Addr()), t, q)
--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -29,6 +29,10 @@
 	entries  []*Entry
 	services []*Service
 	operator keys.Files
+
+	// version is the newest one that Patch made, of so many patches.
+	version uint64
+	patches int
 }
 
 // New makes the keys of a deployment without any process.
--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -56,19 +56,19 @@
 // Join lets the fabric send packets to the host.
 func (e *Entry) Join() {
 	for _, s := range e.cluster.services {
-		s.addHost(e.public(s))
+		s.addHost(e.Public(s))
 	}
 }
 
 // Leave takes the host out of the fabric.
 func (e *Entry) Leave() {
 	for _, s := range e.cluster.services {
-		s.removeHost(e.public(s))
+		s.removeHost(e.Public(s))
 	}
 }
 
-// public returns where the host opens the public address of the service.
-func (e *Entry) public(s *Service) netip.AddrPort {
+// Public returns where the host opens the public address of the service.
+func (e *Entry) Public(s *Service) netip.AddrPort {
 	return netip.AddrPortFrom(e.ip, s.Address.Port())
 }
 
--- a/internal/processtest/garbage.go
+++ b/internal/processtest/garbage.go
@@ -32,7 +32,7 @@
 	for _, e := range c.entries {
 		all = append(all, netip.MustParseAddrPort(e.settings.Forwarding.FrameListen))
 		for _, s := range c.services {
-			all = append(all, e.public(s))
+			all = append(all, e.Public(s))
 		}
 	}
 	for _, t := range targets {
--- a/internal/processtest/service.go
+++ b/internal/processtest/service.go
@@ -41,7 +41,7 @@
 	c.t.Cleanup(fabric.Close)
 	c.services = append(c.services, s)
 	for _, e := range c.entries {
-		s.addHost(e.public(s))
+		s.addHost(e.Public(s))
 	}
 	return s
 }
