controld: a replica that joins answers at the address its leader names

A learner of a host that joins knows no members and so no address to answer its leader at: the leader never learned of its progress and refused the promotion for ever (seen in a trial with the replica's working tree: TestHostJoins, 30 s, 'learner has not caught up'). RaftBatch now carries the link address of its sender (schema: field 3 of RaftBatch). Ruled out: the source address of the link, which is a port for dialling only; the initial voters of the settings, which may have left since.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -93,6 +93,7 @@
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.peers = newPeers(creds, voters, log, d.scope)
+	d.peers.self = d.selfAddress
 	d.confirm = &barrier{ctx: d.ctx, wg: &d.loops, read: func(ctx context.Context) error {
 		return d.replicas[controlpb.Group_GROUP_CONFIG].ReadBarrier(ctx)
 	}}
@@ -131,6 +132,7 @@
 			return errors.Wrapf(err, "open replica of %s", folders[group])
 		}
 	}
+	d.peers.open.Store(true)
 	var err error
 	listen := d.settings.GetReplica().GetListen()
 	d.server, err = link.Listen(listen, d.creds, (*handler)(d), link.ServerOptions{
@@ -257,6 +259,17 @@
 	return out
 }
 
+// selfAddress returns this host's link address as a group knows it, or
+// nothing if it is no member.
+func (d *Daemon) selfAddress(group controlpb.Group) string {
+	for _, m := range d.replicas[group].Status().Members {
+		if m.Member.GetId().GetName() == d.name {
+			return m.Member.GetAddress()
+		}
+	}
+	return ""
+}
+
 // listenPort returns the port of the link server.
 func (d *Daemon) listenPort() string {
 	_, port, _ := net.SplitHostPort(d.LinkAddr())
--- /dev/null
+++ b/internal/controld/follow_test.go
@@ -0,0 +1,171 @@
+package controld_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+)
+
+// wide is a service whose updates are large.
+func wide(third int) *configpb.Operation {
+	s := &configpb.Service{Name: "wide", Slots: 4}
+	for i := range config.MaxAddresses {
+		s.Addresses = append(s.Addresses, fmt.Sprintf("10.%d.%d.%d:443", third, i/250, i%250+1))
+	}
+	return &configpb.Operation{Body: &configpb.Operation_PutService{PutService: s}}
+}
+
+func TestSlowSubscriberGetsCollapsedUpdates(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, "c1")
+	d.startAll("c1")
+	ops := d.operator("c1")
+	w := d.subscribe(d.link(keys.RoleEntry, "e1", "", "c1"), &controlpb.Subscribe{})
+	w.awaitVersion(0)
+	const versions = 120 // some 20 KB each, far more than the stream takes
+	for i := range versions {
+		d.accept(ops, patch(fmt.Sprintf("p%d", i), uint64(i), wide(i)))
+	}
+	updates, last := 0, uint64(0)
+	var held *configpb.Configuration
+	w.await("the last version", func(u *controlpb.SubscribeUpdate) bool {
+		c := u.GetConfig()
+		if c == nil {
+			return false
+		}
+		updates++
+		next, err := config.Merge(held, c)
+		is.NoErr(err)
+		is.True(next.GetVersion() > last)
+		held, last = next, next.GetVersion()
+		return last == versions
+	})
+	is.True(updates < versions)
+	is.Equal(held.GetServices()[0].GetAddresses()[0], "10.119.0.1:443")
+}
+
+func TestSubscriberResumesByDelta(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, "c1")
+	d.startAll("c1")
+	ops := d.operator("c1")
+	for i := range config.MaxHistory + 20 {
+		d.accept(ops, patch(fmt.Sprintf("p%d", i), uint64(i), put("lodgement", "192.0.2.1:443")))
+	}
+	newest := uint64(config.MaxHistory + 20)
+	c := d.link(keys.RoleEntry, "e1", "", "c1")
+	tests := []struct {
+		name    string
+		version uint64
+		delta   bool
+	}{
+		{"nothing", 0, false},
+		{"out of history", 5, false},
+		{"oldest held", newest - config.MaxHistory + 1, true},
+		{"one behind", newest - 1, true},
+		{"the newest", newest, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			u := d.subscribe(c, &controlpb.Subscribe{Version: test.version}).awaitVersion(newest)
+			is.Equal(u.GetSnapshot() == nil, test.delta)
+			is.True(u.GetConfirmed())
+			if test.delta {
+				is.Equal(u.GetBaseVersion(), test.version)
+			}
+		})
+	}
+	d.restart("c1")
+	u := d.subscribe(d.link(keys.RoleEntry, "e2", "", "c1"), &controlpb.Subscribe{Version: newest - 1}).awaitVersion(newest)
+	is.True(u.GetConfirmed())
+}
+
+// restart stops a host and starts it again on its data folder.
+func (d *deployment) restart(name string) *host {
+	d.t.Helper()
+	return d.start(name, d.stop(name).data, false)
+}
+
+func TestRestartedHostRemovesNoTargets(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, "c1")
+	d.startAll("c1")
+	d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
+	announce := func(target string) {
+		reg := call(t, agent, registerRequest("lodgement", target, "x")).GetRegistration()
+		r := &controlpb.TargetRecord{
+			Service: reg.GetServiceNumber(), Number: reg.GetTargetNumber(), Incarnation: reg.GetIncarnation(),
+			Name: target, Address: "127.0.0.1:7000", Slots: 4, Sequence: 1, State: controlpb.TargetState_TARGET_STATE_SERVING,
+		}
+		is.Equal(call(t, agent, announceRequest(r)).GetAnnounce().GetRefusal(), "")
+	}
+	announce("t1")
+	announce("t2")
+	w := d.subscribe(d.link(keys.RoleEntry, "e1", "", "c1"), &controlpb.Subscribe{})
+	seen := w.await("a list", func(u *controlpb.SubscribeUpdate) bool { return len(u.GetDirectory().GetPut()) == 2 })
+
+	d.restart("c1")
+	w = d.subscribe(d.link(keys.RoleEntry, "e1", "", "c1"), &controlpb.Subscribe{
+		Version: 1, DirectoryEpoch: seen.GetDirectory().GetEpoch(), DirectorySequence: seen.GetDirectory().GetSequence(),
+	})
+	u := w.await("a directory", func(u *controlpb.SubscribeUpdate) bool { return u.GetDirectory() != nil })
+	is.True(u.GetDirectory().GetEpoch() != seen.GetDirectory().GetEpoch())
+	is.Equal(u.GetDirectory().GetFull(), false)
+	is.Equal(len(u.GetDirectory().GetRemoved()), 0)
+}
+
+func TestStateSurvivesRestart(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, "c1")
+	d.startAll("c1")
+	d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
+	reg := call(t, agent, registerRequest("lodgement", "t1", "x")).GetRegistration()
+	is.True(call(t, agent, acquireRequest(1, "k", "one")).GetGrant().GetDecision() != 0)
+
+	d.restart("c1")
+	first := d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443"))) // the resend
+	is.Equal(first.GetVersion(), uint64(1))
+	agent = d.link(keys.RoleAgent, "a1", "lodgement", "c1")
+	again := call(t, agent, registerRequest("lodgement", "t1", "y")).GetRegistration()
+	is.Equal(again.GetTargetNumber(), reg.GetTargetNumber())
+	is.Equal(again.GetIncarnation(), reg.GetIncarnation()+1)
+	var held *controlpb.Response
+	eventually(t, "a decision", func() bool {
+		held = call(t, agent, acquireRequest(1, "k", "two"))
+		return held.GetGrant() != nil
+	})
+	is.Equal(held.GetGrant().GetDecision().String(), "DECISION_HELD") // its holder is gone, nobody else may run it
+}
+
+func TestHostJoins(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, "c1", "c2")
+	d.voters = d.voters[:1] // c1 founds alone
+	d.start("c1", "", false)
+	ops := d.operator("c1")
+	d.accept(ops, patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	d.start("c2", "", true)
+	_, err := ops.AddLearner(testContext(t), d.address["c2"])
+	is.NoErr(err)
+	_, err = ops.AddLearner(testContext(t), d.address["c2"]) // making it again is safe
+	is.NoErr(err)
+	eventually(t, "promotion", func() bool {
+		s, err := ops.Promote(testContext(t), memberRef("c2"))
+		return err == nil && len(s.Groups[0].Members) == 2
+	})
+	eventually(t, "the version on c2", func() bool { return d.status("c2").Version == 1 })
+	d.accept(d.operator("c2"), patch("p2", 1, put("certificates", "192.0.2.2:443")))
+	_, err = ops.Remove(testContext(t), memberRef("c9"))
+	is.True(err != nil)
+	_, err = ops.AddLearner(testContext(t), "nowhere")
+	is.True(err != nil)
+}
--- a/internal/controld/group_test.go
+++ b/internal/controld/group_test.go
@@ -266,3 +266,5 @@
 		}
 	}
 }
+
+func memberRef(name string) operator.MemberRef { return operator.MemberRef{Name: name} }
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -129,6 +129,7 @@
 			return h.fault(refusedSender, controlpb.FaultKind_FAULT_FORBIDDEN, "message of another host")
 		}
 	}
+	h.peers.learn(peer.Name, batch.GetAddress())
 	r.Receive(batch.GetMessages())
 	return done()
 }
--- a/internal/controld/peers.go
+++ b/internal/controld/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,29 +23,55 @@
 	creds *keys.Credentials
 	log   *zap.Logger
 	scope tally.Scope
-	// initial has the addresses of the initial voters by name: a replica that
-	// is not formed yet does not know where to answer.
-	initial map[string]string
+	// self returns this host's link address as the group knows it. It must not
+	// be called before open is set.
+	self func(controlpb.Group) string
+	// open is set once all replicas of this host are open. Messages that one
+	// of them sends earlier are dropped.
+	open atomic.Bool
 
 	mu     sync.Mutex
 	byAddr map[string]*peer
+	// named has link addresses of control hosts by name: a replica that has
+	// not joined its group yet does not know where to answer.
+	named  map[string]string
 	closed bool
 }
 
 func newPeers(creds *keys.Credentials, voters []voter, log *zap.Logger, scope tally.Scope) *peers {
 	p := &peers{
-		creds:   creds,
-		log:     log,
-		scope:   scope.SubScope("peers"),
-		initial: map[string]string{},
-		byAddr:  map[string]*peer{},
+		creds:  creds,
+		log:    log,
+		scope:  scope.SubScope("peers"),
+		byAddr: map[string]*peer{},
+		named:  map[string]string{},
 	}
 	for _, v := range voters {
-		p.initial[v.name] = v.address
+		p.named[v.name] = v.address
 	}
 	return p
 }
 
+// learn notes where a control host takes messages.
+func (p *peers) learn(name, address string) {
+	if address == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.named[name] = address
+}
+
+// addressOf returns the link address of a member.
+func (p *peers) addressOf(m *raftpb.Member) string {
+	if m.GetAddress() != "" {
+		return m.GetAddress()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.named[m.GetId().GetName()]
+}
+
 // get returns the link to a control host, made at first use, or nil after
 // close.
 func (p *peers) get(addr string) *peer {
@@ -55,7 +82,7 @@
 	}
 	held, ok := p.byAddr[addr]
 	if !ok {
-		held = newPeer(addr, p.creds, p.log, p.scope)
+		held = newPeer(addr, p)
 		p.byAddr[addr] = held
 	}
 	held.usedAt = time.Now()
@@ -94,11 +121,8 @@
 
 // Send implements replica.Transport.
 func (p *peers) Send(to *raftpb.Member, group controlpb.Group, msgs []*raftpb.Message) {
-	address := to.GetAddress()
-	if address == "" {
-		address = p.initial[to.GetId().GetName()]
-	}
-	if address == "" {
+	address := p.addressOf(to)
+	if address == "" || !p.open.Load() {
 		p.scope.Tagged(map[string]string{"reason": "no_address"}).Counter("dropped_messages").Inc(int64(len(msgs)))
 		return
 	}
@@ -109,7 +133,7 @@
 
 // Forward implements replica.Forwarder.
 func (p *peers) Forward(ctx context.Context, leader *raftpb.Member, group controlpb.Group, command []byte) (*controlpb.ProposeReply, error) {
-	to := p.get(leader.GetAddress())
+	to := p.get(p.addressOf(leader))
 	if to == nil || to.client.Address() == "" {
 		// Refused at once: waiting for a link is the caller's choice.
 		return nil, errors.Wrap(replica.ErrNoLeader, "no link to the leader")
@@ -140,6 +164,7 @@
 	cancel context.CancelFunc
 	wg     conc.WaitGroup
 	scope  tally.Scope
+	self   func(controlpb.Group) string
 	wake   map[controlpb.Group]chan struct{}
 	sync   chan struct{}
 
@@ -152,16 +177,17 @@
 	beat bool
 }
 
-func newPeer(addr string, creds *keys.Credentials, log *zap.Logger, scope tally.Scope) *peer {
+func newPeer(addr string, owner *peers) *peer {
 	options := link.ClientOptions{
-		Scope:            scope,
-		Log:              log,
+		Scope:            owner.scope,
+		Log:              owner.log,
 		MaxRequestBytes:  maxPeerMessage,
 		MaxResponseBytes: maxPeerMessage,
 	}
 	p := &peer{
-		client:   link.NewClient([]string{addr}, creds, options),
-		scope:    scope,
+		client:   link.NewClient([]string{addr}, owner.creds, options),
+		scope:    owner.scope,
+		self:     owner.self,
 		wake:     map[controlpb.Group]chan struct{}{},
 		sync:     make(chan struct{}, 1),
 		messages: map[controlpb.Group][]*raftpb.Message{},
@@ -245,7 +271,7 @@
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
-	batch := &controlpb.RaftBatch{Group: group, Messages: msgs}
+	batch := &controlpb.RaftBatch{Group: group, Messages: msgs, Address: p.self(group)}
 	if _, err := p.client.Call(ctx, &controlpb.Request{Body: &controlpb.Request_Raft{Raft: batch}}); err != nil {
 		p.drop("failed", len(msgs))
 	}
