--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -129,6 +129,7 @@
 			return h.fault(refusedSender, controlpb.FaultKind_FAULT_FORBIDDEN, "message of another host")
 		}
 	}
+	h.peers.learn(peer.Name, batch.GetAddress())
 	r.Receive(batch.GetMessages())
 	return done()
 }
@@ -150,6 +151,8 @@
 	switch {
 	case err == nil:
 		return controlpb.ProposeStatus_PROPOSE_OK
+	case errors.Is(err, replica.ErrUnknown):
+		return controlpb.ProposeStatus_PROPOSE_UNKNOWN
 	case errors.Is(err, replica.ErrBusy):
 		return controlpb.ProposeStatus_PROPOSE_BUSY
 	case errors.Is(err, replica.ErrNoLeader), errors.Is(err, replica.ErrClosed):
