--- a/config/bounds.go
+++ b/config/bounds.go
@@ -10,9 +10,10 @@
 	// kept. It is a bound of its own, so that a flood of refused patches
 	// cannot drive out the outcomes of accepted ones.
 	MaxRefusedOutcomes = 1_000
-	// MaxHistory is the number of versions kept for deltas. The history is
-	// not part of snapshots.
-	MaxHistory = 512
+	// MaxHistory is the number of versions kept for deltas: nearly two hours
+	// at 3,300 changes a day. A version costs 8 bytes a service. The history
+	// is not part of snapshots.
+	MaxHistory = 256
 	// MaxTargets is the number of target identities kept. The identity whose
 	// last registration is the oldest is dropped first; its number is not
 	// used again.
--- a/internal/controld/state.go
+++ b/internal/controld/state.go
@@ -18,10 +18,17 @@
 	machine *config.Machine
 	// names has the services of the current version by number.
 	names map[uint32]string
+	// deltas has what was last computed by update, by base version. They all
+	// lead to the current version.
+	deltas map[uint64]*controlpb.ConfigUpdate
 }
 
 func newConfigState() *configState {
-	return &configState{changed: newHub(), machine: config.New()}
+	return &configState{
+		changed: newHub(),
+		machine: config.New(),
+		deltas:  map[uint64]*controlpb.ConfigUpdate{},
+	}
 }
 
 // Apply implements replica.StateMachine.
@@ -45,8 +52,9 @@
 	return result, changed
 }
 
-// index rebuilds names. The lock is held.
+// index rebuilds what follows from the current version. The lock is held.
 func (s *configState) index() {
+	s.deltas = map[uint64]*controlpb.ConfigUpdate{}
 	services := s.machine.Current().GetServices()
 	s.names = make(map[uint32]string, len(services))
 	for _, service := range services {
@@ -110,14 +118,30 @@
 }
 
 // update returns what leads a subscriber from the version it has to the
-// current one: a delta where the history allows, else a snapshot.
+// current one: a delta where the history allows, else a snapshot. The caller
+// owns the message, but not what it refers to.
 func (s *configState) update(from uint64) *controlpb.ConfigUpdate {
-	current, _ := s.current()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.machine.Current()
+	base := s.machine.Version(from)
 	// A subscriber without a configuration has nothing to apply a delta to.
-	if base := s.at(from); base != nil && from != 0 {
-		return config.Diff(base, current)
+	if base == nil || from == 0 {
+		return &controlpb.ConfigUpdate{Snapshot: current, Version: current.GetVersion()}
+	}
+	// A new version is sent to all subscribers at once, nearly all of them
+	// from the same base.
+	shared, ok := s.deltas[from]
+	if !ok {
+		shared = config.Diff(base, current)
+		s.deltas[from] = shared
+	}
+	return &controlpb.ConfigUpdate{
+		BaseVersion: shared.GetBaseVersion(),
+		Version:     shared.GetVersion(),
+		Put:         shared.GetPut(),
+		Removed:     shared.GetRemoved(),
 	}
-	return &controlpb.ConfigUpdate{Snapshot: current, Version: current.GetVersion()}
 }
 
 // grantState is the same for the state machine of grants.
