controld: a host that joins asks to be added as a learner

Only the name of the asking host's own certificate can be added; a vote stays the operators' choice.

--- a/internal/controld/backend.go
+++ b/internal/controld/backend.go
@@ -130,6 +130,12 @@
 
 // AddLearner implements operator.Backend.
 func (b *backend) AddLearner(ctx context.Context, address string) error {
+	return b.addLearner(ctx, address, "")
+}
+
+// addLearner adds the host at a link address. If a name is given, the host
+// must have it.
+func (b *backend) addLearner(ctx context.Context, address, name string) error {
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return errors.Wrapf(operator.ErrNotDone, "%q is not of the form ip:port", address)
 	}
@@ -139,6 +145,9 @@
 	}
 	var first error
 	for _, info := range reply.GetReplicas() {
+		if name != "" && info.GetId().GetName() != name {
+			return errors.Wrapf(operator.ErrNotDone, "the host at %s is not %s", address, name)
+		}
 		r := b.replicas[info.GetGroup()]
 		if r == nil || isMember(r.Status(), info.GetId()) {
 			continue
--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -38,6 +38,9 @@
 	foundRetry = 250 * time.Millisecond
 	// foundTimeout bounds the question for another host's replicas.
 	foundTimeout = time.Second
+	// joinRetry is the pause between requests to join, joinTimeout bounds one.
+	joinRetry   = time.Second
+	joinTimeout = 10 * time.Second
 	// heartbeatPeriod is the longest time a subscription goes without a
 	// message; silenceLimit ends one whose subscriber says nothing.
 	heartbeatPeriod = 2 * time.Second
--- a/internal/controld/found.go
+++ b/internal/controld/found.go
@@ -22,12 +22,9 @@
 type voter struct{ name, address string }
 
 // parseVoters reads the initial voters, by name. A host that neither joins nor
-// names any founds a group of its own.
+// names any founds a group of its own; one that joins asks them to add it.
 func parseVoters(s *settingspb.Replica, self string) ([]voter, error) {
-	if s.GetJoin() {
-		return nil, nil
-	}
-	if len(s.GetInitialVoters()) == 0 {
+	if len(s.GetInitialVoters()) == 0 && !s.GetJoin() {
 		return []voter{{name: self, address: s.GetListen()}}, nil
 	}
 	var out []voter
@@ -44,7 +41,7 @@
 			return nil, errors.Wrapf(ErrVoters, "%q is named twice", out[i].name)
 		}
 	}
-	if !slices.ContainsFunc(out, func(v voter) bool { return v.name == self }) {
+	if !s.GetJoin() && !slices.ContainsFunc(out, func(v voter) bool { return v.name == self }) {
 		return nil, errors.Wrapf(ErrVoters, "%q is not among them", self)
 	}
 	return out, nil
@@ -57,7 +54,8 @@
 // host whose group exists without its replica, because it lost its disk, must
 // not vote under its old name; it waits to be added as a learner.
 func (d *Daemon) foundLoop() {
-	if len(d.voters) == 0 {
+	if d.settings.GetReplica().GetJoin() {
+		d.joinLoop()
 		return
 	}
 	stranger := false
@@ -76,6 +74,37 @@
 	}
 }
 
+// joinLoop asks the initial voters to add this host as a learner until it is
+// a member of both groups. It asks all of them, since the groups may have
+// different leaders. To be promoted is up to the operators.
+func (d *Daemon) joinLoop() {
+	address := d.memberAddress(voter{name: d.name, address: d.settings.GetReplica().GetListen()})
+	for !d.formed() {
+		for _, v := range d.voters {
+			if v.name != d.name {
+				d.askToJoin(v.address, address)
+			}
+		}
+		if !d.pause(joinRetry) {
+			return
+		}
+	}
+}
+
+func (d *Daemon) askToJoin(at, address string) {
+	p := d.peers.get(at)
+	if p == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, joinTimeout)
+	defer cancel()
+	req := &controlpb.Request{Body: &controlpb.Request_Join{Join: &controlpb.Join{Address: address}}}
+	// Whether it took shows by the replicas' becoming members.
+	if _, err := p.client.Call(ctx, req); err != nil {
+		d.scope.Counter("failed_joins").Inc(1)
+	}
+}
+
 // pause waits and reports whether the daemon still runs.
 func (d *Daemon) pause(wait time.Duration) bool {
 	select {
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -11,6 +11,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 	"eelgrasswharf.example/eelgrasswharf/internal/replica"
 	"eelgrasswharf.example/eelgrasswharf/membership"
 )
@@ -52,7 +53,8 @@
 // allowed has the roles that may send each kind of request.
 func allowed(req *controlpb.Request) []keys.Role {
 	switch req.GetBody().(type) {
-	case *controlpb.Request_Raft, *controlpb.Request_Propose, *controlpb.Request_DirectorySync, *controlpb.Request_Replicas:
+	case *controlpb.Request_Raft, *controlpb.Request_Propose, *controlpb.Request_DirectorySync, *controlpb.Request_Replicas,
+		*controlpb.Request_Join:
 		return []keys.Role{keys.RoleControl}
 	case *controlpb.Request_Register, *controlpb.Request_Announce, *controlpb.Request_Grant:
 		return []keys.Role{keys.RoleAgent}
@@ -91,6 +93,8 @@
 	case *controlpb.Request_Replicas:
 		reply := (*Daemon)(h).replicaInfos()
 		return &controlpb.Response{Body: &controlpb.Response_Replicas{Replicas: reply}}
+	case *controlpb.Request_Join:
+		return h.join(ctx, peer, body.Join)
 	case *controlpb.Request_Register:
 		return h.register(ctx, peer, body.Register)
 	case *controlpb.Request_Announce:
@@ -134,6 +138,21 @@
 	return done()
 }
 
+// join adds the host that asks as a learner to the groups that this host
+// leads. The answer says whether it is a member of both now.
+func (h *handler) join(ctx context.Context, peer link.Peer, j *controlpb.Join) *controlpb.Response {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	err := (*backend)(h).addLearner(ctx, j.GetAddress(), peer.Name)
+	if errors.Is(err, operator.ErrUnknown) {
+		return h.fault(refusedUnknown, controlpb.FaultKind_FAULT_UNKNOWN, err.Error())
+	}
+	if err != nil {
+		return h.fault(refusedNoLeader, controlpb.FaultKind_FAULT_NOT_DONE, err.Error())
+	}
+	return done()
+}
+
 // propose replicates a command that a follower forwards.
 func (h *handler) propose(ctx context.Context, p *controlpb.Propose) *controlpb.Response {
 	r := h.replicas[p.GetGroup()]
--- a/internal/controld/roles_test.go
+++ b/internal/controld/roles_test.go
@@ -84,6 +84,7 @@
 		{"agent propose", agent, propose, "role"},
 		{"entry directory sync", entry, sync, "role"},
 		{"agent replicas", agent, replicas, "role"},
+		{"agent joins", agent, &controlpb.Request{Body: &controlpb.Request_Join{Join: &controlpb.Join{}}}, "role"},
 		{"entry register", entry, registerRequest("lodgement", "t1", "x"), "role"},
 		{"entry announce", entry, announceRequest(&controlpb.TargetRecord{}), "role"},
 		{"entry grant", entry, acquireRequest(1, "k", "one"), "role"},
