--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -28,7 +28,7 @@
 
 // deployment is a set of control hosts in this process.
 type deployment struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	hosts   map[string]*host
 	voters  []string
@@ -45,7 +45,7 @@
 	wg     conc.WaitGroup
 }
 
-func newDeployment(t *testing.T, names ...string) *deployment {
+func newDeployment(t testing.TB, names ...string) *deployment {
 	t.Helper()
 	d := &deployment{t: t, dir: t.TempDir(), hosts: map[string]*host{}, address: map[string]string{}}
 	if err := keys.InitAuthority(d.dir); err != nil {
@@ -61,7 +61,7 @@
 
 // freeAddress returns a loopback address whose UDP port was free just now:
 // the hosts have to know each other's ports before they start.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
@@ -177,7 +177,7 @@
 	return c
 }
 
-func testContext(t *testing.T) context.Context {
+func testContext(t testing.TB) context.Context {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	t.Cleanup(cancel)
@@ -185,7 +185,7 @@
 }
 
 // eventually waits until the condition holds.
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	if !poll(condition) {
 		t.Fatalf("never came: %s", what)
@@ -232,7 +232,7 @@
 
 // watcher is a subscriber that keeps what it was sent.
 type watcher struct {
-	t      *testing.T
+	t      testing.TB
 	stream *link.ClientStream
 }
 
--- /dev/null
+++ b/internal/controld/export_test.go
@@ -0,0 +1,13 @@
+package controld
+
+import "time"
+
+// Advance moves the logical clock of the grants as a tick of the loop does.
+func (d *Daemon) Advance(elapsed time.Duration) { d.advance(elapsed) }
+
+// GrantTime returns the logical time of the grants in milliseconds.
+func (d *Daemon) GrantTime() uint64 {
+	d.grants.mu.Lock()
+	defer d.grants.mu.Unlock()
+	return d.grants.machine.Now()
+}
--- a/internal/controld/group_test.go
+++ b/internal/controld/group_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
@@ -268,3 +269,41 @@
 }
 
 func memberRef(name string) operator.MemberRef { return operator.MemberRef{Name: name} }
+
+func TestOnlyTheLeaderMovesTheLogicalClock(t *testing.T) {
+	is := is.New(t)
+	d := newGroup(t)
+	advanceAll := func() {
+		for _, h := range d.hosts {
+			h.daemon.Advance(time.Second)
+		}
+	}
+	times := func() [3]uint64 {
+		return [3]uint64{
+			d.hosts["c1"].daemon.GrantTime(), d.hosts["c2"].daemon.GrantTime(), d.hosts["c3"].daemon.GrantTime(),
+		}
+	}
+	eventually(t, "a leader of the grants", func() bool { return d.status("c1").Groups[1].Leader != "" })
+	advanceAll()
+	is.Equal(times(), [3]uint64{}) // nothing to expire, nothing written
+	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
+	eventually(t, "a grant", func() bool {
+		return call(t, agent, acquireRequest(1, "k", "one")).GetGrant().GetDecision() == grantpb.Decision_DECISION_GRANTED
+	})
+	eventually(t, "the record everywhere", func() bool {
+		return d.status("c1").GrantsHeld == 1 && d.status("c2").GrantsHeld == 1 && d.status("c3").GrantsHeld == 1
+	})
+	for stepped := false; !stepped; {
+		term, before := d.status("c1").Groups[1].Term, times()[0]
+		advanceAll()
+		eventually(t, "the same time everywhere", func() bool {
+			now := times()
+			return now[0] > before && now[0] == now[1] && now[1] == now[2]
+		})
+		if d.status("c1").Groups[1].Term != term {
+			continue // two leaders in a row may each have made a step
+		}
+		is.Equal(times()[0], before+1000)
+		stepped = true
+	}
+}
