--- /dev/null
+++ b/internal/agentd/housekeeping.go
@@ -0,0 +1,96 @@
+package agentd
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/health"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
+)
+
+// check brings the state of the target up to date and tells the control hosts
+// of each change.
+func (d *Daemon) check(one *plane) {
+	backend := d.backend.figures(d.clock.now(), d.timing.announceLease)
+	verdict, reported := d.health.verdict()
+	stopping := d.stopping.Load()
+	goAway := stopping || backend.draining
+	leaving := goAway || backend.lapsed
+	d.applyConfig(one.self.serviceNumber, backend.slots)
+	gate := d.gate.figures()
+	state := &targetState{
+		load: health.Load(health.LoadInput{
+			Running: gate.running, Waiting: gate.waiting, Slots: gate.slots, ReportedRunning: reported,
+			Flows: one.sessions.count(), FlowCapacity: flowCapacity,
+		}),
+		draining: leaving,
+		ill:      verdict.Ill,
+	}
+	d.logChange(one.current(), *state, verdict)
+	one.state.Store(state)
+	one.setLeaving(leaving, goAway)
+	if goAway {
+		one.sessions.closeIdle()
+	}
+	d.gauges(one, gate, verdict)
+	d.publish(state, gate.slots, backend.since)
+}
+
+func (d *Daemon) logChange(old, now targetState, verdict health.Verdict) {
+	if old.draining != now.draining {
+		d.log.Info("taking new flows", zap.Bool("yes", !now.draining))
+	}
+	if old.ill != now.ill {
+		d.log.Info("backend server", zap.Bool("ill", now.ill), zap.Stringer("basis", verdict.Basis))
+	}
+}
+
+// applyConfig takes slots and retry budget from the configuration. The smaller
+// of the configured and the announced number of slots holds.
+func (d *Daemon) applyConfig(service, announced uint32) {
+	slots := announced
+	config := d.directory.Service(service)
+	if configured := config.GetSlots(); configured > 0 && (slots == 0 || configured < slots) {
+		slots = configured
+	}
+	d.gate.setLimits(d.gateLimits(int(slots)))
+	percent := config.GetPolicy().GetRetryPercent()
+	if percent == 0 {
+		percent = defaultRetryPercent
+	}
+	d.proxy.setRetryPercent(percent)
+}
+
+func (d *Daemon) gauges(one *plane, gate gateFigures, verdict health.Verdict) {
+	d.counters.sessions.Update(float64(one.sessions.count()))
+	d.counters.watches.Update(float64(d.proxy.watches.Load()))
+	d.counters.running.Update(float64(gate.running))
+	d.counters.waiting.Update(float64(gate.waiting))
+	ill := 0.0
+	if verdict.Ill {
+		ill = 1
+	}
+	d.counters.ill.Update(ill)
+}
+
+// publish tells the control hosts of the target when its status changed.
+func (d *Daemon) publish(state *targetState, slots int, since time.Duration) {
+	if since != d.started {
+		d.started = since
+		d.announcer.Restarted(d.clock.at(since))
+	}
+	status := subscriber.Status{State: stateOf(state.draining), Ill: state.ill, Slots: uint32(slots)}
+	if status != d.status {
+		d.status = status
+		d.announcer.Update(status)
+	}
+}
+
+func stateOf(draining bool) controlpb.TargetState {
+	if draining {
+		return controlpb.TargetState_TARGET_STATE_DRAINING
+	}
+	return controlpb.TargetState_TARGET_STATE_SERVING
+}
