--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -29,6 +29,10 @@
 	// reported says that its newer version has been logged.
 	reported bool
 	follower follower
+	// pending says that the directory may have changed since it was looked at.
+	pending bool
+	// confirmAt is when a quorum was last asked.
+	confirmAt time.Time
 	// directoryAt is when the last directory update was sent.
 	directoryAt time.Time
 	// messageAt is when the last message was sent.
@@ -85,33 +89,41 @@
 	if err := s.first(ctx); err != nil {
 		return err
 	}
-	tick := time.NewTicker(directoryPause)
-	defer tick.Stop()
-	confirm := time.NewTicker(confirmRetry)
-	defer confirm.Stop()
-	pending := true
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	s.pending = true
 	for ctx.Err() == nil {
 		if s.info.silent() > silenceLimit {
 			s.daemon.scope.Counter("silent_subscribers").Inc(1)
 			return nil
 		}
-		err := s.step(ctx, &pending)
-		if err != nil {
+		if err := s.step(ctx); err != nil {
 			return err
 		}
+		timer.Reset(s.due())
 		select {
 		case <-ctx.Done():
 		case <-configs:
 		case <-targets:
-			pending = true
-		case <-tick.C:
-		case <-confirm.C:
-			s.tryConfirm(ctx)
+			s.pending = true
+		case <-timer.C:
 		}
 	}
 	return nil
 }
 
+// due returns how long the subscription may sleep if nothing changes.
+func (s *subscription) due() time.Duration {
+	wait := heartbeatPeriod - time.Since(s.messageAt)
+	if s.pending {
+		wait = min(wait, directoryPause-time.Since(s.directoryAt))
+	}
+	if !s.confirmed {
+		wait = min(wait, confirmRetry-time.Since(s.confirmAt))
+	}
+	return max(wait, 0)
+}
+
 // first brings the subscriber to this host's version. Whether that is the
 // newest one is asked of a quorum before, so that most subscribers never act
 // on an unconfirmed version.
@@ -129,7 +141,9 @@
 	if s.confirmed {
 		return
 	}
-	if err := s.daemon.confirm.wait(ctx); err != nil {
+	err := s.daemon.confirm.wait(ctx)
+	s.confirmAt = time.Now()
+	if err != nil {
 		return
 	}
 	s.confirmed = true
@@ -138,17 +152,17 @@
 }
 
 // step sends what the subscriber lacks.
-func (s *subscription) step(ctx context.Context, pending *bool) error {
-	if ctx.Err() != nil {
-		return nil
+func (s *subscription) step(ctx context.Context) error {
+	if !s.confirmed && time.Since(s.confirmAt) >= confirmRetry {
+		s.tryConfirm(ctx)
 	}
 	if s.owed || s.daemon.configs.version() > s.sent {
 		if err := s.sendConfig(s.confirmed); err != nil {
 			return err
 		}
 	}
-	if *pending && time.Since(s.directoryAt) >= directoryPause {
-		*pending = false
+	if s.pending && time.Since(s.directoryAt) >= directoryPause {
+		s.pending = false
 		if err := s.sendDirectory(); err != nil {
 			return err
 		}
