--- a/internal/agentd/deployment_test.go
+++ b/internal/agentd/deployment_test.go
@@ -130,6 +130,7 @@
 	daemon.timing = testTiming()
 	daemon.timing.grantTry = time.Second
 	daemon.timing.grantWait = patience
+	daemon.timing.handOn = 2 * time.Second
 	a := &agent{Daemon: daemon, scope: scope}
 	stop := d.run(daemon.Run)
 	<-daemon.Ready()
@@ -164,11 +165,11 @@
 	is.Equal(got.body, "ran stamp")
 	eventually(t, "slots of the configuration", func() bool { return a.gate.figures().slots == 3 })
 
+	eventually(t, "both targets in the directory", func() bool { return len(a.directory.Targets()) == 2 })
 	stop() // no alternate is named: the directory tells where to hand on
-	other := b.plane.Load().self.String()
-	eventually(t, "next requests at the other target", func() bool {
-		got, err := send(client, "POST", w.url("/run"), "stamp", headerKey, "k1")
-		return err == nil && got.header.Get(headerTarget) == other && got.header.Get(headerReplayed) == "true"
-	})
+	movesTo(t, w, client, b)
+	got = mustSend(t, client, "POST", w.url("/run"), "stamp", headerKey, "k1")
+	is.Equal(got.header.Get(headerTarget), b.plane.Load().self.String())
+	is.Equal(got.header.Get(headerReplayed), "true")
 	is.Equal(backend.ran("k1"), 1)
 }
--- a/internal/agentd/drain_test.go
+++ b/internal/agentd/drain_test.go
@@ -26,6 +26,8 @@
 	})
 	// The same caller's next requests move to a new connection, which the
 	// leaving agent hands on.
+	movesTo(t, w, client, b)
+	before := second.ran("")
 	for range 3 {
 		got := mustSend(t, client, "GET", w.url("/echo?text=x"), "")
 		is.Equal(got.body, "x")
@@ -46,7 +48,17 @@
 	is.Equal(backend.gone.Load(), int64(0))
 	session.close()
 	a.waitDone(t)
-	is.Equal(second.ran(""), 3)
+	is.Equal(second.ran("")-before, 3)
+}
+
+// movesTo waits until a caller's requests reach another agent. A request that
+// crosses the GOAWAY on its way still runs at the leaving one.
+func movesTo(t *testing.T, w *world, client *http.Client, other *agent) {
+	t.Helper()
+	eventually(t, "requests move to the other target", func() bool {
+		got := mustSend(t, client, "GET", w.url("/echo"), "")
+		return got.header.Get(headerTarget) == other.plane.Load().self.String()
+	})
 }
 
 func TestShutdownWithoutSessionsEnds(t *testing.T) {
@@ -90,6 +102,7 @@
 	w.entry.choose(old.FrameAddr(), "")                 // an entry host with an old view
 	got := mustSend(t, w.caller(), "GET", w.url("/echo?text=x"), "")
 	is.Equal(got.header.Get(headerTarget), "t1/1/2")
+	movesTo(t, w, first, next)
 	got = mustSend(t, first, "GET", w.url("/echo?text=x"), "")
 	is.Equal(got.header.Get(headerTarget), "t1/1/2")
 	backend.events <- "through the old one"
@@ -109,7 +122,7 @@
 	b := w.startAgent("t2", second.server.URL)
 	w.known.set(b.published.last())
 	a.announceState(t, "t1", backend.server.URL, "draining")
-	eventually(t, "draining", func() bool { return a.plane.Load().leaving.Load() })
+	movesTo(t, w, client, b)
 	before := backend.ran("")
 	for range 5 {
 		got := mustSend(t, client, "GET", w.url("/echo?text=x"), "")
@@ -118,6 +131,7 @@
 	is.Equal(backend.ran(""), before)
 	backend.events <- "kept"
 	is.Equal(session.line(t), "kept")
+	is.True(w.entry.saysDraining(a.plane.Load().self.number)) // told in every reply
 	session.close()
 	// It comes back: new flows are taken again, by the same process.
 	a.announceState(t, "t1", backend.server.URL, "serving")
--- a/internal/agentd/fakes_test.go
+++ b/internal/agentd/fakes_test.go
@@ -234,6 +234,16 @@
 	return b
 }
 
+// newBenchBackend returns the URL of a backend server that answers at once.
+func newBenchBackend(b *testing.B) string {
+	b.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "x")
+	}))
+	b.Cleanup(server.Close)
+	return server.URL
+}
+
 func (b *fakeBackend) note(r *http.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -64,6 +64,7 @@
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
+	t.Parallel() // each world has its own addresses
 	w := &world{t: t, control: newFakeControl(), known: &fakeDirectory{}}
 	w.secrets = []connid.Secret{{ID: 1, Key: [connid.SecretLength]byte{1, 2, 3}}}
 	authority, err := keys.NewAuthority(time.Now(), time.Hour)
@@ -209,8 +210,7 @@
 	target    netip.AddrPort
 	alternate netip.AddrPort
 	service   uint32
-	load      uint16
-	draining  bool
+	draining  map[uint32]bool
 }
 
 func newFakeEntry(t *testing.T, secrets []connid.Secret, hosts int) *fakeEntry {
@@ -219,7 +219,7 @@
 	must(t, err)
 	ids, err := connid.NewCodec(secrets)
 	must(t, err)
-	e := &fakeEntry{frames: frames, ids: ids, service: 1, dead: make([]atomic.Bool, hosts)}
+	e := &fakeEntry{frames: frames, ids: ids, service: 1, dead: make([]atomic.Bool, hosts), draining: map[uint32]bool{}}
 	e.public = listenUDP(t)
 	for range hosts {
 		e.hosts = append(e.hosts, listenUDP(t))
@@ -250,6 +250,13 @@
 	}
 }
 
+// saysDraining reports what the last reply of a target said.
+func (e *fakeEntry) saysDraining(target uint32) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.draining[target]
+}
+
 func (e *fakeEntry) publicAddr() netip.AddrPort {
 	return e.public.LocalAddr().(*net.UDPAddr).AddrPort()
 }
@@ -303,7 +310,7 @@
 			continue
 		}
 		e.mu.Lock()
-		e.load, e.draining = h.Load, h.Draining
+		e.draining[h.Target] = h.Draining
 		e.mu.Unlock()
 		_, _ = e.public.WriteToUDPAddrPort(buffer[frame.HeaderLength:n], h.Caller)
 	}
