link: leave a stopping server without cutting calls; keep causes

Causes: an outcome error kept only the text of its cause, so a busy refusal that came by way of a stream lost its time to come back; and a heartbeat that failed a moment before its connection was taken for silence. Looking into the latter showed that a heartbeat refused by a stopping server closed the connection and cut calls that the server still answered: the client now leaves and closes once they have ended (new test). A data race was in a test's own read of the fake. Ruled out: a reset that quic-go does not send (heartbeats are long enough).

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -140,8 +140,8 @@
 }
 
 // Move makes the client leave its connection for another one. An empty
-// address means any other server of the list. Requests on the old connection
-// end with ErrUnknown.
+// address means any other server of the list. The old connection is closed
+// once the calls on it have ended; subscriptions end with it.
 func (c *Client) Move(addr string) {
 	c.mu.Lock()
 	c.next = addr
@@ -214,7 +214,7 @@
 func (c *Client) callOnce(ctx context.Context, addr string, req *controlpb.Request) Answer {
 	conn, err := c.dial(ctx, addr)
 	if err != nil {
-		return Answer{Address: addr, Err: errors.Wrap(ErrNotSent, err.Error())}
+		return Answer{Address: addr, Err: notSent(err)}
 	}
 	defer conn.close(codeNone)
 	res, err := conn.call(ctx, req)
@@ -225,7 +225,7 @@
 func (c *Client) await(ctx context.Context) (*connection, error) {
 	for {
 		if err := ctx.Err(); err != nil {
-			return nil, errors.Wrap(ErrNotSent, err.Error())
+			return nil, notSent(err)
 		}
 		c.mu.Lock()
 		conn, ready := c.current, c.ready
@@ -237,7 +237,7 @@
 		case <-ready:
 		case <-ctx.Done():
 			c.countReason("no_connection")
-			return nil, errors.Wrapf(ErrNotSent, "no connection: %v", ctx.Err())
+			return nil, notSent(errors.Wrap(ctx.Err(), "no connection"))
 		case <-c.ctx.Done():
 			return nil, ErrClosed
 		}
--- a/internal/link/connection.go
+++ b/internal/link/connection.go
@@ -20,6 +20,7 @@
 	// sendLimit and receiveLimit bound messages, in bytes.
 	sendLimit    int
 	receiveLimit int
+	calls        inflight
 }
 
 // dial connects from a fresh UDP port and waits until the server has answered
@@ -82,9 +83,13 @@
 }
 
 func (c *connection) call(ctx context.Context, req *controlpb.Request) (*controlpb.Response, error) {
+	if !c.calls.begin() {
+		return nil, notSent(errLeft)
+	}
+	defer c.calls.end()
 	stream, err := c.quic.OpenStreamSync(ctx)
 	if err != nil {
-		return nil, errors.Wrapf(ErrNotSent, "open stream: %v", err)
+		return nil, notSent(errors.Wrap(err, "open stream"))
 	}
 	stop := context.AfterFunc(ctx, func() { abort(stream, streamCancelled) })
 	defer stop()
@@ -104,7 +109,7 @@
 func (c *connection) subscribe(ctx context.Context, req *controlpb.Subscribe) (*ClientStream, error) {
 	stream, err := c.quic.OpenStreamSync(ctx)
 	if err != nil {
-		return nil, errors.Wrapf(ErrNotSent, "open stream: %v", err)
+		return nil, notSent(errors.Wrap(err, "open stream"))
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(ctx, func() { abort(stream, streamCancelled) })
@@ -134,34 +139,64 @@
 func (c *connection) failure(ctx context.Context, stream *quic.Stream, err error) error {
 	abort(stream, streamCancelled)
 	if ctx.Err() != nil {
-		return errors.Wrap(ErrUnknown, ctx.Err().Error())
+		return unknown(ctx.Err())
 	}
 	return outcomeError(err)
 }
 
 // watch sends heartbeats until the connection ends, the server stops
-// answering or the client moves on. It returns why, and whether the same
-// server is worth another attempt at once.
-func (c *Client) watch(conn *connection) (reason string, silent bool) {
+// answering or the client moves on. It returns why.
+func (c *Client) watch(conn *connection) string {
 	for {
 		timer := time.NewTimer(c.jitter(c.opts.HeartbeatPeriod))
 		select {
 		case <-c.ctx.Done():
 			timer.Stop()
-			return reasonClosed, false
+			return reasonClosed
 		case <-c.move:
 			timer.Stop()
-			return reasonMoved, false
+			return reasonMoved
 		case <-conn.quic.Context().Done():
 			timer.Stop()
-			return lossReason(context.Cause(conn.quic.Context())), false
+			return lossReason(context.Cause(conn.quic.Context()))
 		case <-timer.C:
 		}
 		ctx, cancel := context.WithTimeout(c.ctx, c.opts.HeartbeatTimeout)
 		err := conn.heartbeat(ctx)
+		silent := ctx.Err() != nil
 		cancel()
-		if err != nil && conn.quic.Context().Err() == nil && c.ctx.Err() == nil {
-			return reasonSilent, true
+		switch {
+		case err == nil || c.ctx.Err() != nil:
+		case silent:
+			return reasonSilent
+		case refusedUnread(err):
+			// The server takes no new requests: it is about to stop.
+			return reasonShutdown
+		default:
+			// The stream fails a moment before its connection does.
+			return c.awaitLoss(conn)
 		}
 	}
 }
+
+// awaitLoss returns why a connection ended whose streams have failed.
+func (c *Client) awaitLoss(conn *connection) string {
+	select {
+	case <-conn.quic.Context().Done():
+		return lossReason(context.Cause(conn.quic.Context()))
+	case <-c.ctx.Done():
+		return reasonClosed
+	case <-time.After(c.opts.HeartbeatTimeout):
+		return reasonOther
+	}
+}
+
+// leave closes a connection once the calls on it have ended.
+func (c *Client) leave(conn *connection) {
+	select {
+	case <-conn.calls.drain():
+	case <-conn.quic.Context().Done():
+	case <-c.ctx.Done():
+	}
+	conn.close(codeNone)
+}
--- a/internal/link/errors.go
+++ b/internal/link/errors.go
@@ -77,13 +77,29 @@
 	}
 }
 
+// outcome is ErrNotSent or ErrUnknown together with what led to it.
+type outcome struct {
+	kind  error
+	cause error
+}
+
+// Error implements error.
+func (e *outcome) Error() string { return e.kind.Error() + ": " + e.cause.Error() }
+
+// Unwrap makes errors.Is and errors.As find both.
+func (e *outcome) Unwrap() []error { return []error{e.kind, e.cause} }
+
+func notSent(cause error) error { return &outcome{kind: ErrNotSent, cause: cause} }
+
+func unknown(cause error) error { return &outcome{kind: ErrUnknown, cause: cause} }
+
 // outcomeError wraps an error that came after the request was handed to the
 // connection.
 func outcomeError(err error) error {
 	if refusedUnread(err) {
-		return errors.Wrap(ErrNotSent, err.Error())
+		return notSent(err)
 	}
-	return errors.Wrap(ErrUnknown, err.Error())
+	return unknown(err)
 }
 
 // refusedUnread reports whether the far end said that it read nothing of the
--- a/internal/link/fixture_test.go
+++ b/internal/link/fixture_test.go
@@ -122,6 +122,12 @@
 	}
 }
 
+func (h *fakeHandler) firstPeer() Peer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.peers[0]
+}
+
 func (h *fakeHandler) lastBeat() uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/internal/link/inflight.go
@@ -0,0 +1,55 @@
+package link
+
+import (
+	"sync"
+
+	"github.com/go-faster/errors"
+)
+
+// errLeft is the cause of a call on a connection that the client has left.
+var errLeft = errors.New("connection was left")
+
+// inflight counts the calls of a connection, so that it can be left without
+// cutting any.
+type inflight struct {
+	mu      sync.Mutex
+	n       int
+	drained chan struct{}
+	closed  bool
+}
+
+// begin counts a call. It reports false once the connection is drained.
+func (f *inflight) begin() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return false
+	}
+	f.n++
+	return true
+}
+
+func (f *inflight) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.n--
+	f.closeIfIdle()
+}
+
+// drain returns a channel that is closed when no call is left.
+func (f *inflight) drain() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.drained == nil {
+		f.drained = make(chan struct{})
+	}
+	f.closeIfIdle()
+	return f.drained
+}
+
+func (f *inflight) closeIfIdle() {
+	if f.n == 0 && f.drained != nil && !f.closed {
+		f.closed = true
+		close(f.drained)
+	}
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -28,7 +28,7 @@
 	res, err := c.Call(limited(t), versionQuery())
 	is.NoErr(err)
 	is.Equal(res.GetVersion().GetVersion(), uint64(7))
-	is.Equal(h.peers[0], Peer{Role: keys.RoleAgent, Name: "a1", Service: "lodgement"})
+	is.Equal(h.firstPeer(), Peer{Role: keys.RoleAgent, Name: "a1", Service: "lodgement"})
 
 	sub, err := c.Subscribe(limited(t), &controlpb.Subscribe{})
 	is.NoErr(err)
@@ -150,6 +150,59 @@
 	is.Equal(count(scope, "link_server_drains_cut", ""), int64(0))
 }
 
+// The client leaves a server that is about to stop without cutting the calls
+// that the server still answers.
+func TestClientLeavesWithoutCuttingCalls(t *testing.T) {
+	for _, how := range []string{"shutdown", "move"} {
+		t.Run(how, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t)
+			slow := newFakeHandler()
+			running, finish := make(chan struct{}), make(chan struct{})
+			slow.call = func(context.Context, Peer, *controlpb.Request) *controlpb.Response {
+				close(running)
+				<-finish
+				return versionReply(42)
+			}
+			a, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), slow, ServerOptions{DrainTimeout: testLimit})
+			b, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c2"), newFakeHandler(), ServerOptions{})
+			c, scope := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), a.Addr().String(), b.Addr().String())
+			eventually(t, "connected", func() bool { return c.Address() != "" })
+			if c.Address() != a.Addr().String() {
+				c.Move(a.Addr().String())
+			}
+			eventually(t, "with the slow server", func() bool { return c.Address() == a.Addr().String() })
+			ctx := limited(t)
+			answers := make(chan Answer, 1)
+			go func() {
+				res, err := c.Call(ctx, versionQuery())
+				answers <- Answer{Response: res, Err: err}
+			}()
+			<-running
+			closed := make(chan error, 1)
+			if how == "shutdown" {
+				go func() { closed <- a.Close() }()
+			} else {
+				closed <- nil
+				c.Move("")
+			}
+			eventually(t, "with the other server", func() bool { return c.Address() == b.Addr().String() })
+			res, err := c.Call(ctx, versionQuery())
+			is.NoErr(err)
+			is.Equal(res.GetVersion().GetVersion(), uint64(7))
+			close(finish)
+			got := <-answers
+			is.NoErr(got.Err)
+			is.Equal(got.Response.GetVersion().GetVersion(), uint64(42))
+			is.NoErr(<-closed)
+			if how == "shutdown" {
+				is.Equal(count(scope, metricLostConnections, reasonShutdown), int64(1))
+			}
+			is.Equal(count(scope, metricLostConnections, reasonSilent), int64(0))
+		})
+	}
+}
+
 func TestCallEachAsksEveryServer(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t)
--- a/internal/link/redial.go
+++ b/internal/link/redial.go
@@ -73,9 +73,13 @@
 	established := time.Now()
 	c.drainMove()
 	c.publish(conn)
-	reason, silent := c.watch(conn)
+	reason := c.watch(conn)
 	c.unpublish()
-	conn.close(closeCode(reason))
+	if reason == reasonMoved || reason == reasonShutdown {
+		c.wg.Go(func() { c.leave(conn) })
+	} else {
+		conn.close(closeCode(reason))
+	}
 	if reason == reasonClosed {
 		return
 	}
@@ -85,7 +89,8 @@
 		r.index = c.moveTarget(r.index)
 		return
 	}
-	if !silent {
+	if reason != reasonSilent {
+		// After silence the same server is worth another attempt at once.
 		r.index = (r.index + 1) % len(c.addrs)
 	}
 	if time.Since(established) < c.opts.BackoffMax {
