--- a/internal/processtest/caller.go
+++ b/internal/processtest/caller.go
@@ -28,6 +28,13 @@
 	HeaderTarget  = "Target"
 )
 
+// Values of HeaderOutcome.
+const (
+	OutcomeAnswered = "answered"
+	OutcomeNotRun   = "not-run"
+	OutcomeUnknown  = "unknown"
+)
+
 // keepAlive is shorter than the idle timeout of either end, so that only a
 // dead path ends a quiet connection.
 const keepAlive = 5 * time.Second
--- a/internal/processtest/control.go
+++ b/internal/processtest/control.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 )
 
@@ -70,6 +71,21 @@
 	h.Process = Start(h.cluster.t, h.name, "control", "--settings", path)
 }
 
+// Relay puts a relay in front of the host's link address. Whoever dials its
+// address can be cut off.
+func (h *Control) Relay() *faultproxy.Relay {
+	c := h.cluster
+	c.t.Helper()
+	relay, err := faultproxy.NewRelay(faultproxy.Options{
+		Listen: netip.AddrPortFrom(c.ip, 0),
+		Hosts:  []netip.AddrPort{h.Link},
+		Rand:   c.newRand(),
+	})
+	c.must(err)
+	c.t.Cleanup(relay.Close)
+	return relay
+}
+
 // links returns the link addresses of all control hosts.
 func (c *Cluster) links() []string {
 	var all []string
--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -15,8 +15,10 @@
 type Entry struct {
 	*Process
 
+	// Host is the name in its settings.
+	Host string
+
 	cluster  *Cluster
-	name     string
 	ip       netip.Addr
 	settings *settingspb.EntrySettings
 }
@@ -27,7 +29,7 @@
 	c.t.Helper()
 	name := fmt.Sprintf("entry-%d", len(c.entries)+1)
 	ip := addresses.newHost(c.t)
-	e := &Entry{cluster: c, name: name, ip: ip}
+	e := &Entry{cluster: c, Host: name, ip: ip}
 	e.settings = &settingspb.EntrySettings{
 		Host:    hostSettings(name, name),
 		Keys:    keySettings(c.issue(keys.RoleEntry, name, "")),
@@ -48,9 +50,9 @@
 // Launch starts the process of the host, again after it ended.
 func (e *Entry) Launch() {
 	e.cluster.t.Helper()
-	path := e.cluster.path("%s.ini", e.name)
+	path := e.cluster.path("%s.ini", e.Host)
 	writeSettings(e.cluster.t, path, e.settings)
-	e.Process = Start(e.cluster.t, e.name, "entry", "--settings", path)
+	e.Process = Start(e.cluster.t, e.Host, "entry", "--settings", path)
 }
 
 // Join lets the fabric send packets to the host.
--- a/internal/processtest/operator.go
+++ b/internal/processtest/operator.go
@@ -36,6 +36,10 @@
 	Verdict      string `json:"verdict"`
 	Version      uint64 `json:"version"`
 	VersionPatch string `json:"version_patch"`
+	Findings     []struct {
+		Place string `json:"place"`
+		Text  string `json:"text"`
+	} `json:"findings"`
 }
 
 // Submit submits the sections as a patch, by the command line, to the control
@@ -138,3 +142,22 @@
 	}
 	return all
 }
+
+// InForce waits until the named entry hosts and agents act on the version.
+func (c *Cluster) InForce(version uint64, names ...string) {
+	c.t.Helper()
+	Eventually(c.t, fmt.Sprintf("version %d is in force on %v", version, names), func() bool {
+		acting := make(map[string]bool)
+		for _, host := range c.Status() {
+			for _, s := range host.Subscribers {
+				acting[s.Name] = acting[s.Name] || s.Version >= version
+			}
+		}
+		for _, name := range names {
+			if !acting[name] {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -40,8 +40,9 @@
 }
 
 // StartTarget starts a backend server and its agent and waits until the
-// target is registered. Arguments are passed to the backend server.
-func (s *Service) StartTarget(name string, args ...string) *Target {
+// target is registered. Without control addresses the agent dials the control
+// hosts directly.
+func (s *Service) StartTarget(name string, control ...netip.AddrPort) *Target {
 	c := s.cluster
 	c.t.Helper()
 	name = s.Name + "-" + name
@@ -50,7 +51,7 @@
 	t.settings = &settingspb.AgentSettings{
 		Host:    hostSettings(name, name),
 		Keys:    keySettings(c.issue(keys.RoleAgent, name, s.Name)),
-		Control: &settingspb.ControlPeers{Addresses: c.links()},
+		Control: &settingspb.ControlPeers{Addresses: c.linksOr(control)},
 		Agent: &settingspb.Agent{
 			AnnounceListen:    announce.String(),
 			CallerCertificate: s.caller.Certificate,
@@ -60,10 +61,9 @@
 	}
 	listen := addresses.newPort(c.t, t.ip)
 	t.url = "http://" + listen.String()
-	t.Backend = Start(c.t, "backend-"+name, append([]string{
+	t.Backend = Start(c.t, "backend-"+name,
 		"backend", "--service", s.Name, "--target", name,
-		"--listen", listen.String(), "--announce", announce.String(),
-	}, args...)...)
+		"--listen", listen.String(), "--announce", announce.String())
 	t.LaunchAgent()
 	t.WaitRegistered()
 	return t
--- a/internal/processtest/watch.go
+++ b/internal/processtest/watch.go
@@ -36,12 +36,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &Watch{t: c.t, cancel: cancel}
 	w.worker.Go(func() { w.run(ctx, c) })
-	c.t.Cleanup(w.close)
+	c.t.Cleanup(w.Close)
 	w.Advance()
 	return w
 }
 
-func (w *Watch) close() {
+// Close ends the session from the caller's side.
+func (w *Watch) Close() {
 	w.cancel()
 	w.worker.Wait()
 }
--- /dev/null
+++ b/test/drain_test.go
@@ -0,0 +1,121 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// holder returns the target of lodgement that the watch is with, and the other
+// one.
+func (d *deployment) holder(t *testing.T, watch *processtest.Watch) (holder, other *processtest.Target) {
+	t.Helper()
+	targets := d.targets[d.lodgement]
+	for i, target := range targets {
+		if processtest.IsTarget(watch.Target(), target) {
+			return target, targets[1-i]
+		}
+	}
+	t.Fatalf("the watch is with %q", watch.Target())
+	return nil, nil
+}
+
+func TestAgentRestartsBesideItsSessions(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	load := d.startLoad(t)
+	target, _ := d.holder(t, load.watch)
+	old := target.Agent
+	inFlight := d.startRequests(t, target, 2)
+	target.StopAgent()
+	target.LaunchAgent()
+	target.WaitRegistered()
+	for _, answer := range inFlight.wait() {
+		is.Equal(answer, whole)
+	}
+	load.progress()
+	processtest.Eventually(t, "the new agent takes flows", func() bool {
+		answer := d.lodgement.NewCaller().Echo("x")
+		return target.Answered(answer) && answer.Target != load.watch.Target()
+	})
+	is.True(old.Running()) // its session is still open
+	load.watch.Advance()
+	load.stop()
+	load.watch.Close()
+	old.WaitExit()
+}
+
+func TestControlHostRestarts(t *testing.T) {
+	d := deploy(t, 1)
+	load := d.startLoad(t)
+	control := d.controls[0]
+	control.Terminate()
+	control.WaitExit()
+	load.progress()
+	d.checkEchoes(t, "without control", 2)
+	control.Launch()
+	control.WaitReady()
+	version := d.Patch(d.lodgement.Put())
+	d.InForce(version, d.entries[0].Host, d.entries[1].Host)
+	load.progress()
+	load.stop()
+}
+
+func TestBackendServerDrains(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	load := d.startLoad(t)
+	target, other := d.holder(t, load.watch)
+	inFlight := d.startRequests(t, target, 2)
+	target.Backend.Terminate()
+	for _, answer := range inFlight.wait() {
+		is.Equal(answer, whole)
+	}
+	d.avoids(t, target)
+	load.progress()
+	is.True(target.Backend.Running())
+	is.True(other.Answered(d.lodgement.NewCaller().Echo("x")))
+	load.stop()
+	load.watch.Close()
+	target.Backend.WaitExit()
+}
+
+// TestLeavingTargetBehindCutOffEntryHost sends every packet through an entry
+// host that can't hear of the leaving.
+func TestLeavingTargetBehindCutOffEntryHost(t *testing.T) {
+	d := deploy(t, 1)
+	link := d.controls[0].Relay()
+	d.StartEntry(link.Addr())
+	for _, e := range d.entries {
+		e.Leave()
+	}
+	load := d.startLoad(t)
+	target, _ := d.holder(t, load.watch)
+	link.Cut()
+	target.StopAgent()
+	d.avoids(t, target)
+	load.progress()
+	load.stop()
+}
+
+// avoids waits until the target takes no new flow, and checks that this lasts.
+func (d *deployment) avoids(t *testing.T, target *processtest.Target) {
+	t.Helper()
+	const flows = 20
+	taken := func() int {
+		n := 0
+		for i := range flows {
+			answer := d.lodgement.NewCaller().Echo(fmt.Sprint(i))
+			if answer.Status == http.StatusOK && target.Answered(answer) {
+				n++
+			}
+		}
+		return n
+	}
+	processtest.Eventually(t, target.Name+" takes no new flow", func() bool { return taken() == 0 })
+	is.New(t).Equal(taken(), 0)
+}
--- /dev/null
+++ b/test/entry_test.go
@@ -0,0 +1,101 @@
+package test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// load is traffic on both services beside an open watch.
+type load struct {
+	t       *testing.T
+	watch   *processtest.Watch
+	traffic []*processtest.Traffic
+}
+
+func (d *deployment) startLoad(t *testing.T) *load {
+	t.Helper()
+	l := &load{t: t, watch: d.lodgement.NewCaller().Watch()}
+	for _, s := range d.services() {
+		l.traffic = append(l.traffic, s.StartTraffic(3))
+	}
+	l.progress()
+	return l
+}
+
+// progress waits until the watch and both services have gone on.
+func (l *load) progress() {
+	l.t.Helper()
+	l.watch.Advance()
+	for _, traffic := range l.traffic {
+		traffic.Progress()
+	}
+}
+
+// stop expects that no request had a bad fate and that the watch goes on.
+func (l *load) stop() {
+	l.t.Helper()
+	l.watch.Advance()
+	for _, traffic := range l.traffic {
+		report := traffic.Stop()
+		l.t.Logf("answered %d, refused %d", report.Answered, report.Refused)
+		is.New(l.t).Equal(len(report.Wrong), 0)
+	}
+}
+
+func TestEntryHostLostAndAnotherAdded(t *testing.T) {
+	d := deploy(t, 1)
+	load := d.startLoad(t)
+	d.entries[0].Kill()
+	load.progress() // the fabric still sends half of the packets nowhere
+	d.entries[0].Leave()
+	d.StartEntry()
+	load.progress()
+	d.entries[1].Kill()
+	d.entries[1].Leave()
+	load.progress() // nothing is left of the entry hosts where the flows began
+	load.stop()
+}
+
+func TestEntryHostRestarts(t *testing.T) {
+	d := deploy(t, 1)
+	load := d.startLoad(t)
+	for _, e := range d.entries {
+		e.Terminate()
+		e.WaitExit()
+		load.progress()
+		e.Launch()
+		e.WaitReady()
+		load.progress()
+	}
+	load.stop()
+}
+
+func TestEntryHostsAtDifferentVersions(t *testing.T) {
+	is := is.New(t)
+	const patches = 200
+	d := deploy(t, 1)
+	link := d.controls[0].Relay()
+	behind := d.StartEntry(link.Addr())
+	load := d.startLoad(t)
+	link.Cut()
+	var version uint64
+	extra := d.NewService("extra")
+	for range patches / 2 {
+		d.Patch(extra.Put())
+		version = d.Patch(extra.Remove())
+	}
+	d.InForce(version, d.entries[0].Host, d.entries[1].Host)
+	load.progress()
+	for _, e := range d.entries {
+		e.Leave() // only the host that missed every patch is left
+	}
+	load.progress()
+	d.checkEchoes(t, "old view", 3)
+	link.Heal()
+	d.InForce(version, behind.Host)
+	load.stop()
+	is.True(behind.Running())
+}
--- /dev/null
+++ b/test/inflight_test.go
@@ -0,0 +1,74 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// slowWork is long enough that a request is in flight while something else is
+// brought about; no test depends on its length.
+const slowWork = 1500 * time.Millisecond
+
+const whole = "whole"
+
+// requests are slow requests in flight at one target.
+type requests struct {
+	workers conc.WaitGroup
+	fates   []string
+}
+
+// startRequests starts slow requests and returns once the target runs all of
+// them.
+func (d *deployment) startRequests(t *testing.T, target *processtest.Target, count int) *requests {
+	t.Helper()
+	r := &requests{fates: make([]string, count)}
+	for i := range count {
+		key := fmt.Sprintf("in flight %d", i)
+		caller := d.callerOf(t, target)
+		r.workers.Go(func() { r.fates[i] = fateOfRun(caller, key) })
+		processtest.Eventually(t, key+" runs", func() bool { return target.Runs(key) == 1 })
+	}
+	return r
+}
+
+// callerOf returns a caller whose flow is with the target.
+func (d *deployment) callerOf(t *testing.T, target *processtest.Target) *processtest.Caller {
+	t.Helper()
+	var caller *processtest.Caller
+	processtest.Eventually(t, "a flow reaches "+target.Name, func() bool {
+		caller = d.lodgement.NewCaller()
+		return target.Answered(caller.Echo("who?"))
+	})
+	return caller
+}
+
+// fateOfRun sends a request that may not be repeated, again while it is said
+// not to have been run.
+func fateOfRun(caller *processtest.Caller, key string) string {
+	for {
+		answer, err := caller.Do(context.Background(), http.MethodPost,
+			processtest.RunPath(slowWork), processtest.KeyHeader(key), []byte(key))
+		switch {
+		case err != nil:
+			return err.Error()
+		case answer.Outcome == processtest.OutcomeNotRun:
+			continue
+		case answer.Status != http.StatusOK || string(answer.Body) != key:
+			return fmt.Sprintf("status %d, %s, %s, %q", answer.Status, answer.Outcome, answer.Reason, answer.Body)
+		}
+		return whole
+	}
+}
+
+// wait returns the fates of all requests.
+func (r *requests) wait() []string {
+	r.workers.Wait()
+	return r.fates
+}
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -78,7 +78,7 @@
 	is := is.New(t)
 	answer := caller.Echo(text)
 	is.Equal(answer.Status, http.StatusOK)
-	is.Equal(answer.Outcome, "answered")
+	is.Equal(answer.Outcome, processtest.OutcomeAnswered)
 	is.Equal(string(answer.Body), text)
 	is.True(strings.HasPrefix(answer.Target, s.Name+"-")) // the right service
 }
@@ -149,7 +149,7 @@
 	oversized := make([]byte, 1<<20+1)
 	answer := caller.MustDo(http.MethodPost, processtest.RunPath(0), processtest.KeyHeader("oversized"), oversized)
 	is.Equal(answer.Status, http.StatusRequestEntityTooLarge)
-	is.Equal(answer.Outcome, "not-run")
+	is.Equal(answer.Outcome, processtest.OutcomeNotRun)
 	is.Equal(answer.Reason, "request-too-large")
 	for _, target := range d.targets[d.lodgement] {
 		is.Equal(target.Runs("oversized"), 0)
