--- a/internal/processtest/service.go
+++ b/internal/processtest/service.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 
 	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
@@ -28,7 +29,7 @@
 	c.t.Helper()
 	s := &Service{
 		Name:    name,
-		Address: addresses.newPort(c.t, c.ip),
+		Address: c.NewAddress(),
 		cluster: c,
 		caller:  c.issue(keys.RoleCaller, "", name),
 	}
@@ -46,9 +47,23 @@
 	return s
 }
 
-// Put returns the section of a patch that creates or replaces the service.
-func (s *Service) Put() string {
-	return fmt.Sprintf("[service %s]\naddresses = %s\nslots = 4\n", s.Name, s.Address)
+// NewAddress returns a public address that nothing uses.
+func (c *Cluster) NewAddress() netip.AddrPort {
+	c.t.Helper()
+	return addresses.newPort(c.t, c.ip)
+}
+
+// Put returns the section of a patch that creates or replaces the service,
+// with its own public address if none is named.
+func (s *Service) Put(public ...netip.AddrPort) string {
+	if len(public) == 0 {
+		public = []netip.AddrPort{s.Address}
+	}
+	var all []string
+	for _, addr := range public {
+		all = append(all, addr.String())
+	}
+	return fmt.Sprintf("[service %s]\naddresses = %s\nslots = 4\n", s.Name, strings.Join(all, ", "))
 }
 
 // Remove returns the section of a patch that removes the service.
--- /dev/null
+++ b/test/link_test.go
@@ -0,0 +1,37 @@
+package test
+
+import (
+	"testing"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// TestStaleControlLinks makes every open control link silent for good, in one
+// direction or both, while new ones work.
+func TestStaleControlLinks(t *testing.T) {
+	for name, ways := range map[string][]faultproxy.Direction{
+		"both ways":             {faultproxy.ToHost, faultproxy.ToCaller},
+		"towards control":       {faultproxy.ToHost},
+		"away from the control": {faultproxy.ToCaller},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := &deployment{Cluster: processtest.New(t)}
+			d.controls = d.StartControls(1)
+			link := d.controls[0].Relay()
+			d.lodgement = d.NewService("lodgement")
+			d.certificates = d.NewService("certificates")
+			d.Patch(d.lodgement.Put(), d.certificates.Put())
+			entry := d.StartEntry(link.Addr())
+			for _, s := range d.services() {
+				s.StartTarget("a", link.Addr())
+			}
+			load := d.startLoad(t)
+			link.CutExisting(ways...)
+			version := d.Patch(d.lodgement.Put())
+			d.InForce(version, entry.Host, "lodgement-a", "certificates-a")
+			load.progress()
+			load.stop()
+		})
+	}
+}
--- /dev/null
+++ b/test/once_test.go
@@ -0,0 +1,156 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// runKey sends a request that may not be repeated.
+func runKey(caller *processtest.Caller, key string) (*processtest.Answer, error) {
+	return caller.Do(context.Background(), http.MethodPost,
+		processtest.RunPath(slowWork), processtest.KeyHeader(key), []byte(key))
+}
+
+// runs counts the runs of a key at all targets of lodgement.
+func (d *deployment) runs(key string) int {
+	n := 0
+	for _, target := range d.targets[d.lodgement] {
+		n += target.Runs(key)
+	}
+	return n
+}
+
+// resend sends a key until its answer comes. While the run lasts the system
+// says that it does not know; it must not say that the request was not run.
+func (d *deployment) resend(t *testing.T, caller *processtest.Caller, key string) *processtest.Answer {
+	t.Helper()
+	is := is.New(t)
+	var last *processtest.Answer
+	processtest.Eventually(t, key+" is answered", func() bool {
+		answer, err := runKey(caller, key)
+		is.NoErr(err)
+		is.True(answer.Outcome != processtest.OutcomeNotRun)
+		last = answer
+		return answer.Outcome == processtest.OutcomeAnswered
+	})
+	return last
+}
+
+// TestLostAnswerIsSentAgainElsewhere loses the answer of a run on its way back
+// for good and sends the request again over the other entry host to the other
+// target.
+func TestLostAnswerIsSentAgainElsewhere(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	first, second := d.targets[d.lodgement][0], d.targets[d.lodgement][1]
+	d.entries[1].Leave()
+	attempt := startRun(d.callerOf(t, first), "lost")
+	processtest.Eventually(t, "the request runs", func() bool { return first.Runs("lost") == 1 })
+	d.lodgement.Fabric.CutExisting(faultproxy.ToCaller)
+	d.entries[0].Leave()
+	d.entries[1].Join()
+	answer := d.resend(t, d.callerOf(t, second), "lost")
+	is.Equal(string(answer.Body), "lost")
+	is.Equal(d.runs("lost"), 1)
+	attempt.giveUp()
+}
+
+// run is a request that may not be repeated and whose answer nobody reads.
+type run struct {
+	worker conc.WaitGroup
+	cancel context.CancelFunc
+}
+
+func startRun(caller *processtest.Caller, key string) *run {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &run{cancel: cancel}
+	r.worker.Go(func() {
+		// The tests that start a run take its answer away.
+		_, _ = caller.Do(ctx, http.MethodPost, processtest.RunPath(slowWork), processtest.KeyHeader(key), []byte(key))
+	})
+	return r
+}
+
+func (r *run) giveUp() {
+	r.cancel()
+	r.worker.Wait()
+}
+
+// TestAnswerIsReplayed loses the answer after the run ended: the resend at
+// another target gets it from the record.
+func TestAnswerIsReplayed(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	first, second := d.targets[d.lodgement][0], d.targets[d.lodgement][1]
+	answer, err := runKey(d.callerOf(t, first), "ended")
+	is.NoErr(err)
+	is.Equal(string(answer.Body), "ended")
+	again, err := runKey(d.callerOf(t, second), "ended")
+	is.NoErr(err)
+	is.Equal(again.Status, answer.Status)
+	is.Equal(again.Outcome, processtest.OutcomeAnswered)
+	is.Equal(string(again.Body), "ended")
+	is.Equal(d.runs("ended"), 1)
+}
+
+// TestAgentLostDuringRun kills the agent that holds the right to run. Nobody
+// knows what became of the run, so nobody runs it again.
+func TestAgentLostDuringRun(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	first, second := d.targets[d.lodgement][0], d.targets[d.lodgement][1]
+	other := d.callerOf(t, second)
+	attempt := startRun(d.callerOf(t, first), "killed")
+	processtest.Eventually(t, "the request runs", func() bool { return first.Runs("killed") == 1 })
+	first.Agent.Kill()
+	for i := range 3 {
+		answer, err := runKey(other, "killed")
+		is.NoErr(err)
+		t.Logf("resent: %d %s %s", answer.Status, answer.Outcome, answer.Reason)
+		is.Equal(answer.Outcome, processtest.OutcomeUnknown)
+		is.Equal(d.runs("killed"), 1)
+		if i == 0 {
+			first.LaunchAgent()
+			first.WaitRegistered()
+		}
+	}
+	attempt.giveUp()
+}
+
+// TestAgentFrozenDuringRuns freezes an agent while requests arrive and run,
+// and thaws it after all of them were sent again elsewhere.
+func TestAgentFrozenDuringRuns(t *testing.T) {
+	is := is.New(t)
+	const keys = 3
+	d := deploy(t, 1)
+	first, second := d.targets[d.lodgement][0], d.targets[d.lodgement][1]
+	caller, other := d.callerOf(t, first), d.callerOf(t, second)
+	key := func(i int) string { return fmt.Sprint("frozen ", i) }
+	var attempts []*run
+	for i := range keys {
+		attempts = append(attempts, startRun(caller, key(i)))
+	}
+	processtest.Eventually(t, "a request runs", func() bool { return first.Runs(key(0)) == 1 })
+	first.Agent.Freeze()
+	for i := range keys {
+		answer, err := runKey(other, key(i))
+		is.NoErr(err)
+		t.Logf("resent while frozen: %d %s %s", answer.Status, answer.Outcome, answer.Reason)
+		is.True(answer.Outcome != processtest.OutcomeNotRun || d.runs(key(i)) == 0)
+	}
+	first.Agent.Thaw()
+	for i := range keys {
+		answer := d.resend(t, other, key(i))
+		is.Equal(string(answer.Body), key(i))
+		is.Equal(d.runs(key(i)), 1)
+		attempts[i].giveUp()
+	}
+}
