--- a/internal/loadgen/doc.go
+++ b/internal/loadgen/doc.go
@@ -11,8 +11,8 @@
 //
 // A flow is one QUIC connection whose handshake completed. It is broken when
 // it ends before the caller ends it, unless both ends closed it without an
-// error (H3_NO_ERROR, as after GOAWAY) and no request on it was left with an
-// unknown outcome. A flow
+// error (H3_NO_ERROR, as after GOAWAY) and the end left no request with an
+// unknown outcome. A stream that is reset leaves its flow whole. A flow
 // that went silent counts when its idle timeout passes. A session is a flow
 // that holds one watch stream; it is broken, and its flow with it, also when
 // the stream ends or brings no event for SilenceFactor event periods.
--- a/internal/loadgen/outcome.go
+++ b/internal/loadgen/outcome.go
@@ -32,6 +32,7 @@
 	reasonGoAway       = "goaway"
 	reasonLost         = "connection-lost"
 	reasonRejected     = "rejected"
+	reasonReset        = "stream-reset"
 	reasonDeadline     = "caller-deadline"
 	reasonTruncated    = "truncated"
 	reasonWrongAnswer  = "wrong-answer"
@@ -87,19 +88,30 @@
 
 // lostOutcome explains a failure after the request was sent.
 func lostOutcome(ctx context.Context, err error) outcome {
-	var streamErr *quic.StreamError
-	var h3Err *http3.Error
+	code, reset := resetCode(err)
 	switch {
 	// RFC 9114, 4.1.1: a request so rejected was not processed.
-	case errors.As(err, &streamErr) && streamErr.Remote && streamErr.ErrorCode == quic.StreamErrorCode(http3.ErrCodeRequestRejected),
-		errors.As(err, &h3Err) && h3Err.Remote && h3Err.ErrorCode == http3.ErrCodeRequestRejected:
+	case reset && code == http3.ErrCodeRequestRejected:
 		return notRun(reasonRejected)
 	case ctx.Err() != nil:
 		return unknown(reasonDeadline)
+	case reset:
+		return unknown(reasonReset)
 	}
 	return unknown(reasonLost)
 }
 
+// resetCode is the code with which the far end reset the stream, if it did.
+func resetCode(err error) (http3.ErrCode, bool) {
+	// http3 turns stream and connection errors into one type; only the
+	// former carry a stream error.
+	var stream *quic.StreamError
+	if errors.As(err, &stream) && stream.Remote {
+		return http3.ErrCode(stream.ErrorCode), true
+	}
+	return 0, false
+}
+
 // answerOutcome reads the outcome from the headers of a whole answer.
 func answerOutcome(res *http.Response) outcome {
 	reason := res.Header.Get(headerReason)
--- a/internal/loadgen/reject_test.go
+++ b/internal/loadgen/reject_test.go
@@ -15,9 +15,22 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/loadgen"
 )
 
-// refuseAll answers every request with the stream error and then closes the
-// connection without an error, as a server that is leaving does.
-func refuseAll(t *testing.T, a authority, code http3.ErrCode) string {
+// refusal is how a server treats the first request of a connection before it
+// closes the connection without an error, as a server that is leaving does.
+type refusal func(*quic.Stream)
+
+func resetWith(code http3.ErrCode) refusal {
+	return func(stream *quic.Stream) {
+		stream.CancelRead(quic.StreamErrorCode(code))
+		stream.CancelWrite(quic.StreamErrorCode(code))
+		// The caller learns of the reset before the connection ends.
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func ignore(*quic.Stream) {}
+
+func serveRefusals(t *testing.T, a authority, how refusal) string {
 	t.Helper()
 	is := is.New(t)
 	pair, err := a.Caller(service, nil, time.Now(), time.Hour)
@@ -34,7 +47,7 @@
 			if err != nil {
 				return
 			}
-			wg.Go(func() { refuse(conn, code) })
+			wg.Go(func() { refuse(conn, how) })
 		}
 	})
 	t.Cleanup(func() {
@@ -44,39 +57,42 @@
 	return listener.Addr().String()
 }
 
-func refuse(conn *quic.Conn, code http3.ErrCode) {
+func refuse(conn *quic.Conn, how refusal) {
 	stream, err := conn.AcceptStream(context.Background())
 	if err != nil {
 		return
 	}
-	stream.CancelRead(quic.StreamErrorCode(code))
-	stream.CancelWrite(quic.StreamErrorCode(code))
+	how(stream)
 	_ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
 }
 
-// The two refusals differ in what the caller knows: a rejected request was
-// not run and its flow ended in order.
-func TestRejectedRequestBreaksNoFlow(t *testing.T) {
+// What a caller may claim of its request and its flow depends on how the
+// server ended them.
+func TestRefusals(t *testing.T) {
 	for _, tt := range []struct {
-		name   string
-		code   http3.ErrCode
-		broken bool
-	}{{"rejected", http3.ErrCodeRequestRejected, false}, {"internal error", http3.ErrCodeInternalError, true}} {
+		name    string
+		how     refusal
+		outcome string
+		broken  bool
+	}{
+		{"rejected", resetWith(http3.ErrCodeRequestRejected), "not-run/rejected", false},
+		{"reset", resetWith(http3.ErrCodeInternalError), "unknown/stream-reset", false},
+		{"closed under the request", ignore, "unknown/connection-lost", true},
+	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			a := newAuthority(t)
-			addr := refuseAll(t, a, tt.code)
+			addr := serveRefusals(t, a, tt.how)
 			report := run(t, loadgen.Options{
 				Addresses: []string{addr}, Roots: a.roots, Rate: 20, NonRepeatable: 1, Attempts: 1, RequestsPerFlow: 1,
 			})
 			is.True(report.Requests > 0)
+			is.Equal(report.Outcomes, map[string]int{tt.outcome: report.Requests})
 			if tt.broken {
-				is.Equal(report.Outcomes["unknown/connection-lost"], report.Requests)
-				is.True(report.BrokenFlows > 0)
-				return
+				is.Equal(report.BrokenFlows, report.Requests)
+			} else {
+				is.Equal(report.BrokenFlows, 0)
 			}
-			is.Equal(report.Outcomes["answered"], 0)
-			is.Equal(report.BrokenFlows, report.Outcomes["unknown/connection-lost"])
 		})
 	}
 }
--- a/internal/loadgen/session.go
+++ b/internal/loadgen/session.go
@@ -59,6 +59,7 @@
 	defer guard.Stop()
 	res, out := g.openWatch(ctx, f, stream)
 	if res == nil {
+		// At the end of the run the caller itself gives up.
 		if ctx.Err() == nil {
 			g.rec.sessionRefused(out)
 		}
