loadgen counts a flow by the error, not the context; backend ready later

Two races that repeated runs brought up, each once: - A request's error may come before the connection's context is done; the flow then looked alive and was not counted as broken (TestRefusals, 1 of 6 runs). The error itself now tells.

Tests of the control and agent daemons from ready to exit status 0, and of dev's report, come with it.

--- a/internal/cli/backend.go
+++ b/internal/cli/backend.go
@@ -66,8 +66,9 @@
 	if err != nil {
 		return err
 	}
-	log.Info(readyMessage, zap.String("role", "backend"), zap.String("name", o.Target), zap.String("url", s.URL()))
 	return untilSignal(cmd.Context(), func(ctx context.Context) error {
+		// Not earlier: whoever reads this line may send a signal at once.
+		log.Info(readyMessage, zap.String("role", "backend"), zap.String("name", o.Target), zap.String("url", s.URL()))
 		<-ctx.Done()
 		log.Info("draining", zap.Int("running", s.Running()), zap.Int("watching", s.Watching()))
 		return s.Drain(context.WithoutCancel(ctx))
--- a/internal/cli/process_test.go
+++ b/internal/cli/process_test.go
@@ -185,3 +185,52 @@
 	got = run(t, "load", "--service", "lodgement", "--address", "127.0.0.1:1", "--authority", "missing.pem")
 	is.Equal(got.status, cli.ExitFailure)
 }
+
+// Each daemon says that it is ready, with the addresses that it opened, and
+// ends with success when it is told to.
+func TestDaemonsServeUntilSignal(t *testing.T) {
+	for _, tt := range []struct {
+		role    string
+		replace []string
+		bound   []string
+	}{
+		{
+			"control", []string{
+				"listen = 192.0.2.1:7100", "listen = 127.0.0.1:0", "listen = 192.0.2.1:7101", "listen = 127.0.0.1:0",
+				"initial_voters =", ";initial_voters =",
+			},
+			[]string{"link", "operator", "metrics"},
+		},
+		{
+			"agent", []string{"192.0.2.30:7300", "127.0.0.1:0", "127.0.0.1:7301", "127.0.0.1:0"},
+			[]string{"frames", "announce", "metrics"},
+		},
+	} {
+		t.Run(tt.role, func(t *testing.T) {
+			is := is.New(t)
+			p := launch(t, tt.role, "-c", roleFiles(t, tt.role, tt.replace...))
+			line := p.awaitLine(t, "ready")
+			is.Equal(line["role"], tt.role)
+			is.Equal(line["name"], tt.role+"-1")
+			for _, field := range tt.bound {
+				is.True(strings.HasPrefix(line[field].(string), "127.0.0.1:"))
+				is.True(!strings.HasSuffix(line[field].(string), ":0"))
+			}
+			is.NoErr(p.cmd.Process.Signal(syscall.SIGTERM))
+			is.Equal(p.exit(t), cli.ExitOK)
+		})
+	}
+}
+
+func TestDevReportsAndEnds(t *testing.T) {
+	is := is.New(t)
+	got := run(t, "dev", "--duration", "500ms", "--rate", "20", "--sessions", "2", "--deadline", "30s", "--json")
+	is.Equal(got.status, cli.ExitOK)
+	var report struct {
+		Requests int
+		Outcomes map[string]int
+	}
+	is.NoErr(json.Unmarshal([]byte(got.stdout), &report)) // nothing but the report
+	is.Equal(report.Outcomes["answered"], report.Requests)
+	is.True(strings.Contains(got.stderr, "eelgrasswharf load --service "))
+}
--- a/internal/loadgen/flow.go
+++ b/internal/loadgen/flow.go
@@ -70,13 +70,11 @@
 	}
 }
 
-// requestLost counts a flow as broken when its end is what a request or
-// watch was lost by; that holds for a clean end too.
-func (d *dialer) requestLost(f *flow) {
-	if f.conn.Context().Err() == nil {
-		return
-	}
-	reason := endReason(context.Cause(f.conn.Context()))
+// requestLost counts a flow as broken whose end left a request unknown; that
+// holds for a clean end too. The error tells of the end, since it may come
+// before the connection's own context is done.
+func (d *dialer) requestLost(f *flow, err error) {
+	reason := endReason(err)
 	if reason == "" {
 		reason = reasonLost
 	}
--- a/internal/loadgen/request.go
+++ b/internal/loadgen/request.go
@@ -134,8 +134,8 @@
 // left the outcome unknown is broken; one that refused the request is not.
 func (g *generator) lost(ctx context.Context, f *flow, err error) outcome {
 	out := lostOutcome(ctx, err)
-	if out.class == ClassUnknown {
-		g.dialer.requestLost(f)
+	if out.reason == reasonLost {
+		g.dialer.requestLost(f, err)
 	}
 	return out
 }
--- a/internal/loadgen/session.go
+++ b/internal/loadgen/session.go
@@ -73,7 +73,7 @@
 		g.rec.event()
 	}
 	if ctx.Err() == nil {
-		reason := breakReason(f, silent.Load())
+		reason := breakReason(lines.Err(), silent.Load())
 		g.dialer.breakFlow(f, reason)
 		g.rec.sessionBroken(reason)
 	}
@@ -107,15 +107,18 @@
 }
 
 // breakReason tells why a watch that was open ended.
-func breakReason(f *flow, silent bool) string {
+func breakReason(err error, silent bool) string {
 	if silent {
-		return "silent"
+		return "silent-stream"
 	}
-	if f.conn.Context().Err() == nil {
+	if err == nil {
 		return "stream-ended"
 	}
-	if reason := endReason(context.Cause(f.conn.Context())); reason != "" {
+	if _, reset := resetCode(err); reset {
+		return reasonReset
+	}
+	if reason := endReason(err); reason != "" {
 		return reason
 	}
-	return "closed"
+	return reasonLost
 }
