Replica: retry of the tests does not wait for a status that stays

Cause of the hang with -race: the tests waited for a change of status after a lost forward, and in a quiet group none comes.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -393,14 +393,27 @@
 		if !errors.Is(err, ErrNoLeader) && !errors.Is(err, ErrBusy) {
 			c.t.Fatalf("propose %s: %v", command, err)
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
+		if !backoff(ctx, changed) {
 			c.t.Fatalf("timeout: propose %s", command)
 		}
 	}
 }
 
+// backoff returns before the next try: at a change of the status, or after a
+// while, because a lost message changes none. It returns false if ctx ends.
+func backoff(ctx context.Context, changed <-chan struct{}) bool {
+	const pause = 10 * time.Millisecond
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // converge waits until all running replicas hold the same journal, which has
 // the command.
 func (c *cluster) converge(command string) {
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -20,16 +20,7 @@
 	c.leader()
 	c.setLoss(0.05)
 	for i := range 60 {
-		h := c.hosts[i%3]
-		err := errors.New("not tried")
-		for n := 0; err != nil; n++ {
-			_, changed := h.replica.Watch()
-			// A new name each time: an unknown outcome may take effect.
-			_, err = h.replica.Propose(t.Context(), fmt.Appendf(nil, "%d-%d", i, n))
-			if err != nil {
-				<-changed
-			}
-		}
+		c.proposeUnderLoss(c.hosts[i%3], fmt.Sprint(i))
 	}
 	c.setLoss(0)
 	c.propose(c.hosts[0], "last")
@@ -41,6 +32,24 @@
 	}
 }
 
+// proposeUnderLoss proposes until one try is answered, under a new name each
+// time: one of unknown outcome may take effect.
+func (c *cluster) proposeUnderLoss(h *host, command string) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.t.Context(), testTimeout)
+	defer cancel()
+	for n := 0; ; n++ {
+		_, changed := h.replica.Watch()
+		_, err := h.replica.Propose(ctx, fmt.Appendf(nil, "%s-%d", command, n))
+		if err == nil {
+			return
+		}
+		if !backoff(ctx, changed) {
+			c.t.Fatalf("timeout: propose %s", command)
+		}
+	}
+}
+
 func TestLeaderKilledAndRestarted(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 3, Options{})
