controld over the durable replica

Errors are sorted by replica.Reply alone; a command too large for the log is 'not done'. go test -race ./internal/controld ./internal/operator: ok (18.4 s, with three hosts in one process: races, minority, loss of the leader, lost disk, joining, restart).

--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -162,22 +162,13 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	result, err := r.ProposeLocal(ctx, p.GetCommand())
-	reply := &controlpb.ProposeReply{Result: result, Status: proposeStatus(err)}
+	reply := replica.Reply(result, err)
 	return &controlpb.Response{Body: &controlpb.Response_Propose{Propose: reply}}
 }
 
+// proposeStatus sorts an error of a replica.
 func proposeStatus(err error) controlpb.ProposeStatus {
-	switch {
-	case err == nil:
-		return controlpb.ProposeStatus_PROPOSE_OK
-	case errors.Is(err, replica.ErrUnknown):
-		return controlpb.ProposeStatus_PROPOSE_UNKNOWN
-	case errors.Is(err, replica.ErrBusy):
-		return controlpb.ProposeStatus_PROPOSE_BUSY
-	case errors.Is(err, replica.ErrNoLeader), errors.Is(err, replica.ErrClosed):
-		return controlpb.ProposeStatus_PROPOSE_NO_LEADER
-	}
-	return controlpb.ProposeStatus_PROPOSE_UNKNOWN
+	return replica.Reply(nil, err).GetStatus()
 }
 
 // replicate runs a command of an agent and decodes its result. On failure it
--- a/internal/controld/roles_test.go
+++ b/internal/controld/roles_test.go
@@ -222,6 +222,13 @@
 	is.Equal(bad.GetVerdict(), configpb.Verdict_VERDICT_REFUSED_FINDINGS)
 	is.Equal(len(bad.GetFindings()), 2)
 
+	var large []*configpb.Operation
+	for i := range 80 {
+		large = append(large, wide(i))
+	}
+	_, err = ops.Submit(ctx, patch("p4", 1, large...))
+	is.True(isError(err, operator.ErrNotDone)) // more than the log takes
+
 	cfg, confirmed, err := ops.Config(ctx, 0)
 	is.NoErr(err)
 	is.True(confirmed)
