--- a/internal/controld/roles_test.go
+++ b/internal/controld/roles_test.go
@@ -84,6 +84,7 @@
 		{"agent propose", agent, propose, "role"},
 		{"entry directory sync", entry, sync, "role"},
 		{"agent replicas", agent, replicas, "role"},
+		{"agent joins", agent, &controlpb.Request{Body: &controlpb.Request_Join{Join: &controlpb.Join{}}}, "role"},
 		{"entry register", entry, registerRequest("lodgement", "t1", "x"), "role"},
 		{"entry announce", entry, announceRequest(&controlpb.TargetRecord{}), "role"},
 		{"entry grant", entry, acquireRequest(1, "k", "one"), "role"},
@@ -221,6 +222,13 @@
 	is.Equal(bad.GetVerdict(), configpb.Verdict_VERDICT_REFUSED_FINDINGS)
 	is.Equal(len(bad.GetFindings()), 2)
 
+	var large []*configpb.Operation
+	for i := range 80 {
+		large = append(large, wide(i))
+	}
+	_, err = ops.Submit(ctx, patch("p4", 1, large...))
+	is.True(isError(err, operator.ErrNotDone)) // more than the log takes
+
 	cfg, confirmed, err := ops.Config(ctx, 0)
 	is.NoErr(err)
 	is.True(confirmed)
