agentd: a run with a key outlives its caller's connection; secrets change live

Cause: a caller that loses its connection comes back with the same key for the answer. The agent cancelled the run with the connection, so that the outcome was unknown for ever. A stream that the caller resets still cancels the run; the two are told apart by whether the connection ends within 50 ms. Ruled out: never cancelling runs with a key, since a cancellation is the caller's word. Data secrets now change without a restart, which sessions of hours would make last hours.

--- a/internal/agentd/bench_test.go
+++ b/internal/agentd/bench_test.go
@@ -29,8 +29,8 @@
 		Caller: netip.MustParseAddrPort("127.0.0.1:9"), Public: netip.MustParseAddrPort("127.0.0.1:443"),
 	}
 	data := make([]byte, frame.HeaderLength, maxFrame)
-	s.frames.Put(data, &h)
-	data = append(data, shortPacket(self.connTarget(), s.ids)...)
+	s.codecs.Load().frames.Put(data, &h)
+	data = append(data, shortPacket(self.connTarget(), s.codecs.Load().ids)...)
 	entry := netip.MustParseAddrPort("127.0.0.1:8")
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/agentd/call.go
+++ b/internal/agentd/call.go
@@ -37,6 +37,9 @@
 	eventStream = "text/event-stream"
 	// maxTimeout bounds the deadline that a caller may ask for.
 	maxTimeout = 24 * time.Hour
+	// lossSettles is the time within which a lost connection shows after its
+	// requests have ended.
+	lossSettles = 50 * time.Millisecond
 	// idBytes is the length of a request ID before encoding.
 	idBytes = 12
 )
@@ -44,11 +47,17 @@
 // errDeadline is the cause of a context whose deadline passed.
 var errDeadline = errors.New("deadline passed")
 
+// connectionKey finds the context of the caller's connection in that of a
+// request.
+type connectionKey struct{}
+
 // call is one request of a caller.
 type call struct {
 	request *http.Request
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
+	// stopWatch ends the watch over the caller's connection, nil without one.
+	stopWatch func() bool
 	// timer ends the context at the deadline.
 	timer *time.Timer
 	// deadline is on the monotonic clock. A watch without a Request-Timeout
@@ -81,13 +90,39 @@
 	}
 	c.lasting = told || !c.watch
 	c.deadline = time.Now().Add(timeout)
-	c.ctx, c.cancel = context.WithCancelCause(r.Context())
+	c.start()
 	c.timer = time.AfterFunc(timeout, func() { c.cancel(errDeadline) })
 	return c, reason.None
 }
 
+// start makes the context that the call runs in. A request that may not be
+// repeated goes on when its caller's connection is lost, so that the caller
+// finds the recorded answer when it comes back. Only a cancelled request ends.
+func (c *call) start() {
+	parent := c.request.Context()
+	if c.key == "" {
+		c.ctx, c.cancel = context.WithCancelCause(parent)
+		return
+	}
+	c.ctx, c.cancel = context.WithCancelCause(context.WithoutCancel(parent))
+	c.stopWatch = context.AfterFunc(parent, c.cancelUnlessLost)
+}
+
+// cancelUnlessLost cancels the call if its request ended while its connection
+// lives. The two ends of a lost connection come shortly after each other.
+func (c *call) cancelUnlessLost() {
+	connection, ok := c.request.Context().Value(connectionKey{}).(context.Context)
+	if ok && !pause(connection, lossSettles) {
+		return
+	}
+	c.cancel(context.Canceled)
+}
+
 // end frees what the call holds.
 func (c *call) end() {
+	if c.stopWatch != nil {
+		c.stopWatch()
+	}
 	c.timer.Stop()
 	c.cancel(nil)
 }
--- a/internal/agentd/connect.go
+++ b/internal/agentd/connect.go
@@ -57,8 +57,11 @@
 	control   controlCaller
 	enlist    func(enlistment) announcer
 	subscribe func(service uint32) directory
-	// secrets protect connection IDs and frames, the first one encodes.
-	secrets     []connid.Secret
+	// secrets returns what protects connection IDs and frames; the first one
+	// encodes.
+	secrets func() []connid.Secret
+	// onSecrets registers what is called when the secrets may have changed.
+	onSecrets   func(func())
 	certificate func() *tls.Certificate
 	// service is the one that the agent's certificate names.
 	service string
@@ -87,7 +90,8 @@
 		control:     client,
 		enlist:      enlistWith(client, log, scope),
 		subscribe:   subscribeWith(client, s.GetHost().GetFailureDomain(), log, scope),
-		secrets:     dataSecrets(credentials),
+		secrets:     func() []connid.Secret { return dataSecrets(credentials) },
+		onSecrets:   credentials.OnChange,
 		certificate: caller.get,
 		service:     credentials.Identity().Service,
 		close: func() {
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -164,6 +164,7 @@
 		return nil, err
 	}
 	d.plane.Store(one)
+	d.parts.onSecrets(d.renewSecrets)
 	one.run()
 	d.log.Info("target registered", zap.Stringer("target", self), zap.String("service", self.service))
 	return one, nil
@@ -202,12 +203,19 @@
 		ctx:      context.Background(),
 	}
 	return newPlane(planeOptions{
-		conn: d.socket, self: self, secrets: d.parts.secrets, certificate: d.parts.certificate,
+		conn: d.socket, self: self, secrets: d.parts.secrets(), certificate: d.parts.certificate,
 		proxy: d.proxy, flows: newFlowTable(maxFlows), counters: d.counters, timing: d.timing, clock: d.clock,
 		handOn: &handOn{self: self, counters: d.counters, targets: d.directory.Targets},
 	})
 }
 
+// renewSecrets takes over changed data secrets.
+func (d *Daemon) renewSecrets() {
+	if err := d.plane.Load().socket.setSecrets(d.parts.secrets()); err != nil {
+		d.log.Warn("data secrets not taken over", zap.Error(err))
+	}
+}
+
 // serve keeps the target in order until the context ends.
 func (d *Daemon) serve(ctx context.Context, one *plane) {
 	ticker := time.NewTicker(d.timing.checkEvery)
--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -79,6 +79,8 @@
 	return w
 }
 
+func (w *world) currentSecrets() []connid.Secret { return w.secrets }
+
 func must(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
@@ -93,6 +95,8 @@
 	published *fakeAnnouncer
 	stop      context.CancelFunc
 	done      chan error
+	// secretsChanged tells the daemon that the secrets of the world changed.
+	secretsChanged func()
 }
 
 // startAgent runs a daemon and announces the backend server to it.
@@ -121,7 +125,8 @@
 	}
 	a := &agent{scope: tally.NewTestScope("", nil), published: &fakeAnnouncer{}, done: make(chan error, 1)}
 	p := parts{
-		control: w.control, enlist: a.published.enlist(w.control), secrets: w.secrets,
+		control: w.control, enlist: a.published.enlist(w.control), secrets: w.currentSecrets,
+		onSecrets:   func(f func()) { a.secretsChanged = f },
 		subscribe:   func(uint32) directory { return w.known },
 		certificate: func() *tls.Certificate { return w.cert }, service: testService, close: func() {},
 	}
@@ -203,8 +208,7 @@
 	hosts  []*net.UDPConn
 	dead   []atomic.Bool
 	turn   atomic.Uint32
-	frames *frame.Codec
-	ids    *connid.Codec
+	codecs atomic.Pointer[codecs]
 
 	mu        sync.Mutex
 	target    netip.AddrPort
@@ -215,11 +219,8 @@
 
 func newFakeEntry(t *testing.T, secrets []connid.Secret, hosts int) *fakeEntry {
 	t.Helper()
-	frames, err := frame.NewCodec(secrets)
-	must(t, err)
-	ids, err := connid.NewCodec(secrets)
-	must(t, err)
-	e := &fakeEntry{frames: frames, ids: ids, service: 1, dead: make([]atomic.Bool, hosts), draining: map[uint32]bool{}}
+	e := &fakeEntry{service: 1, dead: make([]atomic.Bool, hosts), draining: map[uint32]bool{}}
+	e.setSecrets(t, secrets)
 	e.public = listenUDP(t)
 	for range hosts {
 		e.hosts = append(e.hosts, listenUDP(t))
@@ -231,6 +232,15 @@
 	return e
 }
 
+func (e *fakeEntry) setSecrets(t *testing.T, secrets []connid.Secret) {
+	t.Helper()
+	frames, err := frame.NewCodec(secrets)
+	must(t, err)
+	ids, err := connid.NewCodec(secrets)
+	must(t, err)
+	e.codecs.Store(&codecs{frames: frames, ids: ids, secrets: secrets})
+}
+
 func listenUDP(t *testing.T) *net.UDPConn {
 	t.Helper()
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -274,7 +284,7 @@
 		if !to.IsValid() || e.dead[host].Load() {
 			continue
 		}
-		e.frames.Put(buffer, &h)
+		e.codecs.Load().frames.Put(buffer, &h)
 		_, _ = e.hosts[host].WriteToUDPAddrPort(buffer[:frame.HeaderLength+n], to)
 	}
 }
@@ -287,7 +297,7 @@
 	if !ok {
 		return h, netip.AddrPort{}
 	}
-	named, verdict := e.ids.Decode(header.Destination)
+	named, verdict := e.codecs.Load().ids.Decode(header.Destination)
 	if verdict != connid.OK {
 		return h, e.target
 	}
@@ -306,7 +316,7 @@
 			return
 		}
 		var h frame.Header
-		if e.dead[host].Load() || e.frames.Parse(buffer[:n], &h) != frame.OK || h.Kind != frame.Reply {
+		if e.dead[host].Load() || e.codecs.Load().frames.Parse(buffer[:n], &h) != frame.OK || h.Kind != frame.Reply {
 			continue
 		}
 		e.mu.Lock()
--- a/internal/agentd/flow_test.go
+++ b/internal/agentd/flow_test.go
@@ -37,7 +37,7 @@
 func craft(t *testing.T, w *world, a *agent, h frame.Header, datagram []byte, spoil bool) {
 	t.Helper()
 	data := make([]byte, frame.HeaderLength+len(datagram))
-	w.entry.frames.Put(data, &h)
+	w.entry.codecs.Load().frames.Put(data, &h)
 	copy(data[frame.HeaderLength:], datagram)
 	if spoil {
 		data[frame.HeaderLength-1] ^= 1
@@ -78,18 +78,18 @@
 		datagram []byte
 		spoil    bool
 	}{
-		{reason: reason.FrameInvalid, spoil: true, datagram: shortPacket(own, w.entry.ids)},
-		{reason: reason.FrameService, header: func(h *frame.Header) { h.Service++ }, datagram: shortPacket(own, w.entry.ids)},
-		{reason: reason.FrameTarget, header: func(h *frame.Header) { h.Target++ }, datagram: shortPacket(own, w.entry.ids)},
-		{reason: reason.FrameIncarnation, header: func(h *frame.Header) { h.Incarnation++ }, datagram: shortPacket(own, w.entry.ids)},
-		{reason: reason.FrameKind, header: func(h *frame.Header) { h.Kind = frame.Reply }, datagram: shortPacket(own, w.entry.ids)},
-		{reason: reason.FrameConnectionID, datagram: shortPacket(other(func(c *connid.Target) { c.Incarnation++ }), w.entry.ids)},
-		{reason: reason.FrameConnectionID, datagram: shortPacket(other(func(c *connid.Target) { c.Number++ }), w.entry.ids)},
+		{reason: reason.FrameInvalid, spoil: true, datagram: shortPacket(own, w.entry.codecs.Load().ids)},
+		{reason: reason.FrameService, header: func(h *frame.Header) { h.Service++ }, datagram: shortPacket(own, w.entry.codecs.Load().ids)},
+		{reason: reason.FrameTarget, header: func(h *frame.Header) { h.Target++ }, datagram: shortPacket(own, w.entry.codecs.Load().ids)},
+		{reason: reason.FrameIncarnation, header: func(h *frame.Header) { h.Incarnation++ }, datagram: shortPacket(own, w.entry.codecs.Load().ids)},
+		{reason: reason.FrameKind, header: func(h *frame.Header) { h.Kind = frame.Reply }, datagram: shortPacket(own, w.entry.codecs.Load().ids)},
+		{reason: reason.FrameConnectionID, datagram: shortPacket(other(func(c *connid.Target) { c.Incarnation++ }), w.entry.codecs.Load().ids)},
+		{reason: reason.FrameConnectionID, datagram: shortPacket(other(func(c *connid.Target) { c.Number++ }), w.entry.codecs.Load().ids)},
 		{reason: reason.FrameConnectionID, datagram: shortPacket(other(func(c *connid.Target) {
 			c.Address = netip.MustParseAddrPort("127.0.0.9:9")
-		}), w.entry.ids)},
+		}), w.entry.codecs.Load().ids)},
 		{reason: reason.FrameConnectionID, datagram: make([]byte, 5)},
-		{reason: reason.FrameConnectionID, header: func(h *frame.Header) { h.Kind = frame.First }, datagram: shortPacket(own, w.entry.ids)},
+		{reason: reason.FrameConnectionID, header: func(h *frame.Header) { h.Kind = frame.First }, datagram: shortPacket(own, w.entry.codecs.Load().ids)},
 	}
 	for i, c := range cases {
 		h := good
@@ -215,6 +215,27 @@
 	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").header.Get(headerTarget), "t1/1/2")
 }
 
+// The operator replaces the data secret while sessions are open: first every
+// process decodes the new one, then it encodes, then the old one goes.
+func TestSecretsChangeUnderOpenSessions(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	client := w.caller()
+	session := openWatch(t, client, w.url("/watch"))
+	defer session.close()
+	former := w.secrets[0]
+	next := connid.Secret{ID: 2, Key: [connid.SecretLength]byte{9}}
+	for _, secrets := range [][]connid.Secret{{former, next}, {next, former}} {
+		w.secrets = secrets
+		a.secretsChanged()
+		w.entry.setSecrets(t, secrets)
+		backend.events <- "undisturbed"
+		is.Equal(session.line(t), "undisturbed")
+		is.Equal(mustSend(t, w.caller(), "GET", w.url("/echo?text=x"), "").body, "x")
+	}
+	is.Equal(a.counter("frames_refused", ""), int64(0))
+}
+
 func TestHandedOnFrameNamesItsEntryHost(t *testing.T) {
 	is := is.New(t)
 	sender, entry := netip.MustParseAddrPort("127.0.0.1:7"), netip.MustParseAddrPort("127.0.0.1:8")
--- a/internal/agentd/identity.go
+++ b/internal/agentd/identity.go
@@ -51,7 +51,7 @@
 
 // idGenerator issues connection IDs that name one target.
 type idGenerator struct {
-	codec   *connid.Codec
+	codec   func() *connid.Codec
 	target  connid.Target
 	counter atomic.Uint32
 	random  func() byte
@@ -59,7 +59,7 @@
 
 // GenerateConnectionID implements quic.ConnectionIDGenerator.
 func (g *idGenerator) GenerateConnectionID() (quic.ConnectionID, error) {
-	id := g.codec.Encode(g.target, g.counter.Add(1), g.random())
+	id := g.codec().Encode(g.target, g.counter.Add(1), g.random())
 	return quic.ConnectionIDFromBytes(id[:]), nil
 }
 
--- a/internal/agentd/once_test.go
+++ b/internal/agentd/once_test.go
@@ -1,10 +1,13 @@
 package agentd
 
 import (
+	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/quic-go/quic-go/http3"
 
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
 )
@@ -146,6 +149,50 @@
 	is.Equal(string(w.control.record("k1").GetAnswer().GetBody()), "held")
 }
 
+// A caller that lost its connection comes back for the answer.
+func TestLostConnectionDoesNotStopTheRun(t *testing.T) {
+	is := is.New(t)
+	w, _, backend := oneAgent(t)
+	client := w.caller()
+	done := make(chan error, 1)
+	go func() {
+		_, err := send(client, "POST", w.url("/hold"), "", headerKey, "k1")
+		done <- err
+	}()
+	eventually(t, "request runs", func() bool { return backend.running.Load() == 1 })
+	must(t, client.Transport.(*http3.Transport).Close())
+	is.True(<-done != nil)
+	time.Sleep(3 * lossSettles)
+	is.Equal(backend.gone.Load(), int64(0))
+	close(backend.hold)
+	eventually(t, "answer recorded", func() bool { return w.control.record("k1").GetAnswer() != nil })
+	again := mustSend(t, w.caller(), "POST", w.url("/hold"), "", headerKey, "k1")
+	is.Equal(again.body, "held")
+	is.Equal(again.header.Get(headerReplayed), "true")
+	is.Equal(backend.ran("k1"), 1)
+}
+
+func TestCancelledRunStops(t *testing.T) {
+	is := is.New(t)
+	w, _, backend := oneAgent(t)
+	client := w.caller()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		req, _ := http.NewRequestWithContext(ctx, "POST", w.url("/hold"), nil)
+		req.Header.Set(headerKey, "k1")
+		_, err := client.Do(req)
+		done <- err
+	}()
+	eventually(t, "request runs", func() bool { return backend.running.Load() == 1 })
+	cancel()
+	is.True(<-done != nil)
+	eventually(t, "backend connection closed", func() bool { return backend.gone.Load() == 1 })
+	again := mustSend(t, client, "POST", w.url("/hold"), "", headerKey, "k1")
+	is.Equal(again.header.Get(headerReason), "held") // it may have run: final
+	is.Equal(backend.ran("k1"), 1)
+}
+
 func TestLongAnswerIsRecordedWithoutItsBody(t *testing.T) {
 	is := is.New(t)
 	w, _, backend := oneAgent(t)
--- a/internal/agentd/plane.go
+++ b/internal/agentd/plane.go
@@ -84,7 +84,7 @@
 	return &quic.Transport{
 		Conn: p.socket,
 		ConnectionIDGenerator: &idGenerator{
-			codec:  p.socket.ids,
+			codec:  func() *connid.Codec { return p.socket.codecs.Load().ids },
 			target: p.self.connTarget(),
 			random: randomByte,
 		},
--- a/internal/agentd/reset.go
+++ b/internal/agentd/reset.go
@@ -31,7 +31,7 @@
 	if !ok || header.Type != quicheader.Short || len(datagram) <= resetLength {
 		return nil
 	}
-	named, verdict := s.ids.Decode(header.Destination)
+	named, verdict := s.codecs.Load().ids.Decode(header.Destination)
 	if verdict != connid.OK || named.Address != s.self.address || named == s.self.connTarget() {
 		return nil
 	}
@@ -45,7 +45,7 @@
 // secretOf returns the secret that an ID was made with. The process that made
 // it derived its resets from the same one.
 func (s *frameSocket) secretOf(id []byte) (connid.Secret, bool) {
-	for _, secret := range s.secrets {
+	for _, secret := range s.codecs.Load().secrets {
 		if secret.ID == id[0]&lowSecretBits {
 			return secret, true
 		}
--- a/internal/agentd/sessions.go
+++ b/internal/agentd/sessions.go
@@ -61,7 +61,7 @@
 		Handler:        one.counting(s.handler, s.clock),
 		ConnContext: func(ctx context.Context, _ *quic.Conn) context.Context {
 			close(one.started)
-			return ctx
+			return context.WithValue(ctx, connectionKey{}, conn.Context())
 		},
 	}
 	s.mu.Lock()
--- a/internal/agentd/socket.go
+++ b/internal/agentd/socket.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -29,9 +30,7 @@
 // own addresses.
 type frameSocket struct {
 	conn     *net.UDPConn
-	frames   *frame.Codec
-	ids      *connid.Codec
-	secrets  []connid.Secret
+	codecs   atomic.Pointer[codecs]
 	self     identity
 	flows    *flowTable
 	clock    clock
@@ -40,22 +39,39 @@
 	// elsewhere returns where to hand on a first packet, if not taken here.
 	elsewhere func(h *frame.Header) (netip.AddrPort, bool)
 
-	in      [maxFrame]byte
+	// Used by the one goroutine that reads.
+	in     [maxFrame]byte
+	header frame.Header
+
 	buffers sync.Pool
 }
 
+// codecs are made of one list of data secrets.
+type codecs struct {
+	frames  *frame.Codec
+	ids     *connid.Codec
+	secrets []connid.Secret
+}
+
 func newFrameSocket(conn *net.UDPConn, self identity, secrets []connid.Secret) (*frameSocket, error) {
+	s := &frameSocket{conn: conn, self: self}
+	s.buffers.New = func() any { return new([maxFrame]byte) }
+	return s, s.setSecrets(secrets)
+}
+
+// setSecrets changes the data secrets. Flows go on as long as the list holds
+// the secrets that their connection IDs were made with.
+func (s *frameSocket) setSecrets(secrets []connid.Secret) error {
 	frames, err := frame.NewCodec(secrets)
 	if err != nil {
-		return nil, errors.Wrap(err, "frame codec")
+		return errors.Wrap(err, "frame codec")
 	}
 	ids, err := connid.NewCodec(secrets)
 	if err != nil {
-		return nil, errors.Wrap(err, "connection ID codec")
+		return errors.Wrap(err, "connection ID codec")
 	}
-	s := &frameSocket{conn: conn, frames: frames, ids: ids, secrets: secrets, self: self}
-	s.buffers.New = func() any { return new([maxFrame]byte) }
-	return s, nil
+	s.codecs.Store(&codecs{frames: frames, ids: ids, secrets: secrets})
+	return nil
 }
 
 // ReadFrom implements net.PacketConn. It returns the next datagram that is
@@ -79,20 +95,20 @@
 // or handed on.
 func (s *frameSocket) receive(data []byte, entry netip.AddrPort) (*flow, []byte) {
 	s.counters.frames.Inc(1)
-	var h frame.Header
-	if verdict := s.frames.Parse(data, &h); verdict != frame.OK {
+	h := &s.header
+	if verdict := s.codecs.Load().frames.Parse(data, h); verdict != frame.OK {
 		s.counters.count(reason.FrameInvalid)
 		return nil, nil
 	}
 	datagram := data[frame.HeaderLength:]
-	if why := s.check(&h, datagram); why != reason.None {
+	if why := s.check(h, datagram); why != reason.None {
 		s.counters.count(why)
-		s.answerFormerLife(&h, datagram, entry)
+		s.answerFormerLife(h, datagram, entry)
 		return nil, nil
 	}
 	if h.Kind == frame.First {
-		entry = entryOf(&h, entry)
-		if s.passOn(&h, data, entry) {
+		entry = entryOf(h, entry)
+		if s.passOn(h, data, entry) {
 			return nil, nil
 		}
 	}
@@ -148,7 +164,7 @@
 	if !ok {
 		return reason.FrameConnectionID
 	}
-	named, verdict := s.ids.Decode(header.Destination)
+	named, verdict := s.codecs.Load().ids.Decode(header.Destination)
 	if verdict != connid.OK || named != s.self.connTarget() {
 		return reason.FrameConnectionID
 	}
@@ -173,7 +189,7 @@
 	}
 	h.Hops++
 	h.Alternate = entry
-	s.frames.Put(data, h)
+	s.codecs.Load().frames.Put(data, h)
 	_, err := s.conn.WriteToUDPAddrPort(data, to)
 	return err == nil
 }
@@ -212,7 +228,7 @@
 		Draining:    state.draining,
 		Ill:         state.ill,
 	}
-	s.frames.Put(buffer[:], &h)
+	s.codecs.Load().frames.Put(buffer[:], &h)
 	n := copy(buffer[frame.HeaderLength:], p)
 	s.counters.datagrams.Inc(1)
 	_, _ = s.conn.WriteToUDPAddrPort(buffer[:frame.HeaderLength+n], entry)
