agentd: a Retry for every connection; page of reasons

Cause: quic-go hands out tokens by which a caller that dials again from the same port skips the Retry, so that two agents with the caller's first flight could both accept. Such tokens now count as expired. Ruled out: 0-RTT as another way around the Retry, as the listener refuses it.

--- a/internal/agentd/announce_test.go
+++ b/internal/agentd/announce_test.go
@@ -82,6 +82,43 @@
 	is.Equal(second.ran(""), 1)
 }
 
+// Whatever the endpoints claim, what the agent sees of the requests decides.
+func TestEndpointsThatLieCostLittle(t *testing.T) {
+	reports := map[string]http.HandlerFunc{
+		"always ill":  func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"always well": func(http.ResponseWriter, *http.Request) {},
+		"frozen":      func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+	}
+	for name, report := range reports {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w, a, backend := oneAgent(t)
+			mux := http.NewServeMux()
+			mux.HandleFunc("/health", report)
+			mux.HandleFunc("/load", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"running":4}`)) })
+			mux.HandleFunc("/", func(rw http.ResponseWriter, r *http.Request) { backend.server.Config.Handler.ServeHTTP(rw, r) })
+			lying := httptest.NewServer(mux)
+			t.Cleanup(lying.Close)
+			a.announceRaw(t, announcement{
+				Service: testService, Target: "t1", URL: lying.URL, State: backendServing,
+				HealthPath: "/health", LoadPath: "/load",
+			})
+			eventually(t, "load report", func() bool { _, running := a.health.verdict(); return running == 4 })
+			client := w.caller()
+			for range health.MinSamples {
+				is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+			}
+			eventually(t, "verdict of well", func() bool { return !a.plane.Load().current().ill })
+			// A quarter of the slots at most for the report, and the flows.
+			eventually(t, "load near the truth", func() bool { return a.plane.Load().current().load <= 260 })
+			for range 2 * health.MinSamples {
+				mustSend(t, client, "GET", w.url("/status?code=500"), "")
+			}
+			eventually(t, "verdict of ill", func() bool { return a.plane.Load().current().ill })
+		})
+	}
+}
+
 func TestPollReadsBothEndpoints(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -215,6 +215,7 @@
 	alternate netip.AddrPort
 	service   uint32
 	draining  map[uint32]bool
+	retries   int
 }
 
 func newFakeEntry(t *testing.T, secrets []connid.Secret, hosts int) *fakeEntry {
@@ -260,6 +261,13 @@
 	}
 }
 
+// retriesSeen returns the number of QUIC Retries that agents sent.
+func (e *fakeEntry) retriesSeen() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.retries
+}
+
 // saysDraining reports what the last reply of a target said.
 func (e *fakeEntry) saysDraining(target uint32) bool {
 	e.mu.Lock()
@@ -321,6 +329,9 @@
 		}
 		e.mu.Lock()
 		e.draining[h.Target] = h.Draining
+		if header, ok := quicheader.Parse(buffer[frame.HeaderLength:n], connid.Length); ok && header.Type == quicheader.Retry {
+			e.retries++
+		}
 		e.mu.Unlock()
 		_, _ = e.public.WriteToUDPAddrPort(buffer[frame.HeaderLength:n], h.Caller)
 	}
--- a/internal/agentd/flow_test.go
+++ b/internal/agentd/flow_test.go
@@ -1,7 +1,10 @@
 package agentd
 
 import (
+	"context"
+	"crypto/tls"
 	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -9,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
 	"github.com/uber-go/tally/v4"
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
@@ -215,6 +219,30 @@
 	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").header.Get(headerTarget), "t1/1/2")
 }
 
+// A caller that dials again from the same port holds a token of its former
+// connection.
+func TestEveryConnectionBeginsWithARetry(t *testing.T) {
+	is := is.New(t)
+	w, _, _ := oneAgent(t)
+	socket := &quic.Transport{Conn: listenUDP(t)}
+	t.Cleanup(func() { _ = socket.Close() })
+	config := &quic.Config{TokenStore: quic.NewLRUTokenStore(4, 4)}
+	for range 3 {
+		before := w.entry.retriesSeen()
+		transport := &http3.Transport{
+			TLSClientConfig: &tls.Config{RootCAs: w.roots, ServerName: testService},
+			QUICConfig:      config,
+			Dial: func(ctx context.Context, _ string, tls *tls.Config, config *quic.Config) (*quic.Conn, error) {
+				return socket.DialEarly(ctx, w.entry.public.LocalAddr(), tls, config)
+			},
+		}
+		client := &http.Client{Transport: transport}
+		is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+		is.True(w.entry.retriesSeen() > before) // one for each datagram of the first flight
+		must(t, transport.Close())
+	}
+}
+
 // The operator replaces the data secret while sessions are open: first every
 // process decodes the new one, then it encodes, then the old one goes.
 func TestSecretsChangeUnderOpenSessions(t *testing.T) {
--- a/internal/agentd/plane.go
+++ b/internal/agentd/plane.go
@@ -90,7 +90,10 @@
 		},
 		StatelessResetKey:   resetKey(secret, p.self.number, p.self.incarnation),
 		VerifySourceAddress: func(net.Addr) bool { return true },
-		ConnContext:         p.admit,
+		// A token of an earlier connection would spare the Retry, and with it
+		// the caller's own choice of the one agent that accepts.
+		MaxTokenAge: time.Nanosecond,
+		ConnContext: p.admit,
 	}
 }
 
--- a/reason/doc.go
+++ b/reason/doc.go
@@ -3,3 +3,5 @@
 // to callers also stand in the Request-Reason header. Pages for operators are
 // generated from Table.
 package reason
+
+//go:generate go run ./internal/page ../docs/REASONS.md
--- /dev/null
+++ b/reason/markdown.go
@@ -0,0 +1,36 @@
+package reason
+
+import (
+	"fmt"
+	"strings"
+)
+
+// sections gives, for each kind, the heading and introduction of its table on
+// the operators' page.
+var sections = []struct {
+	kind         Kind
+	title, intro string
+}{
+	{KindNotRun, "Not run", "Told to callers in `Request-Reason` with `Request-Outcome: not-run`; counter `requests_refused`."},
+	{KindUnknown, "Unknown", "Told to callers in `Request-Reason` with `Request-Outcome: unknown`; counter `requests_unknown`."},
+	{KindRetry, "Retries", "Why an attempt at the backend server was repeated, or was not; counter `retries`."},
+	{KindFrame, "Frames", "Why an agent refused a frame; counter `frames_refused`."},
+	{KindFlow, "New flows", "Why an agent handed a new flow on or refused it; counter `flows_handed_on`."},
+}
+
+// Markdown returns the operators' page of all reasons.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("# Reasons\n\n")
+	b.WriteString("Generated from package `reason`; `go generate ./reason` writes it anew.\n")
+	b.WriteString("Each reason is the tag `reason` of its counter.\n")
+	for _, section := range sections {
+		fmt.Fprintf(&b, "\n## %s\n\n%s\n\n| Reason | Meaning |\n|---|---|\n", section.title, section.intro)
+		for _, info := range Table() {
+			if info.Kind == section.kind {
+				fmt.Fprintf(&b, "| `%s` | %s |\n", info.Name, info.Text)
+			}
+		}
+	}
+	return b.String()
+}
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -48,7 +48,6 @@
 	DeadlineTooClose
 	DeadlineInQueue
 	CallerGone
-	Leaving
 	BackendAbsent
 	BackendUnreachable
 	BackendRefused
@@ -82,7 +81,6 @@
 	FrameTarget
 	FrameIncarnation
 	FrameConnectionID
-	FrameUnregistered
 
 	FlowLeaving
 	FlowLoaded
@@ -110,7 +108,6 @@
 	DeadlineTooClose:   {Kind: KindNotRun, Name: "deadline-too-close", Text: "The deadline leaves less time than the request is expected to wait and run."},
 	DeadlineInQueue:    {Kind: KindNotRun, Name: "deadline-in-queue", Text: "The deadline passed before the request was handed to the backend server."},
 	CallerGone:         {Kind: KindNotRun, Name: "caller-gone", Text: "The caller gave up before the request was handed to the backend server."},
-	Leaving:            {Kind: KindNotRun, Name: "leaving", Text: "The target is leaving and takes no new requests."},
 	BackendAbsent:      {Kind: KindNotRun, Name: "backend-absent", Text: "No backend server has announced itself."},
 	BackendUnreachable: {Kind: KindNotRun, Name: "backend-unreachable", Text: "No connection to the backend server could be opened."},
 	BackendRefused:     {Kind: KindNotRun, Name: "backend-refused", Text: "The backend server answered that it did not run the request."},
@@ -144,7 +141,6 @@
 	FrameTarget:       {Kind: KindFrame, Name: "target", Text: "The frame is for another target."},
 	FrameIncarnation:  {Kind: KindFrame, Name: "incarnation", Text: "The frame is for another incarnation of the target."},
 	FrameConnectionID: {Kind: KindFrame, Name: "connection-id", Text: "The connection ID in the datagram does not name this target."},
-	FrameUnregistered: {Kind: KindFrame, Name: "unregistered", Text: "The target is not registered yet."},
 
 	FlowLeaving:     {Kind: KindFlow, Name: "leaving", Text: "A new flow was handed on because the target is leaving."},
 	FlowLoaded:      {Kind: KindFlow, Name: "loaded", Text: "A new flow was handed on because the target is far more loaded than usual."},
--- a/reason/reason_test.go
+++ b/reason/reason_test.go
@@ -1,6 +1,7 @@
 package reason_test
 
 import (
+	"os"
 	"regexp"
 	"testing"
 
@@ -30,3 +31,10 @@
 	is.Equal(reason.None.String(), "")
 	is.Equal(reason.Code(255).String(), "")
 }
+
+func TestPageIsCurrent(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/REASONS.md")
+	is.NoErr(err)
+	is.Equal(string(page), reason.Markdown()) // else: go generate ./reason
+}
