An established flow survives the loss of its public address

Cause: an entry host closed a public address as soon as no service had it, and the agent and the entry host held packets of established flows to the service that the address stands for now. TestSessionSurvivesLossOfItsAddress (real processes) failed in both forms: the watch ended by idle timeout after 36 s. Ruled out: lingering sockets on entry hosts (a restarted one would not know). Change: an address that a service leaves is kept in the configuration as retired until a patch releases it; entry hosts keep it open for packets whose connection ID names a target. The agent holds a first packet to the service of its address, and a later one to its connection ID. Before: both subtests failed. After: go test ./test -run Address passes (7 s).

--- a/config/bounds.go
+++ b/config/bounds.go
@@ -25,6 +25,8 @@
 	MaxServices = 16_384
 	// MaxAddresses bounds the public addresses of one service.
 	MaxAddresses = 1_024
+	// MaxRetired bounds the retired public addresses of a configuration.
+	MaxRetired = 4_096
 	// MaxNameLength bounds names of services and targets, in bytes.
 	MaxNameLength = 63
 	// MaxIDLength bounds identifiers of patches, in bytes.
--- a/config/delta.go
+++ b/config/delta.go
@@ -34,6 +34,8 @@
 			u.Removed = append(u.Removed, s.GetName())
 		}
 	}
+	u.Retired = without(to, from)
+	u.Released = without(from, to)
 	return u
 }
 
@@ -64,7 +66,14 @@
 	for _, s := range u.GetPut() {
 		services[s.GetName()] = s
 	}
-	return assemble(u.GetVersion(), services), nil
+	retired := retiredSet(base)
+	for _, address := range u.GetReleased() {
+		delete(retired, address)
+	}
+	for _, address := range u.GetRetired() {
+		retired[address] = true
+	}
+	return assemble(u.GetVersion(), services, retired), nil
 }
 
 func byName(c *configpb.Configuration) map[string]*configpb.Service {
--- a/config/machine.go
+++ b/config/machine.go
@@ -142,7 +142,7 @@
 		}
 		d.services[name] = normalise(d.services[name], number)
 	}
-	m.publish(assemble(m.current.GetVersion()+1, d.services), id)
+	m.publish(assemble(m.current.GetVersion()+1, d.services, d.retired), id)
 	m.targets.keepServices(m.numberSet())
 }
 
@@ -157,10 +157,14 @@
 	return out
 }
 
-// assemble lists services by name, so that equal configurations have equal
-// encodings.
-func assemble(version uint64, services map[string]*configpb.Service) *configpb.Configuration {
-	c := &configpb.Configuration{Version: version, Services: make([]*configpb.Service, 0, len(services))}
+// assemble lists services by name and retired addresses in order, so that
+// equal configurations have equal encodings.
+func assemble(version uint64, services map[string]*configpb.Service, retired map[string]bool) *configpb.Configuration {
+	c := &configpb.Configuration{
+		Version:  version,
+		Services: make([]*configpb.Service, 0, len(services)),
+		Retired:  retiredList(retired),
+	}
 	for _, s := range services {
 		c.Services = append(c.Services, s)
 	}
--- a/config/validate.go
+++ b/config/validate.go
@@ -24,6 +24,7 @@
 		d.step(i, op)
 	}
 	d.checkShared()
+	d.retire()
 	return d, d.bounded()
 }
 
@@ -34,7 +35,13 @@
 	// putBy is the operation of the patch that put the service.
 	putBy map[string]int
 	// removed has the services that the patch removed.
-	removed  map[string]bool
+	removed map[string]bool
+	// before has the public addresses of the configuration, by service, and
+	// retired those that it keeps open without a service.
+	before  *configpb.Configuration
+	retired map[string]bool
+	// released has the operation that releases a retired address.
+	released map[string]int
 	findings []*configpb.Finding
 }
 
@@ -44,6 +51,12 @@
 		services: make(map[string]*configpb.Service, len(cfg.GetServices())),
 		putBy:    map[string]int{},
 		removed:  map[string]bool{},
+		before:   cfg,
+		retired:  map[string]bool{},
+		released: map[string]int{},
+	}
+	for _, address := range cfg.GetRetired() {
+		d.retired[address] = true
 	}
 	for _, s := range cfg.GetServices() {
 		d.services[s.GetName()] = s
@@ -98,6 +111,8 @@
 		d.put(i, body.PutService)
 	case *configpb.Operation_RemoveService:
 		d.remove(i, body.RemoveService)
+	case *configpb.Operation_ReleaseAddress:
+		d.release(i, body.ReleaseAddress)
 	default:
 		d.find(d.place(i, "", ""), "the operation is empty")
 	}
--- a/internal/agentd/socket.go
+++ b/internal/agentd/socket.go
@@ -118,7 +118,7 @@
 
 // answerFormerLife resets a flow of an earlier process at this address.
 func (s *frameSocket) answerFormerLife(h *frame.Header, datagram []byte, entry netip.AddrPort) {
-	if h.Kind != frame.Forward || h.Service != s.self.serviceNumber {
+	if h.Kind != frame.Forward {
 		return
 	}
 	reset := s.formerLife(datagram)
@@ -132,12 +132,9 @@
 // check tells why a frame is not for this target. A frame that names it in the
 // header only is refused too: the connection ID within the datagram decides.
 func (s *frameSocket) check(h *frame.Header, datagram []byte) reason.Code {
-	if h.Service != s.self.serviceNumber {
-		return reason.FrameService
-	}
 	switch h.Kind {
 	case frame.First:
-		return s.checkFirst(datagram)
+		return s.checkFirst(h, datagram)
 	case frame.Forward:
 		return s.checkForward(h, datagram)
 	default:
@@ -145,7 +142,12 @@
 	}
 }
 
-func (s *frameSocket) checkFirst(datagram []byte) reason.Code {
+// checkFirst holds a first packet to the service of the public address: it
+// names no target yet.
+func (s *frameSocket) checkFirst(h *frame.Header, datagram []byte) reason.Code {
+	if h.Service != s.self.serviceNumber {
+		return reason.FrameService
+	}
 	header, ok := quicheader.Parse(datagram, connid.Length)
 	if !ok || !header.Type.MayOpen() {
 		return reason.FrameConnectionID
@@ -153,6 +155,10 @@
 	return reason.None
 }
 
+// checkForward holds a packet of an established flow to its connection ID,
+// which only this process issues. The service of the public address is not
+// asked for: the address may have passed to another service, or be retired,
+// while the flow goes on.
 func (s *frameSocket) checkForward(h *frame.Header, datagram []byte) reason.Code {
 	if h.Target != s.self.number {
 		return reason.FrameTarget
--- a/internal/controld/state.go
+++ b/internal/controld/state.go
@@ -141,6 +141,8 @@
 		Version:     shared.GetVersion(),
 		Put:         shared.GetPut(),
 		Removed:     shared.GetRemoved(),
+		Retired:     shared.GetRetired(),
+		Released:    shared.GetReleased(),
 	}
 }
 
--- a/internal/entryd/configuration.go
+++ b/internal/entryd/configuration.go
@@ -15,6 +15,11 @@
 	policy *configpb.Policy
 }
 
+// retired stands for the addresses that no service has any more. They stay
+// open for established flows, whose connection IDs name their targets; service
+// 0 has no targets, so that no new flow begins there.
+var retired = &servicePolicy{name: "(retired)"}
+
 // publicAddresses returns the service of each public address of a
 // configuration. An address that can't be read, or that an earlier service has
 // as well, is counted and left out: the others serve on.
@@ -36,6 +41,17 @@
 			out[address] = policy
 		}
 	}
+	for _, text := range config.GetRetired() {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			f.refuseAddress(nil, text, "not an ip:port")
+			continue
+		}
+		address = unmap(address)
+		if out[address] == nil {
+			out[address] = retired
+		}
+	}
 	return out
 }
 
--- a/internal/entryd/decide.go
+++ b/internal/entryd/decide.go
@@ -94,9 +94,10 @@
 	return accepted
 }
 
-// forward sends a datagram to the target that its connection ID names. The
-// service is the one of the public address, not one that the ID could name:
-// the agent refuses what came in on an address of another service.
+// forward sends a datagram to the target that its connection ID names. The ID
+// is proof that the flow began there, also when the address has passed to
+// another service since; the service in the header says only what the address
+// stands for here.
 func (d *decider) forward(s *service, t connid.Target, h *frame.Header) decision {
 	if !d.inside(t.Address.Addr()) {
 		return decision{refused: outsideNetworks}
--- a/internal/entryd/refusal.go
+++ b/internal/entryd/refusal.go
@@ -40,8 +40,6 @@
 	frameKind
 	// unknownAddress: this host doesn't serve that public address.
 	unknownAddress
-	// otherService: the public address belongs to another service.
-	otherService
 	// noCaller: the frame names no caller.
 	noCaller
 
@@ -66,7 +64,6 @@
 		frameTag:          "frame_tag",
 		frameKind:         "frame_kind",
 		unknownAddress:    "unknown_address",
-		otherService:      "other_service",
 		noCaller:          "no_caller",
 	}
 	if r >= refusalCount {
--- a/internal/entryd/worker.go
+++ b/internal/entryd/worker.go
@@ -147,15 +147,14 @@
 	return t.outgoing(h)
 }
 
-// outgoing returns the public address that a reply leaves through.
+// outgoing returns the public address that a reply leaves through. Which
+// service the address stands for now does not matter: the reply belongs to an
+// established flow, whose caller knows no other address.
 func (t *tables) outgoing(h *frame.Header) (*listener, refusal) {
 	l := t.listeners[h.Public]
 	if l == nil {
 		return nil, unknownAddress
 	}
-	if l.service.Load().number != h.Service {
-		return nil, otherService
-	}
 	if h.Caller.Port() == 0 {
 		return nil, noCaller
 	}
--- a/internal/settings/patch.go
+++ b/internal/settings/patch.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -12,8 +13,9 @@
 
 // Sections of a patch file.
 const (
-	putPrefix    = "service"
-	removePrefix = "remove"
+	putPrefix     = "service"
+	removePrefix  = "remove"
+	releasePrefix = "release"
 )
 
 // hiddenFields are fields of a service that the section name or the control
@@ -22,8 +24,9 @@
 
 // LoadPatch reads a patch file into operations with their places. A section
 // [service NAME] creates or replaces a service; its keys are the fields of
-// the service and of its policy. A section [remove NAME] removes one. Id and
-// base version are left for the caller. The error is Findings, or what kept
+// the service and of its policy. A section [remove NAME] removes one, and
+// [release IP:PORT] closes a retired public address. Id and base version are
+// left for the caller. The error is Findings, or what kept
 // the file from being read.
 func LoadPatch(path string) (*configpb.Patch, error) {
 	text, err := os.ReadFile(path)
@@ -48,7 +51,7 @@
 		patch.Places = append(patch.Places, c.place(s.line))
 	}
 	if len(sections) == 0 && len(c.found) == 0 {
-		c.add(1, "the patch has no operation: neither [service NAME] nor [remove NAME]")
+		c.add(1, "the patch has no operation: none of [service NAME], [remove NAME], [release IP:PORT]")
 	}
 	if err := c.err(); err != nil {
 		return nil, err
@@ -59,11 +62,14 @@
 func parseOperation(s section, c *collector) *configpb.Operation {
 	kind, name, _ := strings.Cut(s.name, " ")
 	name = strings.TrimSpace(name)
-	known := []string{putPrefix, removePrefix}
-	if kind != putPrefix && kind != removePrefix {
-		c.add(s.line, "%s: unknown section, known are [service NAME] and [remove NAME]%s", s.name, hint(kind, known))
+	known := []string{putPrefix, removePrefix, releasePrefix}
+	if !slices.Contains(known, kind) {
+		c.add(s.line, "%s: unknown section, known are [service NAME], [remove NAME] and [release IP:PORT]%s", s.name, hint(kind, known))
 		return nil
 	}
+	if kind == releasePrefix {
+		return parseRelease(s, name, c)
+	}
 	if name == "" {
 		c.add(s.line, "%s: the section names no service", s.name)
 		return nil
@@ -85,6 +91,17 @@
 	return &configpb.Operation{Body: &configpb.Operation_RemoveService{RemoveService: name}}
 }
 
+func parseRelease(s section, address string, c *collector) *configpb.Operation {
+	for _, k := range s.keys {
+		c.add(k.line, "%s.%s: a section that releases has no keys", s.name, k.name)
+	}
+	if fault := checkDialAddress(address); fault != "" {
+		c.add(s.line, "%s: %q %s", s.name, address, fault)
+		return nil
+	}
+	return &configpb.Operation{Body: &configpb.Operation_ReleaseAddress{ReleaseAddress: address}}
+}
+
 func parsePut(s section, name string, c *collector) *configpb.Operation {
 	service := &configpb.Service{Name: name, Policy: &configpb.Policy{}}
 	known := serviceKeys(service)
