--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -14,12 +14,18 @@
 	// that of a batch with a snapshot.
 	raftTimeout     = 2 * time.Second
 	snapshotTimeout = time.Minute
+	// The links between control hosts are few and everything waits for them:
+	// a silent one is left sooner than those of other processes.
+	peerHeartbeat        = time.Second
+	peerHeartbeatTimeout = time.Second
+	peerDialTimeout      = time.Second
+	peerBackoff          = time.Second
 	// unusedPeer is how long the link to a host that is no member is kept.
 	unusedPeer = 30 * time.Second
 	// promoteLag is how many entries a learner may lack and yet get a vote.
 	promoteLag = 64
 	// outboxMessages bounds the agreement messages that wait for one peer and
-	// group.
+	// group, besides one snapshot.
 	outboxMessages = 1024
 	// maxPeerMessage bounds a message between control hosts, in bytes: a
 	// snapshot of the grants has to fit.
--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -33,6 +33,8 @@
 	hosts   map[string]*host
 	voters  []string
 	address map[string]string
+	// listen is where a host listens, if not at its address.
+	listen map[string]string
 }
 
 type host struct {
@@ -47,7 +49,7 @@
 
 func newDeployment(t testing.TB, names ...string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), hosts: map[string]*host{}, address: map[string]string{}}
+	d := &deployment{t: t, dir: t.TempDir(), hosts: map[string]*host{}, address: map[string]string{}, listen: map[string]string{}}
 	if err := keys.InitAuthority(d.dir); err != nil {
 		t.Fatal(err)
 	}
@@ -99,12 +101,19 @@
 			PrivateKey: files.PrivateKey, DataSecrets: files.DataSecrets,
 		},
 		Replica: &settingspb.Replica{
-			DataFolder: data, Listen: d.address[name], OperatorListen: "127.0.0.1:0",
+			DataFolder: data, Listen: d.listenAddress(name), OperatorListen: "127.0.0.1:0",
 			InitialVoters: d.voters, Join: join, TickMs: 20,
 		},
 	}
 }
 
+func (d *deployment) listenAddress(name string) string {
+	if listen, ok := d.listen[name]; ok {
+		return listen
+	}
+	return d.address[name]
+}
+
 // start runs a host on a data folder, a new one if none is named.
 func (d *deployment) start(name, data string, join bool) *host {
 	d.t.Helper()
--- a/internal/controld/peers.go
+++ b/internal/controld/peers.go
@@ -154,8 +154,23 @@
 	return res.GetPropose(), nil
 }
 
-// peer is the link to one control host. A loop for each group and one for the
-// directory send what waits, so that neither holds up another.
+// lane is a queue of agreement messages. Snapshots have one of their own: they
+// take long, and a leader that cannot send heartbeats meanwhile steps down.
+type lane struct {
+	group    controlpb.Group
+	snapshot bool
+}
+
+// lanes lists the queues to each peer.
+var lanes = []lane{
+	{controlpb.Group_GROUP_CONFIG, false},
+	{controlpb.Group_GROUP_CONFIG, true},
+	{controlpb.Group_GROUP_GRANT, false},
+	{controlpb.Group_GROUP_GRANT, true},
+}
+
+// peer is the link to one control host. A loop for each lane and one for the
+// directory send what waits, so that none holds up another.
 type peer struct {
 	client *link.Client
 	// usedAt is guarded by the mutex of peers.
@@ -165,12 +180,12 @@
 	wg     conc.WaitGroup
 	scope  tally.Scope
 	self   func(controlpb.Group) string
-	wake   map[controlpb.Group]chan struct{}
+	wake   map[lane]chan struct{}
 	sync   chan struct{}
 
 	mu sync.Mutex
-	// messages wait for the far end, bounded for each group.
-	messages map[controlpb.Group][]*raftpb.Message
+	// messages wait for the far end, bounded for each lane.
+	messages map[lane][]*raftpb.Message
 	// records wait for the far end, the newest of each target.
 	records map[uint32]*controlpb.TargetRecord
 	// beat asks for a message even without records.
@@ -181,6 +196,10 @@
 	options := link.ClientOptions{
 		Scope:            owner.scope,
 		Log:              owner.log,
+		DialTimeout:      peerDialTimeout,
+		HeartbeatPeriod:  peerHeartbeat,
+		HeartbeatTimeout: peerHeartbeatTimeout,
+		BackoffMax:       peerBackoff,
 		MaxRequestBytes:  maxPeerMessage,
 		MaxResponseBytes: maxPeerMessage,
 	}
@@ -188,17 +207,17 @@
 		client:   link.NewClient([]string{addr}, owner.creds, options),
 		scope:    owner.scope,
 		self:     owner.self,
-		wake:     map[controlpb.Group]chan struct{}{},
+		wake:     map[lane]chan struct{}{},
 		sync:     make(chan struct{}, 1),
-		messages: map[controlpb.Group][]*raftpb.Message{},
+		messages: map[lane][]*raftpb.Message{},
 		records:  map[uint32]*controlpb.TargetRecord{},
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	for _, group := range groups {
-		p.wake[group] = make(chan struct{}, 1)
+	for _, l := range lanes {
+		p.wake[l] = make(chan struct{}, 1)
 	}
-	for _, group := range groups {
-		p.wg.Go(func() { p.loop(p.wake[group], func() { p.sendMessages(group) }) })
+	for _, l := range lanes {
+		p.wg.Go(func() { p.loop(p.wake[l], func() { p.sendMessages(l) }) })
 	}
 	p.wg.Go(func() { p.loop(p.sync, p.sendRecords) })
 	return p
@@ -228,16 +247,33 @@
 	}
 }
 
-// enqueue adds agreement messages. What exceeds the bound is dropped, oldest
-// first: the agreement core sends anew what matters.
+// enqueue adds agreement messages of a group.
 func (p *peer) enqueue(group controlpb.Group, msgs []*raftpb.Message) {
+	var snapshots, others []*raftpb.Message
+	for _, m := range msgs {
+		if m.GetSnapshot() != nil {
+			snapshots = append(snapshots, m)
+			continue
+		}
+		others = append(others, m)
+	}
+	p.add(lane{group, true}, snapshots, 1)
+	p.add(lane{group, false}, others, outboxMessages)
+}
+
+// add puts messages into a lane. What exceeds the limit is dropped, oldest
+// first: the agreement core sends anew what matters.
+func (p *peer) add(l lane, msgs []*raftpb.Message, limit int) {
+	if len(msgs) == 0 {
+		return
+	}
 	p.mu.Lock()
-	queue := append(p.messages[group], msgs...)
-	excess := max(len(queue)-outboxMessages, 0)
-	p.messages[group] = queue[excess:]
+	queue := append(p.messages[l], msgs...)
+	excess := max(len(queue)-limit, 0)
+	p.messages[l] = queue[excess:]
 	p.mu.Unlock()
 	p.drop("queue_full", excess)
-	signal(p.wake[group])
+	signal(p.wake[l])
 }
 
 func (p *peer) drop(reason string, count int) {
@@ -246,16 +282,16 @@
 	}
 }
 
-func (p *peer) takeMessages(group controlpb.Group) []*raftpb.Message {
+func (p *peer) takeMessages(l lane) []*raftpb.Message {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	msgs := p.messages[group]
-	p.messages[group] = nil
+	msgs := p.messages[l]
+	p.messages[l] = nil
 	return msgs
 }
 
-func (p *peer) sendMessages(group controlpb.Group) {
-	msgs := p.takeMessages(group)
+func (p *peer) sendMessages(l lane) {
+	msgs := p.takeMessages(l)
 	if len(msgs) == 0 {
 		return
 	}
@@ -264,14 +300,12 @@
 		return
 	}
 	timeout := raftTimeout
-	for _, m := range msgs {
-		if m.GetSnapshot() != nil {
-			timeout = snapshotTimeout
-		}
+	if l.snapshot {
+		timeout = snapshotTimeout
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
-	batch := &controlpb.RaftBatch{Group: group, Messages: msgs, Address: p.self(group)}
+	batch := &controlpb.RaftBatch{Group: l.group, Messages: msgs, Address: p.self(l.group)}
 	if _, err := p.client.Call(ctx, &controlpb.Request{Body: &controlpb.Request_Raft{Raft: batch}}); err != nil {
 		p.drop("failed", len(msgs))
 	}
