controld: loss of the founder's disk is tested too; a needless guard removed

A trial with mutated code showed that no test met the case where the initial voter that founds a group comes back with an empty folder: it must not found a second one. TestLostDiskComesBackAsLearner now loses c1 as well as c3.

--- a/internal/controld/found.go
+++ b/internal/controld/found.go
@@ -64,6 +64,7 @@
 		for _, group := range groups {
 			if !d.replicas[group].Status().Formed && d.found(group, replies) && !stranger {
 				stranger = true
+				d.scope.Counter("stranger_to_its_group").Inc(1)
 				d.log.Warn("the group exists without this replica: add this host as a learner",
 					zap.String("group", folders[group]))
 			}
--- a/internal/controld/group_test.go
+++ b/internal/controld/group_test.go
@@ -183,33 +183,43 @@
 }
 
 func TestLostDiskComesBackAsLearner(t *testing.T) {
+	// c1 is the host that founded the group.
+	for _, lost := range []string{"c1", "c3"} {
+		t.Run(lost, func(t *testing.T) { loseDisk(t, lost) })
+	}
+}
+
+func loseDisk(t *testing.T, lost string) {
 	is := is.New(t)
 	d := newGroup(t)
-	d.stop("c3")
-	d.start("c3", "", false) // the same settings, an empty data folder
-	ops := d.operator("c1", "c2")
+	rest := others(lost)
+	d.stop(lost)
+	d.start(lost, "", false) // the same settings, an empty data folder
+	ops := d.operator(rest...)
 	for i := range uint64(5) {
 		d.accept(ops, patch(fmt.Sprintf("q%d", i), i+1, put("lodgement", "192.0.2.1:443")))
 	}
-	for _, g := range d.status("c3").Groups {
+	eventually(t, "the host to find itself a stranger", func() bool { return d.hosts[lost].strangers() > 0 })
+	for _, g := range d.status(lost).Groups {
 		is.Equal(g.State, "not founded") // it takes no part under its old name
 	}
 	eventually(t, "removal of the lost replica", func() bool {
-		_, err := ops.Remove(testContext(t), operator.MemberRef{Name: "c3"})
-		return err == nil || len(d.status("c1").Groups[0].Members)+len(d.status("c1").Groups[1].Members) == 4
+		_, err := ops.Remove(testContext(t), operator.MemberRef{Name: lost})
+		groups := d.status(rest[0]).Groups
+		return err == nil || len(groups[0].Members)+len(groups[1].Members) == 4
 	})
 	eventually(t, "addition of the learner", func() bool {
-		_, err := ops.AddLearner(testContext(t), d.address["c3"])
+		_, err := ops.AddLearner(testContext(t), d.address[lost])
 		return err == nil
 	})
-	eventually(t, "the learner to catch up", func() bool { return d.status("c3").Version == 6 })
+	eventually(t, "the learner to catch up", func() bool { return d.status(lost).Version == 6 })
 	eventually(t, "promotion", func() bool {
-		_, err := ops.Promote(testContext(t), operator.MemberRef{Name: "c3"})
+		_, err := ops.Promote(testContext(t), operator.MemberRef{Name: lost})
 		return err == nil
 	})
-	d.stop("c1") // a second loss soon after the repair
-	d.accept(d.operator("c2", "c3"), patch("last", 6, put("certificates", "192.0.2.2:443")))
-	eventually(t, "the last version on c3", func() bool { return d.status("c3").Version == 7 })
+	d.stop(rest[0]) // a second loss soon after the repair
+	d.accept(d.operator(rest[1], lost), patch("last", 6, put("certificates", "192.0.2.2:443")))
+	eventually(t, "the last version", func() bool { return d.status(lost).Version == 7 })
 }
 
 func TestAnnouncementReachesOtherHosts(t *testing.T) {
--- a/internal/controld/roles_test.go
+++ b/internal/controld/roles_test.go
@@ -28,6 +28,17 @@
 	return total
 }
 
+// strangers returns how often a host found its group founded without it.
+func (h *host) strangers() int64 {
+	total := int64(0)
+	for _, c := range h.scope.Snapshot().Counters() {
+		if c.Name() == "control.stranger_to_its_group" {
+			total += c.Value()
+		}
+	}
+	return total
+}
+
 func call(t *testing.T, c *link.Client, req *controlpb.Request) *controlpb.Response {
 	t.Helper()
 	res, err := c.Call(testContext(t), req)
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -184,9 +184,6 @@
 	}
 	u := s.daemon.configs.update(s.sent)
 	u.Confirmed = confirmed
-	if u.GetVersion() < s.sent {
-		return nil
-	}
 	if err := s.send(&controlpb.SubscribeUpdate{Config: u}); err != nil {
 		return err
 	}
