agentd: sharper tests of return paths and backend connections

Cause: with trial changes to the code the tests of both still passed. The caller of the return path test sent keepalives, by which the agent heard of another entry host; now it only listens.

--- a/internal/agentd/call_test.go
+++ b/internal/agentd/call_test.go
@@ -1,10 +1,12 @@
 package agentd
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,6 +60,35 @@
 	is.Equal(backend.ran(""), 0)
 }
 
+func TestEachRequestHasItsOwnConnection(t *testing.T) {
+	is := is.New(t)
+	var opened, kept atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if !r.Close {
+			kept.Add(1)
+		}
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	base, err := url.Parse(server.URL)
+	is.NoErr(err)
+	transport := newBackendTransport()
+	for range 5 {
+		c, _ := newCall(httptest.NewRequest("GET", "/", nil), nil, time.Minute)
+		res := attempt(transport, base, c, "t1/1/1")
+		_, _, err := readHead(res.exchange.response, maxRecordBytes) // to its end, as if it could be kept
+		is.NoErr(err)
+		c.end()
+	}
+	is.Equal(opened.Load(), int64(5))
+	is.Equal(kept.Load(), int64(0)) // the backend server knows that it closes
+}
+
 func TestHeadersThatAreNotPassedOn(t *testing.T) {
 	is := is.New(t)
 	from := http.Header{
--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -189,9 +189,15 @@
 
 // caller returns an HTTP/3 client that reaches the entry host.
 func (w *world) caller() *http.Client {
+	return w.callerWith(200 * time.Millisecond)
+}
+
+// callerWith returns a client whose idle connections send something at each
+// period, or nothing if it is 0.
+func (w *world) callerWith(keepAlive time.Duration) *http.Client {
 	transport := &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: w.roots, ServerName: testService},
-		QUICConfig:      &quic.Config{KeepAlivePeriod: 200 * time.Millisecond, MaxIdleTimeout: 10 * time.Second},
+		QUICConfig:      &quic.Config{KeepAlivePeriod: keepAlive, MaxIdleTimeout: 10 * time.Second},
 	}
 	w.t.Cleanup(func() { _ = transport.Close() })
 	return &http.Client{Transport: transport}
--- a/internal/agentd/flow_test.go
+++ b/internal/agentd/flow_test.go
@@ -22,10 +22,12 @@
 	"eelgrasswharf.example/eelgrasswharf/reason"
 )
 
+// The caller only listens, so the agent has nothing but its own silence to
+// tell that the entry host it used last is gone.
 func TestReplyLeavesThroughAnotherEntryHost(t *testing.T) {
 	is := is.New(t)
 	w, _, backend := oneAgent(t)
-	client := w.caller()
+	client := w.callerWith(0)
 	session := openWatch(t, client, w.url("/watch"))
 	defer session.close()
 	for n := range w.entry.hosts {
