--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -192,12 +192,12 @@
 	return w.callerWith(200 * time.Millisecond)
 }
 
-// callerWith returns a client whose idle connections send something at each
-// period, or nothing if it is 0.
+// callerWith returns a client whose connections send something of their own at
+// each period, or nothing at all, no probes either, if it is 0.
 func (w *world) callerWith(keepAlive time.Duration) *http.Client {
 	transport := &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: w.roots, ServerName: testService},
-		QUICConfig:      &quic.Config{KeepAlivePeriod: keepAlive, MaxIdleTimeout: 10 * time.Second},
+		QUICConfig:      &quic.Config{KeepAlivePeriod: keepAlive, MaxIdleTimeout: 10 * time.Second, DisablePathMTUDiscovery: keepAlive == 0},
 	}
 	w.t.Cleanup(func() { _ = transport.Close() })
 	return &http.Client{Transport: transport}
--- a/internal/agentd/flow_test.go
+++ b/internal/agentd/flow_test.go
@@ -30,9 +30,9 @@
 	client := w.callerWith(0)
 	session := openWatch(t, client, w.url("/watch"))
 	defer session.close()
-	for n := range w.entry.hosts {
+	for n := range 10 {
 		for m := range w.entry.hosts {
-			w.entry.dead[m].Store(m == n)
+			w.entry.dead[m].Store(m == n%len(w.entry.hosts))
 		}
 		backend.events <- "through the other one"
 		is.Equal(session.line(t), "through the other one")
