--- a/config/bounds.go
+++ b/config/bounds.go
@@ -26,7 +26,7 @@
 	// MaxAddresses bounds the public addresses of one service.
 	MaxAddresses = 1_024
 	// MaxRetired bounds the retired public addresses of a configuration.
-	MaxRetired = 4_096
+	MaxRetired = 16_384
 	// MaxNameLength bounds names of services and targets, in bytes.
 	MaxNameLength = 63
 	// MaxIDLength bounds identifiers of patches, in bytes.
