--- /dev/null
+++ b/raft/property_test.go
@@ -0,0 +1,67 @@
+package raft
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+)
+
+// drawMessage draws a message that need not make sense.
+func drawMessage(t *rapid.T) *raftpb.Message {
+	small := rapid.Uint64Range(0, 6)
+	m := &raftpb.Message{
+		Kind:      raftpb.MessageKind(rapid.IntRange(0, 10).Draw(t, "kind")),
+		Term:      small.Draw(t, "term"),
+		LogIndex:  small.Draw(t, "index"),
+		LogTerm:   small.Draw(t, "log term"),
+		Commit:    small.Draw(t, "commit"),
+		Reject:    rapid.Bool().Draw(t, "reject"),
+		Hint:      small.Draw(t, "hint"),
+		ReadRound: small.Draw(t, "round"),
+	}
+	for i := range rapid.IntRange(0, 3).Draw(t, "entries") {
+		e := &raftpb.Entry{Term: small.Draw(t, "entry term"), Index: m.LogIndex + uint64(i) + small.Draw(t, "gap")/3}
+		if rapid.Bool().Draw(t, "change") {
+			e = membershipEntry(e.Term, e.Index, members(voter("b"), voter("a")))
+		}
+		m.Entries = append(m.Entries, e)
+	}
+	if rapid.Bool().Draw(t, "snapshot") {
+		m.Snapshot = &raftpb.Snapshot{Index: small.Draw(t, "at"), Term: small.Draw(t, "of"), Membership: abc()}
+	}
+	return from(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "from"), m)
+}
+
+// Whatever arrives, a node neither panics nor goes back, and does not change
+// the message.
+func TestAnyMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, err := New(options(abc()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			before := n.Status()
+			m := drawMessage(t)
+			kept := proto.Clone(m)
+			_ = n.Step(m) // malformed messages are refused
+			if !proto.Equal(m, kept) {
+				t.Fatalf("changed %v", kept)
+			}
+			ticks(n, rapid.IntRange(0, 12).Draw(t, "ticks"))
+			_, _, _ = n.Propose([]byte("x"))
+			_ = n.ReadIndex(1)
+			if rapid.Bool().Draw(t, "drain") {
+				drain(n)
+			}
+			after := n.Status()
+			if after.Term < before.Term || after.Commit < before.Commit || after.Applied < before.Applied ||
+				after.Commit > after.LastIndex || after.Applied > after.Commit {
+				t.Fatalf("%+v after %+v", after, before)
+			}
+		}
+	})
+}
