--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -174,6 +174,8 @@
 	cut  map[string]bool // hosts that the network cuts off
 	// tap, if set, sees the messages that arrive.
 	tap func(from, to string, m *raftpb.Message)
+	// noAppends is the host that gets heartbeats and no entries.
+	noAppends string
 }
 
 var hostNames = []string{"a", "b", "c"}
@@ -288,6 +290,9 @@
 
 func (tr *transport) Send(to *raftpb.Member, _ controlpb.Group, msgs []*raftpb.Message) {
 	for _, m := range msgs {
+		if tr.cluster.withholds(to.GetAddress(), m) {
+			continue
+		}
 		if r := tr.cluster.reach(tr.from, to.GetAddress()); r != nil {
 			r.Receive([]*raftpb.Message{proto.CloneOf(m)})
 			tr.cluster.observe(tr.from, to.GetAddress(), m)
@@ -295,6 +300,18 @@
 	}
 }
 
+func (c *cluster) withholdAppends(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noAppends = name
+}
+
+func (c *cluster) withholds(to string, m *raftpb.Message) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return to == c.noAppends && m.GetKind() == raftpb.MessageKind_MESSAGE_APPEND
+}
+
 func (c *cluster) setTap(tap func(from, to string, m *raftpb.Message)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
@@ -85,6 +86,42 @@
 	}
 }
 
+func TestReadBarrierOnALaggingFollowerWaits(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	leader := c.leader()
+	follower := others(c, leader)[0]
+	c.propose(leader, "before")
+	c.converge("before")
+	c.withholdAppends(follower.name)
+	c.propose(leader, "x")
+	read := make(chan error, 1)
+	go func() { read <- follower.replica.ReadBarrier(t.Context()) }()
+	// The entries come only once a read index was asked for.
+	select {
+	case err := <-read:
+		is.True(err != nil) // it lacks x
+	case <-time.After(200 * time.Millisecond):
+	}
+	is.Equal(follower.journal.count("x"), 0)
+	c.withholdAppends("")
+	c.converge("x")
+	is.NoErr(<-read)
+}
+
+// A proposal whose leader is cut off is answered without waiting for the
+// caller's deadline, and not with a claim that cannot be known.
+func TestProposalOfALeaderThatIsCutOffGetsUnknown(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	leader := c.leader()
+	c.propose(leader, "before")
+	c.isolate(leader, true)
+	_, err := leader.replica.ProposeLocal(context.WithoutCancel(t.Context()), []byte("x"))
+	is.True(errors.Is(err, ErrUnknown))
+	is.True(!errors.Is(err, ErrNoLeader))
+}
+
 func TestReadBarrierNeedsAQuorum(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 3, Options{})
