test: failures of the control group with real processes

Three control hosts: the leader killed between patches that follow each other, a host back with an empty data folder and then another loss, operators racing on one version, a minority, and a frozen leader that returns. Patches go through the command line; one of unknown outcome is sent again under its identifier and must hold the version that follows its base.

A patch of a deployment that has no leader yet is now sent again while the command line says that nothing was done; a refusal still fails the test.

--- /dev/null
+++ b/internal/processtest/members.go
@@ -0,0 +1,91 @@
+package processtest
+
+import (
+	"fmt"
+	"os"
+	"slices"
+)
+
+// configGroup is the name of the replicated log of the configuration.
+const configGroup = "config"
+
+// leads is the state of the leader of a group.
+const leads = "leads"
+
+// Leader waits until one control host leads the configuration and returns it.
+func (c *Cluster) Leader() *Control {
+	c.t.Helper()
+	var leader *Control
+	Eventually(c.t, "a control host leads", func() bool {
+		leader = nil
+		for _, host := range c.Status() {
+			for _, group := range host.Groups {
+				if group.Group == configGroup && group.State == leads {
+					leader = c.controlNamed(host.Host)
+				}
+			}
+		}
+		return leader != nil
+	})
+	return leader
+}
+
+func (c *Cluster) controlNamed(name string) *Control {
+	for _, host := range c.controls {
+		if host.name == name {
+			return host
+		}
+	}
+	return nil
+}
+
+// Others returns the control hosts besides this one.
+func (h *Control) Others() []*Control {
+	all := slices.Clone(h.cluster.controls)
+	return slices.DeleteFunc(all, func(o *Control) bool { return o == h })
+}
+
+// LoseDisk removes the data folder of a host whose process has ended.
+func (h *Control) LoseDisk() {
+	h.cluster.t.Helper()
+	h.cluster.must(os.RemoveAll(h.settings.Replica.DataFolder))
+}
+
+// Replace takes the host's former replicas out of both groups and gives its
+// new ones a vote, by the command line. The host's process runs on an empty
+// data folder.
+func (h *Control) Replace() {
+	c := h.cluster
+	c.t.Helper()
+	c.member("remove", h.name)
+	c.member("add", h.Link.String())
+	c.member("promote", h.name)
+}
+
+// member changes the members until the change is made; a change that could not
+// be made yet is safe to repeat.
+func (c *Cluster) member(change, argument string) {
+	c.t.Helper()
+	var output []byte
+	args := append([]string{"replica", change, argument}, c.operatorFlags(nil)...)
+	Eventually(c.t, fmt.Sprintf("replica %s %s", change, argument), func() bool {
+		stdout, stderr, status := c.run(args)
+		output = append(stdout, stderr...)
+		return status == 0
+	})
+	c.t.Logf("replica %s %s: %s", change, argument, output)
+}
+
+// Settle submits a patch under one identifier until its outcome is known.
+func (c *Cluster) Settle(base uint64, id string, sections ...string) Outcome {
+	c.t.Helper()
+	var o Outcome
+	Eventually(c.t, "the outcome of "+id+" is known", func() bool {
+		o = c.Submit(base, id, sections)
+		return o.Verdict != Unknown && o.Verdict != NotDone
+	})
+	if o.Verdict == Accepted && o.Version > c.version {
+		c.version = o.Version
+	}
+	return o
+}
--- a/internal/processtest/operator.go
+++ b/internal/processtest/operator.go
@@ -107,17 +107,18 @@
 	}
 }
 
-// Patch submits the sections against the newest version and fails the test
-// unless they become the next one, which it returns.
+// Patch submits the sections against the newest version, again while no control
+// host leads, and fails the test unless they become the next one, which it
+// returns.
 func (c *Cluster) Patch(sections ...string) uint64 {
 	c.t.Helper()
 	c.patches++
 	id := fmt.Sprintf("patch-%d", c.patches)
-	o := c.Submit(c.version, id, sections)
-	if o.Verdict != Accepted || o.Version != c.version+1 {
-		c.t.Fatalf("patch against version %d: %+v", c.version, o)
+	base := c.version
+	o := c.Settle(base, id, sections...)
+	if o.Verdict != Accepted || o.Version != base+1 {
+		c.t.Fatalf("patch against version %d: %+v", base, o)
 	}
-	c.version = o.Version
 	return o.Version
 }
 
--- /dev/null
+++ b/test/control_test.go
@@ -0,0 +1,184 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// entryNames names the entry hosts, on which versions come into force.
+func (d *deployment) entryNames() []string {
+	var names []string
+	for _, e := range d.entries {
+		names = append(names, e.Host)
+	}
+	return names
+}
+
+// operators returns the operator addresses of control hosts.
+func operators(hosts []*processtest.Control) []netip.AddrPort {
+	var all []netip.AddrPort
+	for _, host := range hosts {
+		all = append(all, host.Operator)
+	}
+	return all
+}
+
+// TestLeaderKilledAroundPatch kills the leader while patches follow each other
+// and sends each one again until its outcome is known: each applies exactly
+// once, in order.
+func TestLeaderKilledAroundPatch(t *testing.T) {
+	is := is.New(t)
+	const rounds, patches = 4, 6
+	d := deploy(t, 3)
+	load := d.startLoad(t)
+	version := uint64(1)
+	for range rounds {
+		leader := d.Leader()
+		var loss conc.WaitGroup
+		for i := range patches {
+			known := d.Settle(version, fmt.Sprint("to-", version+1), d.lodgement.Put())
+			is.Equal(known.Verdict, processtest.Accepted)
+			is.Equal(known.Version, version+1)
+			version++
+			if i == 1 {
+				loss.Go(leader.Kill)
+			}
+		}
+		loss.Wait()
+		leader.Launch()
+		leader.WaitReady()
+	}
+	d.InForce(version, d.entryNames()...)
+	for v := uint64(2); v <= version; v++ {
+		is.Equal(d.Show(fmt.Sprint("to-", v)).Version, v) // no outcome was lost
+	}
+	load.progress()
+	load.stop()
+}
+
+// TestControlHostLosesItsDisk brings a host back with an empty data folder and
+// then kills another one: no accepted patch may be gone.
+func TestControlHostLosesItsDisk(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 3)
+	load := d.startLoad(t)
+	lost := d.Leader()
+	lost.Kill()
+	lost.LoseDisk()
+	is.Equal(d.Settle(1, "without-the-host", d.lodgement.Put()).Version, uint64(2))
+	lost.Launch()
+	lost.WaitReady()
+	lost.Replace()
+	is.Equal(d.Settle(2, "with-the-new-replica", d.lodgement.Put()).Version, uint64(3))
+	lost.Others()[0].Kill()
+	is.Equal(d.Settle(3, "after-the-second-loss", d.lodgement.Put()).Version, uint64(4))
+	is.Equal(d.Show("without-the-host").Version, uint64(2))
+	is.Equal(d.Show("with-the-new-replica").Version, uint64(3))
+	d.InForce(4, d.entryNames()...)
+	load.progress()
+	load.stop()
+}
+
+// TestRacingOperators submits patches against one version through all control
+// hosts at once: one wins, the others learn by which version.
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	const rounds, racers = 4, 6
+	d := deploy(t, 3)
+	base := uint64(1)
+	for round := range rounds {
+		outcomes := make([]processtest.Outcome, racers)
+		var race conc.WaitGroup
+		for i := range racers {
+			host := d.controls[i%len(d.controls)]
+			race.Go(func() {
+				id := fmt.Sprintf("round-%d-racer-%d", round, i)
+				outcomes[i] = d.Submit(base, id, []string{d.lodgement.Put()}, host.Operator)
+			})
+		}
+		race.Wait()
+		winner := ""
+		for i, o := range outcomes {
+			if o.Verdict == processtest.Accepted {
+				is.Equal(winner, "") // one winner only
+				winner = fmt.Sprintf("round-%d-racer-%d", round, i)
+			}
+		}
+		is.True(winner != "")
+		for _, o := range outcomes {
+			is.Equal(o.Version, base+1)
+			if o.Verdict != processtest.Accepted {
+				is.Equal(o.Verdict, processtest.RefusedBase)
+				is.Equal(o.VersionPatch, winner)
+			}
+		}
+		base++
+	}
+	d.InForce(base, d.entryNames()...)
+}
+
+// TestMinorityRefuses leaves one of three control hosts: it accepts nothing
+// and says so, established work goes on, and nothing of the refused patch is
+// left when the others return.
+func TestMinorityRefuses(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 3)
+	load := d.startLoad(t)
+	last := d.controls[0]
+	for _, host := range last.Others() {
+		host.Kill()
+	}
+	o := d.Submit(1, "minority", []string{d.lodgement.Put()}, last.Operator)
+	is.True(o.Verdict == processtest.NotDone || o.Verdict == processtest.Unknown)
+	is.Equal(d.Show("minority", last.Operator).Verdict, processtest.Unknown)
+	answer := d.lodgement.NewCaller().MustDo(http.MethodPost,
+		processtest.RunPath(0), processtest.KeyHeader("minority"), nil)
+	is.Equal(answer.Outcome, processtest.OutcomeNotRun)
+	is.Equal(answer.Reason, "grant-unavailable")
+	is.True(answer.Header.Get("Retry-After") != "")
+	is.Equal(d.runs("minority"), 0)
+	load.progress()
+	for _, host := range last.Others() {
+		host.Launch()
+		host.WaitReady()
+	}
+	is.Equal(d.Settle(1, "minority", d.lodgement.Put()).Version, uint64(2)) // once, whatever was answered
+	d.InForce(2, d.entryNames()...)
+	load.stop()
+}
+
+// TestFrozenLeaderReturns thaws a leader after the others went on without it.
+// It has to know at once that it is behind.
+func TestFrozenLeaderReturns(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 3)
+	load := d.startLoad(t)
+	frozen := d.Leader()
+	frozen.Freeze()
+	others := operators(frozen.Others())
+	var o processtest.Outcome
+	processtest.Eventually(t, "the others accept a patch", func() bool {
+		o = d.Submit(1, "without-the-frozen", []string{d.lodgement.Put()}, others...)
+		return o.Verdict == processtest.Accepted
+	})
+	is.Equal(o.Version, uint64(2))
+	frozen.Thaw()
+	stale := d.Submit(1, "stale", []string{d.certificates.Put()}, frozen.Operator)
+	is.True(stale.Verdict != processtest.Accepted)
+	processtest.Eventually(t, "the thawed host tells the outcome", func() bool {
+		o = d.Show("without-the-frozen", frozen.Operator)
+		return o.Verdict != processtest.Unknown
+	})
+	is.Equal(o.Version, uint64(2))
+	is.Equal(d.Settle(1, "stale", d.certificates.Put()).Verdict, processtest.RefusedBase)
+	d.InForce(2, d.entryNames()...)
+	load.progress()
+	load.stop()
+}
