keys, link, subscriber: tests for rules that mutated copies passed

Trials on a scratch copy: without the answer that an unconfirmed start needs, without a slot given back after a failed handshake, and with a confirmation carried over to the next version, the tests still passed or only failed to compile. Each has a test now.

--- a/internal/link/admission_test.go
+++ b/internal/link/admission_test.go
@@ -53,6 +53,21 @@
 	is.Equal(why, refusal(""))
 }
 
+// A busy server is not asked before its time while another one may be.
+func TestBusyServersAreLeftAlone(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	c := &Client{addrs: []string{"a", "b", "c"}, opts: quick().withDefaults()}
+	r := &redial{failures: 1, notBefore: map[string]time.Time{"b": now.Add(time.Minute)}, index: 1}
+	is.True(c.wait(r, now) < time.Second)
+	is.Equal(c.addrs[r.index], "c")
+	// All are busy: the one that may be asked first, when it may be.
+	r.notBefore["a"] = now.Add(3 * time.Minute)
+	r.notBefore["c"] = now.Add(2 * time.Minute)
+	is.Equal(c.wait(r, now), time.Minute)
+	is.Equal(c.addrs[r.index], "b")
+}
+
 func TestRetryAfterText(t *testing.T) {
 	is := is.New(t)
 	refused := &quic.ApplicationError{Remote: true, ErrorCode: codeBusy, ErrorMessage: busyText(1500 * time.Millisecond)}
--- a/internal/link/fault_test.go
+++ b/internal/link/fault_test.go
@@ -354,6 +354,17 @@
 	is.Equal(other.Address(), "")
 }
 
+func TestFailedHandshakesGiveTheirSlotBack(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	s, scope := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), newFakeHandler(), ServerOptions{MaxHandshakes: 1})
+	startClient(t, d.credentials(keys.RoleOperator, "o1"), quick(), s.Addr().String())
+	eventually(t, "several refusals", func() bool { return count(scope, metricRefusedConnections, "role") >= 3 })
+	c, _ := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), s.Addr().String())
+	_, err := c.Call(limited(t), versionQuery())
+	is.NoErr(err)
+}
+
 func TestHandshakesInProgressAreBounded(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t)
--- a/internal/subscriber/rules_test.go
+++ b/internal/subscriber/rules_test.go
@@ -139,6 +139,38 @@
 	}
 }
 
+func TestUnconfirmedNeedsAnAnswer(t *testing.T) {
+	is := is.New(t)
+	var v versions
+	_, err := v.receive(&controlpb.ConfigUpdate{Snapshot: configuration(5), Version: 5}, time.Unix(0, 0))
+	is.NoErr(err)
+	is.True(!v.settleUnconfirmed(time.Unix(3600, 0), time.Second)) // nobody was asked
+	v.learn(nil)
+	is.True(!v.settleUnconfirmed(time.Unix(3600, 0), time.Second)) // nobody answered
+	v.learn([]answer{{address: "a", version: 5}})
+	is.True(!v.settleUnconfirmed(time.Unix(0, 1), time.Second)) // the wait is not over
+	is.True(v.settleUnconfirmed(time.Unix(1, 0), time.Second))
+}
+
+// The confirmation of one version says nothing of the next one.
+func TestConfirmationBelongsToItsVersion(t *testing.T) {
+	is := is.New(t)
+	var v versions
+	now := time.Unix(0, 0)
+	v.learn([]answer{{address: "b", version: 9}})
+	receive := func(version uint64, confirmed bool) bool {
+		changed, err := v.receive(&controlpb.ConfigUpdate{
+			Snapshot: configuration(version), Version: version, Confirmed: confirmed,
+		}, now)
+		is.NoErr(err)
+		return changed
+	}
+	is.True(!receive(5, true)) // 9 is known
+	is.True(!receive(9, false))
+	is.True(!v.ready())
+	is.True(receive(9, true))
+}
+
 func TestReasons(t *testing.T) {
 	is := is.New(t)
 	is.Equal(refusalReason(config.ErrOlder), "older")
