--- a/internal/processtest/watch.go
+++ b/internal/processtest/watch.go
@@ -105,8 +105,8 @@
 	return w.target
 }
 
-// Advance waits for more events than can be under way, so that some of them were sent
-// after the call. A session that ended fails the test.
+// Advance waits for more events than can be under way, so that some of them
+// were sent after the call. A session that ended fails the test.
 func (w *Watch) Advance() {
 	w.t.Helper()
 	before, _ := w.state()
--- a/test/control_test.go
+++ b/test/control_test.go
@@ -12,15 +12,6 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
 )
 
-// entryNames names the entry hosts, on which versions come into force.
-func (d *deployment) entryNames() []string {
-	var names []string
-	for _, e := range d.entries {
-		names = append(names, e.Host)
-	}
-	return names
-}
-
 // operators returns the operator addresses of control hosts.
 func operators(hosts []*processtest.Control) []netip.AddrPort {
 	var all []netip.AddrPort
@@ -63,6 +54,31 @@
 	load.stop()
 }
 
+// TestControlHostsRestartInTurn stops each control host gracefully while
+// requests that may not be repeated run: none is cut and none runs twice.
+func TestControlHostsRestartInTurn(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 3)
+	load := d.startLoad(t)
+	target := d.targets[d.lodgement][0]
+	for _, host := range d.controls {
+		inFlight := d.startRequests(t, target, 2)
+		host.Terminate()
+		host.WaitExit()
+		for _, fate := range inFlight.wait() {
+			is.Equal(fate, whole)
+		}
+		host.Launch()
+		host.WaitReady()
+	}
+	for i := range d.inFlight {
+		is.Equal(d.runs(fmt.Sprint("in flight ", i+1)), 1)
+	}
+	d.InForce(d.Patch(d.lodgement.Put()), d.entryNames()...)
+	load.progress()
+	load.stop()
+}
+
 // TestControlHostLosesItsDisk brings a host back with an empty data folder and
 // then kills another one: no accepted patch may be gone.
 func TestControlHostLosesItsDisk(t *testing.T) {
--- a/test/entry_test.go
+++ b/test/entry_test.go
@@ -4,47 +4,8 @@
 	"testing"
 
 	"github.com/matryer/is"
-
-	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
 )
 
-// load is traffic on both services beside an open watch.
-type load struct {
-	t       *testing.T
-	watch   *processtest.Watch
-	traffic []*processtest.Traffic
-}
-
-func (d *deployment) startLoad(t *testing.T) *load {
-	t.Helper()
-	l := &load{t: t, watch: d.lodgement.NewCaller().Watch()}
-	for _, s := range d.services() {
-		l.traffic = append(l.traffic, s.StartTraffic(3))
-	}
-	l.progress()
-	return l
-}
-
-// progress waits until the watch and both services have gone on.
-func (l *load) progress() {
-	l.t.Helper()
-	l.watch.Advance()
-	for _, traffic := range l.traffic {
-		traffic.Progress()
-	}
-}
-
-// stop expects that no request had a bad fate and that the watch goes on.
-func (l *load) stop() {
-	l.t.Helper()
-	l.watch.Advance()
-	for _, traffic := range l.traffic {
-		report := traffic.Stop()
-		l.t.Logf("answered %d, refused %d", report.Answered, report.Refused)
-		is.New(l.t).Equal(len(report.Wrong), 0)
-	}
-}
-
 func TestEntryHostLostAndAnotherAdded(t *testing.T) {
 	d := deploy(t, 1)
 	load := d.startLoad(t)
--- a/test/inflight_test.go
+++ b/test/inflight_test.go
@@ -30,7 +30,8 @@
 	t.Helper()
 	r := &requests{fates: make([]string, count)}
 	for i := range count {
-		key := fmt.Sprintf("in flight %d", i)
+		d.inFlight++
+		key := fmt.Sprint("in flight ", d.inFlight)
 		caller := d.callerOf(t, target)
 		r.workers.Go(func() { r.fates[i] = fateOfRun(caller, key) })
 		processtest.Eventually(t, key+" runs", func() bool { return target.Runs(key) == 1 })
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -4,7 +4,6 @@
 	"crypto/x509"
 	"fmt"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -24,65 +23,6 @@
 	HoldBack:  10 * time.Millisecond,
 }
 
-// deployment is what most tests start from: two services with two targets
-// each behind two entry hosts.
-type deployment struct {
-	*processtest.Cluster
-	controls                []*processtest.Control
-	entries                 []*processtest.Entry
-	lodgement, certificates *processtest.Service
-	targets                 map[*processtest.Service][]*processtest.Target
-}
-
-func deploy(t *testing.T, controls int) *deployment {
-	t.Helper()
-	d := &deployment{Cluster: processtest.New(t)}
-	d.controls = d.StartControls(controls)
-	d.lodgement = d.NewService("lodgement")
-	d.certificates = d.NewService("certificates")
-	d.Patch(d.lodgement.Put(), d.certificates.Put())
-	d.entries = append(d.entries, d.StartEntry(), d.StartEntry())
-	d.targets = make(map[*processtest.Service][]*processtest.Target)
-	for _, s := range d.services() {
-		for _, name := range []string{"a", "b"} {
-			d.targets[s] = append(d.targets[s], s.StartTarget(name))
-		}
-	}
-	return d
-}
-
-func (d *deployment) services() []*processtest.Service {
-	return []*processtest.Service{d.lodgement, d.certificates}
-}
-
-// all returns the targets of both services.
-func (d *deployment) all() []*processtest.Target {
-	return append(d.targets[d.lodgement], d.targets[d.certificates]...)
-}
-
-// checkEchoes opens a flow to each service and expects whole answers of the
-// right one.
-func (d *deployment) checkEchoes(t *testing.T, label string, requests int) {
-	t.Helper()
-	for _, s := range d.services() {
-		caller := s.NewCaller()
-		for i := range requests {
-			text := strings.Repeat(fmt.Sprintf("%s %s %d;", s.Name, label, i), 100)
-			checkEcho(t, s, caller, text)
-		}
-	}
-}
-
-func checkEcho(t *testing.T, s *processtest.Service, caller *processtest.Caller, text string) {
-	t.Helper()
-	is := is.New(t)
-	answer := caller.Echo(text)
-	is.Equal(answer.Status, http.StatusOK)
-	is.Equal(answer.Outcome, processtest.OutcomeAnswered)
-	is.Equal(string(answer.Body), text)
-	is.True(strings.HasPrefix(answer.Target, s.Name+"-")) // the right service
-}
-
 func TestEveryDatagramOverAnyEntryHost(t *testing.T) {
 	is := is.New(t)
 	d := deploy(t, 1)
@@ -120,20 +60,6 @@
 	}
 }
 
-func (d *deployment) processes() []*processtest.Process {
-	var all []*processtest.Process
-	for _, host := range d.controls {
-		all = append(all, host.Process)
-	}
-	for _, e := range d.entries {
-		all = append(all, e.Process)
-	}
-	for _, target := range d.all() {
-		all = append(all, target.Backend, target.Agent)
-	}
-	return all
-}
-
 func TestRefusalsAreTheDocumentedOnes(t *testing.T) {
 	is := is.New(t)
 	d := deploy(t, 1)
