agentd: an address for frames behind a mapping of ports

Connection IDs name the address that the agent's socket opened, so nothing could stand between entry hosts and an agent: no port mapping, and no proxy that delays or loses frames on the way between failure domains.

Considered: delays in the fabric only, which would leave the path that decides on handing a flow on without any; a proxy that rewrites connection IDs, which are authenticated. Chosen: the setting frame_address, by default the opened address as before.

entryd tells the number of targets it knows, so that a start can wait for it.

--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -33,7 +33,9 @@
 	clock    clock
 	process  []byte
 
-	socket     *net.UDPConn
+	socket *net.UDPConn
+	// opened is the address of the socket, address the one that others use.
+	opened     netip.AddrPort
 	address    netip.AddrPort
 	announceIP netip.Addr
 	announce   atomic.Pointer[net.TCPAddr]
@@ -73,14 +75,19 @@
 
 func newDaemon(s *settingspb.AgentSettings, log *zap.Logger, scope tally.Scope, p parts, t timing) (*Daemon, error) {
 	l := limitsOf(s.GetAgent())
-	socket, address, err := openFrameSocket(s.GetAgent().GetFrameListen())
+	socket, opened, err := openFrameSocket(s.GetAgent().GetFrameListen())
 	if err != nil {
 		return nil, err
 	}
+	address, err := frameAddress(s.GetAgent(), opened)
+	if err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
 	clock := newClock()
 	d := &Daemon{
 		settings: s, limits: l, log: log, scope: scope, parts: p, timing: t, clock: clock,
-		process: newAttempt(), socket: socket, address: address,
+		process: newAttempt(), socket: socket, opened: opened, address: address,
 		ready: make(chan struct{}), first: make(chan struct{}, 1),
 		counters: newCounters(scope),
 		backend:  &backendRecord{},
@@ -100,9 +107,9 @@
 	return d, nil
 }
 
-// FrameAddr returns the address (ip:port) that receives frames.
+// FrameAddr returns the address (ip:port) on which frames are received.
 func (d *Daemon) FrameAddr() string {
-	return d.address.String()
+	return d.opened.String()
 }
 
 // AnnounceAddr returns the address (ip:port) that takes announcements, empty
--- a/internal/agentd/settings.go
+++ b/internal/agentd/settings.go
@@ -46,6 +46,20 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// frameAddress returns the address that others send frames to: the one that
+// the settings name, else the one that was opened. Connection IDs name it.
+func frameAddress(s *settingspb.Agent, opened netip.AddrPort) (netip.AddrPort, error) {
+	text := s.GetFrameAddress()
+	if text == "" {
+		return opened, nil
+	}
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || !address.Addr().Is4() || address.Addr().IsUnspecified() || address.Port() == 0 {
+		return netip.AddrPort{}, errors.Wrapf(ErrSettings, "frame_address: %q is not one IPv4 address with a port", text)
+	}
+	return address, nil
+}
+
 // openFrameSocket opens the address for frames. Connection IDs name it, so it
 // has to be one IPv4 number.
 func openFrameSocket(listen string) (*net.UDPConn, netip.AddrPort, error) {
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -108,6 +108,12 @@
 	return d.forwarder.PublicAddrs()
 }
 
+// Targets returns the number of targets that this host knows of, of all
+// services.
+func (d *Daemon) Targets() int {
+	return d.forwarder.Targets()
+}
+
 // FrameAddr returns the address that frames are received on.
 func (d *Daemon) FrameAddr() string {
 	return d.forwarder.FrameAddr().String()
--- a/internal/entryd/forwarder.go
+++ b/internal/entryd/forwarder.go
@@ -118,6 +118,12 @@
 	return f.frameAddr
 }
 
+// Targets returns the number of targets that new flows are decided on, of all
+// services.
+func (f *Forwarder) Targets() int {
+	return f.tables.Load().loads.Len()
+}
+
 // PublicAddrs returns the local address of each public address that is open.
 func (f *Forwarder) PublicAddrs() map[string]string {
 	listeners := f.tables.Load().listeners
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -76,6 +76,7 @@
 	"Agent.queue_ms":            {fallback: "50", positive: true},
 	"Agent.default_deadline_ms": {fallback: "10000", positive: true},
 	"Agent.poll_ms":             {fallback: "1000", positive: true},
+	"Agent.frame_address":       {check: checkFrameDial},
 }
 
 // ruleOf finds the rule of a field; keys without one get the empty rule.
@@ -141,6 +142,14 @@
 	return ""
 }
 
+// checkFrameDial is checkFrameAddress for an address that others send to.
+func checkFrameDial(value string) string {
+	if fault := checkFrameAddress(value); fault != "" {
+		return fault
+	}
+	return checkDialAddress(value)
+}
+
 // checkLoopback guards addresses that trust whoever calls them.
 func checkLoopback(value string) string {
 	if fault := checkAddress(value); fault != "" {
