backend, loadgen, faultproxy: what an experiment needs

- backend: a cold start, during which work takes longer; runs are counted in a ledger that outlives a server that crashed
- faultproxy: a delay by the caller's IP number, for failure domains
- agentd: Registered tells that the target takes flows

--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -40,6 +40,7 @@
 	announceIP netip.Addr
 	announce   atomic.Pointer[net.TCPAddr]
 	ready      chan struct{}
+	registered chan struct{}
 	first      chan struct{}
 
 	counters *counters
@@ -88,7 +89,7 @@
 	d := &Daemon{
 		settings: s, limits: l, log: log, scope: scope, parts: p, timing: t, clock: clock,
 		process: newAttempt(), socket: socket, opened: opened, address: address,
-		ready: make(chan struct{}), first: make(chan struct{}, 1),
+		ready: make(chan struct{}), registered: make(chan struct{}), first: make(chan struct{}, 1),
 		counters: newCounters(scope),
 		backend:  &backendRecord{},
 		health:   newHealthState(clock),
@@ -128,6 +129,12 @@
 	return d.ready
 }
 
+// Registered is closed once the control hosts have registered the target and
+// it takes flows.
+func (d *Daemon) Registered() <-chan struct{} {
+	return d.registered
+}
+
 // Run serves until the context ends and then until the last session has
 // ended, without a time limit. It returns nil after such a graceful shutdown.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -172,6 +179,7 @@
 	}
 	d.plane.Store(one)
 	one.run()
+	close(d.registered)
 	d.log.Info("target registered", zap.Stringer("target", self), zap.String("service", self.service))
 	return one, nil
 }
--- a/internal/backend/handlers.go
+++ b/internal/backend/handlers.go
@@ -121,17 +121,22 @@
 }
 
 func (s *Server) echo(ctx context.Context, r *http.Request, _ []byte) ([]byte, error) {
-	err := sleep(ctx, milliseconds(r, 0))
+	err := sleep(ctx, s.workTime(r))
 	return []byte(r.URL.Query().Get("text")), err
 }
 
+// workTime is how long the work of a request takes now.
+func (s *Server) workTime(r *http.Request) time.Duration {
+	return s.opts.Cold.stretch(milliseconds(r, 0), time.Since(s.began))
+}
+
 // run counts before it works: whoever asks later has to learn of a run that
 // was cut off in the middle.
 func (s *Server) run(ctx context.Context, r *http.Request, body []byte) ([]byte, error) {
 	if key := r.Header.Get(headerKey); key != "" {
 		s.runs.add(key)
 	}
-	err := sleep(ctx, milliseconds(r, 0))
+	err := sleep(ctx, s.workTime(r))
 	return body, err
 }
 
@@ -156,7 +161,7 @@
 }
 
 func (s *Server) countRuns(rw http.ResponseWriter, r *http.Request) {
-	fmt.Fprint(rw, s.runs.count(r.URL.Query().Get("key")))
+	fmt.Fprint(rw, s.runs.Count(r.URL.Query().Get("key")))
 }
 
 func (s *Server) health(rw http.ResponseWriter, r *http.Request) {
--- a/internal/backend/ledger.go
+++ b/internal/backend/ledger.go
@@ -2,14 +2,14 @@
 
 import "sync"
 
-// ledger counts how often each idempotency key began to run. It keeps every
-// key: the server is for development and tests.
-type ledger struct {
+// Ledger counts how often each idempotency key began to run. It keeps every
+// key: the server is for development and tests. It may be used concurrently.
+type Ledger struct {
 	mu   sync.Mutex
 	runs map[string]int
 }
 
-func (l *ledger) add(key string) {
+func (l *Ledger) add(key string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.runs == nil {
@@ -18,7 +18,8 @@
 	l.runs[key]++
 }
 
-func (l *ledger) count(key string) int {
+// Count returns how often the key began to run.
+func (l *Ledger) Count(key string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.runs[key]
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -45,7 +45,12 @@
 	// AnnouncePeriod and DrainGrace replace their defaults unless 0.
 	AnnouncePeriod, DrainGrace time.Duration
 	Faults                     Faults
-	Log                        *zap.Logger
+	// Cold makes work take longer at first. The zero value starts warm.
+	Cold ColdStart
+	// Ledger counts the runs. Several servers, or the lives of one, may share
+	// it. Nil takes a new one.
+	Ledger *Ledger
+	Log    *zap.Logger
 }
 
 // Server is a running backend server. Its methods may be called from any
@@ -58,7 +63,8 @@
 	stop     context.CancelFunc
 	wait     conc.WaitGroup
 
-	runs      ledger
+	began     time.Time
+	runs      *Ledger
 	work      atomic.Uint64
 	running   atomic.Int64
 	watching  atomic.Int64
@@ -83,7 +89,10 @@
 		return nil, errors.Wrapf(ErrListen, "%v", err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	s := &Server{opts: o, url: "http://" + listener.Addr().String(), stop: stop, faults: o.Faults}
+	s := &Server{
+		opts: o, url: "http://" + listener.Addr().String(), stop: stop, faults: o.Faults,
+		began: time.Now(), runs: o.Ledger,
+	}
 	s.http = &http.Server{
 		Handler:           s.handler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -107,6 +116,9 @@
 	if o.DrainGrace == 0 {
 		o.DrainGrace = DefaultDrainGrace
 	}
+	if o.Ledger == nil {
+		o.Ledger = &Ledger{}
+	}
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
@@ -130,7 +142,7 @@
 }
 
 // Runs tells how often the idempotency key began to run.
-func (s *Server) Runs(key string) int { return s.runs.count(key) }
+func (s *Server) Runs(key string) int { return s.runs.Count(key) }
 
 // Running is the number of requests for work that run now.
 func (s *Server) Running() int { return int(s.running.Load()) }
--- a/internal/faultproxy/doc.go
+++ b/internal/faultproxy/doc.go
@@ -1,5 +1,6 @@
 // Package faultproxy relays UDP datagrams and TCP connections on loopback and
-// brings about network faults while it runs. It is used by tests only.
+// brings about network faults while it runs. It is used by tests and
+// experiments only.
 //
 // A Relay stands in for the fabric when it has several hosts: each datagram of
 // a caller goes to a host chosen at random, and a reply of any host returns to
--- a/internal/faultproxy/relay.go
+++ b/internal/faultproxy/relay.go
@@ -26,6 +26,10 @@
 	Hosts []netip.AddrPort
 	// Rand decides on faults and hosts.
 	Rand *rand.Rand
+	// Delay is added, one way, to every datagram from and to a caller at that
+	// IP number, for instance by the distance of its failure domain. It must
+	// not block. Nil adds none.
+	Delay func(caller netip.Addr) time.Duration
 	// MaxFlows bounds the table of callers; the one idle for longest is
 	// forgotten when it is full. Default 4096.
 	MaxFlows int
@@ -51,6 +55,7 @@
 type Relay struct {
 	front    *net.UDPConn
 	maxFlows int
+	delay    func(caller netip.Addr) time.Duration
 	workers  conc.WaitGroup
 
 	// mu guards the fields below. No other lock is taken under it.
@@ -70,6 +75,8 @@
 	caller   netip.AddrPort
 	upstream *net.UDPConn
 	lastUsed time.Time
+	// distance is the delay one way that the caller's IP number brings.
+	distance time.Duration
 	stale    [directions]bool
 }
 
@@ -82,6 +89,7 @@
 	r := &Relay{
 		front:    front,
 		maxFlows: opts.MaxFlows,
+		delay:    opts.Delay,
 		random:   opts.Rand,
 		hosts:    append([]netip.AddrPort(nil), opts.Hosts...),
 		faults:   make(map[pathKey]Faults),
@@ -91,10 +99,15 @@
 	if r.maxFlows == 0 {
 		r.maxFlows = defaultMaxFlows
 	}
+	if r.delay == nil {
+		r.delay = noDelay
+	}
 	r.workers.Go(r.readCallers)
 	return r, nil
 }
 
+func noDelay(netip.Addr) time.Duration { return 0 }
+
 func listenUDP(addr netip.AddrPort) (*net.UDPConn, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
@@ -187,7 +200,7 @@
 	f.lastUsed = time.Now()
 	for _, delay := range delays {
 		counts.Delivered++
-		r.deliverLocked(from, to, datagram, delay)
+		r.deliverLocked(from, to, datagram, delay+f.distance)
 	}
 }
 
@@ -224,7 +237,10 @@
 	if err != nil {
 		return nil
 	}
-	f := &flow{caller: caller, upstream: upstream, lastUsed: time.Now()}
+	f := &flow{
+		caller: caller, upstream: upstream, lastUsed: time.Now(),
+		distance: r.delay(caller.Addr().Unmap()),
+	}
 	r.flows[caller] = f
 	r.workers.Go(func() { r.readHosts(f) })
 	return f
--- a/internal/faultproxy/relay_test.go
+++ b/internal/faultproxy/relay_test.go
@@ -209,3 +209,26 @@
 	is.Equal(n, 0)
 	is.True(err != nil) // the caller never sees the answer
 }
+
+func TestDelayGoesByTheCaller(t *testing.T) {
+	is := is.New(t)
+	const far = 50 * time.Millisecond
+	asked := make(chan netip.Addr, 1)
+	host, caller := socket(t), socket(t)
+	r := relay(t, Options{Hosts: []netip.AddrPort{addrOf(host)}, Delay: func(caller netip.Addr) time.Duration {
+		asked <- caller
+		return far
+	}})
+	began := time.Now()
+	send(t, caller, r.Addr(), "there")
+	text, upstream := receive(t, host)
+	is.Equal(text, "there")
+	is.True(time.Since(began) >= far)
+	is.Equal(<-asked, addrOf(caller).Addr())
+
+	began = time.Now()
+	send(t, host, upstream, "back")
+	text, _ = receive(t, caller)
+	is.Equal(text, "back")
+	is.True(time.Since(began) >= far)
+}
--- a/internal/loadgen/doc.go
+++ b/internal/loadgen/doc.go
@@ -12,7 +12,8 @@
 // A flow is one QUIC connection whose handshake completed. It is broken when
 // it ends before the caller ends it, unless both ends closed it without an
 // error (H3_NO_ERROR, as after GOAWAY) and no request was lost on it. A flow
-// that went silent counts when its idle timeout passes. A session is a flow
+// that went silent counts when its idle timeout passes. Flows whose target's
+// host failed, as the options tell, are counted apart. A session is a flow
 // that holds one watch stream; it is broken, and its flow with it, also when
 // the stream ends or brings no event for SilenceFactor event periods.
 //
--- a/internal/loadgen/flow.go
+++ b/internal/loadgen/flow.go
@@ -27,6 +27,8 @@
 	// leaving flows get no more requests and end with their last one.
 	leaving  atomic.Bool
 	inFlight atomic.Int64
+	// target is the name of the target that answered on it, if any did.
+	target atomic.Pointer[string]
 	// own is set before the caller closes the flow.
 	own atomic.Bool
 	// broken is set when the flow was counted as broken.
@@ -85,8 +87,26 @@
 
 // breakFlow counts a flow once.
 func (d *dialer) breakFlow(f *flow, reason string) {
-	if !f.own.Load() && f.broken.CompareAndSwap(false, true) {
-		d.rec.flowBroken(reason)
+	if f.own.Load() || !f.broken.CompareAndSwap(false, true) {
+		return
+	}
+	if d.hostFailed(f) {
+		d.rec.flowLostWithHost()
+		return
+	}
+	d.rec.flowBroken(reason)
+}
+
+// hostFailed tells whether the flow's target stands on a host that failed.
+func (d *dialer) hostFailed(f *flow) bool {
+	target := f.target.Load()
+	return target != nil && d.opts.HostFailed(*target)
+}
+
+// answeredBy keeps the target that a flow leads to.
+func (f *flow) answeredBy(target string) {
+	if name := targetName(target); name != "" && f.target.Load() == nil {
+		f.target.Store(&name)
 	}
 }
 
--- a/internal/loadgen/generator.go
+++ b/internal/loadgen/generator.go
@@ -8,7 +8,8 @@
 	"github.com/sourcegraph/conc"
 )
 
-// sessionRamp is the share of the run over which sessions are opened.
+// sessionRamp is the share of the run over which sessions are opened, unless
+// the options say otherwise.
 const sessionRamp = 0.1
 
 // generator is one run.
@@ -51,7 +52,7 @@
 
 // openSessions spreads the opening of sessions over the start of the run.
 func (g *generator) openSessions(ctx context.Context, wg *conc.WaitGroup) {
-	step := time.Duration(sessionRamp * float64(g.opts.Duration) / float64(max(1, g.opts.Sessions)))
+	step := g.opts.SessionRamp / time.Duration(max(1, g.opts.Sessions))
 	for i := range g.opts.Sessions {
 		wg.Go(func() {
 			sleep(ctx, time.Duration(i)*step)
--- a/internal/loadgen/measure_test.go
+++ b/internal/loadgen/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -41,3 +42,34 @@
 	is.Equal(len(got), 3)
 	is.Equal(got[2]["a"], 1)
 }
+
+func TestFlowsOfFailedHostsAreCountedApart(t *testing.T) {
+	is := is.New(t)
+	o := Options{Duration: time.Second, HostFailed: func(target string) bool { return target == "a" }}.withDefaults()
+	d := &dialer{opts: o, rec: newRecorder(o)}
+	for _, target := range []string{"a/1/1", "b/2/1", ""} {
+		f := &flow{}
+		f.answeredBy(target)
+		d.breakFlow(f, reasonLost)
+		d.breakFlow(f, reasonLost) // counts once
+	}
+	report := d.rec.report()
+	is.Equal(report.BrokenFlows, 2)
+	is.Equal(report.FlowsLostWithHost, 1)
+}
+
+func TestRunsAreAskedOfTheOptions(t *testing.T) {
+	is := is.New(t)
+	runs := map[string]int{"once": 1, "twice": 2}
+	o := Options{Duration: time.Second, Runs: func(key string) int { return runs[key] }}.withDefaults()
+	g := &generator{opts: o, rec: newRecorder(o)}
+	g.rec.fates = []keyFate{
+		{key: "once", told: ClassAnswered},
+		{key: "twice", told: ClassAnswered},
+		{key: "once", told: ClassNotRun},
+		{key: "never", told: ClassNotRun},
+	}
+	report := &Report{}
+	is.NoErr(g.checkRuns(t.Context(), report))
+	is.Equal(*report.Doubled, Doubled{Keys: 4, Doubled: 1, DeniedFalsely: 1})
+}
--- a/internal/loadgen/options.go
+++ b/internal/loadgen/options.go
@@ -56,6 +56,9 @@
 	RequestsPerFlow int
 	// Sessions is the number of watch streams held open, each on its own flow.
 	Sessions int
+	// SessionRamp is the time over which they are opened, evenly; 0 takes a
+	// tenth of the run.
+	SessionRamp time.Duration
 	// WatchPeriod is the time between two events that sessions ask for.
 	WatchPeriod time.Duration
 	// Duration of the run; requests under way at its end are waited for.
@@ -79,6 +82,13 @@
 	Window time.Duration
 	// Targets are the names of all targets of the service, if known.
 	Targets []string
+	// HostFailed tells whether the host of a target of that name has failed.
+	// Flows and sessions that end with their host are counted apart. Nil
+	// means that none fails.
+	HostFailed func(target string) bool
+	// Runs tells how often an idempotency key ran, at all backend servers
+	// together. It goes before RunURLs.
+	Runs func(key string) int
 	// RunURLs are the base URLs of all backend servers, if they can be asked
 	// for their runs.
 	RunURLs []string
@@ -92,6 +102,12 @@
 	setDefault(&o.RetryPercent, DefaultRetryPercent)
 	setDefault(&o.Window, DefaultWindow)
 	setDefault(&o.WatchPeriod, DefaultWatchPeriod)
+	if o.SessionRamp == 0 {
+		o.SessionRamp = time.Duration(sessionRamp * float64(o.Duration))
+	}
+	if o.HostFailed == nil {
+		o.HostFailed = func(string) bool { return false }
+	}
 	if o.RunID == "" {
 		o.RunID = randomID()
 	}
@@ -125,7 +141,7 @@
 		return errors.Wrap(ErrOptions, "the share of non-repeatable requests is not between 0 and 1")
 	case o.Duration <= 0:
 		return errors.Wrap(ErrOptions, "the duration is not positive")
-	case o.Window < 0 || o.WatchPeriod < 0 || o.Deadline < 0 || o.Work < 0:
+	case o.Window < 0 || o.SessionRamp < 0 || o.WatchPeriod < 0 || o.Deadline < 0 || o.Work < 0:
 		return errors.Wrap(ErrOptions, "a time is negative")
 	}
 	for _, addr := range o.Addresses {
--- a/internal/loadgen/recorder.go
+++ b/internal/loadgen/recorder.go
@@ -44,12 +44,15 @@
 	held         int
 	events       int
 	lostSessions map[string]int
-	refused      map[string]int
-	perTarget    map[string]int
-	sessionsAt   map[string]int
-	windows      map[int64]map[string]int
-	misrouted    int
-	wrong        int
+	// Ended with the host of their target.
+	flowsWithHost    int
+	sessionsWithHost int
+	refused          map[string]int
+	perTarget        map[string]int
+	sessionsAt       map[string]int
+	windows          map[int64]map[string]int
+	misrouted        int
+	wrong            int
 }
 
 func newRecorder(o Options) *recorder {
@@ -142,6 +145,18 @@
 	r.broken[reason]++
 }
 
+func (r *recorder) flowLostWithHost() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.flowsWithHost++
+}
+
+func (r *recorder) sessionLostWithHost() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sessionsWithHost++
+}
+
 func (r *recorder) sessionOpened(out outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -28,13 +28,18 @@
 	Flows       int            `json:"flows"`
 	BrokenFlows int            `json:"broken_flows"`
 	BrokenBy    map[string]int `json:"broken_by"`
+	// FlowsLostWithHost ended because the host of their target failed. They
+	// are not among the broken ones.
+	FlowsLostWithHost int `json:"flows_lost_with_host"`
 
 	// Sessions opened over the run, with the ones that replaced broken ones.
 	Sessions        int            `json:"sessions"`
 	BrokenSessions  int            `json:"broken_sessions"`
 	SessionsBy      map[string]int `json:"broken_sessions_by"`
 	SessionsRefused map[string]int `json:"sessions_refused"`
-	Events          int            `json:"events"`
+	// SessionsLostWithHost are not among the broken ones.
+	SessionsLostWithHost int `json:"sessions_lost_with_host"`
+	Events               int `json:"events"`
 
 	Imbalance         Imbalance      `json:"imbalance"`
 	PerTarget         map[string]int `json:"per_target"`
@@ -78,28 +83,30 @@
 	targets := allTargets(r.opts.Targets, r.perTarget)
 	windows := orderedWindows(r.windows)
 	return &Report{
-		Service:           r.opts.Service,
-		Seed:              r.opts.Seed,
-		Seconds:           time.Since(r.start).Seconds(),
-		Requests:          r.requests,
-		Outcomes:          maps.Clone(r.outcomes),
-		Retries:           maps.Clone(r.retries),
-		RetriesDenied:     r.denied,
-		LatencyMS:         r.percentiles(),
-		Flows:             r.flows,
-		BrokenFlows:       sum(r.broken),
-		BrokenBy:          maps.Clone(r.broken),
-		Sessions:          r.opened,
-		BrokenSessions:    sum(r.lostSessions),
-		SessionsBy:        maps.Clone(r.lostSessions),
-		SessionsRefused:   maps.Clone(r.refused),
-		Events:            r.events,
-		Imbalance:         imbalance(r.perTarget, windows, targets),
-		PerTarget:         maps.Clone(r.perTarget),
-		SessionsPerTarget: maps.Clone(r.sessionsAt),
-		Misrouted:         r.misrouted,
-		WrongAnswers:      r.wrong,
-		Windows:           windows,
+		Service:              r.opts.Service,
+		Seed:                 r.opts.Seed,
+		Seconds:              time.Since(r.start).Seconds(),
+		Requests:             r.requests,
+		Outcomes:             maps.Clone(r.outcomes),
+		Retries:              maps.Clone(r.retries),
+		RetriesDenied:        r.denied,
+		LatencyMS:            r.percentiles(),
+		Flows:                r.flows,
+		BrokenFlows:          sum(r.broken),
+		BrokenBy:             maps.Clone(r.broken),
+		FlowsLostWithHost:    r.flowsWithHost,
+		Sessions:             r.opened,
+		BrokenSessions:       sum(r.lostSessions),
+		SessionsBy:           maps.Clone(r.lostSessions),
+		SessionsRefused:      maps.Clone(r.refused),
+		SessionsLostWithHost: r.sessionsWithHost,
+		Events:               r.events,
+		Imbalance:            imbalance(r.perTarget, windows, targets),
+		PerTarget:            maps.Clone(r.perTarget),
+		SessionsPerTarget:    maps.Clone(r.sessionsAt),
+		Misrouted:            r.misrouted,
+		WrongAnswers:         r.wrong,
+		Windows:              windows,
 	}
 }
 
@@ -126,7 +133,7 @@
 	writeCounts(&b, "retries", r.Retries)
 	l := r.LatencyMS
 	fmt.Fprintf(&b, "latency ms: p50 %.2f  p90 %.2f  p99 %.2f  p99.9 %.2f  max %.2f\n", l.P50, l.P90, l.P99, l.P999, l.Max)
-	fmt.Fprintf(&b, "flows: %d, broken %d\n", r.Flows, r.BrokenFlows)
+	fmt.Fprintf(&b, "flows: %d, broken %d, lost with their host %d\n", r.Flows, r.BrokenFlows, r.FlowsLostWithHost)
 	writeCounts(&b, "broken by", r.BrokenBy)
 	fmt.Fprintf(&b, "sessions: %d, broken %d, events %d\n", r.Sessions, r.BrokenSessions, r.Events)
 	writeCounts(&b, "sessions broken by", r.SessionsBy)
--- a/internal/loadgen/request.go
+++ b/internal/loadgen/request.go
@@ -129,7 +129,9 @@
 		}
 		return lostOutcome(ctx, err), true
 	}
-	return g.check(q, answerOutcome(res), body), true
+	answer := answerOutcome(res)
+	f.answeredBy(answer.target)
+	return g.check(q, answer, body), true
 }
 
 // check holds an answer against its request.
--- a/internal/loadgen/runs.go
+++ b/internal/loadgen/runs.go
@@ -25,6 +25,13 @@
 // checkRuns asks every backend server how often each key ran and fills in
 // report.Doubled.
 func (g *generator) checkRuns(ctx context.Context, report *Report) error {
+	if g.opts.Runs != nil {
+		report.Doubled = &Doubled{}
+		for _, fate := range g.rec.fates {
+			report.Doubled.add(judge(fate, g.opts.Runs(fate.key)))
+		}
+		return nil
+	}
 	if len(g.opts.RunURLs) == 0 {
 		return errors.Wrap(ErrRuns, "none is named")
 	}
@@ -46,14 +53,18 @@
 	}
 	report.Doubled = &Doubled{}
 	for _, p := range parts {
-		report.Doubled.Keys += p.Keys
-		report.Doubled.Doubled += p.Doubled
-		report.Doubled.DeniedFalsely += p.DeniedFalsely
-		report.Doubled.AnsweredUnrun += p.AnsweredUnrun
+		report.Doubled.add(p)
 	}
 	return nil
 }
 
+func (d *Doubled) add(other Doubled) {
+	d.Keys += other.Keys
+	d.Doubled += other.Doubled
+	d.DeniedFalsely += other.DeniedFalsely
+	d.AnsweredUnrun += other.AnsweredUnrun
+}
+
 // judge compares what a caller was told with how often the key ran.
 func judge(fate keyFate, runs int) Doubled {
 	d := Doubled{Keys: 1}
--- a/internal/loadgen/session.go
+++ b/internal/loadgen/session.go
@@ -65,6 +65,7 @@
 		}
 		return out.comeBack
 	}
+	f.answeredBy(out.target)
 	g.rec.sessionOpened(out)
 	defer g.rec.sessionEnded()
 	lines := bufio.NewScanner(res.Body)
@@ -75,6 +76,10 @@
 	if ctx.Err() == nil {
 		reason := breakReason(f, silent.Load())
 		g.dialer.breakFlow(f, reason)
+		if g.dialer.hostFailed(f) {
+			g.rec.sessionLostWithHost()
+			return 0
+		}
 		g.rec.sessionBroken(reason)
 	}
 	return 0
