backend command: take signals before saying that it is ready

Cause: SIGTERM was caught only after the line "ready" was written, so a supervisor that stops the process right away killed it without a drain. Ruled out: the drain itself, as the status was that of a killed process (-1).

--- a/internal/cli/backend.go
+++ b/internal/cli/backend.go
@@ -59,6 +59,15 @@
 	}
 	defer func() { _ = log.Sync() }()
 	o.Log = log
+	// Signals are taken before anyone is told that the server is ready.
+	return untilSignal(cmd.Context(), func(ctx context.Context) error {
+		return serveBackend(ctx, o)
+	})
+}
+
+// serveBackend runs a server until ctx ends, then drains it.
+func serveBackend(ctx context.Context, o backend.Options) error {
+	log := o.Log
 	s, err := backend.Start(o)
 	if errors.Is(err, backend.ErrFault) {
 		return usage(err)
@@ -67,9 +76,7 @@
 		return err
 	}
 	log.Info(readyMessage, zap.String("role", "backend"), zap.String("name", o.Target), zap.String("url", s.URL()))
-	return untilSignal(cmd.Context(), func(ctx context.Context) error {
-		<-ctx.Done()
-		log.Info("draining", zap.Int("running", s.Running()), zap.Int("watching", s.Watching()))
-		return s.Drain(context.WithoutCancel(ctx))
-	})
+	<-ctx.Done()
+	log.Info("draining", zap.Int("running", s.Running()), zap.Int("watching", s.Watching()))
+	return s.Drain(context.WithoutCancel(ctx))
 }
