dev: failure domains, several control hosts, a network of proxies, changes

A deployment may now have a fabric that sprays over the entry hosts, delays between failure domains and to callers, three control hosts, and be changed while load runs: restart of each role, a target that is added cold, a backend server that drains, crashes and comes back, a failure domain that is lost.

Start waits until every entry host knows every target. Before, dev began its load when a control host knew them: the first packets of all flows that the load opened at once fell on entry hosts without targets and went again after the callers' 200 ms timer.

--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -4,11 +4,11 @@
 	"context"
 	"crypto/x509"
 	"fmt"
-	"maps"
 	"os"
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,22 +16,28 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/internal/backend"
-	"eelgrasswharf.example/eelgrasswharf/internal/controld"
-	"eelgrasswharf.example/eelgrasswharf/internal/entryd"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 )
 
 const (
-	controlName  = "control-1"
 	operatorName = "dev"
 	keysFolder   = "keys"
 	dataFolder   = "data"
-
-	slots       = 4
-	keyValidity = 30 * 24 * time.Hour
-	pollPause   = 20 * time.Millisecond
+	patchID      = "dev-services"
+
+	freePort        = "127.0.0.1:0"
+	loopback        = "127.0.0.0/8"
+	loopbackIP      = "127.0.0.1"
+	firstPublicPort = 443
+
+	defaultSlots   = 4
+	defaultEntries = 2
+	announcePeriod = 500 * time.Millisecond
+	keyValidity    = 30 * 24 * time.Hour
+	pollPause      = 20 * time.Millisecond
 	// endTimeout bounds the graceful end of a deployment whose sessions the
 	// callers keep open.
 	endTimeout = 10 * time.Second
@@ -45,6 +51,10 @@
 	Name string
 	// Targets is how many targets it has.
 	Targets int
+	// Slots of each target; 0 means 4.
+	Slots uint32
+	// Policy of the service; nil means the defaults.
+	Policy *configpb.Policy
 }
 
 // DefaultServices are two services with two targets each.
@@ -52,48 +62,48 @@
 	return []Service{{Name: "lodgement", Targets: 2}, {Name: "certificates", Targets: 2}}
 }
 
+// DefaultDomains are the failure domains when the options name none.
+func DefaultDomains() []string { return []string{"oke-ado", "dugbe", "bodija", "challenge"} }
+
 // Options describe a deployment.
 type Options struct {
 	// Services default to DefaultServices.
 	Services []Service
+	// Domains are the failure domains; the hosts of each role stand in them
+	// in turn. They default to DefaultDomains.
+	Domains []string
 	// Entries is the number of entry hosts; 0 means 2.
 	Entries int
+	// Controls is the number of control hosts; 0 means 1.
+	Controls int
+	// Network puts proxies between the hosts. Nil means none, but for more
+	// than one control host, which need them.
+	Network *Network
 	Log     *zap.Logger
 	Scope   tally.Scope
 }
 
-// Deployment is a running deployment.
-type Deployment struct {
-	opts     Options
-	folder   string
-	log      *zap.Logger
-	roots    *x509.CertPool
-	operator keys.Files
-
-	control  *controld.Daemon
-	entries  []*entryd.Daemon
-	backends map[string][]*backend.Server
-	client   *operator.Client
-
-	// stops end the daemons of a role, in the order of a graceful end.
-	stopTargets, stopEntries, stopControl context.CancelFunc
-	targetsWG, entriesWG, controlWG       conc.WaitGroup
-
-	mu    sync.Mutex
-	ended error
-	// gone is closed when a daemon ended with an error.
-	gone chan struct{}
-}
-
-// Start starts a deployment and waits until every service is in force on
-// every entry host and every target is known. It ends what it started when
-// ctx ends first or a daemon fails.
-func Start(ctx context.Context, o Options) (*Deployment, error) {
+func (o Options) withDefaults() Options {
 	if len(o.Services) == 0 {
 		o.Services = DefaultServices()
 	}
+	o.Services = slices.Clone(o.Services)
+	for i := range o.Services {
+		if o.Services[i].Slots == 0 {
+			o.Services[i].Slots = defaultSlots
+		}
+	}
+	if len(o.Domains) == 0 {
+		o.Domains = DefaultDomains()
+	}
 	if o.Entries == 0 {
-		o.Entries = 2
+		o.Entries = defaultEntries
+	}
+	if o.Controls == 0 {
+		o.Controls = 1
+	}
+	if o.Controls > 1 && o.Network == nil {
+		o.Network = &Network{}
 	}
 	if o.Log == nil {
 		o.Log = zap.NewNop()
@@ -101,16 +111,63 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
+	return o
+}
+
+// Deployment is a running deployment. Load may run beside the methods that
+// change it; those themselves are called one at a time.
+type Deployment struct {
+	opts     Options
+	folder   string
+	log      *zap.Logger
+	roots    *x509.CertPool
+	operator keys.Files
+	network  *network
+	client   atomic.Pointer[operator.Client]
+
+	controls []*controlHost
+	// agents are all agents ever started; old ones may still have sessions.
+	agents  []*process
+	callers map[string]keys.Files
+	ledgers map[string]*backend.Ledger
+
+	// life ends with Close.
+	life     context.Context
+	endLife  context.CancelFunc
+	running  conc.WaitGroup
+	draining conc.WaitGroup
+	// gone is closed when a daemon ended with an error.
+	gone chan struct{}
+
+	// mu guards what Load reads while the deployment changes.
+	mu      sync.Mutex
+	entries []*entryHost
+	targets map[string][]*target
+	ended   error
+}
+
+// Start starts a deployment and waits until every entry host serves every
+// service and knows every target. It ends what it started when ctx ends first
+// or a daemon fails.
+func Start(ctx context.Context, o Options) (*Deployment, error) {
+	o = o.withDefaults()
 	folder, err := os.MkdirTemp("", "eelgrasswharf-dev-")
 	if err != nil {
 		return nil, errors.Wrap(err, "temporary folder")
 	}
 	d := &Deployment{
 		opts: o, folder: folder, log: o.Log,
-		roots:    x509.NewCertPool(),
-		backends: map[string][]*backend.Server{},
-		gone:     make(chan struct{}),
+		roots:   x509.NewCertPool(),
+		network: newNetwork(Network{}, nil),
+		callers: map[string]keys.Files{},
+		ledgers: map[string]*backend.Ledger{},
+		targets: map[string][]*target{},
+		gone:    make(chan struct{}),
+	}
+	if o.Network != nil {
+		d.network = newNetwork(*o.Network, o.Domains)
 	}
+	d.life, d.endLife = context.WithCancel(context.Background())
 	if err := d.start(ctx); err != nil {
 		d.Close()
 		return nil, err
@@ -120,7 +177,7 @@
 
 func (d *Deployment) start(ctx context.Context) error {
 	steps := []func(context.Context) error{
-		d.makeKeys, d.startControl, d.submitServices, d.startEntries, d.startTargets, d.awaitService,
+		d.makeKeys, d.startControls, d.submitServices, d.startEntries, d.startTargets, d.awaitService,
 	}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
@@ -130,22 +187,33 @@
 	return nil
 }
 
-// runner is what all daemons have in common.
-type runner interface {
-	Run(ctx context.Context) error
-	Ready() <-chan struct{}
-}
-
-// run runs a daemon in wg and waits until it is ready.
-func (d *Deployment) run(ctx, life context.Context, wg *conc.WaitGroup, name string, r runner) error {
-	wg.Go(func() {
-		err := r.Run(life)
-		if err != nil || life.Err() == nil {
-			d.fail(errors.Wrapf(ErrEnded, "%s: %v", name, err))
+// awaitService waits until every entry host serves, and has the fabric use
+// them.
+func (d *Deployment) awaitService(ctx context.Context) error {
+	want := len(d.allTargets())
+	err := d.until(ctx, func() bool {
+		for _, h := range d.entries {
+			if !d.entryServes(h, want) {
+				return false
+			}
 		}
+		return d.knownTargets(ctx) >= want
 	})
+	if err != nil {
+		return err
+	}
+	d.spread()
+	d.log.Info("deployment ready", zap.Int("targets", want), zap.Int("entries", len(d.entries)))
+	return nil
+}
+
+// domain returns the failure domain of the host at an index of its role.
+func (d *Deployment) domain(index int) string { return d.opts.Domains[index%len(d.opts.Domains)] }
+
+// pause waits a moment, or returns why there is nothing to wait for.
+func (d *Deployment) pause(ctx context.Context) error {
 	select {
-	case <-r.Ready():
+	case <-time.After(pollPause):
 		return nil
 	case <-d.gone:
 		return d.failure()
@@ -154,21 +222,6 @@
 	}
 }
 
-func (d *Deployment) fail(err error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.ended == nil {
-		d.ended = err
-		close(d.gone)
-	}
-}
-
-func (d *Deployment) failure() error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.ended
-}
-
 // Failed is closed when a daemon ended by itself; Err then says why.
 func (d *Deployment) Failed() <-chan struct{} { return d.gone }
 
@@ -179,27 +232,22 @@
 func (d *Deployment) Roots() *x509.CertPool { return d.roots }
 
 // Services are the names of the services, sorted.
-func (d *Deployment) Services() []string { return slices.Sorted(maps.Keys(d.backends)) }
-
-// Targets are the names of the targets of a service.
-func (d *Deployment) Targets(service string) []string {
+func (d *Deployment) Services() []string {
 	var names []string
-	for i := range d.backends[service] {
-		names = append(names, targetName(service, i))
+	for _, s := range d.opts.Services {
+		names = append(names, s.Name)
 	}
+	slices.Sort(names)
 	return names
 }
 
-// Backends are the backend servers of a service.
-func (d *Deployment) Backends(service string) []*backend.Server { return d.backends[service] }
-
-// Operator is a client for the control host.
-func (d *Deployment) Operator() *operator.Client { return d.client }
+// Operator is a client for the control hosts.
+func (d *Deployment) Operator() *operator.Client { return d.client.Load() }
 
 // OperatorArgs are the flags that let operator commands call the deployment.
 func (d *Deployment) OperatorArgs() string {
 	return fmt.Sprintf("--control %s --authority %s --certificate %s --key %s",
-		d.control.OperatorAddr(), d.operator.Authority, d.operator.Certificate, d.operator.PrivateKey)
+		d.controls[0].daemon.OperatorAddr(), d.operator.Authority, d.operator.Certificate, d.operator.PrivateKey)
 }
 
 // AuthorityFile is the certificate authority, which callers need.
@@ -207,42 +255,51 @@
 	return filepath.Join(d.folder, keysFolder, keys.AuthorityFile)
 }
 
-func targetName(service string, index int) string { return fmt.Sprintf("%s-%d", service, index+1) }
-
 // Close ends the deployment gracefully, targets first, and removes its
 // folder. Sessions that callers keep open are cut off after a while.
 func (d *Deployment) Close() {
-	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
-	defer cancel()
-	// Backend servers first: their agents have to hear of it.
-	var wg conc.WaitGroup
-	for _, servers := range d.backends {
-		for _, s := range servers {
-			wg.Go(func() { d.drain(ctx, s) })
+	d.endTargets()
+	for _, h := range d.entries {
+		if h.process != nil {
+			h.process.stop()
 		}
 	}
-	wg.Wait()
-	d.end(d.stopTargets, &d.targetsWG)
-	d.end(d.stopEntries, &d.entriesWG)
-	if d.client != nil {
-		d.client.Close()
+	if client := d.client.Load(); client != nil {
+		client.Close()
+	}
+	for _, h := range d.controls {
+		if h.process != nil {
+			h.process.stop()
+		}
 	}
-	d.end(d.stopControl, &d.controlWG)
+	d.running.Wait()
+	d.network.close()
 	if err := os.RemoveAll(d.folder); err != nil {
 		d.log.Warn("temporary folder left behind", zap.Error(err))
 	}
 }
 
-func (d *Deployment) drain(ctx context.Context, s *backend.Server) {
-	if err := s.Drain(ctx); err != nil {
-		d.log.Warn("backend server cut off", zap.Error(err))
+// endTargets drains backend servers first, as their agents have to hear of it.
+func (d *Deployment) endTargets() {
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	context.AfterFunc(ctx, d.endLife)
+	for _, t := range d.allTargets() {
+		if t.server != nil {
+			d.draining.Go(func() { d.drain(ctx, t.server) })
+		}
+	}
+	d.draining.Wait()
+	for _, p := range d.agents {
+		p.leave()
+	}
+	for _, p := range d.agents {
+		<-p.ended
 	}
 }
 
-func (d *Deployment) end(stop context.CancelFunc, wg *conc.WaitGroup) {
-	if stop == nil {
-		return
+func (d *Deployment) drain(ctx context.Context, s *backend.Server) {
+	if err := s.Drain(ctx); err != nil {
+		d.log.Warn("backend server cut off", zap.Error(err))
 	}
-	stop()
-	wg.Wait()
 }
--- a/internal/dev/load.go
+++ b/internal/dev/load.go
@@ -13,9 +13,6 @@
 	o.Addresses = d.Addresses(service)
 	o.Roots = d.roots
 	o.Targets = d.Targets(service)
-	o.RunURLs = nil
-	for _, b := range d.Backends(service) {
-		o.RunURLs = append(o.RunURLs, b.URL())
-	}
+	o.Runs = func(key string) int { return d.Runs(service, key) }
 	return loadgen.Run(ctx, o)
 }
