--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -10,10 +10,18 @@
 	"google.golang.org/protobuf/proto"
 
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 	"eelgrasswharf.example/eelgrasswharf/internal/settings"
 )
 
+const (
+	// rolePatch names patch files, which no daemon reads.
+	rolePatch = "patch"
+	// checkedPatchID stands for the identifier that the operator will choose.
+	checkedPatchID = "config-check"
+)
+
 func newConfig() *cobra.Command {
 	return group("config", "Settings files and the configuration in force",
 		"Checks and makes settings files, and shows versions of the configuration.",
@@ -30,12 +38,17 @@
 		Long: `Checks a settings file and reports every finding as "file:line: section.key:
 what is wrong". The role is guessed from the sections unless --role names it.
 
+A patch file is checked as a patch against an empty configuration.
+
 Without --files the files that the settings name are not looked at, so that a
 file meant for another host can be checked here.`,
 		Example: `  eelgrasswharf config check entry.ini
   eelgrasswharf config check --files --role control /etc/eelgrasswharf/control.ini`,
 		Args: exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if roleName == "" && settings.IsPatch(args[0]) {
+				roleName = rolePatch
+			}
 			role, err := checkFile(args[0], settings.Role(roleName), files)
 			if asJSON {
 				return writeCheck(cmd.OutOrStdout(), role, err)
@@ -51,13 +64,16 @@
 			return err
 		},
 	}
-	cmd.Flags().StringVar(&roleName, "role", "", "`ROLE` of the file: control, entry or agent")
+	cmd.Flags().StringVar(&roleName, "role", "", "`ROLE` of the file: control, entry, agent, experiment or patch")
 	cmd.Flags().BoolVar(&files, "files", false, "also check that the files named can be used here")
 	jsonFlag(cmd, &asJSON)
 	return cmd
 }
 
 func checkFile(path string, role settings.Role, files bool) (settings.Role, error) {
+	if role == rolePatch {
+		return role, checkPatch(path)
+	}
 	if role == "" {
 		guessed, err := settings.GuessRole(path)
 		if err != nil {
@@ -75,6 +91,19 @@
 	return role, settings.Check(path, m)
 }
 
+// checkPatch checks a patch as the control hosts would, were it the first.
+func checkPatch(path string) error {
+	patch, err := settings.LoadPatch(path)
+	if err != nil {
+		return err
+	}
+	patch.Id = checkedPatchID
+	if found := config.Validate(&configpb.Configuration{}, patch); len(found) > 0 {
+		return settings.Findings(found)
+	}
+	return nil
+}
+
 // checkReport is the JSON form of config check.
 type checkReport struct {
 	Role     settings.Role `json:"role"`
@@ -100,9 +129,9 @@
 	return &cobra.Command{
 		Use:       "example ROLE",
 		Short:     "Print a commented settings file",
-		Long:      "Prints a settings file of the role control, entry or agent with every key explained.",
+		Long:      "Prints a settings file of the role control, entry, agent or experiment with every key explained.",
 		Example:   "  eelgrasswharf config example control > control.ini",
-		ValidArgs: []string{string(settings.RoleControl), string(settings.RoleEntry), string(settings.RoleAgent)},
+		ValidArgs: []string{string(settings.RoleControl), string(settings.RoleEntry), string(settings.RoleAgent), string(settings.RoleExperiment)},
 		Args:      exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			text, err := settings.Example(settings.Role(args[0]))
--- /dev/null
+++ b/internal/cli/experiment.go
@@ -0,0 +1,105 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/experiment"
+	"eelgrasswharf.example/eelgrasswharf/internal/logging"
+)
+
+// experimentLogLevel keeps what the scenarios bring about out of the way.
+const experimentLogLevel = "error"
+
+// experimentFlags are the flags of the command experiment.
+type experimentFlags struct {
+	scenarios, policies []string
+	seeds               []uint
+	level, plot         string
+	asJSON              bool
+}
+
+func newExperiment() *cobra.Command {
+	x := &experimentFlags{}
+	cmd := &cobra.Command{
+		Use:   "experiment FILE...",
+		Short: "Measure deployments under load and faults",
+		Long: `Runs each deployment that a settings file describes in this process, on
+loopback, with proxies for the fabric and the distance between failure domains.
+In every scenario, under every policy and with every seed, callers make load
+while the events of the scenario happen. Reports broken flows, imbalance,
+refused, unknown, doubled, misrouted and falsely "not run" requests, and
+latency, as a table in Markdown or as JSON.
+
+Policies are weighted (with the weights of the patch file), two-choices and
+hash. With several files, "weighted as NAME" uses the weights of another one;
+it runs in the scenario unsteady-start unless --policy names it.
+
+Exit status: 0 when doubled, misrouted and falsely "not run" are 0 everywhere,
+1 otherwise.`,
+		Example: `  eelgrasswharf experiment examples/registry/experiment.ini --scenario calm
+  eelgrasswharf experiment examples/*/experiment.ini --seed 1,2,3 --json
+  eelgrasswharf experiment examples/registry/experiment.ini --scenario drain-cold-start \
+    --policy weighted --plot drain.svg`,
+		Args: minArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return runExperiment(cmd, args, x)
+		},
+	}
+	f := cmd.Flags()
+	f.StringSliceVar(&x.scenarios, "scenario", nil, "`NAMES` of scenarios, comma-separated; default all")
+	f.StringSliceVar(&x.policies, "policy", nil, "`NAMES` of policies, comma-separated; default all")
+	f.UintSliceVar(&x.seeds, "seed", []uint{1}, "`SEEDS`, comma-separated; each makes a run of every cell")
+	f.StringVar(&x.plot, "plot", "", "write the last cell's answers by target over time, with its events, to `FILE` (.svg or .png)")
+	f.StringVar(&x.level, "log-level", experimentLogLevel, "lowest `LEVEL` logged: debug, info, warn or error")
+	jsonFlag(cmd, &x.asJSON)
+	return cmd
+}
+
+func runExperiment(cmd *cobra.Command, files []string, x *experimentFlags) error {
+	log, err := logging.New(&settingspb.Log{Level: x.level, Format: settingspb.LogFormat_LOG_FORMAT_CONSOLE}, cmd.ErrOrStderr())
+	if err != nil {
+		return usage(err)
+	}
+	o := experiment.Options{
+		Scenarios: x.scenarios, Policies: x.policies, Log: log,
+		Progress: func(c *experiment.Cell) {
+			fmt.Fprintf(cmd.ErrOrStderr(), "done: %s, %s, %s, seed %d\n", c.Site, c.Scenario, c.Policy, c.Seed)
+		},
+	}
+	for _, seed := range x.seeds {
+		o.Seeds = append(o.Seeds, uint64(seed))
+	}
+	for _, file := range files {
+		site, err := experiment.LoadSite(file)
+		if err != nil {
+			return err
+		}
+		o.Sites = append(o.Sites, site)
+	}
+	return untilSignal(cmd.Context(), func(ctx context.Context) error {
+		result, err := experiment.Run(ctx, o)
+		if result == nil {
+			return usageIf(err, experiment.ErrOptions)
+		}
+		// What ran is reported even if a later cell failed.
+		return errors.Join(x.report(cmd.OutOrStdout(), result), err)
+	})
+}
+
+func (x *experimentFlags) report(w io.Writer, r *experiment.Result) error {
+	if x.plot != "" {
+		if err := r.Plot(x.plot); err != nil {
+			return err
+		}
+	}
+	if x.asJSON {
+		return writeJSON(w, r)
+	}
+	return r.WriteMarkdown(w)
+}
--- /dev/null
+++ b/internal/experiment/members.go
@@ -0,0 +1,89 @@
+package experiment
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/loadgen"
+)
+
+const percentile = 0.99
+
+// span is the time for which a target was in service, since the start of the
+// load. An end of 0 means until the end of the run.
+type span struct {
+	target   string
+	from, to time.Duration
+}
+
+// covers reports whether the target was in service for the whole of a window.
+func (s span) covers(from, to time.Duration) bool {
+	return s.from <= from && (s.to == 0 || s.to >= to)
+}
+
+// members are the targets of a service over time.
+type members []span
+
+// join puts a target into service.
+func (m *members) join(target string, at time.Duration) {
+	*m = append(*m, span{target: target, from: at})
+}
+
+// leave takes a target out of service.
+func (m members) leave(target string, at time.Duration) {
+	for i := range m {
+		if m[i].target == target && m[i].to == 0 {
+			m[i].to = at
+		}
+	}
+}
+
+// count returns how many targets were in service for the whole of a window.
+func (m members) count(from, to time.Duration) int {
+	n := 0
+	for _, s := range m {
+		if s.covers(from, to) {
+			n++
+		}
+	}
+	return n
+}
+
+// imbalance is the measure that the package comment defines.
+func imbalance(windows []map[string]int, length time.Duration, m members) loadgen.Imbalance {
+	var ratios []float64
+	for i, w := range windows {
+		from := time.Duration(i) * length
+		if ratio, ok := ratioOf(w, m.count(from, from+length)); ok {
+			ratios = append(ratios, ratio)
+		}
+	}
+	if len(ratios) == 0 {
+		return loadgen.Imbalance{}
+	}
+	total := 0.0
+	for _, r := range ratios {
+		total += r
+	}
+	slices.Sort(ratios)
+	return loadgen.Imbalance{
+		Overall: total / float64(len(ratios)),
+		// Nearest rank.
+		P99:     ratios[int(math.Ceil(percentile*float64(len(ratios))))-1],
+		Windows: len(ratios),
+	}
+}
+
+// ratioOf is the imbalance of one window, if it counts.
+func ratioOf(w map[string]int, inService int) (float64, bool) {
+	greatest, total := 0, 0
+	for _, n := range w {
+		greatest = max(greatest, n)
+		total += n
+	}
+	if inService == 0 || total < loadgen.MinPerTarget*inService {
+		return 0, false
+	}
+	return float64(greatest) * float64(inService) / float64(total), true
+}
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,152 @@
+package experiment
+
+import (
+	"context"
+	"slices"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+// Errors of Run.
+var (
+	// ErrOptions reports options that name nothing to run.
+	ErrOptions = errors.New("bad options of the experiment")
+	// ErrFaults reports cells with outcomes that must never happen.
+	ErrFaults = errors.New("outcomes that must never happen")
+)
+
+// Options name the cells to run: every site, scenario, policy and seed.
+type Options struct {
+	Sites []*Site
+	// Scenarios by name; none means all.
+	Scenarios []string
+	// Policies by name; none means all. "weighted as SITE" is the policy in
+	// use with the weights of another of the sites; it runs by itself in the
+	// scenario unsteady-start only, unless named.
+	Policies []string
+	Seeds    []uint64
+	Log      *zap.Logger
+	// Progress, if set, is told of each cell when it is done.
+	Progress func(*Cell)
+}
+
+// plan is one cell to run.
+type plan struct {
+	site     *Site
+	scenario Scenario
+	policy   Policy
+	seed     uint64
+}
+
+// Result holds cells in the order in which they ran.
+type Result struct {
+	Cells []*Cell `json:"cells"`
+}
+
+// Run runs the cells one after the other. It returns ErrOptions for unknown
+// names. With ErrFaults, which names the cells, it returns the result too.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	plans, err := o.plans()
+	if err != nil {
+		return nil, err
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	var closing conc.WaitGroup
+	defer closing.Wait()
+	result := &Result{}
+	for _, p := range plans {
+		cell, err := runCell(ctx, p.site, p.scenario, p.policy, p.seed, o.Log, &closing)
+		if err != nil {
+			return result, errors.Wrapf(err, "%s, %s, %s, seed %d", p.site.Name(), p.scenario.Name, p.policy.Name, p.seed)
+		}
+		result.Cells = append(result.Cells, cell)
+		if o.Progress != nil {
+			o.Progress(cell)
+		}
+	}
+	return result, result.check()
+}
+
+// plans lists the cells by site, scenario, policy and seed.
+func (o *Options) plans() ([]plan, error) {
+	if len(o.Sites) == 0 || len(o.Seeds) == 0 {
+		return nil, errors.Wrap(ErrOptions, "no site or no seed")
+	}
+	if err := o.checkNames(); err != nil {
+		return nil, err
+	}
+	var plans []plan
+	for _, site := range o.Sites {
+		for _, sc := range Scenarios() {
+			if len(o.Scenarios) > 0 && !slices.Contains(o.Scenarios, sc.Name) {
+				continue
+			}
+			for _, p := range o.policies(site, sc) {
+				for _, seed := range o.Seeds {
+					plans = append(plans, plan{site, sc, p, seed})
+				}
+			}
+		}
+	}
+	return plans, nil
+}
+
+// policies are those that run on a site in a scenario.
+func (o *Options) policies(site *Site, sc Scenario) []Policy {
+	all := Policies()
+	for _, other := range o.Sites {
+		named := slices.Contains(o.Policies, WeightsOf(other).Name)
+		if other != site && (named || sc.Name == Unsteady) {
+			all = append(all, WeightsOf(other))
+		}
+	}
+	if len(o.Policies) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(all, func(p Policy) bool { return !slices.Contains(o.Policies, p.Name) })
+}
+
+func (o *Options) checkNames() error {
+	var scenarios, policies []string
+	for _, sc := range Scenarios() {
+		scenarios = append(scenarios, sc.Name)
+	}
+	for _, p := range Policies() {
+		policies = append(policies, p.Name)
+	}
+	for _, site := range o.Sites {
+		policies = append(policies, WeightsOf(site).Name)
+	}
+	for _, name := range o.Scenarios {
+		if !slices.Contains(scenarios, name) {
+			return errors.Wrapf(ErrOptions, "scenario %q, known are %q", name, scenarios)
+		}
+	}
+	for _, name := range o.Policies {
+		if !slices.Contains(policies, name) {
+			return errors.Wrapf(ErrOptions, "policy %q, known are %q", name, policies)
+		}
+	}
+	return nil
+}
+
+// check returns ErrFaults for cells with outcomes that must never happen.
+func (r *Result) check() error {
+	var findings []error
+	for _, c := range r.Cells {
+		for _, s := range c.Services {
+			if s.Faults() == 0 {
+				continue
+			}
+			findings = append(findings, errors.Wrapf(ErrFaults,
+				"%s, %s, %s, seed %d, %s: doubled %d, misrouted %d, falsely not run %d, wrong answers %d, answered but never run %d",
+				c.Site, c.Scenario, c.Policy, c.Seed, s.Service,
+				s.Doubled, s.Misrouted, s.FalselyNotRun, s.WrongAnswers, s.AnsweredUnrun))
+		}
+	}
+	return errors.Join(findings...)
+}
--- /dev/null
+++ b/internal/experiment/trial.go
@@ -0,0 +1,188 @@
+package experiment
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/dev"
+	"eelgrasswharf.example/eelgrasswharf/internal/loadgen"
+)
+
+const (
+	// window is the time over which imbalance is taken.
+	window = time.Second
+	// sessionShare is the part of the load over which sessions are opened, so
+	// that each event finds old ones and new ones.
+	sessionShare = 0.8
+	// startLimit bounds the start of a deployment on a busy machine.
+	startLimit = 2 * time.Minute
+)
+
+// Errors of a run.
+var (
+	// ErrIncomplete reports a run whose load ended before its last event.
+	ErrIncomplete = errors.New("the load ended before the last event")
+	// ErrRunsUnknown reports that the runs could not be cross-checked.
+	ErrRunsUnknown = errors.New("the runs are not known")
+)
+
+// trial is a run under way.
+type trial struct {
+	site *Site
+	d    *dev.Deployment
+	// began is the start of the load.
+	began time.Time
+
+	mu      sync.Mutex
+	events  []Event
+	members map[string]*members
+	failed  map[string]bool
+}
+
+// runCell starts a deployment, makes one run and returns its cell. The
+// deployment ends in the background, within closing.
+func runCell(ctx context.Context, site *Site, sc Scenario, p Policy, seed uint64, log *zap.Logger, closing *conc.WaitGroup) (*Cell, error) {
+	startCtx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	o := site.options(p, seed)
+	o.Log = log
+	d, err := dev.Start(startCtx, o)
+	if err != nil {
+		return nil, errors.Wrap(err, "start")
+	}
+	// A graceful end takes seconds and needs next to no processor time.
+	defer closing.Go(d.Close)
+	t := &trial{site: site, d: d, members: map[string]*members{}, failed: map[string]bool{}}
+	// Every target is past its ramp before the load begins.
+	if !t.sleep(ctx, site.ramp()) {
+		return nil, ctx.Err()
+	}
+	cell, err := t.run(ctx, sc, seed)
+	if err == nil {
+		err = d.Err()
+	}
+	if err != nil {
+		return nil, err
+	}
+	cell.Site, cell.Scenario, cell.Policy, cell.Seed = site.Name(), sc.Name, p.Name, seed
+	return cell, nil
+}
+
+// run makes the load and the events of a scenario.
+func (t *trial) run(ctx context.Context, sc Scenario, seed uint64) (*Cell, error) {
+	t.began = time.Now()
+	for _, service := range t.site.services {
+		m := &members{}
+		for _, name := range t.d.Targets(service.Name) {
+			m.join(name, 0)
+		}
+		t.members[service.Name] = m
+	}
+	eventsCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	var eventsErr error
+	var events conc.WaitGroup
+	events.Go(func() { eventsErr = sc.run(eventsCtx, t) })
+	reports, err := t.load(ctx, sc.Length, seed)
+	stop()
+	events.Wait()
+	switch {
+	case err != nil:
+		return nil, err
+	case errors.Is(eventsErr, context.Canceled):
+		return nil, errors.Wrap(ErrIncomplete, sc.Name)
+	case eventsErr != nil:
+		return nil, errors.Wrap(eventsErr, "events")
+	}
+	return t.cell(reports)
+}
+
+// load plays the callers of all services at once.
+func (t *trial) load(ctx context.Context, length time.Duration, seed uint64) ([]*loadgen.Report, error) {
+	workers := pool.New().WithContext(ctx).WithCancelOnError()
+	reports := make([]*loadgen.Report, len(t.site.services))
+	for i, service := range t.site.services {
+		o := t.site.load(service, length, seed)
+		o.HostFailed = t.hostFailed
+		workers.Go(func(ctx context.Context) error {
+			r, err := t.d.Load(ctx, service.Name, o)
+			reports[i] = r
+			return err
+		})
+	}
+	return reports, workers.Wait()
+}
+
+func (t *trial) cell(reports []*loadgen.Report) (*Cell, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cell := &Cell{Events: t.events}
+	for _, r := range reports {
+		if r.Doubled == nil {
+			return nil, errors.Wrap(ErrRunsUnknown, r.DoubledUnknown)
+		}
+		cell.Services = append(cell.Services, serviceCell(r, *t.members[r.Service]))
+	}
+	return cell, nil
+}
+
+// mark notes an event.
+func (t *trial) mark(text string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.events = append(t.events, Event{Seconds: time.Since(t.began).Seconds(), Text: text})
+}
+
+// joined notes that a target came into service.
+func (t *trial) joined(service, target string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.members[service].join(target, time.Since(t.began))
+}
+
+// left notes that a target went out of service.
+func (t *trial) left(service, target string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.members[service].leave(target, time.Since(t.began))
+}
+
+// lost notes that the host of a target failed.
+func (t *trial) lost(service, target string) {
+	t.left(service, target)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failed[target] = true
+}
+
+func (t *trial) hostFailed(target string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failed[target]
+}
+
+// at waits until a time of the run.
+func (t *trial) at(ctx context.Context, moment time.Duration) error {
+	if !t.sleep(ctx, time.Until(t.began.Add(moment))) {
+		return ctx.Err()
+	}
+	return nil
+}
+
+// sleep reports whether ctx lasted that long.
+func (t *trial) sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/loadgen/plot_test.go
+++ b/internal/loadgen/plot_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,5 +22,10 @@
 	info, err := os.Stat(path)
 	is.NoErr(err)
 	is.True(info.Size() > 0)
+	marked := filepath.Join(t.TempDir(), "marked.svg")
+	is.NoErr(PlotWindows("marked", r.Windows, time.Second, []Mark{{Seconds: 1.5, Text: "l-1 drains"}}, marked))
+	text, err := os.ReadFile(marked)
+	is.NoErr(err)
+	is.True(strings.Contains(string(text), "l-1 drains"))
 	is.True(Plot(r, time.Second, filepath.Join(t.TempDir(), "run.unknown")) != nil)
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -21,16 +21,18 @@
 	RoleControl Role = "control"
 	RoleEntry   Role = "entry"
 	RoleAgent   Role = "agent"
+	// RoleExperiment is no daemon but the command experiment.
+	RoleExperiment Role = "experiment"
 )
 
 // Errors of the functions that take or guess a role.
 var (
-	ErrUnknownRole = errors.New("unknown role; known are control, entry and agent")
-	ErrNoRole      = errors.New("no section tells the role: [replica], [forwarding] or [agent]")
+	ErrUnknownRole = errors.New("unknown role; known are control, entry, agent and experiment")
+	ErrNoRole      = errors.New("no section tells the role: [replica], [forwarding], [agent] or [site]")
 )
 
 // Roles lists the roles in the order of the documentation.
-func Roles() []Role { return []Role{RoleControl, RoleEntry, RoleAgent} }
+func Roles() []Role { return []Role{RoleControl, RoleEntry, RoleAgent, RoleExperiment} }
 
 // NewMessage returns an empty root message of a role, or ErrUnknownRole.
 func NewMessage(role Role) (proto.Message, error) {
@@ -41,6 +43,8 @@
 		return &settingspb.EntrySettings{}, nil
 	case RoleAgent:
 		return &settingspb.AgentSettings{}, nil
+	case RoleExperiment:
+		return &settingspb.ExperimentSettings{}, nil
 	}
 	return nil, errors.Wrapf(ErrUnknownRole, "%q", string(role))
 }
@@ -106,6 +110,8 @@
 			return RoleEntry, nil
 		case "agent":
 			return RoleAgent, nil
+		case "site":
+			return RoleExperiment, nil
 		}
 	}
 	return "", ErrNoRole
--- a/internal/settings/patch.go
+++ b/internal/settings/patch.go
@@ -33,6 +33,20 @@
 	return ParsePatch(path, text)
 }
 
+// IsPatch tells whether a file is a patch file by its first section.
+func IsPatch(path string) bool {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return false
+	}
+	sections := parseFile(text, &collector{file: path})
+	if len(sections) == 0 {
+		return false
+	}
+	kind, _, named := strings.Cut(sections[0].name, " ")
+	return named && (kind == putPrefix || kind == removePrefix)
+}
+
 // ParsePatch is LoadPatch for the text of a file; name stands for the file
 // in places and findings.
 func ParsePatch(name string, text []byte) (*configpb.Patch, error) {
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"golang.org/x/sys/unix"
@@ -77,6 +78,25 @@
 	"Agent.default_deadline_ms": {fallback: "10000", positive: true},
 	"Agent.poll_ms":             {fallback: "1000", positive: true},
 	"Agent.frame_address":       {check: checkFrameDial},
+
+	"Site.name":            {required: true, example: "registry", check: checkName},
+	"Site.failure_domains": {required: true, example: "oke-ado, dugbe, bodija, challenge", check: checkName},
+	"Site.control_hosts":   {fallback: "3", positive: true},
+	"Site.entry_hosts":     {fallback: "3", positive: true},
+	"Site.targets":         {required: true, example: "lodgement=7, certificates=4", check: checkCount},
+	"Site.patch":           {required: true, example: "services.ini", path: readableFile},
+
+	"Distance.between_domains_us": {fallback: "1000"},
+	"Distance.to_callers_us":      {fallback: "1000"},
+
+	"Callers.connections":            {fallback: "100", positive: true},
+	"Callers.requests_per_flow":      {fallback: "25", positive: true},
+	"Callers.sessions":               {fallback: "100"},
+	"Callers.requests_per_target":    {fallback: "70", positive: true},
+	"Callers.work_ms":                {fallback: "20"},
+	"Callers.non_repeatable_percent": {fallback: "20", check: checkPercent},
+	"Callers.watch_ms":               {fallback: "500", positive: true},
+	"Callers.deadline_ms":            {fallback: "2000", positive: true},
 }
 
 // ruleOf finds the rule of a field; keys without one get the empty rule.
@@ -175,6 +195,28 @@
 	return ""
 }
 
+// checkCount wants "name=number" with a number above 0.
+func checkCount(value string) string {
+	name, number, ok := strings.Cut(value, "=")
+	if !ok || name == "" {
+		return "is not of the form name=number"
+	}
+	if fault := checkName(name); fault != "" {
+		return fault
+	}
+	if n, err := strconv.ParseUint(number, 10, 16); err != nil || n == 0 {
+		return "names no number from 1 to 65535"
+	}
+	return ""
+}
+
+func checkPercent(value string) string {
+	if n, err := strconv.ParseUint(value, 10, 16); err != nil || n > 100 {
+		return "is not a percentage"
+	}
+	return ""
+}
+
 func checkVoter(value string) string {
 	name, addr, ok := strings.Cut(value, "=")
 	if !ok || name == "" {
