--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -64,6 +64,7 @@
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
+	t.Parallel() // each world has its own addresses
 	w := &world{t: t, control: newFakeControl(), known: &fakeDirectory{}}
 	w.secrets = []connid.Secret{{ID: 1, Key: [connid.SecretLength]byte{1, 2, 3}}}
 	authority, err := keys.NewAuthority(time.Now(), time.Hour)
@@ -78,6 +79,8 @@
 	return w
 }
 
+func (w *world) currentSecrets() []connid.Secret { return w.secrets }
+
 func must(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
@@ -92,6 +95,8 @@
 	published *fakeAnnouncer
 	stop      context.CancelFunc
 	done      chan error
+	// secretsChanged tells the daemon that the secrets of the world changed.
+	secretsChanged func()
 }
 
 // startAgent runs a daemon and announces the backend server to it.
@@ -120,7 +125,8 @@
 	}
 	a := &agent{scope: tally.NewTestScope("", nil), published: &fakeAnnouncer{}, done: make(chan error, 1)}
 	p := parts{
-		control: w.control, enlist: a.published.enlist(w.control), secrets: w.secrets,
+		control: w.control, enlist: a.published.enlist(w.control), secrets: w.currentSecrets,
+		onSecrets:   func(f func()) { a.secretsChanged = f },
 		subscribe:   func(uint32) directory { return w.known },
 		certificate: func() *tls.Certificate { return w.cert }, service: testService, close: func() {},
 	}
@@ -183,9 +189,15 @@
 
 // caller returns an HTTP/3 client that reaches the entry host.
 func (w *world) caller() *http.Client {
+	return w.callerWith(200 * time.Millisecond)
+}
+
+// callerWith returns a client whose connections send something of their own at
+// each period, or nothing at all, no probes either, if it is 0.
+func (w *world) callerWith(keepAlive time.Duration) *http.Client {
 	transport := &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: w.roots, ServerName: testService},
-		QUICConfig:      &quic.Config{KeepAlivePeriod: 200 * time.Millisecond, MaxIdleTimeout: 10 * time.Second},
+		QUICConfig:      &quic.Config{KeepAlivePeriod: keepAlive, MaxIdleTimeout: 10 * time.Second, DisablePathMTUDiscovery: keepAlive == 0},
 	}
 	w.t.Cleanup(func() { _ = transport.Close() })
 	return &http.Client{Transport: transport}
@@ -202,24 +214,20 @@
 	hosts  []*net.UDPConn
 	dead   []atomic.Bool
 	turn   atomic.Uint32
-	frames *frame.Codec
-	ids    *connid.Codec
+	codecs atomic.Pointer[codecs]
 
 	mu        sync.Mutex
 	target    netip.AddrPort
 	alternate netip.AddrPort
 	service   uint32
-	load      uint16
-	draining  bool
+	draining  map[uint32]bool
+	retries   int
 }
 
 func newFakeEntry(t *testing.T, secrets []connid.Secret, hosts int) *fakeEntry {
 	t.Helper()
-	frames, err := frame.NewCodec(secrets)
-	must(t, err)
-	ids, err := connid.NewCodec(secrets)
-	must(t, err)
-	e := &fakeEntry{frames: frames, ids: ids, service: 1, dead: make([]atomic.Bool, hosts)}
+	e := &fakeEntry{service: 1, dead: make([]atomic.Bool, hosts), draining: map[uint32]bool{}}
+	e.setSecrets(t, secrets)
 	e.public = listenUDP(t)
 	for range hosts {
 		e.hosts = append(e.hosts, listenUDP(t))
@@ -231,6 +239,15 @@
 	return e
 }
 
+func (e *fakeEntry) setSecrets(t *testing.T, secrets []connid.Secret) {
+	t.Helper()
+	frames, err := frame.NewCodec(secrets)
+	must(t, err)
+	ids, err := connid.NewCodec(secrets)
+	must(t, err)
+	e.codecs.Store(&codecs{frames: frames, ids: ids, secrets: secrets})
+}
+
 func listenUDP(t *testing.T) *net.UDPConn {
 	t.Helper()
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -250,6 +267,20 @@
 	}
 }
 
+// retriesSeen returns the number of QUIC Retries that agents sent.
+func (e *fakeEntry) retriesSeen() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.retries
+}
+
+// saysDraining reports what the last reply of a target said.
+func (e *fakeEntry) saysDraining(target uint32) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.draining[target]
+}
+
 func (e *fakeEntry) publicAddr() netip.AddrPort {
 	return e.public.LocalAddr().(*net.UDPAddr).AddrPort()
 }
@@ -267,7 +298,7 @@
 		if !to.IsValid() || e.dead[host].Load() {
 			continue
 		}
-		e.frames.Put(buffer, &h)
+		e.codecs.Load().frames.Put(buffer, &h)
 		_, _ = e.hosts[host].WriteToUDPAddrPort(buffer[:frame.HeaderLength+n], to)
 	}
 }
@@ -280,7 +311,7 @@
 	if !ok {
 		return h, netip.AddrPort{}
 	}
-	named, verdict := e.ids.Decode(header.Destination)
+	named, verdict := e.codecs.Load().ids.Decode(header.Destination)
 	if verdict != connid.OK {
 		return h, e.target
 	}
@@ -299,11 +330,14 @@
 			return
 		}
 		var h frame.Header
-		if e.dead[host].Load() || e.frames.Parse(buffer[:n], &h) != frame.OK || h.Kind != frame.Reply {
+		if e.dead[host].Load() || e.codecs.Load().frames.Parse(buffer[:n], &h) != frame.OK || h.Kind != frame.Reply {
 			continue
 		}
 		e.mu.Lock()
-		e.load, e.draining = h.Load, h.Draining
+		e.draining[h.Target] = h.Draining
+		if header, ok := quicheader.Parse(buffer[frame.HeaderLength:n], connid.Length); ok && header.Type == quicheader.Retry {
+			e.retries++
+		}
 		e.mu.Unlock()
 		_, _ = e.public.WriteToUDPAddrPort(buffer[frame.HeaderLength:n], h.Caller)
 	}
--- a/internal/agentd/plane.go
+++ b/internal/agentd/plane.go
@@ -84,13 +84,16 @@
 	return &quic.Transport{
 		Conn: p.socket,
 		ConnectionIDGenerator: &idGenerator{
-			codec:  p.socket.ids,
+			codec:  func() *connid.Codec { return p.socket.codecs.Load().ids },
 			target: p.self.connTarget(),
 			random: randomByte,
 		},
 		StatelessResetKey:   resetKey(secret, p.self.number, p.self.incarnation),
 		VerifySourceAddress: func(net.Addr) bool { return true },
-		ConnContext:         p.admit,
+		// A token of an earlier connection would spare the Retry, and with it
+		// the caller's own choice of the one agent that accepts.
+		MaxTokenAge: time.Nanosecond,
+		ConnContext: p.admit,
 	}
 }
 
--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -28,11 +28,13 @@
 
 // deployment is a set of control hosts in this process.
 type deployment struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	hosts   map[string]*host
 	voters  []string
 	address map[string]string
+	// listen is where a host listens, if not at its address.
+	listen map[string]string
 }
 
 type host struct {
@@ -45,9 +47,9 @@
 	wg     conc.WaitGroup
 }
 
-func newDeployment(t *testing.T, names ...string) *deployment {
+func newDeployment(t testing.TB, names ...string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), hosts: map[string]*host{}, address: map[string]string{}}
+	d := &deployment{t: t, dir: t.TempDir(), hosts: map[string]*host{}, address: map[string]string{}, listen: map[string]string{}}
 	if err := keys.InitAuthority(d.dir); err != nil {
 		t.Fatal(err)
 	}
@@ -61,7 +63,7 @@
 
 // freeAddress returns a loopback address whose UDP port was free just now:
 // the hosts have to know each other's ports before they start.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
@@ -99,12 +101,19 @@
 			PrivateKey: files.PrivateKey, DataSecrets: files.DataSecrets,
 		},
 		Replica: &settingspb.Replica{
-			DataFolder: data, Listen: d.address[name], OperatorListen: "127.0.0.1:0",
+			DataFolder: data, Listen: d.listenAddress(name), OperatorListen: "127.0.0.1:0",
 			InitialVoters: d.voters, Join: join, TickMs: 20,
 		},
 	}
 }
 
+func (d *deployment) listenAddress(name string) string {
+	if listen, ok := d.listen[name]; ok {
+		return listen
+	}
+	return d.address[name]
+}
+
 // start runs a host on a data folder, a new one if none is named.
 func (d *deployment) start(name, data string, join bool) *host {
 	d.t.Helper()
@@ -177,7 +186,7 @@
 	return c
 }
 
-func testContext(t *testing.T) context.Context {
+func testContext(t testing.TB) context.Context {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	t.Cleanup(cancel)
@@ -185,7 +194,7 @@
 }
 
 // eventually waits until the condition holds.
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	if !poll(condition) {
 		t.Fatalf("never came: %s", what)
@@ -232,7 +241,7 @@
 
 // watcher is a subscriber that keeps what it was sent.
 type watcher struct {
-	t      *testing.T
+	t      testing.TB
 	stream *link.ClientStream
 }
 
--- a/internal/controld/internal_test.go
+++ b/internal/controld/internal_test.go
@@ -78,7 +78,8 @@
 		fails  bool
 	}{
 		{"alone", nil, false, []voter{{"c2", "127.0.0.1:0"}}, false},
-		{"joins", []string{"c1=127.0.0.1:1"}, true, nil, false},
+		{"joins", []string{"c1=127.0.0.1:1"}, true, []voter{{"c1", "127.0.0.1:1"}}, false},
+		{"joins without contacts", nil, true, nil, false},
 		{"sorted", []string{"c2=127.0.0.1:2", "c1=127.0.0.1:1"}, false, []voter{{"c1", "127.0.0.1:1"}, {"c2", "127.0.0.1:2"}}, false},
 		{"not named", []string{"c1=127.0.0.1:1"}, false, nil, true},
 		{"twice", []string{"c2=127.0.0.1:2", "c2=127.0.0.1:3"}, false, nil, true},
@@ -102,6 +103,8 @@
 	is.Equal(proposeStatus(nil), controlpb.ProposeStatus_PROPOSE_OK)
 	is.Equal(proposeStatus(replica.ErrNoLeader), controlpb.ProposeStatus_PROPOSE_NO_LEADER)
 	is.Equal(proposeStatus(replica.ErrBusy), controlpb.ProposeStatus_PROPOSE_BUSY)
+	is.Equal(proposeStatus(replica.ErrCommand), controlpb.ProposeStatus_PROPOSE_BUSY)
+	is.Equal(proposeStatus(replica.ErrClosed), controlpb.ProposeStatus_PROPOSE_NO_LEADER)
 	is.Equal(proposeStatus(errors.Join(replica.ErrUnknown, replica.ErrNoLeader)), controlpb.ProposeStatus_PROPOSE_UNKNOWN)
 	is.Equal(proposeStatus(context.DeadlineExceeded), controlpb.ProposeStatus_PROPOSE_UNKNOWN)
 }
--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -147,7 +147,8 @@
 }
 
 // Start starts a deployment and waits until every entry host serves every
-// service and knows every target. It ends what it started when ctx ends first
+// service and knows every target, and without a network also until every
+// target has answered a call through every entry host. It ends what it started when ctx ends first
 // or a daemon fails.
 func Start(ctx context.Context, o Options) (*Deployment, error) {
 	o = o.withDefaults()
@@ -177,7 +178,7 @@
 
 func (d *Deployment) start(ctx context.Context) error {
 	steps := []func(context.Context) error{
-		d.makeKeys, d.startControls, d.submitServices, d.startEntries, d.startTargets, d.awaitService,
+		d.makeKeys, d.startControls, d.submitServices, d.startEntries, d.startTargets, d.awaitService, d.awaitTargets,
 	}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
