--- a/internal/loadgen/request.go
+++ b/internal/loadgen/request.go
@@ -127,7 +127,9 @@
 	if err != nil {
 		return g.lost(ctx, f, err), true
 	}
-	return g.check(q, answerOutcome(res), body), true
+	answer := answerOutcome(res)
+	f.answeredBy(answer.target)
+	return g.check(q, answer, body), true
 }
 
 // lost explains a request that failed after it was sent. A flow whose end
