--- a/internal/cli/backend.go
+++ b/internal/cli/backend.go
@@ -59,6 +59,15 @@
 	}
 	defer func() { _ = log.Sync() }()
 	o.Log = log
+	// Signals are taken before anyone is told that the server is ready.
+	return untilSignal(cmd.Context(), func(ctx context.Context) error {
+		return serveBackend(ctx, o)
+	})
+}
+
+// serveBackend runs a server until ctx ends, then drains it.
+func serveBackend(ctx context.Context, o backend.Options) error {
+	log := o.Log
 	s, err := backend.Start(o)
 	if errors.Is(err, backend.ErrFault) {
 		return usage(err)
@@ -66,11 +75,8 @@
 	if err != nil {
 		return err
 	}
-	return untilSignal(cmd.Context(), func(ctx context.Context) error {
-		// Not earlier: whoever reads this line may send a signal at once.
-		log.Info(readyMessage, zap.String("role", "backend"), zap.String("name", o.Target), zap.String("url", s.URL()))
-		<-ctx.Done()
-		log.Info("draining", zap.Int("running", s.Running()), zap.Int("watching", s.Watching()))
-		return s.Drain(context.WithoutCancel(ctx))
-	})
+	log.Info(readyMessage, zap.String("role", "backend"), zap.String("name", o.Target), zap.String("url", s.URL()))
+	<-ctx.Done()
+	log.Info("draining", zap.Int("running", s.Running()), zap.Int("watching", s.Watching()))
+	return s.Drain(context.WithoutCancel(ctx))
 }
--- a/internal/controld/roles_test.go
+++ b/internal/controld/roles_test.go
@@ -28,6 +28,17 @@
 	return total
 }
 
+// strangers returns how often a host found its group founded without it.
+func (h *host) strangers() int64 {
+	total := int64(0)
+	for _, c := range h.scope.Snapshot().Counters() {
+		if c.Name() == "control.stranger_to_its_group" {
+			total += c.Value()
+		}
+	}
+	return total
+}
+
 func call(t *testing.T, c *link.Client, req *controlpb.Request) *controlpb.Response {
 	t.Helper()
 	res, err := c.Call(testContext(t), req)
@@ -222,6 +233,13 @@
 	is.Equal(bad.GetVerdict(), configpb.Verdict_VERDICT_REFUSED_FINDINGS)
 	is.Equal(len(bad.GetFindings()), 2)
 
+	var large []*configpb.Operation
+	for i := range 80 {
+		large = append(large, wide(i))
+	}
+	_, err = ops.Submit(ctx, patch("p4", 1, large...))
+	is.True(isError(err, operator.ErrNotDone)) // more than the log takes
+
 	cfg, confirmed, err := ops.Config(ctx, 0)
 	is.NoErr(err)
 	is.True(confirmed)
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
@@ -20,16 +21,7 @@
 	c.leader()
 	c.setLoss(0.05)
 	for i := range 60 {
-		h := c.hosts[i%3]
-		err := errors.New("not tried")
-		for n := 0; err != nil; n++ {
-			_, changed := h.replica.Watch()
-			// A new name each time: an unknown outcome may take effect.
-			_, err = h.replica.Propose(t.Context(), fmt.Appendf(nil, "%d-%d", i, n))
-			if err != nil {
-				<-changed
-			}
-		}
+		c.proposeUnderLoss(c.hosts[i%3], fmt.Sprint(i))
 	}
 	c.setLoss(0)
 	c.propose(c.hosts[0], "last")
@@ -41,6 +33,24 @@
 	}
 }
 
+// proposeUnderLoss proposes until one try is answered, under a new name each
+// time: one of unknown outcome may take effect.
+func (c *cluster) proposeUnderLoss(h *host, command string) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.t.Context(), testTimeout)
+	defer cancel()
+	for n := 0; ; n++ {
+		_, changed := h.replica.Watch()
+		_, err := h.replica.Propose(ctx, fmt.Appendf(nil, "%s-%d", command, n))
+		if err == nil {
+			return
+		}
+		if !backoff(ctx, changed) {
+			c.t.Fatalf("timeout: propose %s", command)
+		}
+	}
+}
+
 func TestLeaderKilledAndRestarted(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 3, Options{})
@@ -76,6 +86,42 @@
 	}
 }
 
+func TestReadBarrierOnALaggingFollowerWaits(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	leader := c.leader()
+	follower := others(c, leader)[0]
+	c.propose(leader, "before")
+	c.converge("before")
+	c.withholdAppends(follower.name)
+	c.propose(leader, "x")
+	read := make(chan error, 1)
+	go func() { read <- follower.replica.ReadBarrier(t.Context()) }()
+	// The entries come only once a read index was asked for.
+	select {
+	case err := <-read:
+		is.True(err != nil) // it lacks x
+	case <-time.After(200 * time.Millisecond):
+	}
+	is.Equal(follower.journal.count("x"), 0)
+	c.withholdAppends("")
+	c.converge("x")
+	is.NoErr(<-read)
+}
+
+// A proposal whose leader is cut off is answered without waiting for the
+// caller's deadline, and not with a claim that cannot be known.
+func TestProposalOfALeaderThatIsCutOffGetsUnknown(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	leader := c.leader()
+	c.propose(leader, "before")
+	c.isolate(leader, true)
+	_, err := leader.replica.ProposeLocal(context.WithoutCancel(t.Context()), []byte("x"))
+	is.True(errors.Is(err, ErrUnknown))
+	is.True(!errors.Is(err, ErrNoLeader))
+}
+
 func TestReadBarrierNeedsAQuorum(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 3, Options{})
