--- a/internal/link/admission_test.go
+++ b/internal/link/admission_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -68,6 +69,32 @@
 	is.Equal(c.addrs[r.index], "b")
 }
 
+func TestOutcomes(t *testing.T) {
+	is := is.New(t)
+	for _, tc := range []struct {
+		err  error
+		want error
+	}{
+		{&quic.ApplicationError{Remote: true, ErrorCode: codeBusy}, ErrNotSent},
+		{&quic.ApplicationError{Remote: false, ErrorCode: codeBusy}, ErrUnknown},
+		{&quic.ApplicationError{Remote: true, ErrorCode: codeShutdown}, ErrUnknown},
+		{&quic.StreamError{Remote: true, ErrorCode: streamNotDone}, ErrNotSent},
+		{&quic.StreamError{Remote: true, ErrorCode: streamMalformed}, ErrNotSent},
+		{&quic.StreamError{Remote: true, ErrorCode: streamFailed}, ErrUnknown},
+		{&quic.StreamError{Remote: false, ErrorCode: streamNotDone}, ErrUnknown},
+		{&quic.TransportError{Remote: true, ErrorCode: quic.ConnectionRefused}, ErrNotSent},
+		{&quic.TransportError{Remote: true, ErrorCode: quic.InternalError}, ErrUnknown},
+		{&quic.IdleTimeoutError{}, ErrUnknown},
+		{&quic.StatelessResetError{}, ErrUnknown},
+		{context.Canceled, ErrUnknown},
+	} {
+		got := outcomeError(errors.Wrap(tc.err, "read message"))
+		is.True(errors.Is(got, tc.want))
+		is.True(errors.Is(got, ErrNotSent) != errors.Is(got, ErrUnknown))
+		is.True(errors.Is(got, tc.err)) // the cause is kept
+	}
+}
+
 func TestRetryAfterText(t *testing.T) {
 	is := is.New(t)
 	refused := &quic.ApplicationError{Remote: true, ErrorCode: codeBusy, ErrorMessage: busyText(1500 * time.Millisecond)}
--- a/internal/link/fault_test.go
+++ b/internal/link/fault_test.go
@@ -342,7 +342,7 @@
 	is := is.New(t)
 	d := newDeployment(t)
 	s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), newFakeHandler(),
-		ServerOptions{AdmitPerSecond: 0.001, AdmitBurst: 1, MaxConnections: 1})
+		ServerOptions{AdmitPerSecond: 0.001, AdmitBurst: 1, MaxConnections: 1, LongestRetry: time.Hour})
 	entry, _ := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), s.Addr().String())
 	_, err := entry.Call(limited(t), versionQuery())
 	is.NoErr(err)
@@ -352,6 +352,9 @@
 	other, scope := startClient(t, d.credentials(keys.RoleEntry, "e2"), quick(), s.Addr().String())
 	eventually(t, "refused", func() bool { return count(scope, metricDialFailures, "busy") > 0 })
 	is.Equal(other.Address(), "")
+	// It was told to come back after 1,000 s. Its own pauses are 50 ms at most.
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(count(scope, metricDialFailures, "busy"), int64(1))
 }
 
 func TestFailedHandshakesGiveTheirSlotBack(t *testing.T) {
