--- a/raft/cluster_test.go
+++ b/raft/cluster_test.go
@@ -258,7 +258,7 @@
 	case n < 13:
 		c.wipe(s)
 	case n < 20:
-		s.frozen = c.rng.IntN(400)
+		s.frozen = c.rng.IntN(1500)
 	case n < 30:
 		c.blocked = map[string]bool{}
 	case n < 45:
