loopback: addresses for tests that must know them beforehand

Its fixture took a port from the kernel, closed it and had the host open it again; in between any other socket on 127.0.0.1, such as a link's own one, may get that port. Ruled out: the grant itself, no grant was asked yet.

The allotment of processtest (an IP number claimed by the process, ports below the ephemeral range) is now a package of its own, and the fixtures of controld and agentd use it in place of their own. A claim ends with its test.

--- a/internal/agentd/deployment_test.go
+++ b/internal/agentd/deployment_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -19,6 +18,7 @@
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/internal/controld"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 )
 
@@ -66,14 +66,11 @@
 	return cancel
 }
 
-// freeAddress returns an address that was free just now: a control host has
-// to know its own address before it starts.
+// freeAddress returns an address of its own: a control host has to know its
+// address before it starts.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	must(t, err)
-	defer func() { _ = conn.Close() }()
-	return conn.LocalAddr().String()
+	return loopback.Address(t, loopback.Host(t)).String()
 }
 
 func (d *deployment) files(role keys.Role, name, service string) keys.Files {
--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -20,6 +19,7 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/controld"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 )
 
@@ -61,16 +61,11 @@
 	return d
 }
 
-// freeAddress returns a loopback address whose UDP port was free just now:
-// the hosts have to know each other's ports before they start.
+// freeAddress returns a loopback address of its own: the hosts have to know
+// each other's addresses before they start.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	return conn.LocalAddr().String()
+	return loopback.Address(t, loopback.Host(t)).String()
 }
 
 func (d *deployment) issue(role keys.Role, name, service string) keys.Files {
--- a/internal/processtest/addresses.go
+++ b/internal/loopback/loopback.go
@@ -1,4 +1,4 @@
-package processtest
+package loopback
 
 import (
 	"net"
@@ -9,8 +9,8 @@
 )
 
 const (
-	// claimPort is bound on an IP number for as long as a test process uses
-	// it, so that two of them never share one.
+	// claimPort is bound on an IP number for as long as a test uses it, so
+	// that two processes never share one.
 	claimPort = 9999
 	// Ports are counted up below the range from which the kernel takes
 	// ephemeral ports.
@@ -25,16 +25,29 @@
 // addresses allots IP numbers and ports to the hosts of this test process.
 var addresses = &allotment{port: firstPort}
 
+// Host returns an IP number that nobody else uses until the test ends. The
+// search starts at a place given by the process ID, the claim settles
+// collisions.
+func Host(t testing.TB) netip.Addr {
+	t.Helper()
+	return addresses.host(t)
+}
+
+// Address returns the IP number of a Host with a port that this process has
+// not used lately and that is free for UDP and TCP.
+func Address(t testing.TB, host netip.Addr) netip.AddrPort {
+	t.Helper()
+	return addresses.address(t, host)
+}
+
+// allotment is what a process has allotted so far.
 type allotment struct {
-	mu     sync.Mutex
-	next   uint32
-	port   uint16
-	claims []net.Listener
+	mu   sync.Mutex
+	next uint32
+	port uint16
 }
 
-// newHost returns an IP number that no other test process uses. The search
-// starts at a place given by the process ID, the claim settles collisions.
-func (a *allotment) newHost(t testing.TB) netip.Addr {
+func (a *allotment) host(t testing.TB) netip.Addr {
 	t.Helper()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -48,16 +61,14 @@
 		if err != nil {
 			continue
 		}
-		a.claims = append(a.claims, claim)
+		t.Cleanup(func() { claim.Close() })
 		return ip
 	}
 	t.Fatal("no loopback address is free")
 	return netip.Addr{}
 }
 
-// newPort returns the IP number with a port that this process has not used
-// lately and that is free for UDP and TCP.
-func (a *allotment) newPort(t testing.TB, ip netip.Addr) netip.AddrPort {
+func (a *allotment) address(t testing.TB, ip netip.Addr) netip.AddrPort {
 	t.Helper()
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -10,6 +10,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
 )
 
 const (
@@ -41,7 +42,7 @@
 	c := &Cluster{
 		t:      t,
 		dir:    t.TempDir(),
-		ip:     addresses.newHost(t),
+		ip:     loopback.Host(t),
 		random: rand.New(rand.NewPCG(seed, seed)),
 	}
 	c.keyDir = filepath.Join(c.dir, "keys")
--- a/internal/processtest/control.go
+++ b/internal/processtest/control.go
@@ -7,6 +7,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
 )
 
 // Control is a control host. Its addresses outlive its process.
@@ -44,10 +45,10 @@
 
 func (c *Cluster) newControl(number int) *Control {
 	name := fmt.Sprintf("control-%d", number)
-	ip := addresses.newHost(c.t)
+	ip := loopback.Host(c.t)
 	host := &Control{
-		Link:     addresses.newPort(c.t, ip),
-		Operator: addresses.newPort(c.t, ip),
+		Link:     loopback.Address(c.t, ip),
+		Operator: loopback.Address(c.t, ip),
 		cluster:  c,
 		name:     name,
 	}
--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -6,6 +6,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
 )
 
 // loopbackNetwork is where agents stand in tests.
@@ -28,7 +29,7 @@
 func (c *Cluster) StartEntry(control ...netip.AddrPort) *Entry {
 	c.t.Helper()
 	name := fmt.Sprintf("entry-%d", len(c.entries)+1)
-	ip := addresses.newHost(c.t)
+	ip := loopback.Host(c.t)
 	e := &Entry{cluster: c, Host: name, ip: ip}
 	e.settings = &settingspb.EntrySettings{
 		Host:    hostSettings(name, name),
@@ -36,7 +37,7 @@
 		Control: &settingspb.ControlPeers{Addresses: c.linksOr(control)},
 		Forwarding: &settingspb.Forwarding{
 			PublicIp:      ip.String(),
-			FrameListen:   addresses.newPort(c.t, ip).String(),
+			FrameListen:   loopback.Address(c.t, ip).String(),
 			AgentNetworks: []string{loopbackNetwork},
 		},
 	}
--- a/internal/processtest/service.go
+++ b/internal/processtest/service.go
@@ -8,6 +8,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
 )
 
 // Service is a service with its stretch of the fabric.
@@ -50,7 +51,7 @@
 // NewAddress returns a public address that nothing uses.
 func (c *Cluster) NewAddress() netip.AddrPort {
 	c.t.Helper()
-	return addresses.newPort(c.t, c.ip)
+	return loopback.Address(c.t, c.ip)
 }
 
 // Put returns the section of a patch that creates or replaces the service,
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -10,6 +10,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
 )
 
 const (
@@ -46,8 +47,8 @@
 	c := s.cluster
 	c.t.Helper()
 	name = s.Name + "-" + name
-	t := &Target{Name: name, service: s, ip: addresses.newHost(c.t)}
-	announce := addresses.newPort(c.t, t.ip)
+	t := &Target{Name: name, service: s, ip: loopback.Host(c.t)}
+	announce := loopback.Address(c.t, t.ip)
 	t.settings = &settingspb.AgentSettings{
 		Host:    hostSettings(name, name),
 		Keys:    keySettings(c.issue(keys.RoleAgent, name, s.Name)),
@@ -59,7 +60,7 @@
 			PollMs:            targetPollMS,
 		},
 	}
-	listen := addresses.newPort(c.t, t.ip)
+	listen := loopback.Address(c.t, t.ip)
 	t.url = "http://" + listen.String()
 	t.Backend = Start(c.t, "backend-"+name,
 		"backend", "--service", s.Name, "--target", name,
@@ -74,7 +75,7 @@
 func (t *Target) LaunchAgent() {
 	c := t.service.cluster
 	c.t.Helper()
-	t.Frames = addresses.newPort(c.t, t.ip)
+	t.Frames = loopback.Address(c.t, t.ip)
 	t.settings.Agent.FrameListen = t.Frames.String()
 	path := c.path("agent-%s.ini", t.Name)
 	writeSettings(c.t, path, t.settings)
