controld: a promotion is done only where it was made in both groups

TestControlHostLosesItsDisk failed in one of four runs: 'replica promote' ended with exit status 0, the grant group had the new voter, the configuration group still had a learner, and with the next host lost it had no quorum. The leader had refused because the learner lagged; the command then asked the new host itself, which knew no member of the configuration group yet, and a group without such a member was passed over as if nothing were left to do. Ruled out: election and log, the group did what its two voters allow.

A host now confirms with the leader that it knows the members before it says anything of them, and a promotion of a member that one group lacks is not done.

--- a/internal/controld/backend.go
+++ b/internal/controld/backend.go
@@ -179,7 +179,10 @@
 
 // Promote implements operator.Backend.
 func (b *backend) Promote(ctx context.Context, m operator.MemberRef) error {
-	return b.eachMember(m, func(r *replica.Replica, member *raftpb.Member) error {
+	return b.eachMember(ctx, m, func(r *replica.Replica, member *raftpb.Member) error {
+		if member == nil {
+			return errors.Wrapf(replica.ErrMembership, "no member is named %q", m.Name)
+		}
 		if !member.GetLearner() {
 			return nil
 		}
@@ -206,28 +209,39 @@
 
 // Remove implements operator.Backend.
 func (b *backend) Remove(ctx context.Context, m operator.MemberRef) error {
-	return b.eachMember(m, func(r *replica.Replica, member *raftpb.Member) error {
+	return b.eachMember(ctx, m, func(r *replica.Replica, member *raftpb.Member) error {
+		if member == nil {
+			return nil
+		}
 		return r.Remove(ctx, member.GetId())
 	})
 }
 
-// eachMember calls f for the member's replica in each group.
-func (b *backend) eachMember(ref operator.MemberRef, f func(*replica.Replica, *raftpb.Member) error) error {
+// eachMember calls f for the member's replica in each group, with nil where the
+// group has no such member. A host that may not know the members of a group,
+// because it lags behind or has not joined yet, can't tell that one is absent:
+// the change is not made there.
+func (b *backend) eachMember(ctx context.Context, ref operator.MemberRef, f func(*replica.Replica, *raftpb.Member) error) error {
 	found := false
 	var first error
 	for _, group := range groups {
 		r := b.replicas[group]
+		if err := r.ReadBarrier(ctx); err != nil {
+			first = firstError(first, errors.Wrapf(replica.ErrMembership, "members of %s: %v", folders[group], err))
+			continue
+		}
 		matches := matching(r.Status(), ref)
 		if len(matches) > 1 {
 			return errors.Wrapf(operator.ErrNotDone, "several members are named %q: name the incarnation too", ref.Name)
 		}
 		if len(matches) == 0 {
+			first = firstError(first, f(r, nil))
 			continue
 		}
 		found = true
 		first = firstError(first, f(r, matches[0]))
 	}
-	if !found {
+	if !found && first == nil {
 		return errors.Wrapf(operator.ErrNotDone, "no member is named %q", ref.Name)
 	}
 	return first
