--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -19,9 +19,12 @@
 
 // Defaults of ClientOptions.
 const (
-	DefaultDialTimeout      = 3 * time.Second
-	DefaultHeartbeatPeriod  = 3 * time.Second
-	DefaultHeartbeatTimeout = 3 * time.Second
+	DefaultDialTimeout = 3 * time.Second
+	// A subscriber of a control host that dies without a word notices within
+	// 1.2 periods and a timeout, 4.4 s, and has to act on the version that
+	// the others accept meanwhile within 7 s.
+	DefaultHeartbeatPeriod  = 2 * time.Second
+	DefaultHeartbeatTimeout = 2 * time.Second
 	DefaultBackoffMin       = 100 * time.Millisecond
 	DefaultBackoffMax       = 5 * time.Second
 	DefaultMaxResponseBytes = 16 << 20
@@ -139,6 +142,19 @@
 	return c.current.addr
 }
 
+// Transferred returns the bytes of UDP payload that the current connection
+// has sent and received, nothing without one.
+func (c *Client) Transferred() (sent, received uint64) {
+	c.mu.Lock()
+	conn := c.current
+	c.mu.Unlock()
+	if conn == nil {
+		return 0, 0
+	}
+	stats := conn.quic.ConnectionStats()
+	return stats.BytesSent, stats.BytesReceived
+}
+
 // Move makes the client leave its connection for another one. An empty
 // address means any other server of the list. The old connection is closed
 // once the calls on it have ended; subscriptions end with it.
--- a/internal/link/fault_test.go
+++ b/internal/link/fault_test.go
@@ -232,6 +232,32 @@
 	}
 }
 
+// The path to the first server comes back at once for new ports, and yet the
+// client does not spend a dial timeout on a server that may be gone.
+func TestSilentServerIsLeftForTheNext(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	var relays []*relay
+	var addrs []string
+	for _, name := range []string{"c1", "c2"} {
+		s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, name), newFakeHandler(), ServerOptions{})
+		r := startRelay(t, s.Addr())
+		relays = append(relays, r)
+		addrs = append(addrs, r.addr())
+	}
+	c, scope := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), addrs...)
+	_, err := c.Call(limited(t), versionQuery())
+	is.NoErr(err)
+	first := c.Address()
+	for _, r := range relays {
+		if r.addr() == first {
+			r.loseTrack(false)
+		}
+	}
+	eventually(t, "the other server", func() bool { return c.Address() != "" && c.Address() != first })
+	is.Equal(count(scope, metricLostConnections, reasonSilent), int64(1))
+}
+
 func TestAnotherServerTakesOver(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t)
--- a/internal/link/idle_test.go
+++ b/internal/link/idle_test.go
@@ -155,13 +155,8 @@
 func transferred(clients []*Client) uint64 {
 	var sum uint64
 	for _, c := range clients {
-		c.mu.Lock()
-		conn := c.current
-		c.mu.Unlock()
-		if conn != nil {
-			stats := conn.quic.ConnectionStats()
-			sum += stats.BytesSent + stats.BytesReceived
-		}
+		sent, received := c.Transferred()
+		sum += sent + received
 	}
 	return sum
 }
--- a/internal/link/redial.go
+++ b/internal/link/redial.go
@@ -89,10 +89,9 @@
 		r.index = c.moveTarget(r.index)
 		return
 	}
-	if reason != reasonSilent {
-		// After silence the same server is worth another attempt at once.
-		r.index = (r.index + 1) % len(c.addrs)
-	}
+	// Also after silence: another attempt at a server that is gone takes a
+	// whole dial timeout, and the next one is reached from a fresh port too.
+	r.index = (r.index + 1) % len(c.addrs)
 	if time.Since(established) < c.opts.BackoffMax {
 		// A server that lets us in and drops us again is no better than one
 		// that refuses.
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
@@ -266,6 +267,37 @@
 	is.True(errors.Is(leader.replica.Promote(t.Context(), id), ErrMembership)) // never heard of
 }
 
+// A command forwarded to a leader that was killed is given up once the group
+// has another one, however long the caller would wait.
+func TestForwardToKilledLeaderIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{})
+	leader := c.leader()
+	follower := others(c, leader)[0]
+	c.wait("the leader known", func() bool { return follower.replica.Status().Leader != nil })
+	sent := make(chan struct{})
+	follower.replica.opts.Forwarder = silentForwarder{sent: sent}
+	var killer conc.WaitGroup
+	defer killer.Wait()
+	killer.Go(func() {
+		<-sent
+		c.kill(leader)
+	})
+	_, err := follower.replica.Propose(t.Context(), []byte("x"))
+	is.True(errors.Is(err, ErrUnknown))
+}
+
+// silentForwarder sends and hears nothing.
+type silentForwarder struct {
+	sent chan struct{}
+}
+
+func (f silentForwarder) Forward(ctx context.Context, _ *raftpb.Member, _ controlpb.Group, _ []byte) (*controlpb.ProposeReply, error) {
+	close(f.sent)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 type fixedForwarder struct {
 	reply *controlpb.ProposeReply
 	err   error
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -21,12 +21,13 @@
 	if err := r.checkCommand(command); err != nil {
 		return nil, err
 	}
-	status := r.Status()
+	now := r.published.Load()
+	status := &now.status
 	if r.opts.Forwarder == nil || status.Leader == nil || sameReplica(status.Leader, r.id) {
 		return r.ProposeLocal(ctx, command)
 	}
 	r.metrics.forwarded.Inc(1)
-	return r.forward(ctx, status, command)
+	return r.forward(ctx, now, command)
 }
 
 // ProposeLocal is Propose for a command that another replica forwarded: if this
@@ -61,7 +62,8 @@
 // committed in the group when ReadBarrier was called. After any error a read
 // may be stale.
 func (r *Replica) ReadBarrier(ctx context.Context) error {
-	status := r.Status()
+	now := r.published.Load()
+	status := &now.status
 	if status.Leader == nil {
 		return ErrNoLeader
 	}
@@ -73,7 +75,7 @@
 	if r.opts.Forwarder == nil {
 		return ErrNoLeader
 	}
-	result, err := r.forward(ctx, status, nil)
+	result, err := r.forward(ctx, now, nil)
 	if err != nil {
 		return err
 	}
@@ -86,8 +88,14 @@
 	return err
 }
 
-func (r *Replica) forward(ctx context.Context, status Status, command []byte) ([]byte, error) {
-	leader := r.memberOf(status, status.Leader)
+// forward passes a command on to the leader of a status. It gives up once this
+// replica knows that this leader leads no more: a killed one never answers, and
+// the caller's time is better spent on the next.
+func (r *Replica) forward(ctx context.Context, now *published, command []byte) ([]byte, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(now.reign, cancel)()
+	leader := r.memberOf(now.status, now.status.Leader)
 	reply, err := r.opts.Forwarder.Forward(ctx, leader, r.opts.Group, command)
 	if err == nil {
 		err = replyError(reply)
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"slices"
 
 	"go.uber.org/zap"
@@ -57,6 +58,20 @@
 type published struct {
 	status  Status
 	changed chan struct{}
+	// reign ends when the leader or the term is no longer that of the status.
+	reign context.Context
+	end   context.CancelFunc
+}
+
+// succeed returns what is published after p, nil for the first status.
+func (p *published) succeed(status Status) *published {
+	next := &published{status: status, changed: make(chan struct{})}
+	if p != nil && p.status.Term == status.Term && sameReplica(p.status.Leader, status.Leader) {
+		next.reign, next.end = p.reign, p.end
+		return next
+	}
+	next.reign, next.end = context.WithCancel(context.Background())
+	return next
 }
 
 // Status returns the replica's view of the group.
@@ -87,11 +102,15 @@
 	if old != nil && old.status.equal(&status) {
 		return
 	}
-	r.published.Store(&published{status: status, changed: make(chan struct{})})
+	next := old.succeed(status)
+	r.published.Store(next)
 	if old == nil {
 		return
 	}
 	close(old.changed)
+	if next.reign != old.reign {
+		old.end()
+	}
 	r.reportChange(&old.status, &status)
 }
 
--- a/internal/settings/format.go
+++ b/internal/settings/format.go
@@ -4,11 +4,39 @@
 	"fmt"
 	"strings"
 
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 )
 
+// Format writes the settings message of a role as a settings file. Unset keys
+// are left out.
+func Format(m proto.Message) string {
+	var b strings.Builder
+	root := m.ProtoReflect()
+	sections := root.Descriptor().Fields()
+	for i := range sections.Len() {
+		section := sections.Get(i)
+		if !root.Has(section) {
+			continue
+		}
+		fmt.Fprintf(&b, "[%s]\n", section.Name())
+		writeKeys(&b, root.Get(section).Message())
+	}
+	return b.String()
+}
+
+func writeKeys(b *strings.Builder, m protoreflect.Message) {
+	keys := m.Descriptor().Fields()
+	for i := range keys.Len() {
+		key := keys.Get(i)
+		if m.Has(key) {
+			fmt.Fprintf(b, "%s = %s\n", key.Name(), formatValue(key, m.Get(key)))
+		}
+	}
+}
+
 // FormatService writes a service as the section of a patch file that creates
 // it. Unset keys are left out.
 func FormatService(s *configpb.Service) string {
