keys authority add, prefer, remove; config check knows patches that only release or remove

Cause: the CLI could replace data secrets but not the authority: the steps needed cat and mv by hand, and a wrong order makes processes refuse each other. config check guessed the role of a patch file by [service] or [remove] alone, so a patch of [release IP:PORT] was told to have no role, and a removal was always a finding since it was checked against an empty configuration. config show left out retired addresses, so an operator could not see what to release.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -38,7 +38,9 @@
 		Long: `Checks a settings file and reports every finding as "file:line: section.key:
 what is wrong". The role is guessed from the sections unless --role names it.
 
-A patch file is checked as a patch against an empty configuration.
+A patch file is checked as a patch against an empty configuration. Sections
+[remove NAME] and [release IP:PORT] are checked in form only, since they are good
+or bad on a certain version.
 
 Without --files the files that the settings name are not looked at, so that a
 file meant for another host can be checked here.`,
@@ -98,12 +100,29 @@
 		return err
 	}
 	patch.Id = checkedPatchID
+	if keepPuts(patch); len(patch.GetOperations()) == 0 {
+		return nil
+	}
 	if found := config.Validate(&configpb.Configuration{}, patch); len(found) > 0 {
 		return settings.Findings(found)
 	}
 	return nil
 }
 
+// keepPuts leaves out what is good or bad only on a certain version: removals
+// of services and releases of addresses.
+func keepPuts(patch *configpb.Patch) {
+	var operations []*configpb.Operation
+	var places []string
+	for i, op := range patch.GetOperations() {
+		if op.GetPutService() != nil {
+			operations = append(operations, op)
+			places = append(places, patch.GetPlaces()[i])
+		}
+	}
+	patch.Operations, patch.Places = operations, places
+}
+
 // checkReport is the JSON form of config check.
 type checkReport struct {
 	Role     settings.Role `json:"role"`
@@ -203,5 +222,12 @@
 	for _, s := range cfg.GetServices() {
 		fmt.Fprintf(w, "\n%s", settings.FormatService(s))
 	}
+	// A comment, since the file may be submitted again to another end.
+	if len(cfg.GetRetired()) > 0 {
+		fmt.Fprintln(w, "\n# retired addresses, open for established flows until a patch releases them:")
+	}
+	for _, address := range cfg.GetRetired() {
+		fmt.Fprintf(w, "# [release %s]\n", address)
+	}
 	return nil
 }
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -22,7 +22,7 @@
   eelgrasswharf keys issue keys agent agent-1 --service lodgement
   eelgrasswharf keys issue keys caller --service lodgement
   eelgrasswharf keys issue keys operator ada`,
-		newKeysInit(), newKeysIssue(), newKeysSecret(), newKeysInspect())
+		newKeysInit(), newKeysIssue(), newKeysSecret(), newKeysAuthority(), newKeysInspect())
 }
 
 func newKeysInit() *cobra.Command {
--- a/internal/keys/dir.go
+++ b/internal/keys/dir.go
@@ -74,26 +74,30 @@
 // LoadAuthority reads the authority of a folder. Of several certificates in
 // the authority file, the one that fits the private key signs.
 func LoadAuthority(dir string) (*Authority, error) {
+	data, err := os.ReadFile(filepath.Join(dir, AuthorityKeyFile))
+	if err != nil {
+		return nil, errors.Wrap(err, "read authority key")
+	}
+	return authorityOf(dir, data)
+}
+
+// authorityOf finds the certificate of a private key in the authority file.
+func authorityOf(dir string, keyPEM []byte) (*Authority, error) {
 	certPath := filepath.Join(dir, AuthorityFile)
-	keyPath := filepath.Join(dir, AuthorityKeyFile)
 	certs, err := readCertificates(certPath)
 	if err != nil {
 		return nil, err
 	}
-	data, err := os.ReadFile(keyPath)
-	if err != nil {
-		return nil, errors.Wrap(err, "read authority key")
-	}
-	key, err := parseKey(data)
+	key, err := parseKey(keyPEM)
 	if err != nil {
-		return nil, errors.Wrap(err, keyPath)
+		return nil, errors.Wrap(err, "authority key")
 	}
 	for _, cert := range certs {
 		if key.PublicKey.Equal(cert.PublicKey) {
 			return &Authority{cert: cert, key: key}, nil
 		}
 	}
-	return nil, errors.Wrapf(ErrMismatch, "%s and %s", certPath, keyPath)
+	return nil, errors.Wrapf(ErrMismatch, "%s and its private key", certPath)
 }
 
 // Issue signs a certificate with the authority of a folder and writes it
@@ -121,7 +125,7 @@
 		PrivateKey:  filepath.Join(dir, base+keySuffix),
 		DataSecrets: filepath.Join(dir, DataSecretsFile),
 	}
-	if files.Certificate == files.Authority {
+	if files.Certificate == files.Authority || filepath.Base(files.PrivateKey) == NextAuthorityKeyFile {
 		return Files{}, errors.Wrapf(ErrName, "%q is the authority's", name)
 	}
 	if err := writeFile(files.PrivateKey, pair.PrivateKey, privateMode); err != nil {
--- a/internal/settings/patch.go
+++ b/internal/settings/patch.go
@@ -18,6 +18,8 @@
 	releasePrefix = "release"
 )
 
+var operationPrefixes = []string{putPrefix, removePrefix, releasePrefix}
+
 // hiddenFields are fields of a service that the section name or the control
 // host sets.
 var hiddenFields = map[protoreflect.Name]bool{"number": true, "name": true, "policy": true}
@@ -46,8 +48,8 @@
 	if len(sections) == 0 {
 		return false
 	}
-	kind, _, named := strings.Cut(sections[0].name, " ")
-	return named && (kind == putPrefix || kind == removePrefix)
+	kind, _, _ := strings.Cut(sections[0].name, " ")
+	return slices.Contains(operationPrefixes, kind)
 }
 
 // ParsePatch is LoadPatch for the text of a file; name stands for the file
@@ -76,9 +78,8 @@
 func parseOperation(s section, c *collector) *configpb.Operation {
 	kind, name, _ := strings.Cut(s.name, " ")
 	name = strings.TrimSpace(name)
-	known := []string{putPrefix, removePrefix, releasePrefix}
-	if !slices.Contains(known, kind) {
-		c.add(s.line, "%s: unknown section, known are [service NAME], [remove NAME] and [release IP:PORT]%s", s.name, hint(kind, known))
+	if !slices.Contains(operationPrefixes, kind) {
+		c.add(s.line, "%s: unknown section, known are [service NAME], [remove NAME] and [release IP:PORT]%s", s.name, hint(kind, operationPrefixes))
 		return nil
 	}
 	if kind == releasePrefix {
