membership, controld: renew between control hosts by a summary

Cause: each control host told each other one all records that it hears, three times a lease.

Now a host passes on changes of its claims as records and sums up the rest: epoch, serial, count, digest. Where the digest differs, the receiver answers 64 digests and gets the records of the parts that differ.

The lease of a claim is now renewed by the agent alone.

A target that only a silent host claims is held as before, for an hour. A host that says that a lease ended ends it at once; one that has restarted gives its agents a lease's time.

Ruled out: ranges of (number, incarnation, sequence) in each renewal: 800 targets a host are 3 to 4 KB a message, 17 KB/s in; queues of changes for each peer: a message composed from a cursor needs none and makes up for lost ones.

Hosts that know no summaries are told all records, and theirs are good for a lease, so a group can be upgraded host by host.

--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -34,7 +34,7 @@
 	syncPeriod = 200 * time.Millisecond
 	// syncTimeout bounds the delivery of records to a peer.
 	syncTimeout = 2 * time.Second
-	// renewalsPerLease is how often in a lease all own records are passed on.
+	// renewalsPerLease is how often in a lease all own claims are renewed.
 	renewalsPerLease = 3
 	// expirePeriod is the time between looks for leases that ended.
 	expirePeriod = 500 * time.Millisecond
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -92,7 +92,7 @@
 		replicas:    map[controlpb.Group]*replica.Replica{},
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	d.peers = newPeers(creds, voters, log, d.scope)
+	d.peers = newPeers(creds, voters, d.directory, log, d.scope)
 	d.peers.self = d.selfAddress
 	d.confirm = &barrier{ctx: d.ctx, wg: &d.loops, read: func(ctx context.Context) error {
 		return d.replicas[controlpb.Group_GROUP_CONFIG].ReadBarrier(ctx)
--- a/internal/controld/directory.go
+++ b/internal/controld/directory.go
@@ -16,10 +16,6 @@
 
 	mu  sync.Mutex
 	dir *membership.Directory
-	// fresh has the changed records that are to be passed on.
-	fresh map[uint32]*controlpb.TargetRecord
-	// heard is when each control host last passed records on.
-	heard map[membership.Source]time.Duration
 }
 
 func newDirectory(epoch uint64) *directory {
@@ -27,8 +23,6 @@
 		changed: newHub(),
 		start:   time.Now(),
 		dir:     membership.New(membership.Options{Epoch: epoch}),
-		fresh:   map[uint32]*controlpb.TargetRecord{},
-		heard:   map[membership.Source]time.Duration{},
 	}
 }
 
@@ -48,30 +42,24 @@
 func (d *directory) merge(r *controlpb.TargetRecord) membership.Verdict {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	verdict := d.dir.Announce(d.now(), r, membership.Direct)
-	if verdict == membership.Changed {
-		d.fresh[r.GetNumber()] = r
-	}
-	return verdict
+	return d.dir.Announce(d.now(), r, membership.Direct)
 }
 
-// hear takes records that another control host passes on.
-func (d *directory) hear(host string, records []*controlpb.TargetRecord) {
-	if d.mergeAll(membership.Source(host), records) {
+// hear takes what another control host passes on.
+func (d *directory) hear(host string, m *controlpb.DirectorySync) *controlpb.DirectorySyncReply {
+	reply, changed := d.mergeSync(membership.Source(host), m)
+	if changed {
 		d.changed.notify()
 	}
+	return reply
 }
 
-func (d *directory) mergeAll(from membership.Source, records []*controlpb.TargetRecord) bool {
+func (d *directory) mergeSync(from membership.Source, m *controlpb.DirectorySync) (*controlpb.DirectorySyncReply, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.now()
-	d.heard[from] = now
 	before := d.dir.Sequence()
-	for _, r := range records {
-		d.dir.Announce(now, r, from)
-	}
-	return d.dir.Sequence() != before
+	reply := d.dir.Hear(d.now(), from, m)
+	return reply, d.dir.Sequence() != before
 }
 
 // expire ends leases and lifts damping.
@@ -87,32 +75,31 @@
 	now := d.now()
 	before := d.dir.Sequence()
 	settled := d.dir.Settled(now)
-	d.dir.Expire(now, func(s membership.Source) bool {
-		heard, known := d.heard[s]
-		return known && now-heard < d.dir.Lease()
-	})
+	d.dir.Expire(now)
 	// Subscribers wait for the full list of a directory that has just settled.
 	justSettled := settled && !d.dir.Settled(now-2*expirePeriod)
 	return justSettled || d.dir.Sequence() != before
 }
 
-// takeFresh returns the records changed since the last call.
-func (d *directory) takeFresh() []*controlpb.TargetRecord {
+// ownSequence returns the sequence of the last change that is to be passed on.
+func (d *directory) ownSequence() uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make([]*controlpb.TargetRecord, 0, len(d.fresh))
-	for _, r := range d.fresh {
-		out = append(out, r)
-	}
-	clear(d.fresh)
-	return out
+	return d.dir.OwnSequence()
+}
+
+// sync returns what to tell a control host that was told all up to the cursor.
+func (d *directory) sync(cursor uint64) (*controlpb.DirectorySync, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dir.Sync(d.now(), cursor)
 }
 
-// own returns all records heard from agents themselves.
-func (d *directory) own() []*controlpb.TargetRecord {
+// repair returns what to tell a control host whose digests differ.
+func (d *directory) repair(cursor uint64, digests []uint64) (*controlpb.DirectorySync, uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.dir.Records(d.now())
+	return d.dir.Repair(d.now(), cursor, digests)
 }
 
 func (d *directory) count() int {
--- a/internal/controld/group_test.go
+++ b/internal/controld/group_test.go
@@ -244,6 +244,30 @@
 	}
 }
 
+// TestRestartedHostIsToldTheDirectory restarts a host that the agent does not
+// announce to: it has forgotten all that it was told.
+func TestRestartedHostIsToldTheDirectory(t *testing.T) {
+	is := is.New(t)
+	d := newGroup(t)
+	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
+	var r *controlpb.TargetRecord
+	eventually(t, "a registration", func() bool {
+		reg := call(t, agent, registerRequest("lodgement", "t1", "x")).GetRegistration()
+		r = &controlpb.TargetRecord{
+			Service: reg.GetServiceNumber(), Number: reg.GetTargetNumber(), Incarnation: reg.GetIncarnation(),
+			Name: "t1", Address: "127.0.0.1:7000", Slots: 4, Sequence: 1, State: controlpb.TargetState_TARGET_STATE_SERVING,
+		}
+		return r.GetNumber() != 0
+	})
+	is.Equal(call(t, agent, announceRequest(r)).GetAnnounce().GetRefusal(), "")
+	eventually(t, "the target on c2", func() bool { return d.status("c2").Targets == 1 })
+	d.restart("c2")
+	eventually(t, "the target on c2 again", func() bool {
+		is.Equal(call(t, agent, announceRequest(r)).GetAnnounce().GetRefusal(), "")
+		return d.status("c2").Targets == 1
+	})
+}
+
 func TestGrantIsGivenOnceInTheGroup(t *testing.T) {
 	d := newGroup(t)
 	var wg conc.WaitGroup
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -88,8 +88,8 @@
 	case *controlpb.Request_Propose:
 		return h.propose(ctx, body.Propose)
 	case *controlpb.Request_DirectorySync:
-		h.directory.hear(peer.Name, body.DirectorySync.GetRecords())
-		return done()
+		reply := h.directory.hear(peer.Name, body.DirectorySync)
+		return &controlpb.Response{Body: &controlpb.Response_DirectorySync{DirectorySync: reply}}
 	case *controlpb.Request_Replicas:
 		reply := (*Daemon)(h).replicaInfos()
 		return &controlpb.Response{Body: &controlpb.Response_Replicas{Replicas: reply}}
--- a/internal/controld/internal_test.go
+++ b/internal/controld/internal_test.go
@@ -138,25 +138,43 @@
 	is.Equal(len(u.GetPut()), 1)
 }
 
+// syncOf returns what a host with these targets, heard just now, passes on.
+func syncOf(epoch uint64, numbers ...uint32) *controlpb.DirectorySync {
+	d := newDirectory(epoch)
+	for _, n := range numbers {
+		d.announce(record(n))
+	}
+	m, _ := d.sync(0)
+	return m
+}
+
 func TestRecordsOfSilentHostAreKept(t *testing.T) {
 	is := is.New(t)
 	d := newDirectory(7)
-	d.hear("c2", []*controlpb.TargetRecord{record(1)})
-	d.hear("c3", []*controlpb.TargetRecord{record(2)})
+	is.Equal(len(d.hear("c2", syncOf(8, 1)).GetDigests()), 0)
+	is.Equal(len(d.hear("c3", syncOf(9, 2)).GetDigests()), 0)
 	d.start = d.start.Add(-d.lease() - time.Second)
-	d.hear("c3", nil) // c3 is there and no longer names its target
+	gone := syncOf(9)
+	gone.Ended = []uint32{2}
+	gone.Summary.Serial++
+	d.hear("c3", gone) // c3 is there and has ended its target
 	d.expire()
 	is.Equal(d.count(), 1)
-	is.Equal(len(d.own()), 0) // hearsay is not passed on
+	m, _ := d.sync(0)
+	is.Equal(len(m.GetRecords()), 0) // hearsay is not passed on
 }
 
-func TestFreshRecordsAreTakenOnce(t *testing.T) {
+func TestChangesArePassedOnOnce(t *testing.T) {
 	is := is.New(t)
 	d := newDirectory(7)
 	d.announce(record(1))
 	d.announce(record(1))
-	d.hear("c2", []*controlpb.TargetRecord{record(2)})
-	is.Equal(len(d.takeFresh()), 1)
-	is.Equal(len(d.takeFresh()), 0)
-	is.Equal(len(d.own()), 1)
+	d.hear("c2", syncOf(8, 2))
+	m, cursor := d.sync(0)
+	is.Equal(len(m.GetRecords()), 1)
+	m, again := d.sync(cursor)
+	is.Equal(len(m.GetRecords()), 0)
+	is.Equal(m.GetSummary().GetCount(), uint32(1))
+	is.Equal(again, cursor)
+	is.Equal(d.ownSequence(), cursor)
 }
--- a/internal/controld/loops.go
+++ b/internal/controld/loops.go
@@ -24,27 +24,29 @@
 	}
 }
 
-// syncLoop passes records on to the other control hosts: changes soon, all
-// own records a few times in a lease.
+// syncLoop wakes the links to the other control hosts: soon after a change,
+// and a few times in a lease for a summary of what has not changed.
 func (d *Daemon) syncLoop() {
 	var renewed time.Time
+	var told uint64
 	d.every(syncPeriod, func() {
-		fresh := d.directory.takeFresh()
-		if time.Since(renewed) >= d.directory.lease()/renewalsPerLease {
-			renewed = time.Now()
-			d.passOn(d.directory.own())
+		own := d.directory.ownSequence()
+		due := time.Since(renewed) >= d.directory.lease()/renewalsPerLease
+		if own == told && !due {
 			return
 		}
-		if len(fresh) > 0 {
-			d.passOn(fresh)
+		told = own
+		if due {
+			renewed = time.Now()
 		}
+		d.passOn()
 	})
 }
 
-func (d *Daemon) passOn(records []*controlpb.TargetRecord) {
+func (d *Daemon) passOn() {
 	for _, address := range d.memberAddresses() {
 		if p := d.peers.get(address); p != nil {
-			p.pass(records)
+			signal(p.sync)
 		}
 	}
 }
--- a/internal/controld/peers.go
+++ b/internal/controld/peers.go
@@ -26,6 +26,8 @@
 	// self returns this host's link address as the group knows it. It must not
 	// be called before open is set.
 	self func(controlpb.Group) string
+	// directory is what is passed on.
+	directory *directory
 	// open is set once all replicas of this host are open. Messages that one
 	// of them sends earlier are dropped.
 	open atomic.Bool
@@ -38,13 +40,14 @@
 	closed bool
 }
 
-func newPeers(creds *keys.Credentials, voters []voter, log *zap.Logger, scope tally.Scope) *peers {
+func newPeers(creds *keys.Credentials, voters []voter, dir *directory, log *zap.Logger, scope tally.Scope) *peers {
 	p := &peers{
-		creds:  creds,
-		log:    log,
-		scope:  scope.SubScope("peers"),
-		byAddr: map[string]*peer{},
-		named:  map[string]string{},
+		creds:     creds,
+		log:       log,
+		scope:     scope.SubScope("peers"),
+		directory: dir,
+		byAddr:    map[string]*peer{},
+		named:     map[string]string{},
 	}
 	for _, v := range voters {
 		p.named[v.name] = v.address
@@ -172,7 +175,7 @@
 // peer is the link to one control host. A loop for each lane and one for the
 // directory send what waits, so that none holds up another.
 type peer struct {
-	// client carries agreement messages and records.
+	// client carries agreement messages and the directory.
 	client *link.Client
 	// calls carries what waits for the far end to act. It has a connection of
 	// its own: forwarded commands can take up all streams of one, and wait
@@ -185,16 +188,17 @@
 	wg     conc.WaitGroup
 	scope  tally.Scope
 	self   func(controlpb.Group) string
+	dir    *directory
 	wake   map[lane]chan struct{}
 	sync   chan struct{}
 
 	mu sync.Mutex
 	// messages wait for the far end, bounded for each lane.
 	messages map[lane][]*raftpb.Message
-	// records wait for the far end, the newest of each target.
-	records map[uint32]*controlpb.TargetRecord
-	// beat asks for a message even without records.
-	beat bool
+
+	// cursor is how far the far end has been told of the directory. Only the
+	// loop of the directory uses it.
+	cursor uint64
 }
 
 func newPeer(addr string, owner *peers) *peer {
@@ -213,10 +217,10 @@
 		calls:    link.NewClient([]string{addr}, owner.creds, options),
 		scope:    owner.scope,
 		self:     owner.self,
+		dir:      owner.directory,
 		wake:     map[lane]chan struct{}{},
 		sync:     make(chan struct{}, 1),
 		messages: map[lane][]*raftpb.Message{},
-		records:  map[uint32]*controlpb.TargetRecord{},
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	for _, l := range lanes {
@@ -225,7 +229,7 @@
 	for _, l := range lanes {
 		p.wg.Go(func() { p.loop(p.wake[l], func() { p.sendMessages(l) }) })
 	}
-	p.wg.Go(func() { p.loop(p.sync, p.sendRecords) })
+	p.wg.Go(func() { p.loop(p.sync, p.sendDirectory) })
 	return p
 }
 
@@ -317,41 +321,3 @@
 		p.drop("failed", len(msgs))
 	}
 }
-
-// pass adds records to what the far end is told next.
-func (p *peer) pass(records []*controlpb.TargetRecord) {
-	p.mu.Lock()
-	for _, r := range records {
-		p.records[r.GetNumber()] = r
-	}
-	p.beat = true
-	p.mu.Unlock()
-	signal(p.sync)
-}
-
-func (p *peer) takeRecords() ([]*controlpb.TargetRecord, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := make([]*controlpb.TargetRecord, 0, len(p.records))
-	for _, r := range p.records {
-		out = append(out, r)
-	}
-	clear(p.records)
-	beat := p.beat
-	p.beat = false
-	return out, beat
-}
-
-func (p *peer) sendRecords() {
-	records, beat := p.takeRecords()
-	if !beat || p.client.Address() == "" {
-		// All records follow with the next renewal.
-		return
-	}
-	ctx, cancel := context.WithTimeout(p.ctx, syncTimeout)
-	defer cancel()
-	body := &controlpb.DirectorySync{Records: records}
-	if _, err := p.client.Call(ctx, &controlpb.Request{Body: &controlpb.Request_DirectorySync{DirectorySync: body}}); err != nil {
-		p.scope.Counter("failed_syncs").Inc(1)
-	}
-}
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -49,6 +50,56 @@
 	}
 }
 
+// BenchmarkRenewals measures what 14 control hosts tell a fifteenth one to renew
+// all targets, three times a lease: bytes a second into it, and processor time
+// a second of both ends.
+func BenchmarkRenewals(b *testing.B) {
+	const hosts = 15
+	for _, targets := range []int{1_000, 3_000, 6_000, fleet} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			group := make([]*membership.Directory, hosts)
+			for i := range group {
+				group[i] = membership.New(membership.Options{Epoch: uint64(i + 1)})
+			}
+			for n := range targets {
+				r := record(uint32(n+1), 1, 1)
+				r.Name = "lodgement-oke-ado-07"
+				r.FailureDomain = "oke-ado"
+				group[n%hosts].Announce(0, r, membership.Direct)
+			}
+			var cursors [hosts]uint64
+			now, bytes := time.Duration(0), 0
+			round := func() {
+				now += lease / 3
+				for i := 1; i < hosts; i++ {
+					m, cursor := group[i].Sync(now, cursors[i])
+					cursors[i] = cursor
+					data, err := proto.Marshal(m)
+					if err != nil {
+						b.Fatal(err)
+					}
+					bytes += len(data)
+					got := new(controlpb.DirectorySync)
+					if err := proto.Unmarshal(data, got); err != nil {
+						b.Fatal(err)
+					}
+					if reply := group[0].Hear(now, membership.Source(fmt.Sprint(i)), got); len(reply.GetDigests()) > 0 {
+						b.Fatal("the summary does not match")
+					}
+				}
+			}
+			round() // the records themselves
+			bytes = 0
+			for b.Loop() {
+				round()
+			}
+			seconds := float64(b.N) * (lease / 3).Seconds()
+			b.ReportMetric(float64(bytes)/seconds, "B/s")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/seconds, "cpu-µs/s")
+		})
+	}
+}
+
 // BenchmarkRenew measures one announcement that only renews a lease.
 func BenchmarkRenew(b *testing.B) {
 	d := membership.New(membership.Options{Epoch: 1})
--- a/membership/delta.go
+++ b/membership/delta.go
@@ -85,16 +85,3 @@
 	out.AgeMs = t.heard.GetAgeMs() + uint64(max(now-t.heardAt, 0).Milliseconds())
 	return out
 }
-
-// Records returns the records heard from agents themselves, by target
-// number, as they are passed on to other control hosts.
-func (d *Directory) Records(now time.Duration) []*controlpb.TargetRecord {
-	var out []*controlpb.TargetRecord
-	for _, t := range d.byID {
-		if t.source == Direct {
-			out = append(out, t.aged(now, t.heard))
-		}
-	}
-	slices.SortFunc(out, func(a, b *controlpb.TargetRecord) int { return cmp.Compare(a.GetNumber(), b.GetNumber()) })
-	return out
-}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -14,8 +14,8 @@
 const (
 	// DefaultLease is how long a record lives without being renewed.
 	DefaultLease = 9 * time.Second
-	// DefaultHold is how long records from a source that fell silent are kept
-	// beyond their lease.
+	// DefaultHold is how long targets that only a silent control host hears
+	// are kept beyond a lease.
 	DefaultHold = time.Hour
 	// DefaultMaxTargets bounds the records of a directory.
 	DefaultMaxTargets = 32_768
@@ -78,7 +78,12 @@
 	// changes has targets and removals in the order of their last change.
 	changes *list.List
 	// leases has targets in the order in which their leases end.
-	leases   *list.List
+	leases *list.List
+	// own is what agents announce here, peers what they announce elsewhere.
+	own   own
+	peers map[Source]*peer
+	// serial numbers the messages to other control hosts.
+	serial   uint64
 	sequence uint64
 	// floor is the newest sequence whose removals are forgotten.
 	floor uint64
@@ -94,15 +99,16 @@
 	published *controlpb.TargetRecord
 	// heardAt is when the newest record was heard: its age counts from then.
 	heardAt time.Duration
-	source  Source
-	ends    time.Duration
-	// heldSince is set while the lease is over but the source is silent.
-	heldSince time.Duration
-	held      bool
-	flaps     flaps
-	sequence  uint64
-	change    *list.Element
-	lease     *list.Element
+	// ends is when the lease ends, while lease is set: that of the agent's
+	// announcement here, else what is left after the last host let go of it.
+	// A target that only other hosts hear has none: their claims keep it.
+	ends  time.Duration
+	lease *list.Element
+	// lingers is until when the target lives beyond a lease of its agent here.
+	lingers  time.Duration
+	flaps    flaps
+	sequence uint64
+	change   *list.Element
 	// isGone marks a removal that is remembered for deltas.
 	isGone  bool
 	removal *list.Element
@@ -116,6 +122,8 @@
 		byID:    map[uint32]*target{},
 		changes: list.New(),
 		leases:  list.New(),
+		own:     newOwn(),
+		peers:   map[Source]*peer{},
 		removed: list.New(),
 		gone:    map[uint32]*target{},
 	}
@@ -154,23 +162,45 @@
 // which targets exist, not which do not.
 func (d *Directory) Settled(now time.Duration) bool { return now-d.opts.Start >= d.opts.Lease }
 
-// Announce merges a record and renews its lease. The record must not be
-// changed afterwards.
+// Announce merges a record. One from the agent itself gets a new lease; one
+// from another control host lives until that host says otherwise or has been
+// silent for too long. The record must not be changed afterwards.
 func (d *Directory) Announce(now time.Duration, r *controlpb.TargetRecord, from Source) Verdict {
+	t, verdict := d.accept(now, r)
+	switch {
+	case t == nil:
+		return verdict
+	case from != Direct:
+		// Also what is older than the record held: the digests compare what the
+		// other host hears, not what is made of it here.
+		d.peerOf(now, from).claims.put(r.GetNumber(), versionOf(r))
+		if verdict == Changed && d.own.held[r.GetNumber()] != versionOf(r) {
+			d.own.drop(r.GetNumber())
+		}
+	case verdict.Took():
+		d.own.put(r.GetNumber(), versionOf(r))
+		d.restart(now, t)
+	}
+	return verdict
+}
+
+// accept merges a record without regard to who claims it. It returns the
+// target, nil if there is none.
+func (d *Directory) accept(now time.Duration, r *controlpb.TargetRecord) (*target, Verdict) {
 	if !proper(r) {
-		return Improper
+		return nil, Improper
 	}
 	t, known := d.byID[r.GetNumber()]
 	if !known {
 		if len(d.byID) >= d.opts.MaxTargets {
-			return Full
+			return nil, Full
 		}
 		t = d.create(r)
 	}
 	if verdict := compare(t.heard, r); known && !verdict.Took() {
-		return verdict
+		return t, verdict
 	}
-	return d.take(now, t, r, from, known)
+	return t, d.take(now, t, r, known)
 }
 
 func proper(r *controlpb.TargetRecord) bool {
@@ -211,16 +241,10 @@
 	return t
 }
 
-func (d *Directory) take(now time.Duration, t *target, r *controlpb.TargetRecord, from Source, known bool) Verdict {
+func (d *Directory) take(now time.Duration, t *target, r *controlpb.TargetRecord, known bool) Verdict {
 	old := t.heard
 	t.heard = r
 	t.heardAt = now
-	// A record heard from its agent does not become one from hearsay while
-	// its lease runs: the agent is known to reach this host.
-	if from == Direct || t.source != Direct || !known || now >= t.ends {
-		t.source = from
-	}
-	d.renew(now, t)
 	if known && same(old, r) {
 		return Renewed
 	}
@@ -242,15 +266,25 @@
 	return proto.Equal(x, y)
 }
 
-func (d *Directory) renew(now time.Duration, t *target) {
+// restart gives a target a new lease.
+func (d *Directory) restart(now time.Duration, t *target) {
 	t.ends = now + d.opts.Lease
-	t.held = false
 	if t.lease != nil {
 		d.leases.Remove(t.lease)
 	}
 	t.lease = d.leases.PushBack(t)
 }
 
+// linger keeps a target for another lease that no agent has to renew.
+func (d *Directory) linger(now time.Duration, t *target) {
+	if d.own.has(t.heard.GetNumber()) {
+		// The lease of the agent itself must not grow by what others say.
+		t.lingers = now + d.opts.Lease
+		return
+	}
+	d.restart(now, t)
+}
+
 // publish makes the record held, as damped, part of the deltas.
 func (d *Directory) publish(now time.Duration, t *target) {
 	next := t.heard
--- a/membership/directory_test.go
+++ b/membership/directory_test.go
@@ -24,10 +24,6 @@
 	return membership.New(membership.Options{Epoch: epoch, Lease: lease, Hold: time.Minute, MaxRemoved: 4, MaxTargets: 8})
 }
 
-func audible(membership.Source) bool { return true }
-
-func silent(membership.Source) bool { return false }
-
 func TestNewerRecordWins(t *testing.T) {
 	held := record(1, 2, 5)
 	tests := []struct {
@@ -59,13 +55,13 @@
 	d.Announce(0, record(1, 1, 1), membership.Direct)
 	d.Announce(0, record(2, 1, 1), membership.Direct)
 	d.Announce(5*time.Second, record(1, 1, 1), membership.Direct)
-	is.Equal(d.Expire(lease-1, audible), 0)
+	is.Equal(d.Expire(lease-1), 0)
 	before := d.Sequence()
-	is.Equal(d.Expire(lease, audible), 1)
+	is.Equal(d.Expire(lease), 1)
 	u := d.Update(lease, 1, before, nil)
 	is.Equal(u.GetRemoved(), []uint32{2})
 	is.Equal(len(u.GetPut()), 0)
-	is.Equal(d.Expire(lease+5*time.Second, audible), 1)
+	is.Equal(d.Expire(lease+5*time.Second), 1)
 	is.Equal(d.Len(), 0)
 }
 
@@ -74,22 +70,27 @@
 	d := newDirectory(1)
 	d.Announce(0, record(1, 1, 5), membership.Direct)
 	d.Announce(lease-1, record(1, 1, 4), membership.Direct)
-	is.Equal(d.Expire(lease, audible), 1)
+	is.Equal(d.Expire(lease), 1)
 }
 
-func TestSilentSourceHoldsLeases(t *testing.T) {
+func TestSilentHostHoldsTargets(t *testing.T) {
 	is := is.New(t)
-	d := newDirectory(1)
-	d.Announce(0, record(1, 1, 1), "control-b")
+	b, d := newDirectory(2), newDirectory(1)
+	b.Announce(0, record(1, 1, 1), membership.Direct)
 	d.Announce(0, record(2, 1, 1), membership.Direct)
-	is.Equal(d.Expire(lease, silent), 1) // the agent's own silence counts
+	cursor := pass(0, b, d, "control-b", 0)
+	is.Equal(d.Expire(lease), 1) // the agent's own silence counts
 	is.Equal(d.Len(), 1)
-	is.Equal(d.Expire(2*lease, silent), 0)
-	is.Equal(d.Expire(lease+time.Minute+lease, silent), 1) // the hold has an end
+	is.Equal(d.Expire(2*lease), 0)
+	is.Equal(d.Expire(lease+time.Minute), 1) // the hold has an end
 
-	d.Announce(0, record(3, 1, 1), "control-b")
-	is.Equal(d.Expire(lease, silent), 0)
-	is.Equal(d.Expire(2*lease, audible), 1) // the source is back and does not name it
+	b.Expire(lease + time.Minute)
+	b.Announce(lease+time.Minute, record(3, 1, 1), membership.Direct)
+	cursor = pass(lease+time.Minute, b, d, "control-b", cursor)
+	is.Equal(d.Len(), 1)
+	b.Expire(2*lease + time.Minute)
+	pass(2*lease+time.Minute, b, d, "control-b", cursor)
+	is.Equal(d.Len(), 0) // the host is back and has ended it
 }
 
 func TestDeltas(t *testing.T) {
@@ -133,7 +134,7 @@
 		d.Announce(0, record(n, 1, 1), membership.Direct)
 	}
 	seen := d.Sequence()
-	d.Expire(lease, audible)
+	d.Expire(lease)
 	u := d.Update(lease, 7, seen, nil)
 	is.True(u.GetFull()) // five removals, four remembered
 	is.Equal(len(u.GetPut()), 0)
@@ -145,7 +146,7 @@
 	d := newDirectory(7)
 	d.Announce(0, record(1, 1, 1), membership.Direct)
 	seen := d.Sequence()
-	d.Expire(lease, audible)
+	d.Expire(lease)
 	d.Announce(lease, record(1, 1, 1), membership.Direct)
 	u := d.Update(lease, 7, seen, nil)
 	is.Equal(len(u.GetRemoved()), 0)
@@ -175,7 +176,7 @@
 	before := d.Sequence()
 	for ; now < 30*time.Second; now += time.Second {
 		announce(7)
-		d.Expire(now, audible)
+		d.Expire(now)
 	}
 	is.Equal(ill(), false)
 	is.Equal(len(d.Update(now, 7, before, nil).GetPut()), 1)
@@ -203,7 +204,8 @@
 	r.AgeMs = 100
 	d.Announce(0, r, membership.Direct)
 	is.Equal(d.Full(2*time.Second, nil).GetPut()[0].GetAgeMs(), uint64(2100))
-	is.Equal(d.Records(time.Second)[0].GetAgeMs(), uint64(1100))
+	m, _ := d.Sync(time.Second, 0)
+	is.Equal(m.GetRecords()[0].GetAgeMs(), uint64(1100))
 	is.Equal(r.GetAgeMs(), uint64(100))
 }
 
@@ -213,8 +215,10 @@
 	d.Announce(0, record(1, 1, 1), membership.Direct)
 	d.Announce(0, record(2, 1, 1), "control-b")
 	d.Announce(1, record(1, 1, 1), "control-b") // hearsay of an own one
-	is.Equal(len(d.Records(1)), 1)
-	is.Equal(d.Records(1)[0].GetNumber(), uint32(1))
+	m, _ := d.Sync(1, 0)
+	is.Equal(len(m.GetRecords()), 1)
+	is.Equal(m.GetRecords()[0].GetNumber(), uint32(1))
+	is.Equal(m.GetSummary().GetCount(), uint32(1))
 }
 
 func TestDirectoryIsBounded(t *testing.T) {
--- a/membership/expire.go
+++ b/membership/expire.go
@@ -2,56 +2,56 @@
 
 import "time"
 
-// Expire ends the leases that are over and lifts the damping of targets that
-// have calmed down. It returns the number of targets removed.
+// Expire ends the leases that are over, forgets control hosts that have been
+// silent for too long, and lifts the damping of targets that have calmed down.
+// It returns the number of targets removed.
 //
-// audible tells whether a control host has been heard of lately. The leases
-// of records from a silent one are held open for a while: its silence says
-// nothing about the agents beside it. Direct is never asked for.
-func (d *Directory) Expire(now time.Duration, audible func(Source) bool) int {
-	count := 0
+// A target that another control host claims needs no lease here: that host
+// says when it hears the agent no more. While it is silent nothing is known,
+// and the target is held for a while: its silence says nothing about the
+// agents beside it.
+func (d *Directory) Expire(now time.Duration) int {
+	before := len(d.byID)
 	for e := d.leases.Front(); e != nil; e = d.leases.Front() {
 		t := e.Value.(*target)
 		if t.ends > now {
 			break
 		}
-		if d.hold(now, t, audible) {
-			continue
-		}
-		d.remove(now, t)
-		count++
+		d.end(now, t)
 	}
+	d.forgetSilent(now)
 	d.calm(now)
-	return count
+	return before - len(d.byID)
 }
 
-// hold gives a target another lease if its source is silent.
-func (d *Directory) hold(now time.Duration, t *target, audible func(Source) bool) bool {
-	if t.source == Direct || audible(t.source) {
-		return false
-	}
-	if !t.held {
-		t.heldSince = now
+// end ends the lease of a target, and the target unless another host hears it.
+func (d *Directory) end(now time.Duration, t *target) {
+	d.leases.Remove(t.lease)
+	t.lease = nil
+	d.own.drop(t.heard.GetNumber())
+	if d.claimed(t) {
+		return
 	}
-	if now-t.heldSince >= d.opts.Hold {
-		return false
+	if t.lingers > now {
+		t.lingers = 0
+		d.restart(now, t)
+		return
 	}
-	since := t.heldSince
-	d.renew(now, t)
-	t.held = true
-	t.heldSince = since
-	return true
+	d.remove(now, t)
 }
 
 func (d *Directory) remove(now time.Duration, t *target) {
-	d.leases.Remove(t.lease)
-	t.lease = nil
-	delete(d.byID, t.heard.GetNumber())
+	number := t.heard.GetNumber()
+	delete(d.byID, number)
+	// A claim of an older record goes too: its host notices and sends it anew.
+	for _, p := range d.peers {
+		p.claims.drop(number)
+	}
 	t.isGone = true
 	t.flaps.add(now, &d.opts.Damping)
 	d.move(t)
 	t.removal = d.removed.PushBack(t)
-	d.gone[t.heard.GetNumber()] = t
+	d.gone[number] = t
 	if d.removed.Len() > d.opts.MaxRemoved {
 		d.forget(d.removed.Front().Value.(*target))
 	}
--- a/membership/property_test.go
+++ b/membership/property_test.go
@@ -72,7 +72,7 @@
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "passed")) * time.Millisecond
 			d.Announce(now, drawRecord(t), membership.Direct)
-			d.Expire(now, audible)
+			d.Expire(now)
 			if rapid.Bool().Draw(t, "reads") {
 				r.follow(now, d)
 				r.check(t, now, d)
