experiment: sites to run; a warm-up that outlasts the entry hosts' tables

The first runs began while some targets were still within their ramp by the tables of the entry hosts, which are up to a second old. The policy with weights then preferred the targets that had started first.

--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -18,10 +18,10 @@
 
 // experimentFlags are the flags of the command experiment.
 type experimentFlags struct {
-	scenarios, policies []string
-	seeds               []uint
-	level, plot         string
-	asJSON              bool
+	sites, scenarios, policies []string
+	seeds                      []uint
+	level, plot                string
+	asJSON                     bool
 }
 
 func newExperiment() *cobra.Command {
@@ -52,6 +52,7 @@
 		},
 	}
 	f := cmd.Flags()
+	f.StringSliceVar(&x.sites, "site", nil, "`NAMES` of sites to run, comma-separated; the others lend their weights; default all")
 	f.StringSliceVar(&x.scenarios, "scenario", nil, "`NAMES` of scenarios, comma-separated; default all")
 	f.StringSliceVar(&x.policies, "policy", nil, "`NAMES` of policies, comma-separated; default all")
 	f.UintSliceVar(&x.seeds, "seed", []uint{1}, "`SEEDS`, comma-separated; each makes a run of every cell")
@@ -67,7 +68,7 @@
 		return usage(err)
 	}
 	o := experiment.Options{
-		Scenarios: x.scenarios, Policies: x.policies, Log: log,
+		Only: x.sites, Scenarios: x.scenarios, Policies: x.policies, Log: log,
 		Progress: func(c *experiment.Cell) {
 			fmt.Fprintf(cmd.ErrOrStderr(), "done: %s, %s, %s, seed %d\n", c.Site, c.Scenario, c.Policy, c.Seed)
 		},
--- a/internal/experiment/cell.go
+++ b/internal/experiment/cell.go
@@ -56,8 +56,9 @@
 	P50           float64 `json:"p50_ms"`
 	P99           float64 `json:"p99_ms"`
 
-	Outcomes map[string]int `json:"outcomes"`
-	BrokenBy map[string]int `json:"broken_by"`
+	Outcomes  map[string]int `json:"outcomes"`
+	RetriesBy map[string]int `json:"retries_by"`
+	BrokenBy  map[string]int `json:"broken_by"`
 
 	windows []map[string]int
 }
@@ -76,7 +77,7 @@
 		Imbalance: even.Overall, ImbalanceP99: even.P99,
 		Misrouted: r.Misrouted, WrongAnswers: r.WrongAnswers,
 		P50: r.LatencyMS.P50, P99: r.LatencyMS.P99,
-		Outcomes: r.Outcomes, BrokenBy: r.BrokenBy,
+		Outcomes: r.Outcomes, RetriesBy: r.Retries, BrokenBy: r.BrokenBy,
 		windows: r.Windows,
 	}
 	for _, n := range r.Retries {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -20,6 +20,9 @@
 // Options name the cells to run: every site, scenario, policy and seed.
 type Options struct {
 	Sites []*Site
+	// Only names the sites to run; none means all. The others lend their
+	// weights.
+	Only []string
 	// Scenarios by name; none means all.
 	Scenarios []string
 	// Policies by name; none means all. "weighted as SITE" is the policy in
@@ -81,6 +84,9 @@
 	}
 	var plans []plan
 	for _, site := range o.Sites {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, site.Name()) {
+			continue
+		}
 		for _, sc := range Scenarios() {
 			if len(o.Scenarios) > 0 && !slices.Contains(o.Scenarios, sc.Name) {
 				continue
@@ -111,7 +117,7 @@
 }
 
 func (o *Options) checkNames() error {
-	var scenarios, policies []string
+	var scenarios, policies, sites []string
 	for _, sc := range Scenarios() {
 		scenarios = append(scenarios, sc.Name)
 	}
@@ -120,6 +126,12 @@
 	}
 	for _, site := range o.Sites {
 		policies = append(policies, WeightsOf(site).Name)
+		sites = append(sites, site.Name())
+	}
+	for _, name := range o.Only {
+		if !slices.Contains(sites, name) {
+			return errors.Wrapf(ErrOptions, "site %q, known are %q", name, sites)
+		}
 	}
 	for _, name := range o.Scenarios {
 		if !slices.Contains(scenarios, name) {
--- a/internal/experiment/trial.go
+++ b/internal/experiment/trial.go
@@ -20,6 +20,9 @@
 	// sessionShare is the part of the load over which sessions are opened, so
 	// that each event finds old ones and new ones.
 	sessionShare = 0.8
+	// tableTime is the age of an entry host's tables at most, with some to
+	// spare.
+	tableTime = 1500 * time.Millisecond
 	// startLimit bounds the start of a deployment on a busy machine.
 	startLimit = 2 * time.Minute
 )
@@ -59,8 +62,9 @@
 	// A graceful end takes seconds and needs next to no processor time.
 	defer closing.Go(d.Close)
 	t := &trial{site: site, d: d, members: map[string]*members{}, failed: map[string]bool{}}
-	// Every target is past its ramp before the load begins.
-	if !t.sleep(ctx, site.ramp()) {
+	// Every target is past its ramp before the load begins, by the tables that
+	// entry hosts build from time to time.
+	if !t.sleep(ctx, site.ramp()+tableTime) {
 		return nil, ctx.Err()
 	}
 	cell, err := t.run(ctx, sc, seed)
