--- a/health/load.go
+++ b/health/load.go
@@ -12,9 +12,8 @@
 
 // LoadInput is what the load figure of a target is made of.
 type LoadInput struct {
-	// Requests is how many of the agent's own requests run or wait, at a
-	// moment or on average over a time.
-	Requests float64
+	// Running and Waiting count the agent's own requests.
+	Running, Waiting int
 	// Slots is the number of requests that may run at a time, at least 1.
 	Slots int
 	// ReportedRunning is the backend server's own figure, negative if none.
@@ -29,10 +28,10 @@
 // the figure only a little.
 func Load(in LoadInput) uint16 {
 	slots := max(in.Slots, 1)
-	own := max(in.Requests, 0)
-	load := int(min(own*perMille/float64(slots), maxLoad))
-	if excess := float64(in.ReportedRunning) - own; excess > 0 {
-		load += int(min(excess*perMille/float64(slots), perMille/reportShare))
+	own := max(in.Running+in.Waiting, 0)
+	load := own * perMille / slots
+	if excess := in.ReportedRunning - own; excess > 0 {
+		load += min(excess*perMille/slots, perMille/reportShare)
 	}
 	if in.FlowCapacity > 0 {
 		load += max(in.Flows, 0) * perMille / in.FlowCapacity
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -15,7 +15,6 @@
 
 	"eelgrasswharf.example/eelgrasswharf/admission"
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
-	"eelgrasswharf.example/eelgrasswharf/health"
 	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 	"eelgrasswharf.example/eelgrasswharf/retry"
 )
@@ -56,8 +55,6 @@
 	announcer announcer
 	directory directory
 	status    subscriber.Status
-	meter     health.Meter
-	lastGate  gateFigures
 	started   time.Duration
 	wait      conc.WaitGroup
 }
@@ -98,7 +95,6 @@
 		health:   newHealthState(clock),
 	}
 	d.gate = newGate(d.gateLimits(0))
-	d.lastGate = d.gate.figures()
 	d.proxy = &proxy{
 		backend:   d.backend.view,
 		gate:      d.gate,
--- a/internal/agentd/housekeeping.go
+++ b/internal/agentd/housekeeping.go
@@ -20,14 +20,14 @@
 	leaving := goAway || backend.lapsed
 	d.applyConfig(one.self.serviceNumber, backend.slots)
 	gate := d.gate.figures()
-	flows := one.sessions.count()
-	load := health.LoadInput{
-		Requests: float64(gate.running + gate.waiting), Slots: gate.slots, ReportedRunning: reported,
-		Flows: flows, FlowCapacity: flowCapacity,
+	state := &targetState{
+		load: health.Load(health.LoadInput{
+			Running: gate.running, Waiting: gate.waiting, Slots: gate.slots, ReportedRunning: reported,
+			Flows: one.sessions.count(), FlowCapacity: flowCapacity,
+		}),
+		draining: leaving,
+		ill:      verdict.Ill,
 	}
-	state := &targetState{present: health.Load(load), draining: leaving, ill: verdict.Ill}
-	d.meterRequests(gate, flows)
-	one.basis.Store(&loadBasis{meter: d.meter, input: load})
 	d.logChange(one.current(), *state, verdict)
 	one.state.Store(state)
 	one.setLeaving(leaving, goAway)
@@ -38,13 +38,6 @@
 	d.publish(state, gate.slots, backend.since)
 }
 
-// meterRequests records the requests that ran or waited since the last check.
-func (d *Daemon) meterRequests(gate gateFigures, flows int) {
-	requests, over := gate.since(d.lastGate)
-	d.lastGate = gate
-	d.meter.Observe(requests, flows, over)
-}
-
 func (d *Daemon) logChange(old, now targetState, verdict health.Verdict) {
 	if old.draining != now.draining {
 		d.log.Info("taking new flows", zap.Bool("yes", !now.draining))
--- a/internal/agentd/plane.go
+++ b/internal/agentd/plane.go
@@ -13,7 +13,6 @@
 	"github.com/sourcegraph/conc"
 
 	"eelgrasswharf.example/eelgrasswharf/connid"
-	"eelgrasswharf.example/eelgrasswharf/health"
 	"eelgrasswharf.example/eelgrasswharf/reason"
 )
 
@@ -32,7 +31,6 @@
 	leaving atomic.Bool
 	since   atomic.Int64
 	state   atomic.Pointer[targetState]
-	basis   atomic.Pointer[loadBasis]
 	wait    conc.WaitGroup
 }
 
@@ -64,7 +62,6 @@
 		clock:    o.clock,
 	}
 	p.state.Store(&targetState{})
-	p.basis.Store(&loadBasis{input: health.LoadInput{FlowCapacity: flowCapacity, ReportedRunning: -1}})
 	socket.flows = o.flows
 	socket.clock = o.clock
 	socket.counters = o.counters
@@ -113,11 +110,8 @@
 	return nil, ErrLeaving
 }
 
-// current returns the state with the load of this moment.
 func (p *plane) current() targetState {
-	state := *p.state.Load()
-	state.load = p.basis.Load().load(p.sessions.count())
-	return state
+	return *p.state.Load()
 }
 
 // run accepts connections until the plane is closed.
--- a/internal/agentd/sessions.go
+++ b/internal/agentd/sessions.go
@@ -32,9 +32,6 @@
 	clock   clock
 	timing  timing
 
-	// number is the length of open, for reads without the lock.
-	number atomic.Int64
-
 	mu      sync.Mutex
 	open    map[*session]struct{}
 	leaving bool
@@ -69,7 +66,6 @@
 	}
 	s.mu.Lock()
 	s.open[one] = struct{}{}
-	s.number.Store(int64(len(s.open)))
 	leaving := s.leaving
 	s.mu.Unlock()
 	s.wait.Go(func() { s.serve(one) })
@@ -85,7 +81,6 @@
 	close(one.ended)
 	s.mu.Lock()
 	delete(s.open, one)
-	s.number.Store(int64(len(s.open)))
 	s.mu.Unlock()
 }
 
@@ -159,7 +154,9 @@
 
 // count returns the number of open connections.
 func (s *sessions) count() int {
-	return int(s.number.Load())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
 }
 
 // closeAll ends every connection at once.
--- a/internal/agentd/socket.go
+++ b/internal/agentd/socket.go
@@ -11,7 +11,6 @@
 
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
-	"eelgrasswharf.example/eelgrasswharf/health"
 	"eelgrasswharf.example/eelgrasswharf/quicheader"
 	"eelgrasswharf.example/eelgrasswharf/reason"
 )
@@ -21,29 +20,11 @@
 
 // targetState is what the agent tells entry hosts in each reply.
 type targetState struct {
-	// load is an average, by which entry hosts choose; present is the load of
-	// the last check, by which the agent hands flows on.
 	load     uint16
-	present  uint16
 	draining bool
 	ill      bool
 }
 
-// loadBasis is what the load is made of but for the flows, which change from
-// one frame to the next.
-type loadBasis struct {
-	meter health.Meter
-	input health.LoadInput
-}
-
-// load returns the load with the flows that are open now.
-func (b *loadBasis) load(flows int) uint16 {
-	in := b.input
-	in.Flows = flows
-	in.Requests = b.meter.Requests(flows, float64(max(in.Slots, 1))/flowCapacity)
-	return health.Load(in)
-}
-
 // frameSocket carries the callers' datagrams in frames from and to entry
 // hosts. It implements net.PacketConn for quic-go, which sees the callers'
 // own addresses.
