agentd: a slot is free while the answer is recorded

Cause: a request with an Idempotency-Key held its slot of the backend server until its answer was recorded by a quorum of control hosts, and while a right was given back. With 20 ms of work a record on a busy disk takes as long as the work, so the expected wait rose and requests were shed (wait-too-long) at 35 % load.

Ruled out: the queue's length (queue-full was 1 of 319 refusals).

No figure of latency is claimed: the machine was at a load of 14 to 28 and its noise hides the difference.

--- a/internal/agentd/proxy.go
+++ b/internal/agentd/proxy.go
@@ -130,6 +130,7 @@
 	defer slot.leave(false)
 	res := p.attempts(c, view)
 	if res.outcome != retry.Answered {
+		slot.leave(false)
 		p.refuseResult(w, c, res, r)
 		return
 	}
@@ -138,13 +139,15 @@
 		slot.leave(false)
 		c.keepOpen()
 	}
-	p.answer(w, c, res.exchange, r)
+	p.answer(w, c, res.exchange, r, slot)
 	slot.leave(true)
 }
 
 // answer passes a backend server's answer on. A short one is read whole first:
-// a truncated one is then refused instead of cut off in the middle.
-func (p *proxy) answer(w http.ResponseWriter, c *call, x *exchange, r *right) {
+// a truncated one is then refused instead of cut off in the middle. The slot is
+// given back once the backend server is done: to record the answer takes longer
+// than many a request.
+func (p *proxy) answer(w http.ResponseWriter, c *call, x *exchange, r *right, s *slot) {
 	if r == nil && !short(x.response, maxRecordBytes) {
 		p.counters.outcomes[retry.Answered].Inc(1)
 		answerHead(w, c, x.response, p.self)
@@ -156,6 +159,9 @@
 		p.cut(w, c)
 		return
 	}
+	if whole {
+		s.leave(true)
+	}
 	if r != nil && whole {
 		p.once.complete(r, record(x.response, head))
 	}
