--- /dev/null
+++ b/internal/experiment/members_test.go
@@ -0,0 +1,62 @@
+package experiment
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/loadgen"
+)
+
+func TestMembersOverTime(t *testing.T) {
+	is := is.New(t)
+	var m members
+	m.join("a", 0)
+	m.join("b", 0)
+	m.leave("a", 1500*time.Millisecond)
+	m.join("c", 2500*time.Millisecond)
+	m.leave("unknown", time.Second)
+	for i, want := range []int{2, 1, 1, 2} {
+		from := time.Duration(i) * time.Second
+		is.Equal(m.count(from, from+time.Second), want)
+	}
+}
+
+func TestMemberMayComeBack(t *testing.T) {
+	is := is.New(t)
+	var m members
+	m.join("a", 0)
+	m.leave("a", time.Second)
+	m.join("a", 2*time.Second)
+	m.leave("a", 4*time.Second)
+	is.Equal(m.count(0, time.Second), 1)
+	is.Equal(m.count(time.Second, 2*time.Second), 0)
+	is.Equal(m.count(2*time.Second, 4*time.Second), 1)
+	is.Equal(m.count(3*time.Second, 5*time.Second), 0)
+}
+
+func TestImbalance(t *testing.T) {
+	two := members{{target: "a"}, {target: "b"}}
+	leaving := members{{target: "a", to: time.Second}, {target: "b"}}
+	for _, tt := range []struct {
+		name    string
+		windows []map[string]int
+		members members
+		want    loadgen.Imbalance
+	}{
+		{"nothing", nil, two, loadgen.Imbalance{}},
+		{"even", []map[string]int{{"a": 10, "b": 10}}, two, loadgen.Imbalance{Overall: 1, P99: 1, Windows: 1}},
+		{"mean and percentile", []map[string]int{{"a": 10, "b": 10}, {"a": 30, "b": 10}}, two,
+			loadgen.Imbalance{Overall: 1.25, P99: 1.5, Windows: 2}},
+		{"an idle target lowers the mean", []map[string]int{{"a": 20}}, two, loadgen.Imbalance{Overall: 2, P99: 2, Windows: 1}},
+		{"too few answers", []map[string]int{{"a": 19}}, two, loadgen.Imbalance{}},
+		{"one that left does not", []map[string]int{{"a": 10, "b": 10}, {"b": 20}}, leaving,
+			loadgen.Imbalance{Overall: 1, P99: 1, Windows: 2}},
+		{"nobody in service", []map[string]int{{"a": 100}}, nil, loadgen.Imbalance{}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(imbalance(tt.windows, time.Second, tt.members), tt.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/experiment/run_test.go
@@ -0,0 +1,43 @@
+package experiment
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap/zaptest"
+)
+
+// A whole deployment, small, whose first target drains. Only what must never
+// happen is held against it: how even and how fast it is depends on the
+// machine.
+func TestSmallDeploymentStaysCorrect(t *testing.T) {
+	is := is.New(t)
+	s := site(t, "small", 1, 1)
+	c := s.settings.GetCallers()
+	c.Connections, c.Sessions, c.RequestsPerTarget, c.DeadlineMs = 4, 4, 20, 20_000
+	sc := Scenario{Name: Drain, Length: firstEvent + 2*time.Second, run: func(ctx context.Context, t *trial) error {
+		if err := t.at(ctx, firstEvent); err != nil {
+			return err
+		}
+		leaving := t.d.Targets("main")[0]
+		t.mark(leaving + " drains")
+		t.left("main", leaving)
+		return t.d.DrainTarget("main", 0)
+	}}
+	var closing conc.WaitGroup
+	defer closing.Wait()
+	cell, err := runCell(t.Context(), s, sc, Policies()[0], 1, zaptest.NewLogger(t), &closing)
+	is.NoErr(err)
+	is.Equal(len(cell.Services), 2)
+	is.Equal(len(cell.Events), 1)
+	for _, service := range cell.Services {
+		t.Logf("%+v", service)
+		is.True(service.Requests > 0)
+		is.True(service.Keys > 0)
+		is.Equal(service.Faults(), 0)
+	}
+	is.NoErr((&Result{Cells: []*Cell{cell}}).check())
+}
