cli: what dev and patch submit print can be pasted; signals count during the start

Tried as a new user: 'go run ./cmd/eelgrasswharf dev' printed 'eelgrasswharf load ...', which the shell does not find. Commands are now printed as this binary can be started (by name if on the PATH, by go run if that made it, else by path), with file names quoted, and with the kill that ends dev, because go run does not pass SIGTERM on.

A daemon that got SIGTERM while it read its settings or opened its data died of it (status 143 within about 5 ms of the start; a long replay takes longer).

config check of a file whose telling section is misspelt or missing printed a single line without place and hid every other finding; the role is guessed from the nearest name and a missing section is a finding with its place. ErrNoRole is gone with it, its test expects the finding instead.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -114,6 +114,27 @@
 	is.Equal(strings.Count(got.stderr, "\n"), 1)
 }
 
+// Findings come with their place also where the section that tells the role is
+// misspelt or missing.
+func TestConfigCheckWithoutRoleSection(t *testing.T) {
+	is := is.New(t)
+	example := run(t, "config", "example", "control").stdout
+	path := write(t, strings.Replace(example, "[replica]", "[replca]", 1))
+	got := run(t, "config", "check", path)
+	is.Equal(got.status, cli.ExitFailure)
+	is.True(strings.Contains(got.stdout, `: replca: unknown section; did you mean "replica"?`))
+	is.True(strings.HasPrefix(got.stdout, path+":"))
+	is.Equal(got.stderr, "")
+
+	path = write(t, "[host]\nname = a\n")
+	got = run(t, "config", "check", path)
+	is.Equal(got.status, cli.ExitFailure)
+	is.True(strings.HasPrefix(got.stdout, path+":1: no section tells the role"))
+	got = run(t, "config", "check", "--json", path)
+	is.Equal(got.status, cli.ExitFailure)
+	is.True(strings.Contains(got.stdout, `"place": "`+path+`:1"`))
+}
+
 func TestDaemonReportsUnreadableFiles(t *testing.T) {
 	is := is.New(t)
 	path := write(t, run(t, "config", "example", "entry").stdout)
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -110,15 +110,20 @@
   eelgrasswharf config check %[1]s.ini
   eelgrasswharf %[1]s -c %[1]s.ini`, r.name),
 		Args: noArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error { return r.serve(cmd, path) },
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			// A signal during the start is an orderly end as well.
+			return untilSignal(cmd.Context(), func(ctx context.Context) error {
+				return r.serve(ctx, cmd, path)
+			})
+		},
 	}
 	cmd.Flags().StringVarP(&path, "settings", "c", "", "settings `FILE` (INI)")
 	require(cmd, "settings")
 	return cmd
 }
 
-// serve runs the daemon until a signal.
-func (r role[S, D]) serve(cmd *cobra.Command, path string) error {
+// serve runs the daemon until ctx ends.
+func (r role[S, D]) serve(ctx context.Context, cmd *cobra.Command, path string) error {
 	s := proto.Clone(r.message).(S)
 	if err := settings.Load(filepath.Clean(path), s); err != nil {
 		return err
@@ -140,11 +145,9 @@
 		return err
 	}
 	fields := []zap.Field{zap.String("role", string(r.name)), zap.String("name", s.GetHost().GetName())}
-	return untilSignal(cmd.Context(), func(ctx context.Context) error {
-		return runAnnounced(ctx, d, func() {
-			fields = append(fields, r.bound(d)...)
-			log.Info(readyMessage, append(fields, metricsField(metricsAddr))...)
-		})
+	return runAnnounced(ctx, d, func() {
+		fields = append(fields, r.bound(d)...)
+		log.Info(readyMessage, append(fields, metricsField(metricsAddr))...)
 	})
 }
 
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"time"
 
@@ -89,8 +90,12 @@
 	for _, service := range d.Services() {
 		fmt.Fprintf(w, "service %s at %s\n", service, strings.Join(d.Addresses(service), ", "))
 	}
+	self := invocation()
 	first := d.Services()[0]
-	fmt.Fprintf(w, "\nCall it:\n  eelgrasswharf load --service %s --address %s --authority %s\n",
-		first, strings.Join(d.Addresses(first), ","), d.AuthorityFile())
-	fmt.Fprintf(w, "Operate it:\n  eelgrasswharf status %s\n\n", d.OperatorArgs())
+	fmt.Fprintf(w, "\nCall it:\n  %s load --service %s --address %s --authority %s\n",
+		self, first, strings.Join(d.Addresses(first), ","), quote(d.AuthorityFile()))
+	fmt.Fprintf(w, "Operate it:\n  %s status %s\n  %s config show %s\n",
+		self, d.OperatorArgs(), self, d.OperatorArgs())
+	// With "go run" a signal has to go to the process that it started.
+	fmt.Fprintf(w, "End it:\n  kill %d\n\n", os.Getpid())
 }
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -32,7 +32,7 @@
 // args are the flags as the user would write them again.
 func (o *operatorFlags) args() string {
 	return fmt.Sprintf("--control %s --authority %s --certificate %s --key %s",
-		strings.Join(o.control, ","), o.authority, o.certificate, o.key)
+		strings.Join(o.control, ","), quote(o.authority), quote(o.certificate), quote(o.key))
 }
 
 // call opens a client for do and turns its errors into exit statuses.
--- a/internal/cli/patch.go
+++ b/internal/cli/patch.go
@@ -164,7 +164,7 @@
 
 // reportUnknown tells the user how to learn the outcome.
 func reportUnknown(cmd *cobra.Command, id string, cause error, o *operatorFlags, asJSON bool) error {
-	next := fmt.Sprintf("eelgrasswharf patch show %s %s", id, o.args())
+	next := fmt.Sprintf("%s patch show %s %s", invocation(), quote(id), o.args())
 	if asJSON {
 		if err := writeJSON(cmd.OutOrStdout(), outcomeReport{ID: id, Verdict: verdictUnknown, Next: next}); err != nil {
 			return err
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -25,11 +25,19 @@
 	RoleExperiment Role = "experiment"
 )
 
-// Errors of the functions that take or guess a role.
-var (
-	ErrUnknownRole = errors.New("unknown role; known are control, entry, agent and experiment")
-	ErrNoRole      = errors.New("no section tells the role: [replica], [forwarding], [agent] or [site]")
-)
+// ErrUnknownRole reports the name of a role that does not exist.
+var ErrUnknownRole = errors.New("unknown role; known are control, entry, agent and experiment")
+
+// noRole is the finding of a file whose role cannot be guessed.
+const noRole = "no section tells the role: [replica], [forwarding], [agent] or [site]"
+
+// roleSections are the sections that only one role has.
+var roleSections = map[string]Role{
+	"replica":    RoleControl,
+	"forwarding": RoleEntry,
+	"agent":      RoleAgent,
+	"site":       RoleExperiment,
+}
 
 // Roles lists the roles in the order of the documentation.
 func Roles() []Role { return []Role{RoleControl, RoleEntry, RoleAgent, RoleExperiment} }
@@ -95,26 +103,43 @@
 }
 
 // GuessRole tells the role of a settings file by the section that only this
-// role has. It returns ErrNoRole when there is none.
+// role has, or else by one whose name is nearly that. The error is Findings, or
+// what kept the file from being read.
 func GuessRole(path string) (Role, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return "", errors.Wrap(err, "read settings")
 	}
-	// Findings are left for the check under the guessed role.
-	for _, s := range parseFile(text, &collector{file: path}) {
-		switch s.name {
-		case "replica":
-			return RoleControl, nil
-		case "forwarding":
-			return RoleEntry, nil
-		case "agent":
-			return RoleAgent, nil
-		case "site":
-			return RoleExperiment, nil
+	c := &collector{file: path}
+	sections := parseFile(text, c)
+	for _, s := range sections {
+		if role, ok := roleSections[s.name]; ok {
+			// Findings are left for the check under the guessed role.
+			return role, nil
+		}
+	}
+	for _, s := range sections {
+		if role, ok := roleNear(s.name); ok {
+			return role, nil
+		}
+	}
+	c.add(1, noRole)
+	return "", c.err()
+}
+
+// roleNear returns the role whose own section is the known section nearest to
+// an unknown name.
+func roleNear(name string) (Role, bool) {
+	var known []string
+	for _, r := range Roles() {
+		m, err := NewMessage(r)
+		if err != nil {
+			continue
 		}
+		known = append(known, fieldNames(m.ProtoReflect().Descriptor())...)
 	}
-	return "", ErrNoRole
+	role, ok := roleSections[nearest(name, known)]
+	return role, ok
 }
 
 // keyLines tells on which line a key was given, by section and key.
--- a/internal/settings/nearest.go
+++ b/internal/settings/nearest.go
@@ -9,6 +9,16 @@
 // hint offers the known name nearest to an unknown one, or nothing when none
 // is near.
 func hint(name string, known []string) string {
+	best := nearest(name, known)
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf("; did you mean %q?", best)
+}
+
+// nearest returns the known name nearest to a name, or nothing when none is
+// near.
+func nearest(name string, known []string) string {
 	best := ""
 	bestDistance := maxDistance + 1
 	for _, k := range known {
@@ -16,10 +26,7 @@
 			best, bestDistance = k, d
 		}
 	}
-	if best == "" {
-		return ""
-	}
-	return fmt.Sprintf("; did you mean %q?", best)
+	return best
 }
 
 // distance is the Levenshtein distance of two names in bytes.
