--- /dev/null
+++ b/internal/capacity/fit.go
@@ -0,0 +1,59 @@
+package capacity
+
+import (
+	"math"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrPoints tells that a line can't be fitted: fewer than three points, or all
+// of one size.
+var ErrPoints = errors.New("too few points for a fit")
+
+// Point is one measurement: a figure at a size.
+type Point struct {
+	Size   float64 `json:"size"`
+	Figure float64 `json:"figure"`
+}
+
+// Fit is the line through points by least squares.
+type Fit struct {
+	Slope     float64 `json:"slope"`
+	Intercept float64 `json:"intercept"`
+	// StdErr is the standard error of Slope.
+	StdErr float64 `json:"std_err"`
+}
+
+// NewFit fits a line. Errors: ErrPoints.
+func NewFit(points []Point) (Fit, error) {
+	const least = 3 // two leave no residue to judge the error by
+	n := float64(len(points))
+	if len(points) < least {
+		return Fit{}, errors.Wrapf(ErrPoints, "%d points", len(points))
+	}
+	var meanX, meanY float64
+	for _, p := range points {
+		meanX += p.Size / n
+		meanY += p.Figure / n
+	}
+	var sxx, sxy float64
+	for _, p := range points {
+		sxx += (p.Size - meanX) * (p.Size - meanX)
+		sxy += (p.Size - meanX) * (p.Figure - meanY)
+	}
+	if sxx == 0 {
+		return Fit{}, errors.Wrap(ErrPoints, "all of one size")
+	}
+	f := Fit{Slope: sxy / sxx}
+	f.Intercept = meanY - f.Slope*meanX
+	var residue float64
+	for _, p := range points {
+		d := p.Figure - f.At(p.Size)
+		residue += d * d
+	}
+	f.StdErr = math.Sqrt(residue / (n - 2) / sxx)
+	return f, nil
+}
+
+// At returns the figure that the line gives for a size.
+func (f Fit) At(size float64) float64 { return f.Intercept + f.Slope*size }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -51,7 +51,7 @@
 	root.AddCommand(
 		newControl(), newEntry(), newAgent(),
 		newConfig(), newPatch(), newStatus(), newReplica(), newKeys(),
-		newBackend(), newLoad(), newDev(),
+		newBackend(), newLoad(), newDev(), newMeasure(),
 	)
 	return root
 }
