subscriber: ask all control hosts only about an unconfirmed version

Cause: a process that starts asked every control host after 250 ms without a confirmed version, connected or not. The links between control hosts went silent, leaders changed, 573 processes acted on an unconfirmed version.

Now it asks once it holds an unconfirmed version, and 1.5 s later: a control host tries again to confirm after 1 s. It could not act on the answers before.

--- a/internal/subscriber/doc.go
+++ b/internal/subscriber/doc.go
@@ -6,9 +6,10 @@
 // nothing to compare with: a version that a quorum confirmed makes it ready
 // at once; otherwise it asks every control host, takes the newest version that
 // any of them knows as the least it will act on, and acts on an unconfirmed
-// one only after the time UnconfirmedWait. Asking all is put off for a moment,
-// because a confirmed answer settles the matter alone, and 14,000 processes
-// that restart together would make 15 handshakes each.
+// one only after the time UnconfirmedWait. Asking all waits for an unconfirmed
+// version and then for a moment more, because a confirmed answer settles the
+// matter alone, and 14,000 processes that restart together would make 15
+// handshakes each.
 //
 // The directory of targets is soft: the last one known stays in use while the
 // process is cut off. Within it a record never replaces a newer one of its
--- a/internal/subscriber/settle.go
+++ b/internal/subscriber/settle.go
@@ -18,9 +18,17 @@
 	return time.Duration(float64(d) * (1 + jitterShare*(2*r.Float64()-1)))
 }
 
-// settle brings a process that has just started to its first version: it asks
-// every control host, round by round, until there is one.
+// settle brings a process that has just started to its first version: once it
+// holds one that no quorum has confirmed, it asks every control host, round by
+// round, until there is one to act on.
+//
+// It does not ask before. It could not act on the answers, and when many
+// processes come at once the answers are late just because of the load, which
+// a handshake with every control host for each process would multiply.
 func (s *Subscriber) settle(r *rand.Rand) {
+	if !s.awaitCandidate() {
+		return
+	}
 	pause := s.opts.AskDelay
 	for {
 		s.sleep(jitter(r, pause))
@@ -34,6 +42,16 @@
 	}
 }
 
+// awaitCandidate waits for a first configuration. It reports whether there is
+// one that is not acted on yet.
+func (s *Subscriber) awaitCandidate() bool {
+	select {
+	case <-s.candidate:
+	case <-s.ctx.Done():
+	}
+	return s.ctx.Err() == nil && !s.settled()
+}
+
 func (s *Subscriber) settled() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -19,7 +19,7 @@
 
 // Defaults of Options.
 const (
-	DefaultAskDelay        = 250 * time.Millisecond
+	DefaultAskDelay        = 1500 * time.Millisecond
 	DefaultAskTimeout      = 3 * time.Second
 	DefaultUnconfirmedWait = 5 * time.Second
 	DefaultSilenceLimit    = 3 * link.SubscriptionHeartbeat
@@ -43,10 +43,15 @@
 	OnView func(*View)
 	// Services limits the directory to these service numbers; empty means all.
 	Services []uint32
+	// ScopedConfig limits the configuration to Services, too. The version
+	// number moves with each version all the same.
+	ScopedConfig bool
 	// FailureDomain is told to the control host.
 	FailureDomain string
-	// AskDelay is how long a confirmed version is waited for before every
-	// control host is asked, and the pause between two rounds of asking.
+	// AskDelay is how long after an unconfirmed version a confirmation is
+	// waited for before every control host is asked, and the least pause
+	// between two rounds of asking. Control hosts try again to confirm a
+	// version after a second.
 	AskDelay time.Duration
 	// AskTimeout bounds one round of asking.
 	AskTimeout time.Duration
@@ -107,7 +112,9 @@
 	cancel   context.CancelFunc
 	wg       conc.WaitGroup
 	ready    chan struct{}
-	view     atomic.Pointer[View]
+	// candidate is closed once a configuration has been received.
+	candidate chan struct{}
+	view      atomic.Pointer[View]
 	// report is signalled when another version is acted on.
 	report chan struct{}
 
@@ -125,10 +132,11 @@
 func Start(opts Options) *Subscriber {
 	opts = opts.withDefaults()
 	s := &Subscriber{
-		opts:     opts,
-		counters: newCounters(opts.Scope),
-		ready:    make(chan struct{}),
-		report:   make(chan struct{}, 1),
+		opts:      opts,
+		counters:  newCounters(opts.Scope),
+		ready:     make(chan struct{}),
+		candidate: make(chan struct{}),
+		report:    make(chan struct{}, 1),
 	}
 	s.view.Store(&View{})
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -210,6 +218,7 @@
 	req := &controlpb.Subscribe{
 		Services:      s.opts.Services,
 		FailureDomain: s.opts.FailureDomain,
+		ScopedConfig:  s.opts.ScopedConfig,
 	}
 	if !s.wantSnapshot {
 		req.Version = s.versions.held().GetVersion()
@@ -267,7 +276,11 @@
 }
 
 func (s *Subscriber) takeConfig(u *controlpb.ConfigUpdate, now time.Time) (bool, error) {
+	first := s.versions.held() == nil
 	acted, err := s.versions.receive(u, now)
+	if first && s.versions.held() != nil {
+		close(s.candidate)
+	}
 	if errors.Is(err, config.ErrOlder) {
 		// The control host is behind; it may catch up.
 		s.counters.refused(err)
