controld, link: scope of configuration, bound of links, traffic counters

Scope: an agent needs its own service only. With scoped_config a subscription carries the configuration of its services; a change elsewhere is 4 bytes that move the version. The difference of two parts (config.Within) stays right when a name passes to another number (TestPartFollowsByDeltas). Changes of targets out of a scope are no longer sent as empty updates.

Bound: [replica] max_links, default 2000 as before.

link.Server.Traffic and the counters link_bytes_sent and link_bytes_received give what the links take. BenchmarkWave measures a failure domain's return.

The fixture of controld's tests says why a host could not start: under a load average of 54 TestRestartedHostIsToldTheDirectory failed once with "not ready" and no cause (31 later runs passed).

--- /dev/null
+++ b/config/scope.go
@@ -0,0 +1,23 @@
+package config
+
+import "eelgrasswharf.example/eelgrasswharf/api/configpb"
+
+// Within returns the part of a configuration that concerns some services, by
+// number: a configuration of the same version with these services alone. Its
+// services are those of c. Retired addresses are left out: only entry hosts
+// open addresses, and they hold all of the configuration.
+//
+// The difference of two parts leads from one to the other, whatever happened
+// to the services around them. It carries the version even if it is empty.
+func Within(c *configpb.Configuration, services map[uint32]bool) *configpb.Configuration {
+	if c == nil {
+		return nil
+	}
+	part := &configpb.Configuration{Version: c.GetVersion()}
+	for _, s := range c.GetServices() {
+		if services[s.GetNumber()] {
+			part.Services = append(part.Services, s)
+		}
+	}
+	return part
+}
--- /dev/null
+++ b/config/scope_test.go
@@ -0,0 +1,54 @@
+package config_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
+)
+
+func TestWithinKeepsVersion(t *testing.T) {
+	is := is.New(t)
+	c := &configpb.Configuration{Version: 7, Services: []*configpb.Service{
+		{Number: 1, Name: "lodgement"}, {Number: 2, Name: "certificates"},
+	}, Retired: []string{"192.0.2.9:443"}}
+	part := config.Within(c, map[uint32]bool{2: true})
+	is.Equal(part.GetVersion(), uint64(7))
+	is.Equal(len(part.GetServices()), 1)
+	is.Equal(part.GetServices()[0].GetName(), "certificates")
+	is.Equal(len(part.GetRetired()), 0)
+	is.Equal(config.Within(nil, nil), nil)
+}
+
+// TestPartFollowsByDeltas merges the deltas of a part over drawn versions in
+// which names pass from one number to another.
+func TestPartFollowsByDeltas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		scope := map[uint32]bool{1: true, 3: true}
+		var held *configpb.Configuration
+		before := &configpb.Configuration{}
+		for version := uint64(1); version <= rapid.Uint64Range(1, 12).Draw(t, "versions"); version++ {
+			next := &configpb.Configuration{Version: version}
+			for _, name := range []string{"a", "b", "c"} {
+				number := rapid.Uint32Range(0, 4).Draw(t, name)
+				if number > 0 {
+					slots := rapid.Uint32Range(1, 2).Draw(t, "slots")
+					next.Services = append(next.Services, &configpb.Service{Name: name, Number: number, Slots: slots})
+				}
+			}
+			u := config.Diff(config.Within(before, scope), config.Within(next, scope))
+			merged, err := config.Merge(held, u)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !proto.Equal(merged, config.Within(next, scope)) {
+				t.Fatalf("held %v, want the part of %v", merged, next)
+			}
+			held, before = merged, next
+		}
+	})
+}
--- a/internal/agentd/connect.go
+++ b/internal/agentd/connect.go
@@ -115,7 +115,7 @@
 	return func(service uint32) directory {
 		return subscribed{subscriber.Start(subscriber.Options{
 			Client: client, Scope: scope, Log: log,
-			Services: []uint32{service}, FailureDomain: domain,
+			Services: []uint32{service}, ScopedConfig: true, FailureDomain: domain,
 		})}
 	}
 }
--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -128,9 +128,15 @@
 	h.daemon = daemon
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	h.wg.Go(func() { h.result = daemon.Run(ctx) })
+	ended := make(chan struct{})
+	h.wg.Go(func() {
+		defer close(ended)
+		h.result = daemon.Run(ctx)
+	})
 	select {
 	case <-daemon.Ready():
+	case <-ended:
+		d.t.Fatalf("%s could not start: %v", name, h.result)
 	case <-time.After(patience):
 		d.t.Fatalf("%s is not ready", name)
 	}
--- a/internal/controld/directory.go
+++ b/internal/controld/directory.go
@@ -118,7 +118,8 @@
 	whole bool
 }
 
-// next returns what the follower has to be sent, or nil.
+// next returns what the follower has to be sent, or nil. Changes outside of
+// its scope are passed over.
 func (d *directory) next(f *follower) *controlpb.DirectoryUpdate {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -126,7 +127,12 @@
 	if !f.whole && f.epoch == d.dir.Epoch() && d.dir.Settled(now) {
 		return d.dir.Full(now, f.scope)
 	}
-	return d.dir.Update(now, f.epoch, f.sequence, f.scope)
+	u := d.dir.Update(now, f.epoch, f.sequence, f.scope)
+	if u == nil || u.GetFull() || u.GetEpoch() != f.epoch || len(u.GetPut())+len(u.GetRemoved()) > 0 {
+		return u
+	}
+	f.sequence = u.GetSequence()
+	return nil
 }
 
 // sent notes that the follower was sent an update.
--- a/internal/controld/export_test.go
+++ b/internal/controld/export_test.go
@@ -1,6 +1,10 @@
 package controld
 
-import "time"
+import (
+	"time"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+)
 
 // Advance moves the logical clock of the grants as a tick of the loop does.
 func (d *Daemon) Advance(elapsed time.Duration) { d.advance(elapsed) }
@@ -11,3 +15,6 @@
 	defer d.grants.mu.Unlock()
 	return d.grants.machine.Now()
 }
+
+// Traffic returns what the host has exchanged over its links.
+func (d *Daemon) Traffic() link.Traffic { return d.server.Traffic() }
--- a/internal/controld/follow_test.go
+++ b/internal/controld/follow_test.go
@@ -97,6 +97,36 @@
 	return d.start(name, d.stop(name).data, false)
 }
 
+// TestScopedSubscriberFollowsVersions changes one service for a subscriber of
+// another one: it gets each version number and nothing of the service.
+func TestScopedSubscriberFollowsVersions(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, "c1")
+	d.startAll("c1")
+	ops := d.operator("c1")
+	d.accept(ops, patch("p1", 0, put("lodgement", "192.0.2.1:443"), put("certificates", "192.0.2.2:443")))
+	c := d.link(keys.RoleAgent, "a1", "certificates", "c1")
+	req := &controlpb.Subscribe{Services: []uint32{2}, ScopedConfig: true}
+	w := d.subscribe(c, req)
+	first := w.awaitVersion(1)
+	is.Equal(len(first.GetSnapshot().GetServices()), 1)
+	is.Equal(first.GetSnapshot().GetServices()[0].GetName(), "certificates")
+
+	d.accept(ops, patch("p2", 1, put("lodgement", "192.0.2.3:443")))
+	u := w.awaitVersion(2)
+	is.Equal(u.GetBaseVersion(), uint64(1))
+	is.Equal(len(u.GetPut())+len(u.GetRetired()), 0)
+	is.NoErr(w.stream.Send(&controlpb.Heartbeat{Version: 2}))
+	eventually(t, "the version in force in the status", func() bool {
+		s := d.status("c1")
+		return len(s.Laggards) == 0 && s.Subscribers[0].Version == 2
+	})
+	d.accept(ops, patch("p3", 2, put("certificates", "192.0.2.4:443")))
+	is.Equal(len(w.awaitVersion(3).GetPut()), 1)
+	d.accept(ops, patch("p4", 3, &configpb.Operation{Body: &configpb.Operation_RemoveService{RemoveService: "certificates"}}))
+	is.Equal(w.awaitVersion(4).GetRemoved(), []string{"certificates"})
+}
+
 func TestRestartedHostRemovesNoTargets(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t, "c1")
--- a/internal/controld/internal_test.go
+++ b/internal/controld/internal_test.go
@@ -13,6 +13,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/replica"
+	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
 func TestBarrierSharesReads(t *testing.T) {
@@ -178,3 +179,20 @@
 	is.Equal(again, cursor)
 	is.Equal(d.ownSequence(), cursor)
 }
+
+func TestChangesOutOfScopeAreNotSent(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory(7)
+	d.announce(record(1))
+	d.start = d.start.Add(-d.lease())
+	f := &follower{scope: membership.NewScope([]uint32{1})}
+	f.sent(d.next(f))
+	other := record(2)
+	other.Service = 2
+	d.announce(other)
+	is.Equal(d.next(f), nil)
+	d.announce(record(3))
+	u := d.next(f)
+	is.Equal(len(u.GetPut()), 1) // and not the other service's target
+	is.Equal(u.GetFull(), false)
+}
--- a/internal/controld/loops.go
+++ b/internal/controld/loops.go
@@ -8,6 +8,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
 )
 
 // every calls f at each period until the daemon stops.
@@ -51,11 +52,18 @@
 	}
 }
 
-// expireLoop ends leases, closes links to former members and counts laggards.
+// expireLoop ends leases, closes links to former members and counts laggards
+// and bytes.
 func (d *Daemon) expireLoop() {
 	behind := d.scope.Gauge("subscribers_behind")
 	all := d.scope.Gauge("subscribers")
+	sent, received := d.scope.Counter("link_bytes_sent"), d.scope.Counter("link_bytes_received")
+	var last link.Traffic
 	d.every(expirePeriod, func() {
+		traffic := d.server.Traffic()
+		sent.Inc(int64(traffic.BytesSent - last.BytesSent))
+		received.Inc(int64(traffic.BytesReceived - last.BytesReceived))
+		last = traffic
 		d.directory.expire()
 		if d.formed() {
 			d.peers.keep(d.peerAddresses())
--- /dev/null
+++ b/internal/controld/scope_bench_test.go
@@ -0,0 +1,57 @@
+package controld
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+)
+
+// BenchmarkUpdate measures what a subscriber is sent at the size of 2,000
+// services with 5,500 addresses, with and without a scope: bytes of the first
+// configuration and of a change elsewhere, and the time to make the latter.
+func BenchmarkUpdate(b *testing.B) {
+	const services, addresses = 2_000, 5_500
+	s := newConfigState()
+	version := uint64(0)
+	submit := func(ops ...*configpb.Operation) {
+		p := &configpb.Patch{Id: fmt.Sprint("p", version), BaseVersion: version, Operations: ops}
+		command, err := proto.Marshal(&configpb.Command{Body: &configpb.Command_Patch{Patch: p}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		version++
+		s.Apply(version, command)
+		if s.version() != version {
+			b.Fatal("patch refused")
+		}
+	}
+	service := func(i, slots int) *configpb.Operation {
+		op := &configpb.Service{Name: fmt.Sprintf("service-%04d", i), Slots: uint32(slots), Policy: &configpb.Policy{BrokenFlowWeight: 3}}
+		for a := i; a < addresses; a += services {
+			op.Addresses = append(op.Addresses, fmt.Sprintf("10.%d.%d.%d:443", a/65536, a/256%256, a%256))
+		}
+		return &configpb.Operation{Body: &configpb.Operation_PutService{PutService: op}}
+	}
+	const perPatch = 100
+	for i := 0; i < services; i += perPatch {
+		var ops []*configpb.Operation
+		for k := i; k < i+perPatch; k++ {
+			ops = append(ops, service(k, 4))
+		}
+		submit(ops...)
+	}
+	submit(service(0, 5))
+	scopes := map[string]map[uint32]bool{"all": nil, "one service": {services: true}}
+	for name, scope := range scopes {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				s.update(version-1, scope)
+			}
+			b.ReportMetric(float64(proto.Size(s.update(0, scope))), "B/first")
+			b.ReportMetric(float64(proto.Size(s.update(version-1, scope))), "B/change")
+		})
+	}
+}
--- a/internal/controld/state.go
+++ b/internal/controld/state.go
@@ -20,14 +20,49 @@
 	names map[uint32]string
 	// deltas has what was last computed by update, by base version. They all
 	// lead to the current version.
-	deltas map[uint64]*controlpb.ConfigUpdate
+	deltas map[uint64]delta
+}
+
+// delta leads from one version to the current one.
+type delta struct {
+	update *controlpb.ConfigUpdate
+	// touched has the numbers of the services that it changes.
+	touched map[uint32]bool
+}
+
+func newDelta(base, current *configpb.Configuration) delta {
+	d := delta{update: config.Diff(base, current), touched: map[uint32]bool{}}
+	names := map[string]bool{}
+	for _, s := range d.update.GetPut() {
+		d.touched[s.GetNumber()] = true
+		names[s.GetName()] = true
+	}
+	for _, name := range d.update.GetRemoved() {
+		names[name] = true
+	}
+	// A name may have passed to a service of another number.
+	for _, s := range base.GetServices() {
+		if names[s.GetName()] {
+			d.touched[s.GetNumber()] = true
+		}
+	}
+	return d
+}
+
+func (d delta) touches(scope map[uint32]bool) bool {
+	for number := range scope {
+		if d.touched[number] {
+			return true
+		}
+	}
+	return false
 }
 
 func newConfigState() *configState {
 	return &configState{
 		changed: newHub(),
 		machine: config.New(),
-		deltas:  map[uint64]*controlpb.ConfigUpdate{},
+		deltas:  map[uint64]delta{},
 	}
 }
 
@@ -54,7 +89,7 @@
 
 // index rebuilds what follows from the current version. The lock is held.
 func (s *configState) index() {
-	s.deltas = map[uint64]*controlpb.ConfigUpdate{}
+	s.deltas = map[uint64]delta{}
 	services := s.machine.Current().GetServices()
 	s.names = make(map[uint32]string, len(services))
 	for _, service := range services {
@@ -118,32 +153,50 @@
 }
 
 // update returns what leads a subscriber from the version it has to the
-// current one: a delta where the history allows, else a snapshot. The caller
-// owns the message, but not what it refers to.
-func (s *configState) update(from uint64) *controlpb.ConfigUpdate {
+// current one: a delta where the history allows, else a snapshot. With a scope
+// it concerns these services only. The caller owns the message, but not what
+// it refers to.
+func (s *configState) update(from uint64, scope map[uint32]bool) *controlpb.ConfigUpdate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.machine.Current()
 	base := s.machine.Version(from)
 	// A subscriber without a configuration has nothing to apply a delta to.
 	if base == nil || from == 0 {
-		return &controlpb.ConfigUpdate{Snapshot: current, Version: current.GetVersion()}
+		return &controlpb.ConfigUpdate{Snapshot: within(current, scope), Version: current.GetVersion()}
 	}
 	// A new version is sent to all subscribers at once, nearly all of them
 	// from the same base.
 	shared, ok := s.deltas[from]
 	if !ok {
-		shared = config.Diff(base, current)
+		shared = newDelta(base, current)
 		s.deltas[from] = shared
 	}
+	if scope == nil {
+		return copyDelta(shared.update)
+	}
+	if !shared.touches(scope) {
+		return &controlpb.ConfigUpdate{BaseVersion: from, Version: current.GetVersion()}
+	}
+	return config.Diff(config.Within(base, scope), config.Within(current, scope))
+}
+
+func copyDelta(u *controlpb.ConfigUpdate) *controlpb.ConfigUpdate {
 	return &controlpb.ConfigUpdate{
-		BaseVersion: shared.GetBaseVersion(),
-		Version:     shared.GetVersion(),
-		Put:         shared.GetPut(),
-		Removed:     shared.GetRemoved(),
-		Retired:     shared.GetRetired(),
-		Released:    shared.GetReleased(),
+		BaseVersion: u.GetBaseVersion(),
+		Version:     u.GetVersion(),
+		Put:         u.GetPut(),
+		Removed:     u.GetRemoved(),
+		Retired:     u.GetRetired(),
+		Released:    u.GetReleased(),
+	}
+}
+
+func within(c *configpb.Configuration, scope map[uint32]bool) *configpb.Configuration {
+	if scope == nil {
+		return c
 	}
+	return config.Within(c, scope)
 }
 
 // grantState is the same for the state machine of grants.
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -22,6 +22,8 @@
 	info   *subscriber
 	// sent is the version that the subscriber has or was sent.
 	sent uint64
+	// scope has the services whose configuration is wanted, nil for all.
+	scope map[uint32]bool
 	// confirmed says that the subscriber was told of a confirmed version.
 	confirmed bool
 	// owed says that it has yet to be told so.
@@ -58,6 +60,9 @@
 		},
 	}
 	sub.follower.whole = sub.follower.epoch != 0
+	if req.GetScopedConfig() {
+		sub.scope = membership.NewScope(req.GetServices())
+	}
 	d.subscribers.add(sub.info)
 	defer d.subscribers.remove(sub.info)
 	ctx, cancel := context.WithCancel(ctx)
@@ -182,7 +187,7 @@
 		s.reportLag(current, confirmed)
 		return nil
 	}
-	u := s.daemon.configs.update(s.sent)
+	u := s.daemon.configs.update(s.sent, s.scope)
 	u.Confirmed = confirmed
 	if err := s.send(&controlpb.SubscribeUpdate{Config: u}); err != nil {
 		return err
--- /dev/null
+++ b/internal/controld/wave_bench_test.go
@@ -0,0 +1,199 @@
+package controld_test
+
+import (
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
+)
+
+const (
+	waveAgents   = 600
+	waveEntries  = 100
+	waveServices = 100
+	// idleTime is how long the links are watched without a change.
+	idleTime = 15 * time.Second
+)
+
+// fleet is the processes of a failure domain that comes back.
+type fleet struct {
+	scope      tally.TestScope
+	clients    []*link.Client
+	announcers []*subscriber.Announcer
+	agents     []*subscriber.Subscriber
+	entries    []*subscriber.Subscriber
+}
+
+func (f *fleet) close() {
+	for _, a := range f.announcers {
+		a.Close()
+	}
+	for _, s := range append(f.agents, f.entries...) {
+		s.Close()
+	}
+	for _, c := range f.clients {
+		c.Close()
+	}
+}
+
+func serviceName(i int) string { return fmt.Sprintf("service-%03d", i%waveServices) }
+
+// wave starts all processes at once.
+func (d *deployment) wave(creds []*keys.Credentials, addrs []string) *fleet {
+	f := &fleet{scope: tally.NewTestScope("", nil)}
+	for i, c := range creds {
+		client := link.NewClient(addrs, c, link.ClientOptions{Scope: f.scope})
+		f.clients = append(f.clients, client)
+		if i >= waveAgents {
+			f.entries = append(f.entries, subscriber.Start(subscriber.Options{Client: client, Scope: f.scope}))
+			continue
+		}
+		f.announcers = append(f.announcers, subscriber.StartAnnouncer(subscriber.AnnouncerOptions{
+			Client: client, Scope: f.scope, Service: serviceName(i), Target: fmt.Sprintf("target-%04d", i),
+			Process: fmt.Appendf(nil, "%016d", time.Now().UnixNano()+int64(i)), FailureDomain: "bodija",
+			Address: fmt.Sprintf("127.0.0.1:%d", 10000+i), Started: time.Now(),
+			Status: subscriber.Status{State: controlpb.TargetState_TARGET_STATE_SERVING, Slots: 4},
+		}))
+		f.agents = append(f.agents, subscriber.Start(subscriber.Options{
+			Client: client, Scope: f.scope, Services: []uint32{uint32(i%waveServices) + 1}, ScopedConfig: true,
+		}))
+	}
+	return f
+}
+
+// served reports how many processes have all that they need.
+func (f *fleet) served() int {
+	n := 0
+	for i, s := range f.agents {
+		if len(s.View().Targets) == waveAgents/waveServices && s.View().Config != nil && f.announcers[i].Registration() != nil {
+			n++
+		}
+	}
+	for _, s := range f.entries {
+		if len(s.View().Targets) == waveAgents && s.View().Config != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) at(version uint64) bool {
+	for _, s := range append(append([]*subscriber.Subscriber{}, f.agents...), f.entries...) {
+		if s.View().Config.GetVersion() < version {
+			return false
+		}
+	}
+	return true
+}
+
+// use is what has been used up by a moment.
+type use struct {
+	at  time.Time
+	cpu time.Duration
+	// sent and received are of the host that sent or received most, all of all.
+	sent, received, all uint64
+}
+
+func (d *deployment) use() use {
+	u := use{at: time.Now()}
+	for _, h := range d.hosts {
+		t := h.daemon.Traffic()
+		u.sent, u.received = max(u.sent, t.BytesSent), max(u.received, t.BytesReceived)
+		u.all += t.BytesSent + t.BytesReceived
+	}
+	var r syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	u.cpu = time.Duration(r.Utime.Nano() + r.Stime.Nano())
+	return u
+}
+
+// report tells what was used since a moment, as both ends of all links.
+func (u use) report(what string, since use) {
+	fmt.Printf("%s: %.2f s, busiest host sent %d and received %d bytes, all hosts %d, processor time %.2f s\n",
+		what, u.at.Sub(since.at).Seconds(), u.sent-since.sent, u.received-since.received, u.all-since.all, (u.cpu - since.cpu).Seconds())
+}
+
+// waitFor waits longer than eventually does.
+func waitFor(b *testing.B, what string, condition func() bool) {
+	b.Helper()
+	for end := time.Now().Add(5 * time.Minute); !condition(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			b.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+// BenchmarkWave lets a failure domain with 600 agents and 100 entry hosts come
+// back at once to three control hosts, with empty folders and then again, when
+// all targets are known. It prints what that takes, what the idle links take and
+// what a change of one service takes.
+func BenchmarkWave(b *testing.B) {
+	d := newDeployment(b, "c1", "c2", "c3")
+	d.startAll("c1", "c2", "c3")
+	var ops []*configpb.Operation
+	for i := range waveServices {
+		ops = append(ops, put(serviceName(i), fmt.Sprintf("192.0.2.%d:443", i+1)))
+	}
+	d.accept(d.operator("c1"), patch("p0", 0, ops...))
+	var creds []*keys.Credentials
+	for i := range waveAgents {
+		creds = append(creds, d.credentials(keys.RoleAgent, fmt.Sprint("a", i), serviceName(i)))
+	}
+	for i := range waveEntries {
+		creds = append(creds, d.credentials(keys.RoleEntry, fmt.Sprint("e", i), ""))
+	}
+	var addrs []string
+	for _, h := range d.hosts {
+		addrs = append(addrs, h.daemon.LinkAddr())
+	}
+	for _, round := range []string{"first wave", "second wave"} {
+		start := d.use()
+		f := d.wave(creds, addrs)
+		waitFor(b, "all served", func() bool { return f.served() == len(creds) })
+		d.use().report(round, start)
+		printCounters(f.scope)
+		for _, h := range d.hosts {
+			printCounters(h.scope)
+		}
+		if round == "second wave" {
+			d.settled(b, f)
+		}
+		f.close()
+	}
+}
+
+func printCounters(s tally.TestScope) {
+	for _, c := range s.Snapshot().Counters() {
+		if c.Value() > 0 {
+			fmt.Printf("  %s %v: %d\n", c.Name(), c.Tags(), c.Value())
+		}
+	}
+}
+
+// settled measures links without a wave.
+func (d *deployment) settled(b *testing.B, f *fleet) {
+	b.Helper()
+	time.Sleep(idleTime)
+	idle := d.use()
+	time.Sleep(idleTime)
+	d.use().report("idle", idle)
+	for v := uint64(1); v <= 3; v++ {
+		change := d.use()
+		d.accept(d.operator("c1"), patch(fmt.Sprint("q", v), v, put(serviceName(0), fmt.Sprintf("192.0.2.%d:443", 200+v))))
+		waitFor(b, "the version everywhere", func() bool { return f.at(v + 1) })
+		d.use().report("change of one service", change)
+	}
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	fmt.Printf("memory from the system, both ends: %d MB\n", m.Sys>>20)
+}
--- a/internal/link/serve.go
+++ b/internal/link/serve.go
@@ -74,6 +74,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
+	s.ended.add(conn.ConnectionStats())
 	s.counters.connections.Update(float64(len(s.conns)))
 }
 
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -144,6 +144,8 @@
 	closing    bool
 	conns      map[*quic.Conn]struct{}
 	handshakes int
+	// ended is the traffic of the connections that are no longer in conns.
+	ended Traffic
 }
 
 // Listen opens a UDP socket (ip:port) and serves control links on it.
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -63,6 +63,7 @@
 	},
 	"Replica.tick_ms":          {fallback: "50", positive: true},
 	"Replica.snapshot_entries": {fallback: "10000", positive: true},
+	"Replica.max_links":        {fallback: "2000", positive: true},
 
 	"Forwarding.public_ip":      {check: checkIP},
 	"Forwarding.frame_listen":   {required: true, example: "192.0.2.20:7200", check: checkAddress},
