--- a/internal/entryd/forwarder.go
+++ b/internal/entryd/forwarder.go
@@ -238,7 +238,33 @@
 		return
 	}
 	f.directory.loads.Decay()
-	f.reconcile(ctx)
+	if len(f.refusedOpen) > 0 {
+		f.reconcile(ctx)
+		return
+	}
+	f.renew()
+}
+
+// renew gives the open public addresses fresh tables of the services that they
+// have. Nothing else can have changed since the last view was applied, and
+// looking every address up again would cost more than the tables.
+func (f *Forwarder) renew() {
+	now := f.now()
+	built := make(map[*servicePolicy]*service)
+	for _, l := range f.tables.Load().listeners {
+		l.service.Store(f.service(built, l.policy, now))
+	}
+}
+
+// service returns the service of a policy with a fresh table, built once for
+// all its addresses.
+func (f *Forwarder) service(built map[*servicePolicy]*service, policy *servicePolicy, now time.Duration) *service {
+	s := built[policy]
+	if s == nil {
+		s = &service{number: policy.number, table: f.directory.table(policy, now)}
+		built[policy] = s
+	}
+	return s
 }
 
 func (f *Forwarder) usable(address netip.AddrPort) bool {
@@ -255,11 +281,7 @@
 	f.closeRemoved(before)
 
 	for address, policy := range f.addresses {
-		s := built[policy]
-		if s == nil {
-			s = &service{number: policy.number, table: f.directory.table(policy, now)}
-			built[policy] = s
-		}
+		s := f.service(built, policy, now)
 		l := before[address]
 		if l != nil {
 			f.swap(l, s, policy)
@@ -289,6 +311,7 @@
 }
 
 func (f *Forwarder) swap(l *listener, s *service, policy *servicePolicy) {
+	l.policy = policy
 	if l.service.Swap(s).number == s.number {
 		return
 	}
@@ -308,7 +331,7 @@
 	}
 	delete(f.refusedOpen, public)
 
-	l := &listener{public: public, local: local, conns: conns}
+	l := &listener{public: public, local: local, conns: conns, policy: policy}
 	l.service.Store(s)
 	for i, conn := range conns {
 		w := &publicWorker{f: f, l: l, conn: conn, out: f.frameConns[i%len(f.frameConns)]}
--- a/internal/entryd/listener.go
+++ b/internal/entryd/listener.go
@@ -24,6 +24,8 @@
 	// service is swapped whenever the configuration or the directory changes,
 	// also when the address passes to another service.
 	service atomic.Pointer[service]
+	// policy is that of service. Only the goroutine of Run uses it.
+	policy  *servicePolicy
 	workers conc.WaitGroup
 }
 
