--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -33,11 +33,14 @@
 	clock    clock
 	process  []byte
 
-	socket     *net.UDPConn
+	socket *net.UDPConn
+	// opened is the address of the socket, address the one that others use.
+	opened     netip.AddrPort
 	address    netip.AddrPort
 	announceIP netip.Addr
 	announce   atomic.Pointer[net.TCPAddr]
 	ready      chan struct{}
+	registered chan struct{}
 	first      chan struct{}
 
 	counters *counters
@@ -73,15 +76,20 @@
 
 func newDaemon(s *settingspb.AgentSettings, log *zap.Logger, scope tally.Scope, p parts, t timing) (*Daemon, error) {
 	l := limitsOf(s.GetAgent())
-	socket, address, err := openFrameSocket(s.GetAgent().GetFrameListen())
+	socket, opened, err := openFrameSocket(s.GetAgent().GetFrameListen())
 	if err != nil {
 		return nil, err
 	}
+	address, err := frameAddress(s.GetAgent(), opened)
+	if err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
 	clock := newClock()
 	d := &Daemon{
 		settings: s, limits: l, log: log, scope: scope, parts: p, timing: t, clock: clock,
-		process: newAttempt(), socket: socket, address: address,
-		ready: make(chan struct{}), first: make(chan struct{}, 1),
+		process: newAttempt(), socket: socket, opened: opened, address: address,
+		ready: make(chan struct{}), registered: make(chan struct{}), first: make(chan struct{}, 1),
 		counters: newCounters(scope),
 		backend:  &backendRecord{},
 		health:   newHealthState(clock),
@@ -100,9 +108,9 @@
 	return d, nil
 }
 
-// FrameAddr returns the address (ip:port) that receives frames.
+// FrameAddr returns the address (ip:port) on which frames are received.
 func (d *Daemon) FrameAddr() string {
-	return d.address.String()
+	return d.opened.String()
 }
 
 // AnnounceAddr returns the address (ip:port) that takes announcements, empty
@@ -121,6 +129,12 @@
 	return d.ready
 }
 
+// Registered is closed once the control hosts have registered the target and
+// it takes flows.
+func (d *Daemon) Registered() <-chan struct{} {
+	return d.registered
+}
+
 // Run serves until the context ends and then until the last session has
 // ended, without a time limit. It returns nil after such a graceful shutdown.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -166,6 +180,7 @@
 	d.plane.Store(one)
 	d.parts.onSecrets(d.renewSecrets)
 	one.run()
+	close(d.registered)
 	d.log.Info("target registered", zap.Stringer("target", self), zap.String("service", self.service))
 	return one, nil
 }
--- a/internal/capacity/machines.go
+++ b/internal/capacity/machines.go
@@ -68,7 +68,7 @@
 			d.Announce(membership.DefaultLease, recordOf(i+1, 1+i/12), membership.Direct)
 		}
 		sequence = d.Sequence()
-		gone := d.Expire(time.Second+membership.DefaultLease, func(membership.Source) bool { return true })
+		gone := d.Expire(time.Second + membership.DefaultLease)
 		removed.add(float64(gone), float64(proto.Size(d.Update(time.Minute, 1, sequence, nil))))
 		runtime.KeepAlive(d)
 	}
--- a/internal/controld/peers.go
+++ b/internal/controld/peers.go
@@ -26,6 +26,8 @@
 	// self returns this host's link address as the group knows it. It must not
 	// be called before open is set.
 	self func(controlpb.Group) string
+	// directory is what is passed on.
+	directory *directory
 	// open is set once all replicas of this host are open. Messages that one
 	// of them sends earlier are dropped.
 	open atomic.Bool
@@ -38,13 +40,14 @@
 	closed bool
 }
 
-func newPeers(creds *keys.Credentials, voters []voter, log *zap.Logger, scope tally.Scope) *peers {
+func newPeers(creds *keys.Credentials, voters []voter, dir *directory, log *zap.Logger, scope tally.Scope) *peers {
 	p := &peers{
-		creds:  creds,
-		log:    log,
-		scope:  scope.SubScope("peers"),
-		byAddr: map[string]*peer{},
-		named:  map[string]string{},
+		creds:     creds,
+		log:       log,
+		scope:     scope.SubScope("peers"),
+		directory: dir,
+		byAddr:    map[string]*peer{},
+		named:     map[string]string{},
 	}
 	for _, v := range voters {
 		p.named[v.name] = v.address
@@ -134,14 +137,14 @@
 // Forward implements replica.Forwarder.
 func (p *peers) Forward(ctx context.Context, leader *raftpb.Member, group controlpb.Group, command []byte) (*controlpb.ProposeReply, error) {
 	to := p.get(p.addressOf(leader))
-	if to == nil || to.client.Address() == "" {
+	if to == nil || to.calls.Address() == "" {
 		// Refused at once: waiting for a link is the caller's choice.
 		return nil, errors.Wrap(replica.ErrNoLeader, "no link to the leader")
 	}
 	req := &controlpb.Request{Body: &controlpb.Request_Propose{
 		Propose: &controlpb.Propose{Group: group, Command: command},
 	}}
-	res, err := to.client.Call(ctx, req)
+	res, err := to.calls.Call(ctx, req)
 	if errors.Is(err, link.ErrNotSent) || errors.Is(err, link.ErrClosed) || errors.Is(err, link.ErrTooLarge) {
 		return nil, errors.Wrap(replica.ErrNoLeader, err.Error())
 	}
@@ -154,10 +157,30 @@
 	return res.GetPropose(), nil
 }
 
-// peer is the link to one control host. A loop for each group and one for the
-// directory send what waits, so that neither holds up another.
+// lane is a queue of agreement messages. Snapshots have one of their own: they
+// take long, and a leader that cannot send heartbeats meanwhile steps down.
+type lane struct {
+	group    controlpb.Group
+	snapshot bool
+}
+
+// lanes lists the queues to each peer.
+var lanes = []lane{
+	{controlpb.Group_GROUP_CONFIG, false},
+	{controlpb.Group_GROUP_CONFIG, true},
+	{controlpb.Group_GROUP_GRANT, false},
+	{controlpb.Group_GROUP_GRANT, true},
+}
+
+// peer is the link to one control host. A loop for each lane and one for the
+// directory send what waits, so that none holds up another.
 type peer struct {
+	// client carries agreement messages and the directory.
 	client *link.Client
+	// calls carries what waits for the far end to act. It has a connection of
+	// its own: forwarded commands can take up all streams of one, and wait
+	// themselves for agreement messages.
+	calls *link.Client
 	// usedAt is guarded by the mutex of peers.
 	usedAt time.Time
 	ctx    context.Context
@@ -165,48 +188,55 @@
 	wg     conc.WaitGroup
 	scope  tally.Scope
 	self   func(controlpb.Group) string
-	wake   map[controlpb.Group]chan struct{}
+	dir    *directory
+	wake   map[lane]chan struct{}
 	sync   chan struct{}
 
 	mu sync.Mutex
-	// messages wait for the far end, bounded for each group.
-	messages map[controlpb.Group][]*raftpb.Message
-	// records wait for the far end, the newest of each target.
-	records map[uint32]*controlpb.TargetRecord
-	// beat asks for a message even without records.
-	beat bool
+	// messages wait for the far end, bounded for each lane.
+	messages map[lane][]*raftpb.Message
+
+	// cursor is how far the far end has been told of the directory. Only the
+	// loop of the directory uses it.
+	cursor uint64
 }
 
 func newPeer(addr string, owner *peers) *peer {
 	options := link.ClientOptions{
 		Scope:            owner.scope,
 		Log:              owner.log,
+		DialTimeout:      peerDialTimeout,
+		HeartbeatPeriod:  peerHeartbeat,
+		HeartbeatTimeout: peerHeartbeatTimeout,
+		BackoffMax:       peerBackoff,
 		MaxRequestBytes:  maxPeerMessage,
 		MaxResponseBytes: maxPeerMessage,
 	}
 	p := &peer{
 		client:   link.NewClient([]string{addr}, owner.creds, options),
+		calls:    link.NewClient([]string{addr}, owner.creds, options),
 		scope:    owner.scope,
 		self:     owner.self,
-		wake:     map[controlpb.Group]chan struct{}{},
+		dir:      owner.directory,
+		wake:     map[lane]chan struct{}{},
 		sync:     make(chan struct{}, 1),
-		messages: map[controlpb.Group][]*raftpb.Message{},
-		records:  map[uint32]*controlpb.TargetRecord{},
+		messages: map[lane][]*raftpb.Message{},
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	for _, group := range groups {
-		p.wake[group] = make(chan struct{}, 1)
+	for _, l := range lanes {
+		p.wake[l] = make(chan struct{}, 1)
 	}
-	for _, group := range groups {
-		p.wg.Go(func() { p.loop(p.wake[group], func() { p.sendMessages(group) }) })
+	for _, l := range lanes {
+		p.wg.Go(func() { p.loop(p.wake[l], func() { p.sendMessages(l) }) })
 	}
-	p.wg.Go(func() { p.loop(p.sync, p.sendRecords) })
+	p.wg.Go(func() { p.loop(p.sync, p.sendDirectory) })
 	return p
 }
 
 func (p *peer) close() {
 	p.cancel()
 	p.client.Close()
+	p.calls.Close()
 	p.wg.Wait()
 }
 
@@ -228,16 +258,33 @@
 	}
 }
 
-// enqueue adds agreement messages. What exceeds the bound is dropped, oldest
-// first: the agreement core sends anew what matters.
+// enqueue adds agreement messages of a group.
 func (p *peer) enqueue(group controlpb.Group, msgs []*raftpb.Message) {
+	var snapshots, others []*raftpb.Message
+	for _, m := range msgs {
+		if m.GetSnapshot() != nil {
+			snapshots = append(snapshots, m)
+			continue
+		}
+		others = append(others, m)
+	}
+	p.add(lane{group, true}, snapshots, 1)
+	p.add(lane{group, false}, others, outboxMessages)
+}
+
+// add puts messages into a lane. What exceeds the limit is dropped, oldest
+// first: the agreement core sends anew what matters.
+func (p *peer) add(l lane, msgs []*raftpb.Message, limit int) {
+	if len(msgs) == 0 {
+		return
+	}
 	p.mu.Lock()
-	queue := append(p.messages[group], msgs...)
-	excess := max(len(queue)-outboxMessages, 0)
-	p.messages[group] = queue[excess:]
+	queue := append(p.messages[l], msgs...)
+	excess := max(len(queue)-limit, 0)
+	p.messages[l] = queue[excess:]
 	p.mu.Unlock()
 	p.drop("queue_full", excess)
-	signal(p.wake[group])
+	signal(p.wake[l])
 }
 
 func (p *peer) drop(reason string, count int) {
@@ -246,16 +293,16 @@
 	}
 }
 
-func (p *peer) takeMessages(group controlpb.Group) []*raftpb.Message {
+func (p *peer) takeMessages(l lane) []*raftpb.Message {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	msgs := p.messages[group]
-	p.messages[group] = nil
+	msgs := p.messages[l]
+	p.messages[l] = nil
 	return msgs
 }
 
-func (p *peer) sendMessages(group controlpb.Group) {
-	msgs := p.takeMessages(group)
+func (p *peer) sendMessages(l lane) {
+	msgs := p.takeMessages(l)
 	if len(msgs) == 0 {
 		return
 	}
@@ -264,53 +311,13 @@
 		return
 	}
 	timeout := raftTimeout
-	for _, m := range msgs {
-		if m.GetSnapshot() != nil {
-			timeout = snapshotTimeout
-		}
+	if l.snapshot {
+		timeout = snapshotTimeout
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
-	batch := &controlpb.RaftBatch{Group: group, Messages: msgs, Address: p.self(group)}
+	batch := &controlpb.RaftBatch{Group: l.group, Messages: msgs, Address: p.self(l.group)}
 	if _, err := p.client.Call(ctx, &controlpb.Request{Body: &controlpb.Request_Raft{Raft: batch}}); err != nil {
 		p.drop("failed", len(msgs))
 	}
 }
-
-// pass adds records to what the far end is told next.
-func (p *peer) pass(records []*controlpb.TargetRecord) {
-	p.mu.Lock()
-	for _, r := range records {
-		p.records[r.GetNumber()] = r
-	}
-	p.beat = true
-	p.mu.Unlock()
-	signal(p.sync)
-}
-
-func (p *peer) takeRecords() ([]*controlpb.TargetRecord, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := make([]*controlpb.TargetRecord, 0, len(p.records))
-	for _, r := range p.records {
-		out = append(out, r)
-	}
-	clear(p.records)
-	beat := p.beat
-	p.beat = false
-	return out, beat
-}
-
-func (p *peer) sendRecords() {
-	records, beat := p.takeRecords()
-	if !beat || p.client.Address() == "" {
-		// All records follow with the next renewal.
-		return
-	}
-	ctx, cancel := context.WithTimeout(p.ctx, syncTimeout)
-	defer cancel()
-	body := &controlpb.DirectorySync{Records: records}
-	if _, err := p.client.Call(ctx, &controlpb.Request{Body: &controlpb.Request_DirectorySync{DirectorySync: body}}); err != nil {
-		p.scope.Counter("failed_syncs").Inc(1)
-	}
-}
--- a/internal/dev/probe.go
+++ b/internal/dev/probe.go
@@ -20,9 +20,12 @@
 var errProbe = errors.New("probe was not answered")
 
 // awaitTargets calls each service through each entry host, on a fresh flow
-// each time, until every target has answered there. Entry hosts learn of
-// targets a moment after the control host.
+// each time, until every target has answered there. Callers of a deployment
+// with a fabric cannot choose the entry host.
 func (d *Deployment) awaitTargets(ctx context.Context) error {
+	if d.opts.Network != nil {
+		return nil
+	}
 	for _, service := range d.Services() {
 		for _, addr := range d.Addresses(service) {
 			missing := map[string]bool{}
--- a/internal/loadgen/flow.go
+++ b/internal/loadgen/flow.go
@@ -27,6 +27,8 @@
 	// leaving flows get no more requests and end with their last one.
 	leaving  atomic.Bool
 	inFlight atomic.Int64
+	// target is the name of the target that answered on it, if any did.
+	target atomic.Pointer[string]
 	// own is set before the caller closes the flow.
 	own atomic.Bool
 	// broken is set when the flow was counted as broken.
@@ -70,13 +72,11 @@
 	}
 }
 
-// requestLost counts a flow as broken when its end is what a request or
-// watch was lost by; that holds for a clean end too.
-func (d *dialer) requestLost(f *flow) {
-	if f.conn.Context().Err() == nil {
-		return
-	}
-	reason := endReason(context.Cause(f.conn.Context()))
+// requestLost counts a flow as broken whose end left a request unknown; that
+// holds for a clean end too. The error tells of the end, since it may come
+// before the connection's own context is done.
+func (d *dialer) requestLost(f *flow, err error) {
+	reason := endReason(err)
 	if reason == "" {
 		reason = reasonLost
 	}
@@ -85,8 +85,26 @@
 
 // breakFlow counts a flow once.
 func (d *dialer) breakFlow(f *flow, reason string) {
-	if !f.own.Load() && f.broken.CompareAndSwap(false, true) {
-		d.rec.flowBroken(reason)
+	if f.own.Load() || !f.broken.CompareAndSwap(false, true) {
+		return
+	}
+	if d.hostFailed(f) {
+		d.rec.flowLostWithHost()
+		return
+	}
+	d.rec.flowBroken(reason)
+}
+
+// hostFailed tells whether the flow's target stands on a host that failed.
+func (d *dialer) hostFailed(f *flow) bool {
+	target := f.target.Load()
+	return target != nil && d.opts.HostFailed(*target)
+}
+
+// answeredBy keeps the target that a flow leads to.
+func (f *flow) answeredBy(target string) {
+	if name := targetName(target); name != "" && f.target.Load() == nil {
+		f.target.Store(&name)
 	}
 }
 
--- a/internal/loadgen/generator.go
+++ b/internal/loadgen/generator.go
@@ -8,9 +8,13 @@
 	"github.com/sourcegraph/conc"
 )
 
-// sessionRamp is the share of the run over which sessions are opened.
+// sessionRamp is the share of the run over which sessions are opened, unless
+// the options say otherwise.
 const sessionRamp = 0.1
 
+// enoughPeriod is the time between two questions whether a run did enough.
+const enoughPeriod = 20 * time.Millisecond
+
 // generator is one run.
 type generator struct {
 	opts   Options
@@ -33,11 +37,15 @@
 	}
 	runCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
-	var sessions, requests conc.WaitGroup
+	var sessions, requests, end conc.WaitGroup
+	if o.Enough != nil {
+		end.Go(func() { g.endEarly(runCtx, cancel) })
+	}
 	g.openSessions(runCtx, &sessions)
 	g.schedule(runCtx, ctx, &requests)
 	requests.Wait()
 	sessions.Wait()
+	end.Wait()
 	for _, s := range g.slots {
 		s.close()
 	}
@@ -49,9 +57,19 @@
 	return report, nil
 }
 
+// endEarly ends the run once it has done enough.
+func (g *generator) endEarly(runCtx context.Context, end context.CancelFunc) {
+	for runCtx.Err() == nil {
+		if g.opts.Enough(g.rec.report()) {
+			end()
+		}
+		sleep(runCtx, enoughPeriod)
+	}
+}
+
 // openSessions spreads the opening of sessions over the start of the run.
 func (g *generator) openSessions(ctx context.Context, wg *conc.WaitGroup) {
-	step := time.Duration(sessionRamp * float64(g.opts.Duration) / float64(max(1, g.opts.Sessions)))
+	step := g.opts.SessionRamp / time.Duration(max(1, g.opts.Sessions))
 	for i := range g.opts.Sessions {
 		wg.Go(func() {
 			sleep(ctx, time.Duration(i)*step)
--- a/internal/loadgen/request.go
+++ b/internal/loadgen/request.go
@@ -127,15 +127,17 @@
 	if err != nil {
 		return g.lost(ctx, f, err), true
 	}
-	return g.check(q, answerOutcome(res), body), true
+	answer := answerOutcome(res)
+	f.answeredBy(answer.target)
+	return g.check(q, answer, body), true
 }
 
 // lost explains a request that failed after it was sent. A flow whose end
 // left the outcome unknown is broken; one that refused the request is not.
 func (g *generator) lost(ctx context.Context, f *flow, err error) outcome {
 	out := lostOutcome(ctx, err)
-	if out.class == ClassUnknown {
-		g.dialer.requestLost(f)
+	if out.reason == reasonLost {
+		g.dialer.requestLost(f, err)
 	}
 	return out
 }
