--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -16,6 +16,7 @@
 
 func start(t *testing.T) *dev.Deployment {
 	t.Helper()
+	t.Parallel() // each deployment has ports of its own
 	d, err := dev.Start(t.Context(), dev.Options{Log: zaptest.NewLogger(t)})
 	is.New(t).NoErr(err)
 	t.Cleanup(d.Close)
--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"path/filepath"
+	"runtime"
 	"testing"
 	"time"
 
@@ -16,8 +17,14 @@
 	seed = 20260101
 
 	keyValidity = 24 * time.Hour
+
+	// coresPerCluster bounds how many deployments run at a time.
+	coresPerCluster = 4
 )
 
+// room has a place for each deployment that may run.
+var room = make(chan struct{}, max(1, runtime.GOMAXPROCS(0)/coresPerCluster))
+
 // Cluster is one deployment of real processes.
 type Cluster struct {
 	t        testing.TB
@@ -35,9 +42,13 @@
 	patches int
 }
 
-// New makes the keys of a deployment without any process.
+// New makes the keys of a deployment without any process. It waits while enough
+// other deployments of this test process run; deployments share nothing, so
+// that their tests may run in parallel.
 func New(t testing.TB) *Cluster {
 	t.Helper()
+	room <- struct{}{}
+	t.Cleanup(func() { <-room })
 	c := &Cluster{
 		t:      t,
 		dir:    t.TempDir(),
@@ -73,6 +84,11 @@
 	}
 }
 
+// metricsSettings open a metrics listener on a free port.
+func metricsSettings(ip netip.Addr) *settingspb.Metrics {
+	return &settingspb.Metrics{Listen: netip.AddrPortFrom(ip, 0).String()}
+}
+
 func hostSettings(name, domain string) *settingspb.Host {
 	return &settingspb.Host{Name: name, FailureDomain: domain}
 }
--- /dev/null
+++ b/internal/processtest/commandline.go
@@ -0,0 +1,44 @@
+package processtest
+
+import (
+	"net/netip"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+)
+
+// Printed is what a command wrote and how it ended.
+type Printed struct {
+	Stdout string
+	Stderr string
+	Status int
+}
+
+// Operate runs an operator command against control hosts with these operator
+// addresses, or against all of them if none is named.
+func (c *Cluster) Operate(args []string, control ...netip.AddrPort) Printed {
+	c.t.Helper()
+	stdout, stderr, status := c.run(append(args, c.operatorFlags(control)...))
+	return Printed{Stdout: string(stdout), Stderr: string(stderr), Status: status}
+}
+
+// SubmitArgs writes the sections as a patch file and returns the command that
+// submits it.
+func (c *Cluster) SubmitArgs(base uint64, id string, sections ...string) []string {
+	c.t.Helper()
+	path := c.path("%s.ini", id)
+	c.must(os.WriteFile(path, []byte(strings.Join(sections, "\n")), fileMode))
+	return []string{"patch", "submit", "--base", strconv.FormatUint(base, 10), "--id", id, path}
+}
+
+// Paste gives a printed command to a shell.
+func (c *Cluster) Paste(command string) Printed {
+	c.t.Helper()
+	var stdout, stderr strings.Builder
+	cmd := exec.Command("sh", "-c", command)
+	cmd.Stdout = &stdout
+	cmd.Stderr = &stderr
+	_ = cmd.Run() // the status is read from ProcessState
+	return Printed{Stdout: stdout.String(), Stderr: stderr.String(), Status: cmd.ProcessState.ExitCode()}
+}
--- a/internal/processtest/control.go
+++ b/internal/processtest/control.go
@@ -52,8 +52,9 @@
 		name:     name,
 	}
 	host.settings = &settingspb.ControlSettings{
-		Host: hostSettings(name, name),
-		Keys: keySettings(c.issue(keys.RoleControl, name, "")),
+		Host:    hostSettings(name, name),
+		Keys:    keySettings(c.issue(keys.RoleControl, name, "")),
+		Metrics: metricsSettings(ip),
 		Replica: &settingspb.Replica{
 			DataFolder:     c.path("data-%s", name),
 			Listen:         host.Link.String(),
--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -33,6 +33,7 @@
 	e.settings = &settingspb.EntrySettings{
 		Host:    hostSettings(name, name),
 		Keys:    keySettings(c.issue(keys.RoleEntry, name, "")),
+		Metrics: metricsSettings(ip),
 		Control: &settingspb.ControlPeers{Addresses: c.linksOr(control)},
 		Forwarding: &settingspb.Forwarding{
 			PublicIp:      ip.String(),
--- a/internal/processtest/logs.go
+++ b/internal/processtest/logs.go
@@ -48,6 +48,21 @@
 	return n
 }
 
+// field returns a field of the last line with the message, if it has it.
+func (l *processLog) field(message, name string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := ""
+	for _, text := range l.lines {
+		var line map[string]any
+		if json.Unmarshal([]byte(text), &line) != nil || line["msg"] != message {
+			continue
+		}
+		found, _ = line[name].(string)
+	}
+	return found
+}
+
 // text returns all that was written.
 func (l *processLog) text() string {
 	l.mu.Lock()
--- a/internal/processtest/operator.go
+++ b/internal/processtest/operator.go
@@ -5,9 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
-	"os"
 	"os/exec"
-	"strconv"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -36,7 +34,9 @@
 	Verdict      string `json:"verdict"`
 	Version      uint64 `json:"version"`
 	VersionPatch string `json:"version_patch"`
-	Findings     []struct {
+	// Next is the command that tells an outcome that is not known.
+	Next     string `json:"next"`
+	Findings []struct {
 		Place string `json:"place"`
 		Text  string `json:"text"`
 	} `json:"findings"`
@@ -46,9 +46,7 @@
 // hosts with these operator addresses, or to all of them if none is named.
 func (c *Cluster) Submit(base uint64, id string, sections []string, control ...netip.AddrPort) Outcome {
 	c.t.Helper()
-	path := c.path("%s.ini", id)
-	c.must(os.WriteFile(path, []byte(strings.Join(sections, "\n")), fileMode))
-	args := []string{"patch", "submit", "--json", "--base", strconv.FormatUint(base, 10), "--id", id, path}
+	args := append(c.SubmitArgs(base, id, sections...), "--json")
 	return c.outcome(append(args, c.operatorFlags(control)...))
 }
 
--- a/internal/processtest/process.go
+++ b/internal/processtest/process.go
@@ -1,6 +1,8 @@
 package processtest
 
 import (
+	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"syscall"
@@ -108,12 +110,33 @@
 // success.
 func (p *Process) WaitExit() {
 	p.t.Helper()
-	Eventually(p.t, p.Name+" ends", func() bool { return !p.Running() })
-	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+	if code := p.WaitEnd(); code != 0 {
 		p.t.Fatalf("%s: exit code %d", p.Name, code)
 	}
 }
 
+// WaitEnd waits until the process ends by itself and returns its exit code.
+func (p *Process) WaitEnd() int {
+	p.t.Helper()
+	Eventually(p.t, p.Name+" ends", func() bool { return !p.Running() })
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// Metrics asks the metrics listener that the ready line names.
+func (p *Process) Metrics() string {
+	p.t.Helper()
+	resp, err := http.Get("http://" + p.log.field(readyMessage, "metrics") + "/metrics")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		p.t.Fatalf("metrics of %s: %s, %v", p.Name, resp.Status, err)
+	}
+	return string(text)
+}
+
 // signal sends a signal to a process that has not ended.
 func (p *Process) signal(s os.Signal) {
 	if p.Running() {
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -51,6 +51,7 @@
 	t.settings = &settingspb.AgentSettings{
 		Host:    hostSettings(name, name),
 		Keys:    keySettings(c.issue(keys.RoleAgent, name, s.Name)),
+		Metrics: metricsSettings(t.ip),
 		Control: &settingspb.ControlPeers{Addresses: c.linksOr(control)},
 		Agent: &settingspb.Agent{
 			AnnounceListen:    announce.String(),
--- a/test/deployment_test.go
+++ b/test/deployment_test.go
@@ -26,6 +26,7 @@
 
 func deploy(t *testing.T, controls int) *deployment {
 	t.Helper()
+	t.Parallel() // each deployment has its own addresses
 	d := &deployment{Cluster: processtest.New(t)}
 	d.controls = d.StartControls(controls)
 	d.lodgement = d.NewService("lodgement")
--- a/test/link_test.go
+++ b/test/link_test.go
@@ -16,6 +16,7 @@
 		"away from the control": {faultproxy.ToCaller},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel() // each deployment has its own addresses
 			d := &deployment{Cluster: processtest.New(t)}
 			d.controls = d.StartControls(1)
 			link := d.controls[0].Relay()
--- /dev/null
+++ b/test/role_test.go
@@ -0,0 +1,105 @@
+package test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// Exit statuses that the operator commands document.
+const (
+	exitAccepted = 0
+	exitForced   = 1
+	exitRefused  = 3
+	exitUnknown  = 4
+)
+
+// TestRolesServeAndEnd ends every process with SIGTERM, those first that others
+// do without.
+func TestRolesServeAndEnd(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	d.checkEchoes(t, "before the end", 1)
+	var all []*processtest.Process
+	for _, target := range d.all() {
+		all = append(all, target.Agent)
+	}
+	all = append(all, d.entries[0].Process, d.entries[1].Process, d.controls[0].Process)
+	for _, p := range all {
+		is.True(strings.Contains(p.Metrics(), "# TYPE")) // counters are served
+		p.Terminate()
+		p.WaitExit()
+	}
+	for _, target := range d.all() {
+		target.Backend.Terminate()
+		target.Backend.WaitExit()
+	}
+}
+
+// TestSecondSignalEndsAgentWithItsSessions is the forced end of sessions, the
+// operator's explicit choice.
+func TestSecondSignalEndsAgentWithItsSessions(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	watch := d.lodgement.NewCaller().Watch()
+	target, _ := d.holder(t, watch)
+	target.StopAgent()
+	watch.Advance()
+	is.True(target.Agent.Running())
+	target.Agent.Terminate()
+	is.Equal(target.Agent.WaitEnd(), exitForced)
+}
+
+// TestOperatorLearnsLostOutcome cuts the answer to a patch that was accepted,
+// and runs what the command prints.
+func TestOperatorLearnsLostOutcome(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	cut := d.CutAnswers()
+
+	o := d.Submit(1, "cut-json", []string{d.lodgement.Put()}, cut)
+	is.Equal(o.Verdict, processtest.Unknown) // Submit holds it to exit status 4
+	told := d.Paste(o.Next)
+	is.Equal(told.Status, exitAccepted)
+	is.True(strings.Contains(told.Stdout, "patch cut-json: accepted as version 2"))
+
+	printed := d.Operate(d.SubmitArgs(1, "cut-text", d.lodgement.Put()), cut)
+	is.Equal(printed.Status, exitUnknown)
+	_, next, found := strings.Cut(printed.Stdout, "To learn it run:\n  ")
+	is.True(found)
+	told = d.Paste(next)
+	is.Equal(told.Status, exitRefused)
+	is.True(strings.Contains(told.Stdout, "the current version is 2, made by patch cut-json"))
+}
+
+// TestOperatorCommands runs the operator's side against a deployment, for
+// people and for programs.
+func TestOperatorCommands(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	d.Patch(d.lodgement.Put(), d.certificates.Remove())
+	for _, args := range [][]string{
+		{"status"}, {"config", "show"}, {"config", "show", "--version", "1"}, {"patch", "show", "patch-1"},
+	} {
+		text := d.Operate(args)
+		is.Equal(text.Status, exitAccepted)
+		is.True(text.Stdout != "")
+		asJSON := d.Operate(append(args, "--json"))
+		is.Equal(asJSON.Status, exitAccepted)
+		is.True(json.Valid([]byte(asJSON.Stdout)))
+	}
+	is.True(!strings.Contains(d.Operate([]string{"config", "show"}).Stdout, "[service certificates]"))
+	is.True(strings.Contains(d.Operate([]string{"config", "show", "--version", "1"}).Stdout, "[service certificates]"))
+
+	wrong := d.Operate(d.SubmitArgs(2, "wrong",
+		"[service lodgement]\naddresses = 192.0.2.1:443\nslots = 0\n", "[remove nobody]\n"))
+	is.Equal(wrong.Status, exitRefused)
+	is.Equal(strings.Count(wrong.Stdout, "wrong.ini:"), 2) // every finding with its place
+	base := d.Operate(append(d.SubmitArgs(1, "old-base", d.lodgement.Put()), "--json"))
+	is.Equal(base.Status, exitRefused)
+	is.True(json.Valid([]byte(base.Stdout)))
+}
