--- a/internal/processtest/process.go
+++ b/internal/processtest/process.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -137,6 +139,26 @@
 	return string(text)
 }
 
+// Counted returns the sum of the counters whose name ends with the given one,
+// over all their tags.
+func (p *Process) Counted(name string) float64 {
+	p.t.Helper()
+	sum := 0.0
+	for line := range strings.Lines(p.Metrics()) {
+		series, value, _ := strings.Cut(strings.TrimSpace(line), " ")
+		series, _, _ = strings.Cut(series, "{")
+		if !strings.HasSuffix(series, name) {
+			continue
+		}
+		n, err := strconv.ParseFloat(value[strings.LastIndex(value, " ")+1:], 64)
+		if err != nil {
+			p.t.Fatalf("metrics of %s: %q: %v", p.Name, line, err)
+		}
+		sum += n
+	}
+	return sum
+}
+
 // signal sends a signal to a process that has not ended.
 func (p *Process) signal(s os.Signal) {
 	if p.Running() {
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -55,6 +55,14 @@
 	}
 	watch.Advance()
 	d.Patch(d.lodgement.Put()) // the control host still works
+	for _, e := range d.entries {
+		processtest.Eventually(t, e.Host+" counts what it refused", func() bool { return e.Counted("entry_refused") > 0 })
+	}
+	for _, target := range d.all() {
+		processtest.Eventually(t, target.Name+" counts what it refused", func() bool {
+			return target.Agent.Counted("frames_refused") > 0
+		})
+	}
 	for _, p := range d.processes() {
 		is.True(p.Running())
 	}
