test: end the processes of a role side by side

TestRolesServeAndEnd took 61 s in a full run: each agent waits ten seconds for a caller that keeps an idle connection, and they were ended one after the other.

--- a/test/role_test.go
+++ b/test/role_test.go
@@ -24,19 +24,28 @@
 	is := is.New(t)
 	d := deploy(t, 1)
 	d.checkEchoes(t, "before the end", 1)
-	var all []*processtest.Process
+	var agents, backends []*processtest.Process
 	for _, target := range d.all() {
-		all = append(all, target.Agent)
+		agents = append(agents, target.Agent)
+		backends = append(backends, target.Backend)
 	}
-	all = append(all, d.entries[0].Process, d.entries[1].Process, d.controls[0].Process)
+	entries := []*processtest.Process{d.entries[0].Process, d.entries[1].Process}
+	for _, role := range [][]*processtest.Process{agents, entries, {d.controls[0].Process}} {
+		for _, p := range role {
+			is.True(strings.Contains(p.Metrics(), "# TYPE")) // counters are served
+		}
+		endAll(role)
+	}
+	endAll(backends)
+}
+
+// endAll ends processes side by side.
+func endAll(all []*processtest.Process) {
 	for _, p := range all {
-		is.True(strings.Contains(p.Metrics(), "# TYPE")) // counters are served
 		p.Terminate()
-		p.WaitExit()
 	}
-	for _, target := range d.all() {
-		target.Backend.Terminate()
-		target.Backend.WaitExit()
+	for _, p := range all {
+		p.WaitExit()
 	}
 }
 
