test: the history of patches and reads is linearizable under faults

Six operators submit, resend, show and read at all control hosts while hosts are killed (-9), frozen, and cut off one way or both, each at a moment drawn from the seed; porcupine looks for one order of all calls. The versions that entry hosts act on, read from their logs, may not go back. A second test holds a patch at five steps of its way through the leader (request lost; written by the leader alone; by one other; by all, not acknowledged; in force, not answered) and kills the leader there.

A kill -9 leaves what was written to the operating system, so it cannot tell a write before its sync from one after it; the crash tests of wal and replica do.

--- a/internal/processtest/control.go
+++ b/internal/processtest/control.go
@@ -16,6 +16,9 @@
 	Link netip.AddrPort
 	// Operator is where operators call it.
 	Operator netip.AddrPort
+	// Peers relays what other control hosts send to this one, if the hosts
+	// were started by StartRelayedControls.
+	Peers *faultproxy.Relay
 
 	cluster  *Cluster
 	name     string
@@ -26,12 +29,32 @@
 // ready.
 func (c *Cluster) StartControls(count int) []*Control {
 	c.t.Helper()
-	var voters []string
+	for i := range count {
+		c.controls = append(c.controls, c.newControl(i+1))
+	}
+	return c.found()
+}
+
+// StartRelayedControls is StartControls with a relay in front of each host's
+// link address, which the other control hosts dial. Subscribers and agents dial
+// the hosts themselves.
+func (c *Cluster) StartRelayedControls(count int) []*Control {
+	c.t.Helper()
 	for i := range count {
 		host := c.newControl(i + 1)
-		voters = append(voters, fmt.Sprintf("%s=%s", host.name, host.Link))
+		host.Peers = host.Relay()
 		c.controls = append(c.controls, host)
 	}
+	return c.found()
+}
+
+// found starts the control hosts as the first members of their groups.
+func (c *Cluster) found() []*Control {
+	c.t.Helper()
+	var voters []string
+	for _, host := range c.controls {
+		voters = append(voters, fmt.Sprintf("%s=%s", host.name, host.peerAddress()))
+	}
 	for _, host := range c.controls {
 		host.settings.Replica.InitialVoters = voters
 		host.Launch()
@@ -42,6 +65,14 @@
 	return c.controls
 }
 
+// peerAddress is where other control hosts dial this one.
+func (h *Control) peerAddress() netip.AddrPort {
+	if h.Peers != nil {
+		return h.Peers.Addr()
+	}
+	return h.Link
+}
+
 func (c *Cluster) newControl(number int) *Control {
 	name := fmt.Sprintf("control-%d", number)
 	ip := addresses.newHost(c.t)
--- a/internal/processtest/logs.go
+++ b/internal/processtest/logs.go
@@ -10,6 +10,7 @@
 // logLine is what tests read of a JSON log line.
 type logLine struct {
 	Message string `json:"msg"`
+	Version uint64 `json:"version"`
 }
 
 // processLog collects what a process writes. It is safe for concurrent use.
@@ -35,17 +36,20 @@
 }
 
 // count returns how many lines have the message.
-func (l *processLog) count(message string) int {
+func (l *processLog) count(message string) int { return len(l.find(message)) }
+
+// find returns the lines that have the message.
+func (l *processLog) find(message string) []logLine {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := 0
+	var found []logLine
 	for _, text := range l.lines {
 		var line logLine
 		if json.Unmarshal([]byte(text), &line) == nil && line.Message == message {
-			n++
+			found = append(found, line)
 		}
 	}
-	return n
+	return found
 }
 
 // text returns all that was written.
--- a/internal/processtest/members.go
+++ b/internal/processtest/members.go
@@ -58,7 +58,7 @@
 	c := h.cluster
 	c.t.Helper()
 	c.member("remove", h.name)
-	c.member("add", h.Link.String())
+	c.member("add", h.peerAddress().String())
 	c.member("promote", h.name)
 }
 
--- /dev/null
+++ b/test/history_test.go
@@ -0,0 +1,141 @@
+package test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// historyDeployment is control hosts behind relays with two entry hosts that
+// follow the configuration.
+func historyDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{Cluster: processtest.New(t)}
+	d.controls = d.StartRelayedControls(3)
+	d.lodgement = d.NewService("lodgement")
+	is.New(t).Equal(d.Patch(d.lodgement.Put()), uint64(1)) // named patch-1
+	d.entries = append(d.entries, d.StartEntry(), d.StartEntry())
+	return d
+}
+
+// trouble is something that befalls control hosts. It returns what undoes it.
+type trouble struct {
+	name string
+	do   func(*deployment, *rand.Rand) (undo func())
+}
+
+func (d *deployment) anyControl(random *rand.Rand) *processtest.Control {
+	return d.controls[random.IntN(len(d.controls))]
+}
+
+func killed(host *processtest.Control) func() {
+	host.Kill()
+	return func() {
+		host.Launch()
+		host.WaitReady()
+	}
+}
+
+func frozen(host *processtest.Control) func() {
+	host.Freeze()
+	return host.Thaw
+}
+
+func cutOff(host *processtest.Control, ways ...faultproxy.Direction) func() {
+	for _, way := range ways {
+		host.Peers.SetFaults(way, faultproxy.Faults{Cut: true})
+	}
+	return host.Peers.Heal
+}
+
+var troubles = []trouble{
+	{"leader killed", func(d *deployment, _ *rand.Rand) func() { return killed(d.Leader()) }},
+	{"host killed", func(d *deployment, r *rand.Rand) func() { return killed(d.anyControl(r)) }},
+	{"leader frozen", func(d *deployment, _ *rand.Rand) func() { return frozen(d.Leader()) }},
+	{"leader hears nothing", func(d *deployment, _ *rand.Rand) func() {
+		return cutOff(d.Leader(), faultproxy.ToHost)
+	}},
+	{"answers of a host are lost", func(d *deployment, r *rand.Rand) func() {
+		return cutOff(d.anyControl(r), faultproxy.ToCaller)
+	}},
+	{"leader cut off", func(d *deployment, _ *rand.Rand) func() {
+		return cutOff(d.Leader(), faultproxy.ToHost, faultproxy.ToCaller)
+	}},
+}
+
+// TestHistoryIsLinearizable lets six operators submit, resend, show and read at
+// all control hosts while hosts are killed, frozen and cut off one way or both,
+// in each round at a moment drawn from the seed. One order of all calls has to
+// explain every answer, and no entry host's version may go back.
+func TestHistoryIsLinearizable(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			d := historyDeployment(t)
+			history := &recorder{begin: time.Now(), newest: 1}
+			operators := d.historyOperators(t, history, seed)
+			random := rand.New(rand.NewPCG(seed, 0))
+			order := random.Perm(len(troubles))
+			for _, i := range order {
+				d.historyRound(t, history, operators, troubles[i], random)
+			}
+			history.check(t, modelFrom(1, "patch-1"))
+			d.InForce(history.newestVersion(), d.entryNames()...)
+			for _, e := range d.entries {
+				checkNeverBack(t, e.ActedOn(), history.newestVersion())
+			}
+		})
+	}
+}
+
+func (d *deployment) historyOperators(t *testing.T, history *recorder, seed uint64) []*operatorCaller {
+	t.Helper()
+	const count = 6
+	var hosts []*operator.Client
+	for _, host := range d.controls {
+		hosts = append(hosts, d.Client(host.Operator))
+	}
+	var all []*operatorCaller
+	for i := range count {
+		all = append(all, &operatorCaller{
+			t: t, number: i, recorder: history, hosts: hosts, service: d.lodgement,
+			random: rand.New(rand.NewPCG(seed, uint64(i+1))),
+		})
+	}
+	return all
+}
+
+// historyRound lets the operators work, brings trouble after a number of calls
+// drawn by chance and undoes it after they have ended.
+func (d *deployment) historyRound(t *testing.T, history *recorder, operators []*operatorCaller, what trouble, random *rand.Rand) {
+	t.Helper()
+	const calls = 20
+	before := history.finishedCalls()
+	start := before + random.IntN(calls*len(operators)/3)
+	var work conc.WaitGroup
+	for _, o := range operators {
+		work.Go(func() { o.work(calls) })
+	}
+	processtest.Eventually(t, "operators work", func() bool { return history.finishedCalls() >= start })
+	undo := what.do(d, random)
+	t.Logf("%s after %d calls", what.name, history.finishedCalls()-before)
+	work.Wait()
+	undo()
+}
+
+// checkNeverBack expects rising versions that end with the newest one.
+func checkNeverBack(t *testing.T, versions []uint64, newest uint64) {
+	t.Helper()
+	is := is.New(t)
+	is.True(slices.IsSorted(versions))
+	is.True(len(versions) > 0)
+	is.Equal(versions[len(versions)-1], newest)
+}
--- /dev/null
+++ b/test/points_test.go
@@ -0,0 +1,158 @@
+package test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// attempt is one patch on its way through the leader, which is then killed.
+type attempt struct {
+	d      *deployment
+	leader *processtest.Control
+	others []*processtest.Control
+	// address is where the operator calls the leader.
+	address *faultproxy.TCPRelay
+	// written is the size of each host's log before the patch.
+	written map[*processtest.Control]int64
+}
+
+// wrote tells whether the host's log has grown since before the patch.
+func (a *attempt) wrote(host *processtest.Control) bool {
+	return host.LogBytes() > a.written[host]
+}
+
+// point is how far a patch has come when its leader is killed.
+type point struct {
+	// hold keeps the patch from coming further.
+	hold func(*attempt)
+	// reached tells that it has come as far as that.
+	reached func(*attempt) bool
+}
+
+// points lists the steps of a patch. A kill -9 leaves what was written to the
+// operating system, so that it cannot tell a write before its sync from one
+// after it: the crash tests of the packages wal and replica do.
+var points = map[string]point{
+	"request lost before the leader": {
+		hold: func(a *attempt) {
+			a.address.SetFaults(faultproxy.ToHost, faultproxy.Faults{Cut: true})
+		},
+		reached: func(a *attempt) bool { return true },
+	},
+	"written by the leader alone": {
+		hold: func(a *attempt) {
+			for _, host := range a.others {
+				cutOff(host, faultproxy.ToHost)
+			}
+		},
+		reached: func(a *attempt) bool { return a.wrote(a.leader) },
+	},
+	"written by one other, not acknowledged": {
+		hold: func(a *attempt) {
+			cutOff(a.others[0], faultproxy.ToHost)
+			cutOff(a.leader, faultproxy.ToHost)
+		},
+		reached: func(a *attempt) bool { return a.wrote(a.leader) && a.wrote(a.others[1]) },
+	},
+	"written by all, not acknowledged": {
+		hold: func(a *attempt) { cutOff(a.leader, faultproxy.ToHost) },
+		reached: func(a *attempt) bool {
+			return a.wrote(a.leader) && a.wrote(a.others[0]) && a.wrote(a.others[1])
+		},
+	},
+	"in force, not answered": {
+		hold: func(a *attempt) {
+			a.address.SetFaults(faultproxy.ToCaller, faultproxy.Faults{Cut: true})
+		},
+		reached: func(a *attempt) bool {
+			s := a.leader.Status()
+			return s != nil && s.Version == 2
+		},
+	},
+}
+
+// TestLeaderKilledAtEachPoint holds a patch at each step of its way through
+// the leader and kills the leader there. Sent again through the others the
+// patch becomes version 2, once, and every host tells so.
+func TestLeaderKilledAtEachPoint(t *testing.T) {
+	for name, p := range points {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := newAttempt(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			client := a.d.Client(a.address.Addr())
+			_, _, err := client.Config(ctx, 0) // the connection is there before the fault
+			is.NoErr(err)
+			p.hold(a)
+			for _, host := range a.d.controls {
+				a.written[host] = host.LogBytes()
+			}
+			var first error
+			var call conc.WaitGroup
+			call.Go(func() { _, first = client.Submit(ctx, putPatch("held", 1, a.d.lodgement)) })
+			processtest.Eventually(t, name, func() bool { return p.reached(a) })
+			a.leader.Kill()
+			cancel()
+			call.Wait()
+			is.True(first != nil) // the answer is lost
+			for _, host := range a.d.controls {
+				host.Peers.Heal()
+			}
+			a.checkOnce(t)
+		})
+	}
+}
+
+func newAttempt(t *testing.T) *attempt {
+	t.Helper()
+	d := historyDeployment(t)
+	leader := d.Leader()
+	return &attempt{
+		d: d, leader: leader, others: leader.Others(),
+		address: leader.OperatorRelay(),
+		written: map[*processtest.Control]int64{},
+	}
+}
+
+// checkOnce sends the patch again, brings the leader back and expects one
+// outcome everywhere.
+func (a *attempt) checkOnce(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	others := a.d.Client(a.others[0].Operator, a.others[1].Operator)
+	again := func() (out *configpb.Outcome) {
+		processtest.Eventually(t, "the outcome is told", func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+			defer cancel()
+			var err error
+			out, err = others.Submit(ctx, putPatch("held", 1, a.d.lodgement))
+			return err == nil
+		})
+		return out
+	}
+	want := reply{verdict: configpb.Verdict_VERDICT_ACCEPTED, version: 2, patch: "held"}
+	is.Equal(replyOf(again()), want)
+	a.leader.Launch()
+	a.leader.WaitReady()
+	is.Equal(replyOf(again()), want)
+	for _, host := range a.d.controls {
+		o := processtest.Outcome{}
+		processtest.Eventually(t, "each host tells the outcome", func() bool {
+			o = a.d.Show("held", host.Operator)
+			return o.Verdict != processtest.NotDone && o.Verdict != processtest.Unknown
+		})
+		is.Equal(o.Version, uint64(2))
+	}
+	a.d.InForce(2, a.d.entryNames()...)
+	for _, e := range a.d.entries {
+		checkNeverBack(t, e.ActedOn(), 2)
+	}
+}
--- /dev/null
+++ b/test/recorder_test.go
@@ -0,0 +1,195 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// callLimit is when an operator gives up on an answer, as when it is lost.
+const callLimit = 2 * time.Second
+
+// recorder notes what operators ask and are told, and when.
+type recorder struct {
+	begin time.Time
+
+	mu       sync.Mutex
+	history  []porcupine.Operation
+	ids      []string
+	newest   uint64
+	resent   int
+	finished int
+}
+
+func (r *recorder) now() int64 { return int64(time.Since(r.begin)) }
+
+// note records a call that was answered.
+func (r *recorder) note(client int, from int64, c call, out reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history = append(r.history, porcupine.Operation{
+		ClientId: client, Input: c, Call: from, Output: out, Return: r.now(),
+	})
+	r.newest = max(r.newest, out.version)
+	if c.kind == submitting {
+		r.ids = append(r.ids, c.id)
+	}
+}
+
+func (r *recorder) newestVersion() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.newest
+}
+
+// anyID returns the identifier of a patch whose outcome was told, or of none.
+func (r *recorder) anyID(random *rand.Rand) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ids) == 0 {
+		return "no such patch"
+	}
+	return r.ids[random.IntN(len(r.ids))]
+}
+
+func (r *recorder) finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.finished++
+}
+
+func (r *recorder) finishedCalls() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.finished
+}
+
+// putPatch returns a patch that puts the service as it is.
+func putPatch(id string, base uint64, s *processtest.Service) *configpb.Patch {
+	service := &configpb.Service{Name: s.Name, Addresses: []string{s.Address.String()}, Slots: 4}
+	put := &configpb.Operation{Body: &configpb.Operation_PutService{PutService: service}}
+	return &configpb.Patch{Id: id, BaseVersion: base, Operations: []*configpb.Operation{put}}
+}
+
+// operatorCaller is one operator. It asks a host drawn for each call.
+type operatorCaller struct {
+	t        *testing.T
+	number   int
+	random   *rand.Rand
+	recorder *recorder
+	hosts    []*operator.Client
+	service  *processtest.Service
+	patches  int
+}
+
+func (o *operatorCaller) host() *operator.Client { return o.hosts[o.random.IntN(len(o.hosts))] }
+
+// submit sends a patch to one host after the other until its outcome is told.
+// All of this is one call of the history: it takes effect once, or the
+// history is wrong.
+func (o *operatorCaller) submit(id string, base uint64) {
+	from := o.recorder.now()
+	patch := putPatch(id, base, o.service)
+	var out *configpb.Outcome
+	tries := 0
+	processtest.Eventually(o.t, "the outcome of "+id, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+		defer cancel()
+		tries++
+		var err error
+		out, err = o.host().Submit(ctx, patch)
+		return err == nil
+	})
+	o.recorder.note(o.number, from, call{kind: submitting, id: id, base: base}, replyOf(out))
+	o.recorder.mu.Lock()
+	defer o.recorder.mu.Unlock()
+	o.recorder.resent += tries - 1
+}
+
+// show asks for the outcome of a patch. A call that no quorum confirms tells
+// nothing and is left out.
+func (o *operatorCaller) show(id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	from := o.recorder.now()
+	out, err := o.host().Outcome(ctx, id)
+	if err == nil || errors.Is(err, operator.ErrNotFound) {
+		o.recorder.note(o.number, from, call{kind: showing, id: id}, replyOf(out))
+	}
+}
+
+// read asks for the newest version.
+func (o *operatorCaller) read() {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	from := o.recorder.now()
+	cfg, confirmed, err := o.host().Config(ctx, 0)
+	if err == nil && confirmed {
+		o.recorder.note(o.number, from, call{kind: reading}, reply{version: cfg.GetVersion()})
+	}
+}
+
+// work makes a number of calls, drawn by chance.
+func (o *operatorCaller) work(calls int) {
+	for range calls {
+		switch o.random.IntN(8) {
+		case 0, 1, 2:
+			o.patches++
+			o.submit(fmt.Sprintf("operator-%d-patch-%d", o.number, o.patches), o.recorder.newestVersion())
+		case 3:
+			if o.patches > 0 { // an answered patch, sent again by its operator
+				o.submitAgain()
+			}
+		case 4, 5:
+			o.show(o.recorder.anyID(o.random))
+		default:
+			o.read()
+		}
+		o.recorder.finish()
+	}
+}
+
+// submitAgain repeats the operator's latest patch, under the base it had.
+func (o *operatorCaller) submitAgain() {
+	id := fmt.Sprintf("operator-%d-patch-%d", o.number, o.patches)
+	o.recorder.mu.Lock()
+	var base uint64
+	for _, op := range o.recorder.history {
+		if c := op.Input.(call); c.kind == submitting && c.id == id {
+			base = c.base
+		}
+	}
+	o.recorder.mu.Unlock()
+	o.submit(id, base)
+}
+
+// check fails the test unless some order of the calls, each at one moment
+// between question and answer, explains all answers.
+func (r *recorder) check(t *testing.T, model porcupine.Model) {
+	t.Helper()
+	accepted, refused, reads := 0, 0, 0
+	for _, op := range r.history {
+		switch op.Output.(reply).verdict {
+		case configpb.Verdict_VERDICT_ACCEPTED:
+			accepted++
+		case configpb.Verdict_VERDICT_REFUSED_BASE:
+			refused++
+		default:
+			reads++
+		}
+	}
+	t.Logf("%d calls: %d told accepted, %d told refused, %d others; %d sent again", len(r.history), accepted, refused, reads, r.resent)
+	result := porcupine.CheckOperationsTimeout(model, r.history, checkLimit)
+	is.New(t).Equal(result, porcupine.Ok)
+}
