A leader that stops hands over

Cause: the agreement core had no transfer of leadership, so each planned stop of the leader cost an election timeout, and a group whose hosts are restarted in turn paid it up to three times.

Now TransferLeadership brings the voter that is furthest along up to date and asks it to stand for election at once (MESSAGE_TAKE_OVER; the vote says so, and those that hear their leader answer it). Votes go by term and log as before: a transfer changes when an election is held, not who may win. It is repeated at each heartbeat and given up after an election timeout. replica.Close hands over; a control host does so for both groups before its link server closes, while the successor can still answer it.

Ruled out: a shorter election timeout (unseats leaders on a busy machine); a step-down without a successor (saves the timeout of the quorum check, not that of the election).

Tests of package replica that kill a replica use halt, which is what Close was, so that a killed one still sends nothing.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -215,10 +215,24 @@
 	}
 }
 
-// stop takes no new work, lets calls in progress end while the replicas still
-// run, and then closes the rest.
+// handOver passes on what this host leads, while it can still be reached.
+func (d *Daemon) handOver() {
+	var groups conc.WaitGroup
+	for _, opened := range d.replicas {
+		groups.Go(func() {
+			if err := opened.HandOver(context.Background()); err != nil {
+				d.log.Info("leadership not handed over", zap.Error(err))
+			}
+		})
+	}
+	groups.Wait()
+}
+
+// stop hands over, takes no new work, lets calls in progress end while the
+// replicas still run, and then closes the rest.
 func (d *Daemon) stop() error {
 	d.log.Info("control host stops")
+	d.handOver()
 	var calls conc.WaitGroup
 	if d.api != nil {
 		calls.Go(func() {
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -235,7 +235,7 @@
 func (c *cluster) kill(h *host) {
 	h.disk.fail(errors.New("killed"))
 	r := c.detach(h)
-	_ = r.Close() // reports the failure above, if the log was in use
+	_ = r.halt() // reports the failure above, if the log was in use
 }
 
 // detach takes a host off the network.
@@ -250,7 +250,7 @@
 func (c *cluster) closeAll() {
 	for _, h := range c.hosts {
 		if r := c.detach(h); r != nil {
-			_ = r.Close() // a test that minds has looked at it already
+			_ = r.halt() // a test that minds has looked at it already
 		}
 	}
 }
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -28,6 +28,7 @@
 	snapshotsFailed tally.Counter
 	restored        tally.Counter
 	leaderChanges   tally.Counter
+	handedOver      tally.Counter
 }
 
 func newCounters(scope tally.Scope) counters {
@@ -56,6 +57,7 @@
 		snapshotsFailed: scope.Counter("snapshots_failed"),
 		restored:        scope.Counter("snapshots_restored"),
 		leaderChanges:   scope.Counter("leader_changes"),
+		handedOver:      scope.Counter("leaderships_handed_over"),
 	}
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -145,9 +146,18 @@
 	}
 }
 
-// Close stops the replica and waits until its folder is free. Proposals that
-// wait get ErrUnknown. The error is that of Err, or of closing the log.
+// Close hands the leadership over, stops the replica and waits until its folder
+// is free. Proposals that wait get ErrUnknown. The error is that of Err, or of
+// closing the log.
 func (r *Replica) Close() error {
+	if err := r.HandOver(context.Background()); err != nil {
+		r.log.Info("closed as the leader", zap.Error(err))
+	}
+	return r.halt()
+}
+
+// halt stops the replica as it is.
+func (r *Replica) halt() error {
 	r.stopOnce.Do(func() { close(r.stop) })
 	r.workers.Wait()
 	return r.failure
--- a/raft/cluster_test.go
+++ b/raft/cluster_test.go
@@ -233,8 +233,10 @@
 		err = c.work(s)
 	case n < 95:
 		c.propose(s)
-	case n < 97:
+	case n < 96:
 		c.read(s)
+	case n < 97:
+		c.transfer(s)
 	case n < 98:
 		err = c.compact(s)
 	default:
@@ -314,6 +316,9 @@
 		}
 		c.votes[key] = keyOf(m.GetTo())
 	}
+	if m.GetTakeOver() {
+		c.counts.TakeOvers++
+	}
 	h := fnv.New64a()
 	fmt.Fprint(h, c.trace, m.GetKind(), m.GetFrom().GetName(), m.GetTo().GetName(), m.GetTerm(), m.GetLogIndex(), m.GetCommit(), len(m.GetEntries()))
 	c.trace = h.Sum64()
@@ -437,6 +442,13 @@
 	_ = err // most servers do not lead
 }
 
+// transfer lets a leader hand over, now and then.
+func (c *cluster) transfer(s *server) {
+	if !c.calm && c.chance(25) {
+		_ = s.node.TransferLeadership() // most servers do not lead
+	}
+}
+
 func (c *cluster) read(s *server) {
 	c.token++
 	if s.node.ReadIndex(c.token) == nil {
--- a/raft/doc.go
+++ b/raft/doc.go
@@ -95,4 +95,9 @@
 // its leader within that time ignores votes. Together they keep a replica that
 // was cut off from unseating a leader on its return, and a leader that is cut
 // off from holding callers until their deadline.
+//
+// A leader that is to stop hands over: TransferLeadership brings the voter that
+// is furthest along up to date and lets it stand for election at once, without
+// a pre-vote and with a vote that the others answer although they hear their
+// leader. Only the time of the election differs from that of any other.
 package raft
--- a/raft/election.go
+++ b/raft/election.go
@@ -12,6 +12,7 @@
 	n.role = RoleFollower
 	n.leader = leader
 	n.progress = nil
+	n.transfer = nil
 	n.resetElectionTimer()
 }
 
@@ -59,16 +60,16 @@
 	n.role = RolePreCandidate
 	n.granted = map[replicaKey]bool{n.key: true}
 	if n.hasVotes() {
-		n.campaign()
+		n.campaign(false)
 		return
 	}
-	n.askForVotes(raftpb.MessageKind_MESSAGE_PRE_VOTE, n.term+1)
+	n.askForVotes(&raftpb.Message{Kind: raftpb.MessageKind_MESSAGE_PRE_VOTE, Term: n.term + 1})
 }
 
 // campaign starts an election in the next term. The own vote counts at once:
 // the term and the vote are synced with the batch, before any message that
-// depends on them is sent.
-func (n *Node) campaign() {
+// depends on them is sent. takeOver says that the leader has asked for it.
+func (n *Node) campaign(takeOver bool) {
 	n.term++
 	n.vote = n.self
 	n.role = RoleCandidate
@@ -79,17 +80,19 @@
 		n.becomeLeader()
 		return
 	}
-	n.askForVotes(raftpb.MessageKind_MESSAGE_VOTE, n.term)
+	n.askForVotes(&raftpb.Message{Kind: raftpb.MessageKind_MESSAGE_VOTE, Term: n.term, TakeOver: takeOver})
 }
 
-func (n *Node) askForVotes(kind raftpb.MessageKind, term uint64) {
+// askForVotes sends the question to all other voters, with the end of the log.
+func (n *Node) askForVotes(question *raftpb.Message) {
 	for _, member := range n.membership().GetMembers() {
 		if member.GetLearner() || keyOf(member.GetId()) == n.key {
 			continue
 		}
 		n.send(member.GetId(), &raftpb.Message{
-			Kind:     kind,
-			Term:     term,
+			Kind:     question.GetKind(),
+			Term:     question.GetTerm(),
+			TakeOver: question.GetTakeOver(),
 			LogIndex: n.log.lastIndex(),
 			LogTerm:  n.log.lastTerm(),
 		})
@@ -125,7 +128,7 @@
 	}
 	n.granted[keyOf(m.GetFrom())] = true
 	if n.hasVotes() {
-		n.campaign()
+		n.campaign(false)
 	}
 }
 
--- a/raft/errors.go
+++ b/raft/errors.go
@@ -7,9 +7,11 @@
 	// ErrNotLeader says that this replica does not lead the group. Nothing
 	// was appended.
 	ErrNotLeader = errors.New("raft: not the leader")
+	// ErrNoSuccessor says that there is no other voter that could lead.
+	ErrNoSuccessor = errors.New("raft: no successor")
 	// ErrBusy says that the leader takes no more for now: too much is
-	// uncommitted, too many reads wait, or it has not yet committed an entry
-	// of its own term. Nothing was appended.
+	// uncommitted, too many reads wait, it has not yet committed an entry of
+	// its own term, or it hands over. Nothing was appended.
 	ErrBusy = errors.New("raft: busy")
 	// ErrChangePending says that an earlier membership change is not yet
 	// committed. Nothing was appended.
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -73,6 +73,10 @@
 		// It leads only until its own removal is committed.
 		return ErrBusy
 	}
+	if n.transfer != nil {
+		// The successor could not win with an entry that it lacks.
+		return ErrBusy
+	}
 	limit := n.opts.MaxInflight * n.opts.MaxBatchBytes
 	if n.uncommittedBytes > 0 && n.uncommittedBytes+size+entryOverhead > limit {
 		return ErrBusy
@@ -118,10 +122,12 @@
 			return
 		}
 	}
+	n.tickTransfer()
 	n.heartbeatElapsed++
 	if n.heartbeatElapsed >= n.opts.HeartbeatTicks {
 		n.heartbeatElapsed = 0
 		n.heartbeatCommit = n.log.commit
+		n.repeatTransfer()
 		n.broadcastHeartbeat()
 	}
 }
--- a/raft/node.go
+++ b/raft/node.go
@@ -35,6 +35,7 @@
 	uncommittedBytes int
 	heartbeatCommit  uint64
 	reads            readQueue
+	transfer         *transfer
 
 	// What the next batch carries.
 	messages        []*raftpb.Message
@@ -71,7 +72,7 @@
 	n.opts.HardState, n.opts.Snapshot, n.opts.Entries = nil, nil, nil
 	n.becomeFollower(n.term, nil)
 	if n.isOnlyVoter() {
-		n.campaign()
+		n.campaign(false)
 	}
 	return n, nil
 }
@@ -199,7 +200,7 @@
 		n.handlePreVote(m)
 		return nil
 	case raftpb.MessageKind_MESSAGE_VOTE:
-		if m.GetTerm() > n.term && n.hearsLeader() {
+		if m.GetTerm() > n.term && n.hearsLeader() && !m.GetTakeOver() {
 			// A replica that cannot hear the leader must not unseat it.
 			return nil
 		}
@@ -227,6 +228,8 @@
 		raftpb.MessageKind_MESSAGE_HEARTBEAT,
 		raftpb.MessageKind_MESSAGE_SNAPSHOT:
 		return n.handleFromLeader(m)
+	case raftpb.MessageKind_MESSAGE_TAKE_OVER:
+		n.handleTakeOver(m)
 	case raftpb.MessageKind_MESSAGE_APPEND_REPLY:
 		n.handleAppendReply(m)
 	case raftpb.MessageKind_MESSAGE_HEARTBEAT_REPLY:
--- a/raft/property_test.go
+++ b/raft/property_test.go
@@ -13,7 +13,7 @@
 func drawMessage(t *rapid.T) *raftpb.Message {
 	small := rapid.Uint64Range(0, 6)
 	m := &raftpb.Message{
-		Kind:      raftpb.MessageKind(rapid.IntRange(0, 10).Draw(t, "kind")),
+		Kind:      raftpb.MessageKind(rapid.IntRange(0, 11).Draw(t, "kind")),
 		Term:      small.Draw(t, "term"),
 		LogIndex:  small.Draw(t, "index"),
 		LogTerm:   small.Draw(t, "log term"),
@@ -21,6 +21,7 @@
 		Reject:    rapid.Bool().Draw(t, "reject"),
 		Hint:      small.Draw(t, "hint"),
 		ReadRound: small.Draw(t, "round"),
+		TakeOver:  rapid.Bool().Draw(t, "take over"),
 	}
 	for i := range rapid.IntRange(0, 3).Draw(t, "entries") {
 		e := &raftpb.Entry{Term: small.Draw(t, "entry term"), Index: m.LogIndex + uint64(i) + small.Draw(t, "gap")/3}
@@ -54,6 +55,9 @@
 			ticks(n, rapid.IntRange(0, 12).Draw(t, "ticks"))
 			_, _, _ = n.Propose([]byte("x"))
 			_ = n.ReadIndex(1)
+			if rapid.Bool().Draw(t, "transfer") {
+				_ = n.TransferLeadership()
+			}
 			if rapid.Bool().Draw(t, "drain") {
 				drain(n)
 			}
--- a/raft/random_test.go
+++ b/raft/random_test.go
@@ -52,6 +52,7 @@
 		"leaders": total.Leaders, "commits": total.Commits, "reads": total.Reads, "failed reads": total.FailedReads,
 		"crashes": total.Crashes, "wipes": total.Wipes, "promotions": total.Promotions, "removals": total.Removals,
 		"restores": total.Restores, "settled": total.Settled,
+		"take-overs": total.TakeOvers,
 	} {
 		t.Log(name, count)
 		is.True(count > 50) // each kind of event happened
@@ -70,7 +71,7 @@
 
 // counts says what a schedule brought about.
 type counts struct {
-	Leaders, Commits, Reads, FailedReads, Crashes, Wipes, Promotions, Removals, Restores, Settled int
+	Leaders, Commits, Reads, FailedReads, Crashes, Wipes, Promotions, Removals, Restores, Settled, TakeOvers int
 }
 
 func (c *counts) add(o *counts) {
@@ -84,4 +85,5 @@
 	c.Removals += o.Removals
 	c.Restores += o.Restores
 	c.Settled += o.Settled
+	c.TakeOvers += o.TakeOvers
 }
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -16,6 +16,7 @@
 		}
 		p.stalled = false
 	}
+	n.continueTransfer()
 }
 
 // sendEntries sends as many appends as the replica may have in flight, and
--- /dev/null
+++ b/raft/transfer_test.go
@@ -0,0 +1,134 @@
+package raft
+
+import (
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+)
+
+const kindTakeOver = raftpb.MessageKind_MESSAGE_TAKE_OVER
+
+// heard makes the leader hear a heartbeat reply of others.
+func heard(is *is.I, n *Node, others ...string) {
+	is.Helper()
+	for _, name := range others {
+		is.NoErr(n.Step(from(name, &raftpb.Message{Kind: kindHeartbeatReply, Term: n.term})))
+	}
+}
+
+// The successor is told only once it holds the whole log, and nothing is
+// appended meanwhile.
+func TestTransferWaitsForTheSuccessor(t *testing.T) {
+	is := is.New(t)
+	n := newNode(is, options(abc()))
+	elect(is, n, "b")
+	ack(is, n, 1, "b", "c")
+	index, _, err := n.Propose([]byte("last"))
+	is.NoErr(err)
+	drain(n)
+	ack(is, n, 1, "c")
+	is.NoErr(n.TransferLeadership())
+	is.Equal(sent(drain(n), kindTakeOver, "b"), nil) // lacks the entry
+	_, _, err = n.Propose([]byte("late"))
+	is.True(errors.Is(err, ErrBusy))
+	b := ack(is, n, index, "b")
+	is.True(sent(b, kindTakeOver, "b") != nil)
+	is.Equal(sent(b, kindTakeOver, "c"), nil)
+}
+
+func TestTransferIsRepeatedAndGivenUp(t *testing.T) {
+	is := is.New(t)
+	n := newNode(is, options(abc()))
+	elect(is, n, "b")
+	ack(is, n, 1, "b", "c")
+	is.NoErr(n.TransferLeadership())
+	is.True(sent(drain(n), kindTakeOver, "b") != nil)
+	is.NoErr(n.TransferLeadership()) // once more changes nothing
+	is.Equal(sent(drain(n), kindTakeOver, "b"), nil)
+	ticks(n, n.opts.HeartbeatTicks)
+	is.True(sent(drain(n), kindTakeOver, "b") != nil) // the first may be lost
+	for range n.opts.ElectionTicks {
+		heard(is, n, "b", "c")
+		ticks(n, 1)
+		drain(n)
+	}
+	is.Equal(n.role, RoleLeader)
+	_, _, err := n.Propose([]byte("goes on"))
+	is.NoErr(err)
+}
+
+func TestTransferNeedsASuccessor(t *testing.T) {
+	is := is.New(t)
+	n := newNode(is, options(abc()))
+	is.True(errors.Is(n.TransferLeadership(), ErrNotLeader))
+	alone := newNode(is, options(members(voter("a"), learner("b"))))
+	is.True(errors.Is(alone.TransferLeadership(), ErrNoSuccessor))
+}
+
+func TestTakeOver(t *testing.T) {
+	for name, tt := range map[string]struct {
+		membership *raftpb.Membership
+		from       string
+		term       uint64
+		campaigns  bool
+	}{
+		"from the leader":        {abc(), "c", 2, true},
+		"from another":           {abc(), "b", 2, false},
+		"of an earlier term":     {abc(), "c", 1, false},
+		"of a later term":        {abc(), "b", 3, true},
+		"asked of a learner":     {members(learner("a"), voter("b"), voter("c")), "c", 2, false},
+		"asked of a non-member":  {members(voter("b"), voter("c")), "c", 2, false},
+		"learner of a new group": {nil, "c", 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			o := options(tt.membership)
+			o.HardState = &raftpb.HardState{Term: 2}
+			n := newNode(is, o)
+			is.NoErr(n.Step(from("c", &raftpb.Message{Kind: kindHeartbeat, Term: 2})))
+			drain(n)
+			is.NoErr(n.Step(from(tt.from, &raftpb.Message{Kind: kindTakeOver, Term: tt.term})))
+			b := drain(n)
+			vote := sent(b, kindVote, "b")
+			is.Equal(vote != nil, tt.campaigns)
+			if tt.campaigns {
+				is.Equal(vote.GetTerm(), tt.term+1)
+				is.True(vote.GetTakeOver())
+				is.Equal(b.HardState.GetVote().GetName(), "a") // synced before the question is sent
+			}
+		})
+	}
+}
+
+// A vote that the leader asked for is answered by those that hear the leader,
+// and by the leader; the log is compared as ever.
+func TestVoteOfATakeOver(t *testing.T) {
+	for name, tt := range map[string]struct {
+		lead  bool
+		index uint64
+		grant bool
+	}{
+		"follower":              {false, 1, true},
+		"follower, shorter log": {false, 0, false},
+		"leader":                {true, 1, true},
+		"leader, shorter log":   {true, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newNode(is, options(abc()))
+			elect(is, n, "b")
+			ack(is, n, 1, "b", "c")
+			if !tt.lead {
+				is.NoErr(n.Step(from("c", &raftpb.Message{Kind: kindHeartbeat, Term: 2})))
+				drain(n)
+			}
+			vote := &raftpb.Message{Kind: kindVote, Term: n.term + 1, TakeOver: true, LogIndex: tt.index, LogTerm: tt.index}
+			is.NoErr(n.Step(from("b", vote)))
+			is.Equal(!sent(drain(n), kindVoteReply, "b").GetReject(), tt.grant)
+			is.Equal(n.role, RoleFollower)
+		})
+	}
+}
--- /dev/null
+++ b/test/handover_test.go
@@ -0,0 +1,99 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// handedOverMessage is the log message of a leader that stops.
+const handedOverMessage = "leadership handed over"
+
+// stream submits one patch after the other until it is stopped.
+type stream struct {
+	d      *deployment
+	client *operator.Client
+	stop   atomic.Bool
+	work   conc.WaitGroup
+	// version is the last one accepted, gap the longest time between two.
+	version atomic.Uint64
+	gap     time.Duration
+}
+
+func (d *deployment) startStream(base uint64, through ...*processtest.Control) *stream {
+	s := &stream{d: d, client: d.Client(operators(through)...)}
+	s.version.Store(base)
+	s.work.Go(s.run)
+	return s
+}
+
+func (s *stream) run() {
+	last := time.Now()
+	for !s.stop.Load() {
+		base := s.version.Load()
+		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+		out, err := s.client.Submit(ctx, putPatch(fmt.Sprint("stream-", base+1), base, s.d.lodgement))
+		cancel()
+		if err != nil || out.GetVerdict() != configpb.Verdict_VERDICT_ACCEPTED {
+			continue
+		}
+		s.gap = max(s.gap, time.Since(last))
+		last = time.Now()
+		s.version.Store(out.GetVersion())
+	}
+}
+
+// advance waits for patches that were submitted after the call.
+func (s *stream) advance(t *testing.T) {
+	t.Helper()
+	before := s.version.Load()
+	processtest.Eventually(t, "patches are accepted", func() bool { return s.version.Load() >= before+5 })
+}
+
+// end stops the stream and returns the last version and the longest gap.
+func (s *stream) end() (uint64, time.Duration) {
+	s.stop.Store(true)
+	s.work.Wait()
+	return s.version.Load(), s.gap
+}
+
+// TestPlannedStopHandsOver asks the leader to stop, time and again, while
+// patches go through the other hosts: it hands over before it ends. The times
+// without an accepted patch are logged and judged by nothing.
+func TestPlannedStopHandsOver(t *testing.T) {
+	is := is.New(t)
+	const stops = 6
+	d := &deployment{Cluster: processtest.New(t)}
+	d.controls = d.StartControls(3)
+	d.lodgement = d.NewService("lodgement")
+	version := d.Patch(d.lodgement.Put())
+	var gaps []time.Duration
+	handedOver := 0
+	for range stops {
+		leader := d.Leader()
+		s := d.startStream(version, leader.Others()...)
+		s.advance(t)
+		leader.Terminate()
+		leader.WaitExit()
+		s.advance(t)
+		var gap time.Duration
+		version, gap = s.end()
+		gaps = append(gaps, gap.Round(time.Millisecond))
+		handedOver += min(leader.Logged(handedOverMessage), 1)
+		leader.Launch()
+		leader.WaitReady()
+	}
+	slices.Sort(gaps)
+	t.Logf("longest times without an accepted patch: %v", gaps)
+	is.Equal(handedOver, stops)
+}
