test: torn and flipped bytes, full disk, lost data folders; EFBIG is a full disk

Found: a write that failed for the file-size limit (EFBIG) was told as "log has failed ... file too large", without saying that there is no room.

Before: TestFullDiskStops failed on the text in both cases; after: passes. The others passed at once.

--- a/internal/processtest/observe.go
+++ b/internal/processtest/observe.go
@@ -5,6 +5,8 @@
 	"os"
 	"path/filepath"
 
+	"golang.org/x/sys/unix"
+
 	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
@@ -13,6 +15,9 @@
 // actingMessage is the log message of a subscriber that goes to a version.
 const actingMessage = "acting on version"
 
+// SegmentFiles matches the segments of a log.
+const SegmentFiles = "*.wal"
+
 // ActedOn returns the versions that the process has acted on, in order.
 func (p *Process) ActedOn() []uint64 {
 	var versions []uint64
@@ -53,22 +58,12 @@
 	return relay
 }
 
-// Segments returns the paths of the log segments of the configuration, oldest
-// first.
-func (h *Control) Segments() []string {
-	c := h.cluster
-	c.t.Helper()
-	paths, err := filepath.Glob(filepath.Join(h.settings.Replica.DataFolder, configGroup, "*.wal"))
-	c.must(err)
-	return paths
-}
-
 // LogBytes returns how much log of the configuration the host has written.
 func (h *Control) LogBytes() int64 {
 	c := h.cluster
 	c.t.Helper()
 	var sum int64
-	for _, path := range h.Segments() {
+	for _, path := range h.Files(SegmentFiles) {
 		info, err := os.Stat(path)
 		if os.IsNotExist(err) {
 			continue // removed behind a snapshot
@@ -92,3 +87,33 @@
 
 // Logged returns how many log lines have the message.
 func (p *Process) Logged(message string) int { return p.log.count(message) }
+
+// WaitEnd waits until the process ends by itself and returns its exit code.
+func (p *Process) WaitEnd() int {
+	p.t.Helper()
+	Eventually(p.t, p.Name+" ends", func() bool { return !p.Running() })
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// Output returns all that the process has written.
+func (p *Process) Output() string { return p.log.text() }
+
+// LimitFileSize lets every write of the process that would make a file longer
+// than this fail, as on a file system that is full.
+func (p *Process) LimitFileSize(bytes int64) {
+	p.t.Helper()
+	limit := unix.Rlimit{Cur: uint64(bytes), Max: unix.RLIM_INFINITY}
+	if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil); err != nil {
+		p.t.Fatalf("limit the file size of %s: %v", p.Name, err)
+	}
+}
+
+// Files returns the paths of the files in the data folder of the configuration
+// that match the pattern.
+func (h *Control) Files(pattern string) []string {
+	c := h.cluster
+	c.t.Helper()
+	paths, err := filepath.Glob(filepath.Join(h.settings.Replica.DataFolder, configGroup, pattern))
+	c.must(err)
+	return paths
+}
--- a/internal/wal/errors.go
+++ b/internal/wal/errors.go
@@ -10,7 +10,8 @@
 	ErrLocked = errors.New("data folder is in use by another process")
 	// ErrUnwritable: the folder cannot be written to.
 	ErrUnwritable = errors.New("data folder is not writable")
-	// ErrFull: the file system of the folder has no room left.
+	// ErrFull: the file system of the folder has no room left, or the process may
+	// not make its files longer.
 	ErrFull = errors.New("no space left for the data folder")
 	// ErrFailed: an earlier write or sync failed, so that what is on the disk
 	// is not known; only opening the folder anew helps.
--- /dev/null
+++ b/test/damage_test.go
@@ -0,0 +1,132 @@
+package test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// threeControls starts control hosts and makes some versions.
+func threeControls(t *testing.T) *deployment {
+	t.Helper()
+	const versions = 8
+	d := &deployment{Cluster: processtest.New(t)}
+	d.controls = d.StartControls(3)
+	d.lodgement = d.NewService("lodgement")
+	for range versions {
+		d.Patch(d.lodgement.Put())
+	}
+	return d
+}
+
+// checkHolds expects the host itself to be at the version.
+func (d *deployment) checkHolds(t *testing.T, host *processtest.Control, version uint64) {
+	t.Helper()
+	processtest.Eventually(t, fmt.Sprintf("%s holds version %d", host.Name, version), func() bool {
+		s := host.Status()
+		return s != nil && s.Version == version
+	})
+}
+
+// TestTornTailStarts leaves a record that was cut off in the middle at the end
+// of a host's log, as a crash does that comes between write and sync.
+func TestTornTailStarts(t *testing.T) {
+	is := is.New(t)
+	d := threeControls(t)
+	host := d.Leader()
+	host.Kill()
+	segment := newest(host.Files(processtest.SegmentFiles))
+	data, err := os.ReadFile(segment)
+	is.NoErr(err)
+	const torn = 40 // more than a header, less than a record
+	is.NoErr(os.WriteFile(segment, append(data, data[:torn]...), 0o600))
+	host.Launch()
+	host.WaitReady()
+	version := d.Patch(d.lodgement.Put())
+	d.checkHolds(t, host, version)
+}
+
+func newest(paths []string) string { return paths[len(paths)-1] }
+
+// TestFlippedByteStops flips one byte in each kind of file. The host refuses to
+// start, with exit code 1 and an error that names file and offset, the others
+// go on; with the byte flipped back it starts and catches up.
+func TestFlippedByteStops(t *testing.T) {
+	d := threeControls(t)
+	host := d.controls[0]
+	for name, test := range map[string]struct {
+		pattern string
+		// part of the file's length at which the byte stands.
+		part float64
+	}{
+		"middle of a log segment": {processtest.SegmentFiles, 0.5},
+		"start of a log segment":  {processtest.SegmentFiles, 0},
+		"snapshot":                {"*.snap", 0.7},
+		"identity":                {"identity", 0.7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			host.Kill()
+			path := newest(host.Files(test.pattern))
+			restore := flip(t, path, test.part)
+			host.Launch()
+			is.Equal(host.WaitEnd(), 1)
+			output := host.Output()
+			is.True(strings.Contains(output, "data folder is damaged"))
+			is.True(strings.Contains(output, filepath.Base(path)+", offset "))
+			version := d.Patch(d.lodgement.Put())
+			restore()
+			host.Launch()
+			host.WaitReady()
+			d.checkHolds(t, host, version)
+		})
+	}
+}
+
+// flip changes one bit of a file and returns what changes it back.
+func flip(t *testing.T, path string, part float64) (restore func()) {
+	t.Helper()
+	is := is.New(t)
+	data, err := os.ReadFile(path)
+	is.NoErr(err)
+	at := int(part * float64(len(data)))
+	change := func() {
+		data[at] ^= 1 << 3
+		is.NoErr(os.WriteFile(path, data, 0o600))
+	}
+	change()
+	return change
+}
+
+// TestFullDiskStops lets no file of one host grow any more. That host stops
+// with a clear error and exit code 1, what it had acknowledged is there when
+// it comes back, and the others go on.
+func TestFullDiskStops(t *testing.T) {
+	for name, pick := range map[string]func(*deployment) *processtest.Control{
+		"leader":   (*deployment).Leader,
+		"follower": func(d *deployment) *processtest.Control { return d.Leader().Others()[0] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := threeControls(t)
+			host := pick(d)
+			host.LimitFileSize(host.LogBytes() + 10)
+			version := d.Patch(d.lodgement.Put())
+			is.Equal(host.WaitEnd(), 1)
+			is.True(strings.Contains(host.Output(), "no space left for the data folder"))
+			version = d.Patch(d.lodgement.Put())
+			host.Launch()
+			host.WaitReady()
+			d.checkHolds(t, host, version)
+			for v := uint64(1); v <= version; v++ {
+				is.Equal(d.Show(fmt.Sprint("patch-", v)).Version, v)
+			}
+		})
+	}
+}
