A subscriber that missed versions goes to the newest in one step

Cause, found by TestStaleHostReturns: a control host that was cut off through 300 versions applies them one by one when it returns, and passed on whatever it had just reached; the entry host beside it acted on versions 1, 38, 159, 302. Found by TestEntryCatchesUpInOneStep: while a subscriber's path was silent the host went on to write each version into it, and when it worked again the entry host acted on nearly all 300, each long out of date.

Now a host asks a quorum (one shared read for all subscriptions) before it passes on a new version, and holds it up while a leader is known and does not answer, for 5 s at most; and a subscriber that acts on a version is sent no other before it has reported the last one. What remains: the one version that was on its way when the path went silent.

Ruled out: notifying after each batch of applied entries (a catch-up takes several batches); collapsing at the subscriber (it cannot know that more waits on the path); the commit index that a follower knows (it is bounded by what the follower holds).

--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -10,6 +10,10 @@
 	barrierTimeout = time.Second
 	// confirmRetry is the pause before the next attempt to confirm a version.
 	confirmRetry = time.Second
+	// confirmPause is the same while a new version waits to be sent, and
+	// confirmPatience how long it may wait.
+	confirmPause    = 50 * time.Millisecond
+	confirmPatience = 5 * time.Second
 	// raftTimeout bounds the delivery of agreement messages, snapshotTimeout
 	// that of a batch with a snapshot.
 	raftTimeout     = 2 * time.Second
--- a/internal/controld/subscribers.go
+++ b/internal/controld/subscribers.go
@@ -58,6 +58,8 @@
 	role, name, domain string
 	start              time.Time
 	version            atomic.Uint64
+	// reported is the version last reported on this subscription, 0 for none.
+	reported atomic.Uint64
 	// heardAt is the time of the last heartbeat after start.
 	heardAt atomic.Int64
 }
@@ -75,6 +77,7 @@
 
 func (s *subscriber) heard(version uint64) {
 	s.version.Store(version)
+	s.reported.Store(version)
 	s.heardAt.Store(int64(time.Since(s.start)))
 }
 
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -20,6 +20,8 @@
 	daemon *Daemon
 	stream *link.ServerStream
 	info   *subscriber
+	// reports gets a value after each report of the subscriber.
+	reports chan struct{}
 	// sent is the version that the subscriber has or was sent.
 	sent uint64
 	// confirmed says that the subscriber was told of a confirmed version.
@@ -31,8 +33,10 @@
 	follower follower
 	// pending says that the directory may have changed since it was looked at.
 	pending bool
-	// confirmAt is when a quorum was last asked.
-	confirmAt time.Time
+	// confirmAt is when a quorum was last asked, unanswered since when it has
+	// not answered; zero if it has.
+	confirmAt  time.Time
+	unanswered time.Time
 	// directoryAt is when the last directory update was sent.
 	directoryAt time.Time
 	// messageAt is when the last message was sent.
@@ -47,10 +51,11 @@
 	}
 	d := (*Daemon)(h)
 	sub := &subscription{
-		daemon: d,
-		stream: s,
-		info:   newSubscriber(peer, req),
-		sent:   req.GetVersion(),
+		daemon:  d,
+		stream:  s,
+		info:    newSubscriber(peer, req),
+		reports: make(chan struct{}, 1),
+		sent:    req.GetVersion(),
 		follower: follower{
 			epoch:    req.GetDirectoryEpoch(),
 			sequence: req.GetDirectorySequence(),
@@ -78,6 +83,10 @@
 			return
 		}
 		s.info.heard(beat.GetVersion())
+		select {
+		case s.reports <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -104,6 +113,7 @@
 		select {
 		case <-ctx.Done():
 		case <-configs:
+		case <-s.reports:
 		case <-targets:
 			s.pending = true
 		case <-timer.C:
@@ -121,6 +131,9 @@
 	if !s.confirmed {
 		wait = min(wait, confirmRetry-time.Since(s.confirmAt))
 	}
+	if s.lacks() {
+		wait = min(wait, confirmPause)
+	}
 	return max(wait, 0)
 }
 
@@ -128,7 +141,7 @@
 // newest one is asked of a quorum before, so that most subscribers never act
 // on an unconfirmed version.
 func (s *subscription) first(ctx context.Context) error {
-	s.tryConfirm(ctx)
+	s.confirm(ctx)
 	if s.confirmed {
 		return s.sendConfig(true)
 	}
@@ -136,27 +149,55 @@
 	return s.sendConfig(false)
 }
 
-// tryConfirm asks a quorum unless it has been asked with success.
-func (s *subscription) tryConfirm(ctx context.Context) {
-	if s.confirmed {
-		return
-	}
+// confirm asks a quorum for what this host may lack, and waits until it is
+// applied here or cannot be had.
+func (s *subscription) confirm(ctx context.Context) {
 	err := s.daemon.confirm.wait(ctx)
 	s.confirmAt = time.Now()
+	if err != nil && s.unanswered.IsZero() {
+		s.unanswered = s.confirmAt
+	}
 	if err != nil {
 		return
 	}
+	s.unanswered = time.Time{}
+	if s.confirmed {
+		return
+	}
 	s.confirmed = true
 	// Even without a change the subscriber has to learn of it.
 	s.owed = true
 }
 
+// lacks tells whether there is a version to send. One that acts on a version
+// gets no other before it has reported the last: what is sent into a path that
+// is silent for a while would come all at once, one old version after another.
+func (s *subscription) lacks() bool {
+	if s.daemon.configs.version() <= s.sent {
+		return false
+	}
+	acting := s.info.reported.Load()
+	return acting == 0 || acting >= s.sent
+}
+
+// newest tells whether this host's version may be passed on as the newest. A
+// host that was cut off or frozen applies what it missed one by one, and its
+// subscribers are to go to the last of it in one step; so a quorum is asked
+// before each new version. One that does not answer holds a version up while a
+// leader is known, and for a bounded time: being applied, it was accepted.
+func (s *subscription) newest() bool {
+	return s.unanswered.IsZero() ||
+		s.daemon.replicas[controlpb.Group_GROUP_CONFIG].Status().Leader == nil ||
+		time.Since(s.unanswered) >= confirmPatience
+}
+
 // step sends what the subscriber lacks.
 func (s *subscription) step(ctx context.Context) error {
-	if !s.confirmed && time.Since(s.confirmAt) >= confirmRetry {
-		s.tryConfirm(ctx)
+	overdue := !s.confirmed && time.Since(s.confirmAt) >= confirmRetry
+	if overdue || s.lacks() {
+		s.confirm(ctx)
 	}
-	if s.owed || s.daemon.configs.version() > s.sent {
+	if s.owed || s.lacks() && s.newest() {
 		if err := s.sendConfig(s.confirmed); err != nil {
 			return err
 		}
--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -26,6 +26,15 @@
 // StartEntry starts an entry host, waits until it is ready and adds it to the
 // fabric. Without control addresses it dials the control hosts directly.
 func (c *Cluster) StartEntry(control ...netip.AddrPort) *Entry {
+	c.t.Helper()
+	e := c.LaunchEntry(control...)
+	e.WaitReady()
+	e.Join()
+	return e
+}
+
+// LaunchEntry starts an entry host and does not wait for it.
+func (c *Cluster) LaunchEntry(control ...netip.AddrPort) *Entry {
 	c.t.Helper()
 	name := fmt.Sprintf("entry-%d", len(c.entries)+1)
 	ip := addresses.newHost(c.t)
@@ -42,8 +51,6 @@
 	}
 	c.entries = append(c.entries, e)
 	e.Launch()
-	e.WaitReady()
-	e.Join()
 	return e
 }
 
--- a/internal/subscriber/settle.go
+++ b/internal/subscriber/settle.go
@@ -71,6 +71,7 @@
 	}
 	if newer != "" && newer != s.opts.Client.Address() {
 		s.counters.moved.Inc(1)
+		s.opts.Log.Info("moving to a control host that knows more", zap.String("address", newer))
 		s.opts.Client.Move(newer)
 	}
 }
--- /dev/null
+++ b/test/stale_test.go
@@ -0,0 +1,112 @@
+package test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// missedVersions is how many versions a stale host misses.
+const missedVersions = 300
+
+// movingMessage is the log message of a subscriber that leaves a stale host.
+const movingMessage = "moving to a control host that knows more"
+
+// manyVersions makes versions after base through the hosts and returns the
+// last one.
+func (d *deployment) manyVersions(t *testing.T, base uint64, through ...*processtest.Control) uint64 {
+	t.Helper()
+	s := d.startStream(base, through...)
+	processtest.Eventually(t, "hundreds of versions", func() bool {
+		return s.version.Load() >= base+missedVersions
+	})
+	version, _ := s.end()
+	return version
+}
+
+// staleDeployment has a control host that missed hundreds of versions.
+func staleDeployment(t *testing.T) (d *deployment, stale *processtest.Control, undo func(), newest uint64) {
+	t.Helper()
+	d = historyDeployment(t)
+	stale = d.Leader().Others()[0]
+	d.checkHolds(t, stale, 1)
+	undo = cutOff(stale, faultproxy.ToHost, faultproxy.ToCaller)
+	processtest.Eventually(t, "the host knows that it is cut off", func() bool {
+		s := stale.Status()
+		return s != nil && s.Groups[0].Leader == ""
+	})
+	newest = d.manyVersions(t, 1, stale.Others()...)
+	return d, stale, undo, newest
+}
+
+// TestStaleHostReturns cuts a control host off through hundreds of versions and
+// lets it return: it unseats nobody and serves no old read, and the entry host
+// beside it, which nothing else told more, goes to the newest version in one
+// step.
+func TestStaleHostReturns(t *testing.T) {
+	is := is.New(t)
+	d, stale, undo, newest := staleDeployment(t)
+	beside := d.StartEntry(stale.Link) // acts on what no quorum confirmed, after a while
+	is.Equal(beside.ActedOn(), []uint64{1})
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	cfg, confirmed, err := d.Client(stale.Operator).Config(ctx, 0)
+	is.NoErr(err)
+	is.Equal(cfg.GetVersion(), uint64(1))
+	is.Equal(confirmed, false) // it says that it may be old
+	before := stale.Others()[0].Status().Groups[0]
+
+	undo()
+	d.InForce(newest, beside.Host)
+	d.checkHolds(t, stale, newest)
+	is.Equal(beside.ActedOn(), []uint64{1, newest}) // no version in between
+	after := stale.Others()[0].Status().Groups[0]
+	is.Equal(after.Leader, before.Leader)
+	is.Equal(after.Term, before.Term)
+	for _, e := range d.entries {
+		checkNeverBack(t, e.ActedOn(), newest)
+	}
+}
+
+// TestRestartBesideStaleHost restarts an entry host that reaches the stale
+// control host and one that knows more, until it began beside the stale one
+// several times: it never acts on the old version.
+func TestRestartBesideStaleHost(t *testing.T) {
+	is := is.New(t)
+	const moves, most = 3, 40
+	d, stale, _, newest := staleDeployment(t)
+	e := d.LaunchEntry(stale.Link, stale.Others()[0].Link)
+	moved, starts := 0, 0
+	for ; moved < moves && starts < most; starts++ {
+		e.WaitReady()
+		d.InForce(newest, e.Host)
+		is.Equal(e.ActedOn(), []uint64{newest})
+		moved += min(e.Logged(movingMessage), 1)
+		e.Kill()
+		e.Launch()
+	}
+	t.Logf("%d of %d starts began beside the stale host", moved, starts)
+	is.True(moved >= moves)
+}
+
+// TestEntryCatchesUpInOneStep cuts an entry host off through hundreds of
+// versions. When the path works again it may still get the one version that was
+// on its way when the cut came, and then goes to the newest.
+func TestEntryCatchesUpInOneStep(t *testing.T) {
+	is := is.New(t)
+	d := historyDeployment(t)
+	link := d.controls[0].Relay()
+	e := d.StartEntry(link.Addr())
+	link.Cut()
+	newest := d.manyVersions(t, 1, d.controls...)
+	link.Heal()
+	d.InForce(newest, e.Host)
+	acted := e.ActedOn()
+	checkNeverBack(t, acted, newest)
+	is.Equal(acted[0], uint64(1))
+	is.True(len(acted) <= 3)
+}
