metrics: reasons read the same at /metrics and in the docs

Cause: tally's default sanitiser for Prometheus replaces the dash in values of tags, so a reason that callers and docs/REASONS.md know as queue-full was queue_full at /metrics. Found by a process test that looked a documented reason up. Ruled out: renaming the reasons, as callers see them in Request-Reason; a second column in the page, as two names for one thing stay a trap. Conclusion: values of tags keep dash and dot; names of metrics are as before.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -57,7 +57,7 @@
 		Prefix:          prefix,
 		CachedReporter:  reporter,
 		Separator:       prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions: sanitizer(),
 		// Tally's own metrics carry tags of their own making.
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
@@ -66,6 +66,14 @@
 	return scope, e, listener.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
+// sanitizer keeps the dashes in values of tags, so that a reason reads the same
+// at /metrics, in answers to callers and in the docs.
+func sanitizer() *tally.SanitizeOptions {
+	options := prometheus.DefaultSanitizerOpts
+	options.ValueCharacters.Characters = tally.UnderscoreDashDotCharacters
+	return &options
+}
+
 func newServer(registry *prom.Registry) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -30,8 +30,8 @@
 	is.NoErr(err)
 	defer closer.Close()
 	is.True(addr.Port() != 0)
-	scope.Tagged(map[string]string{"reason": "full"}).Counter("refused").Inc(3)
-	for !strings.Contains(scrape(t, addr.String()), `eelgrasswharf_refused{reason="full"} 3`) {
+	scope.Tagged(map[string]string{"reason": "queue-full"}).Counter("refused").Inc(3)
+	for !strings.Contains(scrape(t, addr.String()), `eelgrasswharf_refused{reason="queue-full"} 3`) {
 		if t.Context().Err() != nil {
 			t.Fatal("the counter never showed")
 		}
