--- a/internal/processtest/caller.go
+++ b/internal/processtest/caller.go
@@ -26,6 +26,7 @@
 	HeaderTimeout = "Request-Timeout"
 	HeaderOutcome = "Request-Outcome"
 	HeaderReason  = "Request-Reason"
+	HeaderScope   = "Request-Scope"
 	HeaderTarget  = "Target"
 )
 
@@ -34,6 +35,9 @@
 	OutcomeAnswered = "answered"
 	OutcomeNotRun   = "not-run"
 	OutcomeUnknown  = "unknown"
+	// ScopeAttempt is the value of HeaderScope by which a not-run speaks of
+	// the attempt that it answers, not of earlier ones with its key.
+	ScopeAttempt = "attempt"
 )
 
 // keepAlive is shorter than the idle timeout of either end, so that only a
