--- a/internal/processtest/metrics.go
+++ b/internal/processtest/metrics.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
 )
 
 const (
@@ -26,7 +27,7 @@
 
 func (c *Cluster) newMetricsPage(ip netip.Addr) metricsPage {
 	c.t.Helper()
-	return metricsPage{t: c.t, addr: addresses.newPort(c.t, ip)}
+	return metricsPage{t: c.t, addr: loopback.Address(c.t, ip)}
 }
 
 func (m metricsPage) settings() *settingspb.Metrics {
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -12,6 +12,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
 )
 
 const (
@@ -77,8 +78,8 @@
 	c := s.cluster
 	c.t.Helper()
 	name = s.Name + "-" + name
-	t := &Target{Name: name, service: s, ip: addresses.newHost(c.t), options: options}
-	announce := addresses.newPort(c.t, t.ip)
+	t := &Target{Name: name, service: s, ip: loopback.Host(c.t), options: options}
+	announce := loopback.Address(c.t, t.ip)
 	t.settings = &settingspb.AgentSettings{
 		Host:    hostSettings(name, name),
 		Keys:    keySettings(c.issue(keys.RoleAgent, name, s.Name)),
@@ -90,7 +91,7 @@
 			PollMs:            targetPollMS,
 		},
 	}
-	t.url = "http://" + addresses.newPort(c.t, t.ip).String()
+	t.url = "http://" + loopback.Address(c.t, t.ip).String()
 	t.LaunchBackend()
 	t.LaunchAgent()
 	return t
@@ -114,7 +115,7 @@
 func (t *Target) LaunchAgent() {
 	c := t.service.cluster
 	c.t.Helper()
-	t.Frames = addresses.newPort(c.t, t.ip)
+	t.Frames = loopback.Address(c.t, t.ip)
 	t.settings.Agent.FrameListen = t.Frames.String()
 	t.metrics = c.newMetricsPage(t.ip)
 	t.settings.Metrics = t.metrics.settings()
