--- a/test/silent_test.go
+++ b/test/silent_test.go
@@ -40,6 +40,10 @@
 				target.Path.CutExistingOf(d.entries[0].Frames(), ways...)
 			}
 			load.progress()
+			holder, _ := d.holder(t, load.watch)
+			for _, way := range ways {
+				is.New(t).True(holder.Path.Counts(holder.Frames, way).Lost > 0)
+			}
 			d.StartEntry()
 			load.progress()
 			load.stop()
