--- a/internal/processtest/observe.go
+++ b/internal/processtest/observe.go
@@ -88,13 +88,6 @@
 // Logged returns how many log lines have the message.
 func (p *Process) Logged(message string) int { return p.log.count(message) }
 
-// WaitEnd waits until the process ends by itself and returns its exit code.
-func (p *Process) WaitEnd() int {
-	p.t.Helper()
-	Eventually(p.t, p.Name+" ends", func() bool { return !p.Running() })
-	return p.cmd.ProcessState.ExitCode()
-}
-
 // Output returns all that the process has written.
 func (p *Process) Output() string { return p.log.text() }
 
--- a/internal/processtest/process.go
+++ b/internal/processtest/process.go
@@ -1,12 +1,8 @@
 package processtest
 
 import (
-	"io"
-	"net/http"
 	"os"
 	"os/exec"
-	"strconv"
-	"strings"
 	"syscall"
 	"testing"
 
@@ -124,41 +120,6 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
-// Metrics asks the metrics listener that the ready line names.
-func (p *Process) Metrics() string {
-	p.t.Helper()
-	resp, err := http.Get("http://" + p.log.field(readyMessage, "metrics") + "/metrics")
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil || resp.StatusCode != http.StatusOK {
-		p.t.Fatalf("metrics of %s: %s, %v", p.Name, resp.Status, err)
-	}
-	return string(text)
-}
-
-// Counted returns the sum of the counters whose name ends with the given one,
-// over all their tags.
-func (p *Process) Counted(name string) float64 {
-	p.t.Helper()
-	sum := 0.0
-	for line := range strings.Lines(p.Metrics()) {
-		series, value, _ := strings.Cut(strings.TrimSpace(line), " ")
-		series, _, _ = strings.Cut(series, "{")
-		if !strings.HasSuffix(series, name) {
-			continue
-		}
-		n, err := strconv.ParseFloat(value[strings.LastIndex(value, " ")+1:], 64)
-		if err != nil {
-			p.t.Fatalf("metrics of %s: %q: %v", p.Name, line, err)
-		}
-		sum += n
-	}
-	return sum
-}
-
 // signal sends a signal to a process that has not ended.
 func (p *Process) signal(s os.Signal) {
 	if p.Running() {
