agentd: load from the working flows of the moment and an average of requests

Requests take tens of milliseconds, so the figure was chance; flows that opened within a period did not show; and which flows a target holds decides its requests for hours. In the scenario calm the policy with weights was no more even than the hash.

Flows alone would not see that one flow brings more than another, so both are kept.

Now: requests averaged over 4 s, plus the flows that are open when the frame is sent, by the new setting flow_capacity (285 by default). Handing a flow on goes by the requests of the moment, as before, without the flows.

Ruled out: the ramp (the load begins after it).

The experiment is scaled to one in twenty of the connections and goes on until its events are over; loadgen can be stopped early for that. A cell that fails no longer ends the others.

--- a/health/health_test.go
+++ b/health/health_test.go
@@ -148,8 +148,7 @@
 func TestLoadIsMovedLittleByReports(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		in := health.LoadInput{
-			Running:         rapid.IntRange(0, 10).Draw(t, "running"),
-			Waiting:         rapid.IntRange(0, 10).Draw(t, "waiting"),
+			Requests:        rapid.Float64Range(0, 20).Draw(t, "requests"),
 			Slots:           rapid.IntRange(0, 8).Draw(t, "slots"),
 			ReportedRunning: -1,
 			Flows:           rapid.IntRange(0, 4000).Draw(t, "flows"),
@@ -166,7 +165,7 @@
 
 func TestLoad(t *testing.T) {
 	is := is.New(t)
-	is.Equal(health.Load(health.LoadInput{Running: 2, Slots: 4, ReportedRunning: -1}), uint16(500))
-	is.Equal(health.Load(health.LoadInput{Running: 4, Waiting: 2, Slots: 4, ReportedRunning: -1}), uint16(1500))
+	is.Equal(health.Load(health.LoadInput{Requests: 2, Slots: 4, ReportedRunning: -1}), uint16(500))
+	is.Equal(health.Load(health.LoadInput{Requests: 6, Slots: 4, ReportedRunning: -1}), uint16(1500))
 	is.Equal(health.Load(health.LoadInput{Slots: 4, Flows: 100, FlowCapacity: 2000, ReportedRunning: -1}), uint16(50))
 }
--- a/health/load.go
+++ b/health/load.go
@@ -12,8 +12,9 @@
 
 // LoadInput is what the load figure of a target is made of.
 type LoadInput struct {
-	// Running and Waiting count the agent's own requests.
-	Running, Waiting int
+	// Requests is how many of the agent's own requests run or wait, at a
+	// moment or on average over a time.
+	Requests float64
 	// Slots is the number of requests that may run at a time, at least 1.
 	Slots int
 	// ReportedRunning is the backend server's own figure, negative if none.
@@ -28,10 +29,10 @@
 // the figure only a little.
 func Load(in LoadInput) uint16 {
 	slots := max(in.Slots, 1)
-	own := max(in.Running+in.Waiting, 0)
-	load := own * perMille / slots
-	if excess := in.ReportedRunning - own; excess > 0 {
-		load += min(excess*perMille/slots, perMille/reportShare)
+	own := max(in.Requests, 0)
+	load := int(min(own*perMille/float64(slots), maxLoad))
+	if excess := float64(in.ReportedRunning) - own; excess > 0 {
+		load += int(min(excess*perMille/float64(slots), perMille/reportShare))
 	}
 	if in.FlowCapacity > 0 {
 		load += max(in.Flows, 0) * perMille / in.FlowCapacity
--- /dev/null
+++ b/health/meter.go
@@ -0,0 +1,26 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+// MeterTime is the time over which a Meter averages. A request takes tens of
+// milliseconds, so the number that runs at a moment says little about the work
+// that a target has; over seconds it does.
+const MeterTime = 4 * time.Second
+
+// Meter averages the requests of a target.
+type Meter struct {
+	requests float64
+}
+
+// Observe records the mean number of requests that ran or waited over the
+// last while.
+func (m *Meter) Observe(requests float64, over time.Duration) {
+	share := 1 - math.Exp(-float64(over)/float64(MeterTime))
+	m.requests += share * (requests - m.requests)
+}
+
+// Requests returns the average.
+func (m *Meter) Requests() float64 { return m.requests }
--- /dev/null
+++ b/health/meter_test.go
@@ -0,0 +1,33 @@
+package health_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/health"
+)
+
+func TestMeterFollowsWithinItsTime(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		over []time.Duration
+		want float64
+	}{
+		{"nothing observed", nil, 0},
+		{"no time", []time.Duration{0}, 0},
+		{"one time constant at once", []time.Duration{health.MeterTime}, 4 * (1 - 1/math.E)},
+		{"in steps", []time.Duration{health.MeterTime / 2, health.MeterTime / 4, health.MeterTime / 4}, 4 * (1 - 1/math.E)},
+		{"long", []time.Duration{100 * health.MeterTime}, 4},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var m health.Meter
+			for _, over := range tt.over {
+				m.Observe(4, over)
+			}
+			is.New(t).True(math.Abs(m.Requests()-tt.want) < 1e-9)
+		})
+	}
+}
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -15,6 +15,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/admission"
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/health"
 	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 	"eelgrasswharf.example/eelgrasswharf/retry"
 )
@@ -55,6 +56,8 @@
 	announcer announcer
 	directory directory
 	status    subscriber.Status
+	meter     health.Meter
+	lastGate  gateFigures
 	started   time.Duration
 	wait      conc.WaitGroup
 }
@@ -95,6 +98,7 @@
 		health:   newHealthState(clock),
 	}
 	d.gate = newGate(d.gateLimits(0))
+	d.lastGate = d.gate.figures()
 	d.proxy = &proxy{
 		backend:   d.backend.view,
 		gate:      d.gate,
--- a/internal/agentd/flow_test.go
+++ b/internal/agentd/flow_test.go
@@ -161,10 +161,10 @@
 		counted reason.Code
 	}{
 		{name: "serving and idle", header: frame.Header{Alternate: alternate}},
-		{name: "loaded", state: targetState{load: loadedFrom}, header: frame.Header{Alternate: alternate}, want: alternate, counted: reason.FlowLoaded},
+		{name: "loaded", state: targetState{present: loadedFrom}, header: frame.Header{Alternate: alternate}, want: alternate, counted: reason.FlowLoaded},
 		{name: "ill", state: targetState{ill: true}, header: frame.Header{Alternate: alternate}, want: alternate, counted: reason.FlowLoaded},
-		{name: "loaded, was handed on", state: targetState{load: loadedFrom}, header: frame.Header{Hops: 1, Alternate: alternate}},
-		{name: "loaded, no alternate", state: targetState{load: loadedFrom}},
+		{name: "loaded, was handed on", state: targetState{present: loadedFrom}, header: frame.Header{Hops: 1, Alternate: alternate}},
+		{name: "loaded, no alternate", state: targetState{present: loadedFrom}},
 		{name: "leaving", leaving: true, header: frame.Header{Alternate: alternate}, want: alternate, counted: reason.FlowLeaving},
 		{name: "leaving, alternate is itself", leaving: true, header: frame.Header{Alternate: self.address}, counted: reason.FlowNoAlternate},
 		{name: "leaving, alternate leaves too", leaving: true, header: frame.Header{Alternate: alternate},
--- a/internal/agentd/gate.go
+++ b/internal/agentd/gate.go
@@ -14,6 +14,10 @@
 	mu    sync.Mutex
 	state *admission.Gate
 	queue []*waiter
+	// spent is the time that requests ran or waited, added up over them, at
+	// the time changed.
+	spent   time.Duration
+	changed time.Time
 }
 
 // waiter is one request in the queue. Its channel is closed when it has a
@@ -23,7 +27,7 @@
 }
 
 func newGate(limits admission.Limits) *gate {
-	return &gate{state: admission.NewGate(limits)}
+	return &gate{state: admission.NewGate(limits), changed: time.Now()}
 }
 
 func (g *gate) setLimits(limits admission.Limits) {
@@ -55,6 +59,7 @@
 func (g *gate) arrive(remaining time.Duration) (admission.Verdict, *waiter) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.tally()
 	verdict := g.state.Arrive(remaining)
 	if verdict.Action != admission.Wait {
 		return verdict, nil
@@ -69,6 +74,7 @@
 func (g *gate) abandon(w *waiter, why reason.Code) admission.Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.tally()
 	for i, other := range g.queue {
 		if other == w {
 			g.queue = append(g.queue[:i], g.queue[i+1:]...)
@@ -83,10 +89,18 @@
 func (g *gate) leave(took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.tally()
 	g.state.Done(took)
 	g.wake()
 }
 
+// tally adds up the time since the last change. It is called before each.
+func (g *gate) tally() {
+	now := time.Now()
+	g.spent += time.Duration(g.state.Running()+g.state.Waiting()) * now.Sub(g.changed)
+	g.changed = now
+}
+
 // wake gives free slots to the requests that wait longest.
 func (g *gate) wake() {
 	for len(g.queue) > 0 && g.state.Start() {
@@ -99,12 +113,29 @@
 type gateFigures struct {
 	running, waiting, slots int
 	comeBack                time.Duration
+	// spent is the time that requests ran or waited so far, added up over
+	// them, and at when that was.
+	spent time.Duration
+	at    time.Time
+}
+
+// since returns the mean number of requests that ran or waited since an
+// earlier look, and the time in between.
+func (f gateFigures) since(earlier gateFigures) (requests float64, over time.Duration) {
+	over = f.at.Sub(earlier.at)
+	if over <= 0 {
+		return float64(f.running + f.waiting), 0
+	}
+	return float64(f.spent-earlier.spent) / float64(over), over
 }
 
 func (g *gate) figures() gateFigures {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.tally()
 	return gateFigures{
+		spent:    g.spent,
+		at:       g.changed,
 		running:  g.state.Running(),
 		waiting:  g.state.Waiting(),
 		slots:    g.state.Slots(),
--- a/internal/agentd/handon.go
+++ b/internal/agentd/handon.go
@@ -48,7 +48,7 @@
 		return reason.FlowLeaving
 	}
 	state := o.state()
-	loaded := state.load >= loadedFrom || state.ill
+	loaded := state.present >= loadedFrom || state.ill
 	if loaded && h.Hops == 0 && o.usable(h.Alternate) {
 		return reason.FlowLoaded
 	}
--- a/internal/agentd/housekeeping.go
+++ b/internal/agentd/housekeeping.go
@@ -20,14 +20,13 @@
 	leaving := goAway || backend.lapsed
 	d.applyConfig(one.self.serviceNumber, backend.slots)
 	gate := d.gate.figures()
-	state := &targetState{
-		load: health.Load(health.LoadInput{
-			Running: gate.running, Waiting: gate.waiting, Slots: gate.slots, ReportedRunning: reported,
-			Flows: one.sessions.count(), FlowCapacity: flowCapacity,
-		}),
-		draining: leaving,
-		ill:      verdict.Ill,
+	load := health.LoadInput{
+		Requests: float64(gate.running + gate.waiting), Slots: gate.slots, ReportedRunning: reported,
 	}
+	state := &targetState{present: health.Load(load), draining: leaving, ill: verdict.Ill}
+	load.Requests = d.averageRequests(gate)
+	load.FlowCapacity = d.limits.flows
+	one.basis.Store((*loadBasis)(&load))
 	d.logChange(one.current(), *state, verdict)
 	one.state.Store(state)
 	one.setLeaving(leaving, goAway)
@@ -38,6 +37,14 @@
 	d.publish(state, gate.slots, backend.since)
 }
 
+// averageRequests returns the requests that run or wait on average.
+func (d *Daemon) averageRequests(gate gateFigures) float64 {
+	requests, over := gate.since(d.lastGate)
+	d.lastGate = gate
+	d.meter.Observe(requests, over)
+	return d.meter.Requests()
+}
+
 func (d *Daemon) logChange(old, now targetState, verdict health.Verdict) {
 	if old.draining != now.draining {
 		d.log.Info("taking new flows", zap.Bool("yes", !now.draining))
--- a/internal/agentd/plane.go
+++ b/internal/agentd/plane.go
@@ -27,10 +27,13 @@
 	counters  *counters
 	timing    timing
 	clock     clock
+	// watches returns the number of open watches.
+	watches func() int64
 
 	leaving atomic.Bool
 	since   atomic.Int64
 	state   atomic.Pointer[targetState]
+	basis   atomic.Pointer[loadBasis]
 	wait    conc.WaitGroup
 }
 
@@ -57,11 +60,13 @@
 		self:     o.self,
 		socket:   socket,
 		sessions: newSessions(o.proxy, o.clock, o.timing),
+		watches:  o.proxy.watches.Load,
 		counters: o.counters,
 		timing:   o.timing,
 		clock:    o.clock,
 	}
 	p.state.Store(&targetState{})
+	p.basis.Store(&loadBasis{ReportedRunning: -1})
 	socket.flows = o.flows
 	socket.clock = o.clock
 	socket.counters = o.counters
@@ -110,8 +115,18 @@
 	return nil, ErrLeaving
 }
 
+// current returns the state with the load of this moment.
 func (p *plane) current() targetState {
-	return *p.state.Load()
+	state := *p.state.Load()
+	state.load = p.basis.Load().load(p.workingFlows())
+	return state
+}
+
+// workingFlows returns the open flows that are not watched on. A watch takes
+// no slot and its flow brings hardly any requests; counted alike, a target
+// with many watches would get too few of the others.
+func (p *plane) workingFlows() int {
+	return max(p.sessions.count()-int(p.watches()), 0)
 }
 
 // run accepts connections until the plane is closed.
--- a/internal/agentd/sessions.go
+++ b/internal/agentd/sessions.go
@@ -32,6 +32,9 @@
 	clock   clock
 	timing  timing
 
+	// number is the length of open, for reads without the lock.
+	number atomic.Int64
+
 	mu      sync.Mutex
 	open    map[*session]struct{}
 	leaving bool
@@ -66,6 +69,7 @@
 	}
 	s.mu.Lock()
 	s.open[one] = struct{}{}
+	s.number.Store(int64(len(s.open)))
 	leaving := s.leaving
 	s.mu.Unlock()
 	s.wait.Go(func() { s.serve(one) })
@@ -81,6 +85,7 @@
 	close(one.ended)
 	s.mu.Lock()
 	delete(s.open, one)
+	s.number.Store(int64(len(s.open)))
 	s.mu.Unlock()
 }
 
@@ -154,9 +159,7 @@
 
 // count returns the number of open connections.
 func (s *sessions) count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.open)
+	return int(s.number.Load())
 }
 
 // closeAll ends every connection at once.
--- a/internal/agentd/settings.go
+++ b/internal/agentd/settings.go
@@ -16,6 +16,7 @@
 	defaultQueue        = 50 * time.Millisecond
 	defaultDeadline     = 10 * time.Second
 	defaultPoll         = time.Second
+	defaultFlows        = 285
 )
 
 // limits are the bounds that the settings name.
@@ -24,6 +25,8 @@
 	queue        time.Duration
 	deadline     time.Duration
 	poll         time.Duration
+	// flows count as a full target.
+	flows int
 }
 
 func limitsOf(s *settingspb.Agent) limits {
@@ -32,6 +35,11 @@
 		queue:        milliseconds(s.GetQueueMs(), defaultQueue),
 		deadline:     milliseconds(s.GetDefaultDeadlineMs(), defaultDeadline),
 		poll:         milliseconds(s.GetPollMs(), defaultPoll),
+		// 2,000 flows of a service over 7 targets.
+		flows: defaultFlows,
+	}
+	if n := s.GetFlowCapacity(); n > 0 {
+		l.flows = int(n)
 	}
 	if l.requestBytes <= 0 {
 		l.requestBytes = defaultRequestBytes
--- a/internal/agentd/socket.go
+++ b/internal/agentd/socket.go
@@ -11,6 +11,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
+	"eelgrasswharf.example/eelgrasswharf/health"
 	"eelgrasswharf.example/eelgrasswharf/quicheader"
 	"eelgrasswharf.example/eelgrasswharf/reason"
 )
@@ -20,11 +21,25 @@
 
 // targetState is what the agent tells entry hosts in each reply.
 type targetState struct {
+	// load is an average, by which entry hosts choose; present is the load of
+	// the last check, by which the agent hands flows on.
 	load     uint16
+	present  uint16
 	draining bool
 	ill      bool
 }
 
+// loadBasis is what the load is made of but for the flows, which change from
+// one frame to the next.
+type loadBasis health.LoadInput
+
+// load returns the load with the flows that are open now. A figure that told
+// of them later would draw all new flows of that time to the same target.
+func (b loadBasis) load(flows int) uint16 {
+	b.Flows = flows
+	return health.Load(health.LoadInput(b))
+}
+
 // frameSocket carries the callers' datagrams in frames from and to entry
 // hosts. It implements net.PacketConn for quic-go, which sees the callers'
 // own addresses.
--- a/internal/agentd/timing.go
+++ b/internal/agentd/timing.go
@@ -55,7 +55,7 @@
 }
 
 const (
-	// flowCapacity is the number of flows that count as a full target.
+	// flowCapacity is the number of flows that a target is made for.
 	flowCapacity = 2000
 	// maxFlows bounds the table of return paths.
 	maxFlows = 16 * flowCapacity
--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -76,6 +76,9 @@
 	Entries int
 	// Controls is the number of control hosts; 0 means 1.
 	Controls int
+	// FlowCapacity is the number of open flows that count as a full target; 0
+	// means the agents' default.
+	FlowCapacity uint32
 	// Network puts proxies between the hosts. Nil means none, but for more
 	// than one control host, which need them.
 	Network *Network
--- a/internal/dev/target.go
+++ b/internal/dev/target.go
@@ -60,6 +60,7 @@
 			AnnounceListen:    freePort,
 			CallerCertificate: caller.Certificate,
 			CallerPrivateKey:  caller.PrivateKey,
+			FlowCapacity:      d.opts.FlowCapacity,
 		},
 	}
 	settings.Defaults(t.settings)
--- a/internal/experiment/doc.go
+++ b/internal/experiment/doc.go
@@ -11,7 +11,7 @@
 //
 // # Imbalance
 //
-// Targets come and go in a run, so a window of a second counts the targets
+// Targets come and go in a run, so a window of two seconds counts the targets
 // that were in service for the whole of it: the imbalance of a window is the
 // greatest number of answers of any target, times the number of targets in
 // service, over all answers. A target that starts cold is in service from its
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -49,7 +49,8 @@
 }
 
 // Run runs the cells one after the other. It returns ErrOptions for unknown
-// names. With ErrFaults, which names the cells, it returns the result too.
+// names. With ErrFaults, or when some cells could not be run, it returns the
+// result of the others too; the error names the cells.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	plans, err := o.plans()
 	if err != nil {
@@ -61,17 +62,24 @@
 	var closing conc.WaitGroup
 	defer closing.Wait()
 	result := &Result{}
+	var failed []error
 	for _, p := range plans {
+		if ctx.Err() != nil {
+			failed = append(failed, ctx.Err())
+			break
+		}
 		cell, err := runCell(ctx, p.site, p.scenario, p.policy, p.seed, o.Log, &closing)
 		if err != nil {
-			return result, errors.Wrapf(err, "%s, %s, %s, seed %d", p.site.Name(), p.scenario.Name, p.policy.Name, p.seed)
+			failed = append(failed, errors.Wrapf(err, "%s, %s, %s, seed %d",
+				p.site.Name(), p.scenario.Name, p.policy.Name, p.seed))
+			continue
 		}
 		result.Cells = append(result.Cells, cell)
 		if o.Progress != nil {
 			o.Progress(cell)
 		}
 	}
-	return result, result.check()
+	return result, errors.Join(append(failed, result.check())...)
 }
 
 // plans lists the cells by site, scenario, policy and seed.
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -13,7 +13,7 @@
 // Scenario is a sequence of events under load.
 type Scenario struct {
 	Name string
-	// Length of the load.
+	// Length of the load at least; it goes on until the events are over.
 	Length time.Duration
 	run    func(ctx context.Context, t *trial) error
 }
@@ -47,8 +47,8 @@
 // Scenarios are all scenarios in the order of reports.
 func Scenarios() []Scenario {
 	return []Scenario{
-		{Calm, 6 * time.Second, func(context.Context, *trial) error { return nil }},
-		{Rolling, 20 * time.Second, rolling},
+		{Calm, 8 * time.Second, func(context.Context, *trial) error { return nil }},
+		{Rolling, 12 * time.Second, rolling},
 		{Drain, 8 * time.Second, drain},
 		{Lying, 8 * time.Second, lying},
 		{Lost, 12 * time.Second, loseDomain},
--- a/internal/experiment/site.go
+++ b/internal/experiment/site.go
@@ -85,6 +85,8 @@
 		Domains:  s.domains(),
 		Entries:  int(s.settings.GetSite().GetEntryHosts()),
 		Controls: int(s.settings.GetSite().GetControlHosts()),
+		// In keeping with the scale of the callers.
+		FlowCapacity: s.settings.GetCallers().GetFlowCapacity(),
 		Network: &dev.Network{
 			BetweenDomains: microseconds(s.settings.GetDistance().GetBetweenDomainsUs()),
 			ToCallers:      microseconds(s.settings.GetDistance().GetToCallersUs()),
--- a/internal/experiment/trial.go
+++ b/internal/experiment/trial.go
@@ -16,10 +16,15 @@
 
 const (
 	// window is the time over which imbalance is taken.
-	window = time.Second
+	window = 2 * time.Second
 	// sessionShare is the part of the load over which sessions are opened, so
 	// that each event finds old ones and new ones.
 	sessionShare = 0.8
+	// afterEvents is the least time of load after the last event.
+	afterEvents = 2 * time.Second
+	// loadLimit bounds the load of a run whose events take long on a busy
+	// machine.
+	loadLimit = 2 * time.Minute
 	// tableTime is the age of an entry host's tables at most, with some to
 	// spare.
 	tableTime = 1500 * time.Millisecond
@@ -92,8 +97,14 @@
 	defer stop()
 	var eventsErr error
 	var events conc.WaitGroup
-	events.Go(func() { eventsErr = sc.run(eventsCtx, t) })
-	reports, err := t.load(ctx, sc.Length, seed)
+	ended := make(chan struct{})
+	events.Go(func() {
+		defer close(ended)
+		eventsErr = sc.run(eventsCtx, t)
+		// Callers feel an event for a while.
+		t.sleep(eventsCtx, max(sc.Length-time.Since(t.began), afterEvents))
+	})
+	reports, err := t.load(ctx, sc.Length, ended, seed)
 	stop()
 	events.Wait()
 	switch {
@@ -107,12 +118,14 @@
 	return t.cell(reports)
 }
 
-// load plays the callers of all services at once.
-func (t *trial) load(ctx context.Context, length time.Duration, seed uint64) ([]*loadgen.Report, error) {
+// load plays the callers of all services at once until stop is closed.
+func (t *trial) load(ctx context.Context, length time.Duration, stop <-chan struct{}, seed uint64) ([]*loadgen.Report, error) {
 	workers := pool.New().WithContext(ctx).WithCancelOnError()
 	reports := make([]*loadgen.Report, len(t.site.services))
 	for i, service := range t.site.services {
 		o := t.site.load(service, length, seed)
+		o.Duration = loadLimit
+		o.Stop = stop
 		o.HostFailed = t.hostFailed
 		workers.Go(func(ctx context.Context) error {
 			r, err := t.d.Load(ctx, service.Name, o)
--- a/internal/loadgen/generator.go
+++ b/internal/loadgen/generator.go
@@ -34,11 +34,19 @@
 	}
 	runCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
-	var sessions, requests conc.WaitGroup
+	var sessions, requests, stopping conc.WaitGroup
+	stopping.Go(func() {
+		select {
+		case <-o.Stop:
+			cancel()
+		case <-runCtx.Done():
+		}
+	})
 	g.openSessions(runCtx, &sessions)
 	g.schedule(runCtx, ctx, &requests)
 	requests.Wait()
 	sessions.Wait()
+	stopping.Wait()
 	for _, s := range g.slots {
 		s.close()
 	}
--- a/internal/loadgen/measure_test.go
+++ b/internal/loadgen/measure_test.go
@@ -73,3 +73,14 @@
 	is.NoErr(g.checkRuns(t.Context(), report))
 	is.Equal(*report.Doubled, Doubled{Keys: 4, Doubled: 1, DeniedFalsely: 1})
 }
+
+func TestStopEndsTheRun(t *testing.T) {
+	is := is.New(t)
+	stop := make(chan struct{})
+	close(stop)
+	report, err := Run(t.Context(), Options{
+		Addresses: []string{"127.0.0.1:9"}, Service: "lodgement", Duration: time.Hour, Stop: stop,
+	})
+	is.NoErr(err)
+	is.Equal(report.Requests, 0)
+}
--- a/internal/loadgen/options.go
+++ b/internal/loadgen/options.go
@@ -63,6 +63,8 @@
 	WatchPeriod time.Duration
 	// Duration of the run; requests under way at its end are waited for.
 	Duration time.Duration
+	// Stop ends the run before its duration when it is closed. Nil never does.
+	Stop <-chan struct{}
 	// NonRepeatable is the share of requests, 0 to 1, that may not be repeated.
 	NonRepeatable float64
 	// Work is the time that each request asks a target to work.
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -78,6 +78,7 @@
 	"Agent.default_deadline_ms": {fallback: "10000", positive: true},
 	"Agent.poll_ms":             {fallback: "1000", positive: true},
 	"Agent.frame_address":       {check: checkFrameDial},
+	"Agent.flow_capacity":       {fallback: "285", positive: true},
 
 	"Site.name":            {required: true, example: "registry", check: checkName},
 	"Site.failure_domains": {required: true, example: "oke-ado, dugbe, bodija, challenge", check: checkName},
@@ -97,6 +98,7 @@
 	"Callers.non_repeatable_percent": {fallback: "20", check: checkPercent},
 	"Callers.watch_ms":               {fallback: "500", positive: true},
 	"Callers.deadline_ms":            {fallback: "2000", positive: true},
+	"Callers.flow_capacity":          {fallback: "28", positive: true},
 }
 
 // ruleOf finds the rule of a field; keys without one get the empty rule.
