entryd: a backend server that starts again under its agent is cold again

Cause: an entry host kept the earliest start of each incarnation, so that a record seen again later does not make a target younger. The incarnation is that of the agent's process; a backend server that crashed and came back under the same agent counted as warm at once and got a full share of the new flows.

Now a record of a newer sequence whose start is more than a second later is another cold start; less is the time that records are on their way. Ruled out: the agent and the directory, which pass the new start on.

TestRestartedServerIsYoungAgain fails on the code before (age 1 h and 1 s in place of 10 ms).

--- a/internal/entryd/directory.go
+++ b/internal/entryd/directory.go
@@ -18,11 +18,34 @@
 type directory struct {
 	services map[uint32]*members
 	loads    *routing.Loads
-	// started holds when targets had their cold start, as a duration on the
-	// forwarder's clock. A record tells the age at the time it was made, which
-	// is not later than when it was first seen here, so the earliest start
-	// seen is the nearest to the truth.
-	started map[life]time.Duration
+	started  map[life]coldStart
+}
+
+// restartMargin is how much later than the known one the start of a newer
+// record has to be in order to count as another cold start. Less is the time
+// that records take to get here.
+const restartMargin = time.Second
+
+// coldStart tells when a target had its cold start, as a duration on the
+// forwarder's clock. A record tells the age at the time it was made, which is
+// not later than when it was first seen here, so the earliest start seen is the
+// nearest to the truth, until the backend server starts again.
+type coldStart struct {
+	at time.Duration
+	// sequence of the newest record seen.
+	sequence uint64
+}
+
+// next returns the cold start after one more record.
+func (s coldStart) next(record coldStart) coldStart {
+	switch {
+	case record.sequence <= s.sequence:
+		return coldStart{at: min(s.at, record.at), sequence: s.sequence}
+	case record.at > s.at+restartMargin:
+		return record
+	default:
+		return coldStart{at: min(s.at, record.at), sequence: record.sequence}
+	}
 }
 
 // members are the targets of one service with the start of each. The starts
@@ -38,7 +61,7 @@
 func directoryFrom(previous *directory, records []*controlpb.TargetRecord, now time.Duration, usable func(netip.AddrPort) bool) (d *directory, unusable int) {
 	d = &directory{
 		services: make(map[uint32]*members),
-		started:  make(map[life]time.Duration, len(records)),
+		started:  make(map[life]coldStart, len(records)),
 	}
 	list := make([]routing.Target, 0, len(records))
 	for _, record := range records {
@@ -48,7 +71,11 @@
 			continue
 		}
 		target := targetFrom(record, address)
-		d.add(target, d.start(previous, &target, record.GetAgeMs(), now))
+		start := coldStart{
+			at:       now - time.Duration(record.GetAgeMs())*time.Millisecond,
+			sequence: record.GetSequence(),
+		}
+		d.add(target, d.start(previous, &target, start))
 		list = append(list, target)
 	}
 
@@ -82,16 +109,15 @@
 }
 
 // start remembers and returns when the target had its cold start.
-func (d *directory) start(previous *directory, t *routing.Target, ageMs uint64, now time.Duration) time.Duration {
+func (d *directory) start(previous *directory, t *routing.Target, start coldStart) time.Duration {
 	key := life{number: t.Number, incarnation: t.Incarnation}
-	started := now - time.Duration(ageMs)*time.Millisecond
 	if previous != nil {
 		if before, ok := previous.started[key]; ok {
-			started = min(started, before)
+			start = before.next(start)
 		}
 	}
-	d.started[key] = started
-	return started
+	d.started[key] = start
+	return start.at
 }
 
 // table builds the routing table of a service.
--- a/internal/entryd/unit_test.go
+++ b/internal/entryd/unit_test.go
@@ -102,6 +102,39 @@
 	is.Equal(ageAt(d, begin+9*time.Second), time.Second)
 }
 
+// A backend server that starts again under the same agent is cold again.
+func TestColdStartOfTheSameIncarnation(t *testing.T) {
+	known := coldStart{at: time.Hour, sequence: 5}
+	for _, tt := range []struct {
+		name   string
+		record coldStart
+		want   coldStart
+	}{
+		{"the same record later", coldStart{time.Hour + time.Minute, 5}, known},
+		{"an older record", coldStart{time.Hour + time.Minute, 4}, known},
+		{"a newer one that was on its way for a while", coldStart{time.Hour + restartMargin, 6}, coldStart{time.Hour, 6}},
+		{"a newer one, faster", coldStart{time.Hour - time.Millisecond, 6}, coldStart{time.Hour - time.Millisecond, 6}},
+		{"another start", coldStart{time.Hour + time.Minute, 6}, coldStart{time.Hour + time.Minute, 6}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(known.next(tt.record), tt.want)
+		})
+	}
+}
+
+func TestRestartedServerIsYoungAgain(t *testing.T) {
+	is := is.New(t)
+	usable := func(netip.AddrPort) bool { return true }
+	one := record(lodgement, 1, netip.MustParseAddrPort("127.0.0.1:7000"))
+	list := []*controlpb.TargetRecord{one}
+	d, _ := directoryFrom(nil, list, time.Hour, usable)
+	one.AgeMs = 10
+	one.Sequence++
+	d, _ = directoryFrom(d, list, time.Hour+time.Second, usable)
+	d.table(&servicePolicy{number: lodgement}, time.Hour+time.Second)
+	is.Equal(d.services[lodgement].targets[0].Age, 10*time.Millisecond)
+}
+
 func TestEveryRefusalHasAName(t *testing.T) {
 	is := is.New(t)
 	seen := make(map[string]bool)
