returnpath: a silent flow tries another entry host with each datagram

Cause: an agent moved a flow to its next entry host only after 4 more datagrams and 150 ms on each. QUIC doubles its pauses, so with 4 remembered entry hosts that all had been restarted within a second, it took some 10 s until the last resort; sessions had no event for 5 s and more, and counted as broken. As last resort, hosts heard within 30 s were taken in turn, the dead ones too.

Now each datagram after the first sign of silence goes through another entry host, and the last resort takes those heard within a second first.

--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -107,3 +107,44 @@
 	}
 	return true
 }
+
+// Every entry host restarts, one right after the other, so that all that a
+// session's agent remembers of its way back is gone.
+func TestSessionsSurviveRestartOfAllEntryHosts(t *testing.T) {
+	is := is.New(t)
+	d, err := dev.Start(t.Context(), dev.Options{Entries: 3, Network: &dev.Network{Seed: 1}, Log: zaptest.NewLogger(t)})
+	is.NoErr(err)
+	t.Cleanup(d.Close)
+	stop := make(chan struct{})
+	restarted := make(chan error, 1)
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		defer close(stop)
+		for _, b := range d.Backends("lodgement") {
+			awaitWatch(t.Context(), b)
+		}
+		for i := range d.Entries() {
+			if err := d.RestartEntry(t.Context(), i); err != nil {
+				restarted <- err
+				return
+			}
+		}
+		restarted <- nil
+		// A session counts as broken after this long without an event.
+		select {
+		case <-time.After(loadgen.SilenceFactor * time.Second):
+		case <-t.Context().Done():
+		}
+	})
+	o := options(time.Minute)
+	o.Sessions, o.SessionRamp, o.Stop = 20, 100*time.Millisecond, stop
+	o.WatchPeriod = 500 * time.Millisecond
+	r, err := d.Load(t.Context(), "lodgement", o)
+	wg.Wait()
+	is.NoErr(err)
+	is.NoErr(<-restarted)
+	t.Logf("%+v", *r)
+	is.Equal(r.Sessions, 20)
+	is.Equal(r.BrokenSessions, 0)
+	is.Equal(r.BrokenFlows, 0)
+}
--- a/returnpath/path.go
+++ b/returnpath/path.go
@@ -38,27 +38,29 @@
 }
 
 // Next returns the entry host for the next datagram and counts the datagram.
-// It moves to the next entry host once SilentDatagrams were sent and
-// SilentTime passed with nothing heard. ok is false when no entry host is
+// Once SilentDatagrams were sent and SilentTime passed with nothing heard, each
+// datagram goes through another entry host until something is heard: QUIC then
+// sends ever more rarely, and a path that waited for several datagrams on each
+// entry host would outlast its caller's patience. ok is false when no entry host is
 // known. exhausted is set once every remembered entry host was tried in vain.
 func (p *Path) Next(now time.Duration) (entry netip.AddrPort, exhausted, ok bool) {
 	if p.count == 0 {
 		return netip.AddrPort{}, true, false
 	}
 	if p.silent >= SilentDatagrams && now-p.since >= SilentTime {
-		p.rotate(now)
+		p.rotate()
+	}
+	if p.silent < SilentDatagrams {
+		p.silent++
 	}
-	p.silent++
 	return p.hosts[0], p.moves >= uint16(p.count), true
 }
 
-// rotate moves the front entry host to the end and starts a new wait.
-func (p *Path) rotate(now time.Duration) {
+// rotate moves the front entry host to the end.
+func (p *Path) rotate() {
 	front := p.hosts[0]
 	copy(p.hosts[:p.count], p.hosts[1:p.count])
 	p.hosts[p.count-1] = front
-	p.silent = 0
-	p.since = now
 	if p.moves < ^uint16(0) {
 		p.moves++
 	}
--- a/returnpath/recent.go
+++ b/returnpath/recent.go
@@ -10,6 +10,9 @@
 	RecentHosts = 64
 	// RecentAge is the age after which an entry host is no longer offered.
 	RecentAge = 30 * time.Second
+	// FreshAge is the age up to which an entry host goes before older ones:
+	// one that died was heard before those that took its place.
+	FreshAge = time.Second
 )
 
 // Recent holds the entry hosts that any flow was heard through lately. It is
@@ -39,12 +42,20 @@
 	r.order = append(r.order, entry)
 }
 
-// Next returns one entry host heard within RecentAge, another one each time.
+// Next returns one entry host heard within FreshAge, or else within RecentAge,
+// another one each time.
 func (r *Recent) Next(now time.Duration) (netip.AddrPort, bool) {
+	if entry, ok := r.within(FreshAge, now); ok {
+		return entry, true
+	}
+	return r.within(RecentAge, now)
+}
+
+func (r *Recent) within(age, now time.Duration) (netip.AddrPort, bool) {
 	for range r.order {
 		r.next = (r.next + 1) % len(r.order)
 		entry := r.order[r.next]
-		if now-r.heard[entry] <= RecentAge {
+		if now-r.heard[entry] <= age {
 			return entry, true
 		}
 	}
--- a/returnpath/returnpath_test.go
+++ b/returnpath/returnpath_test.go
@@ -118,3 +118,52 @@
 	_, ok := r.Next(returnpath.RecentAge + time.Minute)
 	is.True(!ok) // all too old
 }
+
+// All entry hosts of a flow are restarted at once: QUIC doubles its pauses, so
+// few datagrams may be spent on them.
+func TestSilentPathTriesAnotherEntryHostEachTime(t *testing.T) {
+	is := is.New(t)
+	var p returnpath.Path
+	for n := range returnpath.Depth {
+		p.Heard(host(n), 0)
+	}
+	for range returnpath.SilentDatagrams {
+		p.Next(0)
+	}
+	tried := map[netip.AddrPort]bool{}
+	for n := range returnpath.Depth {
+		entry, exhausted, ok := p.Next(returnpath.SilentTime)
+		is.True(ok)
+		is.Equal(exhausted, n == returnpath.Depth-1)
+		tried[entry] = true
+	}
+	is.Equal(len(tried), returnpath.Depth)
+	p.Heard(host(9), returnpath.SilentTime)
+	for range 2 * returnpath.SilentDatagrams {
+		entry, exhausted, _ := p.Next(returnpath.SilentTime)
+		is.Equal(entry, host(9)) // heard again: it stays
+		is.True(!exhausted)
+	}
+}
+
+func TestRecentPrefersFreshEntryHosts(t *testing.T) {
+	is := is.New(t)
+	r := returnpath.NewRecent()
+	for n := range 4 {
+		r.Heard(host(n), 0)
+	}
+	const later = 2 * returnpath.FreshAge
+	r.Heard(host(8), later)
+	r.Heard(host(9), later)
+	got := map[netip.AddrPort]bool{}
+	for range 10 {
+		entry, ok := r.Next(later)
+		is.True(ok)
+		got[entry] = true
+	}
+	is.Equal(got, map[netip.AddrPort]bool{host(8): true, host(9): true})
+	_, ok := r.Next(later + 2*returnpath.FreshAge) // none is fresh: the others
+	is.True(ok)
+	_, ok = r.Next(later + 2*returnpath.RecentAge)
+	is.True(!ok)
+}
