experiment, loadgen: targets that come, and windows without those that left

The deployment is now asked by each answer whether the target is one of the service. Only targets in service for the whole of a window count in it now.

--- a/internal/dev/load.go
+++ b/internal/dev/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"eelgrasswharf.example/eelgrasswharf/internal/loadgen"
 )
@@ -13,6 +14,7 @@
 	o.Addresses = d.Addresses(service)
 	o.Roots = d.roots
 	o.Targets = d.Targets(service)
+	o.IsTarget = func(target string) bool { return slices.Contains(d.Targets(service), target) }
 	o.Runs = func(key string) int { return d.Runs(service, key) }
 	return loadgen.Run(ctx, o)
 }
--- a/internal/experiment/doc.go
+++ b/internal/experiment/doc.go
@@ -12,9 +12,9 @@
 // # Imbalance
 //
 // Targets come and go in a run, so a window of two seconds counts the targets
-// that were in service for the whole of it: the imbalance of a window is the
-// greatest number of answers of any target, times the number of targets in
-// service, over all answers. A target that starts cold is in service from its
+// that were in service for the whole of it, and no others: the imbalance of a
+// window is the greatest number of answers of one of them over their mean. A
+// target that starts cold is in service from its
 // registration, one that drains until its drain begins, one on a lost host
 // until the loss. Windows in which no target was in service throughout, or
 // with fewer than loadgen.MinPerTarget answers a target, are left out.
--- a/internal/experiment/members.go
+++ b/internal/experiment/members.go
@@ -39,15 +39,15 @@
 	}
 }
 
-// count returns how many targets were in service for the whole of a window.
-func (m members) count(from, to time.Duration) int {
-	n := 0
+// during returns the targets that were in service for the whole of a window.
+func (m members) during(from, to time.Duration) []string {
+	var targets []string
 	for _, s := range m {
 		if s.covers(from, to) {
-			n++
+			targets = append(targets, s.target)
 		}
 	}
-	return n
+	return targets
 }
 
 // imbalance is the measure that the package comment defines.
@@ -55,7 +55,7 @@
 	var ratios []float64
 	for i, w := range windows {
 		from := time.Duration(i) * length
-		if ratio, ok := ratioOf(w, m.count(from, from+length)); ok {
+		if ratio, ok := ratioOf(w, m.during(from, from+length)); ok {
 			ratios = append(ratios, ratio)
 		}
 	}
@@ -76,14 +76,14 @@
 }
 
 // ratioOf is the imbalance of one window, if it counts.
-func ratioOf(w map[string]int, inService int) (float64, bool) {
+func ratioOf(w map[string]int, inService []string) (float64, bool) {
 	greatest, total := 0, 0
-	for _, n := range w {
-		greatest = max(greatest, n)
-		total += n
+	for _, target := range inService {
+		greatest = max(greatest, w[target])
+		total += w[target]
 	}
-	if inService == 0 || total < loadgen.MinPerTarget*inService {
+	if total < loadgen.MinPerTarget*max(len(inService), 1) {
 		return 0, false
 	}
-	return float64(greatest) * float64(inService) / float64(total), true
+	return float64(greatest) * float64(len(inService)) / float64(total), true
 }
--- a/internal/experiment/members_test.go
+++ b/internal/experiment/members_test.go
@@ -17,9 +17,9 @@
 	m.leave("a", 1500*time.Millisecond)
 	m.join("c", 2500*time.Millisecond)
 	m.leave("unknown", time.Second)
-	for i, want := range []int{2, 1, 1, 2} {
+	for i, want := range [][]string{{"a", "b"}, {"b"}, {"b"}, {"b", "c"}} {
 		from := time.Duration(i) * time.Second
-		is.Equal(m.count(from, from+time.Second), want)
+		is.Equal(m.during(from, from+time.Second), want)
 	}
 }
 
@@ -30,10 +30,10 @@
 	m.leave("a", time.Second)
 	m.join("a", 2*time.Second)
 	m.leave("a", 4*time.Second)
-	is.Equal(m.count(0, time.Second), 1)
-	is.Equal(m.count(time.Second, 2*time.Second), 0)
-	is.Equal(m.count(2*time.Second, 4*time.Second), 1)
-	is.Equal(m.count(3*time.Second, 5*time.Second), 0)
+	is.Equal(len(m.during(0, time.Second)), 1)
+	is.Equal(len(m.during(time.Second, 2*time.Second)), 0)
+	is.Equal(len(m.during(2*time.Second, 4*time.Second)), 1)
+	is.Equal(len(m.during(3*time.Second, 5*time.Second)), 0)
 }
 
 func TestImbalance(t *testing.T) {
@@ -51,6 +51,8 @@
 			loadgen.Imbalance{Overall: 1.25, P99: 1.5, Windows: 2}},
 		{"an idle target lowers the mean", []map[string]int{{"a": 20}}, two, loadgen.Imbalance{Overall: 2, P99: 2, Windows: 1}},
 		{"too few answers", []map[string]int{{"a": 19}}, two, loadgen.Imbalance{}},
+		{"answers of one that left do not count", []map[string]int{{"a": 10, "b": 10}, {"a": 90, "b": 20}}, leaving,
+			loadgen.Imbalance{Overall: 1, P99: 1, Windows: 2}},
 		{"one that left does not", []map[string]int{{"a": 10, "b": 10}, {"b": 20}}, leaving,
 			loadgen.Imbalance{Overall: 1, P99: 1, Windows: 2}},
 		{"nobody in service", []map[string]int{{"a": 100}}, nil, loadgen.Imbalance{}},
--- a/internal/loadgen/options.go
+++ b/internal/loadgen/options.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"encoding/hex"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -91,6 +92,10 @@
 	// Runs tells how often an idempotency key ran, at all backend servers
 	// together. It goes before RunURLs.
 	Runs func(key string) int
+	// IsTarget tells whether a target of that name is one of the service's, where
+	// targets come while the run lasts. It goes before Targets in the search
+	// for misrouted requests.
+	IsTarget func(target string) bool
 	// RunURLs are the base URLs of all backend servers, if they can be asked
 	// for their runs.
 	RunURLs []string
@@ -110,6 +115,10 @@
 	if o.HostFailed == nil {
 		o.HostFailed = func(string) bool { return false }
 	}
+	if o.IsTarget == nil {
+		named := o.Targets
+		o.IsTarget = func(target string) bool { return len(named) == 0 || slices.Contains(named, target) }
+	}
 	if o.RunID == "" {
 		o.RunID = randomID()
 	}
--- a/internal/loadgen/request.go
+++ b/internal/loadgen/request.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -150,7 +149,7 @@
 	if !bytes.Equal(body, []byte(q.text(&g.opts))) {
 		return outcome{class: ClassUnknown, reason: reasonWrongAnswer, target: out.target}
 	}
-	if name := targetName(out.target); len(g.opts.Targets) > 0 && name != "" && !slices.Contains(g.opts.Targets, name) {
+	if name := targetName(out.target); name != "" && !g.opts.IsTarget(name) {
 		out.reason = reasonWrongTarget
 	}
 	return out
