--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -11,8 +11,8 @@
 )
 
 // A whole deployment, small, whose first target drains while a cold one takes
-// its place. Only what must never happen is held against it: how even and how fast it is depends on the
-// machine.
+// its place. Only what must never happen is held against it: how even and how
+// fast it is depends on the machine.
 func TestSmallDeploymentStaysCorrect(t *testing.T) {
 	is := is.New(t)
 	s := site(t, "small", 1, 1)
