--- a/internal/loadgen/generator.go
+++ b/internal/loadgen/generator.go
@@ -37,15 +37,22 @@
 	}
 	runCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
-	var sessions, requests, end conc.WaitGroup
+	var sessions, requests, stopping conc.WaitGroup
 	if o.Enough != nil {
-		end.Go(func() { g.endEarly(runCtx, cancel) })
+		stopping.Go(func() { g.endEarly(runCtx, cancel) })
 	}
+	stopping.Go(func() {
+		select {
+		case <-o.Stop:
+			cancel()
+		case <-runCtx.Done():
+		}
+	})
 	g.openSessions(runCtx, &sessions)
 	g.schedule(runCtx, ctx, &requests)
 	requests.Wait()
 	sessions.Wait()
-	end.Wait()
+	stopping.Wait()
 	for _, s := range g.slots {
 		s.close()
 	}
