--- a/internal/controld/backend.go
+++ b/internal/controld/backend.go
@@ -82,6 +82,7 @@
 		Version:      current.GetVersion(),
 		VersionPatch: patch,
 		Targets:      b.directory.count(),
+		Damped:       b.directory.damped(),
 	}
 	for _, group := range groups {
 		s.Groups = append(s.Groups, groupStatus(group, b.replicas[group].Status()))
--- a/internal/controld/directory.go
+++ b/internal/controld/directory.go
@@ -108,6 +108,12 @@
 	return d.dir.Len()
 }
 
+func (d *directory) damped() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dir.Damped()
+}
+
 // follower is how far one subscriber has followed the directory.
 type follower struct {
 	epoch    uint64
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -75,7 +75,9 @@
 	VersionPatch string        `json:"version_patch,omitempty"`
 	Groups       []GroupStatus `json:"groups"`
 	// Targets is the number of targets in the directory.
-	Targets     int                `json:"targets"`
+	Targets int `json:"targets"`
+	// Damped is how many of them take no new flow because they flap.
+	Damped      int                `json:"targets_damped"`
 	Subscribers []SubscriberStatus `json:"subscribers"`
 	// Laggards names the subscribers on which Version is not in force.
 	Laggards []string `json:"laggards"`
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -36,6 +36,7 @@
 
 	service  *Service
 	ip       netip.Addr
+	listen   netip.AddrPort
 	url      string
 	settings *settingspb.AgentSettings
 }
@@ -60,16 +61,23 @@
 			PollMs:            targetPollMS,
 		},
 	}
-	listen := loopback.Address(c.t, t.ip)
-	t.url = "http://" + listen.String()
-	t.Backend = Start(c.t, "backend-"+name,
-		"backend", "--service", s.Name, "--target", name,
-		"--listen", listen.String(), "--announce", announce.String())
+	t.listen = loopback.Address(c.t, t.ip)
+	t.url = "http://" + t.listen.String()
+	t.LaunchBackend()
 	t.LaunchAgent()
 	t.WaitRegistered()
 	return t
 }
 
+// LaunchBackend starts the process of the backend server, again after it ended.
+func (t *Target) LaunchBackend() {
+	c := t.service.cluster
+	c.t.Helper()
+	t.Backend = Start(c.t, "backend-"+t.Name,
+		"backend", "--service", t.service.Name, "--target", t.Name,
+		"--listen", t.listen.String(), "--announce", t.settings.Agent.AnnounceListen)
+}
+
 // LaunchAgent starts another process of the agent, beside an older one that
 // may still be leaving. It takes another frame address.
 func (t *Target) LaunchAgent() {
@@ -77,7 +85,7 @@
 	c.t.Helper()
 	t.Frames = loopback.Address(c.t, t.ip)
 	t.settings.Agent.FrameListen = t.Frames.String()
-	path := c.path("agent-%s.ini", t.Name)
+	path := c.path("agent-%s-%d.ini", t.Name, t.Frames.Port())
 	writeSettings(c.t, path, t.settings)
 	t.Agent = Start(c.t, "agent-"+t.Name, "agent", "--settings", path)
 }
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -157,6 +157,18 @@
 // Len returns the number of targets held.
 func (d *Directory) Len() int { return len(d.byID) }
 
+// Damped returns the number of targets that are shown as ill because they
+// changed too often.
+func (d *Directory) Damped() int {
+	damped := 0
+	for _, t := range d.byID {
+		if t.flaps.damped {
+			damped++
+		}
+	}
+	return damped
+}
+
 // Settled reports whether the directory has listened for a whole lease, so
 // that a target that it does not hold has no lease. Before that its list says
 // which targets exist, not which do not.
--- /dev/null
+++ b/test/bench_test.go
@@ -0,0 +1,25 @@
+package test
+
+import (
+	"testing"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// BenchmarkPatches measures patches of one operator, each against the version
+// that the one before made, on three control hosts.
+func BenchmarkPatches(b *testing.B) {
+	d := &deployment{Cluster: processtest.New(b)}
+	d.controls = d.StartControls(3)
+	d.lodgement = d.NewService("lodgement")
+	base := d.Patch(d.lodgement.Put())
+	d.Leader()
+	b.ResetTimer()
+	s := d.startStream(base, d.controls...)
+	for s.version.Load() < base+uint64(b.N) {
+		s.awaitNext()
+	}
+	b.StopTimer()
+	s.end()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "patches/s")
+}
