--- a/internal/processtest/control.go
+++ b/internal/processtest/control.go
@@ -84,8 +84,9 @@
 		name:     name,
 	}
 	host.settings = &settingspb.ControlSettings{
-		Host: hostSettings(name, name),
-		Keys: keySettings(c.issue(keys.RoleControl, name, "")),
+		Host:    hostSettings(name, name),
+		Keys:    keySettings(c.issue(keys.RoleControl, name, "")),
+		Metrics: metricsSettings(ip),
 		Replica: &settingspb.Replica{
 			DataFolder:     c.path("data-%s", name),
 			Listen:         host.Link.String(),
@@ -106,11 +107,16 @@
 // Relay puts a relay in front of the host's link address. Whoever dials its
 // address can be cut off.
 func (h *Control) Relay() *faultproxy.Relay {
-	c := h.cluster
+	h.cluster.t.Helper()
+	return h.cluster.newRelay(h.Link)
+}
+
+// newRelay puts a relay in front of an address.
+func (c *Cluster) newRelay(host netip.AddrPort) *faultproxy.Relay {
 	c.t.Helper()
 	relay, err := faultproxy.NewRelay(faultproxy.Options{
 		Listen: netip.AddrPortFrom(c.ip, 0),
-		Hosts:  []netip.AddrPort{h.Link},
+		Hosts:  []netip.AddrPort{host},
 		Rand:   c.newRand(),
 	})
 	c.must(err)
--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -43,6 +43,7 @@
 	e.settings = &settingspb.EntrySettings{
 		Host:    hostSettings(name, name),
 		Keys:    keySettings(c.issue(keys.RoleEntry, name, "")),
+		Metrics: metricsSettings(ip),
 		Control: &settingspb.ControlPeers{Addresses: c.linksOr(control)},
 		Forwarding: &settingspb.Forwarding{
 			PublicIp:      ip.String(),
@@ -77,6 +78,21 @@
 	}
 }
 
+// Frames returns where the host takes reply frames of agents.
+func (e *Entry) Frames() netip.AddrPort {
+	return netip.MustParseAddrPort(e.settings.Forwarding.FrameListen)
+}
+
+// Refused returns how many datagrams and frames the host refused for a reason.
+func (e *Entry) Refused(reason string) float64 {
+	return e.reading("entry_refused", reason)
+}
+
+// Resident returns the memory of the process, in bytes.
+func (e *Entry) Resident() float64 {
+	return e.reading(residentMemory, "")
+}
+
 // Public returns where the host opens the public address of the service.
 func (e *Entry) Public(s *Service) netip.AddrPort {
 	return netip.AddrPortFrom(e.ip, s.Address.Port())
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -303,6 +303,7 @@
 	if t.flaps.suppressed(now, &d.opts.Damping) && !next.GetIll() {
 		next = proto.CloneOf(next)
 		next.Ill = true
+		next.Damped = true
 	}
 	if t.published != nil && proto.Equal(t.published, next) {
 		return
--- a/test/lease_test.go
+++ b/test/lease_test.go
@@ -44,6 +44,7 @@
 	is := is.New(t)
 	d := deploy(t, 1)
 	watch := d.lodgement.NewCaller().Watch()
+	d.lodgement.StartTarget("c") // one ill target of two would be half of the service
 	_, flapping := d.holder(t, watch)
 	flapping.Agent.Kill()
 	flapping.Flap(6)
