--- a/membership/directory.go
+++ b/membership/directory.go
@@ -300,7 +300,7 @@
 // publish makes the record held, as damped, part of the deltas.
 func (d *Directory) publish(now time.Duration, t *target) {
 	next := t.heard
-	if t.flaps.suppressed(now, &d.opts.Damping) && !next.GetIll() {
+	if t.flaps.suppressed(now, &d.opts.Damping) {
 		next = proto.CloneOf(next)
 		next.Ill = true
 		next.Damped = true
