--- a/internal/controld/follow_test.go
+++ b/internal/controld/follow_test.go
@@ -125,13 +125,16 @@
 	u := w.awaitVersion(2)
 	is.Equal(u.GetBaseVersion(), uint64(1))
 	is.Equal(len(u.GetPut())+len(u.GetRetired()), 0)
-	is.NoErr(w.stream.Send(&controlpb.Heartbeat{Version: 2}))
+	// One that reports nothing is cut off after a time.
+	report := func(version uint64) { is.NoErr(w.stream.Send(&controlpb.Heartbeat{Version: version})) }
+	report(2)
 	eventually(t, "the version in force in the status", func() bool {
 		s := d.status("c1")
 		return len(s.Laggards) == 0 && s.Subscribers[0].Version == 2
 	})
 	d.accept(ops, patch("p3", 2, put("certificates", "192.0.2.4:443")))
 	is.Equal(len(w.awaitVersion(3).GetPut()), 1)
+	report(3)
 	d.accept(ops, patch("p4", 3, &configpb.Operation{Body: &configpb.Operation_RemoveService{RemoveService: "certificates"}}))
 	is.Equal(w.awaitVersion(4).GetRemoved(), []string{"certificates"})
 }
