--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -137,7 +137,15 @@
 		}
 	})
 	o := options(time.Minute)
-	o.Sessions, o.SessionRamp, o.Stop = 20, 100*time.Millisecond, stop
+	o.Sessions, o.SessionRamp = 20, 100*time.Millisecond
+	o.Enough = func(*loadgen.Report) bool {
+		select {
+		case <-stop:
+			return true
+		default:
+			return false
+		}
+	}
 	o.WatchPeriod = 500 * time.Millisecond
 	r, err := d.Load(t.Context(), "lodgement", o)
 	wg.Wait()
--- a/internal/link/admission_test.go
+++ b/internal/link/admission_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -53,6 +54,47 @@
 	is.Equal(why, refusal(""))
 }
 
+// A busy server is not asked before its time while another one may be.
+func TestBusyServersAreLeftAlone(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	c := &Client{addrs: []string{"a", "b", "c"}, opts: quick().withDefaults()}
+	r := &redial{failures: 1, notBefore: map[string]time.Time{"b": now.Add(time.Minute)}, index: 1}
+	is.True(c.wait(r, now) < time.Second)
+	is.Equal(c.addrs[r.index], "c")
+	// All are busy: the one that may be asked first, when it may be.
+	r.notBefore["a"] = now.Add(3 * time.Minute)
+	r.notBefore["c"] = now.Add(2 * time.Minute)
+	is.Equal(c.wait(r, now), time.Minute)
+	is.Equal(c.addrs[r.index], "b")
+}
+
+func TestOutcomes(t *testing.T) {
+	is := is.New(t)
+	for _, tc := range []struct {
+		err  error
+		want error
+	}{
+		{&quic.ApplicationError{Remote: true, ErrorCode: codeBusy}, ErrNotSent},
+		{&quic.ApplicationError{Remote: false, ErrorCode: codeBusy}, ErrUnknown},
+		{&quic.ApplicationError{Remote: true, ErrorCode: codeShutdown}, ErrUnknown},
+		{&quic.StreamError{Remote: true, ErrorCode: streamNotDone}, ErrNotSent},
+		{&quic.StreamError{Remote: true, ErrorCode: streamMalformed}, ErrNotSent},
+		{&quic.StreamError{Remote: true, ErrorCode: streamFailed}, ErrUnknown},
+		{&quic.StreamError{Remote: false, ErrorCode: streamNotDone}, ErrUnknown},
+		{&quic.TransportError{Remote: true, ErrorCode: quic.ConnectionRefused}, ErrNotSent},
+		{&quic.TransportError{Remote: true, ErrorCode: quic.InternalError}, ErrUnknown},
+		{&quic.IdleTimeoutError{}, ErrUnknown},
+		{&quic.StatelessResetError{}, ErrUnknown},
+		{context.Canceled, ErrUnknown},
+	} {
+		got := outcomeError(errors.Wrap(tc.err, "read message"))
+		is.True(errors.Is(got, tc.want))
+		is.True(errors.Is(got, ErrNotSent) != errors.Is(got, ErrUnknown))
+		is.True(errors.Is(got, tc.err)) // the cause is kept
+	}
+}
+
 func TestRetryAfterText(t *testing.T) {
 	is := is.New(t)
 	refused := &quic.ApplicationError{Remote: true, ErrorCode: codeBusy, ErrorMessage: busyText(1500 * time.Millisecond)}
