--- a/internal/entryd/directory.go
+++ b/internal/entryd/directory.go
@@ -95,6 +95,7 @@
 		Address:     address,
 		Draining:    record.GetState() == controlpb.TargetState_TARGET_STATE_DRAINING,
 		Ill:         record.GetIll(),
+		Damped:      record.GetDamped(),
 	}
 }
 
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -89,6 +89,17 @@
 		want:   routing.Only,
 		target: 1,
 	},
+	{
+		name:   "the directory's damping outweighs the agent's word",
+		policy: &configpb.Policy{PanicPercent: 51},
+		change: func(list []routing.Target) {
+			list[0].Ill = true
+			list[0].Damped = true
+		},
+		learn:  map[uint32]routing.Report{1: {Ill: false}},
+		want:   routing.Only,
+		target: 2,
+	},
 }
 
 func TestReasons(t *testing.T) {
--- a/routing/target.go
+++ b/routing/target.go
@@ -17,6 +17,8 @@
 	Draining bool
 	// Ill: its agent holds the backend server to be ill.
 	Ill bool
+	// Damped: it flaps, and counts as ill whatever its agent says.
+	Damped bool
 	// Age is the time since its cold start.
 	Age time.Duration
 }
