--- a/internal/experiment/trial.go
+++ b/internal/experiment/trial.go
@@ -125,7 +125,7 @@
 	for i, service := range t.site.services {
 		o := t.site.load(service, length, seed)
 		o.Duration = loadLimit
-		o.Stop = stop
+		o.Enough = func(*loadgen.Report) bool { return closed(stop) }
 		o.HostFailed = t.hostFailed
 		workers.Go(func(ctx context.Context) error {
 			r, err := t.d.Load(ctx, service.Name, o)
@@ -203,3 +203,12 @@
 		return false
 	}
 }
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/loadgen/generator.go
+++ b/internal/loadgen/generator.go
@@ -37,22 +37,15 @@
 	}
 	runCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
-	var sessions, requests, stopping conc.WaitGroup
+	var sessions, requests, end conc.WaitGroup
 	if o.Enough != nil {
-		stopping.Go(func() { g.endEarly(runCtx, cancel) })
+		end.Go(func() { g.endEarly(runCtx, cancel) })
 	}
-	stopping.Go(func() {
-		select {
-		case <-o.Stop:
-			cancel()
-		case <-runCtx.Done():
-		}
-	})
 	g.openSessions(runCtx, &sessions)
 	g.schedule(runCtx, ctx, &requests)
 	requests.Wait()
 	sessions.Wait()
-	stopping.Wait()
+	end.Wait()
 	for _, s := range g.slots {
 		s.close()
 	}
--- a/internal/loadgen/options.go
+++ b/internal/loadgen/options.go
@@ -68,8 +68,6 @@
 	// is enough. It then ends as it would after its duration. Nil means that
 	// only the duration ends it.
 	Enough func(sofar *Report) bool
-	// Stop ends the run before its duration when it is closed. Nil never does.
-	Stop <-chan struct{}
 	// NonRepeatable is the share of requests, 0 to 1, that may not be repeated.
 	NonRepeatable float64
 	// Work is the time that each request asks a target to work.
