docs/SETTINGS.md, generated from the schemas

Cause: operators had the keys of a settings file only one role at a time (config example) and the keys of a patch only in the schema.

--- a/internal/settings/doc.go
+++ b/internal/settings/doc.go
@@ -6,5 +6,8 @@
 // the table of rules.go. All faults of a file are collected as findings with
 // file and line and reported together.
 //
-// The same reader turns patch files into configpb.Patch.
+// The same reader turns patch files into configpb.Patch. The operators' page of
+// all keys is made by Markdown.
 package settings
+
+//go:generate go run ./internal/page ../../docs/SETTINGS.md
--- a/internal/settings/example.go
+++ b/internal/settings/example.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return "", err
 	}
-	file, err := sourceFile()
+	file, err := sourceFile(settingspb.File_settingspb_settings_proto.Path())
 	if err != nil {
 		return "", err
 	}
@@ -70,8 +70,8 @@
 	return ""
 }
 
-// sourceFile reads the embedded descriptor of the settings schema.
-func sourceFile() (protoreflect.FileDescriptor, error) {
+// sourceFile reads the embedded descriptor of a schema.
+func sourceFile(path string) (protoreflect.FileDescriptor, error) {
 	set := &descriptorpb.FileDescriptorSet{}
 	if err := proto.Unmarshal(settingspb.SourceDescriptor, set); err != nil {
 		return nil, errors.Wrap(err, "embedded settings schema")
@@ -80,5 +80,5 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "embedded settings schema")
 	}
-	return files.FindFileByPath(settingspb.File_settingspb_settings_proto.Path())
+	return files.FindFileByPath(path)
 }
--- a/internal/settings/rules_test.go
+++ b/internal/settings/rules_test.go
@@ -7,13 +7,15 @@
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 )
 
 // eachField calls visit for every key of every role.
 func eachField(t *testing.T, visit func(protoreflect.FieldDescriptor)) {
 	t.Helper()
 	is := is.New(t)
-	file, err := sourceFile()
+	file, err := sourceFile(settingspb.File_settingspb_settings_proto.Path())
 	is.NoErr(err)
 	for _, role := range Roles() {
 		m, err := NewMessage(role)
