--- /dev/null
+++ b/internal/repotest/borders_test.go
@@ -0,0 +1,174 @@
+package repotest
+
+import (
+	"go/ast"
+	"path"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Layers of packages; imports go down only, or stay within one.
+const (
+	layerAPI = iota
+	layerDecision
+	layerInternal
+	layerCommand
+)
+
+func layer(name string) int {
+	switch first, _, _ := strings.Cut(name, "/"); {
+	case first == "cmd":
+		return layerCommand
+	case first == "internal" || first == "test" || strings.Contains(name, "/internal/"):
+		return layerInternal
+	case first == "api":
+		return layerAPI
+	}
+	return layerDecision
+}
+
+// outside is what a decision package may not import: sockets, files, processes,
+// chance and logs come as arguments.
+var outside = []string{"net", "os", "syscall", "unsafe", "log", "crypto/rand", "io/ioutil", "database", "go.uber.org", "github.com/uber-go", "github.com/quic-go", "github.com/sourcegraph", "golang.org/x/sys", "golang.org/x/net"}
+
+// inside are exceptions: types without any I/O.
+var inside = []string{"net/netip"}
+
+// clockCalls are the functions of package time that read or wait for a clock.
+var clockCalls = []string{"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "Tick", "NewTimer", "NewTicker"}
+
+// unseeded are functions of math/rand that use the shared generator.
+var unseeded = []string{"Int", "IntN", "Intn", "Int64", "Int64N", "Uint32", "Uint64", "Float64", "N", "Perm", "Shuffle", "NormFloat64", "ExpFloat64"}
+
+func TestImportsGoOneWay(t *testing.T) {
+	is := is.New(t)
+	for name, s := range sources(t) {
+		for _, imported := range s.imports() {
+			local, ok := strings.CutPrefix(imported, module)
+			if !ok {
+				continue
+			}
+			if layer(local) > layer(name) {
+				t.Errorf("%s imports %s, which is above it", name, local)
+			}
+			if layer(name) == layerCommand && local != "internal/cli" {
+				t.Errorf("%s imports %s; commands call internal/cli only", name, local)
+			}
+		}
+	}
+	is.Equal(layer("raft"), layerDecision)
+	is.Equal(layer("reason/internal/page"), layerInternal) // a generator
+}
+
+func TestDecisionPackagesTakeTheWorldAsArguments(t *testing.T) {
+	decisions := 0
+	for name, s := range sources(t) {
+		if layer(name) != layerDecision {
+			continue
+		}
+		decisions++
+		for _, imported := range s.imports() {
+			if within(imported, outside) && !within(imported, inside) {
+				t.Errorf("%s imports %s", name, imported)
+			}
+		}
+		s.inspect(func(n ast.Node) {
+			if what := forbidden(n); what != "" {
+				t.Errorf("%s has %s", name, what)
+			}
+		})
+	}
+	is.New(t).True(decisions >= 13) // looked at them
+}
+
+func within(imported string, prefixes []string) bool {
+	return slices.ContainsFunc(prefixes, func(p string) bool {
+		return imported == p || strings.HasPrefix(imported, p+"/")
+	})
+}
+
+// forbidden names what a decision package may not do.
+func forbidden(n ast.Node) string {
+	if _, ok := n.(*ast.GoStmt); ok {
+		return "a goroutine"
+	}
+	sel, ok := n.(*ast.SelectorExpr)
+	if !ok {
+		return ""
+	}
+	pkg, ok := sel.X.(*ast.Ident)
+	if !ok {
+		return ""
+	}
+	switch {
+	case pkg.Name == "time" && slices.Contains(clockCalls, sel.Sel.Name):
+		return "a clock: time." + sel.Sel.Name
+	case pkg.Name == "rand" && slices.Contains(unseeded, sel.Sel.Name):
+		return "chance of its own: rand." + sel.Sel.Name
+	}
+	return ""
+}
+
+// TestPictureNamesEveryPackage holds the picture of CONTRIBUTING.md to the
+// code: each package stands on one line, above all that it imports.
+func TestPictureNamesEveryPackage(t *testing.T) {
+	text := page(t, "CONTRIBUTING.md")
+	_, after, found := strings.Cut(text, "<!-- imports -->")
+	picture, _, closed := strings.Cut(after, "<!-- end of imports -->")
+	is.New(t).True(found && closed)
+	row := map[string]int{}
+	for i, line := range strings.Split(picture, "\n") {
+		if !strings.HasPrefix(line, "    ") {
+			continue
+		}
+		for _, name := range strings.Fields(line) {
+			row[name] = i
+		}
+	}
+	all := sources(t)
+	for name, s := range all {
+		short := pictured(name)
+		if short == "" {
+			continue
+		}
+		at, ok := row[short]
+		if !ok {
+			t.Errorf("the picture of CONTRIBUTING.md has no %s", short)
+			continue
+		}
+		for _, imported := range s.imports() {
+			local, ok := strings.CutPrefix(imported, module)
+			if !ok {
+				continue
+			}
+			if below, ok := row[pictured(local)]; ok && below <= at {
+				t.Errorf("the picture has %s above %s, which imports it", local, name)
+			}
+		}
+	}
+	for name := range row {
+		if !slices.ContainsFunc(keys(all), func(have string) bool { return pictured(have) == name }) {
+			t.Errorf("the picture names %s, which is no package", name)
+		}
+	}
+}
+
+// pictured is the name of a package in the picture, empty if it has none:
+// generators and packages of tests alone.
+func pictured(name string) string {
+	if strings.Contains(name, "/internal/") || name == "internal/repotest" || name == "test" || name == "api" {
+		return ""
+	}
+	return path.Base(name)
+}
+
+func keys(all map[string]*source) []string {
+	var out []string
+	for name := range all {
+		out = append(out, name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/repotest/pages_test.go
@@ -0,0 +1,184 @@
+package repotest
+
+import (
+	"go/ast"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// development lists packages whose metrics and log lines no deployment has.
+var development = []string{
+	"internal/backend", "internal/capacity", "internal/dev", "internal/experiment",
+	"internal/faultproxy", "internal/loadgen", "internal/processtest",
+}
+
+// metricKinds are the methods of a tally.Scope that make a metric.
+var metricKinds = []string{"Counter", "Gauge", "Timer", "Histogram"}
+
+// logLevels are the methods of a zap.Logger that write a line.
+var logLevels = []string{"Debug", "Info", "Warn", "Error"}
+
+// firstCell is the name in the first cell of a table row; a level may stand
+// before it.
+var firstCell = regexp.MustCompile("(?m)^\\| (?:(debug|info|warn|error) \\| )?`([^`]+)` \\|")
+
+func deployed(t *testing.T) []*source {
+	t.Helper()
+	var out []*source
+	for name, s := range sources(t) {
+		if strings.HasPrefix(name, "internal/") && !slices.Contains(development, name) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// metricNames returns the names of metrics, without their scopes: literal
+// arguments of the methods that make them, constants called metric..., and the
+// values of the agent's table counterNames.
+func metricNames(s *source) map[string]bool {
+	out := map[string]bool{}
+	for name, value := range s.constants() {
+		if strings.HasPrefix(name, "metric") {
+			out[value] = true
+		}
+	}
+	s.inspect(func(n ast.Node) {
+		if name, args := method(n); slices.Contains(metricKinds, name) && len(args) > 0 {
+			if text, ok := literal(args[0]); ok {
+				out[text] = true
+			}
+		}
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || len(spec.Names) == 0 || spec.Names[0].Name != "counterNames" {
+			return
+		}
+		for _, element := range spec.Values[0].(*ast.CompositeLit).Elts {
+			if text, ok := literal(element.(*ast.KeyValueExpr).Value); ok {
+				out[text] = true
+			}
+		}
+	})
+	return out
+}
+
+func TestPageOfCountersIsWhole(t *testing.T) {
+	is := is.New(t)
+	var rows []string
+	for _, match := range firstCell.FindAllStringSubmatch(page(t, "docs/COUNTERS.md"), -1) {
+		rows = append(rows, match[2])
+	}
+	used := map[string]bool{}
+	names := 0
+	for _, s := range deployed(t) {
+		for name := range metricNames(s) {
+			names++
+			found := false
+			for _, row := range rows {
+				if row == name || strings.HasSuffix(row, "_"+name) {
+					found, used[row] = true, true
+				}
+			}
+			if !found {
+				t.Errorf("docs/COUNTERS.md lacks %s of %s", name, s.name)
+			}
+		}
+	}
+	for _, row := range rows {
+		if !used[row] {
+			t.Errorf("docs/COUNTERS.md names %s, which no package counts", row)
+		}
+	}
+	is.True(names > 50) // found them
+}
+
+func TestPageOfLogLinesIsWhole(t *testing.T) {
+	is := is.New(t)
+	rows := map[string][]string{}
+	for _, match := range firstCell.FindAllStringSubmatch(page(t, "docs/LOGS.md"), -1) {
+		rows[match[2]] = append(rows[match[2]], match[1])
+	}
+	used := map[string]bool{}
+	for _, s := range deployed(t) {
+		constants := s.constants()
+		s.inspect(func(n ast.Node) {
+			level, args := method(n)
+			if !slices.Contains(logLevels, level) || len(args) == 0 {
+				return
+			}
+			text, ok := literal(args[0])
+			if name, isName := args[0].(*ast.Ident); isName {
+				text, ok = constants[name.Name]
+			}
+			if !ok || strings.HasPrefix(s.name, "internal/cli") && text == "draining" {
+				return // the built-in backend server's line
+			}
+			used[text] = true
+			if !slices.Contains(rows[text], strings.ToLower(level)) {
+				t.Errorf("docs/LOGS.md lacks %s %q of %s", strings.ToLower(level), text, s.name)
+			}
+		})
+	}
+	for text := range rows {
+		if !used[text] {
+			t.Errorf("docs/LOGS.md names %q, which no package writes", text)
+		}
+	}
+	is.True(len(used) > 30) // found them
+}
+
+var (
+	link    = regexp.MustCompile(`\]\(([^)#\s]+)(#[^)\s]*)?\)`)
+	heading = regexp.MustCompile(`(?m)^#+ (.+)$`)
+	notSlug = regexp.MustCompile(`[^a-z0-9 _-]`)
+)
+
+// TestLinksLead follows every link between pages, with its heading.
+func TestLinksLead(t *testing.T) {
+	is := is.New(t)
+	links := 0
+	for _, pattern := range []string{"*.md", "docs/*.md", "docs/design/*.md"} {
+		pages, err := filepath.Glob(filepath.Join(root, pattern))
+		is.NoErr(err)
+		for _, from := range pages {
+			text, err := os.ReadFile(from)
+			is.NoErr(err)
+			for _, match := range link.FindAllStringSubmatch(string(text), -1) {
+				if strings.Contains(match[1], "://") {
+					continue
+				}
+				links++
+				if fault := follow(filepath.Join(filepath.Dir(from), match[1]), match[2]); fault != "" {
+					t.Errorf("%s: %s%s: %s", from, match[1], match[2], fault)
+				}
+			}
+		}
+	}
+	is.True(links > 20) // found them
+}
+
+func follow(to, anchor string) string {
+	text, err := os.ReadFile(to)
+	if info, statErr := os.Stat(to); statErr == nil && info.IsDir() && anchor == "" {
+		return ""
+	}
+	if err != nil {
+		return "no such file"
+	}
+	if anchor == "" {
+		return ""
+	}
+	for _, match := range heading.FindAllStringSubmatch(string(text), -1) {
+		slug := notSlug.ReplaceAllString(strings.ToLower(match[1]), "")
+		if "#"+strings.ReplaceAll(slug, " ", "-") == anchor {
+			return ""
+		}
+	}
+	return "no such heading"
+}
