--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -27,6 +27,15 @@
 // StartEntry starts an entry host, waits until it is ready and adds it to the
 // fabric. Without control addresses it dials the control hosts directly.
 func (c *Cluster) StartEntry(control ...netip.AddrPort) *Entry {
+	c.t.Helper()
+	e := c.LaunchEntry(control...)
+	e.WaitReady()
+	e.Join()
+	return e
+}
+
+// LaunchEntry starts an entry host and does not wait for it.
+func (c *Cluster) LaunchEntry(control ...netip.AddrPort) *Entry {
 	c.t.Helper()
 	name := fmt.Sprintf("entry-%d", len(c.entries)+1)
 	ip := loopback.Host(c.t)
@@ -34,6 +43,7 @@
 	e.settings = &settingspb.EntrySettings{
 		Host:    hostSettings(name, name),
 		Keys:    keySettings(c.issue(keys.RoleEntry, name, "")),
+		Metrics: metricsSettings(ip),
 		Control: &settingspb.ControlPeers{Addresses: c.linksOr(control)},
 		Forwarding: &settingspb.Forwarding{
 			PublicIp:      ip.String(),
@@ -43,8 +53,6 @@
 	}
 	c.entries = append(c.entries, e)
 	e.Launch()
-	e.WaitReady()
-	e.Join()
 	return e
 }
 
