--- a/internal/repotest/pages_test.go
+++ b/internal/repotest/pages_test.go
@@ -182,3 +182,43 @@
 	}
 	return "no such heading"
 }
+
+var (
+	named     = regexp.MustCompile("`(?:([a-z]+)\\.)?((?:Test|Benchmark|Fuzz)[A-Z][A-Za-z0-9]*)`")
+	testNames = regexp.MustCompile(`(?m)^func ((?:Test|Benchmark|Fuzz)[A-Za-z0-9]+)\(`)
+)
+
+// TestNamedTestsExist looks for every test that a page names.
+func TestNamedTestsExist(t *testing.T) {
+	is := is.New(t)
+	have := map[string]bool{}
+	for _, pattern := range []string{"*/*_test.go", "internal/*/*_test.go"} {
+		files, err := filepath.Glob(filepath.Join(root, pattern))
+		is.NoErr(err)
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			is.NoErr(err)
+			for _, match := range testNames.FindAllStringSubmatch(string(text), -1) {
+				have[match[1]] = true
+				have[filepath.Base(filepath.Dir(file))+"."+match[1]] = true
+			}
+		}
+	}
+	for _, pattern := range []string{"*.md", "docs/*.md", "docs/design/*.md"} {
+		pages, err := filepath.Glob(filepath.Join(root, pattern))
+		is.NoErr(err)
+		for _, from := range pages {
+			text, err := os.ReadFile(from)
+			is.NoErr(err)
+			for _, match := range named.FindAllStringSubmatch(string(text), -1) {
+				name := match[2]
+				if match[1] != "" {
+					name = match[1] + "." + name
+				}
+				if !have[name] {
+					t.Errorf("%s names %s, which is no test", from, name)
+				}
+			}
+		}
+	}
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -118,7 +118,8 @@
 	// report is signalled when another version is acted on.
 	report chan struct{}
 
-	// mu guards the fields below and orders calls of OnView.
+	// mu guards the fields below and orders calls of OnView. It is taken before
+	// the lock of link.Client, never after.
 	mu          sync.Mutex
 	versions    versions
 	directory   directory
