--- a/internal/processtest/caller.go
+++ b/internal/processtest/caller.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +26,7 @@
 	HeaderTimeout = "Request-Timeout"
 	HeaderOutcome = "Request-Outcome"
 	HeaderReason  = "Request-Reason"
+	HeaderScope   = "Request-Scope"
 	HeaderTarget  = "Target"
 )
 
@@ -33,6 +35,9 @@
 	OutcomeAnswered = "answered"
 	OutcomeNotRun   = "not-run"
 	OutcomeUnknown  = "unknown"
+	// ScopeAttempt is the value of HeaderScope by which a not-run speaks of
+	// the attempt that it answers, not of earlier ones with its key.
+	ScopeAttempt = "attempt"
 )
 
 // keepAlive is shorter than the idle timeout of either end, so that only a
@@ -44,7 +49,10 @@
 type Caller struct {
 	t         testing.TB
 	service   string
+	ip        netip.Addr
 	transport *http3.Transport
+	// conn is the newest connection.
+	conn atomic.Pointer[quic.Conn]
 }
 
 // Answer is a whole answer.
@@ -75,12 +83,14 @@
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(c.ip, 0)))
 	c.must(err)
 	transport := &quic.Transport{Conn: conn}
-	caller := &Caller{t: c.t, service: name}
+	caller := &Caller{t: c.t, service: name, ip: c.ip}
 	caller.transport = &http3.Transport{
 		TLSClientConfig: &tls.Config{RootCAs: roots, ServerName: name},
 		QUICConfig:      &quic.Config{KeepAlivePeriod: keepAlive},
 		Dial: func(ctx context.Context, _ string, t *tls.Config, q *quic.Config) (*quic.Conn, error) {
-			return transport.Dial(ctx, net.UDPAddrFromAddrPort(s.Fabric.Addr()), t, q)
+			conn, err := transport.Dial(ctx, net.UDPAddrFromAddrPort(s.Fabric.Addr()), t, q)
+			caller.conn.Store(conn)
+			return conn, err
 		},
 	}
 	c.t.Cleanup(func() {
--- /dev/null
+++ b/internal/processtest/metrics.go
@@ -0,0 +1,73 @@
+package processtest
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+const (
+	metricPrefix   = "eelgrasswharf_"
+	residentMemory = "process_resident_memory_bytes"
+)
+
+// Metrics asks the metrics listener that the ready line names.
+func (p *Process) Metrics() string {
+	p.t.Helper()
+	resp, err := http.Get("http://" + p.log.field(readyMessage, "metrics") + "/metrics")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		p.t.Fatalf("metrics of %s: %s, %v", p.Name, resp.Status, err)
+	}
+	return string(text)
+}
+
+// Counted returns the sum of the counters whose name ends with the given one,
+// over all their tags.
+func (p *Process) Counted(name string) float64 {
+	p.t.Helper()
+	sum := 0.0
+	for line := range strings.Lines(p.Metrics()) {
+		series, value, _ := strings.Cut(strings.TrimSpace(line), " ")
+		series, _, _ = strings.Cut(series, "{")
+		if !strings.HasSuffix(series, name) {
+			continue
+		}
+		n, err := strconv.ParseFloat(value[strings.LastIndex(value, " ")+1:], 64)
+		if err != nil {
+			p.t.Fatalf("metrics of %s: %q: %v", p.Name, line, err)
+		}
+		sum += n
+	}
+	return sum
+}
+
+// reading returns one counter or gauge; with a reason, the one of that reason.
+// One that was never counted is 0. Figures are up to a second old.
+func (p *Process) reading(name, reason string) float64 {
+	p.t.Helper()
+	if name != residentMemory {
+		name = metricPrefix + name
+	}
+	if reason != "" {
+		name += fmt.Sprintf("{reason=%q}", reason)
+	}
+	for line := range strings.Lines(p.Metrics()) {
+		text, found := strings.CutPrefix(strings.TrimSpace(line), name+" ")
+		if !found {
+			continue
+		}
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			p.t.Fatalf("metrics of %s: %q: %v", p.Name, line, err)
+		}
+		return value
+	}
+	return 0
+}
