--- a/internal/repotest/pages_test.go
+++ b/internal/repotest/pages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"go/ast"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -222,3 +223,25 @@
 		}
 	}
 }
+
+var conflictMarker = regexp.MustCompile(`(?m)^(<{7} |={7}$|>{7} )`)
+
+// TestNoConflictMarkers looks for merges that were not finished. Go files show
+// theirs by not compiling.
+func TestNoConflictMarkers(t *testing.T) {
+	is := is.New(t)
+	looked := 0
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !slices.Contains([]string{".md", ".ini", ".proto", ".txt"}, filepath.Ext(path)) {
+			return err
+		}
+		looked++
+		text, err := os.ReadFile(path)
+		if conflictMarker.Match(text) {
+			t.Errorf("%s has a conflict marker", path)
+		}
+		return err
+	})
+	is.NoErr(err)
+	is.True(looked > 20) // found them
+}
