--- a/internal/cli/patch.go
+++ b/internal/cli/patch.go
@@ -30,19 +30,25 @@
 		Short: "Submit a patch against a version",
 		Long: `Submits the patch file against version N under an identifier that you choose.
 A section [service NAME] creates or replaces a service, a section [remove NAME]
-removes one:
+removes one, and [release IP:PORT] closes a public address that an earlier version
+retired; sessions that still use it end. Several sections take effect together.
 
   [service lodgement]
   addresses = 192.0.2.80:443
   slots = 4
 
+  [release 192.0.2.79:443]
+
+All keys stand in docs/SETTINGS.md. The first patch of a deployment has the base 0.
+
 The identifier is unique for ever. Submitting the same patch under the same
 identifier again never applies it twice and tells the first outcome.
 
 Exit status: 0 the patch became the next version; 3 it was refused; 4 it is not
 known which; 1 nothing was submitted.`,
-		Example: "  eelgrasswharf patch submit --base 7 --id add-itinerary change.ini " + operatorExample,
-		Args:    exactArgs(1),
+		Example: "  eelgrasswharf config check change.ini\n" +
+			"  eelgrasswharf patch submit --base 7 --id add-itinerary change.ini " + operatorExample,
+		Args: exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			patch, err := settings.LoadPatch(args[0])
 			if err != nil {
--- a/internal/cli/replica.go
+++ b/internal/cli/replica.go
@@ -11,14 +11,22 @@
 func newReplica() *cobra.Command {
 	return group("replica", "Add, promote and remove control hosts",
 		`Changes the members of the replicated logs, one at a time. A new control host
-starts with "join = true" in its settings, is added as a learner, catches up,
-and is promoted to a voter.`,
-		"  eelgrasswharf replica add 192.0.2.4:7100 "+operatorExample,
+starts with "join = true" in its settings and asks to be added as a learner, or is
+added by "replica add"; it catches up, and is promoted to a voter.
+
+A change is made in both replicated logs, which may have different leaders, so name
+all control hosts. Making it again is safe.
+
+Exit status: 0 the change is made in both logs; 1 it is not; 4 it is not known.`,
+		"  eelgrasswharf replica add 192.0.2.4:7100 "+operatorExample+
+			"\n  eelgrasswharf replica promote control-4 "+operatorExample+
+			"\n  eelgrasswharf replica remove control-1 "+operatorExample,
 		newReplicaAdd(),
 		newReplicaMember("promote NAME", "Give a learner that has caught up a vote",
 			"Gives the learner NAME a vote once it has caught up.", (*operator.Client).Promote),
 		newReplicaMember("remove NAME", "Take a control host out of both logs",
-			"Removes the control host NAME for good. Its data folder must not be used again.", (*operator.Client).Remove),
+			"Removes the control host NAME for good. Its data folder must not be used again.\n"+
+				"A name that a quorum knows of no member of is a failure.", (*operator.Client).Remove),
 	)
 }
 
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -35,7 +35,7 @@
 patches against a numbered version.
 
 Exit status: 0 success, 1 failure, 2 wrong usage, 3 refused, 4 outcome not
-known.`,
+known. The page docs/OPERATIONS.md leads through a deployment step by step.`,
 		Example: `  # Everything in one process, to look around
   eelgrasswharf dev
 
--- a/internal/repotest/pages_test.go
+++ b/internal/repotest/pages_test.go
@@ -19,6 +19,9 @@
 	"internal/faultproxy", "internal/loadgen", "internal/processtest",
 }
 
+// pagePatterns find the pages.
+var pagePatterns = []string{"*.md", "docs/*.md", "docs/design/*.md", "examples/*.md"}
+
 // metricKinds are the methods of a tally.Scope that make a metric.
 var metricKinds = []string{"Counter", "Gauge", "Timer", "Histogram"}
 
@@ -144,7 +147,7 @@
 func TestLinksLead(t *testing.T) {
 	is := is.New(t)
 	links := 0
-	for _, pattern := range []string{"*.md", "docs/*.md", "docs/design/*.md"} {
+	for _, pattern := range pagePatterns {
 		pages, err := filepath.Glob(filepath.Join(root, pattern))
 		is.NoErr(err)
 		for _, from := range pages {
@@ -205,7 +208,7 @@
 			}
 		}
 	}
-	for _, pattern := range []string{"*.md", "docs/*.md", "docs/design/*.md"} {
+	for _, pattern := range pagePatterns {
 		pages, err := filepath.Glob(filepath.Join(root, pattern))
 		is.NoErr(err)
 		for _, from := range pages {
