frame: say what the alternate is after a hop

Seen when following a datagram through the code: agentd reads the entry host of a handed-on first packet from Header.Alternate, and the package did not say so.

--- a/frame/doc.go
+++ b/frame/doc.go
@@ -9,7 +9,7 @@
 //	bytes 4-7    number of the service
 //	bytes 8-10   number of the target
 //	bytes 11-13  incarnation of the target
-//	bytes 14-19  alternate target: IPv4 address, port
+//	bytes 14-19  alternate target, or entry host after a hop: IPv4 address, port
 //	bytes 20-37  caller: IPv6 or IPv4-mapped address, port
 //	bytes 38-55  public address of the service: the same
 //	bytes 56-63  tag
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -93,7 +93,8 @@
 	// Public is the public address, as configured, that the caller uses.
 	Public netip.AddrPort
 	// Alternate is the frame address (IPv4) of the second candidate of a
-	// First frame, or zero.
+	// First frame, or zero. Once an agent has passed the frame on (Hops above
+	// 0) it is the entry host's, through which the next agent answers.
 	Alternate netip.AddrPort
 	// Target and Incarnation name the target: the chosen one on the way to
 	// it, the sender on the way back. At most MaxNumber.
