agentd: a body that the control hosts would drop is not sent to them

Cause: the agent recorded answers of up to 64 KB with their body, the grant state machine keeps 4 KB (grant.MaxBody) and drops longer ones after they went through the log of every control host.

TestLongAnswerIsRecordedWithoutItsBody holds a body of 4 KB and a byte to it; it failed before (the fake control host was sent the body).

--- a/internal/agentd/once_test.go
+++ b/internal/agentd/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/quic-go/quic-go/http3"
 
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+	"eelgrasswharf.example/eelgrasswharf/grant"
 )
 
 func TestResendGetsTheRecordedAnswer(t *testing.T) {
@@ -194,16 +196,24 @@
 }
 
 func TestLongAnswerIsRecordedWithoutItsBody(t *testing.T) {
-	is := is.New(t)
-	w, _, backend := oneAgent(t)
-	client := w.caller()
-	first := mustSend(t, client, "GET", w.url("/large?size=200000"), "", headerKey, "k1")
-	is.Equal(len(first.body), 200000)
-	eventually(t, "recorded", func() bool { return w.control.record("k1").GetAnswer().GetBodyOmitted() })
-	again := mustSend(t, client, "GET", w.url("/large?size=200000"), "", headerKey, "k1")
-	is.Equal(again.header.Get(headerOutcome), "unknown")
-	is.Equal(again.header.Get(headerReason), "answer-omitted")
-	is.Equal(backend.ran("k1"), 1)
+	// One that is read whole and is too long for the control hosts, and one
+	// that is too long to be read whole.
+	for _, size := range []int{grant.MaxBody + 1, 200000} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			is := is.New(t)
+			w, _, backend := oneAgent(t)
+			client := w.caller()
+			url := w.url(fmt.Sprintf("/large?size=%d", size))
+			first := mustSend(t, client, "GET", url, "", headerKey, "k1")
+			is.Equal(len(first.body), size)
+			eventually(t, "recorded", func() bool { return w.control.record("k1").GetAnswer().GetBodyOmitted() })
+			is.Equal(len(w.control.record("k1").GetAnswer().GetBody()), 0) // not sent for nothing
+			again := mustSend(t, client, "GET", url, "", headerKey, "k1")
+			is.Equal(again.header.Get(headerOutcome), "unknown")
+			is.Equal(again.header.Get(headerReason), "answer-omitted")
+			is.Equal(backend.ran("k1"), 1)
+		})
+	}
 }
 
 func TestAnsweredErrorsAreRecorded(t *testing.T) {
--- a/internal/agentd/proxy.go
+++ b/internal/agentd/proxy.go
@@ -11,6 +11,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/admission"
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+	"eelgrasswharf.example/eelgrasswharf/grant"
 	"eelgrasswharf.example/eelgrasswharf/health"
 	"eelgrasswharf.example/eelgrasswharf/reason"
 	"eelgrasswharf.example/eelgrasswharf/retry"
@@ -296,12 +297,19 @@
 	return scopeAttempt
 }
 
+// record is the answer as the control hosts keep it. A body that they would drop
+// is not sent to them: it would go through the log of each.
 func record(response *http.Response, body []byte) *grantpb.Answer {
-	return &grantpb.Answer{
+	answer := &grantpb.Answer{
 		Status:      uint32(response.StatusCode),
 		ContentType: response.Header.Get("Content-Type"),
-		Body:        body,
 	}
+	if len(body) > grant.MaxBody {
+		answer.BodyOmitted = true
+	} else {
+		answer.Body = body
+	}
+	return answer
 }
 
 // slot is a slot that one request holds.
