--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -21,21 +21,29 @@
 
 	cluster  *Cluster
 	ip       netip.Addr
-	metrics  metricsPage
 	settings *settingspb.EntrySettings
 }
 
 // StartEntry starts an entry host, waits until it is ready and adds it to the
 // fabric. Without control addresses it dials the control hosts directly.
 func (c *Cluster) StartEntry(control ...netip.AddrPort) *Entry {
+	c.t.Helper()
+	e := c.LaunchEntry(control...)
+	e.WaitReady()
+	e.Join()
+	return e
+}
+
+// LaunchEntry starts an entry host and does not wait for it.
+func (c *Cluster) LaunchEntry(control ...netip.AddrPort) *Entry {
 	c.t.Helper()
 	name := fmt.Sprintf("entry-%d", len(c.entries)+1)
 	ip := loopback.Host(c.t)
-	e := &Entry{cluster: c, Host: name, ip: ip, metrics: c.newMetricsPage(ip)}
+	e := &Entry{cluster: c, Host: name, ip: ip}
 	e.settings = &settingspb.EntrySettings{
 		Host:    hostSettings(name, name),
-		Metrics: e.metrics.settings(),
 		Keys:    keySettings(c.issue(keys.RoleEntry, name, "")),
+		Metrics: metricsSettings(ip),
 		Control: &settingspb.ControlPeers{Addresses: c.linksOr(control)},
 		Forwarding: &settingspb.Forwarding{
 			PublicIp:      ip.String(),
@@ -45,8 +53,6 @@
 	}
 	c.entries = append(c.entries, e)
 	e.Launch()
-	e.WaitReady()
-	e.Join()
 	return e
 }
 
@@ -79,12 +85,12 @@
 
 // Refused returns how many datagrams and frames the host refused for a reason.
 func (e *Entry) Refused(reason string) float64 {
-	return e.metrics.read("entry_refused", reason)
+	return e.reading("entry_refused", reason)
 }
 
 // Resident returns the memory of the process, in bytes.
 func (e *Entry) Resident() float64 {
-	return e.metrics.resident()
+	return e.reading(residentMemory, "")
 }
 
 // Public returns where the host opens the public address of the service.
--- a/internal/processtest/metrics.go
+++ b/internal/processtest/metrics.go
@@ -1,16 +1,11 @@
 package processtest
 
 import (
-	"bufio"
 	"fmt"
+	"io"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
-	"testing"
-
-	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
-	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
 )
 
 const (
@@ -18,54 +13,59 @@
 	residentMemory = "process_resident_memory_bytes"
 )
 
-// metricsPage is the /metrics page of one process. Its figures are up to a
-// second old.
-type metricsPage struct {
-	t    testing.TB
-	addr netip.AddrPort
-}
-
-func (c *Cluster) newMetricsPage(ip netip.Addr) metricsPage {
-	c.t.Helper()
-	return metricsPage{t: c.t, addr: loopback.Address(c.t, ip)}
-}
-
-func (m metricsPage) settings() *settingspb.Metrics {
-	return &settingspb.Metrics{Listen: m.addr.String()}
-}
-
-// read returns a counter or gauge; with a reason, the one of that reason. One
-// that was never counted is 0.
-func (m metricsPage) read(name, reason string) float64 {
-	m.t.Helper()
-	line := metricPrefix + name
-	if reason != "" {
-		line += fmt.Sprintf("{reason=%q}", reason)
+// Metrics asks the metrics listener that the ready line names.
+func (p *Process) Metrics() string {
+	p.t.Helper()
+	resp, err := http.Get("http://" + p.log.field(readyMessage, "metrics") + "/metrics")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		p.t.Fatalf("metrics of %s: %s, %v", p.Name, resp.Status, err)
 	}
-	return m.find(line)
+	return string(text)
 }
 
-func (m metricsPage) resident() float64 {
-	m.t.Helper()
-	return m.find(residentMemory)
+// Counted returns the sum of the counters whose name ends with the given one,
+// over all their tags.
+func (p *Process) Counted(name string) float64 {
+	p.t.Helper()
+	sum := 0.0
+	for line := range strings.Lines(p.Metrics()) {
+		series, value, _ := strings.Cut(strings.TrimSpace(line), " ")
+		series, _, _ = strings.Cut(series, "{")
+		if !strings.HasSuffix(series, name) {
+			continue
+		}
+		n, err := strconv.ParseFloat(value[strings.LastIndex(value, " ")+1:], 64)
+		if err != nil {
+			p.t.Fatalf("metrics of %s: %q: %v", p.Name, line, err)
+		}
+		sum += n
+	}
+	return sum
 }
 
-func (m metricsPage) find(name string) float64 {
-	m.t.Helper()
-	resp, err := http.Get("http://" + m.addr.String() + "/metrics")
-	if err != nil {
-		m.t.Fatal(err)
+// reading returns one counter or gauge; with a reason, the one of that reason.
+// One that was never counted is 0. Figures are up to a second old.
+func (p *Process) reading(name, reason string) float64 {
+	p.t.Helper()
+	if name != residentMemory {
+		name = metricPrefix + name
 	}
-	defer resp.Body.Close()
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		text, found := strings.CutPrefix(lines.Text(), name+" ")
+	if reason != "" {
+		name += fmt.Sprintf("{reason=%q}", reason)
+	}
+	for line := range strings.Lines(p.Metrics()) {
+		text, found := strings.CutPrefix(strings.TrimSpace(line), name+" ")
 		if !found {
 			continue
 		}
 		value, err := strconv.ParseFloat(text, 64)
 		if err != nil {
-			m.t.Fatalf("%s: %v", lines.Text(), err)
+			p.t.Fatalf("metrics of %s: %q: %v", p.Name, line, err)
 		}
 		return value
 	}
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -42,7 +42,6 @@
 	ip       netip.Addr
 	url      string
 	options  TargetOptions
-	metrics  metricsPage
 	settings *settingspb.AgentSettings
 }
 
@@ -83,6 +82,7 @@
 	t.settings = &settingspb.AgentSettings{
 		Host:    hostSettings(name, name),
 		Keys:    keySettings(c.issue(keys.RoleAgent, name, s.Name)),
+		Metrics: metricsSettings(t.ip),
 		Control: &settingspb.ControlPeers{Addresses: c.linksOr(options.Control)},
 		Agent: &settingspb.Agent{
 			AnnounceListen:    announce.String(),
@@ -117,8 +117,6 @@
 	c.t.Helper()
 	t.Frames = loopback.Address(c.t, t.ip)
 	t.settings.Agent.FrameListen = t.Frames.String()
-	t.metrics = c.newMetricsPage(t.ip)
-	t.settings.Metrics = t.metrics.settings()
 	if t.options.Relayed && t.Path == nil {
 		t.Path = c.newRelay(t.Frames)
 	}
@@ -183,12 +181,12 @@
 
 // Counted returns what the newest agent counted under a reason.
 func (t *Target) Counted(counter, reason string) float64 {
-	return t.metrics.read(counter, reason)
+	return t.Agent.reading(counter, reason)
 }
 
 // Resident returns the memory of the newest agent, in bytes.
 func (t *Target) Resident() float64 {
-	return t.metrics.resident()
+	return t.Agent.reading(residentMemory, "")
 }
 
 // Ready tells whether the backend server takes requests.
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -157,6 +157,18 @@
 // Len returns the number of targets held.
 func (d *Directory) Len() int { return len(d.byID) }
 
+// Damped returns the number of targets that are shown as ill because they
+// changed too often.
+func (d *Directory) Damped() int {
+	damped := 0
+	for _, t := range d.byID {
+		if t.flaps.damped {
+			damped++
+		}
+	}
+	return damped
+}
+
 // Settled reports whether the directory has listened for a whole lease, so
 // that a target that it does not hold has no lease. Before that its list says
 // which targets exist, not which do not.
@@ -288,9 +300,10 @@
 // publish makes the record held, as damped, part of the deltas.
 func (d *Directory) publish(now time.Duration, t *target) {
 	next := t.heard
-	if t.flaps.suppressed(now, &d.opts.Damping) && !next.GetIll() {
+	if t.flaps.suppressed(now, &d.opts.Damping) {
 		next = proto.CloneOf(next)
 		next.Ill = true
+		next.Damped = true
 	}
 	if t.published != nil && proto.Equal(t.published, next) {
 		return
--- a/routing/table.go
+++ b/routing/table.go
@@ -76,6 +76,8 @@
 		// The agent's own word is newer than the directory.
 		ill = report.Ill
 	}
+	// The agent of a target that flaps says that it is well each time.
+	ill = ill || t.Damped
 	made := b.candidate(t, c, ill)
 	switch {
 	case t.Draining || report.Draining:
--- a/test/deployment_test.go
+++ b/test/deployment_test.go
@@ -32,6 +32,7 @@
 // deployWith is deploy with options for all targets.
 func deployWith(t *testing.T, controls int, options processtest.TargetOptions) *deployment {
 	t.Helper()
+	t.Parallel() // each deployment has its own addresses
 	d := &deployment{Cluster: processtest.New(t)}
 	d.controls = d.StartControls(controls)
 	d.lodgement = d.NewService("lodgement")
