routing: the load of a report counts for one second, its flags for five

Cause: load figures ride on replies, so a target that went idle after a busy moment is held to that moment at every entry host until its report is stale, after 5 s. Ruled out: reports sent by agents when their load falls (an agent hears of 2,000 entry hosts and would have to tell them all); fading towards the average (the average then holds the old figure). Change: a load older than MaxLoadAge (1 s) counts as the average of those that are not. TestIdleTargetIsNotHeldToItsLastLoad failed before.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -131,22 +131,18 @@
 // cost weighs load against risk, see the package's comment.
 func (t *Table) cost(c *candidate, now time.Duration) uint32 {
 	risk := c.risk
-	load := t.average
-	if report, known := c.cell.fresh(now); known {
-		load = uint32(report.Load)
-		if report.Ill {
-			risk = maxRisk
-		}
+	if report, known := c.cell.fresh(now); known && report.Ill {
+		risk = maxRisk
 	}
-	load = min(load, maxLoad)
+	load := min(t.load(c, now), maxLoad)
 	unanswered := min(c.cell.unanswered.Load(), maxUnanswered)
 	return t.policy.loadWeight*load + t.policy.brokenWeight*risk + weightScale*unanswered
 }
 
 // load returns the reported load, or the average.
 func (t *Table) load(c *candidate, now time.Duration) uint32 {
-	if report, known := c.cell.fresh(now); known {
-		return uint32(report.Load)
+	if load, known := c.cell.freshLoad(now); known {
+		return load
 	}
 	return t.average
 }
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -200,6 +200,26 @@
 	is.Equal(choice.Reason, routing.Equal)
 }
 
+// TestIdleTargetIsNotHeldToItsLastLoad has one target answer all the time. The
+// other one's last report was of a busy moment, and nothing tells of its end.
+func TestIdleTargetIsNotHeldToItsLastLoad(t *testing.T) {
+	is := is.New(t)
+	list := targets(2)
+	loads := routing.NewLoads(nil, list)
+	loads.Learn(1, 1, routing.Report{Load: 250}, start)
+	later := start + 1100*time.Millisecond
+	loads.Learn(2, 1, routing.Report{}, later)
+	counts := map[uint32]int{}
+	table := routing.NewTable(nil, service, list, loads, later)
+	for _, hash := range hashes(100) {
+		choice, ok := table.Choose(hash, later)
+		is.True(ok)
+		counts[choice.Target.Number]++
+		loads.Learn(2, 1, routing.Report{}, later)
+	}
+	is.True(counts[1] > 0)
+}
+
 func TestBurstBetweenReportsSpreads(t *testing.T) {
 	is := is.New(t)
 	table, loads := build(nil, targets(2))
--- a/routing/loads.go
+++ b/routing/loads.go
@@ -5,9 +5,14 @@
 	"time"
 )
 
-// MaxReportAge is the age from which a report is stale: its load counts as
-// the average and its flags are ignored.
-const MaxReportAge = 5 * time.Second
+const (
+	// MaxReportAge is the age from which the flags of a report are ignored.
+	MaxReportAge = 5 * time.Second
+	// MaxLoadAge is the age from which the load of a report counts as the
+	// average. It is shorter: load figures ride on replies, so a target that
+	// went idle after a busy moment has nothing to tell it by.
+	MaxLoadAge = time.Second
+)
 
 // Report is what a reply frame says of its sender.
 type Report struct {
@@ -115,13 +120,23 @@
 	}
 }
 
-func (c *cell) fresh(now time.Duration) (Report, bool) {
+// freshLoad returns the load of the last report, per mille, unless it is too
+// old to tell.
+func (c *cell) freshLoad(now time.Duration) (uint32, bool) {
 	packed := c.report.Load()
-	if packed&packedKnown == 0 {
-		return Report{}, false
+	if packed&packedKnown == 0 || ageOf(packed, now) > MaxLoadAge {
+		return 0, false
 	}
-	age := now - time.Duration(packed>>timeShift)*time.Millisecond
-	if age > MaxReportAge {
+	return uint32(packed & loadMask), true
+}
+
+func ageOf(packed uint64, now time.Duration) time.Duration {
+	return now - time.Duration(packed>>timeShift)*time.Millisecond
+}
+
+func (c *cell) fresh(now time.Duration) (Report, bool) {
+	packed := c.report.Load()
+	if packed&packedKnown == 0 || ageOf(packed, now) > MaxReportAge {
 		return Report{}, false
 	}
 	return Report{
--- a/routing/table.go
+++ b/routing/table.go
@@ -133,8 +133,8 @@
 	var sum, known uint64
 	for i := range t.candidates {
 		c := &t.candidates[i]
-		if report, ok := c.cell.fresh(now); ok {
-			sum += uint64(report.Load)
+		if load, ok := c.cell.freshLoad(now); ok {
+			sum += uint64(load)
 			known++
 		}
 	}
