--- /dev/null
+++ b/test/burst_test.go
@@ -0,0 +1,67 @@
+package test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// TestBurstsOfNewTargets adds targets in bursts while others drain. Sessions
+// stay where they began; every new target takes flows.
+func TestBurstsOfNewTargets(t *testing.T) {
+	is := is.New(t)
+	const bursts, size = 2, 4
+	d := deploy(t, 1)
+	load := d.startLoad(t)
+	caller := d.lodgement.NewCaller()
+	began := caller.Echo("before").Target
+	var draining *processtest.Target
+	for burst := range bursts {
+		var added []*processtest.Target
+		for i := range size {
+			added = append(added, d.lodgement.LaunchTarget(fmt.Sprintf("burst-%d-%d", burst, i), processtest.TargetOptions{}))
+		}
+		if draining != nil {
+			draining.Backend.Terminate()
+		}
+		for _, target := range added {
+			target.WaitRegistered()
+		}
+		for _, target := range added {
+			d.callerOf(t, target)
+		}
+		load.progress()
+		is.Equal(caller.Echo("after a burst").Target, began)
+		draining = added[0]
+	}
+	load.stop()
+}
+
+// TestNewFlowsSpread counts where short flows go among six targets. Ramp and
+// load are nearly equal, so no target may get far more than its share.
+func TestNewFlowsSpread(t *testing.T) {
+	is := is.New(t)
+	const flows, most = 180, 3 // most: times the mean
+	d := deploy(t, 1)
+	d.InForce(d.Patch(d.lodgement.Put()+"ramp_ms = 1\n"), d.entryNames()...)
+	for _, name := range []string{"c", "d", "e", "f"} {
+		d.targets[d.lodgement] = append(d.targets[d.lodgement], d.lodgement.LaunchTarget(name, processtest.TargetOptions{}))
+	}
+	targets := d.targets[d.lodgement]
+	for _, target := range targets {
+		target.WaitRegistered()
+		d.callerOf(t, target)
+	}
+	took := make(map[string]int)
+	for i := range flows {
+		took[d.lodgement.NewCaller().Echo(fmt.Sprint(i)).Target]++
+	}
+	t.Logf("flows by target: %v", took)
+	is.Equal(len(took), len(targets))
+	for _, n := range took {
+		is.True(n <= most*flows/len(targets))
+	}
+}
