--- a/internal/controld/backend.go
+++ b/internal/controld/backend.go
@@ -82,6 +82,7 @@
 		Version:      current.GetVersion(),
 		VersionPatch: patch,
 		Targets:      b.directory.count(),
+		Damped:       b.directory.damped(),
 	}
 	for _, group := range groups {
 		s.Groups = append(s.Groups, groupStatus(group, b.replicas[group].Status()))
@@ -155,7 +156,15 @@
 		member := &raftpb.Member{Id: info.GetId(), Address: address, Learner: true}
 		first = firstError(first, r.AddLearner(ctx, member))
 	}
-	return first
+	return notEverywhere(first)
+}
+
+// notEverywhere marks a change that could not be made in each group.
+func notEverywhere(err error) error {
+	if errors.Is(err, operator.ErrNotDone) {
+		return errors.Wrap(operator.ErrNotEverywhere, err.Error())
+	}
+	return err
 }
 
 // firstError keeps the first error of a change that is made in each group. The
@@ -222,11 +231,12 @@
 // because it lags behind or has not joined yet, can't tell that one is absent:
 // the change is not made there.
 func (b *backend) eachMember(ctx context.Context, ref operator.MemberRef, f func(*replica.Replica, *raftpb.Member) error) error {
-	found := false
+	found, confirmed := false, true
 	var first error
 	for _, group := range groups {
 		r := b.replicas[group]
 		if err := r.ReadBarrier(ctx); err != nil {
+			confirmed = false
 			first = firstError(first, errors.Wrapf(replica.ErrMembership, "members of %s: %v", folders[group], err))
 			continue
 		}
@@ -241,8 +251,11 @@
 		found = true
 		first = firstError(first, f(r, matches[0]))
 	}
-	if !found && first == nil {
-		return errors.Wrapf(operator.ErrNotDone, "no member is named %q", ref.Name)
+	switch {
+	case found:
+		return notEverywhere(first)
+	case confirmed:
+		return errors.Wrapf(operator.ErrNotFound, "no member is named %q", ref.Name)
 	}
 	return first
 }
--- a/internal/controld/directory.go
+++ b/internal/controld/directory.go
@@ -108,6 +108,12 @@
 	return d.dir.Len()
 }
 
+func (d *directory) damped() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dir.Damped()
+}
+
 // follower is how far one subscriber has followed the directory.
 type follower struct {
 	epoch    uint64
@@ -118,7 +124,8 @@
 	whole bool
 }
 
-// next returns what the follower has to be sent, or nil.
+// next returns what the follower has to be sent, or nil. Changes outside of
+// its scope are passed over.
 func (d *directory) next(f *follower) *controlpb.DirectoryUpdate {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -126,7 +133,12 @@
 	if !f.whole && f.epoch == d.dir.Epoch() && d.dir.Settled(now) {
 		return d.dir.Full(now, f.scope)
 	}
-	return d.dir.Update(now, f.epoch, f.sequence, f.scope)
+	u := d.dir.Update(now, f.epoch, f.sequence, f.scope)
+	if u == nil || u.GetFull() || u.GetEpoch() != f.epoch || len(u.GetPut())+len(u.GetRemoved()) > 0 {
+		return u
+	}
+	f.sequence = u.GetSequence()
+	return nil
 }
 
 // sent notes that the follower was sent an update.
--- a/internal/controld/follow_test.go
+++ b/internal/controld/follow_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 )
 
 // wides is the number of address sets that wide takes turns with.
@@ -106,6 +108,39 @@
 	return d.start(name, d.stop(name).data, false)
 }
 
+// TestScopedSubscriberFollowsVersions changes one service for a subscriber of
+// another one: it gets each version number and nothing of the service.
+func TestScopedSubscriberFollowsVersions(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, "c1")
+	d.startAll("c1")
+	ops := d.operator("c1")
+	d.accept(ops, patch("p1", 0, put("lodgement", "192.0.2.1:443"), put("certificates", "192.0.2.2:443")))
+	c := d.link(keys.RoleAgent, "a1", "certificates", "c1")
+	req := &controlpb.Subscribe{Services: []uint32{2}, ScopedConfig: true}
+	w := d.subscribe(c, req)
+	first := w.awaitVersion(1)
+	is.Equal(len(first.GetSnapshot().GetServices()), 1)
+	is.Equal(first.GetSnapshot().GetServices()[0].GetName(), "certificates")
+
+	d.accept(ops, patch("p2", 1, put("lodgement", "192.0.2.3:443")))
+	u := w.awaitVersion(2)
+	is.Equal(u.GetBaseVersion(), uint64(1))
+	is.Equal(len(u.GetPut())+len(u.GetRetired()), 0)
+	// One that reports nothing is cut off after a time.
+	report := func(version uint64) { is.NoErr(w.stream.Send(&controlpb.Heartbeat{Version: version})) }
+	report(2)
+	eventually(t, "the version in force in the status", func() bool {
+		s := d.status("c1")
+		return len(s.Laggards) == 0 && s.Subscribers[0].Version == 2
+	})
+	d.accept(ops, patch("p3", 2, put("certificates", "192.0.2.4:443")))
+	is.Equal(len(w.awaitVersion(3).GetPut()), 1)
+	report(3)
+	d.accept(ops, patch("p4", 3, &configpb.Operation{Body: &configpb.Operation_RemoveService{RemoveService: "certificates"}}))
+	is.Equal(w.awaitVersion(4).GetRemoved(), []string{"certificates"})
+}
+
 func TestRestartedHostRemovesNoTargets(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t, "c1")
@@ -180,7 +215,7 @@
 	eventually(t, "the version on c2", func() bool { return d.status("c2").Version == 1 })
 	d.accept(d.operator("c2"), patch("p2", 1, put("certificates", "192.0.2.2:443")))
 	_, err = ops.Remove(testContext(t), memberRef("c9"))
-	is.True(err != nil)
+	is.True(errors.Is(err, operator.ErrNotFound))
 	_, err = ops.AddLearner(testContext(t), "nowhere")
 	is.True(err != nil)
 }
--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -27,6 +27,15 @@
 // StartEntry starts an entry host, waits until it is ready and adds it to the
 // fabric. Without control addresses it dials the control hosts directly.
 func (c *Cluster) StartEntry(control ...netip.AddrPort) *Entry {
+	c.t.Helper()
+	e := c.LaunchEntry(control...)
+	e.WaitReady()
+	e.Join()
+	return e
+}
+
+// LaunchEntry starts an entry host and does not wait for it.
+func (c *Cluster) LaunchEntry(control ...netip.AddrPort) *Entry {
 	c.t.Helper()
 	name := fmt.Sprintf("entry-%d", len(c.entries)+1)
 	ip := loopback.Host(c.t)
@@ -34,6 +43,7 @@
 	e.settings = &settingspb.EntrySettings{
 		Host:    hostSettings(name, name),
 		Keys:    keySettings(c.issue(keys.RoleEntry, name, "")),
+		Metrics: metricsSettings(ip),
 		Control: &settingspb.ControlPeers{Addresses: c.linksOr(control)},
 		Forwarding: &settingspb.Forwarding{
 			PublicIp:      ip.String(),
@@ -43,8 +53,6 @@
 	}
 	c.entries = append(c.entries, e)
 	e.Launch()
-	e.WaitReady()
-	e.Join()
 	return e
 }
 
@@ -70,6 +78,21 @@
 	}
 }
 
+// Frames returns where the host takes reply frames of agents.
+func (e *Entry) Frames() netip.AddrPort {
+	return netip.MustParseAddrPort(e.settings.Forwarding.FrameListen)
+}
+
+// Refused returns how many datagrams and frames the host refused for a reason.
+func (e *Entry) Refused(reason string) float64 {
+	return e.reading("entry_refused", reason)
+}
+
+// Resident returns the memory of the process, in bytes.
+func (e *Entry) Resident() float64 {
+	return e.reading(residentMemory, "")
+}
+
 // Public returns where the host opens the public address of the service.
 func (e *Entry) Public(s *Service) netip.AddrPort {
 	return netip.AddrPortFrom(e.ip, s.Address.Port())
--- a/internal/processtest/process.go
+++ b/internal/processtest/process.go
@@ -108,12 +108,18 @@
 // success.
 func (p *Process) WaitExit() {
 	p.t.Helper()
-	Eventually(p.t, p.Name+" ends", func() bool { return !p.Running() })
-	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+	if code := p.WaitEnd(); code != 0 {
 		p.t.Fatalf("%s: exit code %d", p.Name, code)
 	}
 }
 
+// WaitEnd waits until the process ends by itself and returns its exit code.
+func (p *Process) WaitEnd() int {
+	p.t.Helper()
+	Eventually(p.t, p.Name+" ends", func() bool { return !p.Running() })
+	return p.cmd.ProcessState.ExitCode()
+}
+
 // signal sends a signal to a process that has not ended.
 func (p *Process) signal(s os.Signal) {
 	if p.Running() {
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -89,6 +89,17 @@
 		want:   routing.Only,
 		target: 1,
 	},
+	{
+		name:   "the directory's damping outweighs the agent's word",
+		policy: &configpb.Policy{PanicPercent: 51},
+		change: func(list []routing.Target) {
+			list[0].Ill = true
+			list[0].Damped = true
+		},
+		learn:  map[uint32]routing.Report{1: {Ill: false}},
+		want:   routing.Only,
+		target: 2,
+	},
 }
 
 func TestReasons(t *testing.T) {
@@ -189,6 +200,26 @@
 	is.Equal(choice.Reason, routing.Equal)
 }
 
+// TestIdleTargetIsNotHeldToItsLastLoad has one target answer all the time. The
+// other one's last report was of a busy moment, and nothing tells of its end.
+func TestIdleTargetIsNotHeldToItsLastLoad(t *testing.T) {
+	is := is.New(t)
+	list := targets(2)
+	loads := routing.NewLoads(nil, list)
+	loads.Learn(1, 1, routing.Report{Load: 250}, start)
+	later := start + 1100*time.Millisecond
+	loads.Learn(2, 1, routing.Report{}, later)
+	counts := map[uint32]int{}
+	table := routing.NewTable(nil, service, list, loads, later)
+	for _, hash := range hashes(100) {
+		choice, ok := table.Choose(hash, later)
+		is.True(ok)
+		counts[choice.Target.Number]++
+		loads.Learn(2, 1, routing.Report{}, later)
+	}
+	is.True(counts[1] > 0)
+}
+
 func TestBurstBetweenReportsSpreads(t *testing.T) {
 	is := is.New(t)
 	table, loads := build(nil, targets(2))
--- a/routing/table.go
+++ b/routing/table.go
@@ -76,6 +76,8 @@
 		// The agent's own word is newer than the directory.
 		ill = report.Ill
 	}
+	// The agent of a target that flaps says that it is well each time.
+	ill = ill || t.Damped
 	made := b.candidate(t, c, ill)
 	switch {
 	case t.Draining || report.Draining:
@@ -131,8 +133,8 @@
 	var sum, known uint64
 	for i := range t.candidates {
 		c := &t.candidates[i]
-		if report, ok := c.cell.fresh(now); ok {
-			sum += uint64(report.Load)
+		if load, ok := c.cell.freshLoad(now); ok {
+			sum += uint64(load)
 			known++
 		}
 	}
