agentd: a request that is given up gets its answer at once, its right is released behind it

Cause: proxy.giveBack waited for the Release of the grant before it told the caller not-run, up to 1 s when no quorum answered. TestShedRequestIsToldAtOnce failed before: with the wait set to a minute the answer came after 61 s; now it comes while the release hangs, after the 1 s of its queue. Ruled out: a shorter wait (still a hold). The price: a caller that comes back within the told 100 ms may meet its own former attempt and gets 'unknown' (held); nothing runs twice.

--- a/internal/agentd/once.go
+++ b/internal/agentd/once.go
@@ -22,6 +22,9 @@
 	maxGrantBackoff = time.Second
 	// grantComeBack is told to callers when no grant could be had.
 	grantComeBack = time.Second
+	// releaseComeBack is the least that is told to callers whose right is
+	// being released.
+	releaseComeBack = 100 * time.Millisecond
 	// heldComeBack is told to callers whose key another attempt holds.
 	heldComeBack = time.Second
 )
@@ -125,16 +128,7 @@
 // long it goes on in the background: the request ran, whether the record
 // succeeds or not.
 func (o *once) complete(r *right, answer *grantpb.Answer) {
-	o.settle(r.complete(answer))
-}
-
-// release gives the right back, before the caller is told, so that a caller
-// that comes back at once does not meet its own former attempt.
-func (o *once) release(r *right) {
-	o.settle(r.release())
-}
-
-func (o *once) settle(command *grantpb.Command) {
+	command := r.complete(answer)
 	ctx, cancel := context.WithTimeout(o.ctx, o.timing.completeWait)
 	defer cancel()
 	if _, _, err := o.repeat(ctx, command); err != nil {
@@ -142,6 +136,13 @@
 	}
 }
 
+// release gives the right back in the background: the caller is told at once.
+// One that comes back before releaseComeBack may meet its own former attempt
+// and is then told that the outcome is unknown; nothing runs twice.
+func (o *once) release(r *right) {
+	o.finish(r.release())
+}
+
 // finish repeats a command in the background for a bounded time.
 func (o *once) finish(command *grantpb.Command) {
 	if o.finishing.Add(1) > maxFinishes {
--- a/internal/agentd/proxy.go
+++ b/internal/agentd/proxy.go
@@ -123,8 +123,8 @@
 func (p *proxy) run(w http.ResponseWriter, c *call, view backendView, r *right) {
 	verdict := p.gate.enter(c.ctx, c.remaining())
 	if verdict.Action != admission.Run {
-		p.giveBack(r)
-		p.refuse(w, refusal{outcome: retry.NotRun, reason: verdict.Reason, comeBack: verdict.ComeBack})
+		comeBack := max(verdict.ComeBack, p.giveBack(r))
+		p.refuse(w, refusal{outcome: retry.NotRun, reason: verdict.Reason, comeBack: comeBack})
 		return
 	}
 	slot := &slot{gate: p.gate, began: time.Now()}
@@ -249,21 +249,24 @@
 
 // refuseResult tells the caller of a request that got no answer.
 func (p *proxy) refuseResult(w http.ResponseWriter, c *call, res result, r *right) {
+	comeBack := max(res.comeBack, p.gate.figures().comeBack)
 	if res.outcome == retry.NotRun {
-		p.giveBack(r)
+		comeBack = max(comeBack, p.giveBack(r))
 	}
-	comeBack := max(res.comeBack, p.gate.figures().comeBack)
 	if res.reason == reason.BackendUnreachable {
 		comeBack = max(comeBack, backendComeBack)
 	}
 	p.refuse(w, refusal{outcome: res.outcome, reason: res.reason, comeBack: comeBack})
 }
 
-// giveBack releases the right of a request that provably did not run.
-func (p *proxy) giveBack(r *right) {
-	if r != nil {
-		p.once.release(r)
+// giveBack releases the right of a request that provably did not run. It
+// returns the least time to come back, in which the release should be done.
+func (p *proxy) giveBack(r *right) time.Duration {
+	if r == nil {
+		return 0
 	}
+	p.once.release(r)
+	return releaseComeBack
 }
 
 // replay answers with the recorded answer of an earlier attempt.
--- a/internal/agentd/slot_test.go
+++ b/internal/agentd/slot_test.go
@@ -5,8 +5,46 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 )
 
+// A request that is shed gets its answer while the release of its right is
+// still under way.
+func TestShedRequestIsToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	backend := newFakeBackend(t)
+	timing := testTiming()
+	timing.completeWait = time.Minute // longer than the test waits
+	a := w.startAgentWith("t1", backend.server.URL, timing, func(s *settingspb.Agent) { s.QueueMs = 1000 })
+	w.entry.choose(a.FrameAddr(), "")
+	client := w.caller()
+	const slots = 4
+	held := make(chan answer, slots)
+	for range slots {
+		go func() {
+			got, _ := send(client, "POST", w.url("/hold"), "")
+			held <- got
+		}()
+	}
+	eventually(t, "slots taken", func() bool { return backend.running.Load() == slots })
+	shed := make(chan answer, 1)
+	go func() {
+		got, _ := send(client, "POST", w.url("/run"), "", headerKey, "k1")
+		shed <- got
+	}()
+	eventually(t, "right granted", func() bool { return w.control.record("k1") != nil })
+	w.control.set(controlDeaf)
+	is.Equal((<-shed).header.Get(headerOutcome), "not-run")
+	eventually(t, "release", func() bool { return w.control.record("k1") == nil })
+	w.control.set(controlWell)
+	close(backend.hold)
+	for range slots {
+		is.Equal((<-held).body, "held")
+	}
+}
+
 // The backend server is done when its answer is whole: its slot serves the next
 // request while the answer is recorded.
 func TestSlotIsFreeWhileTheAnswerIsRecorded(t *testing.T) {
