link, operator: datagrams and connections that cannot be served are counted by reason

What quic-go dropped on the link of a control host was counted nowhere, and failed TLS handshakes on the operators' address wrote a log line each, which any stranger could repeat.

The link's socket is wrapped: quic-go reads batches through ReadBatch when there is one, so that batches, GSO and ECN stay as they are; the wrapper looks at the invariant header, counts link_server_refused_datagrams by reason and empties the datagram. Ruled out: the Tracer of quic.Transport, which tells of no datagram without the fixed bit and of none that is answered with a stateless reset. A short-header packet of no connection passes still: it may be of a former one.

Plain HTTP listeners (metrics, announcements) answer noise with 400, which the process test now demands.

--- a/internal/link/counters.go
+++ b/internal/link/counters.go
@@ -11,6 +11,7 @@
 	tagReason = "reason"
 
 	metricRefusedConnections = "link_server_refused_connections"
+	metricRefusedDatagrams   = "link_server_refused_datagrams"
 	metricRefusedRequests    = "link_server_refused_requests"
 	metricFailedSends        = "link_server_failed_sends"
 	metricDialFailures       = "link_client_dial_failures"
--- a/internal/link/fault_test.go
+++ b/internal/link/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/binary"
 	"math/rand/v2"
 	"net"
 	"testing"
@@ -184,7 +185,7 @@
 func TestGarbageDatagrams(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t)
-	s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), newFakeHandler(), ServerOptions{})
+	s, serverScope := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), newFakeHandler(), ServerOptions{})
 	c, scope := startClient(t, d.credentials(keys.RoleEntry, "e1"), quick(), s.Addr().String())
 	sub, err := c.Subscribe(limited(t), &controlpb.Subscribe{})
 	is.NoErr(err)
@@ -204,6 +205,44 @@
 	is.NoErr(err)
 	is.Equal(s.Connections(), 1)
 	is.Equal(count(scope, metricLostConnections, reasonSilent), int64(0))
+	for why := noFault + 1; why < datagramFaultCount; why++ {
+		if why == faultServerPacket || why == faultShortFirst {
+			continue // noise all but never has a known version
+		}
+		eventually(t, why.String()+" is counted", func() bool {
+			return count(serverScope, metricRefusedDatagrams, why.String()) > 0
+		})
+	}
+}
+
+// Datagrams that a server may not drop, and those that it drops by reason.
+func TestCheckDatagram(t *testing.T) {
+	is := is.New(t)
+	long := func(first byte, version uint32, length int) []byte {
+		b := binary.BigEndian.AppendUint32([]byte{first}, version)
+		b = append(b, 8, 1, 2, 3, 4, 5, 6, 7, 8, 0)
+		return append(b, make([]byte, length-len(b))...)
+	}
+	for _, tt := range []struct {
+		datagram []byte
+		want     datagramFault
+	}{
+		{long(0xc0, 1, 1200), noFault},
+		{long(0xd0, 0x6b3343cf, 1200), noFault},
+		{long(0xe0, 1, 100), noFault}, // a handshake packet may be short
+		{append([]byte{0x40}, make([]byte, serverIDLength)...), noFault},
+		{nil, faultTruncated},
+		{append([]byte{0x40}, make([]byte, serverIDLength-1)...), faultTruncated},
+		{long(0xc0, 1, 1200)[:12], faultTruncated},
+		{append([]byte{0x00}, make([]byte, serverIDLength)...), faultNotQUIC},
+		{long(0x80, 1, 1200), faultNotQUIC},
+		{long(0xc0, 7, 1200), faultVersion},
+		{long(0xc0, 0, 1200), faultServerPacket},
+		{long(0xf0, 1, 1200), faultServerPacket},
+		{long(0xc0, 1, 1199), faultShortFirst},
+	} {
+		is.Equal(checkDatagram(tt.datagram).String(), tt.want.String())
+	}
 }
 
 func TestSilentPathIsRedialled(t *testing.T) {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -181,7 +181,7 @@
 func (s *Server) listen() error {
 	resetKey := quic.StatelessResetKey(s.creds.StatelessResetKey())
 	s.transport = &quic.Transport{
-		Conn:               s.socket,
+		Conn:               newFilter(s.socket, s.opts.Scope),
 		ConnectionIDLength: serverIDLength,
 		StatelessResetKey:  &resetKey,
 		ConnContext:        s.beginHandshake,
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"strconv"
@@ -54,7 +55,7 @@
 		ReadTimeout:       ioTimeout,
 		WriteTimeout:      ioTimeout,
 		IdleTimeout:       idleTimeout,
-		ErrorLog:          zap.NewStdLog(log),
+		ErrorLog:          stdlog.New(newServerErrors(s.scope, log), "", 0),
 	}
 	s.wg.Go(func() { _ = s.http.Serve(s.listener) })
 	return s, nil
--- a/internal/processtest/garbage.go
+++ b/internal/processtest/garbage.go
@@ -1,6 +1,8 @@
 package processtest
 
 import (
+	"bytes"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -11,16 +13,25 @@
 	garbageMaxBytes    = 1400
 )
 
+// badRequest starts the answer of a listener for plain HTTP to noise.
+var badRequest = []byte("HTTP/1.1 400 ")
+
 // Garbage sends random datagrams to every UDP listener of the deployment that
-// a stranger can reach, and random bytes to its TCP listeners.
+// a stranger can reach, and random bytes to its TCP listeners. Those for plain
+// HTTP have to answer with an error; the others can only count.
 func (c *Cluster) Garbage(targets ...*Target) {
 	c.t.Helper()
 	random := c.newRand()
 	for _, addr := range c.udpListeners(targets) {
 		c.garbageUDP(random, addr)
 	}
-	for _, addr := range c.tcpListeners(targets) {
-		c.garbageTCP(random, addr)
+	for _, host := range c.controls {
+		c.garbageTCP(random, host.Operator)
+	}
+	for _, addr := range c.plainListeners(targets) {
+		if answer := c.garbageTCP(random, addr); !bytes.HasPrefix(answer, badRequest) {
+			c.t.Fatalf("noise to %v was answered with %q, not with an error", addr, answer)
+		}
 	}
 }
 
@@ -41,13 +52,17 @@
 	return all
 }
 
-func (c *Cluster) tcpListeners(targets []*Target) []netip.AddrPort {
+// plainListeners are the listeners for plain HTTP.
+func (c *Cluster) plainListeners(targets []*Target) []netip.AddrPort {
 	var all []netip.AddrPort
 	for _, host := range c.controls {
-		all = append(all, host.Operator)
+		all = append(all, host.metricsAddress())
+	}
+	for _, e := range c.entries {
+		all = append(all, e.metricsAddress())
 	}
 	for _, t := range targets {
-		all = append(all, netip.MustParseAddrPort(t.settings.Agent.AnnounceListen))
+		all = append(all, t.Agent.metricsAddress(), netip.MustParseAddrPort(t.settings.Agent.AnnounceListen))
 	}
 	return all
 }
@@ -62,12 +77,19 @@
 	}
 }
 
-func (c *Cluster) garbageTCP(random *rand.Rand, addr netip.AddrPort) {
+// garbageTCP sends noise over a connection and returns what comes back before
+// it ends.
+func (c *Cluster) garbageTCP(random *rand.Rand, addr netip.AddrPort) []byte {
 	conn, err := net.DialTCP("tcp", nil, net.TCPAddrFromAddrPort(addr))
 	c.must(err)
 	defer conn.Close()
-	_, err = conn.Write(noise(random))
+	_, err = conn.Write(append(noise(random), "\r\n\r\n"...))
 	c.must(err)
+	c.must(conn.CloseWrite())
+	// A listener may close without reading all of it, which resets the
+	// connection.
+	answer, _ := io.ReadAll(conn)
+	return answer
 }
 
 func noise(random *rand.Rand) []byte {
--- a/internal/processtest/metrics.go
+++ b/internal/processtest/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 )
@@ -16,7 +17,7 @@
 // Metrics asks the metrics listener that the ready line names.
 func (p *Process) Metrics() string {
 	p.t.Helper()
-	resp, err := http.Get("http://" + p.log.field(readyMessage, "metrics") + "/metrics")
+	resp, err := http.Get("http://" + p.metricsAddress().String() + "/metrics")
 	if err != nil {
 		p.t.Fatal(err)
 	}
@@ -28,6 +29,11 @@
 	return string(text)
 }
 
+// metricsAddress is the metrics listener that the ready line names.
+func (p *Process) metricsAddress() netip.AddrPort {
+	return netip.MustParseAddrPort(p.log.field(readyMessage, "metrics"))
+}
+
 // Counted returns the sum of the counters whose name ends with the given one,
 // over all their tags.
 func (p *Process) Counted(name string) float64 {
