settings: faults of form in a patch file no longer hide faults of content

Cause: config check and patch submit stopped at the findings of form; what config says of the services (no slots, a ramp too long, a shared address, a bad name) came with the next try only. Now one try shows all, ordered by line. A finding of content on a key names the line of that key as file:line: section.key; on a key that is missing, the line of the section. A field whose key has a fault of form is not judged: it would only be told twice, or wrongly.

patch submit of a file without faults of form sends it as before: what content is worth is decided by the control hosts, on the version they have.

Ruled out: sending the lines of keys along in Patch.places: the control hosts' findings name the section and the field, which is enough, and the schema stays.

Changed tests: TestPatchFindings expects one finding more (the slots that its unknown key "slot" leaves out); TestConfigCheckOfAPatch expects the line and name of the key in place of the section's line.

--- a/config/retired.go
+++ b/config/retired.go
@@ -47,7 +47,7 @@
 		delete(d.retired, address)
 	}
 	if len(d.retired) > MaxRetired {
-		d.find("patch", "the configuration would keep more than %d retired addresses; release some", MaxRetired)
+		d.find(PatchPlace, "the configuration would keep more than %d retired addresses; release some", MaxRetired)
 	}
 }
 
--- a/config/shared.go
+++ b/config/shared.go
@@ -14,7 +14,7 @@
 // may pass from one service to another within a patch.
 func (d *draft) checkShared() {
 	if len(d.services) > MaxServices {
-		d.find("patch", "the configuration would have more than %d services", MaxServices)
+		d.find(PatchPlace, "the configuration would have more than %d services", MaxServices)
 	}
 	owner := map[netip.AddrPort]string{}
 	for _, name := range d.checkOrder() {
@@ -65,5 +65,5 @@
 		return d.findings
 	}
 	cut := slices.Clip(d.findings[:MaxFindings])
-	return append(cut, &configpb.Finding{Place: "patch", Text: fmt.Sprintf("%d further findings", left)})
+	return append(cut, &configpb.Finding{Place: PatchPlace, Text: fmt.Sprintf("%d further findings", left)})
 }
--- a/config/validate.go
+++ b/config/validate.go
@@ -8,6 +8,9 @@
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 )
 
+// PatchPlace is the place of a finding on a patch as a whole.
+const PatchPlace = "patch"
+
 // Validate lists every finding of a patch against cfg, each with its place.
 // It does not look at the base version.
 func Validate(cfg *configpb.Configuration, patch *configpb.Patch) []*configpb.Finding {
@@ -75,6 +78,12 @@
 	if places := d.patch.GetPlaces(); i < len(places) && places[i] != "" {
 		where = places[i]
 	}
+	return Place(where, name, field)
+}
+
+// Place is the place of a finding on a service, or a field of it, that an
+// operation puts. The operation stands at where; name and field may be empty.
+func Place(where, name, field string) string {
 	if name != "" {
 		where += fmt.Sprintf(", service %q", name)
 	}
@@ -85,7 +94,7 @@
 }
 
 func (d *draft) checkPatch() {
-	const place = "patch"
+	const place = PatchPlace
 	id := d.patch.GetId()
 	if id == "" {
 		d.find(place, "the identifier is empty")
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -10,17 +10,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
-	"eelgrasswharf.example/eelgrasswharf/config"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 	"eelgrasswharf.example/eelgrasswharf/internal/settings"
 )
 
-const (
-	// rolePatch names patch files, which no daemon reads.
-	rolePatch = "patch"
-	// checkedPatchID stands for the identifier that the operator will choose.
-	checkedPatchID = "config-check"
-)
+// rolePatch names patch files, which no daemon reads.
+const rolePatch = "patch"
 
 func newConfig() *cobra.Command {
 	return group("config", "Settings files and the configuration in force",
@@ -74,7 +69,7 @@
 
 func checkFile(path string, role settings.Role, files bool) (settings.Role, error) {
 	if role == rolePatch {
-		return role, checkPatch(path)
+		return role, settings.CheckPatch(path)
 	}
 	if role == "" {
 		guessed, err := settings.GuessRole(path)
@@ -93,36 +88,6 @@
 	return role, settings.Check(path, m)
 }
 
-// checkPatch checks a patch as the control hosts would, were it the first.
-func checkPatch(path string) error {
-	patch, err := settings.LoadPatch(path)
-	if err != nil {
-		return err
-	}
-	patch.Id = checkedPatchID
-	if keepPuts(patch); len(patch.GetOperations()) == 0 {
-		return nil
-	}
-	if found := config.Validate(&configpb.Configuration{}, patch); len(found) > 0 {
-		return settings.Findings(found)
-	}
-	return nil
-}
-
-// keepPuts leaves out what is good or bad only on a certain version: removals
-// of services and releases of addresses.
-func keepPuts(patch *configpb.Patch) {
-	var operations []*configpb.Operation
-	var places []string
-	for i, op := range patch.GetOperations() {
-		if op.GetPutService() != nil {
-			operations = append(operations, op)
-			places = append(places, patch.GetPlaces()[i])
-		}
-	}
-	patch.Operations, patch.Places = operations, places
-}
-
 // checkReport is the JSON form of config check.
 type checkReport struct {
 	Role     settings.Role `json:"role"`
--- a/internal/cli/examples_test.go
+++ b/internal/cli/examples_test.go
@@ -96,8 +96,7 @@
 	bad := write(t, "[service lodgement]\naddresses = 192.0.2.80:443\nslots = 4\nimbalance_weight = -1\n")
 	got := run(t, "config", "check", bad)
 	is.Equal(got.status, cli.ExitFailure)
-	is.True(strings.Contains(got.stdout, bad+":1"))
-	is.True(strings.Contains(got.stdout, "imbalance_weight"))
+	is.True(strings.Contains(got.stdout, bad+":4: service lodgement.imbalance_weight: "))
 }
 
 func TestExperimentUsage(t *testing.T) {
--- a/internal/settings/finding.go
+++ b/internal/settings/finding.go
@@ -29,7 +29,9 @@
 
 type lineFinding struct {
 	line int
-	text string
+	// place is empty if the line says it all.
+	place string
+	text  string
 }
 
 func (c *collector) add(line int, format string, args ...any) {
@@ -48,7 +50,11 @@
 	slices.SortStableFunc(c.found, func(a, b lineFinding) int { return a.line - b.line })
 	out := make(Findings, 0, len(c.found))
 	for _, f := range c.found {
-		out = append(out, &configpb.Finding{Place: c.place(f.line), Text: f.text})
+		place := f.place
+		if place == "" {
+			place = c.place(f.line)
+		}
+		out = append(out, &configpb.Finding{Place: place, Text: f.text})
 	}
 	return out
 }
--- a/internal/settings/patch.go
+++ b/internal/settings/patch.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
 )
 
 // Sections of a patch file.
@@ -18,6 +19,9 @@
 	releasePrefix = "release"
 )
 
+// checkedPatchID stands for the identifier that the operator will choose.
+const checkedPatchID = "config-check"
+
 var operationPrefixes = []string{putPrefix, removePrefix, releasePrefix}
 
 // hiddenFields are fields of a service that the section name or the control
@@ -28,8 +32,10 @@
 // [service NAME] creates or replaces a service; its keys are the fields of
 // the service and of its policy. A section [remove NAME] removes one, and
 // [release IP:PORT] closes a retired public address. Id and base version are
-// left for the caller. The error is Findings, or what kept
-// the file from being read.
+// left for the caller. The error is Findings, or what kept the file from being
+// read. A file with a fault of form is checked for its content, too, as
+// CheckPatch does, so that one try shows all faults; content alone is left to
+// the control hosts, who know the version.
 func LoadPatch(path string) (*configpb.Patch, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -38,6 +44,19 @@
 	return ParsePatch(path, text)
 }
 
+// CheckPatch checks a patch file in form, and in content as the control hosts
+// would, were it the first patch. Removals and releases are checked in form
+// only, since they are good or bad on a certain version.
+func CheckPatch(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read patch")
+	}
+	p := parsePatch(path, text)
+	p.checkContent()
+	return p.err()
+}
+
 // IsPatch tells whether a file is a patch file by its first section.
 func IsPatch(path string) bool {
 	text, err := os.ReadFile(path)
@@ -55,87 +74,153 @@
 // ParsePatch is LoadPatch for the text of a file; name stands for the file
 // in places and findings.
 func ParsePatch(name string, text []byte) (*configpb.Patch, error) {
-	c := &collector{file: name}
-	patch := &configpb.Patch{}
-	sections := parseFile(text, c)
+	p := parsePatch(name, text)
+	if len(p.found) == 0 {
+		return p.patch, nil
+	}
+	p.checkContent()
+	return nil, p.err()
+}
+
+// patchFile is a patch file as far as its form could be understood.
+type patchFile struct {
+	collector
+	patch *configpb.Patch
+	// lines has the line of each operation.
+	lines []int
+	// keys has the key of each field that a section sets, by the place that
+	// config gives the field.
+	keys map[string]patchKey
+}
+
+// patchKey is a key of a patch file that sets a field.
+type patchKey struct {
+	// at is "section.key".
+	at   string
+	line int
+	// faulty is set for a fault of form: there is no value to judge.
+	faulty bool
+}
+
+func parsePatch(name string, text []byte) *patchFile {
+	p := &patchFile{collector: collector{file: name}, patch: &configpb.Patch{}, keys: map[string]patchKey{}}
+	sections := parseFile(text, &p.collector)
 	for _, s := range sections {
-		op := parseOperation(s, c)
+		op := p.parseOperation(s)
 		if op == nil {
 			continue
 		}
-		patch.Operations = append(patch.Operations, op)
-		patch.Places = append(patch.Places, c.place(s.line))
+		p.patch.Operations = append(p.patch.Operations, op)
+		p.patch.Places = append(p.patch.Places, p.place(s.line))
+		p.lines = append(p.lines, s.line)
 	}
-	if len(sections) == 0 && len(c.found) == 0 {
-		c.add(1, "the patch has no operation: none of [service NAME], [remove NAME], [release IP:PORT]")
+	if len(sections) == 0 && len(p.found) == 0 {
+		p.add(1, "the patch has no operation: none of [service NAME], [remove NAME], [release IP:PORT]")
 	}
-	if err := c.err(); err != nil {
-		return nil, err
+	return p
+}
+
+// checkContent adds what config finds in the services that the patch puts.
+func (p *patchFile) checkContent() {
+	puts := &configpb.Patch{Id: checkedPatchID}
+	lines := map[string]int{config.PatchPlace: 1}
+	for i, op := range p.patch.GetOperations() {
+		if op.GetPutService() == nil {
+			continue
+		}
+		place := p.patch.GetPlaces()[i]
+		puts.Operations = append(puts.Operations, op)
+		puts.Places = append(puts.Places, place)
+		lines[place] = p.lines[i]
+	}
+	if len(puts.GetOperations()) == 0 {
+		return
+	}
+	for _, f := range config.Validate(&configpb.Configuration{}, puts) {
+		k, set := p.keys[f.GetPlace()]
+		switch {
+		case k.faulty:
+		case set:
+			p.add(k.line, "%s: %s", k.at, f.GetText())
+		default:
+			operation, _, _ := strings.Cut(f.GetPlace(), ", service ")
+			p.found = append(p.found, lineFinding{line: lines[operation], place: f.GetPlace(), text: f.GetText()})
+		}
 	}
-	return patch, nil
 }
 
-func parseOperation(s section, c *collector) *configpb.Operation {
+func (p *patchFile) parseOperation(s section) *configpb.Operation {
 	kind, name, _ := strings.Cut(s.name, " ")
 	name = strings.TrimSpace(name)
 	if !slices.Contains(operationPrefixes, kind) {
-		c.add(s.line, "%s: unknown section, known are [service NAME], [remove NAME] and [release IP:PORT]%s", s.name, hint(kind, operationPrefixes))
+		p.add(s.line, "%s: unknown section, known are [service NAME], [remove NAME] and [release IP:PORT]%s", s.name, hint(kind, operationPrefixes))
 		return nil
 	}
 	if kind == releasePrefix {
-		return parseRelease(s, name, c)
+		return p.parseRelease(s, name)
 	}
 	if name == "" {
-		c.add(s.line, "%s: the section names no service", s.name)
+		p.add(s.line, "%s: the section names no service", s.name)
 		return nil
 	}
 	if fault := checkName(name); fault != "" {
-		c.add(s.line, "%s: %q %s", s.name, name, fault)
+		p.add(s.line, "%s: %q %s", s.name, name, fault)
 		return nil
 	}
 	if kind == removePrefix {
-		return parseRemove(s, name, c)
+		return p.parseRemove(s, name)
 	}
-	return parsePut(s, name, c)
+	return p.parsePut(s, name)
 }
 
-func parseRemove(s section, name string, c *collector) *configpb.Operation {
+func (p *patchFile) parseRemove(s section, name string) *configpb.Operation {
 	for _, k := range s.keys {
-		c.add(k.line, "%s.%s: a section that removes has no keys", s.name, k.name)
+		p.add(k.line, "%s.%s: a section that removes has no keys", s.name, k.name)
 	}
 	return &configpb.Operation{Body: &configpb.Operation_RemoveService{RemoveService: name}}
 }
 
-func parseRelease(s section, address string, c *collector) *configpb.Operation {
+func (p *patchFile) parseRelease(s section, address string) *configpb.Operation {
 	for _, k := range s.keys {
-		c.add(k.line, "%s.%s: a section that releases has no keys", s.name, k.name)
+		p.add(k.line, "%s.%s: a section that releases has no keys", s.name, k.name)
 	}
 	if fault := checkDialAddress(address); fault != "" {
-		c.add(s.line, "%s: %q %s", s.name, address, fault)
+		p.add(s.line, "%s: %q %s", s.name, address, fault)
 		return nil
 	}
 	return &configpb.Operation{Body: &configpb.Operation_ReleaseAddress{ReleaseAddress: address}}
 }
 
-func parsePut(s section, name string, c *collector) *configpb.Operation {
+func (p *patchFile) parsePut(s section, name string) *configpb.Operation {
 	service := &configpb.Service{Name: name, Policy: &configpb.Policy{}}
 	known := serviceKeys(service)
 	for _, k := range s.keys {
 		at := s.name + "." + k.name
 		m, field := serviceField(service, protoreflect.Name(k.name))
 		if field == nil {
-			c.add(k.line, "%s: unknown key%s", at, hint(k.name, known))
+			p.add(k.line, "%s: unknown key%s", at, hint(k.name, known))
 			continue
 		}
+		before := len(p.found)
 		if err := set(m, field, k.value); err != nil {
-			c.add(k.line, "%s: %v", at, err)
-			continue
+			p.add(k.line, "%s: %v", at, err)
+		} else {
+			p.checkServiceKey(at, k, service)
 		}
-		checkServiceKey(at, k, service, c)
+		place := config.Place(p.place(s.line), name, fieldPath(m, k.name))
+		p.keys[place] = patchKey{at: at, line: k.line, faulty: len(p.found) > before}
 	}
 	return &configpb.Operation{Body: &configpb.Operation_PutService{PutService: service}}
 }
 
+// fieldPath names a field of a service or its policy as config does.
+func fieldPath(m protoreflect.Message, key string) string {
+	if _, ok := m.Interface().(*configpb.Policy); ok {
+		return "policy." + key
+	}
+	return key
+}
+
 // serviceField finds a key among the fields of a service and its policy.
 func serviceField(s *configpb.Service, name protoreflect.Name) (protoreflect.Message, protoreflect.FieldDescriptor) {
 	if hiddenFields[name] {
@@ -159,15 +244,15 @@
 	return keys
 }
 
-// checkServiceKey checks only what needs the line of a key; the control host
-// validates the operation as a whole.
-func checkServiceKey(at string, k key, s *configpb.Service, c *collector) {
+// checkServiceKey checks only what needs the line of a key; config validates
+// the operation as a whole.
+func (p *patchFile) checkServiceKey(at string, k key, s *configpb.Service) {
 	if k.name != "addresses" {
 		return
 	}
 	for _, addr := range s.GetAddresses() {
 		if fault := checkDialAddress(addr); fault != "" {
-			c.add(k.line, "%s: %q %s", at, addr, fault)
+			p.add(k.line, "%s: %q %s", at, addr, fault)
 		}
 	}
 }
--- a/internal/settings/patch_test.go
+++ b/internal/settings/patch_test.go
@@ -1,6 +1,8 @@
 package settings_test
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/matryer/is"
@@ -34,6 +36,7 @@
 		"[release 192.0.2.9]\n"
 	_, err := settings.ParsePatch("p.ini", []byte(text))
 	is.Equal(findings(t, err), []string{
+		`p.ini:1, service "lodgement", slots: a target needs at least one slot`,
 		`p.ini:2: service lodgement.number: unknown key`,
 		`p.ini:3: service lodgement.slot: unknown key; did you mean "slots"?`,
 		`p.ini:4: service lodgement.addresses: "192.0.2.1" is not an address of the form ip:port`,
@@ -45,6 +48,39 @@
 	})
 }
 
+// Faults of form keep no fault of content back, and a field without a value
+// that could be judged is not judged.
+func TestPatchFindingsOfFormAndContent(t *testing.T) {
+	is := is.New(t)
+	text := "[service lodgement]\naddresses = 192.0.2.1:443\nslot = 4\nramp_ms = 99999999\n" +
+		"[service certificates]\naddresses = 192.0.2.1:443\nslots = many\nimbalance_weight = none\n" +
+		"[service Itinerary]\naddresses = 192.0.2.3\nslots = 4\n" +
+		"[remove old]\n"
+	want := []string{
+		`p.ini:1, service "lodgement", slots: a target needs at least one slot`,
+		`p.ini:3: service lodgement.slot: unknown key; did you mean "slots"?`,
+		`p.ini:4: service lodgement.ramp_ms: the ramp is at most 3600000 ms`,
+		`p.ini:6: service certificates.addresses: "192.0.2.1:443": the address belongs to service "lodgement"`,
+		`p.ini:7: service certificates.slots: "many" is not a whole number from 0 to 4294967295`,
+		`p.ini:8: service certificates.imbalance_weight: "none" is not a number`,
+		`p.ini:9, service "Itinerary", name: the name has bytes other than a-z, 0-9 and '-'`,
+		`p.ini:10: service Itinerary.addresses: "192.0.2.3" is not an address of the form ip:port`,
+	}
+	_, err := settings.ParsePatch("p.ini", []byte(text))
+	is.Equal(findings(t, err), want)
+
+	path := filepath.Join(t.TempDir(), "p.ini")
+	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	checked := findings(t, settings.CheckPatch(path))
+	is.Equal(len(checked), len(want))
+
+	// Content alone is left to the control hosts, but for a check.
+	is.NoErr(os.WriteFile(path, []byte("[service lodgement]\naddresses = 192.0.2.1:443\n[remove old]\n"), 0o600))
+	_, err = settings.LoadPatch(path)
+	is.NoErr(err)
+	is.Equal(findings(t, settings.CheckPatch(path)), []string{path + `:1, service "lodgement", slots: a target needs at least one slot`})
+}
+
 func TestEmptyPatch(t *testing.T) {
 	is := is.New(t)
 	_, err := settings.ParsePatch("p.ini", []byte("# nothing\n"))
