entryd: a first packet that finds no target is refused at once

Cause: an entry host that knew of no target dropped the packet and counted it; the caller went on asking until its own handshake timeout (5 s with quic-go's defaults).

It does so only while its view is current: its subscription is open and the control host's list is a full one, which subscriber.View now tells (DirectoryWhole). Otherwise it stays silent, so that the caller's next packet may reach an entry host that knows better.

Ruled out (docs/design/0010): a 503 by an agent of another service (a packet of one service would reach another; the certificate does not fit), a 503 by the entry host (all services' keys), a stateless reset (not valid for an Initial packet); draining and ill targets are used as the last resort already.

loadgen tells callers so refused (not-run/refused) from those that hear nothing (not-run/dial).

--- a/internal/entryd/counters.go
+++ b/internal/entryd/counters.go
@@ -22,6 +22,11 @@
 	first   [routing.ReasonCount]tally.Counter
 	refused [refusalCount]tally.Counter
 
+	// refusalsSent counts callers that were told that their service has no
+	// target, refusalsOverBudget those that were not because of the budget.
+	refusalsSent       tally.Counter
+	refusalsOverBudget tally.Counter
+
 	// Failures of system calls.
 	readFailed     tally.Counter
 	toAgentFailed  tally.Counter
@@ -39,9 +44,12 @@
 
 func newCounters(scope tally.Scope) *counters {
 	c := &counters{
-		forwarded:      scope.Counter("datagrams_forwarded"),
-		replied:        scope.Counter("datagrams_replied"),
-		reports:        scope.Counter("load_reports"),
+		forwarded:          scope.Counter("datagrams_forwarded"),
+		replied:            scope.Counter("datagrams_replied"),
+		reports:            scope.Counter("load_reports"),
+		refusalsSent:       scope.Counter("connections_refused"),
+		refusalsOverBudget: scope.Counter("connections_refused_over_budget"),
+
 		readFailed:     scope.Counter("read_failed"),
 		toAgentFailed:  scope.Counter("send_to_agent_failed"),
 		toCallerFailed: scope.Counter("send_to_caller_failed"),
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -120,7 +120,7 @@
 }
 
 func (d *Daemon) onView(v *subscriber.View) {
-	d.forwarder.Apply(&View{Config: v.Config, Targets: v.Targets})
+	d.forwarder.Apply(&View{Config: v.Config, Targets: v.Targets, Current: v.Connected && v.DirectoryWhole})
 }
 
 func (d *Daemon) replaceSecrets() {
--- a/internal/entryd/decide.go
+++ b/internal/entryd/decide.go
@@ -39,6 +39,8 @@
 type service struct {
 	number uint32
 	table  *routing.Table
+	// refuses tells whether a caller may be told that there is no target.
+	refuses bool
 }
 
 // decision tells what becomes of a datagram of a caller.
--- a/internal/entryd/forwarder.go
+++ b/internal/entryd/forwarder.go
@@ -51,6 +51,7 @@
 	// refusedOpen holds the last error of each address that can't be opened.
 	refusedOpen map[netip.AddrPort]string
 
+	refuser      *refuser
 	frameConns   []*net.UDPConn
 	frameAddr    netip.AddrPort
 	frameWorkers conc.WaitGroup
@@ -84,6 +85,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "frame address")
 	}
+	f.refuser, err = newRefuser(f.counters, o.Refusals)
+	if err != nil {
+		closeAll(f.frameConns)
+		return nil, err
+	}
 	return f, nil
 }
 
@@ -192,6 +198,7 @@
 // Close releases the sockets of a forwarder whose Run is never called.
 func (f *Forwarder) Close() {
 	closeAll(f.frameConns)
+	f.refuser.stop()
 }
 
 func (f *Forwarder) closeAll() {
@@ -201,6 +208,7 @@
 	}
 	closeAll(f.frameConns)
 	f.frameWorkers.Wait()
+	f.refuser.stop()
 }
 
 func (f *Forwarder) now() time.Duration {
@@ -267,7 +275,7 @@
 func (f *Forwarder) service(built map[*servicePolicy]*service, policy *servicePolicy, now time.Duration) *service {
 	s := built[policy]
 	if s == nil {
-		s = &service{number: policy.number, table: f.directory.table(policy, now)}
+		s = &service{number: policy.number, table: f.directory.table(policy, now), refuses: f.view.Current}
 		built[policy] = s
 	}
 	return s
--- a/internal/entryd/options.go
+++ b/internal/entryd/options.go
@@ -36,6 +36,10 @@
 type View struct {
 	Config  *configpb.Configuration
 	Targets []*controlpb.TargetRecord
+	// Current tells that Targets are all that the control hosts know of now.
+	// Without it a service may have targets that this host does not know of,
+	// and other entry hosts may.
+	Current bool
 }
 
 // Options of a Forwarder.
@@ -53,6 +57,9 @@
 	Workers int
 	// Secrets for connection IDs and frames; the first one encodes.
 	Secrets []connid.Secret
+	// Refusals is how many callers a second are told that their service has no
+	// target. Default 1000.
+	Refusals int
 	// Refresh is the time between two rebuilds of the tables. Default 1 s.
 	Refresh time.Duration
 	// Pause is the least time between two views that are applied. Default
@@ -106,6 +113,9 @@
 	if o.Workers <= 0 {
 		o.Workers = defaultWorkers
 	}
+	if o.Refusals <= 0 {
+		o.Refusals = defaultRefusals
+	}
 	if o.Refresh <= 0 {
 		o.Refresh = defaultRefresh
 	}
--- a/internal/entryd/worker.go
+++ b/internal/entryd/worker.go
@@ -7,7 +7,9 @@
 
 	"github.com/go-faster/errors"
 
+	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
+	"eelgrasswharf.example/eelgrasswharf/quicheader"
 	"eelgrasswharf.example/eelgrasswharf/routing"
 )
 
@@ -54,6 +56,7 @@
 	to, refused := w.frame(n, caller)
 	if refused != accepted {
 		w.f.counters.refused[refused].Inc(1)
+		w.tell(refused, n, caller)
 		return
 	}
 	if _, err := w.out.WriteToUDPAddrPort(w.buf[:frame.HeaderLength+n], to); err != nil {
@@ -61,6 +64,19 @@
 	}
 }
 
+// tell answers a first packet for which there is no target, so that the caller
+// need not wait for its own deadline. All else that is refused gets no answer.
+func (w *publicWorker) tell(refused refusal, n int, caller netip.AddrPort) {
+	if refused != noTarget || !w.l.service.Load().refuses {
+		return
+	}
+	datagram := w.buf[frame.HeaderLength : frame.HeaderLength+n]
+	if packet, _ := quicheader.Parse(datagram, connid.Length); packet.Type != quicheader.Initial {
+		return
+	}
+	w.f.refuser.offer(datagram, caller, w.l.conns[0], w.f.now())
+}
+
 // frame decides on the datagram and puts the header before it.
 func (w *publicWorker) frame(n int, caller netip.AddrPort) (netip.AddrPort, refusal) {
 	if n > maxDatagram {
--- a/internal/loadgen/outcome.go
+++ b/internal/loadgen/outcome.go
@@ -28,6 +28,7 @@
 // Reasons that the caller itself finds. Others come from Request-Reason.
 const (
 	reasonDial         = "dial"
+	reasonRefused      = "refused"
 	reasonCertificate  = "certificate"
 	reasonGoAway       = "goaway"
 	reasonLost         = "connection-lost"
@@ -77,7 +78,10 @@
 // was sent.
 func dialOutcome(ctx context.Context, err error) outcome {
 	var wrongName x509.HostnameError
+	var fault *quic.TransportError
 	switch {
+	case errors.As(err, &fault) && fault.Remote && fault.ErrorCode == quic.ConnectionRefused:
+		return notRun(reasonRefused)
 	case errors.As(err, &wrongName):
 		return notRun(reasonCertificate)
 	case ctx.Err() != nil:
--- a/internal/loadgen/reject_test.go
+++ b/internal/loadgen/reject_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
@@ -57,6 +58,23 @@
 	return listener.Addr().String()
 }
 
+// A caller whose connection is refused knows that nothing was run, and that it
+// was told so.
+func TestRefusedConnection(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	listener, err := quic.ListenAddr("127.0.0.1:0", &tls.Config{}, &quic.Config{
+		GetConfigForClient: func(*quic.ClientInfo) (*quic.Config, error) { return nil, errors.New("none") },
+	})
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	report := run(t, loadgen.Options{
+		Addresses: []string{listener.Addr().String()}, Roots: a.roots, Rate: 20, NonRepeatable: 1, Attempts: 1, RequestsPerFlow: 1,
+	})
+	is.Equal(report.Outcomes, map[string]int{"not-run/refused": report.Requests})
+	is.Equal(report.BrokenFlows, 0)
+}
+
 func refuse(conn *quic.Conn, how refusal) {
 	stream, err := conn.AcceptStream(context.Background())
 	if err != nil {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -299,12 +299,13 @@
 }
 
 func (s *Subscriber) takeDirectory(u *controlpb.DirectoryUpdate, now time.Time) bool {
+	whole := s.directory.whole
 	res := s.directory.apply(u, now)
 	s.counters.olderRecords.Inc(int64(res.older))
 	if res.repeated {
 		s.counters.repeatedUpdates.Inc(1)
 	}
-	return res.changed
+	return res.changed || whole != s.directory.whole
 }
 
 // noteVersion remembers since when the control host is behind.
@@ -332,10 +333,11 @@
 func (s *Subscriber) publish() {
 	old := s.view.Load()
 	v := &View{
-		Config:    s.versions.acted,
-		Targets:   s.directory.records,
-		Connected: s.connected,
-		heardAt:   s.directory.heardAt,
+		Config:         s.versions.acted,
+		Targets:        s.directory.records,
+		Connected:      s.connected,
+		DirectoryWhole: s.directory.whole,
+		heardAt:        s.directory.heardAt,
 	}
 	s.view.Store(v)
 	s.counters.observe(v)
--- a/internal/subscriber/view.go
+++ b/internal/subscriber/view.go
@@ -16,6 +16,10 @@
 	// Connected tells whether a subscription is open. Without one the view is
 	// the last one known.
 	Connected bool
+	// DirectoryWhole tells whether a full list of targets has been received
+	// from the control host, so that a target that is not in Targets is not
+	// known to it either.
+	DirectoryWhole bool
 
 	// heardAt is when each record of Targets was received.
 	heardAt []time.Time
--- /dev/null
+++ b/test/refusal_test.go
@@ -0,0 +1,87 @@
+package test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// TestCallerWithoutTargetIsToldAtOnce opens flows to a service that has no
+// target yet, and to one that loses all of its targets. The callers are told by
+// the entry hosts, and not by their own timeout; flows of the other service go
+// on, and a first target serves new callers.
+func TestCallerWithoutTargetIsToldAtOnce(t *testing.T) {
+	t.Parallel()
+	d := &deployment{Cluster: processtest.New(t)}
+	d.controls = d.StartControls(1)
+	d.lodgement = d.NewService("lodgement")
+	d.certificates = d.NewService("certificates")
+	d.Patch(d.lodgement.Put(), d.certificates.Put())
+	d.entries = append(d.entries, d.StartEntry(), d.StartEntry())
+	d.certificates.StartTarget("a")
+	watch := d.certificates.NewCaller().Watch()
+
+	expectRefusals(t, d.lodgement) // no target yet
+	first := d.lodgement.StartTarget("a")
+	checkEcho(t, d.lodgement, servedCaller(t, d.lodgement), "the first target")
+
+	first.Agent.Kill()
+	first.Backend.Kill()
+	expectRefusals(t, d.lodgement) // its lease has ended
+	watch.Advance()
+
+	d.lodgement.StartTarget("b")
+	checkEcho(t, d.lodgement, servedCaller(t, d.lodgement), "served again")
+	watch.Advance()
+	processtest.Eventually(t, "refusals are counted", func() bool {
+		sent, noTarget := 0.0, 0.0
+		for _, e := range d.entries {
+			sent += e.Counted("entry_connections_refused")
+			noTarget += e.Refused("no_target")
+		}
+		return sent > 0 && noTarget >= sent
+	})
+}
+
+// expectRefusals waits until a caller is refused. Entry hosts stay silent while
+// they are not sure: while a control host that has just started still collects
+// the targets, and until a lost lease ends. From then on no caller is left to
+// its own timeout.
+func expectRefusals(t *testing.T, s *processtest.Service) {
+	t.Helper()
+	processtest.Eventually(t, "callers are refused", func() bool { return isRefused(firstRequest(s)) })
+	for range 4 {
+		if err := firstRequest(s); !isRefused(err) {
+			t.Fatalf("a caller of a service without target was told %v", err)
+		}
+	}
+}
+
+// firstRequest opens a flow for one request.
+func firstRequest(s *processtest.Service) error {
+	_, err := s.NewCaller().Do(context.Background(), http.MethodGet, "/echo?text=x", nil, nil)
+	return err
+}
+
+func isRefused(err error) bool {
+	var fault *quic.TransportError
+	return errors.As(err, &fault) && fault.Remote && fault.ErrorCode == quic.ConnectionRefused
+}
+
+// servedCaller waits until entry hosts know of a target and returns a caller
+// that it serves.
+func servedCaller(t *testing.T, s *processtest.Service) *processtest.Caller {
+	t.Helper()
+	var caller *processtest.Caller
+	processtest.Eventually(t, "callers are served", func() bool {
+		caller = s.NewCaller()
+		_, err := caller.Do(context.Background(), http.MethodGet, "/echo?text=x", nil, nil)
+		return err == nil
+	})
+	return caller
+}
