agentd: a resend that nobody can ask about is unknown, not "not run"; a known loss of quorum is told at once

Cause: without a quorum the agent answered a request with an idempotency key by `not-run` with `Request-Scope: attempt`, although an earlier attempt may have run; the same for what is refused before the question is asked. And each such request waited up to 2 s, also when the agent had long known that nobody answers.

Now the outcome is `unknown` with Retry-After; the scope header is gone. A not-run of a key always rests on the grant. `retry.Breaker` opens after 2 s of failing calls (or without a link), tells all callers at once and lets one call through each half second.

TestLostGrantIsGivenBack waits until the agent has heard the control hosts again. loadgen comes back with its key where an unknown answer asks for it, so the experiment now tries resends as well.

Run: go test ./retry ./reason ./internal/agentd ./internal/loadgen ./internal/repotest: ok.

--- a/internal/agentd/answer.go
+++ b/internal/agentd/answer.go
@@ -19,7 +19,19 @@
 	outcome  retry.Outcome
 	reason   reason.Code
 	comeBack time.Duration
-	scope    string
+	// unasked is set when a request has an idempotency key and the control
+	// hosts did not tell whether an earlier attempt ran. The caller may send
+	// it again with its key.
+	unasked bool
+}
+
+// beforeAsking is the refusal of a request before the control hosts were asked
+// about its key: without one it was not run, with one that is not known.
+func beforeAsking(why reason.Code, comeBack time.Duration, key string) refusal {
+	if key == "" {
+		return refusal{outcome: retry.NotRun, reason: why, comeBack: comeBack}
+	}
+	return refusal{outcome: retry.Unknown, reason: why, comeBack: comeBack, unasked: true}
 }
 
 // status returns the HTTP status of a refusal.
@@ -48,7 +60,7 @@
 	case reason.Held:
 		return true
 	}
-	return f.outcome == retry.NotRun
+	return f.outcome == retry.NotRun || f.unasked
 }
 
 // write sends the refusal to the caller. jitter is between 0 and 1.
@@ -59,9 +71,6 @@
 	h.Set(headerTarget, self)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Cache-Control", "no-store")
-	if f.scope != "" {
-		h.Set(headerScope, f.scope)
-	}
 	if f.mayComeBack() {
 		wait := f.comeBack + time.Duration(jitter*float64(f.comeBack)/jitterPart)
 		h.Set(headerRetryAfter, strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10))
--- a/internal/agentd/attempt.go
+++ b/internal/agentd/attempt.go
@@ -35,7 +35,7 @@
 // ownHeaders are set by the agent; a caller or backend server cannot forge
 // them on the other side.
 var ownHeaders = []string{
-	headerOutcome, headerReason, headerScope, headerReplayed, headerTarget, headerID, headerRetryAfterMS,
+	headerOutcome, headerReason, headerReplayed, headerTarget, headerID, headerRetryAfterMS,
 }
 
 // sentCounter is a connection that counts the bytes it took. Once sealed it
--- a/internal/agentd/call.go
+++ b/internal/agentd/call.go
@@ -22,7 +22,6 @@
 	headerTimeout      = "Request-Timeout"
 	headerOutcome      = "Request-Outcome"
 	headerReason       = "Request-Reason"
-	headerScope        = "Request-Scope"
 	headerReplayed     = "Request-Replayed"
 	headerID           = "Request-ID"
 	headerTarget       = "Target"
@@ -31,8 +30,6 @@
 )
 
 const (
-	// scopeAttempt marks a not-run that speaks of this attempt only.
-	scopeAttempt = "attempt"
 	// eventStream is the type of the answer to a watch.
 	eventStream = "text/event-stream"
 	// maxTimeout bounds the deadline that a caller may ask for.
@@ -78,13 +75,10 @@
 	if !ok || r.Method == http.MethodConnect {
 		return nil, reason.RequestInvalid
 	}
-	keys := r.Header.Values(headerKey)
-	if len(keys) > 1 || (len(keys) == 1 && !validKey(keys[0])) {
+	c.key = usableKey(r)
+	if c.key == "" && len(r.Header.Values(headerKey)) > 0 {
 		return nil, reason.KeyInvalid
 	}
-	if len(keys) == 1 {
-		c.key = keys[0]
-	}
 	if !told {
 		timeout = defaultDeadline
 	}
@@ -180,8 +174,14 @@
 	return time.Duration(min(ms, maxTimeout.Milliseconds())) * time.Millisecond, true, true
 }
 
-func validKey(key string) bool {
-	return key != "" && len(key) <= maxKeyBytes
+// usableKey returns the idempotency key of a request, empty if there is none
+// under which a request may run.
+func usableKey(r *http.Request) string {
+	keys := r.Header.Values(headerKey)
+	if len(keys) != 1 || len(keys[0]) > maxKeyBytes {
+		return ""
+	}
+	return keys[0]
 }
 
 // isWatch reports whether the answer to a request streams without an end.
--- a/internal/agentd/connect.go
+++ b/internal/agentd/connect.go
@@ -54,7 +54,9 @@
 
 // parts are what the daemon is connected to.
 type parts struct {
-	control   controlCaller
+	control controlCaller
+	// linked reports whether there is a connection to a control host.
+	linked    func() bool
 	enlist    func(enlistment) announcer
 	subscribe func(service uint32) directory
 	// secrets returns what protects connection IDs and frames; the first one
@@ -88,6 +90,7 @@
 	go caller.watch(ctx, log)
 	return parts{
 		control:     client,
+		linked:      func() bool { return client.Address() != "" },
 		enlist:      enlistWith(client, log, scope),
 		subscribe:   subscribeWith(client, s.GetHost().GetFailureDomain(), log, scope),
 		secrets:     func() []connid.Secret { return dataSecrets(credentials) },
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -219,6 +219,7 @@
 		service:  self.serviceNumber,
 		timing:   d.timing,
 		counters: d.counters,
+		line:     newGrantLine(d.clock, d.timing, d.log),
 		ctx:      context.Background(),
 	}
 	return newPlane(planeOptions{
--- a/internal/agentd/doc.go
+++ b/internal/agentd/doc.go
@@ -26,9 +26,9 @@
 //
 // A request with an Idempotency-Key runs only with a grant of the control
 // hosts and its answer is recorded there before the caller is told. An outcome
-// of not-run on such a request rests on the grant; where the control hosts
-// could not be asked, the answer carries "Request-Scope: attempt", since an
-// earlier attempt under the same key may have run.
+// of not-run on such a request rests on the grant and holds for every attempt
+// under its key. Where the control hosts could not be asked the outcome is
+// unknown, with a time to come back, since an earlier attempt may have run.
 //
 // # Locks
 //
--- a/internal/agentd/fakes_test.go
+++ b/internal/agentd/fakes_test.go
@@ -55,9 +55,16 @@
 
 func (f *fakeControl) set(mode controlMode) { f.mode.Store(int32(mode)) }
 
+// linked reports whether the agent has a connection: only to hosts that are
+// there.
+func (f *fakeControl) linked() bool { return controlMode(f.mode.Load()) != controlGone }
+
 // Call implements controlCaller.
 func (f *fakeControl) Call(ctx context.Context, req *controlpb.Request) (*controlpb.Response, error) {
 	mode := controlMode(f.mode.Load())
+	f.mu.Lock()
+	f.commands = append(f.commands, req.GetGrant())
+	f.mu.Unlock()
 	if mode == controlGone {
 		return nil, link.ErrNotSent
 	}
@@ -72,7 +79,6 @@
 func (f *fakeControl) apply(req *controlpb.Request) *controlpb.Response {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.commands = append(f.commands, req.GetGrant())
 	return &controlpb.Response{Body: &controlpb.Response_Grant{Grant: f.grant(req.GetGrant())}}
 }
 
@@ -127,6 +133,19 @@
 	}
 }
 
+// asked counts the calls for the right to run the request of a key.
+func (f *fakeControl) asked(key string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, command := range f.commands {
+		if command.GetAcquire().GetKey() == key {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *fakeControl) record(key string) *grantpb.Record {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/agentd/grantline.go
@@ -0,0 +1,83 @@
+package agentd
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/retry"
+)
+
+// grantLine tells whether the control hosts answer calls for grants, so that a
+// request that may not be repeated is told at once when they do not.
+type grantLine struct {
+	clock clock
+	log   *zap.Logger
+
+	mu       sync.Mutex
+	breaker  retry.Breaker
+	unlinked bool
+	// checked is the time of the last check.
+	checked time.Duration
+	// told is set while the log says that they do not answer.
+	told bool
+}
+
+func newGrantLine(c clock, t timing, log *zap.Logger) *grantLine {
+	return &grantLine{
+		clock: c, log: log, checked: c.now(),
+		breaker: retry.Breaker{After: t.grantWait, Every: t.grantProbe},
+	}
+}
+
+// allow decides on a request for a grant.
+func (l *grantLine) allow() retry.Permit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.breaker.Allow(l.clock.now())
+}
+
+// away reports whether the control hosts are known not to answer.
+func (l *grantLine) away() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.breaker.Open()
+}
+
+// tried records what became of a call that began at a time.
+func (l *grantLine) tried(began time.Duration, answered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if answered {
+		l.breaker.Answered()
+	} else {
+		l.breaker.Failed(began, l.clock.now())
+	}
+	l.logChange()
+}
+
+// check records whether there is a connection to a control host. A new one
+// is worth a call, whatever became of calls on the former one.
+func (l *grantLine) check(linked bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.now()
+	switch {
+	case !linked:
+		l.breaker.Failed(l.checked, now)
+	case l.unlinked:
+		l.breaker.Answered()
+	}
+	l.unlinked = !linked
+	l.checked = now
+	l.logChange()
+}
+
+// logChange is called with the lock held.
+func (l *grantLine) logChange() {
+	if open := l.breaker.Open(); open != l.told {
+		l.told = open
+		l.log.Info("control hosts grant rights", zap.Bool("yes", !open))
+	}
+}
--- a/internal/agentd/housekeeping.go
+++ b/internal/agentd/housekeeping.go
@@ -15,6 +15,7 @@
 func (d *Daemon) check(one *plane) {
 	backend := d.backend.figures(d.clock.now(), d.timing.announceLease)
 	verdict, reported := d.health.verdict()
+	d.proxy.once.line.check(d.parts.linked())
 	stopping := d.stopping.Load()
 	goAway := stopping || backend.draining
 	leaving := goAway || backend.lapsed
--- a/internal/agentd/once.go
+++ b/internal/agentd/once.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// soonPart is the share of a call's time, one in so many, before which its
+	// end says nothing.
+	soonPart = 4
 	// attemptBytes is the length of an attempt's identity.
 	attemptBytes = 16
 	// grantBackoff and maxGrantBackoff space the calls for one grant.
@@ -47,6 +50,8 @@
 	service  uint32
 	timing   timing
 	counters *counters
+	// line tells whether the control hosts answer.
+	line *grantLine
 
 	asking    atomic.Int64
 	finishing atomic.Int64
@@ -68,32 +73,45 @@
 func (o *once) acquire(c *call) grantVerdict {
 	defer o.asking.Add(-1)
 	if o.asking.Add(1) > maxGrants {
-		return o.refused(retry.NotRun, reason.GrantsFull, scopeAttempt)
+		return unasked(reason.GrantsFull)
+	}
+	permit := o.line.allow()
+	if permit == retry.Refuse {
+		return unasked(reason.GrantUnavailable)
 	}
 	r := &right{service: o.service, key: c.key, attempt: newAttempt()}
 	command := &grantpb.Command{Body: &grantpb.Command_Acquire{Acquire: &grantpb.Acquire{
 		Service: r.service, Key: r.key, Attempt: r.attempt, Digest: c.digest(),
 	}}}
-	ctx, cancel := context.WithTimeout(c.ctx, o.timing.grantWait)
-	defer cancel()
-	result, maybe, err := o.repeat(ctx, command)
+	result, maybe, err := o.ask(c.ctx, command, permit)
 	if err != nil {
 		return o.unavailable(c, r, maybe)
 	}
 	return o.decide(r, result)
 }
 
+// ask asks for a right: once if nobody is expected to answer, else until the
+// wait is over or the control hosts are known not to answer.
+func (o *once) ask(ctx context.Context, command *grantpb.Command, permit retry.Permit) (*grantpb.Result, bool, error) {
+	if permit == retry.Probe {
+		result, err := o.try(ctx, command)
+		return result, mayBeDone(err), err
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.timing.grantWait)
+	defer cancel()
+	return o.repeat(ctx, command, o.line.away)
+}
+
 // unavailable refuses a request that got no grant. This attempt never runs, so
 // a right that it may have got is given back.
 func (o *once) unavailable(c *call, r *right, maybe bool) grantVerdict {
 	if maybe {
 		o.finish(r.release())
 	}
-	why := reason.GrantUnavailable
 	if c.request.Context().Err() != nil {
-		why = reason.CallerGone
+		return unasked(reason.CallerGone)
 	}
-	return o.refused(retry.NotRun, why, scopeAttempt)
+	return unasked(reason.GrantUnavailable)
 }
 
 func (o *once) decide(r *right, result *grantpb.Result) grantVerdict {
@@ -102,26 +120,33 @@
 		return grantVerdict{right: r}
 	case grantpb.Decision_DECISION_ANSWERED:
 		if result.GetAnswer().GetBodyOmitted() {
-			return o.refused(retry.Unknown, reason.AnswerOmitted, "")
+			return refused(retry.Unknown, reason.AnswerOmitted)
 		}
 		return grantVerdict{answer: result.GetAnswer()}
 	case grantpb.Decision_DECISION_HELD:
-		return o.refused(retry.Unknown, reason.Held, "")
+		return refused(retry.Unknown, reason.Held)
 	case grantpb.Decision_DECISION_MISMATCH:
-		return o.refused(retry.NotRun, reason.KeyMismatch, "")
+		return refused(retry.NotRun, reason.KeyMismatch)
 	case grantpb.Decision_DECISION_FULL:
-		return o.refused(retry.NotRun, reason.KeysFull, "")
+		return refused(retry.NotRun, reason.KeysFull)
 	default:
-		return o.refused(retry.NotRun, reason.GrantUnavailable, scopeAttempt)
+		return unasked(reason.GrantUnavailable)
 	}
 }
 
-func (o *once) refused(outcome retry.Outcome, why reason.Code, scope string) grantVerdict {
+// refused is a verdict that the control hosts gave.
+func refused(outcome retry.Outcome, why reason.Code) grantVerdict {
 	comeBack := grantComeBack
 	if why == reason.Held {
 		comeBack = heldComeBack
 	}
-	return grantVerdict{refusal: &refusal{outcome: outcome, reason: why, comeBack: comeBack, scope: scope}}
+	return grantVerdict{refusal: &refusal{outcome: outcome, reason: why, comeBack: comeBack}}
+}
+
+// unasked is the verdict where the control hosts did not tell whether an
+// earlier attempt ran: unknown, whatever became of this one.
+func unasked(why reason.Code) grantVerdict {
+	return grantVerdict{refusal: &refusal{outcome: retry.Unknown, reason: why, comeBack: grantComeBack, unasked: true}}
 }
 
 // complete records the answer before the caller is told. If that takes too
@@ -131,7 +156,7 @@
 	command := r.complete(answer)
 	ctx, cancel := context.WithTimeout(o.ctx, o.timing.completeWait)
 	defer cancel()
-	if _, _, err := o.repeat(ctx, command); err != nil {
+	if _, _, err := o.repeat(ctx, command, nil); err != nil {
 		o.finish(command)
 	}
 }
@@ -154,7 +179,7 @@
 		defer o.finishing.Add(-1)
 		ctx, cancel := context.WithTimeout(o.ctx, o.timing.finishLimit)
 		defer cancel()
-		if _, _, err := o.repeat(ctx, command); err != nil {
+		if _, _, err := o.repeat(ctx, command, nil); err != nil {
 			o.counters.unrecorded.Inc(1)
 		}
 	})
@@ -162,23 +187,40 @@
 
 // repeat has a command applied, and repeats it until it is known what became
 // of it: every command carries its attempt, so that a repetition changes
-// nothing. maybe is set if a failed command may have been applied.
-func (o *once) repeat(ctx context.Context, command *grantpb.Command) (result *grantpb.Result, maybe bool, err error) {
+// nothing. It stops early when stop, if there is one, says so. maybe is set if
+// a failed command may have been applied.
+func (o *once) repeat(ctx context.Context, command *grantpb.Command, stop func() bool) (result *grantpb.Result, maybe bool, err error) {
 	policy := retry.Policy{Base: grantBackoff, Max: maxGrantBackoff}
 	for n := 1; ; n++ {
-		try, cancel := context.WithTimeout(ctx, o.timing.grantTry)
-		result, err = o.granter.grant(try, command)
-		cancel()
+		result, err = o.try(ctx, command)
 		if err == nil {
 			return result, maybe, nil
 		}
-		maybe = maybe || !errors.Is(err, ErrNotDone)
-		if !pause(ctx, policy.Backoff(n, newRand())) {
+		maybe = maybe || mayBeDone(err)
+		if stop != nil && stop() || !pause(ctx, policy.Backoff(n, newRand())) {
 			return nil, maybe, err
 		}
 	}
 }
 
+// try asks the control hosts once.
+func (o *once) try(ctx context.Context, command *grantpb.Command) (*grantpb.Result, error) {
+	began := o.line.clock.now()
+	try, cancel := context.WithTimeout(ctx, o.timing.grantTry)
+	defer cancel()
+	result, err := o.granter.grant(try, command)
+	// A caller that gives up soon says nothing of the control hosts.
+	if err == nil || ctx.Err() == nil || o.line.clock.now()-began >= o.timing.grantTry/soonPart {
+		o.line.tried(began, err == nil)
+	}
+	return result, err
+}
+
+// mayBeDone reports whether a command that failed may have been applied.
+func mayBeDone(err error) bool {
+	return err != nil && !errors.Is(err, ErrNotDone)
+}
+
 // drain waits until the background work has ended.
 func (o *once) drain() {
 	o.wait.Wait()
--- a/internal/agentd/proxy.go
+++ b/internal/agentd/proxy.go
@@ -57,12 +57,12 @@
 	view, present := p.backend()
 	c, why := newCall(r, view.watchPaths, p.deadline)
 	if why != reason.None {
-		p.refuse(w, refusal{outcome: retry.NotRun, reason: why})
+		p.refuse(w, beforeAsking(why, 0, usableKey(r)))
 		return
 	}
 	defer c.end()
 	if !present {
-		p.refuse(w, refusal{outcome: retry.NotRun, reason: reason.BackendAbsent, comeBack: backendComeBack, scope: attemptScope(c)})
+		p.refuse(w, beforeAsking(reason.BackendAbsent, backendComeBack, c.key))
 		return
 	}
 	if c.watch && c.key == "" {
@@ -77,7 +77,7 @@
 	_ = http.NewResponseController(w).SetReadDeadline(c.deadline)
 	body, release, why := p.bodies.read(c.request)
 	if why != reason.None {
-		p.refuse(w, refusal{outcome: retry.NotRun, reason: why, comeBack: backendComeBack, scope: attemptScope(c)})
+		p.refuse(w, beforeAsking(why, backendComeBack, c.key))
 		return
 	}
 	defer release()
@@ -291,15 +291,6 @@
 	f.write(w, p.self, random())
 }
 
-// attemptScope marks the refusal of a request with a key whose grant was not
-// asked for.
-func attemptScope(c *call) string {
-	if c.key == "" {
-		return ""
-	}
-	return scopeAttempt
-}
-
 // record is the answer as the control hosts keep it. A body that they would drop
 // is not sent to them: it would go through the log of each.
 func record(response *http.Response, body []byte) *grantpb.Answer {
--- a/internal/agentd/timing.go
+++ b/internal/agentd/timing.go
@@ -25,6 +25,9 @@
 	grantWait time.Duration
 	// grantTry bounds one call for a grant.
 	grantTry time.Duration
+	// grantProbe is the least time between two calls for a grant while the
+	// control hosts are known not to answer.
+	grantProbe time.Duration
 	// farewell bounds the wait for a control host to hear of the leaving.
 	farewell time.Duration
 	// listenRetry is the wait between two tries to open the announcement
@@ -46,6 +49,7 @@
 		finishLimit:   time.Minute,
 		grantWait:     2 * time.Second,
 		grantTry:      500 * time.Millisecond,
+		grantProbe:    500 * time.Millisecond,
 		farewell:      5 * time.Second,
 		listenRetry:   100 * time.Millisecond,
 		checkEvery:    200 * time.Millisecond,
--- a/internal/loadgen/outcome.go
+++ b/internal/loadgen/outcome.go
@@ -59,10 +59,21 @@
 	reason string
 	// target that answered, as "name/number/incarnation", if any.
 	target string
-	// comeBack is the time that the system asked for before a retry.
+	// comeBack is the time that the system asked for before a retry. With an
+	// unknown outcome it says that the idempotency key may be sent again.
 	comeBack time.Duration
 }
 
+// after returns what a caller knows once an attempt follows one whose outcome is
+// not known: that nothing of the later one was sent says nothing of the former.
+// What the system tells holds for both.
+func (o outcome) after(unsure bool) outcome {
+	if unsure && o.class == ClassNotRun && o.target == "" {
+		o.class = ClassUnknown
+	}
+	return o
+}
+
 func (o outcome) String() string {
 	if o.reason == "" {
 		return string(o.class)
@@ -123,7 +134,7 @@
 	case string(ClassNotRun):
 		return outcome{class: ClassNotRun, reason: reason, target: target, comeBack: comeBack(res.Header)}
 	case string(ClassUnknown):
-		return outcome{class: ClassUnknown, reason: reason, target: target}
+		return outcome{class: ClassUnknown, reason: reason, target: target, comeBack: comeBack(res.Header)}
 	}
 	o := outcome{class: ClassAnswered, target: target}
 	if res.StatusCode/100 != 2 {
--- a/internal/loadgen/request.go
+++ b/internal/loadgen/request.go
@@ -52,9 +52,11 @@
 	ctx, cancel := context.WithDeadline(ctx, q.scheduled.Add(g.opts.Deadline))
 	defer cancel()
 	jitter := rand.New(rand.NewPCG(g.opts.Seed, q.seed))
+	unsure := false
 	for attempt := 1; ; attempt++ {
 		s := g.slots[(q.number+attempt-1)%len(g.slots)]
-		out := g.attempt(ctx, s, q)
+		out := g.attempt(ctx, s, q).after(unsure)
+		unsure = unsure || out.class == ClassUnknown
 		wait, again := g.retry(ctx, q, out, attempt, jitter)
 		if !again {
 			g.rec.finished(q, out, time.Since(q.scheduled))
@@ -70,8 +72,9 @@
 	if out.class == ClassAnswered || attempt >= g.opts.Attempts {
 		return 0, false
 	}
-	// Whether it ran is not known: only what may be repeated goes again.
-	if out.class == ClassUnknown && q.nonRepeatable {
+	// Whether it ran is not known: only what may be repeated goes again, unless
+	// the system asks for it.
+	if out.class == ClassUnknown && q.nonRepeatable && out.comeBack == 0 {
 		return 0, false
 	}
 	wait := max(out.comeBack, firstBackoff<<(attempt-1))
--- a/internal/processtest/caller.go
+++ b/internal/processtest/caller.go
@@ -26,8 +26,9 @@
 	HeaderTimeout = "Request-Timeout"
 	HeaderOutcome = "Request-Outcome"
 	HeaderReason  = "Request-Reason"
-	HeaderScope   = "Request-Scope"
 	HeaderTarget  = "Target"
+	// HeaderRetryAfter names the seconds after which the caller may come back.
+	HeaderRetryAfter = "Retry-After"
 )
 
 // Values of HeaderOutcome.
@@ -35,9 +36,6 @@
 	OutcomeAnswered = "answered"
 	OutcomeNotRun   = "not-run"
 	OutcomeUnknown  = "unknown"
-	// ScopeAttempt is the value of HeaderScope by which a not-run speaks of
-	// the attempt that it answers, not of earlier ones with its key.
-	ScopeAttempt = "attempt"
 )
 
 // keepAlive is shorter than the idle timeout of either end, so that only a
--- a/reason/markdown.go
+++ b/reason/markdown.go
@@ -11,7 +11,7 @@
 	kind         Kind
 	title, intro string
 }{
-	{KindNotRun, "Not run", "Told to callers in `Request-Reason` with `Request-Outcome: not-run`; counter `requests_refused`."},
+	{KindNotRun, "Not run", "Told to callers in `Request-Reason` with `Request-Outcome: not-run`; counter `requests_refused`. A request with an idempotency key that is refused before the control hosts were asked about the key is told `unknown` with the same reason: an earlier attempt may have run."},
 	{KindUnknown, "Unknown", "Told to callers in `Request-Reason` with `Request-Outcome: unknown`; counter `requests_unknown`."},
 	{KindRetry, "Retries", "Why an attempt at the backend server was repeated, or was not; counter `retries`."},
 	{KindFrame, "Frames", "Why an agent refused a frame; counter `frames_refused`."},
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -55,8 +55,6 @@
 	RequestInvalid
 	BodiesFull
 	WatchesFull
-	GrantUnavailable
-	GrantsFull
 	KeyMismatch
 	KeyInvalid
 	KeysFull
@@ -67,6 +65,8 @@
 	AnswerUndelimited
 	BackendReset
 	Held
+	GrantUnavailable
+	GrantsFull
 	AnswerOmitted
 
 	RetryConnect
@@ -115,8 +115,6 @@
 	RequestInvalid:     {Kind: KindNotRun, Name: "request-invalid", Text: "The request or one of its protocol headers is malformed."},
 	BodiesFull:         {Kind: KindNotRun, Name: "bodies-full", Text: "Too many bytes of request bodies are held at the same time."},
 	WatchesFull:        {Kind: KindNotRun, Name: "watches-full", Text: "Too many watch sessions are open."},
-	GrantUnavailable:   {Kind: KindNotRun, Name: "grant-unavailable", Text: "No quorum of control hosts granted the right to run the request."},
-	GrantsFull:         {Kind: KindNotRun, Name: "grants-full", Text: "Too many requests wait for a grant on this host."},
 	KeyMismatch:        {Kind: KindNotRun, Name: "key-mismatch", Text: "The idempotency key belongs to another request."},
 	KeyInvalid:         {Kind: KindNotRun, Name: "key-invalid", Text: "The idempotency key is empty, repeated or too long."},
 	KeysFull:           {Kind: KindNotRun, Name: "keys-full", Text: "The table of idempotency keys is full."},
@@ -127,6 +125,8 @@
 	AnswerUndelimited: {Kind: KindUnknown, Name: "answer-undelimited", Text: "The answer of the backend server has neither a length nor chunks, so that its end cannot be told from an abort."},
 	BackendReset:      {Kind: KindUnknown, Name: "backend-reset", Text: "The connection to the backend server broke after the request was sent."},
 	Held:              {Kind: KindUnknown, Name: "held", Text: "Another attempt with the same idempotency key holds the right to run and has no recorded answer."},
+	GrantUnavailable:  {Kind: KindUnknown, Name: "grant-unavailable", Text: "No quorum of control hosts told whether an earlier attempt with this idempotency key ran. This attempt did not run; it may be sent again with its key."},
+	GrantsFull:        {Kind: KindUnknown, Name: "grants-full", Text: "Too many requests wait for a grant on this host, so whether an earlier attempt with this idempotency key ran is not known. This attempt did not run; it may be sent again with its key."},
 	AnswerOmitted:     {Kind: KindUnknown, Name: "answer-omitted", Text: "The request ran once; its answer was too long to be recorded."},
 
 	RetryConnect:  {Kind: KindRetry, Name: "connect", Text: "Repeated because no connection could be opened."},
--- /dev/null
+++ b/retry/breaker.go
@@ -0,0 +1,66 @@
+package retry
+
+import "time"
+
+// Permit tells whether a call may be made.
+type Permit uint8
+
+// Permits of a Breaker.
+const (
+	// Refuse means that the answer is known: nobody would answer the call.
+	Refuse Permit = iota
+	// Probe allows one try, which shows whether the far side is back.
+	Probe
+	// Full allows as many tries as the caller has time for.
+	Full
+)
+
+// Breaker tells calls that nobody answers to give up at once (a circuit
+// breaker). It opens once calls have failed for a while without an answer in
+// between, lets one call through as a probe from time to time, and closes with
+// the first answer. It is not safe for use by several goroutines at once.
+type Breaker struct {
+	// After is the time for which calls have to fail before it opens. It spans
+	// what the far side needs to recover by itself, such as an election.
+	After time.Duration
+	// Every is the least time between two probes.
+	Every time.Duration
+
+	failing bool
+	// since and last are the first and the last failure in a row.
+	since, last time.Duration
+	probed      time.Duration
+}
+
+// Failed records that a call got no answer between two times. Failures that lie
+// further apart than After say nothing of the time between them and start anew.
+func (b *Breaker) Failed(began, now time.Duration) {
+	if !b.failing || began-b.last > b.After {
+		b.since = began
+		b.probed = began
+	}
+	b.failing = true
+	b.last = max(b.last, now)
+}
+
+// Answered records that a call got an answer, whatever it says.
+func (b *Breaker) Answered() {
+	b.failing = false
+}
+
+// Open reports whether the far side is known to be away.
+func (b *Breaker) Open() bool {
+	return b.failing && b.last-b.since >= b.After
+}
+
+// Allow decides on a call. A permit to probe is given out once in Every.
+func (b *Breaker) Allow(now time.Duration) Permit {
+	if !b.Open() {
+		return Full
+	}
+	if now-b.probed < b.Every {
+		return Refuse
+	}
+	b.probed = now
+	return Probe
+}
