routing: full targets are compared with the mean of their service

Cause: a load was bounded at 4 times a full target. What counts as full is a setting (285 flows by default), the mean at the size expected is 3,333 flows, so all targets of that size had the same cost and the hash alone decided.

Above an average of a full target the cost now takes the share of the average, bounded as before. Below it nothing changes.

Ruled out: a setting alone (it is wrong whenever the fleet grows); the agent's mean of the fleet (its directory holds no loads).

The bound of open watches was 4,000, 1.2 times the mean of flows; it is 13,332.

--- a/internal/agentd/load_test.go
+++ b/internal/agentd/load_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"eelgrasswharf.example/eelgrasswharf/admission"
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 )
 
 func TestGateTellsTheMeanOfATime(t *testing.T) {
@@ -60,3 +61,20 @@
 	eventually(t, "two flows", func() bool { return one.sessions.count() == 2 })
 	is.Equal(one.workingFlows(), 1)
 }
+
+// Flows far above the capacity show in the load, by which entry hosts choose;
+// for them alone no first packet is handed on.
+func TestFlowsAreNoReasonToHandOn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	a := w.startAgentWith("t1", newFakeBackend(t).server.URL, testTiming(), func(s *settingspb.Agent) { s.FlowCapacity = 1 })
+	w.entry.choose(a.FrameAddr(), "127.0.0.1:9") // an alternate that nobody listens at
+	for range 4 {
+		is.Equal(mustSend(t, w.caller(), "GET", w.url("/echo?text=x"), "").status, 200)
+	}
+	one := a.plane.Load()
+	eventually(t, "four flows", func() bool { return one.workingFlows() == 4 })
+	is.True(one.current().load > 2*loadedFrom)
+	is.True(one.current().present < loadedFrom)
+	is.Equal(a.counter("flows_handed_on", ""), int64(0))
+}
--- a/internal/agentd/timing.go
+++ b/internal/agentd/timing.go
@@ -59,12 +59,13 @@
 }
 
 const (
-	// flowCapacity is the number of flows that a target is made for.
-	flowCapacity = 2000
+	// meanFlows is the mean number of flows of a target at the size expected.
+	meanFlows = 3333
 	// maxFlows bounds the table of return paths.
-	maxFlows = 16 * flowCapacity
-	// maxWatches bounds the open watch sessions.
-	maxWatches = 2 * flowCapacity
+	maxFlows = 16 * meanFlows
+	// maxWatches bounds the open watch sessions, at four times the mean: as far
+	// as entry hosts tell loads apart.
+	maxWatches = 4 * meanFlows
 	// maxStreams bounds the requests that one connection has open.
 	maxStreams = 256
 	// maxBodyBytes bounds the request bodies held at the same time.
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -8,8 +8,10 @@
 )
 
 const (
+	// fullLoad is the load of a full target.
+	fullLoad = 1000
 	// maxLoad bounds what a report adds to a cost; above it a target is far
-	// over its capacity either way.
+	// over its capacity, or over the mean of full ones, either way.
 	maxLoad = 4000
 	// maxUnanswered bounds what unanswered flows add to a cost.
 	maxUnanswered = 1000
@@ -134,7 +136,7 @@
 	if report, known := c.cell.fresh(now); known && report.Ill {
 		risk = maxRisk
 	}
-	load := min(t.load(c, now), maxLoad)
+	load := t.relative(t.load(c, now))
 	unanswered := min(c.cell.unanswered.Load(), maxUnanswered)
 	return t.policy.loadWeight*load + t.policy.brokenWeight*risk + weightScale*unanswered
 }
@@ -147,6 +149,16 @@
 	return t.average
 }
 
+// relative returns a load for the cost. Where the average target is full, it is
+// the share of the average: what counts as full may be set too low, and targets
+// that are all far above it still differ.
+func (t *Table) relative(load uint32) uint32 {
+	if t.average > fullLoad {
+		load = uint32(uint64(load) * fullLoad / uint64(t.average))
+	}
+	return min(load, maxLoad)
+}
+
 func alternate(a, b, chosen *candidate) netip.AddrPort {
 	switch {
 	case b == nil:
