--- a/internal/agentd/announce_test.go
+++ b/internal/agentd/announce_test.go
@@ -27,6 +27,8 @@
 		{"no host", "127.0.0.1:80", "", false},
 		{"state", "serving", "dead", false},
 		{"path", `"state"`, `"health_path":"health","state"`, false},
+		{"age", `"state"`, `"age_ms":18446744073709551615,"state"`, true},
+		{"negative age", `"state"`, `"age_ms":-1,"state"`, false},
 		{"watch path", `"state"`, `"watch_paths":["w"],"state"`, false},
 	}
 	for _, c := range cases {
--- a/internal/agentd/announcement.go
+++ b/internal/agentd/announcement.go
@@ -17,6 +17,9 @@
 	maxAnnouncement = 64 << 10
 	// maxWatchPaths bounds the watch paths of one announcement.
 	maxWatchPaths = 64
+	// maxAge bounds the age that a backend server claims: nothing asks whether
+	// it is older.
+	maxAge = 365 * 24 * time.Hour
 	// defaultWatchPath is used when an announcement names no watch paths.
 	defaultWatchPath = "/watch"
 )
@@ -43,6 +46,9 @@
 	LoadPath   string       `json:"load_path"`
 	WatchPaths []string     `json:"watch_paths"`
 	State      backendState `json:"state"`
+	// AgeMS is the time since the backend server started, nil if it does not
+	// tell.
+	AgeMS *uint64 `json:"age_ms,omitempty"`
 
 	base *url.URL
 }
@@ -75,6 +81,14 @@
 	return a, a.checkPaths()
 }
 
+// age returns the claimed time since the start, negative if there is no claim.
+func (a *announcement) age() time.Duration {
+	if a.AgeMS == nil {
+		return -1
+	}
+	return time.Duration(min(*a.AgeMS, uint64(maxAge.Milliseconds()))) * time.Millisecond
+}
+
 func (a *announcement) checkPaths() error {
 	if len(a.WatchPaths) > maxWatchPaths {
 		return errors.Wrap(ErrAnnouncement, "watch_paths: too many")
--- a/internal/agentd/backend.go
+++ b/internal/agentd/backend.go
@@ -5,31 +5,34 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"eelgrasswharf.example/eelgrasswharf/health"
 )
 
 // backendRecord holds the last announcement of the backend server.
 type backendRecord struct {
 	mu      sync.Mutex
 	current *announcement
-	at      time.Duration
-	// since is when the backend server that now announces itself was first
-	// heard of: its cold start.
-	since time.Duration
+	uptime  health.Uptime
 }
 
-// renew records an announcement. A changed URL or a lapsed lease is a new cold
-// start. It refuses an announcement for another target than the first one.
-func (b *backendRecord) renew(a *announcement, now, lease time.Duration) error {
+// listen notes since when announcements are taken and the lease of each.
+func (b *backendRecord) listen(now, lease time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.uptime = health.Uptime{Listening: now, Lease: lease}
+}
+
+// renew records an announcement. It refuses one for another target than the
+// first one.
+func (b *backendRecord) renew(a *announcement, now time.Duration) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.current != nil && (a.Service != b.current.Service || a.Target != b.current.Target) {
 		return errors.Wrapf(ErrAnnouncement, "this agent serves %s/%s", b.current.Service, b.current.Target)
 	}
-	if b.current == nil || a.URL != b.current.URL || now-b.at > lease {
-		b.since = now
-	}
+	b.uptime.Announced(now, a.URL, a.age())
 	b.current = a
-	b.at = now
 	return nil
 }
 
@@ -58,7 +61,7 @@
 	since time.Duration
 }
 
-func (b *backendRecord) figures(now, lease time.Duration) backendFigures {
+func (b *backendRecord) figures(now time.Duration) backendFigures {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.current == nil {
@@ -66,8 +69,8 @@
 	}
 	return backendFigures{
 		draining: b.current.State == backendDraining,
-		lapsed:   now-b.at > lease,
+		lapsed:   b.uptime.Lapsed(now),
 		slots:    b.current.Slots,
-		since:    b.since,
+		since:    b.uptime.Since(),
 	}
 }
--- a/internal/agentd/counters.go
+++ b/internal/agentd/counters.go
@@ -33,6 +33,7 @@
 	running     tally.Gauge
 	waiting     tally.Gauge
 	ill         tally.Gauge
+	backendAge  tally.Gauge
 	requestTime tally.Timer
 }
 
@@ -52,6 +53,7 @@
 		running:     scope.Gauge("requests_running"),
 		waiting:     scope.Gauge("requests_waiting"),
 		ill:         scope.Gauge("backend_ill"),
+		backendAge:  scope.Gauge("backend_age"),
 		requestTime: scope.Timer("request_time"),
 	}
 	for _, info := range reason.Table() {
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -59,6 +59,7 @@
 	meter     health.Meter
 	lastGate  gateFigures
 	started   time.Duration
+	moving    moving
 	wait      conc.WaitGroup
 }
 
@@ -192,7 +193,7 @@
 // register announces the target and waits for its identity, as long as the
 // control hosts take to give one.
 func (d *Daemon) register(ctx context.Context, a *announcement) (identity, bool) {
-	figures := d.backend.figures(d.clock.now(), d.timing.announceLease)
+	figures := d.backend.figures(d.clock.now())
 	d.started = figures.since
 	d.status = subscriber.Status{State: stateOf(figures.draining), Slots: uint32(d.gate.figures().slots)}
 	d.announcer = d.parts.enlist(enlistment{
@@ -256,6 +257,7 @@
 	d.stopping.Store(true)
 	d.log.Info("leaving", zap.Int("sessions", one.sessions.count()))
 	began := d.clock.now()
+	d.moving.began = began
 	d.check(one)
 	d.wait.Go(d.sayFarewell)
 	ticker := time.NewTicker(d.timing.checkEvery)
@@ -301,7 +303,7 @@
 	if d.parts.service != "" && a.Service != d.parts.service {
 		return errors.Wrapf(ErrAnnouncement, "the certificate of this agent is for service %q", d.parts.service)
 	}
-	if err := d.backend.renew(a, d.clock.now(), d.timing.announceLease); err != nil {
+	if err := d.backend.renew(a, d.clock.now()); err != nil {
 		return err
 	}
 	select {
@@ -331,6 +333,7 @@
 		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 		if err == nil {
 			d.announce.Store(listener.Addr().(*net.TCPAddr))
+			d.backend.listen(d.clock.now(), d.timing.announceLease)
 			return listener, nil
 		}
 		if !told {
--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -37,6 +37,8 @@
 	t := defaultTiming()
 	t.acceptGrace = 50 * time.Millisecond
 	t.handOn = 300 * time.Millisecond
+	t.successorWait = 50 * time.Millisecond
+	t.moveSpan = 50 * time.Millisecond
 	t.idleClose = 300 * time.Millisecond
 	t.announceLease = time.Minute
 	t.completeWait = 200 * time.Millisecond
--- a/internal/agentd/grantline.go
+++ b/internal/agentd/grantline.go
@@ -57,8 +57,8 @@
 	l.logChange()
 }
 
-// check records whether there is a connection to a control host. A new one
-// is worth a call, whatever became of calls on the former one.
+// check records whether there is a connection to a control host. A new one is
+// worth a probe, whatever became of calls on the former one.
 func (l *grantLine) check(linked bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -67,7 +67,7 @@
 	case !linked:
 		l.breaker.Failed(l.checked, now)
 	case l.unlinked:
-		l.breaker.Answered()
+		l.breaker.Changed(now)
 	}
 	l.unlinked = !linked
 	l.checked = now
--- a/internal/agentd/housekeeping.go
+++ b/internal/agentd/housekeeping.go
@@ -13,12 +13,12 @@
 // check brings the state of the target up to date and tells the control hosts
 // of each change.
 func (d *Daemon) check(one *plane) {
-	backend := d.backend.figures(d.clock.now(), d.timing.announceLease)
+	backend := d.backend.figures(d.clock.now())
 	verdict, reported := d.health.verdict()
 	d.proxy.once.line.check(d.parts.linked())
 	stopping := d.stopping.Load()
-	goAway := stopping || backend.draining
-	leaving := goAway || backend.lapsed
+	leaving := stopping || backend.draining || backend.lapsed
+	goAway := d.goAway(one, stopping, backend.draining)
 	d.applyConfig(one.self.serviceNumber, backend.slots)
 	gate := d.gate.figures()
 	load := health.LoadInput{
@@ -31,13 +31,26 @@
 	d.logChange(one.current(), *state, verdict)
 	one.state.Store(state)
 	one.setLeaving(leaving, goAway)
-	if goAway {
+	if goAway > 0 {
 		one.sessions.closeIdle()
 	}
 	d.gauges(one, gate, verdict)
+	d.counters.backendAge.Update((d.clock.now() - backend.since).Seconds())
 	d.publish(state, gate.slots, backend.since)
 }
 
+// goAway returns the share of the callers that are told to go elsewhere.
+func (d *Daemon) goAway(one *plane, stopping, draining bool) float64 {
+	switch {
+	case draining:
+		return 1
+	case stopping:
+		return d.moving.share(d.clock.now(), successor(one.self, d.directory.Targets()), d.timing)
+	default:
+		return 0
+	}
+}
+
 // averageRequests returns the requests that run or wait on average.
 func (d *Daemon) averageRequests(gate gateFigures) float64 {
 	requests, over := gate.since(d.lastGate)
--- a/internal/agentd/once.go
+++ b/internal/agentd/once.go
@@ -75,31 +75,31 @@
 	if o.asking.Add(1) > maxGrants {
 		return unasked(reason.GrantsFull)
 	}
-	permit := o.line.allow()
-	if permit == retry.Refuse {
-		return unasked(reason.GrantUnavailable)
-	}
 	r := &right{service: o.service, key: c.key, attempt: newAttempt()}
 	command := &grantpb.Command{Body: &grantpb.Command_Acquire{Acquire: &grantpb.Acquire{
 		Service: r.service, Key: r.key, Attempt: r.attempt, Digest: c.digest(),
 	}}}
-	result, maybe, err := o.ask(c.ctx, command, permit)
+	switch o.line.allow() {
+	case retry.Probe:
+		o.probe(r)
+		fallthrough
+	case retry.Refuse:
+		return unasked(reason.GrantUnavailable)
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, o.timing.grantWait)
+	defer cancel()
+	result, maybe, err := o.repeat(ctx, command, o.line.away)
 	if err != nil {
 		return o.unavailable(c, r, maybe)
 	}
 	return o.decide(r, result)
 }
 
-// ask asks for a right: once if nobody is expected to answer, else until the
-// wait is over or the control hosts are known not to answer.
-func (o *once) ask(ctx context.Context, command *grantpb.Command, permit retry.Permit) (*grantpb.Result, bool, error) {
-	if permit == retry.Probe {
-		result, err := o.try(ctx, command)
-		return result, mayBeDone(err), err
-	}
-	ctx, cancel := context.WithTimeout(ctx, o.timing.grantWait)
-	defer cancel()
-	return o.repeat(ctx, command, o.line.away)
+// probe finds out in the background whether the control hosts answer again, by
+// the release of a right that was never asked for: it changes nothing, and
+// holds no key if it comes late.
+func (o *once) probe(r *right) {
+	o.wait.Go(func() { _, _ = o.try(o.ctx, r.release()) })
 }
 
 // unavailable refuses a request that got no grant. This attempt never runs, so
@@ -196,7 +196,7 @@
 		if err == nil {
 			return result, maybe, nil
 		}
-		maybe = maybe || mayBeDone(err)
+		maybe = maybe || !errors.Is(err, ErrNotDone)
 		if stop != nil && stop() || !pause(ctx, policy.Backoff(n, newRand())) {
 			return nil, maybe, err
 		}
@@ -216,11 +216,6 @@
 	return result, err
 }
 
-// mayBeDone reports whether a command that failed may have been applied.
-func mayBeDone(err error) bool {
-	return err != nil && !errors.Is(err, ErrNotDone)
-}
-
 // drain waits until the background work has ended.
 func (o *once) drain() {
 	o.wait.Wait()
--- a/internal/agentd/plane.go
+++ b/internal/agentd/plane.go
@@ -134,9 +134,9 @@
 	p.wait.Go(func() { p.sessions.accept(p.listener) })
 }
 
-// setLeaving starts or ends the refusal of new flows. goAway also moves the
-// callers' next requests elsewhere.
-func (p *plane) setLeaving(leaving, goAway bool) {
+// setLeaving starts or ends the refusal of new flows. The share goAway of the
+// callers is told to send the next requests elsewhere.
+func (p *plane) setLeaving(leaving bool, goAway float64) {
 	if leaving && !p.leaving.Load() {
 		p.since.Store(int64(p.clock.now()))
 	}
--- a/internal/agentd/sessions.go
+++ b/internal/agentd/sessions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -35,10 +36,14 @@
 	// number is the length of open, for reads without the lock.
 	number atomic.Int64
 
-	mu      sync.Mutex
-	open    map[*session]struct{}
-	leaving bool
-	wait    conc.WaitGroup
+	mu   sync.Mutex
+	open map[*session]struct{}
+	// leaving is the share of the callers that are told to go elsewhere; from
+	// 1 on, new ones are as well.
+	leaving float64
+	// told counts the callers that were told, those that are gone included.
+	told int
+	wait conc.WaitGroup
 }
 
 func newSessions(handler http.Handler, clock clock, timing timing) *sessions {
@@ -70,7 +75,7 @@
 	s.mu.Lock()
 	s.open[one] = struct{}{}
 	s.number.Store(int64(len(s.open)))
-	leaving := s.leaving
+	leaving := s.leaving >= 1
 	s.mu.Unlock()
 	s.wait.Go(func() { s.serve(one) })
 	if leaving {
@@ -101,21 +106,33 @@
 	})
 }
 
-// setLeaving tells every caller to open new requests elsewhere, or stops doing
-// so for new connections.
-func (s *sessions) setLeaving(leaving bool) {
+// setLeaving tells a share of the callers, from 0 to 1, to open new requests
+// elsewhere. A share of 1 holds for new connections as well.
+func (s *sessions) setLeaving(share float64) {
+	for _, one := range s.next(share) {
+		s.goAway(one)
+	}
+}
+
+// next returns the callers that are to be told now.
+func (s *sessions) next(share float64) []*session {
 	s.mu.Lock()
-	s.leaving = leaving
+	defer s.mu.Unlock()
+	s.leaving = share
+	if share <= 0 {
+		s.told = 0
+		return nil
+	}
 	var staying []*session
 	for one := range s.open {
-		if leaving && !one.leaving.Load() {
+		if !one.leaving.Load() {
 			staying = append(staying, one)
 		}
 	}
-	s.mu.Unlock()
-	for _, one := range staying {
-		s.goAway(one)
-	}
+	more := int(math.Ceil(share*float64(s.told+len(staying)))) - s.told
+	more = min(max(more, 0), len(staying))
+	s.told += more
+	return staying[:more]
 }
 
 // goAway sends GOAWAY on a connection. Requests under way go on, new ones are
--- a/internal/agentd/timing.go
+++ b/internal/agentd/timing.go
@@ -10,6 +10,13 @@
 	// handOn is the shortest time that a leaving agent stays to hand first
 	// packets on, while entry hosts learn that it leaves.
 	handOn time.Duration
+	// successorWait is how long the callers of a stopping agent stay while no
+	// other process of its target is known. It is shorter than a backend server
+	// that leaves at the same time serves on.
+	successorWait time.Duration
+	// moveSpan is the time over which the callers of a stopping agent are told
+	// to go elsewhere.
+	moveSpan time.Duration
 	// idleClose is the time after which a connection with no request is
 	// closed once its caller was told to go elsewhere.
 	idleClose time.Duration
@@ -25,8 +32,8 @@
 	grantWait time.Duration
 	// grantTry bounds one call for a grant.
 	grantTry time.Duration
-	// grantProbe is the least time between two calls for a grant while the
-	// control hosts are known not to answer.
+	// grantProbe is the least time between two calls that find out whether the
+	// control hosts answer again.
 	grantProbe time.Duration
 	// farewell bounds the wait for a control host to hear of the leaving.
 	farewell time.Duration
@@ -43,6 +50,8 @@
 	return timing{
 		acceptGrace:   2 * time.Second,
 		handOn:        5 * time.Second,
+		successorWait: 2 * time.Second,
+		moveSpan:      2 * time.Second,
 		idleClose:     10 * time.Second,
 		announceLease: 10 * time.Second,
 		completeWait:  time.Second,
--- a/internal/backend/announce.go
+++ b/internal/backend/announce.go
@@ -38,6 +38,8 @@
 	HealthPath string `json:"health_path"`
 	LoadPath   string `json:"load_path"`
 	State      State  `json:"state"`
+	// AgeMS is the time since the server started.
+	AgeMS int64 `json:"age_ms"`
 }
 
 // ErrAnnouncement reports an announcement that the agent did not take.
--- a/internal/backend/faults.go
+++ b/internal/backend/faults.go
@@ -42,6 +42,8 @@
 type Faults struct {
 	Health HealthMode
 	Load   LoadMode
+	// Age is the least age that the server claims.
+	Age time.Duration
 	// Broken answers 500 to requests for work, without running them.
 	Broken bool
 	// LateEvery holds an answer back for LateBy after the work is done.
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -218,6 +218,7 @@
 		HealthPath: healthPath,
 		LoadPath:   loadPath,
 		State:      state,
+		AgeMS:      max(time.Since(s.began), s.currentFaults().Age).Milliseconds(),
 	}
 }
 
--- a/internal/cli/backend.go
+++ b/internal/cli/backend.go
@@ -50,6 +50,7 @@
 	f.DurationVar(&o.AnnouncePeriod, "announce-period", backend.DefaultAnnouncePeriod, "time between two announcements")
 	f.StringVar(&health, "fault-health", string(backend.HealthHonest), "health endpoint: honest, well, ill or frozen")
 	f.StringVar(&load, "fault-load", string(backend.LoadHonest), "load endpoint: honest, idle, full or stale")
+	f.DurationVar(&o.Faults.Age, "fault-age", 0, "claim to be up for at least that long")
 	f.BoolVar(&o.Faults.Broken, "fault-broken", false, "answer 500 to every request")
 	f.StringVar(&runLog, "run-log", "", "keep the idempotency keys of all runs in `FILE`, so that /runs knows of former processes")
 	f.Uint64Var(&o.Faults.LateEvery, "fault-late-every", 0, "hold back every `N`th answer")
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -22,6 +22,9 @@
 	// leavingMessage is the log message of an agent that takes no new flow.
 	leavingMessage = "leaving"
 
+	// backendAge is the gauge of the backend server's age.
+	backendAge = "backend_age"
+
 	targetPollMS = 200
 )
 
@@ -110,6 +113,15 @@
 	t.Backend = Start(c.t, "backend-"+t.Name, append(args, t.options.Faults...)...)
 }
 
+// RestartBackend kills the backend server and starts it again with other
+// faults.
+func (t *Target) RestartBackend(faults ...string) {
+	t.service.cluster.t.Helper()
+	t.Backend.Kill()
+	t.options.Faults = faults
+	t.LaunchBackend()
+}
+
 // LaunchAgent starts another process of the agent, beside an older one that
 // may still be leaving. It takes another frame address.
 func (t *Target) LaunchAgent() {
@@ -184,6 +196,12 @@
 	return t.Agent.reading(counter, reason)
 }
 
+// BackendAge returns the age of the backend server, in seconds, as the newest
+// agent holds it.
+func (t *Target) BackendAge() float64 {
+	return t.Agent.reading(backendAge, "")
+}
+
 // Resident returns the memory of the newest agent, in bytes.
 func (t *Target) Resident() float64 {
 	return t.Agent.reading(residentMemory, "")
--- a/retry/breaker.go
+++ b/retry/breaker.go
@@ -9,7 +9,8 @@
 const (
 	// Refuse means that the answer is known: nobody would answer the call.
 	Refuse Permit = iota
-	// Probe allows one try, which shows whether the far side is back.
+	// Probe is Refuse, but a call is due that shows whether the far side is
+	// back.
 	Probe
 	// Full allows as many tries as the caller has time for.
 	Full
@@ -17,8 +18,8 @@
 
 // Breaker tells calls that nobody answers to give up at once (a circuit
 // breaker). It opens once calls have failed for a while without an answer in
-// between, lets one call through as a probe from time to time, and closes with
-// the first answer. It is not safe for use by several goroutines at once.
+// between, asks for a call as a probe from time to time, and closes with the
+// first answer. It is not safe for use by several goroutines at once.
 type Breaker struct {
 	// After is the time for which calls have to fail before it opens. It spans
 	// what the far side needs to recover by itself, such as an election.
@@ -48,12 +49,17 @@
 	b.failing = false
 }
 
+// Changed makes a probe due at once: the far side may be another one now.
+func (b *Breaker) Changed(now time.Duration) {
+	b.probed = min(b.probed, now-b.Every)
+}
+
 // Open reports whether the far side is known to be away.
 func (b *Breaker) Open() bool {
 	return b.failing && b.last-b.since >= b.After
 }
 
-// Allow decides on a call. A permit to probe is given out once in Every.
+// Allow decides on a call. A probe is due once in Every.
 func (b *Breaker) Allow(now time.Duration) Permit {
 	if !b.Open() {
 		return Full
--- a/retry/breaker_test.go
+++ b/retry/breaker_test.go
@@ -32,6 +32,9 @@
 	is.Equal(b.Allow(breakerAfter), retry.Probe)
 	is.Equal(b.Allow(breakerAfter+1), retry.Refuse)
 	is.Equal(b.Allow(breakerAfter+breakerEvery), retry.Probe)
+	is.Equal(b.Allow(breakerAfter+breakerEvery), retry.Refuse)
+	b.Changed(breakerAfter + breakerEvery)
+	is.Equal(b.Allow(breakerAfter+breakerEvery), retry.Probe)
 	b.Answered()
 	is.Equal(b.Allow(breakerAfter+breakerEvery), retry.Full)
 }
--- a/test/lying_test.go
+++ b/test/lying_test.go
@@ -71,3 +71,34 @@
 	processtest.Eventually(t, "the liar takes no new flow", func() bool { return broken() == 0 })
 	is.New(t).True(liar.Backend.Running())
 }
+
+// TestRampFollowsTheBackendServer restarts the agent beside an old backend
+// server, which stays old, and then the backend server beside its agent, which
+// is cold, although it listens at the same address.
+func TestRampFollowsTheBackendServer(t *testing.T) {
+	const hour = 3600
+	d := deploy(t, 1)
+	target := d.lodgement.StartTargetWith("old", processtest.TargetOptions{Faults: []string{"--fault-age=24h"}})
+	old := func() bool { return target.BackendAge() >= 23*hour }
+	processtest.Eventually(t, "the agent takes its server for old", old)
+	target.StopAgent()
+	target.LaunchAgent()
+	target.WaitRegistered()
+	processtest.Eventually(t, "the next agent does as well", old)
+	target.RestartBackend()
+	processtest.Eventually(t, "the new server is cold", func() bool { return target.BackendAge() < hour })
+}
+
+// TestNewServerThatClaimsToBeOldIsCold has a backend server begin after its
+// agent has waited for it: what the agent saw goes before the claim.
+func TestNewServerThatClaimsToBeOldIsCold(t *testing.T) {
+	const hour = 3600
+	d := deploy(t, 1)
+	target := d.targets[d.lodgement][0]
+	processtest.Eventually(t, "the agent knows its server", func() bool { return target.BackendAge() > 0 })
+	target.RestartBackend("--fault-age=24h")
+	processtest.Eventually(t, "the new server is ready", target.Ready)
+	caller := d.callerOf(t, target)
+	is.New(t).Equal(caller.Echo("x").Outcome, processtest.OutcomeAnswered)
+	is.New(t).True(target.BackendAge() < hour)
+}
