--- a/internal/agentd/drain_test.go
+++ b/internal/agentd/drain_test.go
@@ -85,6 +85,35 @@
 	a.waitDone(t)
 }
 
+// Callers of a stopping agent stay until its successor takes flows, so that no
+// other target has to carry them in between.
+func TestCallersStayUntilTheSuccessorIsThere(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	backend := newFakeBackend(t)
+	timing := testTiming()
+	timing.successorWait = time.Hour // longer than the test waits
+	old := w.startAgentWith("t1", backend.server.URL, timing, nil)
+	other := w.startAgent("t2", newFakeBackend(t).server.URL)
+	w.entry.choose(old.FrameAddr(), other.FrameAddr())
+	client := w.caller()
+	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+	old.stop()
+	eventually(t, "draining announced", func() bool {
+		return old.published.last().GetState() == controlpb.TargetState_TARGET_STATE_DRAINING
+	})
+	for range 10 {
+		time.Sleep(old.timing.checkEvery)
+		got := mustSend(t, client, "GET", w.url("/echo?text=x"), "")
+		is.Equal(got.header.Get(headerTarget), old.plane.Load().self.String())
+	}
+	next := w.startAgent("t1", backend.server.URL)
+	w.entry.choose(next.FrameAddr(), "")
+	w.known.set(next.published.last())
+	movesTo(t, w, client, next)
+	old.waitDone(t)
+}
+
 // The brief's rolling replacement: a new process of the same target takes
 // over while the old one still holds sessions.
 func TestOldAndNewProcessOverlap(t *testing.T) {
