test: a target that is kept from new flows is known to be so before flows are counted

Cause: avoids() took the first round of 20 flows none of which reached the target for the proof that the lease was lost. A load report keeps one of two targets the dearer one for as long as the report is fresh, so whole rounds go to the other one while the lease holds. The order of the targets came from a Go map besides.

Ruled out: a target without a lease that takes flows after control and entry host act on its end; in the same runs no flow reached it from then on.

avoids() is now strict: what keeps the target from new flows has to be known to be in force, then none of 100 flows (before: 20, after a round by chance) may reach it, at the first try. Known by: the control host's list and the new gauge entry_candidates for a lost lease; the new gauge entry_targets_damped on each entry host for damping; the agent's line 'taking new flows' for a drain and a leaving agent. The agent wrote that line a moment before it was true; it now writes it after. Damping may end on a slow machine before the flows are counted: then the arrangement is made anew, and a count while it held counts.

A pass takes about 25 s because each of the two leases (9 s) has to run out; no wait of it depends on speed. The test runs beside others now.

--- a/internal/agentd/housekeeping.go
+++ b/internal/agentd/housekeeping.go
@@ -27,9 +27,10 @@
 	load.Requests = d.averageRequests(gate)
 	load.FlowCapacity = d.limits.flows
 	one.basis.Store((*loadBasis)(&load))
-	d.logChange(one.current(), *state, verdict)
+	before := one.current()
 	one.state.Store(state)
 	one.setLeaving(leaving, goAway)
+	d.logChange(before, *state, verdict) // what a line tells is in force already
 	if goAway {
 		one.sessions.closeIdle()
 	}
--- a/internal/entryd/change_test.go
+++ b/internal/entryd/change_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
 )
@@ -232,6 +233,27 @@
 	r.await("the refusal", func() bool { return r.counter("refused", "no_target") == 1 })
 }
 
+func TestCandidatesAndDampedTargetsAreTold(t *testing.T) {
+	is := is.New(t)
+	r := start(t, testOptions())
+	address := netip.MustParseAddrPort("127.0.0.1:7000")
+	gauge := func(name string) float64 { return r.scope.Snapshot().Gauges()[scopeName+"."+name+"+"].Value() }
+	all := services(serviceAt(lodgement, publicOne), serviceAt(certificates, publicTwo))
+	list := []*controlpb.TargetRecord{
+		record(lodgement, 1, address), record(lodgement, 2, address), record(lodgement, 3, address), record(certificates, 4, address),
+	}
+	r.apply(view(1, all, list...))
+	is.Equal(gauge("candidates"), 4.0)
+	is.Equal(gauge("targets_damped"), 0.0)
+	list[1].Damped = true
+	r.apply(view(2, all, list...))
+	is.Equal(gauge("candidates"), 3.0)
+	is.Equal(gauge("targets_damped"), 1.0)
+	r.apply(view(3, all, list[0])) // the leases of the others have ended
+	is.Equal(gauge("candidates"), 1.0)
+	is.Equal(gauge("targets_damped"), 0.0)
+}
+
 func TestShutdownClosesSocketsAndReturnsNil(t *testing.T) {
 	is := is.New(t)
 	o := testOptions()
--- a/internal/entryd/counters.go
+++ b/internal/entryd/counters.go
@@ -35,6 +35,11 @@
 	badTarget     tally.Counter
 	openAddresses tally.Gauge
 	version       tally.Gauge
+	// candidates is the number of targets that new flows are decided between.
+	candidates tally.Gauge
+	// damped is the number of targets that are kept from new flows because
+	// they flap.
+	damped tally.Gauge
 }
 
 func newCounters(scope tally.Scope) *counters {
@@ -52,6 +57,8 @@
 		badTarget:      scope.Counter("target_address_unusable"),
 		openAddresses:  scope.Gauge("public_addresses_open"),
 		version:        scope.Gauge("configuration_version"),
+		candidates:     scope.Gauge("candidates"),
+		damped:         scope.Gauge("targets_damped"),
 	}
 	for r := range c.first {
 		c.first[r] = tagged(scope, routing.Reason(r).String()).Counter("first_forwarded")
--- a/internal/entryd/directory.go
+++ b/internal/entryd/directory.go
@@ -19,6 +19,8 @@
 	services map[uint32]*members
 	loads    *routing.Loads
 	started  map[life]coldStart
+	// damped is the number of targets that flap.
+	damped int
 }
 
 // restartMargin is how much later than the known one the start of a newer
@@ -107,6 +109,9 @@
 	}
 	m.targets = append(m.targets, t)
 	m.started = append(m.started, started)
+	if t.Damped {
+		d.damped++
+	}
 }
 
 // start remembers and returns when the target had its cold start.
--- a/internal/entryd/forwarder.go
+++ b/internal/entryd/forwarder.go
@@ -260,6 +260,17 @@
 	for _, l := range f.tables.Load().listeners {
 		l.service.Store(f.service(built, l.policy, now))
 	}
+	f.countCandidates(built)
+}
+
+// countCandidates tells between how many targets the tables in force decide.
+func (f *Forwarder) countCandidates(built map[*servicePolicy]*service) {
+	sum := 0
+	for _, s := range built {
+		sum += s.table.Len()
+	}
+	f.counters.candidates.Update(float64(sum))
+	f.counters.damped.Update(float64(f.directory.damped))
 }
 
 // service returns the service of a policy with a fresh table, built once for
@@ -301,6 +312,7 @@
 
 	f.tables.Store(&tables{listeners: after, loads: f.directory.loads})
 	f.counters.openAddresses.Update(float64(len(after)))
+	f.countCandidates(built)
 	maps.DeleteFunc(f.refusedOpen, func(address netip.AddrPort, _ string) bool {
 		return f.addresses[address] == nil
 	})
--- a/internal/processtest/logs.go
+++ b/internal/processtest/logs.go
@@ -11,6 +11,7 @@
 type logLine struct {
 	Message string `json:"msg"`
 	Version uint64 `json:"version"`
+	Yes     bool   `json:"yes"`
 }
 
 // processLog collects what a process writes. It is safe for concurrent use.
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -19,8 +19,9 @@
 	// registeredMessage is the log message of an agent that control hosts
 	// have given its target's number.
 	registeredMessage = "target registered"
-	// leavingMessage is the log message of an agent that takes no new flow.
-	leavingMessage = "leaving"
+	// takingMessage is the log message of an agent that takes new flows from
+	// now on, or no more.
+	takingMessage = "taking new flows"
 
 	targetPollMS = 200
 )
@@ -138,7 +139,17 @@
 func (t *Target) StopAgent() {
 	t.service.cluster.t.Helper()
 	t.Agent.Terminate()
-	t.Agent.WaitLog(leavingMessage)
+	t.WaitTakesNoFlow()
+}
+
+// WaitTakesNoFlow waits until the newest agent takes no new flow.
+func (t *Target) WaitTakesNoFlow() {
+	c := t.service.cluster
+	c.t.Helper()
+	Eventually(c.t, t.Name+" takes no new flow", func() bool {
+		lines := t.Agent.log.find(takingMessage)
+		return len(lines) > 0 && !lines[len(lines)-1].Yes
+	})
 }
 
 // Answered tells whether the target gave the answer.
--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -75,6 +75,7 @@
 	for _, answer := range inFlight.wait() {
 		is.Equal(answer, whole)
 	}
+	target.WaitTakesNoFlow()
 	d.avoids(t, target)
 	load.progress()
 	is.True(target.Backend.Running())
@@ -102,20 +103,39 @@
 	load.stop()
 }
 
-// avoids waits until the target takes no new flow, and checks that this lasts.
+// avoids opens many flows, none of which the target may take. What keeps it
+// from new flows has to be in force: that no flow of a round reached the target
+// says nothing, as a load report makes the other one look better for as long.
 func (d *deployment) avoids(t *testing.T, target *processtest.Target) {
 	t.Helper()
-	const flows = 20
-	taken := func() int {
-		n := 0
-		for i := range flows {
-			answer := d.lodgement.NewCaller().Echo(fmt.Sprint(i))
-			if answer.Status == http.StatusOK && target.Answered(answer) {
-				n++
-			}
+	is.New(t).Equal(d.reaching(target), 0)
+}
+
+// reaching opens many flows and returns how many of them the target took.
+func (d *deployment) reaching(target *processtest.Target) int {
+	const flows = 100
+	taken := 0
+	for i := range flows {
+		answer := d.lodgement.NewCaller().Echo(fmt.Sprint(i))
+		if answer.Status == http.StatusOK && target.Answered(answer) {
+			taken++
 		}
-		return n
 	}
-	processtest.Eventually(t, target.Name+" takes no new flow", func() bool { return taken() == 0 })
-	is.New(t).Equal(taken(), 0)
+	return taken
+}
+
+// candidates waits until all entry hosts decide between so many targets.
+func (d *deployment) candidates(t *testing.T, count int) {
+	t.Helper()
+	d.onEntries(t, fmt.Sprint(count, " candidates"), func(e *processtest.Entry) bool {
+		return e.Candidates() == count
+	})
+}
+
+// onEntries waits until the condition holds on each entry host.
+func (d *deployment) onEntries(t *testing.T, what string, holds func(*processtest.Entry) bool) {
+	t.Helper()
+	for _, e := range d.entries {
+		processtest.Eventually(t, what+" on "+e.Host, func() bool { return holds(e) })
+	}
 }
--- a/test/lease_test.go
+++ b/test/lease_test.go
@@ -13,25 +13,29 @@
 // a service in turn. The one without a lease takes no new flow, its open
 // session goes on, and it takes flows again once it can renew the lease.
 func TestLostLeaseKeepsEstablishedFlows(t *testing.T) {
+	t.Parallel()
 	d := &deployment{Cluster: processtest.New(t)}
 	d.controls = d.StartControls(1)
 	d.lodgement = d.NewService("lodgement")
 	d.Patch(d.lodgement.Put())
 	d.entries = append(d.entries, d.StartEntry())
-	links := map[*processtest.Target]*faultproxy.Relay{}
-	d.targets = map[*processtest.Service][]*processtest.Target{}
+	var links []*faultproxy.Relay
+	var targets []*processtest.Target
 	for _, name := range []string{"a", "b"} {
 		link := d.controls[0].Relay()
-		target := d.lodgement.StartTarget(name, link.Addr())
-		links[target] = link
-		d.targets[d.lodgement] = append(d.targets[d.lodgement], target)
+		links = append(links, link)
+		targets = append(targets, d.lodgement.StartTarget(name, link.Addr()))
 	}
-	for target, link := range links {
+	d.candidates(t, len(targets))
+	for i, target := range targets {
 		watch := d.callerOf(t, target).Watch()
-		link.Cut()
+		links[i].Cut()
+		processtest.Eventually(t, "the lease ends", func() bool { return d.controls[0].Status().Targets == 1 })
+		d.candidates(t, 1)
 		d.avoids(t, target)
 		watch.Advance()
-		link.Heal()
+		links[i].Heal()
+		d.candidates(t, len(targets))
 		d.callerOf(t, target) // takes new flows again
 		watch.Advance()
 	}
@@ -46,15 +50,24 @@
 	watch := d.lodgement.NewCaller().Watch()
 	d.lodgement.StartTarget("c") // one ill target of two would be half of the service
 	_, flapping := d.holder(t, watch)
-	flapping.Agent.Kill()
-	flapping.Flap(6)
-	flapping.LaunchAgent()
-	flapping.WaitRegistered()
-	is.Equal(d.controls[0].Status().Damped, 1)
-	d.avoids(t, flapping)
+	damped := func() bool { return d.controls[0].Status().Damped == 1 }
+	taken := -1
+	for round := 0; taken < 0 && round < 5; round++ {
+		d.onEntries(t, "no damping", func(e *processtest.Entry) bool { return e.Damped() == 0 })
+		flapping.Agent.Kill()
+		flapping.Flap(6)
+		flapping.LaunchAgent()
+		flapping.WaitRegistered()
+		d.onEntries(t, "damping", func(e *processtest.Entry) bool { return e.Damped() == 1 || !damped() })
+		reached := d.reaching(flapping)
+		if damped() { // all the time; on a slow machine it may have ended
+			taken = reached
+		}
+	}
+	is.Equal(taken, 0)
 	is.True(flapping.Agent.Running())
 	watch.Advance() // the other target's flows are not touched
-	processtest.Eventually(t, "the damping ends", func() bool { return d.controls[0].Status().Damped == 0 })
+	processtest.Eventually(t, "the damping ends", func() bool { return !damped() })
 	d.callerOf(t, flapping)
 	watch.Advance()
 }
