--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	d.api, err = operator.Listen(d.settings.GetReplica().GetOperatorListen(), d.creds, (*backend)(d), d.log, d.scope)
+	d.api, err = operator.Listen(d.settings.GetReplica().GetOperatorListen(), d.creds, (*operatorHandler)(d), d.log, d.scope)
 	return err
 }
 
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -143,7 +143,7 @@
 func (h *handler) join(ctx context.Context, peer link.Peer, j *controlpb.Join) *controlpb.Response {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	err := (*backend)(h).addLearner(ctx, j.GetAddress(), peer.Name)
+	err := (*operatorHandler)(h).addLearner(ctx, j.GetAddress(), peer.Name)
 	if errors.Is(err, operator.ErrUnknown) {
 		return h.fault(refusedUnknown, controlpb.FaultKind_FAULT_UNKNOWN, err.Error())
 	}
--- a/internal/controld/backend.go
+++ b/internal/controld/operators.go
@@ -22,16 +22,16 @@
 	stateNotFounded = "not founded"
 )
 
-// backend serves the operators' API.
-type backend Daemon
+// operatorHandler serves the operators' API.
+type operatorHandler Daemon
 
-// Submit implements operator.Backend.
-func (b *backend) Submit(ctx context.Context, p *configpb.Patch) (*configpb.Outcome, error) {
+// Submit implements operator.Handler.
+func (h *operatorHandler) Submit(ctx context.Context, p *configpb.Patch) (*configpb.Outcome, error) {
 	command, err := proto.Marshal(&configpb.Command{Body: &configpb.Command_Patch{Patch: p}})
 	if err != nil {
 		return nil, errors.Wrap(operator.ErrNotDone, err.Error())
 	}
-	data, err := b.replicas[controlpb.Group_GROUP_CONFIG].Propose(ctx, command)
+	data, err := h.replicas[controlpb.Group_GROUP_CONFIG].Propose(ctx, command)
 	if err != nil {
 		return nil, operatorError(err)
 	}
@@ -50,45 +50,45 @@
 	return errors.Wrap(operator.ErrNotDone, err.Error())
 }
 
-// Outcome implements operator.Backend.
-func (b *backend) Outcome(ctx context.Context, id string) (*configpb.Outcome, error) {
-	if err := b.confirm.wait(ctx); err != nil {
+// Outcome implements operator.Handler.
+func (h *operatorHandler) Outcome(ctx context.Context, id string) (*configpb.Outcome, error) {
+	if err := h.confirm.wait(ctx); err != nil {
 		return nil, errors.Wrapf(operator.ErrNotDone, "no quorum confirms the state: %v", err)
 	}
-	if out := b.configs.outcome(id); out != nil {
+	if out := h.configs.outcome(id); out != nil {
 		return out, nil
 	}
 	return nil, errors.Wrapf(operator.ErrNotFound, "patch %q", id)
 }
 
-// Config implements operator.Backend.
-func (b *backend) Config(ctx context.Context, version uint64) (*configpb.Configuration, bool, error) {
-	confirmed := b.confirm.wait(ctx) == nil
-	current, _ := b.configs.current()
+// Config implements operator.Handler.
+func (h *operatorHandler) Config(ctx context.Context, version uint64) (*configpb.Configuration, bool, error) {
+	confirmed := h.confirm.wait(ctx) == nil
+	current, _ := h.configs.current()
 	if version == 0 {
 		return current, confirmed, nil
 	}
-	if held := b.configs.at(version); held != nil {
+	if held := h.configs.at(version); held != nil {
 		return held, confirmed, nil
 	}
 	return nil, false, errors.Wrapf(operator.ErrNotFound, "version %d, current is %d", version, current.GetVersion())
 }
 
-// Status implements operator.Backend.
-func (b *backend) Status() *operator.Status {
-	current, patch := b.configs.current()
+// Status implements operator.Handler.
+func (h *operatorHandler) Status() *operator.Status {
+	current, patch := h.configs.current()
 	s := &operator.Status{
-		Host:         b.name,
+		Host:         h.name,
 		Version:      current.GetVersion(),
 		VersionPatch: patch,
-		Targets:      b.directory.count(),
-		Damped:       b.directory.damped(),
+		Targets:      h.directory.count(),
+		Damped:       h.directory.damped(),
 	}
 	for _, group := range groups {
-		s.Groups = append(s.Groups, groupStatus(group, b.replicas[group].Status()))
+		s.Groups = append(s.Groups, groupStatus(group, h.replicas[group].Status()))
 	}
-	s.Subscribers, s.Laggards = b.subscribers.list(current.GetVersion())
-	s.GrantsHeld, s.GrantsAnswered = b.grants.count()
+	s.Subscribers, s.Laggards = h.subscribers.list(current.GetVersion())
+	s.GrantsHeld, s.GrantsAnswered = h.grants.count()
 	return s
 }
 
@@ -129,18 +129,18 @@
 	return stateFollows
 }
 
-// AddLearner implements operator.Backend.
-func (b *backend) AddLearner(ctx context.Context, address string) error {
-	return b.addLearner(ctx, address, "")
+// AddLearner implements operator.Handler.
+func (h *operatorHandler) AddLearner(ctx context.Context, address string) error {
+	return h.addLearner(ctx, address, "")
 }
 
 // addLearner adds the host at a link address. If a name is given, the host
 // must have it.
-func (b *backend) addLearner(ctx context.Context, address, name string) error {
+func (h *operatorHandler) addLearner(ctx context.Context, address, name string) error {
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return errors.Wrapf(operator.ErrNotDone, "%q is not of the form ip:port", address)
 	}
-	reply, err := (*Daemon)(b).askReplicas(address)
+	reply, err := (*Daemon)(h).askReplicas(address)
 	if err != nil {
 		return errors.Wrapf(operator.ErrNotDone, "the host at %s does not answer: %v", address, err)
 	}
@@ -149,7 +149,7 @@
 		if name != "" && info.GetId().GetName() != name {
 			return errors.Wrapf(operator.ErrNotDone, "the host at %s is not %s", address, name)
 		}
-		r := b.replicas[info.GetGroup()]
+		r := h.replicas[info.GetGroup()]
 		if r == nil || isMember(r.Status(), info.GetId()) {
 			continue
 		}
@@ -186,9 +186,9 @@
 	return false
 }
 
-// Promote implements operator.Backend.
-func (b *backend) Promote(ctx context.Context, m operator.MemberRef) error {
-	return b.eachMember(ctx, m, func(r *replica.Replica, member *raftpb.Member) error {
+// Promote implements operator.Handler.
+func (h *operatorHandler) Promote(ctx context.Context, m operator.MemberRef) error {
+	return h.eachMember(ctx, m, func(r *replica.Replica, member *raftpb.Member) error {
 		if member == nil {
 			return errors.Wrapf(replica.ErrMembership, "no member is named %q", m.Name)
 		}
@@ -216,9 +216,9 @@
 	return false
 }
 
-// Remove implements operator.Backend.
-func (b *backend) Remove(ctx context.Context, m operator.MemberRef) error {
-	return b.eachMember(ctx, m, func(r *replica.Replica, member *raftpb.Member) error {
+// Remove implements operator.Handler.
+func (h *operatorHandler) Remove(ctx context.Context, m operator.MemberRef) error {
+	return h.eachMember(ctx, m, func(r *replica.Replica, member *raftpb.Member) error {
 		if member == nil {
 			return nil
 		}
@@ -230,11 +230,11 @@
 // group has no such member. A host that may not know the members of a group,
 // because it lags behind or has not joined yet, can't tell that one is absent:
 // the change is not made there.
-func (b *backend) eachMember(ctx context.Context, ref operator.MemberRef, f func(*replica.Replica, *raftpb.Member) error) error {
+func (h *operatorHandler) eachMember(ctx context.Context, ref operator.MemberRef, f func(*replica.Replica, *raftpb.Member) error) error {
 	found, confirmed := false, true
 	var first error
 	for _, group := range groups {
-		r := b.replicas[group]
+		r := h.replicas[group]
 		if err := r.ReadBarrier(ctx); err != nil {
 			confirmed = false
 			first = firstError(first, errors.Wrapf(replica.ErrMembership, "members of %s: %v", folders[group], err))
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -36,8 +36,8 @@
 	MaxBody = 8 << 20
 )
 
-// Backend is what the API serves.
-type Backend interface {
+// Handler is what the API serves.
+type Handler interface {
 	// Submit replicates a patch. Errors: ErrNotDone, ErrUnknown.
 	Submit(ctx context.Context, p *configpb.Patch) (*configpb.Outcome, error)
 	// Outcome returns what became of a patch, confirmed by a quorum. Errors:
--- a/internal/operator/fuzz_test.go
+++ b/internal/operator/fuzz_test.go
@@ -18,20 +18,20 @@
 
 // taker keeps what reaches it of a call.
 type taker struct {
-	Backend
+	Handler
 	patch *configpb.Patch
 }
 
-func (b *taker) Submit(_ context.Context, p *configpb.Patch) (*configpb.Outcome, error) {
-	b.patch = p
+func (h *taker) Submit(_ context.Context, p *configpb.Patch) (*configpb.Outcome, error) {
+	h.patch = p
 	return &configpb.Outcome{}, nil
 }
 
-func (b *taker) AddLearner(context.Context, string) error { return nil }
-func (b *taker) Promote(context.Context, MemberRef) error { return nil }
-func (b *taker) Remove(context.Context, MemberRef) error  { return ErrNotDone }
+func (h *taker) AddLearner(context.Context, string) error { return nil }
+func (h *taker) Promote(context.Context, MemberRef) error { return nil }
+func (h *taker) Remove(context.Context, MemberRef) error  { return ErrNotDone }
 
-func (b *taker) Status() *Status { return &Status{} }
+func (h *taker) Status() *Status { return &Status{} }
 
 // FuzzCall sends bodies to every call that takes one: each gets an answer in
 // the documented form, and an unreadable patch reaches nobody.
@@ -46,7 +46,7 @@
 	f.Add(3, `[`)
 	f.Fuzz(func(t *testing.T, which int, body string) {
 		b := &taker{}
-		s := &Server{backend: b, scope: tally.NoopScope}
+		s := &Server{handler: b, scope: tally.NoopScope}
 		path := paths[uint(which)%uint(len(paths))]
 		w := httptest.NewRecorder()
 		s.routes().ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -31,7 +31,7 @@
 
 // Server serves the API.
 type Server struct {
-	backend  Backend
+	handler  Handler
 	scope    tally.Scope
 	listener net.Listener
 	http     *http.Server
@@ -39,12 +39,12 @@
 }
 
 // Listen opens the TCP address (ip:port) and serves the API on it.
-func Listen(addr string, creds *keys.Credentials, b Backend, log *zap.Logger, scope tally.Scope) (*Server, error) {
+func Listen(addr string, creds *keys.Credentials, h Handler, log *zap.Logger, scope tally.Scope) (*Server, error) {
 	plain, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "open operator address")
 	}
-	s := &Server{backend: b, scope: scope.SubScope("operator")}
+	s := &Server{handler: h, scope: scope.SubScope("operator")}
 	config := creds.ServerTLS(keys.RoleOperator)
 	config.NextProtos = []string{"http/1.1"}
 	s.listener = tls.NewListener(plain, config)
@@ -93,14 +93,14 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), SubmitTimeout)
 	defer cancel()
-	out, err := s.backend.Submit(ctx, &p)
+	out, err := s.handler.Submit(ctx, &p)
 	s.answerOutcome(w, out, err)
 }
 
 func (s *Server) outcome(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), ReadTimeout)
 	defer cancel()
-	out, err := s.backend.Outcome(ctx, r.PathValue("id"))
+	out, err := s.handler.Outcome(ctx, r.PathValue("id"))
 	s.answerOutcome(w, out, err)
 }
 
@@ -129,7 +129,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), ReadTimeout)
 	defer cancel()
-	cfg, confirmed, err := s.backend.Config(ctx, version)
+	cfg, confirmed, err := s.handler.Config(ctx, version)
 	if err != nil {
 		s.fault(w, err)
 		return
@@ -143,7 +143,7 @@
 }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
-	answer(w, http.StatusOK, s.backend.Status())
+	answer(w, http.StatusOK, s.handler.Status())
 }
 
 func (s *Server) addLearner(w http.ResponseWriter, r *http.Request) {
@@ -151,7 +151,7 @@
 	if !s.readJSON(w, r, &req) {
 		return
 	}
-	s.change(w, r, func(ctx context.Context) error { return s.backend.AddLearner(ctx, req.Address) })
+	s.change(w, r, func(ctx context.Context) error { return s.handler.AddLearner(ctx, req.Address) })
 }
 
 func (s *Server) promote(w http.ResponseWriter, r *http.Request) {
@@ -159,7 +159,7 @@
 	if !s.readJSON(w, r, &m) {
 		return
 	}
-	s.change(w, r, func(ctx context.Context) error { return s.backend.Promote(ctx, m) })
+	s.change(w, r, func(ctx context.Context) error { return s.handler.Promote(ctx, m) })
 }
 
 func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
@@ -167,7 +167,7 @@
 	if !s.readJSON(w, r, &m) {
 		return
 	}
-	s.change(w, r, func(ctx context.Context) error { return s.backend.Remove(ctx, m) })
+	s.change(w, r, func(ctx context.Context) error { return s.handler.Remove(ctx, m) })
 }
 
 func (s *Server) change(w http.ResponseWriter, r *http.Request, f func(context.Context) error) {
@@ -177,7 +177,7 @@
 		s.fault(w, err)
 		return
 	}
-	answer(w, http.StatusOK, s.backend.Status())
+	answer(w, http.StatusOK, s.handler.Status())
 }
 
 func (s *Server) readProto(w http.ResponseWriter, r *http.Request, m proto.Message) bool {
--- a/internal/processtest/cutanswer.go
+++ b/internal/processtest/cutanswer.go
@@ -17,11 +17,11 @@
 // answerCutter passes patches on to control hosts and breaks the operator's
 // connection in place of their outcome. Questions are answered.
 type answerCutter struct {
-	operator.Backend // not called
+	operator.Handler // not called
 	client           *operator.Client
 }
 
-// Submit implements operator.Backend. It returns no outcome, as the operator
+// Submit implements operator.Handler. It returns no outcome, as the operator
 // must not learn it here.
 func (a *answerCutter) Submit(ctx context.Context, p *configpb.Patch) (*configpb.Outcome, error) {
 	if _, err := a.client.Submit(ctx, p); err != nil {
@@ -30,7 +30,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// Outcome implements operator.Backend.
+// Outcome implements operator.Handler.
 func (a *answerCutter) Outcome(ctx context.Context, id string) (*configpb.Outcome, error) {
 	return a.client.Outcome(ctx, id)
 }
