raft, controld: members that never vote, and a bound of voters

15 control hosts as 15 voters would wait for 8 disks over regions with each change. So five vote and ten are learners for good. What a learner serves was tried first, by TestLearnerServes: patches, confirmed reads, subscriptions, registrations, announcements and grants all work through it, also after its restart and the loss of the leader; nothing had to be built for that. Without its leader it says so (TestLearnerWithoutQuorumSaysSo).

Missing were: - A bound. raft refuses a change that leads to more than MaxVoters (7) voters: ErrTooManyVoters, counter membership_changes_refused. TestVotersAreBounded of raft failed first with the check taken out. Founding by more is refused as settings. - The reason at the operator. A client that asks several hosts told the error of the last one, "no leader"; TestVotersAreBounded of controld failed on that. A leader's refusal is now an error of its own (ErrRefused) that ends the asking. - max_links.

Fixtures of controld's tests that stood several times are folded: newSingle, registered, servingRecord, counted. No check of them changed.

--- a/internal/cli/replica.go
+++ b/internal/cli/replica.go
@@ -14,6 +14,10 @@
 starts with "join = true" in its settings and asks to be added as a learner, or is
 added by "replica add"; it catches up, and is promoted to a voter.
 
+A learner may stay one: it serves entry hosts, agents and operators like a voter, and
+no commit waits for it. Five voters in five regions are enough for any number of
+control hosts; a promotion that would make more than seven is refused.
+
 A change is made in both replicated logs, which may have different leaders, so name
 all control hosts. Making it again is safe.
 
--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -35,6 +35,8 @@
 	address map[string]string
 	// listen is where a host listens, if not at its address.
 	listen map[string]string
+	// maxLinks bounds the links of each host; 0 is the default.
+	maxLinks uint32
 }
 
 type host struct {
@@ -97,7 +99,7 @@
 		},
 		Replica: &settingspb.Replica{
 			DataFolder: data, Listen: d.listenAddress(name), OperatorListen: "127.0.0.1:0",
-			InitialVoters: d.voters, Join: join, TickMs: 20,
+			InitialVoters: d.voters, Join: join, TickMs: 20, MaxLinks: d.maxLinks,
 		},
 	}
 }
@@ -146,6 +148,15 @@
 	}
 }
 
+// newSingle is one host with a first version that these operations made.
+func newSingle(t testing.TB, ops ...*configpb.Operation) *deployment {
+	t.Helper()
+	d := newDeployment(t, "c1")
+	d.startAll("c1")
+	d.accept(d.operator("c1"), patch("p1", 0, ops...))
+	return d
+}
+
 func (d *deployment) stop(name string) *host {
 	h := d.hosts[name]
 	delete(d.hosts, name)
--- a/internal/controld/follow_test.go
+++ b/internal/controld/follow_test.go
@@ -143,17 +143,10 @@
 
 func TestRestartedHostRemovesNoTargets(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	d := newSingle(t, put("lodgement", "192.0.2.1:443"))
 	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
 	announce := func(target string) {
-		reg := call(t, agent, registerRequest("lodgement", target, "x")).GetRegistration()
-		r := &controlpb.TargetRecord{
-			Service: reg.GetServiceNumber(), Number: reg.GetTargetNumber(), Incarnation: reg.GetIncarnation(),
-			Name: target, Address: "127.0.0.1:7000", Slots: 4, Sequence: 1, State: controlpb.TargetState_TARGET_STATE_SERVING,
-		}
-		is.Equal(call(t, agent, announceRequest(r)).GetAnnounce().GetRefusal(), "")
+		is.Equal(call(t, agent, announceRequest(registered(t, agent, target))).GetAnnounce().GetRefusal(), "")
 	}
 	announce("t1")
 	announce("t2")
@@ -172,9 +165,7 @@
 
 func TestStateSurvivesRestart(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	d := newSingle(t, put("lodgement", "192.0.2.1:443"))
 	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
 	reg := call(t, agent, registerRequest("lodgement", "t1", "x")).GetRegistration()
 	is.True(call(t, agent, acquireRequest(1, "k", "one")).GetGrant().GetDecision() != 0)
--- a/internal/controld/found.go
+++ b/internal/controld/found.go
@@ -16,6 +16,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/replica"
+	"eelgrasswharf.example/eelgrasswharf/raft"
 )
 
 // voter is an initial voter as the settings name it.
@@ -35,6 +36,9 @@
 		}
 		out = append(out, voter{name: strings.TrimSpace(name), address: strings.TrimSpace(address)})
 	}
+	if !s.GetJoin() && len(out) > raft.MaxVoters {
+		return nil, errors.Wrapf(ErrVoters, "%d of them, at most %d: let the others join as learners", len(out), raft.MaxVoters)
+	}
 	slices.SortFunc(out, func(a, b voter) int { return cmp.Compare(a.name, b.name) })
 	for i := 1; i < len(out); i++ {
 		if out[i].name == out[i-1].name {
--- a/internal/controld/group_test.go
+++ b/internal/controld/group_test.go
@@ -226,15 +226,7 @@
 	is := is.New(t)
 	d := newGroup(t)
 	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
-	var reg *configpb.Registration
-	eventually(t, "a registration", func() bool {
-		reg = call(t, agent, registerRequest("lodgement", "t1", "x")).GetRegistration()
-		return reg.GetTargetNumber() != 0
-	})
-	r := &controlpb.TargetRecord{
-		Service: reg.GetServiceNumber(), Number: reg.GetTargetNumber(), Incarnation: reg.GetIncarnation(),
-		Name: "t1", Address: "127.0.0.1:7000", Slots: 4, Sequence: 1, State: controlpb.TargetState_TARGET_STATE_SERVING,
-	}
+	r := registered(t, agent, "t1")
 	is.Equal(call(t, agent, announceRequest(r)).GetAnnounce().GetRefusal(), "")
 	for _, name := range []string{"c2", "c3"} {
 		w := d.subscribe(d.link(keys.RoleEntry, "e-"+name, "", name), &controlpb.Subscribe{})
@@ -250,15 +242,7 @@
 	is := is.New(t)
 	d := newGroup(t)
 	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
-	var r *controlpb.TargetRecord
-	eventually(t, "a registration", func() bool {
-		reg := call(t, agent, registerRequest("lodgement", "t1", "x")).GetRegistration()
-		r = &controlpb.TargetRecord{
-			Service: reg.GetServiceNumber(), Number: reg.GetTargetNumber(), Incarnation: reg.GetIncarnation(),
-			Name: "t1", Address: "127.0.0.1:7000", Slots: 4, Sequence: 1, State: controlpb.TargetState_TARGET_STATE_SERVING,
-		}
-		return r.GetNumber() != 0
-	})
+	r := registered(t, agent, "t1")
 	is.Equal(call(t, agent, announceRequest(r)).GetAnnounce().GetRefusal(), "")
 	eventually(t, "the target on c2", func() bool { return d.status("c2").Targets == 1 })
 	d.restart("c2")
--- a/internal/controld/internal_test.go
+++ b/internal/controld/internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/replica"
 	"eelgrasswharf.example/eelgrasswharf/membership"
+	"eelgrasswharf.example/eelgrasswharf/raft"
 )
 
 func TestBarrierSharesReads(t *testing.T) {
@@ -70,6 +72,15 @@
 	is.Equal(len(c), 0)
 }
 
+// manyVoters names c1 and so on.
+func manyVoters(count int) []string {
+	var all []string
+	for i := range count {
+		all = append(all, fmt.Sprintf("c%d=127.0.0.1:%d", i+1, i+1))
+	}
+	return all
+}
+
 func TestParseVoters(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -85,6 +96,7 @@
 		{"not named", []string{"c1=127.0.0.1:1"}, false, nil, true},
 		{"twice", []string{"c2=127.0.0.1:2", "c2=127.0.0.1:3"}, false, nil, true},
 		{"no address", []string{"c2"}, false, nil, true},
+		{"too many", manyVoters(raft.MaxVoters + 1), false, nil, true},
 		{"no name", []string{"=127.0.0.1:1", "c2=127.0.0.1:2"}, false, nil, true},
 	}
 	for _, test := range tests {
--- a/internal/controld/members_test.go
+++ b/internal/controld/members_test.go
@@ -1,12 +1,21 @@
 package controld_test
 
 import (
+	"fmt"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
+	"eelgrasswharf.example/eelgrasswharf/raft"
 )
 
 // TestRemovalIsToldOnce removes a member by one call, whichever hosts lead the
@@ -32,3 +41,185 @@
 	is.True(errors.Is(err, operator.ErrNotDone)) // nobody can say so
 	is.True(!errors.Is(err, operator.ErrNotFound))
 }
+
+// withLearner is newGroup with a fourth host that asks to join and is never
+// promoted.
+func withLearner(t *testing.T) *deployment {
+	t.Helper()
+	d := newDeployment(t, "c1", "c2", "c3", "c4")
+	d.voters = d.voters[:3]
+	d.startAll("c1", "c2", "c3")
+	d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	d.start("c4", "", true)
+	d.awaitLearner("c4")
+	return d
+}
+
+// awaitLearner waits until a host is a learner in both groups and has their
+// leaders.
+func (d *deployment) awaitLearner(name string) {
+	d.t.Helper()
+	eventually(d.t, name+" to follow as a learner", func() bool {
+		for _, g := range d.status(name).Groups {
+			learns := false
+			for _, m := range g.Members {
+				learns = learns || m.Name == name && m.Learner
+			}
+			if !learns || g.State != "follows" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestLearnerServes asks a learner for all that a control host does: patches,
+// confirmed reads, subscriptions, registrations, announcements and grants. It
+// goes on after its own restart and after the loss of the leader.
+func TestLearnerServes(t *testing.T) {
+	d := withLearner(t)
+	checkServes(t, d, "c4", 1)
+	d.start("c4", d.stop("c4").data, true)
+	d.awaitLearner("c4")
+	checkServes(t, d, "c4", 2)
+	d.stop(d.leader())
+	checkServes(t, d, "c4", 3)
+	for _, g := range d.status("c4").Groups {
+		is.New(t).Equal(len(g.Members), 4)
+	}
+}
+
+// checkServes asks one host alone, of which version is the newest.
+func checkServes(t *testing.T, d *deployment, name string, version uint64) {
+	t.Helper()
+	is := is.New(t)
+	round := fmt.Sprintf("round-%d", version)
+	ops := d.operator(name)
+	w := d.subscribe(d.link(keys.RoleEntry, "e-"+round, "", name), &controlpb.Subscribe{})
+	w.await("the confirmed version", func(u *controlpb.SubscribeUpdate) bool {
+		return u.GetConfig().GetVersion() == version && u.GetConfig().GetConfirmed()
+	})
+	is.NoErr(w.stream.Send(&controlpb.Heartbeat{Version: version}))
+	out := d.accept(ops, patch(round, version, put("lodgement", "192.0.2.1:443")))
+	is.Equal(out.GetVersion(), version+1)
+	w.awaitVersion(version + 1)
+	held, err := ops.Outcome(testContext(t), round)
+	is.NoErr(err)
+	is.Equal(held.GetVersion(), version+1)
+	_, confirmed, err := ops.Config(testContext(t), 0)
+	is.NoErr(err)
+	is.True(confirmed)
+
+	agent := d.link(keys.RoleAgent, "a-"+round, "lodgement", name)
+	record := registered(t, agent, round)
+	is.Equal(call(t, agent, announceRequest(record)).GetAnnounce().GetRefusal(), "")
+	w.await("the target", func(u *controlpb.SubscribeUpdate) bool {
+		for _, put := range u.GetDirectory().GetPut() {
+			if put.GetNumber() == record.GetNumber() {
+				return true
+			}
+		}
+		return false
+	})
+	eventually(t, "a grant", func() bool {
+		return call(t, agent, acquireRequest(1, round, "one")).GetGrant().GetDecision() == grantpb.Decision_DECISION_GRANTED
+	})
+	is.Equal(call(t, agent, acquireRequest(1, round, "two")).GetGrant().GetDecision(), grantpb.Decision_DECISION_HELD)
+}
+
+// TestLearnerWithoutQuorumSaysSo leaves a learner alone: it refuses at once
+// and tells its subscribers that nothing confirms its version.
+func TestLearnerWithoutQuorumSaysSo(t *testing.T) {
+	is := is.New(t)
+	d := withLearner(t)
+	for _, name := range []string{"c1", "c2", "c3"} {
+		d.stop(name)
+	}
+	eventually(t, "loss of the leader", func() bool { return d.status("c4").Groups[0].State == "no leader" })
+	ops := d.operator("c4")
+	_, err := ops.Submit(testContext(t), patch("p2", 1, put("lodgement", "192.0.2.1:443")))
+	is.True(errors.Is(err, operator.ErrNotDone))
+	_, err = ops.Outcome(testContext(t), "p1")
+	is.True(errors.Is(err, operator.ErrNotDone))
+	w := d.subscribe(d.link(keys.RoleEntry, "e1", "", "c4"), &controlpb.Subscribe{})
+	is.Equal(w.awaitVersion(1).GetConfirmed(), false)
+}
+
+// TestVotersAreBounded asks for one voter more than there may be. The operator
+// is told why, and the host goes on as a learner.
+func TestVotersAreBounded(t *testing.T) {
+	is := is.New(t)
+	var names []string
+	for i := range raft.MaxVoters {
+		names = append(names, fmt.Sprintf("c%d", i+1))
+	}
+	d := newDeployment(t, append(names, "learner")...)
+	d.voters = d.voters[:raft.MaxVoters]
+	d.startAll(names...)
+	d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	d.start("learner", "", true)
+	d.awaitLearner("learner")
+	_, err := d.operator(names...).Promote(testContext(t), memberRef("learner"))
+	is.True(errors.Is(err, operator.ErrRefused))
+	is.True(strings.Contains(err.Error(), raft.ErrTooManyVoters.Error()))
+	refused := int64(0)
+	for _, h := range d.hosts {
+		refused += h.counted("control.membership_changes_refused", "too_many_voters")
+	}
+	is.True(refused > 0)
+	checkServes(t, d, "learner", 1)
+}
+
+// TestFullHostsSendSubscribersOn has one subscriber more than three hosts take.
+// No host takes more than its bound, though it has its peers' links besides;
+// the one left over is refused everywhere with a counted reason, and is served
+// once a place falls free, wherever that is.
+func TestFullHostsSendSubscribersOn(t *testing.T) {
+	const limit, places = 4, 12
+	d := newDeployment(t, "c1", "c2", "c3")
+	d.maxLinks = limit
+	d.startAll("c1", "c2", "c3")
+	d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	var clients [places + 1]*link.Client
+	var subs [places + 1]*subscriber.Subscriber
+	var acting [places + 1]atomic.Uint64
+	for i := range subs {
+		clients[i] = d.link(keys.RoleEntry, fmt.Sprintf("e%d", i), "", "c1", "c2", "c3")
+		subs[i] = subscriber.Start(subscriber.Options{
+			Client: clients[i], OnView: func(v *subscriber.View) { acting[i].Store(v.Config.GetVersion()) },
+		})
+		t.Cleanup(subs[i].Close)
+	}
+	// on returns the subscribers with the version, and one without it.
+	on := func(version uint64) (count, without int) {
+		for i := range acting {
+			if acting[i].Load() == version {
+				count++
+				continue
+			}
+			without = i
+		}
+		return count, without
+	}
+	var left int
+	eventually(t, "the version in force on as many as there are places", func() bool {
+		var count int
+		count, left = on(1)
+		return count == places
+	})
+	for name, h := range d.hosts {
+		eventually(t, "a full host that counts a refusal: "+name, func() bool {
+			return len(d.status(name).Subscribers) == limit &&
+				h.counted("control.link_server_refused_connections", "capacity") > 0
+		})
+	}
+	leaver := (left + 1) % len(subs)
+	subs[leaver].Close()
+	clients[leaver].Close()
+	eventually(t, "the one left over to be served", func() bool { return acting[left].Load() == 1 })
+	d.accept(d.operator("c2"), patch("p2", 1, put("lodgement", "192.0.2.1:443")))
+	eventually(t, "the next version in force on all others", func() bool {
+		count, without := on(2)
+		return count == places && without == leaver
+	})
+}
--- a/internal/controld/operators.go
+++ b/internal/controld/operators.go
@@ -12,6 +12,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 	"eelgrasswharf.example/eelgrasswharf/internal/replica"
+	"eelgrasswharf.example/eelgrasswharf/raft"
 )
 
 // States of a group in the status.
@@ -44,6 +45,9 @@
 
 // operatorError sorts an error of a replica.
 func operatorError(err error) error {
+	if errors.Is(err, raft.ErrTooManyVoters) {
+		return errors.Wrap(operator.ErrRefused, err.Error())
+	}
 	if proposeStatus(err) == controlpb.ProposeStatus_PROPOSE_UNKNOWN && !errors.Is(err, replica.ErrMembership) {
 		return errors.Wrap(operator.ErrUnknown, err.Error())
 	}
@@ -161,20 +165,24 @@
 
 // notEverywhere marks a change that could not be made in each group.
 func notEverywhere(err error) error {
-	if errors.Is(err, operator.ErrNotDone) {
+	if errors.Is(err, operator.ErrNotDone) && !errors.Is(err, operator.ErrRefused) {
 		return errors.Wrap(operator.ErrNotEverywhere, err.Error())
 	}
 	return err
 }
 
-// firstError keeps the first error of a change that is made in each group. The
-// groups may have different leaders: a host makes what it can, the next one
-// that is asked makes the rest.
+// firstError keeps the first error of a change that is made in each group, but
+// for the refusal of a leader, which tells more. The groups may have different
+// leaders: a host makes what it can, the next one that is asked makes the rest.
 func firstError(first, next error) error {
-	if first != nil || next == nil {
+	if next == nil {
 		return first
 	}
-	return operatorError(next)
+	next = operatorError(next)
+	if first == nil || errors.Is(next, operator.ErrRefused) {
+		return next
+	}
+	return first
 }
 
 func isMember(s replica.Status, id *raftpb.ReplicaID) bool {
--- a/internal/controld/roles_test.go
+++ b/internal/controld/roles_test.go
@@ -17,27 +17,22 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 )
 
-// refusals returns the counter of one refusal reason on a host.
-func (h *host) refusals(reason string) int64 {
+// counted returns the sum of a counter of a host, of one reason if it is named.
+func (h *host) counted(name, reason string) int64 {
 	total := int64(0)
 	for _, c := range h.scope.Snapshot().Counters() {
-		if c.Name() == "control.refusals" && c.Tags()["reason"] == reason {
+		if c.Name() == name && (reason == "" || c.Tags()["reason"] == reason) {
 			total += c.Value()
 		}
 	}
 	return total
 }
 
+// refusals returns the counter of one refusal reason on a host.
+func (h *host) refusals(reason string) int64 { return h.counted("control.refusals", reason) }
+
 // strangers returns how often a host found its group founded without it.
-func (h *host) strangers() int64 {
-	total := int64(0)
-	for _, c := range h.scope.Snapshot().Counters() {
-		if c.Name() == "control.stranger_to_its_group" {
-			total += c.Value()
-		}
-	}
-	return total
-}
+func (h *host) strangers() int64 { return h.counted("control.stranger_to_its_group", "") }
 
 func call(t *testing.T, c *link.Client, req *controlpb.Request) *controlpb.Response {
 	t.Helper()
@@ -54,6 +49,26 @@
 	}}}
 }
 
+// servingRecord is what the agent of a registered target announces.
+func servingRecord(reg *configpb.Registration, name string) *controlpb.TargetRecord {
+	return &controlpb.TargetRecord{
+		Service: reg.GetServiceNumber(), Number: reg.GetTargetNumber(), Incarnation: reg.GetIncarnation(),
+		Name: name, Address: "127.0.0.1:7000", Slots: 4, Sequence: 1, State: controlpb.TargetState_TARGET_STATE_SERVING,
+	}
+}
+
+// registered registers a target of lodgement, when there is a leader, and
+// returns what its agent announces.
+func registered(t *testing.T, agent *link.Client, target string) *controlpb.TargetRecord {
+	t.Helper()
+	var r *controlpb.TargetRecord
+	eventually(t, "the registration of "+target, func() bool {
+		r = servingRecord(call(t, agent, registerRequest("lodgement", target, "x")).GetRegistration(), target)
+		return r.GetNumber() != 0
+	})
+	return r
+}
+
 func announceRequest(r *controlpb.TargetRecord) *controlpb.Request {
 	return &controlpb.Request{Body: &controlpb.Request_Announce{Announce: &controlpb.Announce{Record: r}}}
 }
@@ -69,9 +84,7 @@
 }
 
 func TestRolesAreChecked(t *testing.T) {
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443"), put("certificates", "192.0.2.2:443")))
+	d := newSingle(t, put("lodgement", "192.0.2.1:443"), put("certificates", "192.0.2.2:443"))
 	entry := d.link(keys.RoleEntry, "e1", "", "c1")
 	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
 	control := d.link(keys.RoleControl, "c9", "", "c1")
@@ -128,18 +141,13 @@
 
 func TestTargetReachesSubscriber(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443"), put("certificates", "192.0.2.2:443")))
+	d := newSingle(t, put("lodgement", "192.0.2.1:443"), put("certificates", "192.0.2.2:443"))
 	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
 	reg := call(t, agent, registerRequest("lodgement", "t1", "x")).GetRegistration()
 	is.Equal(reg.GetRefusal(), "")
 	is.True(proto.Equal(reg, call(t, agent, registerRequest("lodgement", "t1", "x")).GetRegistration()))
 
-	r := &controlpb.TargetRecord{
-		Service: reg.GetServiceNumber(), Number: reg.GetTargetNumber(), Incarnation: reg.GetIncarnation(),
-		Name: "t1", Address: "127.0.0.1:7000", Slots: 4, Sequence: 1, State: controlpb.TargetState_TARGET_STATE_SERVING,
-	}
+	r := servingRecord(reg, "t1")
 	reply := call(t, agent, announceRequest(r)).GetAnnounce()
 	is.Equal(reply.GetRefusal(), "")
 	is.True(reply.GetLeaseMs() > 0)
@@ -181,9 +189,7 @@
 
 func TestGrantOverLinks(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	d := newSingle(t, put("lodgement", "192.0.2.1:443"))
 	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
 	is.Equal(call(t, agent, acquireRequest(1, "k", "one")).GetGrant().GetDecision(), grantpb.Decision_DECISION_GRANTED)
 	is.Equal(call(t, agent, acquireRequest(1, "k", "two")).GetGrant().GetDecision(), grantpb.Decision_DECISION_HELD)
@@ -198,9 +204,7 @@
 
 func TestVersionQuery(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	d := newSingle(t, put("lodgement", "192.0.2.1:443"))
 	query := &controlpb.Request{Body: &controlpb.Request_Version{Version: &controlpb.VersionQuery{}}}
 	got := call(t, d.link(keys.RoleEntry, "e1", "", "c1"), query).GetVersion()
 	is.Equal(got.GetVersion(), uint64(1))
--- a/internal/link/admission.go
+++ b/internal/link/admission.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// admission limits how many connections a server admits a second and how many
-// it holds. It has no clock of its own.
+// admission limits how many connections of peers other than control hosts a
+// server admits a second and how many it holds. It has no clock of its own.
 type admission struct {
 	perSecond float64
 	burst     float64
@@ -58,14 +58,7 @@
 	return "", 0
 }
 
-// enter counts a connection that is exempt from the limits.
-func (a *admission) enter() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.open++
-}
-
-// leave gives a place back.
+// leave gives the place of an admitted connection back.
 func (a *admission) leave() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/link/admission_test.go
+++ b/internal/link/admission_test.go
@@ -43,9 +43,10 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	a := newAdmission(10, 100, 2, time.Second)
-	a.enter()
-	why, _ := a.admit(now)
-	is.Equal(why, refusal(""))
+	for range 2 {
+		why, _ := a.admit(now)
+		is.Equal(why, refusal(""))
+	}
 	why, wait := a.admit(now)
 	is.Equal(why, refusalCapacity)
 	is.True(wait > 0)
--- a/internal/link/serve.go
+++ b/internal/link/serve.go
@@ -36,7 +36,7 @@
 	if !s.admit(conn, id) {
 		return
 	}
-	defer s.forget(conn)
+	defer s.forget(conn, id)
 	peer := Peer{Role: id.Role, Name: id.Name, Service: id.Service}
 	for {
 		stream, err := conn.AcceptStream(conn.Context())
@@ -54,12 +54,12 @@
 		_ = conn.CloseWithError(codeBusy, busyText(s.opts.DrainTimeout))
 		return false
 	}
-	if id.Role == keys.RoleControl {
-		s.admission.enter()
-	} else if why, wait := s.admission.admit(time.Now()); why != "" {
-		s.counters.refusedAdmission(why)
-		_ = conn.CloseWithError(codeBusy, busyText(wait))
-		return false
+	if id.Role != keys.RoleControl {
+		if why, wait := s.admission.admit(time.Now()); why != "" {
+			s.counters.refusedAdmission(why)
+			_ = conn.CloseWithError(codeBusy, busyText(wait))
+			return false
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -68,9 +68,11 @@
 	return true
 }
 
-func (s *Server) forget(conn *quic.Conn) {
+func (s *Server) forget(conn *quic.Conn, id keys.Identity) {
 	_ = conn.CloseWithError(codeNone, "")
-	s.admission.leave()
+	if id.Role != keys.RoleControl {
+		s.admission.leave()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -22,6 +22,9 @@
 	// ErrNotEverywhere tells that the host knows the member and could not make
 	// the change in both groups. It is an ErrNotDone.
 	ErrNotEverywhere = errors.Wrap(ErrNotDone, "not in both groups")
+	// ErrRefused tells that the leader refused the change and will refuse it
+	// again while the members are what they are. It is an ErrNotDone.
+	ErrRefused = errors.Wrap(ErrNotDone, "refused")
 )
 
 // Bounds of calls.
@@ -57,7 +60,7 @@
 	// groups, without a vote. Errors: ErrNotDone, ErrUnknown.
 	AddLearner(ctx context.Context, address string) error
 	// Promote gives a learner that has caught up a vote. Errors: ErrNotDone,
-	// ErrUnknown.
+	// ErrRefused when there are as many voters as there may be, ErrUnknown.
 	Promote(ctx context.Context, m MemberRef) error
 	// Remove takes a member out of both groups. Errors: ErrNotDone,
 	// ErrUnknown.
@@ -141,6 +144,7 @@
 	faultNotFound faultKind = "not-found"
 
 	faultNotEverywhere faultKind = "not-everywhere"
+	faultRefused       faultKind = "refused"
 )
 
 type faultAnswer struct {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -140,7 +140,7 @@
 }
 
 // Promote gives a learner that has caught up a vote. Errors: ErrNotDone,
-// ErrUnknown.
+// ErrRefused, ErrUnknown.
 func (c *Client) Promote(ctx context.Context, m MemberRef) (*Status, error) {
 	s, _, err := c.change(ctx, "/v1/members/promote", &m)
 	return s, err
@@ -169,7 +169,7 @@
 	for range changeRounds {
 		s, partly, err := c.changeRound(ctx, path, body)
 		known = known || partly
-		if err == nil || !partly || errors.Is(err, ErrUnknown) || errors.Is(err, ErrNotFound) {
+		if err == nil || !partly || decisive(err) {
 			return s, known, err
 		}
 		select {
@@ -182,6 +182,12 @@
 	return s, known || partly, err
 }
 
+// decisive tells that asking other hosts for a change makes no difference: a
+// quorum or the leader said so, or the outcome is unknown.
+func decisive(err error) bool {
+	return errors.Is(err, ErrUnknown) || errors.Is(err, ErrNotFound) || errors.Is(err, ErrRefused)
+}
+
 // changeRound asks each host once, until one has made the change. It reports
 // whether some host answered ErrNotEverywhere.
 func (c *Client) changeRound(ctx context.Context, path string, body []byte) (*Status, bool, error) {
@@ -192,8 +198,8 @@
 		if err = c.call(ctx, addr, http.MethodPost, path, body, s); err == nil {
 			return s, partly, nil
 		}
-		if errors.Is(err, ErrUnknown) || errors.Is(err, ErrNotFound) {
-			return nil, partly, err // a quorum said so, or nobody can tell
+		if decisive(err) {
+			return nil, partly, err
 		}
 		partly = partly || errors.Is(err, ErrNotEverywhere)
 	}
@@ -268,6 +274,8 @@
 	switch f.Kind {
 	case faultNotEverywhere:
 		return errors.Wrapf(ErrNotEverywhere, "%s: %s", addr, f.Reason)
+	case faultRefused:
+		return errors.Wrapf(ErrRefused, "%s: %s", addr, f.Reason)
 	case faultNotDone:
 		return errors.Wrapf(ErrNotDone, "%s: %s", addr, f.Reason)
 	case faultNotFound:
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -213,6 +213,8 @@
 	switch {
 	case errors.Is(err, ErrNotEverywhere):
 		return faultNotEverywhere, http.StatusServiceUnavailable
+	case errors.Is(err, ErrRefused):
+		return faultRefused, http.StatusConflict
 	case errors.Is(err, ErrNotDone):
 		return faultNotDone, http.StatusServiceUnavailable
 	case errors.Is(err, ErrNotFound):
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -131,6 +131,7 @@
 		return
 	}
 	if status.ChangePending {
+		r.metrics.changePending.Inc(1)
 		r.finish(q, nil, errors.Join(ErrMembership, raft.ErrChangePending))
 		return
 	}
@@ -146,6 +147,7 @@
 	}
 	index, term, err := r.node.ProposeMembership(members)
 	if err != nil {
+		r.metrics.countChangeRefusal(err)
 		r.finish(q, nil, refusal(err))
 		return
 	}
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
+
+	"eelgrasswharf.example/eelgrasswharf/raft"
 )
 
 // counters counts what a replica does, and each reason of a refusal apart.
@@ -17,6 +19,10 @@
 	superseded  tally.Counter
 	readsFailed tally.Counter
 
+	changePending tally.Counter
+	notCaughtUp   tally.Counter
+	tooManyVoters tally.Counter
+
 	messagesSent     tally.Counter
 	messagesReceived tally.Counter
 	messagesDropped  tally.Counter
@@ -35,6 +41,9 @@
 	refused := func(reason string) tally.Counter {
 		return scope.Tagged(map[string]string{"reason": reason}).Counter("proposals_refused")
 	}
+	change := func(reason string) tally.Counter {
+		return scope.Tagged(map[string]string{"reason": reason}).Counter("membership_changes_refused")
+	}
 	return counters{
 		proposals:   scope.Counter("proposals"),
 		forwarded:   scope.Counter("proposals_forwarded"),
@@ -46,6 +55,10 @@
 		superseded:  scope.Counter("proposals_superseded"),
 		readsFailed: scope.Counter("reads_failed"),
 
+		changePending: change("pending"),
+		notCaughtUp:   change("not_caught_up"),
+		tooManyVoters: change("too_many_voters"),
+
 		messagesSent:     scope.Counter("messages_sent"),
 		messagesReceived: scope.Counter("messages_received"),
 		messagesDropped:  scope.Counter("messages_dropped"),
@@ -72,3 +85,15 @@
 		c.closed.Inc(1)
 	}
 }
+
+// countChangeRefusal counts a change of members that the core refused.
+func (c *counters) countChangeRefusal(err error) {
+	switch {
+	case errors.Is(err, raft.ErrChangePending):
+		c.changePending.Inc(1)
+	case errors.Is(err, raft.ErrNotCaughtUp):
+		c.notCaughtUp.Inc(1)
+	case errors.Is(err, raft.ErrTooManyVoters):
+		c.tooManyVoters.Inc(1)
+	}
+}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -179,6 +179,7 @@
 		return ErrBusy
 	case errors.Is(err, raft.ErrChangePending),
 		errors.Is(err, raft.ErrNotCaughtUp),
+		errors.Is(err, raft.ErrTooManyVoters),
 		errors.Is(err, raft.ErrInvalidMembership):
 		return errors.Join(ErrMembership, err)
 	}
--- a/raft/errors.go
+++ b/raft/errors.go
@@ -19,6 +19,9 @@
 	// ErrNotCaughtUp says that a replica cannot become a voter: it is not a
 	// learner of the group, or its log is behind.
 	ErrNotCaughtUp = errors.New("raft: learner has not caught up")
+	// ErrTooManyVoters says that a change would lead to more than MaxVoters
+	// voters. Nothing was appended.
+	ErrTooManyVoters = errors.New("raft: too many voters")
 	// ErrInvalidMembership says that a membership is malformed or differs
 	// from the one in force by more than one member.
 	ErrInvalidMembership = errors.New("raft: invalid membership")
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -9,6 +9,13 @@
 	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
 )
 
+// MaxVoters is how many voters a change of members may lead to. Each commit
+// waits for more than half of them, and members beyond that lose nothing by
+// being learners: they apply the log, confirm reads through the leader and
+// forward commands to it. Five voters, one in each of five regions, survive the
+// loss of two; the bound leaves room to replace two of them before they leave.
+const MaxVoters = 7
+
 // replicaKey is a ReplicaID that can be compared.
 type replicaKey struct {
 	name        string
@@ -177,7 +184,7 @@
 }
 
 // validateChange checks that to differs from the membership in force by one
-// member and that a new voter has caught up.
+// member, that a new voter has caught up and that there is room for it.
 func (n *Node) validateChange(to *raftpb.Membership) error {
 	if err := validateMembership(to); err != nil {
 		return err
@@ -190,6 +197,10 @@
 		return errors.Wrapf(ErrInvalidMembership, "%d members changed, want 1", len(changed))
 	}
 	key := changed[0]
+	if voters := countVoters(to); voters > MaxVoters && voters > countVoters(from) {
+		return errors.Wrapf(ErrTooManyVoters, "%d voters, at most %d: replica %s/%d can serve as a learner",
+			voters, MaxVoters, key.name, key.incarnation)
+	}
 	if isVoter(to, key) && !isVoter(from, key) && !n.caughtUp(key) {
 		return errors.Wrapf(ErrNotCaughtUp, "replica %s/%d", key.name, key.incarnation)
 	}
--- a/raft/replication_test.go
+++ b/raft/replication_test.go
@@ -244,6 +244,34 @@
 	}
 }
 
+// TestVotersAreBounded promotes a learner that has caught up in a group with
+// as many voters as there may be: it stays a learner, and takes the place of a
+// voter that leaves.
+func TestVotersAreBounded(t *testing.T) {
+	is := is.New(t)
+	full := members(learner("z"))
+	for i := range MaxVoters {
+		full.Members = append(full.Members, voter(string(rune('a'+i))))
+	}
+	n := newNode(is, options(full))
+	elect(is, n, "b", "c", "d")
+	ack(is, n, 1, "b", "c", "d", "z")
+	promoted := proto.CloneOf(full)
+	promoted.Members[0].Learner = false
+	_, _, err := n.ProposeMembership(promoted)
+	is.True(errors.Is(err, ErrTooManyVoters))
+	is.True(!n.Status().ChangePending)
+
+	without := proto.CloneOf(full)
+	without.Members = without.Members[:MaxVoters]
+	_, _, err = n.ProposeMembership(without)
+	is.NoErr(err)
+	ack(is, n, 2, "b", "c", "d", "z")
+	without.Members[0].Learner = false
+	_, _, err = n.ProposeMembership(without)
+	is.NoErr(err)
+}
+
 func TestSecondChangeIsRefused(t *testing.T) {
 	is := is.New(t)
 	n := newNode(is, options(abc()))
