test: the history of patches with faults on the operators' own paths, and agents' versions

TestHistoryIsLinearizable lost answers only by killing hosts. Each operator now has a path of its own to each control host, a TCP relay, and four in five patches meet a fault on it, drawn from the seed: the answer is cut after another host has told the outcome, the request is lost, delayed, or sent to two hosts at once, one of them over a slow path. Each answer is a call of the history; the resend goes to another host, and what it is told is also compared with what was seen before the cut. The test fails when no answer was cut or no patch answered twice. An agent follows beside the entry hosts, and its log is looked at for versions that go back, here and in TestLeaderKilledAtEachPoint.

--- a/test/history_test.go
+++ b/test/history_test.go
@@ -11,7 +11,6 @@
 	"github.com/sourcegraph/conc"
 
 	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
-	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
 )
 
@@ -27,6 +26,32 @@
 	return d
 }
 
+// withAgent adds an agent, which follows the configuration too.
+func (d *deployment) withAgent() *deployment {
+	target := d.lodgement.StartTarget("a")
+	d.targets = map[*processtest.Service][]*processtest.Target{d.lodgement: {target}}
+	return d
+}
+
+// checkFollowers expects that the newest version comes into force on all entry
+// hosts and agents, and that none of them has gone back on the way.
+func (d *deployment) checkFollowers(t *testing.T, newest uint64) {
+	t.Helper()
+	names := d.entryNames()
+	var followers []*processtest.Process
+	for _, e := range d.entries {
+		followers = append(followers, e.Process)
+	}
+	for _, target := range d.targets[d.lodgement] {
+		names = append(names, target.Name)
+		followers = append(followers, target.Agent)
+	}
+	d.InForce(newest, names...)
+	for _, p := range followers {
+		checkNeverBack(t, p.ActedOn(), newest)
+	}
+}
+
 // trouble is something that befalls control hosts. It returns what undoes it.
 type trouble struct {
 	name string
@@ -74,12 +99,15 @@
 
 // TestHistoryIsLinearizable lets six operators submit, resend, show and read at
 // all control hosts while hosts are killed, frozen and cut off one way or both,
-// in each round at a moment drawn from the seed. One order of all calls has to
-// explain every answer, and no entry host's version may go back.
+// in each round at a moment drawn from the seed. Most patches also meet a fault
+// on the operator's own path: the answer is cut after the patch took effect, the
+// request is lost, delayed or doubled. One order of all calls has to explain
+// every answer, a resend has to be told the first outcome, and no entry host's
+// or agent's version may go back.
 func TestHistoryIsLinearizable(t *testing.T) {
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			d := historyDeployment(t)
+			d := historyDeployment(t).withAgent()
 			history := &recorder{begin: time.Now(), newest: 1}
 			operators := d.historyOperators(t, history, seed)
 			random := rand.New(rand.NewPCG(seed, 0))
@@ -88,10 +116,7 @@
 				d.historyRound(t, history, operators, troubles[i], random)
 			}
 			history.check(t, modelFrom(1, "patch-1"))
-			d.InForce(history.newestVersion(), d.entryNames()...)
-			for _, e := range d.entries {
-				checkNeverBack(t, e.ActedOn(), history.newestVersion())
-			}
+			d.checkFollowers(t, history.newestVersion())
 		})
 	}
 }
@@ -99,14 +124,10 @@
 func (d *deployment) historyOperators(t *testing.T, history *recorder, seed uint64) []*operatorCaller {
 	t.Helper()
 	const count = 6
-	var hosts []*operator.Client
-	for _, host := range d.controls {
-		hosts = append(hosts, d.Client(host.Operator))
-	}
 	var all []*operatorCaller
 	for i := range count {
 		all = append(all, &operatorCaller{
-			t: t, number: i, recorder: history, hosts: hosts, service: d.lodgement,
+			t: t, number: i, recorder: history, paths: d.operatorPaths(), service: d.lodgement,
 			random: rand.New(rand.NewPCG(seed, uint64(i+1))),
 		})
 	}
--- /dev/null
+++ b/test/operatorpath_test.go
@@ -0,0 +1,187 @@
+package test
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// operatorPath is one operator's way to one control host, through a relay of
+// its own.
+type operatorPath struct {
+	relay  *faultproxy.TCPRelay
+	client *operator.Client
+}
+
+func (d *deployment) operatorPaths() []*operatorPath {
+	var all []*operatorPath
+	for _, host := range d.controls {
+		relay := host.OperatorRelay()
+		all = append(all, &operatorPath{relay: relay, client: d.Client(relay.Addr())})
+	}
+	return all
+}
+
+// heal takes the faults away, and the connections that lack bytes with them.
+func (p *operatorPath) heal() {
+	p.relay.CloseConnections()
+	for _, way := range []faultproxy.Direction{faultproxy.ToHost, faultproxy.ToCaller} {
+		p.relay.SetFaults(way, faultproxy.Faults{})
+	}
+}
+
+// pathFault is what befalls a patch on its way from an operator.
+type pathFault int
+
+const (
+	noPathFault pathFault = iota
+	// answerCut loses the answer after the patch took effect.
+	answerCut
+	// requestCut loses the request.
+	requestCut
+	// requestDelayed holds the request and its answer up.
+	requestDelayed
+	// requestDoubled sends the patch to two hosts at once, the second time
+	// over a slow path.
+	requestDoubled
+	pathFaults
+)
+
+const (
+	// pathDelay is what each part of a delayed request and answer waits.
+	pathDelay = 20 * time.Millisecond
+	// lostLimit is when an operator gives up on a request that was lost.
+	lostLimit = 100 * time.Millisecond
+	// showPause is the time between two looks for an outcome.
+	showPause = 10 * time.Millisecond
+)
+
+// disturbed sends the patch once, or twice, under a fault drawn by chance. What
+// the operator is told is recorded. It returns the path of a lost answer and
+// the outcome that was seen before the answer was cut.
+func (o *operatorCaller) disturbed(patch *configpb.Patch) (lost *operatorPath, seen *configpb.Outcome) {
+	path := o.path()
+	fault := pathFault(o.random.IntN(int(pathFaults)))
+	switch fault {
+	case answerCut:
+		return path, o.cutAnswer(path, patch)
+	case requestCut:
+		path.relay.SetFaults(faultproxy.ToHost, faultproxy.Faults{Cut: true})
+		o.try(path, patch, lostLimit)
+		path.heal()
+	case requestDelayed:
+		o.slow(path)
+		o.try(path, patch, callLimit)
+		path.heal()
+	case requestDoubled:
+		o.sendTwice(path, patch)
+	}
+	return nil, nil
+}
+
+func (o *operatorCaller) slow(path *operatorPath) {
+	for _, way := range []faultproxy.Direction{faultproxy.ToHost, faultproxy.ToCaller} {
+		path.relay.SetFaults(way, faultproxy.Faults{Delay: pathDelay})
+	}
+}
+
+// try sends the patch over one path. An answer is a call of its own in the
+// history.
+func (o *operatorCaller) try(path *operatorPath, patch *configpb.Patch, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	from := o.recorder.now()
+	out, err := path.client.Submit(ctx, patch)
+	if err != nil {
+		return false
+	}
+	o.recorder.note(o.number, from, submitCall(patch), replyOf(out))
+	return true
+}
+
+// sendTwice sends the patch over two paths at once.
+func (o *operatorCaller) sendTwice(path *operatorPath, patch *configpb.Patch) {
+	other := o.otherPath(path)
+	o.slow(other)
+	var first, second bool
+	var both conc.WaitGroup
+	both.Go(func() { first = o.try(path, patch, callLimit) })
+	both.Go(func() { second = o.try(other, patch, callLimit) })
+	both.Wait()
+	other.heal()
+	if first && second {
+		o.recorder.count(func(r *recorder) { r.doubled++ })
+	}
+}
+
+// cutAnswer sends the patch over a path that is cut behind it, and breaks the
+// connection once another host tells the outcome. It returns that outcome, or
+// nil if none was told in time.
+func (o *operatorCaller) cutAnswer(path *operatorPath, patch *configpb.Patch) *configpb.Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	defer path.heal()
+	if _, _, err := path.client.Config(ctx, 0); err != nil {
+		return nil // no connection to cut
+	}
+	path.relay.SetFaults(faultproxy.ToCaller, faultproxy.Faults{Cut: true})
+	var call conc.WaitGroup
+	call.Go(func() {
+		if _, err := path.client.Submit(ctx, patch); err == nil {
+			o.t.Error("an answer came over a cut path")
+		}
+	})
+	var seen *configpb.Outcome
+	for ctx.Err() == nil && seen == nil {
+		if seen = o.show(o.otherPath(path), patch.GetId()); seen == nil {
+			time.Sleep(showPause)
+		}
+	}
+	path.relay.CloseConnections()
+	call.Wait()
+	return seen
+}
+
+// submit sends a patch, in most cases under a fault at first, and then to one
+// host after the other until its outcome is told. All of this is one call of
+// the history: it takes effect once, or the history is wrong. A resend after an
+// answer that was cut is told what was seen then.
+func (o *operatorCaller) submit(id string, base uint64) {
+	from := o.recorder.now()
+	patch := putPatch(id, base, o.service)
+	lost, seen := o.disturbed(patch)
+	var out *configpb.Outcome
+	tries := 0
+	processtest.Eventually(o.t, "the outcome of "+id, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+		defer cancel()
+		tries++
+		path := o.path()
+		if lost != nil {
+			path = o.otherPath(lost)
+		}
+		var err error
+		out, err = path.client.Submit(ctx, patch)
+		return err == nil
+	})
+	told := replyOf(out)
+	o.recorder.note(o.number, from, submitCall(patch), told)
+	o.recorder.count(func(r *recorder) { r.resent += tries - 1 })
+	if seen == nil {
+		return
+	}
+	o.recorder.count(func(r *recorder) { r.cut++ })
+	if first := replyOf(seen); first != told {
+		o.t.Errorf("%s: %+v was in force when the answer was cut, the resend was told %+v", id, first, told)
+	}
+}
+
+func submitCall(p *configpb.Patch) call {
+	return call{kind: submitting, id: p.GetId(), base: p.GetBaseVersion()}
+}
--- a/test/points_test.go
+++ b/test/points_test.go
@@ -113,7 +113,7 @@
 
 func newAttempt(t *testing.T) *attempt {
 	t.Helper()
-	d := historyDeployment(t)
+	d := historyDeployment(t).withAgent()
 	leader := d.Leader()
 	return &attempt{
 		d: d, leader: leader, others: leader.Others(),
@@ -151,8 +151,5 @@
 		})
 		is.Equal(o.Version, uint64(2))
 	}
-	a.d.InForce(2, a.d.entryNames()...)
-	for _, e := range a.d.entries {
-		checkNeverBack(t, e.ActedOn(), 2)
-	}
+	a.d.checkFollowers(t, 2)
 }
--- a/test/recorder_test.go
+++ b/test/recorder_test.go
@@ -28,8 +28,11 @@
 	history  []porcupine.Operation
 	ids      []string
 	newest   uint64
-	resent   int
 	finished int
+	// resent counts calls after the first one of a patch, cut the answers that
+	// were cut after the patch took effect, and doubled the patches that were
+	// sent twice at once and answered twice.
+	resent, cut, doubled int
 }
 
 func (r *recorder) now() int64 { return int64(time.Since(r.begin)) }
@@ -63,10 +66,11 @@
 	return r.ids[random.IntN(len(r.ids))]
 }
 
-func (r *recorder) finish() {
+// count lets f change a counter.
+func (r *recorder) count(f func(*recorder)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.finished++
+	f(r)
 }
 
 func (r *recorder) finishedCalls() int {
@@ -82,51 +86,40 @@
 	return &configpb.Patch{Id: id, BaseVersion: base, Operations: []*configpb.Operation{put}}
 }
 
-// operatorCaller is one operator. It asks a host drawn for each call.
+// operatorCaller is one operator. It asks a host drawn for each call, over a
+// path of its own.
 type operatorCaller struct {
 	t        *testing.T
 	number   int
 	random   *rand.Rand
 	recorder *recorder
-	hosts    []*operator.Client
+	paths    []*operatorPath
 	service  *processtest.Service
 	patches  int
 }
 
-func (o *operatorCaller) host() *operator.Client { return o.hosts[o.random.IntN(len(o.hosts))] }
+func (o *operatorCaller) path() *operatorPath { return o.paths[o.random.IntN(len(o.paths))] }
 
-// submit sends a patch to one host after the other until its outcome is told.
-// All of this is one call of the history: it takes effect once, or the
-// history is wrong.
-func (o *operatorCaller) submit(id string, base uint64) {
-	from := o.recorder.now()
-	patch := putPatch(id, base, o.service)
-	var out *configpb.Outcome
-	tries := 0
-	processtest.Eventually(o.t, "the outcome of "+id, func() bool {
-		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
-		defer cancel()
-		tries++
-		var err error
-		out, err = o.host().Submit(ctx, patch)
-		return err == nil
-	})
-	o.recorder.note(o.number, from, call{kind: submitting, id: id, base: base}, replyOf(out))
-	o.recorder.mu.Lock()
-	defer o.recorder.mu.Unlock()
-	o.recorder.resent += tries - 1
+// otherPath returns a path to another host than this one leads to.
+func (o *operatorCaller) otherPath(not *operatorPath) *operatorPath {
+	for {
+		if path := o.path(); path != not {
+			return path
+		}
+	}
 }
 
 // show asks for the outcome of a patch. A call that no quorum confirms tells
 // nothing and is left out.
-func (o *operatorCaller) show(id string) {
+func (o *operatorCaller) show(path *operatorPath, id string) *configpb.Outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
 	from := o.recorder.now()
-	out, err := o.host().Outcome(ctx, id)
+	out, err := path.client.Outcome(ctx, id)
 	if err == nil || errors.Is(err, operator.ErrNotFound) {
 		o.recorder.note(o.number, from, call{kind: showing, id: id}, replyOf(out))
 	}
+	return out
 }
 
 // read asks for the newest version.
@@ -134,7 +127,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
 	from := o.recorder.now()
-	cfg, confirmed, err := o.host().Config(ctx, 0)
+	cfg, confirmed, err := o.path().client.Config(ctx, 0)
 	if err == nil && confirmed {
 		o.recorder.note(o.number, from, call{kind: reading}, reply{version: cfg.GetVersion()})
 	}
@@ -152,11 +145,11 @@
 				o.submitAgain()
 			}
 		case 4, 5:
-			o.show(o.recorder.anyID(o.random))
+			o.show(o.path(), o.recorder.anyID(o.random))
 		default:
 			o.read()
 		}
-		o.recorder.finish()
+		o.recorder.count(func(r *recorder) { r.finished++ })
 	}
 }
 
@@ -189,7 +182,11 @@
 			reads++
 		}
 	}
-	t.Logf("%d calls: %d told accepted, %d told refused, %d others; %d sent again", len(r.history), accepted, refused, reads, r.resent)
+	t.Logf("%d calls: %d told accepted, %d told refused, %d others; %d sent again, %d answers cut, %d sent twice",
+		len(r.history), accepted, refused, reads, r.resent, r.cut, r.doubled)
+	is := is.New(t)
+	is.True(r.cut > 0)     // answers of patches that took effect were lost
+	is.True(r.doubled > 0) // patches were sent twice
 	result := porcupine.CheckOperationsTimeout(model, r.history, checkLimit)
-	is.New(t).Equal(result, porcupine.Ok)
+	is.Equal(result, porcupine.Ok)
 }
