membership: a subscriber that moves gets what differs, not the full list

Cause: a sequence of the directory is a control host's own, so the 133 entry hosts of a lost control host took the full list of 12,000 targets again: 798 KB each, 13 KB/s over the minute, 1.9 times the budget.

Ruled out (docs/design/0012): one sequence through the log; a version vector by owner, whose owners change just when moves happen; a tree of digests.

Now a subscriber sends a digest for each bucket of its list and gets the buckets that differ. A host that has just started adds up to 64 records and then waits until it is settled. A removed target's version is remembered by the subscriber (4,096 of them), so that no older record of it comes back.

Tests changed: TestDirectoryUpdates of internal/subscriber moved with the code to membership (TestListTakesUpdates), same checks; controld's tests of the follower call membership.Follower, same checks; network of converge_test takes the number of agents and its step is a function.

--- a/internal/controld/directory.go
+++ b/internal/controld/directory.go
@@ -114,36 +114,9 @@
 	return d.dir.Damped()
 }
 
-// follower is how far one subscriber has followed the directory.
-type follower struct {
-	epoch    uint64
-	sequence uint64
-	scope    membership.Scope
-	// whole says that the subscriber's list is the whole list at sequence, not
-	// additions to what it had from elsewhere.
-	whole bool
-}
-
-// next returns what the follower has to be sent, or nil. Changes outside of
-// its scope are passed over.
-func (d *directory) next(f *follower) *controlpb.DirectoryUpdate {
+// next returns what the follower has to be sent, or nil.
+func (d *directory) next(f *membership.Follower) (*controlpb.DirectoryUpdate, membership.Kind) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.now()
-	if !f.whole && f.epoch == d.dir.Epoch() && d.dir.Settled(now) {
-		return d.dir.Full(now, f.scope)
-	}
-	u := d.dir.Update(now, f.epoch, f.sequence, f.scope)
-	if u == nil || u.GetFull() || u.GetEpoch() != f.epoch || len(u.GetPut())+len(u.GetRemoved()) > 0 {
-		return u
-	}
-	f.sequence = u.GetSequence()
-	return nil
-}
-
-// sent notes that the follower was sent an update.
-func (f *follower) sent(u *controlpb.DirectoryUpdate) {
-	f.whole = u.GetFull() || (f.whole && u.GetEpoch() == f.epoch)
-	f.epoch = u.GetEpoch()
-	f.sequence = u.GetSequence()
+	return d.dir.Next(d.now(), f)
 }
--- a/internal/controld/internal_test.go
+++ b/internal/controld/internal_test.go
@@ -121,20 +121,20 @@
 	is := is.New(t)
 	d := newDirectory(7)
 	d.announce(record(1))
-	f := &follower{epoch: 6, sequence: 9, whole: true} // followed another life
-	u := d.next(f)
+	f := membership.NewFollower(membership.Position{Epoch: 6, Sequence: 9}, nil) // followed another life
+	u, _ := d.next(f)
 	is.Equal(u.GetFull(), false)
 	is.Equal(len(u.GetPut()), 1)
-	f.sent(u)
-	is.Equal(d.next(f), nil)
+	u, _ = d.next(f)
+	is.Equal(u, nil)
 
 	d.start = d.start.Add(-d.lease()) // a lease later
-	u = d.next(f)
+	u, _ = d.next(f)
 	is.True(u.GetFull())
-	f.sent(u)
-	is.Equal(d.next(f), nil)
+	u, _ = d.next(f)
+	is.Equal(u, nil)
 	d.announce(record(2))
-	u = d.next(f)
+	u, _ = d.next(f)
 	is.Equal(u.GetFull(), false)
 	is.Equal(len(u.GetPut()), 1)
 }
@@ -185,14 +185,15 @@
 	d := newDirectory(7)
 	d.announce(record(1))
 	d.start = d.start.Add(-d.lease())
-	f := &follower{scope: membership.NewScope([]uint32{1})}
-	f.sent(d.next(f))
+	f := membership.NewFollower(membership.Position{}, membership.NewScope([]uint32{1}))
+	d.next(f)
 	other := record(2)
 	other.Service = 2
 	d.announce(other)
-	is.Equal(d.next(f), nil)
+	u, _ := d.next(f)
+	is.Equal(u, nil)
 	d.announce(record(3))
-	u := d.next(f)
+	u, _ = d.next(f)
 	is.Equal(len(u.GetPut()), 1) // and not the other service's target
 	is.Equal(u.GetFull(), false)
 }
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -13,6 +13,13 @@
 	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
+// Counters of what subscribers are sent of the directory, by kind.
+const (
+	tagKind                = "kind"
+	metricDirectoryUpdates = "directory_updates"
+	metricDirectoryRecords = "directory_records"
+)
+
 // subscription is one subscriber's stream. One goroutine sends; it compares
 // what the subscriber was sent with the present state whenever it is woken, so
 // a slow subscriber gets one collapsed update in place of many.
@@ -32,7 +39,7 @@
 	owed bool
 	// reported says that its newer version has been logged.
 	reported bool
-	follower follower
+	follower *membership.Follower
 	// pending says that the directory may have changed since it was looked at.
 	pending bool
 	// confirmAt is when a quorum was last asked, unanswered since when it has
@@ -53,18 +60,13 @@
 	}
 	d := (*Daemon)(h)
 	sub := &subscription{
-		daemon:  d,
-		stream:  s,
-		info:    newSubscriber(peer, req),
-		reports: make(chan struct{}, 1),
-		sent:    req.GetVersion(),
-		follower: follower{
-			epoch:    req.GetDirectoryEpoch(),
-			sequence: req.GetDirectorySequence(),
-			scope:    membership.NewScope(req.GetServices()),
-		},
+		daemon:   d,
+		stream:   s,
+		info:     newSubscriber(peer, req),
+		reports:  make(chan struct{}, 1),
+		sent:     req.GetVersion(),
+		follower: membership.NewFollower(positionOf(req), membership.NewScope(req.GetServices())),
 	}
-	sub.follower.whole = sub.follower.epoch != 0
 	if req.GetScopedConfig() {
 		sub.scope = membership.NewScope(req.GetServices())
 	}
@@ -80,6 +82,15 @@
 	return sub.run(ctx)
 }
 
+// positionOf returns how far the subscriber says it has followed the directory.
+func positionOf(req *controlpb.Subscribe) membership.Position {
+	return membership.Position{
+		Epoch:    req.GetDirectoryEpoch(),
+		Sequence: req.GetDirectorySequence(),
+		Digests:  req.GetDirectoryDigests(),
+	}
+}
+
 // listen notes the versions in force that the subscriber reports.
 func (s *subscription) listen() {
 	for {
@@ -252,18 +263,25 @@
 }
 
 func (s *subscription) sendDirectory() error {
-	u := s.daemon.directory.next(&s.follower)
+	u, kind := s.daemon.directory.next(s.follower)
 	if u == nil {
 		return nil
 	}
 	if err := s.send(&controlpb.SubscribeUpdate{Directory: u}); err != nil {
 		return err
 	}
-	s.follower.sent(u)
+	s.countDirectory(u, kind)
 	s.directoryAt = time.Now()
 	return nil
 }
 
+// countDirectory counts an update of the directory and its records by kind.
+func (s *subscription) countDirectory(u *controlpb.DirectoryUpdate, kind membership.Kind) {
+	scope := s.daemon.scope.Tagged(map[string]string{tagKind: string(kind)})
+	scope.Counter(metricDirectoryUpdates).Inc(1)
+	scope.Counter(metricDirectoryRecords).Inc(int64(len(u.GetPut())))
+}
+
 func (s *subscription) send(u *controlpb.SubscribeUpdate) error {
 	if err := s.stream.Send(u); err != nil {
 		return err
--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -85,12 +85,12 @@
 
 // Refused returns how many datagrams and frames the host refused for a reason.
 func (e *Entry) Refused(reason string) float64 {
-	return e.reading("entry_refused", reason)
+	return e.Reading("entry_refused", "reason", reason)
 }
 
 // Resident returns the memory of the process, in bytes.
 func (e *Entry) Resident() float64 {
-	return e.reading(residentMemory, "")
+	return e.Reading(residentMemory, "", "")
 }
 
 // Public returns where the host opens the public address of the service.
--- a/internal/processtest/metrics.go
+++ b/internal/processtest/metrics.go
@@ -48,15 +48,15 @@
 	return sum
 }
 
-// reading returns one counter or gauge; with a reason, the one of that reason.
+// Reading returns one counter or gauge; with a value, the one whose tag has it.
 // One that was never counted is 0. Figures are up to a second old.
-func (p *Process) reading(name, reason string) float64 {
+func (p *Process) Reading(name, tag, value string) float64 {
 	p.t.Helper()
 	if name != residentMemory {
 		name = metricPrefix + name
 	}
-	if reason != "" {
-		name += fmt.Sprintf("{reason=%q}", reason)
+	if value != "" {
+		name += fmt.Sprintf("{%s=%q}", tag, value)
 	}
 	for line := range strings.Lines(p.Metrics()) {
 		text, found := strings.CutPrefix(strings.TrimSpace(line), name+" ")
--- a/internal/processtest/service.go
+++ b/internal/processtest/service.go
@@ -22,6 +22,8 @@
 	cluster *Cluster
 	caller  keys.Files
 	hosts   []netip.AddrPort
+	// standIns counts the calls of AnnounceStandIns.
+	standIns int
 }
 
 // NewService prepares a service: its public address, its stretch of the
--- /dev/null
+++ b/internal/processtest/standins.go
@@ -0,0 +1,64 @@
+package processtest
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
+)
+
+// serving is the status of a target that takes flows.
+var serving = subscriber.Status{State: controlpb.TargetState_TARGET_STATE_SERVING, Slots: 1}
+
+// client returns a link to the control hosts with an agent's keys.
+func (c *Cluster) client(k *settingspb.Keys, control []string) *link.Client {
+	c.t.Helper()
+	creds, err := keys.FromSettings(k)
+	c.must(err)
+	return link.NewClient(control, creds, link.ClientOptions{})
+}
+
+// announcer announces a target from the test's process. It waits for nothing.
+func (s *Service) announcer(client *link.Client, target, address string) *subscriber.Announcer {
+	return subscriber.StartAnnouncer(subscriber.AnnouncerOptions{
+		Client: client, Service: s.Name, Target: target, Process: []byte("stands in for " + target),
+		FailureDomain: target, Address: address, Started: time.Now(), Status: serving,
+	})
+}
+
+// AnnounceStandIns announces as many targets of the service as that until the
+// end of the test, over one link. There is nothing behind them. It returns
+// when control hosts have taken them all.
+func (s *Service) AnnounceStandIns(count int) {
+	c := s.cluster
+	c.t.Helper()
+	s.standIns++
+	name := fmt.Sprintf("%s-stand-ins-%d", s.Name, s.standIns)
+	client := c.client(keySettings(c.issue(keys.RoleAgent, name, s.Name)), c.links())
+	c.t.Cleanup(client.Close)
+	address := loopback.Address(c.t, loopback.Host(c.t)).String()
+	announcers := make([]*subscriber.Announcer, count)
+	for i := range announcers {
+		announcers[i] = s.announcer(client, fmt.Sprint(name, "-", i), address)
+	}
+	c.t.Cleanup(func() {
+		var closing conc.WaitGroup
+		for _, a := range announcers {
+			closing.Go(a.Close)
+		}
+		closing.Wait()
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	for _, a := range announcers {
+		c.must(a.AwaitAnnounced(ctx))
+	}
+}
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -181,12 +181,12 @@
 
 // Counted returns what the newest agent counted under a reason.
 func (t *Target) Counted(counter, reason string) float64 {
-	return t.Agent.reading(counter, reason)
+	return t.Agent.Reading(counter, "reason", reason)
 }
 
 // Resident returns the memory of the newest agent, in bytes.
 func (t *Target) Resident() float64 {
-	return t.Agent.reading(residentMemory, "")
+	return t.Agent.Reading(residentMemory, "", "")
 }
 
 // Ready tells whether the backend server takes requests.
--- a/internal/subscriber/counters.go
+++ b/internal/subscriber/counters.go
@@ -7,18 +7,23 @@
 	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
 const (
 	tagReason = "reason"
+	tagKind   = "kind"
 
 	metricRefusedUpdates     = "subscriber_refused_updates"
 	metricEndedSubscriptions = "subscriber_ended_subscriptions"
 	metricUnconfirmed        = "subscriber_unconfirmed_starts"
 	metricAsked              = "subscriber_rounds_of_asking"
 	metricOlderRecords       = "subscriber_refused_records"
+	metricDirectoryRecords   = "subscriber_directory_records"
+	metricForgotten          = "subscriber_forgotten_departures"
 	metricAnnounceFailures   = "announcer_failures"
 )
 
@@ -30,6 +35,7 @@
 	moved             tally.Counter
 	olderRecords      tally.Counter
 	repeatedUpdates   tally.Counter
+	forgotten         tally.Counter
 	version           tally.Gauge
 	targets           tally.Gauge
 	connected         tally.Gauge
@@ -44,6 +50,7 @@
 		moved:             scope.Counter("subscriber_moves_to_newer"),
 		olderRecords:      byReason(scope, metricOlderRecords, "older"),
 		repeatedUpdates:   byReason(scope, metricRefusedUpdates, "repeated_directory"),
+		forgotten:         scope.Counter(metricForgotten),
 		version:           scope.Gauge("subscriber_version"),
 		targets:           scope.Gauge("subscriber_targets"),
 		connected:         scope.Gauge("subscriber_connected"),
@@ -54,6 +61,24 @@
 	return scope.Tagged(map[string]string{tagReason: reason}).Counter(metric)
 }
 
+// directory counts an update of the list of targets: its records by how it
+// came, and what was refused.
+func (c *counters) directory(u *controlpb.DirectoryUpdate, change membership.Change) {
+	kind := "delta"
+	switch {
+	case u.GetFull():
+		kind = "full"
+	case u.GetBuckets() > 0:
+		kind = "difference"
+	}
+	c.scope.Tagged(map[string]string{tagKind: kind}).Counter(metricDirectoryRecords).Inc(int64(len(u.GetPut())))
+	c.olderRecords.Inc(int64(change.Older))
+	c.forgotten.Inc(int64(change.Forgotten))
+	if change.Repeated {
+		c.repeatedUpdates.Inc(1)
+	}
+}
+
 func (c *counters) refused(err error) {
 	byReason(c.scope, metricRefusedUpdates, refusalReason(err)).Inc(1)
 }
--- a/internal/subscriber/rules_test.go
+++ b/internal/subscriber/rules_test.go
@@ -9,77 +9,20 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
+	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
 func record(number, incarnation uint32, sequence uint64) *controlpb.TargetRecord {
 	return &controlpb.TargetRecord{Number: number, Incarnation: incarnation, Sequence: sequence, AgeMs: 1000}
 }
 
-func numbers(d *directory) []uint32 {
-	out := []uint32{}
-	for _, r := range d.records {
-		out = append(out, r.GetNumber())
-	}
-	return out
-}
-
-func TestDirectoryUpdates(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(100, 0)
-	d := &directory{}
-	full := func(epoch, sequence uint64, put ...*controlpb.TargetRecord) *controlpb.DirectoryUpdate {
-		return &controlpb.DirectoryUpdate{Epoch: epoch, Sequence: sequence, Full: true, Put: put}
-	}
-	delta := func(epoch, sequence uint64, put ...*controlpb.TargetRecord) *controlpb.DirectoryUpdate {
-		return &controlpb.DirectoryUpdate{Epoch: epoch, Sequence: sequence, Put: put}
-	}
-	is.True(d.apply(full(1, 5, record(3, 1, 1), record(1, 1, 1)), now).changed)
-	is.Equal(numbers(d), []uint32{1, 3})
-	held := d.records
-
-	// A delta changes one record and leaves the slice that views hold alone.
-	is.True(d.apply(delta(1, 6, record(2, 1, 1)), now).changed)
-	is.Equal(numbers(d), []uint32{1, 2, 3})
-	is.Equal(len(held), 2)
-	gone := delta(1, 7)
-	gone.Removed = []uint32{3, 99}
-	is.True(d.apply(gone, now).changed)
-	is.Equal(numbers(d), []uint32{1, 2})
-
-	// An update from before does nothing.
-	is.True(d.apply(delta(1, 6, record(3, 1, 1)), now).repeated)
-	is.Equal(numbers(d), []uint32{1, 2})
-
-	// A record never goes back; an equal one may change the verdict on it.
-	is.True(d.apply(delta(1, 8, record(1, 2, 1)), now).changed)
-	is.Equal(d.apply(delta(1, 9, record(1, 1, 99)), now).older, 1)
-	ill := record(1, 2, 1)
-	ill.Ill = true
-	is.True(d.apply(delta(1, 10, ill), now).changed)
-	is.True(d.records[0].GetIll())
-	is.Equal(d.records[0].GetIncarnation(), uint32(2))
-
-	// A control host that has just started adds, and cannot resume.
-	is.True(d.apply(delta(2, 1, record(7, 1, 1)), now).changed)
-	is.Equal(numbers(d), []uint32{1, 2, 7})
-	epoch, _ := d.resume()
-	is.Equal(epoch, uint64(0))
-	// Its full list replaces what is known, newer records excepted.
-	res := d.apply(full(2, 2, record(1, 1, 1), record(7, 1, 1)), now)
-	is.Equal(res.older, 1)
-	is.Equal(numbers(d), []uint32{1, 7})
-	is.Equal(d.records[0].GetIncarnation(), uint32(2))
-	epoch, sequence := d.resume()
-	is.Equal(epoch, uint64(2))
-	is.Equal(sequence, uint64(2))
-}
-
 func TestAgesGrowFromReceipt(t *testing.T) {
 	is := is.New(t)
-	d := &directory{}
-	d.apply(&controlpb.DirectoryUpdate{Epoch: 1, Full: true, Put: []*controlpb.TargetRecord{record(2, 1, 1)}}, time.Unix(100, 0))
-	d.apply(&controlpb.DirectoryUpdate{Epoch: 1, Sequence: 1, Put: []*controlpb.TargetRecord{record(1, 1, 1)}}, time.Unix(110, 0))
-	v := &View{Targets: d.records, heardAt: d.heardAt}
+	var d membership.List
+	d.Apply(&controlpb.DirectoryUpdate{Epoch: 1, Full: true, Put: []*controlpb.TargetRecord{record(2, 1, 1)}}, time.Unix(100, 0))
+	d.Apply(&controlpb.DirectoryUpdate{Epoch: 1, Sequence: 1, Put: []*controlpb.TargetRecord{record(1, 1, 1)}}, time.Unix(110, 0))
+	targets, heardAt := d.Records()
+	v := &View{Targets: targets, heardAt: heardAt}
 	is.Equal(v.Age(0, time.Unix(112, 0)), 3*time.Second)
 	is.Equal(v.Age(1, time.Unix(112, 0)), 13*time.Second)
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -15,6 +15,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
 // Defaults of Options.
@@ -122,7 +123,7 @@
 	// the lock of link.Client, never after.
 	mu          sync.Mutex
 	versions    versions
-	directory   directory
+	targets     membership.List
 	connected   bool
 	behindSince time.Time
 	// wantSnapshot asks for a whole configuration after a delta did not fit.
@@ -224,7 +225,9 @@
 	if !s.wantSnapshot {
 		req.Version = s.versions.held().GetVersion()
 	}
-	req.DirectoryEpoch, req.DirectorySequence = s.directory.resume()
+	position := s.targets.Position()
+	req.DirectoryEpoch, req.DirectorySequence = position.Epoch, position.Sequence
+	req.DirectoryDigests = position.Digests
 	return req
 }
 
@@ -299,12 +302,9 @@
 }
 
 func (s *Subscriber) takeDirectory(u *controlpb.DirectoryUpdate, now time.Time) bool {
-	res := s.directory.apply(u, now)
-	s.counters.olderRecords.Inc(int64(res.older))
-	if res.repeated {
-		s.counters.repeatedUpdates.Inc(1)
-	}
-	return res.changed
+	change := s.targets.Apply(u, now)
+	s.counters.directory(u, change)
+	return change.Changed
 }
 
 // noteVersion remembers since when the control host is behind.
@@ -331,11 +331,12 @@
 // publish makes a new view. The caller holds mu.
 func (s *Subscriber) publish() {
 	old := s.view.Load()
+	targets, heardAt := s.targets.Records()
 	v := &View{
 		Config:    s.versions.acted,
-		Targets:   s.directory.records,
+		Targets:   targets,
 		Connected: s.connected,
-		heardAt:   s.directory.heardAt,
+		heardAt:   heardAt,
 	}
 	s.view.Store(v)
 	s.counters.observe(v)
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -17,13 +17,18 @@
 
 func fill(d *membership.Directory, now time.Duration) {
 	for n := uint32(1); n <= fleet; n++ {
-		r := record(n, 1, 1)
-		r.Name = "lodgement-oke-ado-07"
-		r.FailureDomain = "oke-ado"
-		d.Announce(now, r, membership.Direct)
+		d.Announce(now, named(n), membership.Direct)
 	}
 }
 
+// named returns a first record with texts of ordinary length.
+func named(number uint32) *controlpb.TargetRecord {
+	r := record(number, 1, 1)
+	r.Name = "lodgement-oke-ado-07"
+	r.FailureDomain = "oke-ado"
+	return r
+}
+
 func heap() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
@@ -62,10 +67,7 @@
 				group[i] = membership.New(membership.Options{Epoch: uint64(i + 1)})
 			}
 			for n := range targets {
-				r := record(uint32(n+1), 1, 1)
-				r.Name = "lodgement-oke-ado-07"
-				r.FailureDomain = "oke-ado"
-				group[n%hosts].Announce(0, r, membership.Direct)
+				group[n%hosts].Announce(0, named(uint32(n+1)), membership.Direct)
 			}
 			var cursors [hosts]uint64
 			now, bytes := time.Duration(0), 0
@@ -104,10 +106,43 @@
 func BenchmarkRenew(b *testing.B) {
 	d := membership.New(membership.Options{Epoch: 1})
 	fill(d, 0)
-	r := record(7, 1, 1)
-	r.Name = "lodgement-oke-ado-07"
-	r.FailureDomain = "oke-ado"
+	r := named(7)
 	for i := range b.N {
 		d.Announce(time.Duration(i), proto.CloneOf(r), membership.Direct)
 	}
 }
+
+// BenchmarkMove measures a subscriber's move to a control host whose directory
+// differs in some records: bytes both ways, records sent, and the processor
+// time of both ends.
+func BenchmarkMove(b *testing.B) {
+	for _, targets := range []uint32{1_000, 3_000, 6_000, fleet} {
+		for _, differ := range []uint32{0, 10, 100} {
+			b.Run(fmt.Sprintf("%d/%d", targets, differ), func(b *testing.B) {
+				old, next := hostOf(1, targets), hostOf(2, targets)
+				for n := range differ {
+					r := named(n*targets/differ + 1)
+					r.Sequence++
+					next.Announce(lease, r, membership.Direct)
+				}
+				var start membership.List
+				u, _ := old.Next(lease, membership.NewFollower(start.Position(), nil))
+				full := proto.Size(u)
+				start.Apply(u, time.Time{})
+				var up, down, records int
+				for b.Loop() {
+					l := start
+					p := l.Position()
+					u, _ := next.Next(lease, membership.NewFollower(p, nil))
+					l.Apply(u, time.Time{})
+					up = proto.Size(&controlpb.Subscribe{DirectoryDigests: p.Digests})
+					down, records = proto.Size(u), len(u.GetPut())
+				}
+				b.ReportMetric(float64(full), "full-B")
+				b.ReportMetric(float64(up), "up-B")
+				b.ReportMetric(float64(down), "down-B")
+				b.ReportMetric(float64(records), "records")
+			})
+		}
+	}
+}
--- a/membership/claims.go
+++ b/membership/claims.go
@@ -16,6 +16,14 @@
 	return version{r.GetIncarnation(), r.GetSequence()}
 }
 
+// before reports whether v is the version of an older record than w.
+func (v version) before(w version) bool {
+	if v.incarnation != w.incarnation {
+		return v.incarnation < w.incarnation
+	}
+	return v.sequence < w.sequence
+}
+
 // claims is the set of targets that one control host hears from their agents,
 // with digests that follow each change at a constant cost.
 type claims struct {
--- a/membership/converge_test.go
+++ b/membership/converge_test.go
@@ -54,12 +54,12 @@
 	knew [controlHosts]bool
 }
 
-func newNetwork(t *rapid.T) *network {
+func newNetwork(t *rapid.T, agents int) *network {
 	n := &network{t: t}
 	for i := range n.hosts {
 		n.restart(i)
 	}
-	for number := uint32(1); number <= agents; number++ {
+	for number := uint32(1); number <= uint32(agents); number++ {
 		n.agents = append(n.agents, &agent{record: record(number, 1, 1), host: int(number-1) % controlHosts, alive: true})
 	}
 	return n
@@ -132,7 +132,7 @@
 // disturb draws one fault or change.
 func (n *network) disturb() {
 	t := n.t
-	a := n.agents[rapid.IntRange(1, agents-1).Draw(t, "agent")]
+	a := n.agents[rapid.IntRange(1, len(n.agents)-1).Draw(t, "agent")]
 	switch rapid.SampledFrom([]string{"none", "restart", "cut", "heal", "move", "die", "change", "replace", "lose", "double"}).Draw(t, "event") {
 	case "restart":
 		n.restart(rapid.IntRange(1, controlHosts-1).Draw(t, "host"))
@@ -179,8 +179,28 @@
 	}
 }
 
+// step lets time pass, with one fault or change and some of the messages.
+func (n *network) step() {
+	n.now += tick
+	n.announceAll()
+	if rapid.Bool().Draw(n.t, "sends") {
+		n.sendAll()
+	}
+	n.disturb()
+	for range rapid.IntRange(0, len(n.queue)).Draw(n.t, "deliveries") {
+		if len(n.queue) > 0 {
+			n.deliver(rapid.IntRange(0, len(n.queue)-1).Draw(n.t, "next"))
+		}
+	}
+	for _, d := range n.hosts {
+		d.Expire(n.now)
+	}
+	n.check()
+}
+
 // settle delivers everything in order until the hosts have had time to agree.
-func (n *network) settle() {
+// After each round it calls the function, if there is one.
+func (n *network) settle(after func()) {
 	n.cut = [controlHosts][controlHosts]bool{}
 	for end := n.now + 5*lease; n.now < end; n.now += tick {
 		n.announceAll()
@@ -192,6 +212,9 @@
 			d.Expire(n.now)
 		}
 		n.check()
+		if after != nil {
+			after()
+		}
 	}
 }
 
@@ -218,25 +241,11 @@
 // all hosts hold the agents that live and nothing else.
 func TestHostsComeToTheSameDirectory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := newNetwork(t)
+		n := newNetwork(t, agents)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			n.now += tick
-			n.announceAll()
-			if rapid.Bool().Draw(t, "sends") {
-				n.sendAll()
-			}
-			n.disturb()
-			for range rapid.IntRange(0, len(n.queue)).Draw(t, "deliveries") {
-				if len(n.queue) > 0 {
-					n.deliver(rapid.IntRange(0, len(n.queue)-1).Draw(t, "next"))
-				}
-			}
-			for _, d := range n.hosts {
-				d.Expire(n.now)
-			}
-			n.check()
+			n.step()
 		}
-		n.settle()
+		n.settle(nil)
 		want := n.want()
 		for i, d := range n.hosts {
 			if got := held(d, n.now); !slices.Equal(got, want) {
--- a/membership/delta.go
+++ b/membership/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -22,7 +23,7 @@
 	return s
 }
 
-func (s Scope) has(service uint32) bool { return len(s) == 0 || s[service] }
+func (s Scope) has(r *controlpb.TargetRecord) bool { return len(s) == 0 || s[r.GetService()] }
 
 // Update returns what a subscriber that holds the given epoch and sequence
 // has to change, or nil if nothing.
@@ -31,18 +32,24 @@
 // From a directory that is not settled the list is not full: it adds to what
 // the subscriber holds from elsewhere and removes nothing.
 func (d *Directory) Update(now time.Duration, epoch, sequence uint64, s Scope) *controlpb.DirectoryUpdate {
-	if epoch != d.opts.Epoch || sequence < d.floor || sequence > d.sequence {
+	if epoch != d.opts.Epoch || !d.remembers(sequence) {
 		return d.Full(now, s)
 	}
+	return d.since(now, sequence, s)
+}
+
+// remembers reports whether every change after the sequence is known.
+func (d *Directory) remembers(sequence uint64) bool {
+	return sequence >= d.floor && sequence <= d.sequence
+}
+
+// since returns the changes after a sequence, or nil if there is none.
+func (d *Directory) since(now time.Duration, sequence uint64, s Scope) *controlpb.DirectoryUpdate {
 	if sequence == d.sequence {
 		return nil
 	}
 	u := d.update()
-	for e := d.changes.Back(); e != nil; e = e.Prev() {
-		t := e.Value.(*target)
-		if t.sequence <= sequence {
-			break
-		}
+	for t := range d.changedAfter(sequence) {
 		u.collect(now, t, s)
 	}
 	slices.Reverse(u.Put)
@@ -50,6 +57,19 @@
 	return u.DirectoryUpdate
 }
 
+// changedAfter yields the targets and removals that have changed after a
+// sequence, the last one first.
+func (d *Directory) changedAfter(sequence uint64) iter.Seq[*target] {
+	return func(yield func(*target) bool) {
+		for e := d.changes.Back(); e != nil; e = e.Prev() {
+			t := e.Value.(*target)
+			if t.sequence <= sequence || !yield(t) {
+				return
+			}
+		}
+	}
+}
+
 // Full returns the whole list within the scope, by target number.
 func (d *Directory) Full(now time.Duration, s Scope) *controlpb.DirectoryUpdate {
 	u := d.update()
@@ -57,7 +77,7 @@
 	for _, t := range d.byID {
 		u.collect(now, t, s)
 	}
-	slices.SortFunc(u.Put, func(a, b *controlpb.TargetRecord) int { return cmp.Compare(a.GetNumber(), b.GetNumber()) })
+	u.sort()
 	return u.DirectoryUpdate
 }
 
@@ -68,7 +88,7 @@
 }
 
 func (u update) collect(now time.Duration, t *target, s Scope) {
-	if !s.has(t.heard.GetService()) {
+	if !s.has(t.heard) {
 		return
 	}
 	if t.isGone {
@@ -78,6 +98,12 @@
 	u.Put = append(u.Put, t.aged(now, t.published))
 }
 
+// sort puts the records in the order of their numbers, so that an update is
+// the same whatever order the targets were met in.
+func (u update) sort() { slices.SortFunc(u.Put, byNumber) }
+
+func byNumber(a, b *controlpb.TargetRecord) int { return cmp.Compare(a.GetNumber(), b.GetNumber()) }
+
 // aged copies a record of the target with its age at the given time, so that
 // one that is told late of a target does not take it for a cold one.
 func (t *target) aged(now time.Duration, r *controlpb.TargetRecord) *controlpb.TargetRecord {
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"container/list"
 	"maps"
 	"slices"
@@ -103,7 +102,7 @@
 	if whole != 0 {
 		d.tellBuckets(now, m, whole)
 	}
-	slices.SortFunc(m.Records, func(a, b *controlpb.TargetRecord) int { return cmp.Compare(a.GetNumber(), b.GetNumber()) })
+	slices.SortFunc(m.Records, byNumber)
 	slices.Sort(m.Ended)
 	slices.Sort(m.Left)
 	return m, d.own.log.sequence
