--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -85,7 +85,7 @@
 
 // Refused returns how many datagrams and frames the host refused for a reason.
 func (e *Entry) Refused(reason string) float64 {
-	return e.reading("entry_refused", reason)
+	return e.Reading("entry_refused", "reason", reason)
 }
 
 // Candidates returns how many targets of all services the host decides between.
@@ -102,7 +102,7 @@
 
 // Resident returns the memory of the process, in bytes.
 func (e *Entry) Resident() float64 {
-	return e.reading(residentMemory, "")
+	return e.Reading(residentMemory, "", "")
 }
 
 // Public returns where the host opens the public address of the service.
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -204,7 +204,7 @@
 
 // Counted returns what the newest agent counted under a reason.
 func (t *Target) Counted(counter, reason string) float64 {
-	return t.Agent.reading(counter, reason)
+	return t.Agent.Reading(counter, "reason", reason)
 }
 
 // BackendAge returns the age of the backend server, in seconds, as the newest
@@ -215,7 +215,7 @@
 
 // Resident returns the memory of the newest agent, in bytes.
 func (t *Target) Resident() float64 {
-	return t.Agent.reading(residentMemory, "")
+	return t.Agent.Reading(residentMemory, "", "")
 }
 
 // Ready tells whether the backend server takes requests.
