--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -91,13 +91,13 @@
 // Candidates returns how many targets of all services the host decides between.
 // Tables that say so are in force when it is told, up to a second later.
 func (e *Entry) Candidates() int {
-	return int(e.reading("entry_candidates", ""))
+	return int(e.Reading("entry_candidates", "", ""))
 }
 
 // Damped returns how many targets the host keeps from new flows as they flap.
 // It is told like Candidates.
 func (e *Entry) Damped() int {
-	return int(e.reading("entry_targets_damped", ""))
+	return int(e.Reading("entry_targets_damped", "", ""))
 }
 
 // Resident returns the memory of the process, in bytes.
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -210,7 +210,7 @@
 // BackendAge returns the age of the backend server, in seconds, as the newest
 // agent holds it.
 func (t *Target) BackendAge() float64 {
-	return t.Agent.reading(backendAge, "")
+	return t.Agent.Reading(backendAge, "", "")
 }
 
 // Resident returns the memory of the newest agent, in bytes.
--- a/test/operatorpath_test.go
+++ b/test/operatorpath_test.go
@@ -40,7 +40,7 @@
 type pathFault int
 
 const (
-	noPathFault pathFault = iota
+	_ pathFault = iota // none: the patch goes its way
 	// answerCut loses the answer after the patch took effect.
 	answerCut
 	// requestCut loses the request.
