agentd: a request over the limit of bodies was not run, with a key too

No agent takes such a body, so no earlier attempt with the same content can have run, and coming back does not help.

Ruled out: the same for request-invalid: the fault may be in a header that an earlier attempt, which ran, had right. It stays unknown.

--- a/internal/agentd/answer.go
+++ b/internal/agentd/answer.go
@@ -26,9 +26,10 @@
 }
 
 // beforeAsking is the refusal of a request before the control hosts were asked
-// about its key: without one it was not run, with one that is not known.
+// about its key: without one it was not run, with one that is not known. A body
+// over the limit is refused by every agent, so no earlier attempt ran either.
 func beforeAsking(why reason.Code, comeBack time.Duration, key string) refusal {
-	if key == "" {
+	if key == "" || why == reason.RequestTooLarge {
 		return refusal{outcome: retry.NotRun, reason: why, comeBack: comeBack}
 	}
 	return refusal{outcome: retry.Unknown, reason: why, comeBack: comeBack, unasked: true}
