test: conditions and an injected clock in place of sleeps

loadgen/reject_test: the server ends the connection when the caller has ended its flow, not 50 ms after the reset. agentd: the daemon reads its clock through parts.now, which tests set ahead; pass() then waits for whole turns of housekeeping, in place of sleeping for the time that a leaving agent stays (TestShutdownWaitsForTheWatch, TestShutdownCutsNoRequestInFlight). A lost connection: the agent has seen the loss, and another run that is cancelled later has been stopped after the same span (TestLostConnectionDoesNotStopTheRun). A watch outlives the default deadline: a later request has reached it (TestWatchTakesNoSlotAndOutlivesTheDefaultDeadline), and the event sent after it is now taken by a watch; before, nobody looked whether it was. link: a client that was told to come back later is compared with one that is refused without a time and has come back ten times by the same pauses.

The two sleeps of link/idle_test.go are the window over which a benchmark counts bytes, no synchronisation: they stay.

One try counted sessions to see the loss; a session stays as long as its handler, so it saw the loss only at the deadline of 10 s: dropped.

--- a/internal/agentd/connect.go
+++ b/internal/agentd/connect.go
@@ -65,6 +65,8 @@
 	certificate func() *tls.Certificate
 	// service is the one that the agent's certificate names.
 	service string
+	// now reads the clock of the daemon.
+	now func() time.Time
 	// close frees the parts once the daemon has ended.
 	close func()
 }
@@ -94,6 +96,7 @@
 		onSecrets:   credentials.OnChange,
 		certificate: caller.get,
 		service:     credentials.Identity().Service,
+		now:         time.Now,
 		close: func() {
 			cancel()
 			client.Close()
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -88,7 +88,7 @@
 		_ = socket.Close()
 		return nil, err
 	}
-	clock := newClock()
+	clock := clockOf(p.now)
 	d := &Daemon{
 		settings: s, limits: l, log: log, scope: scope, parts: p, timing: t, clock: clock,
 		process: newAttempt(), socket: socket, opened: opened, address: address,
--- a/internal/agentd/drain_test.go
+++ b/internal/agentd/drain_test.go
@@ -36,7 +36,7 @@
 	is.True(a.counter("flows_handed_on", "leaving") >= 1)
 	// Long after the span in which the agent could have gone, the watch lives.
 	for range 5 {
-		time.Sleep(a.timing.handOn / 2)
+		a.pass(t, a.timing.handOn)
 		backend.events <- "still here"
 		is.Equal(session.line(t), "still here")
 	}
@@ -80,7 +80,7 @@
 	}
 	eventually(t, "requests run", func() bool { return backend.running.Load() == 4 })
 	a.stop()
-	time.Sleep(2 * a.timing.handOn)
+	a.pass(t, 2*a.timing.handOn)
 	close(backend.hold)
 	for range 4 {
 		is.Equal((<-done).body, "held")
--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -97,6 +97,32 @@
 	done      chan error
 	// secretsChanged tells the daemon that the secrets of the world changed.
 	secretsChanged func()
+	// ahead is how far the daemon's clock is ahead of the system's.
+	ahead atomic.Int64
+	// turns counts turns of housekeeping.
+	turns atomic.Int64
+}
+
+// agentDirectory is what one agent knows; housekeeping looks into it in each turn.
+type agentDirectory struct {
+	*fakeDirectory
+	turns *atomic.Int64
+}
+
+func (d agentDirectory) Service(number uint32) *configpb.Service {
+	d.turns.Add(1)
+	return d.fakeDirectory.Service(number)
+}
+
+// pass lets the time pass for the daemon, and waits until housekeeping has
+// acted on it in a whole turn.
+func (a *agent) pass(t *testing.T, span time.Duration) {
+	t.Helper()
+	a.ahead.Add(int64(span))
+	before := a.turns.Load()
+	// The turn under way may have read the clock before; the one after it ends
+	// before the third begins.
+	eventually(t, "housekeeping", func() bool { return a.turns.Load() >= before+3 })
 }
 
 // startAgent runs a daemon and announces the backend server to it.
@@ -127,7 +153,8 @@
 	p := parts{
 		control: w.control, enlist: a.published.enlist(w.control), secrets: w.currentSecrets,
 		onSecrets:   func(f func()) { a.secretsChanged = f },
-		subscribe:   func(uint32) directory { return w.known },
+		subscribe:   func(uint32) directory { return agentDirectory{w.known, &a.turns} },
+		now:         func() time.Time { return time.Now().Add(time.Duration(a.ahead.Load())) },
 		certificate: func() *tls.Certificate { return w.cert }, service: testService, close: func() {},
 	}
 	daemon, err := newDaemon(settings, zap.NewNop(), a.scope, p, timing)
@@ -151,6 +178,20 @@
 	return one != nil && a.published.last().GetState() == controlpb.TargetState_TARGET_STATE_SERVING
 }
 
+// lost returns how many connections have ended under requests that still run.
+func (a *agent) lost() int {
+	open := a.plane.Load().sessions
+	open.mu.Lock()
+	defer open.mu.Unlock()
+	count := 0
+	for one := range open.open {
+		if one.conn.Context().Err() != nil && one.active.Load() > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 func (a *agent) waitDone(t *testing.T) {
 	t.Helper()
 	select {
--- a/internal/agentd/once_test.go
+++ b/internal/agentd/once_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 	"github.com/quic-go/quic-go/http3"
@@ -154,7 +153,7 @@
 // A caller that lost its connection comes back for the answer.
 func TestLostConnectionDoesNotStopTheRun(t *testing.T) {
 	is := is.New(t)
-	w, _, backend := oneAgent(t)
+	w, a, backend := oneAgent(t)
 	client := w.caller()
 	done := make(chan error, 1)
 	go func() {
@@ -162,10 +161,15 @@
 		done <- err
 	}()
 	eventually(t, "request runs", func() bool { return backend.running.Load() == 1 })
+	cancel := holdCancelled(t, w, backend)
 	must(t, client.Transport.(*http3.Transport).Close())
 	is.True(<-done != nil)
-	time.Sleep(3 * lossSettles)
-	is.Equal(backend.gone.Load(), int64(0))
+	eventually(t, "the agent lost the connection", func() bool { return a.lost() == 1 })
+	// Another run is cancelled later, after the same span in which a lost
+	// connection may show. The first one would have been stopped by then.
+	cancel()
+	eventually(t, "the other run stops", func() bool { return backend.running.Load() == 1 })
+	is.Equal(backend.gone.Load(), int64(1))
 	close(backend.hold)
 	eventually(t, "answer recorded", func() bool { return w.control.record("k1").GetAnswer() != nil })
 	again := mustSend(t, w.caller(), "POST", w.url("/hold"), "", headerKey, "k1")
@@ -174,6 +178,21 @@
 	is.Equal(backend.ran("k1"), 1)
 }
 
+// holdCancelled starts a run of another caller that ends once cancel was called.
+func holdCancelled(t *testing.T, w *world, backend *fakeBackend) (cancel func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	client := w.caller()
+	go func() {
+		req, _ := http.NewRequestWithContext(ctx, "POST", w.url("/hold"), nil)
+		req.Header.Set(headerKey, "cancelled")
+		_, _ = client.Do(req)
+	}()
+	eventually(t, "the other request runs", func() bool { return backend.running.Load() == 2 })
+	return cancel
+}
+
 func TestCancelledRunStops(t *testing.T) {
 	is := is.New(t)
 	w, _, backend := oneAgent(t)
--- a/internal/agentd/request_test.go
+++ b/internal/agentd/request_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -224,9 +223,13 @@
 	}
 	is.Equal(a.gate.figures().running, 0)
 	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
-	time.Sleep(2100 * time.Millisecond) // longer than the default deadline
-	go func() { backend.events <- "late" }()
-	is.Equal(backend.gone.Load(), int64(0))
+	// A later request reaches the default deadline, so the watches have passed it.
+	held := mustSend(t, client, "GET", w.url("/hold"), "")
+	is.Equal(held.header.Get(headerReason), "deadline")
+	eventually(t, "the request ends at the backend server", func() bool { return backend.running.Load() == 0 })
+	is.Equal(backend.gone.Load(), int64(1)) // the request alone
+	backend.events <- "late"
+	eventually(t, "a watch takes the event", func() bool { return len(backend.events) == 0 })
 }
 
 // watch is an open watch session.
--- a/internal/link/fault_test.go
+++ b/internal/link/fault_test.go
@@ -380,8 +380,13 @@
 	other, scope := startClient(t, d.credentials(keys.RoleEntry, "e2"), quick(), s.Addr().String())
 	eventually(t, "refused", func() bool { return count(scope, metricDialFailures, "busy") > 0 })
 	is.Equal(other.Address(), "")
-	// It was told to come back after 1,000 s. Its own pauses are 50 ms at most.
-	time.Sleep(300 * time.Millisecond)
+	// It was told to come back after 1,000 s. A client that is refused without
+	// such a time has come back again and again meanwhile, by the same pauses.
+	second, refused := startServer(t, anyPort, d.credentials(keys.RoleControl, "c3"), newFakeHandler(), ServerOptions{})
+	startClient(t, d.credentials(keys.RoleOperator, "o1"), quick(), second.Addr().String())
+	eventually(t, "many tries of the other client", func() bool {
+		return count(refused, metricRefusedConnections, "role") >= 10
+	})
 	is.Equal(count(scope, metricDialFailures, "busy"), int64(1))
 }
 
--- a/internal/loadgen/reject_test.go
+++ b/internal/loadgen/reject_test.go
@@ -17,18 +17,19 @@
 
 // refusal is how a server treats the first request of a connection before it
 // closes the connection without an error, as a server that is leaving does.
-type refusal func(*quic.Stream)
+type refusal func(*quic.Conn, *quic.Stream)
 
 func resetWith(code http3.ErrCode) refusal {
-	return func(stream *quic.Stream) {
+	return func(conn *quic.Conn, stream *quic.Stream) {
 		stream.CancelRead(quic.StreamErrorCode(code))
 		stream.CancelWrite(quic.StreamErrorCode(code))
-		// The caller learns of the reset before the connection ends.
-		time.Sleep(50 * time.Millisecond)
+		// The caller learns of the reset and ends its flow, which is over
+		// after one request.
+		<-conn.Context().Done()
 	}
 }
 
-func ignore(*quic.Stream) {}
+func ignore(*quic.Conn, *quic.Stream) {}
 
 func serveRefusals(t *testing.T, a authority, how refusal) string {
 	t.Helper()
@@ -62,7 +63,7 @@
 	if err != nil {
 		return
 	}
-	how(stream)
+	how(conn, stream)
 	_ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
 }
 
