--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -37,6 +37,8 @@
 	t := defaultTiming()
 	t.acceptGrace = 50 * time.Millisecond
 	t.handOn = 300 * time.Millisecond
+	t.successorWait = 50 * time.Millisecond
+	t.moveSpan = 50 * time.Millisecond
 	t.idleClose = 300 * time.Millisecond
 	t.announceLease = time.Minute
 	t.completeWait = 200 * time.Millisecond
@@ -151,7 +153,7 @@
 	}
 	a := &agent{scope: tally.NewTestScope("", nil), published: &fakeAnnouncer{}, done: make(chan error, 1)}
 	p := parts{
-		control: w.control, enlist: a.published.enlist(w.control), secrets: w.currentSecrets,
+		control: w.control, linked: w.control.linked, enlist: a.published.enlist(w.control), secrets: w.currentSecrets,
 		onSecrets:   func(f func()) { a.secretsChanged = f },
 		subscribe:   func(uint32) directory { return agentDirectory{w.known, &a.turns} },
 		now:         func() time.Time { return time.Now().Add(time.Duration(a.ahead.Load())) },
--- a/internal/processtest/metrics.go
+++ b/internal/processtest/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 )
@@ -16,7 +17,7 @@
 // Metrics asks the metrics listener that the ready line names.
 func (p *Process) Metrics() string {
 	p.t.Helper()
-	resp, err := http.Get("http://" + p.log.field(readyMessage, "metrics") + "/metrics")
+	resp, err := http.Get("http://" + p.metricsAddress().String() + "/metrics")
 	if err != nil {
 		p.t.Fatal(err)
 	}
@@ -28,6 +29,11 @@
 	return string(text)
 }
 
+// metricsAddress is the metrics listener that the ready line names.
+func (p *Process) metricsAddress() netip.AddrPort {
+	return netip.MustParseAddrPort(p.log.field(readyMessage, "metrics"))
+}
+
 // Counted returns the sum of the counters whose name ends with the given one,
 // over all their tags.
 func (p *Process) Counted(name string) float64 {
@@ -48,15 +54,15 @@
 	return sum
 }
 
-// reading returns one counter or gauge; with a reason, the one of that reason.
+// Reading returns one counter or gauge; with a value, the one whose tag has it.
 // One that was never counted is 0. Figures are up to a second old.
-func (p *Process) reading(name, reason string) float64 {
+func (p *Process) Reading(name, tag, value string) float64 {
 	p.t.Helper()
 	if name != residentMemory {
 		name = metricPrefix + name
 	}
-	if reason != "" {
-		name += fmt.Sprintf("{reason=%q}", reason)
+	if value != "" {
+		name += fmt.Sprintf("{%s=%q}", tag, value)
 	}
 	for line := range strings.Lines(p.Metrics()) {
 		text, found := strings.CutPrefix(strings.TrimSpace(line), name+" ")
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -23,6 +23,9 @@
 	// now on, or no more.
 	takingMessage = "taking new flows"
 
+	// backendAge is the gauge of the backend server's age.
+	backendAge = "backend_age"
+
 	targetPollMS = 200
 )
 
@@ -111,6 +114,15 @@
 	t.Backend = Start(c.t, "backend-"+t.Name, append(args, t.options.Faults...)...)
 }
 
+// RestartBackend kills the backend server and starts it again with other
+// faults.
+func (t *Target) RestartBackend(faults ...string) {
+	t.service.cluster.t.Helper()
+	t.Backend.Kill()
+	t.options.Faults = faults
+	t.LaunchBackend()
+}
+
 // LaunchAgent starts another process of the agent, beside an older one that
 // may still be leaving. It takes another frame address.
 func (t *Target) LaunchAgent() {
@@ -192,12 +204,18 @@
 
 // Counted returns what the newest agent counted under a reason.
 func (t *Target) Counted(counter, reason string) float64 {
-	return t.Agent.reading(counter, reason)
+	return t.Agent.Reading(counter, "reason", reason)
+}
+
+// BackendAge returns the age of the backend server, in seconds, as the newest
+// agent holds it.
+func (t *Target) BackendAge() float64 {
+	return t.Agent.Reading(backendAge, "", "")
 }
 
 // Resident returns the memory of the newest agent, in bytes.
 func (t *Target) Resident() float64 {
-	return t.Agent.reading(residentMemory, "")
+	return t.Agent.Reading(residentMemory, "", "")
 }
 
 // Ready tells whether the backend server takes requests.
