--- a/internal/agentd/once_test.go
+++ b/internal/agentd/once_test.go
@@ -206,13 +206,21 @@
 // A caller that lost its connection comes back for the answer.
 func TestLostConnectionDoesNotStopTheRun(t *testing.T) {
 	is := is.New(t)
-	w, _, backend := oneAgent(t)
+	w, a, backend := oneAgent(t)
 	client := w.caller()
 	held := backend.holdOne(t.Context(), t, w, client, "POST", headerKey, "k1")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	start(ctx, w.caller(), "POST", w.url("/hold"), headerKey, "cancelled")
+	eventually(t, "the other request runs", func() bool { return backend.running.Load() == 2 })
 	must(t, client.Transport.(*http3.Transport).Close())
 	is.True(<-held.fail != nil)
-	time.Sleep(3 * lossSettles)
-	is.Equal(backend.gone.Load(), int64(0))
+	eventually(t, "the agent lost the connection", func() bool { return a.lost() == 1 })
+	// Another run is cancelled later, after the same span in which a lost
+	// connection may show. The first one would have been stopped by then.
+	cancel()
+	eventually(t, "the other run stops", func() bool { return backend.running.Load() == 1 })
+	is.Equal(backend.gone.Load(), int64(1))
 	close(backend.hold)
 	eventually(t, "answer recorded", func() bool { return w.control.record("k1").GetAnswer() != nil })
 	again := mustSend(t, w.caller(), "POST", w.url("/hold"), "", headerKey, "k1")
