--- a/internal/agentd/connect.go
+++ b/internal/agentd/connect.go
@@ -54,7 +54,9 @@
 
 // parts are what the daemon is connected to.
 type parts struct {
-	control   controlCaller
+	control controlCaller
+	// linked reports whether there is a connection to a control host.
+	linked    func() bool
 	enlist    func(enlistment) announcer
 	subscribe func(service uint32) directory
 	// secrets returns what protects connection IDs and frames; the first one
@@ -65,6 +67,8 @@
 	certificate func() *tls.Certificate
 	// service is the one that the agent's certificate names.
 	service string
+	// now reads the clock of the daemon.
+	now func() time.Time
 	// close frees the parts once the daemon has ended.
 	close func()
 }
@@ -88,12 +92,14 @@
 	go caller.watch(ctx, log)
 	return parts{
 		control:     client,
+		linked:      func() bool { return client.Address() != "" },
 		enlist:      enlistWith(client, log, scope),
 		subscribe:   subscribeWith(client, s.GetHost().GetFailureDomain(), log, scope),
 		secrets:     func() []connid.Secret { return dataSecrets(credentials) },
 		onSecrets:   credentials.OnChange,
 		certificate: caller.get,
 		service:     credentials.Identity().Service,
+		now:         time.Now,
 		close: func() {
 			cancel()
 			client.Close()
--- a/internal/controld/internal_test.go
+++ b/internal/controld/internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/replica"
 	"eelgrasswharf.example/eelgrasswharf/membership"
+	"eelgrasswharf.example/eelgrasswharf/raft"
 )
 
 func TestBarrierSharesReads(t *testing.T) {
@@ -70,6 +72,15 @@
 	is.Equal(len(c), 0)
 }
 
+// manyVoters names c1 and so on.
+func manyVoters(count int) []string {
+	var all []string
+	for i := range count {
+		all = append(all, fmt.Sprintf("c%d=127.0.0.1:%d", i+1, i+1))
+	}
+	return all
+}
+
 func TestParseVoters(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -85,6 +96,7 @@
 		{"not named", []string{"c1=127.0.0.1:1"}, false, nil, true},
 		{"twice", []string{"c2=127.0.0.1:2", "c2=127.0.0.1:3"}, false, nil, true},
 		{"no address", []string{"c2"}, false, nil, true},
+		{"too many", manyVoters(raft.MaxVoters + 1), false, nil, true},
 		{"no name", []string{"=127.0.0.1:1", "c2=127.0.0.1:2"}, false, nil, true},
 	}
 	for _, test := range tests {
@@ -121,20 +133,20 @@
 	is := is.New(t)
 	d := newDirectory(7)
 	d.announce(record(1))
-	f := &follower{epoch: 6, sequence: 9, whole: true} // followed another life
-	u := d.next(f)
+	f := membership.NewFollower(membership.Position{Epoch: 6, Sequence: 9}, nil) // followed another life
+	u, _ := d.next(f)
 	is.Equal(u.GetFull(), false)
 	is.Equal(len(u.GetPut()), 1)
-	f.sent(u)
-	is.Equal(d.next(f), nil)
+	u, _ = d.next(f)
+	is.Equal(u, nil)
 
 	d.start = d.start.Add(-d.lease()) // a lease later
-	u = d.next(f)
+	u, _ = d.next(f)
 	is.True(u.GetFull())
-	f.sent(u)
-	is.Equal(d.next(f), nil)
+	u, _ = d.next(f)
+	is.Equal(u, nil)
 	d.announce(record(2))
-	u = d.next(f)
+	u, _ = d.next(f)
 	is.Equal(u.GetFull(), false)
 	is.Equal(len(u.GetPut()), 1)
 }
@@ -185,14 +197,15 @@
 	d := newDirectory(7)
 	d.announce(record(1))
 	d.start = d.start.Add(-d.lease())
-	f := &follower{scope: membership.NewScope([]uint32{1})}
-	f.sent(d.next(f))
+	f := membership.NewFollower(membership.Position{}, membership.NewScope([]uint32{1}))
+	d.next(f)
 	other := record(2)
 	other.Service = 2
 	d.announce(other)
-	is.Equal(d.next(f), nil)
+	u, _ := d.next(f)
+	is.Equal(u, nil)
 	d.announce(record(3))
-	u := d.next(f)
+	u, _ = d.next(f)
 	is.Equal(len(u.GetPut()), 1) // and not the other service's target
 	is.Equal(u.GetFull(), false)
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -15,6 +15,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
 // Defaults of Options.
@@ -122,9 +123,11 @@
 	// the lock of link.Client, never after.
 	mu          sync.Mutex
 	versions    versions
-	directory   directory
+	targets     membership.List
 	connected   bool
 	behindSince time.Time
+	// directoryWhole is what the control host said last about its list.
+	directoryWhole bool
 	// wantSnapshot asks for a whole configuration after a delta did not fit.
 	wantSnapshot bool
 }
@@ -224,7 +227,9 @@
 	if !s.wantSnapshot {
 		req.Version = s.versions.held().GetVersion()
 	}
-	req.DirectoryEpoch, req.DirectorySequence = s.directory.resume()
+	position := s.targets.Position()
+	req.DirectoryEpoch, req.DirectorySequence = position.Epoch, position.Sequence
+	req.DirectoryDigests = position.Digests
 	return req
 }
 
@@ -262,6 +267,8 @@
 	if d := u.GetDirectory(); d != nil {
 		changed = s.takeDirectory(d, now) || changed
 	}
+	changed = changed || s.directoryWhole != u.GetDirectoryWhole()
+	s.directoryWhole = u.GetDirectoryWhole()
 	if h := u.GetHeartbeat(); h != nil {
 		s.noteVersion(h.GetVersion(), now)
 	}
@@ -299,13 +306,9 @@
 }
 
 func (s *Subscriber) takeDirectory(u *controlpb.DirectoryUpdate, now time.Time) bool {
-	whole := s.directory.whole
-	res := s.directory.apply(u, now)
-	s.counters.olderRecords.Inc(int64(res.older))
-	if res.repeated {
-		s.counters.repeatedUpdates.Inc(1)
-	}
-	return res.changed || whole != s.directory.whole
+	change := s.targets.Apply(u, now)
+	s.counters.directory(u, change)
+	return change.Changed
 }
 
 // noteVersion remembers since when the control host is behind.
@@ -332,12 +335,13 @@
 // publish makes a new view. The caller holds mu.
 func (s *Subscriber) publish() {
 	old := s.view.Load()
+	targets, heardAt := s.targets.Records()
 	v := &View{
 		Config:         s.versions.acted,
-		Targets:        s.directory.records,
+		Targets:        targets,
 		Connected:      s.connected,
-		DirectoryWhole: s.directory.whole,
-		heardAt:        s.directory.heardAt,
+		DirectoryWhole: s.connected && s.directoryWhole,
+		heardAt:        heardAt,
 	}
 	s.view.Store(v)
 	s.counters.observe(v)
