--- a/internal/entryd/worker.go
+++ b/internal/entryd/worker.go
@@ -38,16 +38,7 @@
 
 func (w *publicWorker) run() {
 	w.header.Public = w.l.public
-	for {
-		n, caller, err := w.conn.ReadFromUDPAddrPort(w.buf[frame.HeaderLength:])
-		if err != nil {
-			if w.f.ended(err) {
-				return
-			}
-			continue
-		}
-		w.handle(n, unmap(caller))
-	}
+	w.f.read(w.conn, w.buf[frame.HeaderLength:], w.handle)
 }
 
 // handle sends the datagram of n bytes that stands behind the room for the
@@ -108,16 +99,7 @@
 }
 
 func (w *frameWorker) run() {
-	for {
-		n, agent, err := w.conn.ReadFromUDPAddrPort(w.buf[:])
-		if err != nil {
-			if w.f.ended(err) {
-				return
-			}
-			continue
-		}
-		w.handle(n, unmap(agent))
-	}
+	w.f.read(w.conn, w.buf[:], w.handle)
 }
 
 // handle sends the datagram of a reply frame to the caller, or counts why not.
@@ -177,6 +159,20 @@
 	return l, accepted
 }
 
+// read reads datagrams into buf and hands the length and sender of each to
+// handle, until the socket is closed.
+func (f *Forwarder) read(conn *net.UDPConn, buf []byte, handle func(int, netip.AddrPort)) {
+	for {
+		n, sender, err := conn.ReadFromUDPAddrPort(buf)
+		switch {
+		case err == nil:
+			handle(n, unmap(sender))
+		case f.ended(err):
+			return
+		}
+	}
+}
+
 // ended reports whether a read failed because the socket was closed. Other
 // failures are counted and followed by a pause.
 func (f *Forwarder) ended(err error) bool {
