config: a version costs what its patch names, not what the configuration holds

A draft now holds what the patch puts and removes, and looks up the rest by binary search in the version before. It relies on what each version holds: services by name, canonical addresses, none shared, none of them retired. Identities are looked through only when a service is removed. Merge of a delta goes the same way.

--- a/config/delta.go
+++ b/config/delta.go
@@ -59,12 +59,13 @@
 	if u.GetVersion() == base.GetVersion() {
 		return base, nil
 	}
-	services := byName(base)
+	removed := map[string]bool{}
 	for _, name := range u.GetRemoved() {
-		delete(services, name)
+		removed[name] = true
 	}
+	put := map[string]*configpb.Service{}
 	for _, s := range u.GetPut() {
-		services[s.GetName()] = s
+		put[s.GetName()] = s
 	}
 	retired := retiredSet(base)
 	for _, address := range u.GetReleased() {
@@ -73,7 +74,7 @@
 	for _, address := range u.GetRetired() {
 		retired[address] = true
 	}
-	return assemble(u.GetVersion(), services, retired), nil
+	return assemble(base, u.GetVersion(), put, removed, retired), nil
 }
 
 func byName(c *configpb.Configuration) map[string]*configpb.Service {
--- a/config/machine.go
+++ b/config/machine.go
@@ -127,23 +127,19 @@
 
 // accept makes the draft the next version.
 func (m *Machine) accept(d *draft, id string) {
-	names := make([]string, 0, len(d.putBy))
-	for name := range d.putBy {
-		names = append(names, name)
-	}
 	// The order in the patch decides the numbers, on every replica alike.
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(d.putBy[a], d.putBy[b]) })
-	known := m.numbers()
-	for _, name := range names {
-		number := known[name]
+	for _, name := range d.putOrder() {
+		number := held(m.current, name).GetNumber()
 		if number == 0 || d.removed[name] {
 			m.lastService++
 			number = m.lastService
 		}
 		d.services[name] = normalise(d.services[name], number)
 	}
-	m.publish(assemble(m.current.GetVersion()+1, d.services, d.retired), id)
-	m.targets.keepServices(m.numberSet())
+	m.publish(assemble(m.current, m.current.GetVersion()+1, d.services, d.removed, d.retired), id)
+	if len(d.removed) > 0 {
+		m.targets.keepServices(m.numberSet())
+	}
 }
 
 // normalise copies a service with its number and canonical addresses.
@@ -157,19 +153,34 @@
 	return out
 }
 
-// assemble lists services by name and retired addresses in order, so that
-// equal configurations have equal encodings.
-func assemble(version uint64, services map[string]*configpb.Service, retired map[string]bool) *configpb.Configuration {
-	c := &configpb.Configuration{
-		Version:  version,
-		Services: make([]*configpb.Service, 0, len(services)),
-		Retired:  retiredList(retired),
+// assemble returns the version that follows from base by services that are put
+// and removed, and the retired addresses. It lists services by name, as base
+// does, and addresses in order, so that equal configurations have equal
+// encodings.
+func assemble(base *configpb.Configuration, version uint64, put map[string]*configpb.Service, removed, retired map[string]bool) *configpb.Configuration {
+	services := make([]*configpb.Service, 0, len(base.GetServices())+len(put))
+	for _, s := range base.GetServices() {
+		if name := s.GetName(); put[name] == nil && !removed[name] {
+			services = append(services, s)
+		}
 	}
-	for _, s := range services {
-		c.Services = append(c.Services, s)
+	for name, s := range put {
+		i, _ := slices.BinarySearchFunc(services, name, compareName)
+		services = slices.Insert(services, i, s)
 	}
-	slices.SortFunc(c.Services, func(a, b *configpb.Service) int { return cmp.Compare(a.GetName(), b.GetName()) })
-	return c
+	return &configpb.Configuration{Version: version, Services: services, Retired: retiredList(retired)}
+}
+
+// compareName orders services by name.
+func compareName(s *configpb.Service, name string) int { return cmp.Compare(s.GetName(), name) }
+
+// held returns the service of a version, or nil.
+func held(c *configpb.Configuration, name string) *configpb.Service {
+	i, found := slices.BinarySearchFunc(c.GetServices(), name, compareName)
+	if !found {
+		return nil
+	}
+	return c.GetServices()[i]
 }
 
 func (m *Machine) publish(c *configpb.Configuration, id string) {
@@ -181,14 +192,6 @@
 	}
 }
 
-func (m *Machine) numbers() map[string]uint32 {
-	numbers := make(map[string]uint32, len(m.current.GetServices()))
-	for _, s := range m.current.GetServices() {
-		numbers[s.GetName()] = s.GetNumber()
-	}
-	return numbers
-}
-
 func (m *Machine) numberSet() map[uint32]bool {
 	set := make(map[uint32]bool, len(m.current.GetServices()))
 	for _, s := range m.current.GetServices() {
--- a/config/retired.go
+++ b/config/retired.go
@@ -32,10 +32,11 @@
 // ends by a release, which is the operator's explicit choice, or when a service
 // takes it.
 func (d *draft) retire() {
-	for _, s := range d.before.GetServices() {
-		for _, address := range s.GetAddresses() {
-			d.retired[address] = true
-		}
+	for name := range d.removed {
+		d.leave(name)
+	}
+	for name := range d.services {
+		d.leave(name)
 	}
 	for _, s := range d.services {
 		for _, text := range s.GetAddresses() {
@@ -51,6 +52,13 @@
 	}
 }
 
+// leave retires the addresses that a service had before the patch.
+func (d *draft) leave(name string) {
+	for _, address := range held(d.before, name).GetAddresses() {
+		d.retired[address] = true
+	}
+}
+
 // retiredList returns the retired addresses in order, so that equal
 // configurations have equal encodings.
 func retiredList(set map[string]bool) []string {
--- a/config/shared.go
+++ b/config/shared.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 
@@ -11,35 +12,43 @@
 
 // checkShared looks for faults of the draft as a whole: an address of two
 // services, too many services. It runs after all operations, so an address
-// may pass from one service to another within a patch.
+// may pass from one service to another within a patch. A shared address is
+// reported where the patch names it.
 func (d *draft) checkShared() {
-	if len(d.services) > MaxServices {
+	if d.count() > MaxServices {
 		d.find("patch", "the configuration would have more than %d services", MaxServices)
 	}
-	owner := map[netip.AddrPort]string{}
-	for _, name := range d.checkOrder() {
+	owner := d.owners()
+	for _, name := range d.putOrder() {
 		d.claim(owner, name)
 	}
 }
 
-// checkOrder lists services that the patch does not put first, so that a
-// shared address is reported where the patch names it.
-func (d *draft) checkOrder() []string {
-	names := make([]string, 0, len(d.services))
-	for name := range d.services {
-		names = append(names, name)
+// owners returns the services that the patch leaves as they are, by those of
+// their addresses that it puts elsewhere.
+func (d *draft) owners() map[netip.AddrPort]string {
+	wanted := map[string]netip.AddrPort{}
+	for _, s := range d.services {
+		for _, text := range s.GetAddresses() {
+			if addr, fault := publicAddress(text); fault == "" {
+				wanted[addr.String()] = addr
+			}
+		}
+	}
+	owner := map[netip.AddrPort]string{}
+	for _, s := range d.before.GetServices() {
+		for _, address := range s.GetAddresses() {
+			if addr, found := wanted[address]; found && d.untouched(s.GetName()) {
+				owner[addr] = s.GetName()
+			}
+		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(d.rank(a), d.rank(b)), cmp.Compare(a, b))
-	})
-	return names
+	return owner
 }
 
-func (d *draft) rank(name string) int {
-	if i, put := d.putBy[name]; put {
-		return i
-	}
-	return -1
+// putOrder lists the services that the patch puts, in its order.
+func (d *draft) putOrder() []string {
+	return slices.SortedFunc(maps.Keys(d.putBy), func(a, b string) int { return cmp.Compare(d.putBy[a], d.putBy[b]) })
 }
 
 func (d *draft) claim(owner map[netip.AddrPort]string, name string) {
--- a/config/validate.go
+++ b/config/validate.go
@@ -15,8 +15,10 @@
 	return findings
 }
 
-// rehearse applies the operations of a patch to a copy of the list of
-// services. New services have no number yet.
+// rehearse applies the operations of a patch to a draft of the next version.
+// New services have no number yet. What the patch does not name costs next to
+// nothing: a replica that restarts applies thousands of versions, each of
+// thousands of services.
 func rehearse(cfg *configpb.Configuration, patch *configpb.Patch) (*draft, []*configpb.Finding) {
 	d := newDraft(cfg, patch)
 	d.checkPatch()
@@ -28,16 +30,19 @@
 	return d, d.bounded()
 }
 
-// draft is a list of services under change.
+// draft is a configuration under change. It relies on what every version
+// holds: services by name, their addresses in canonical form, none shared, and
+// none of them retired.
 type draft struct {
-	patch    *configpb.Patch
+	patch *configpb.Patch
+	// services has what the patch put, by name.
 	services map[string]*configpb.Service
 	// putBy is the operation of the patch that put the service.
 	putBy map[string]int
 	// removed has the services that the patch removed.
 	removed map[string]bool
-	// before has the public addresses of the configuration, by service, and
-	// retired those that it keeps open without a service.
+	// before is the version that the patch changes, and retired has the
+	// addresses that are kept open without a service.
 	before  *configpb.Configuration
 	retired map[string]bool
 	// released has the operation that releases a retired address.
@@ -48,7 +53,7 @@
 func newDraft(cfg *configpb.Configuration, patch *configpb.Patch) *draft {
 	d := &draft{
 		patch:    patch,
-		services: make(map[string]*configpb.Service, len(cfg.GetServices())),
+		services: map[string]*configpb.Service{},
 		putBy:    map[string]int{},
 		removed:  map[string]bool{},
 		before:   cfg,
@@ -58,12 +63,31 @@
 	for _, address := range cfg.GetRetired() {
 		d.retired[address] = true
 	}
-	for _, s := range cfg.GetServices() {
-		d.services[s.GetName()] = s
-	}
 	return d
 }
 
+// untouched tells whether the patch leaves the service of the version before
+// as it is.
+func (d *draft) untouched(name string) bool {
+	return d.services[name] == nil && !d.removed[name]
+}
+
+// count returns how many services there are after the patch.
+func (d *draft) count() int {
+	count := len(d.before.GetServices()) + len(d.services)
+	for name := range d.services {
+		if held(d.before, name) != nil {
+			count--
+		}
+	}
+	for name := range d.removed {
+		if d.services[name] == nil {
+			count--
+		}
+	}
+	return count
+}
+
 func (d *draft) find(place, format string, args ...any) {
 	d.findings = append(d.findings, &configpb.Finding{Place: place, Text: fmt.Sprintf(format, args...)})
 }
@@ -137,12 +161,11 @@
 		d.find(d.place(i, name, ""), "the service is removed after %s put it", d.place(earlier, "", ""))
 		return
 	}
-	if _, known := d.services[name]; !known {
+	if held(d.before, name) == nil || d.removed[name] {
 		d.find(d.place(i, name, ""), "there is no service of that name to remove")
 		return
 	}
 	d.removed[name] = true
-	delete(d.services, name)
 }
 
 func (d *draft) checkName(i int, name string) {
