measure: a group of up to 15 members, restarts by versions; bytes between control hosts

It fits processor time and bytes at the leader, at rest and for each version, and the time from the acceptance to the last member's subscriber, by the number of members.

The logs are written by package wal, as a replica leaves them: making 100,000 versions through a replica takes a sync for each. A test replays small ones.

A control host counts what the links that it opened to other control hosts carry (peers_bytes_sent, peers_bytes_received); only the links that it took were counted.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -118,3 +119,16 @@
 		is.Equal(got.GetReplica().GetListen(), c.link)
 	}
 }
+
+// A made log is one that a replica takes to its end.
+func TestRestartOfMadeLogs(t *testing.T) {
+	is := is.New(t)
+	few, err := versionsOf(service(0, 1), service(1, 2))
+	is.NoErr(err)
+	for name, log := range map[string]madeLog{"grants": grantsLog(), "versions": few} {
+		const entries = entriesPerRecord + 20
+		took, err := timeRestart(filepath.Join(t.TempDir(), name), log, entries)
+		is.NoErr(err)
+		is.True(took > 0)
+	}
+}
--- a/internal/capacity/lab.go
+++ b/internal/capacity/lab.go
@@ -38,6 +38,7 @@
 	{"grants", measureGrants},
 	{"force", measureForce},
 	{"restart", measureRestart},
+	{"group", measureGroup},
 }
 
 // Names returns the names of all measurements.
--- a/internal/controld/loops.go
+++ b/internal/controld/loops.go
@@ -59,7 +59,9 @@
 	all := d.scope.Gauge("subscribers")
 	sent, received := d.scope.Counter("link_bytes_sent"), d.scope.Counter("link_bytes_received")
 	var last link.Traffic
+	peerSent, peerReceived := d.scope.Counter("peers_bytes_sent"), d.scope.Counter("peers_bytes_received")
 	d.every(expirePeriod, func() {
+		d.peers.countTraffic(peerSent, peerReceived)
 		traffic := d.server.Traffic()
 		sent.Inc(int64(traffic.BytesSent - last.BytesSent))
 		received.Inc(int64(traffic.BytesReceived - last.BytesReceived))
--- a/internal/controld/peers.go
+++ b/internal/controld/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,6 +115,32 @@
 	return out
 }
 
+// countTraffic adds what the links to other control hosts have carried since
+// the last call. One goroutine calls it.
+func (p *peers) countTraffic(sent, received tally.Counter) {
+	p.mu.Lock()
+	all := slices.Collect(maps.Values(p.byAddr))
+	p.mu.Unlock()
+	for _, far := range all {
+		for i, c := range []*link.Client{far.client, far.calls} {
+			s, r := c.Transferred()
+			sent.Inc(grown(&far.counted[i].BytesSent, s))
+			received.Inc(grown(&far.counted[i].BytesReceived, r))
+		}
+	}
+}
+
+// grown returns by how much a count of a connection has grown. One that is
+// smaller than before is that of another connection.
+func grown(last *uint64, now uint64) int64 {
+	if now < *last {
+		*last = 0
+	}
+	by := int64(now - *last)
+	*last = now
+	return by
+}
+
 func (p *peers) close() {
 	p.mu.Lock()
 	p.closed = true
@@ -183,14 +211,16 @@
 	calls *link.Client
 	// usedAt is guarded by the mutex of peers.
 	usedAt time.Time
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     conc.WaitGroup
-	scope  tally.Scope
-	self   func(controlpb.Group) string
-	dir    *directory
-	wake   map[lane]chan struct{}
-	sync   chan struct{}
+	// counted is what countTraffic has read of client and calls.
+	counted [2]link.Traffic
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      conc.WaitGroup
+	scope   tally.Scope
+	self    func(controlpb.Group) string
+	dir     *directory
+	wake    map[lane]chan struct{}
+	sync    chan struct{}
 
 	mu sync.Mutex
 	// messages wait for the far end, bounded for each lane.
