--- a/internal/capacity/lab.go
+++ b/internal/capacity/lab.go
@@ -39,6 +39,7 @@
 	{"force", measureForce},
 	{"restart", measureRestart},
 	{"group", measureGroup},
+	{"pace", measurePace},
 }
 
 // Names returns the names of all measurements.
