--- a/config/shared.go
+++ b/config/shared.go
@@ -16,7 +16,7 @@
 // reported where the patch names it.
 func (d *draft) checkShared() {
 	if d.count() > MaxServices {
-		d.find("patch", "the configuration would have more than %d services", MaxServices)
+		d.find(PatchPlace, "the configuration would have more than %d services", MaxServices)
 	}
 	owner := d.owners()
 	for _, name := range d.putOrder() {
@@ -74,5 +74,5 @@
 		return d.findings
 	}
 	cut := slices.Clip(d.findings[:MaxFindings])
-	return append(cut, &configpb.Finding{Place: "patch", Text: fmt.Sprintf("%d further findings", left)})
+	return append(cut, &configpb.Finding{Place: PatchPlace, Text: fmt.Sprintf("%d further findings", left)})
 }
