config: a test that a patch costs what it names

It compares the allocations of a patch among 10 and among 2,000 services, which do not depend on the load of the machine.

--- a/config/machine_test.go
+++ b/config/machine_test.go
@@ -329,3 +329,24 @@
 	is.Equal(p.GetPanicPercent(), uint32(50))
 	is.Equal(config.EffectivePolicy(&configpb.Policy{RampMs: 7}).GetRampMs(), uint32(7))
 }
+
+// TestPatchCostsWhatItNames changes one service among few and among many: the
+// work for those that the patch does not name is no more than a copy of their
+// list. A replica that restarts applies thousands of versions.
+func TestPatchCostsWhatItNames(t *testing.T) {
+	is := is.New(t)
+	allocations := func(services int) float64 {
+		m := config.New()
+		first := patch("first", 0)
+		for i := range services {
+			first.Operations = append(first.Operations, put(service(fmt.Sprintf("s%d", i), fmt.Sprintf("10.0.%d.%d:443", i/250, i%250+1))))
+		}
+		is.Equal(submit(t, m, first).GetVerdict(), configpb.Verdict_VERDICT_ACCEPTED)
+		return testing.AllocsPerRun(100, func() {
+			version := m.Current().GetVersion()
+			submit(t, m, patch(fmt.Sprint("p", version), version, put(service("s7", fmt.Sprintf("10.0.0.8:%d", 1000+version%2)))))
+		})
+	}
+	few, many := allocations(10), allocations(2000)
+	is.True(many < few*1.5)
+}
