--- a/internal/capacity/lab.go
+++ b/internal/capacity/lab.go
@@ -38,6 +38,8 @@
 	{"grants", measureGrants},
 	{"force", measureForce},
 	{"restart", measureRestart},
+	{"group", measureGroup},
+	{"pace", measurePace},
 }
 
 // Names returns the names of all measurements.
