--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -40,6 +40,9 @@
 	// reported says that its newer version has been logged.
 	reported bool
 	follower *membership.Follower
+	// whole says that the subscriber holds this host's list, not additions to
+	// one from elsewhere.
+	whole bool
 	// pending says that the directory may have changed since it was looked at.
 	pending bool
 	// confirmAt is when a quorum was last asked, unanswered since when it has
@@ -264,6 +267,7 @@
 
 func (s *subscription) sendDirectory() error {
 	u, kind := s.daemon.directory.next(s.follower)
+	s.whole = kind != membership.Addition
 	if u == nil {
 		return nil
 	}
@@ -283,6 +287,7 @@
 }
 
 func (s *subscription) send(u *controlpb.SubscribeUpdate) error {
+	u.DirectoryWhole = s.whole && s.daemon.directory.settled()
 	if err := s.stream.Send(u); err != nil {
 		return err
 	}
