entryd: an entry host can be limited to the failure domains of its region

Setting [directory] failure_domains of an entry host goes with its subscription; control hosts send the targets of these domains only. The configuration stays whole, so each public address stays open everywhere: a flow that is established needs no directory, and a first packet meets targets of its own service or is refused. A target that leaves a domain is removed for those who want that domain.

Ruled out: scope of the configuration (a host that lacks a service cannot serve its addresses, and the fabric may hand any packet to any host); scope by service, for the same reason.

Tests: the property test of subscribers draws scopes and domains of agents; TestTargetThatMovedOutOfScopeIsRemoved was seen to fail without the memory of domains. test.TestEntryHostOfOneRegion.

--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -65,10 +65,13 @@
 		info:     newSubscriber(peer, req),
 		reports:  make(chan struct{}, 1),
 		sent:     req.GetVersion(),
-		follower: membership.NewFollower(positionOf(req), membership.NewScope(req.GetServices())),
+		follower: membership.NewFollower(positionOf(req), membership.NewScope(req.GetServices(), req.GetFailureDomains()...)),
 	}
 	if req.GetScopedConfig() {
-		sub.scope = membership.NewScope(req.GetServices())
+		sub.scope = map[uint32]bool{}
+		for _, number := range req.GetServices() {
+			sub.scope[number] = true
+		}
 	}
 	d.subscribers.add(sub.info)
 	defer d.subscribers.remove(sub.info)
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -82,11 +82,12 @@
 	})
 	defer client.Close()
 	sub := subscriber.Start(subscriber.Options{
-		Client:        client,
-		Scope:         d.scope,
-		Log:           d.log,
-		OnView:        d.onView,
-		FailureDomain: d.settings.GetHost().GetFailureDomain(),
+		Client:         client,
+		Scope:          d.scope,
+		Log:            d.log,
+		OnView:         d.onView,
+		FailureDomain:  d.settings.GetHost().GetFailureDomain(),
+		FailureDomains: d.settings.GetDirectory().GetFailureDomains(),
 	})
 	defer sub.Close()
 
--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -34,6 +34,17 @@
 	return e
 }
 
+// Restrict restarts the host: it knows the targets of these failure domains
+// only from then on.
+func (e *Entry) Restrict(domains ...string) {
+	e.cluster.t.Helper()
+	e.settings.Directory = &settingspb.Directory{FailureDomains: domains}
+	e.Terminate()
+	e.WaitExit()
+	e.Launch()
+	e.WaitReady()
+}
+
 // LaunchEntry starts an entry host and does not wait for it.
 func (c *Cluster) LaunchEntry(control ...netip.AddrPort) *Entry {
 	c.t.Helper()
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -70,6 +70,8 @@
 	"Forwarding.agent_networks": {required: true, example: "192.0.2.0/24", check: checkNetwork},
 	"Forwarding.workers":        {fallback: "1", positive: true},
 
+	"Directory.failure_domains": {check: checkName},
+
 	"Agent.frame_listen":        {required: true, example: "192.0.2.30:7300", check: checkFrameAddress},
 	"Agent.announce_listen":     {required: true, example: "127.0.0.1:7301", check: checkLoopback},
 	"Agent.caller_certificate":  {required: true, example: "keys/caller-lodgement.pem", path: readableFile},
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -47,6 +47,8 @@
 	// ScopedConfig limits the configuration to Services, too. The version
 	// number moves with each version all the same.
 	ScopedConfig bool
+	// FailureDomains limits the directory to these; empty means all.
+	FailureDomains []string
 	// FailureDomain is told to the control host.
 	FailureDomain string
 	// AskDelay is how long after an unconfirmed version a confirmation is
@@ -218,9 +220,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	req := &controlpb.Subscribe{
-		Services:      s.opts.Services,
-		FailureDomain: s.opts.FailureDomain,
-		ScopedConfig:  s.opts.ScopedConfig,
+		Services:       s.opts.Services,
+		FailureDomains: s.opts.FailureDomains,
+		FailureDomain:  s.opts.FailureDomain,
+		ScopedConfig:   s.opts.ScopedConfig,
 	}
 	if !s.wantSnapshot {
 		req.Version = s.versions.held().GetVersion()
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -146,3 +146,30 @@
 		}
 	}
 }
+
+// BenchmarkScope measures the first list of an entry host: of all targets, and of
+// the failure domains of one region of six.
+func BenchmarkScope(b *testing.B) {
+	const domains = 21
+	var region []string
+	for i := range domains / 6 {
+		region = append(region, fmt.Sprint("domain-", i))
+	}
+	for _, targets := range []int{1_000, 3_000, 6_000, fleet} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			d := membership.New(membership.Options{Epoch: 1, Lease: lease})
+			for n := range targets {
+				r := named(uint32(n + 1))
+				r.FailureDomain = fmt.Sprint("domain-", n%domains)
+				d.Announce(lease, r, membership.Direct)
+			}
+			var all, scoped int
+			for b.Loop() {
+				all = proto.Size(d.Full(lease, nil))
+				scoped = proto.Size(d.Full(lease, membership.NewScope(nil, region...)))
+			}
+			b.ReportMetric(float64(all), "all-B")
+			b.ReportMetric(float64(scoped), "region-B")
+		})
+	}
+}
--- a/membership/converge_test.go
+++ b/membership/converge_test.go
@@ -149,6 +149,7 @@
 	case "replace":
 		a.record.Incarnation++
 		a.record.Sequence = 1
+		a.record.FailureDomain = rapid.SampledFrom([]string{"oke-ado", "dugbe"}).Draw(t, "domain")
 		a.alive, a.superseded = true, false
 	case "lose":
 		if len(n.queue) > 0 {
--- a/membership/delta.go
+++ b/membership/delta.go
@@ -11,19 +11,39 @@
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 )
 
-// Scope is the set of services that a subscriber wants. Empty means all.
-type Scope map[uint32]bool
-
-// NewScope returns the scope of these service numbers.
-func NewScope(services []uint32) Scope {
-	s := make(Scope, len(services))
-	for _, n := range services {
-		s[n] = true
+// Scope limits what a subscriber is told to some services and failure
+// domains. Nil and empty sets mean all.
+type Scope struct {
+	services map[uint32]bool
+	domains  map[string]bool
+}
+
+// NewScope returns the scope of these service numbers and failure domains.
+func NewScope(services []uint32, domains ...string) *Scope {
+	return &Scope{services: setOf(services), domains: setOf(domains)}
+}
+
+func setOf[T comparable](list []T) map[T]bool {
+	set := make(map[T]bool, len(list))
+	for _, one := range list {
+		set[one] = true
 	}
-	return s
+	return set
 }
 
-func (s Scope) has(r *controlpb.TargetRecord) bool { return len(s) == 0 || s[r.GetService()] }
+func (s *Scope) has(r *controlpb.TargetRecord) bool {
+	return s.hasService(r) && (s == nil || len(s.domains) == 0 || s.domains[r.GetFailureDomain()])
+}
+
+func (s *Scope) hasService(r *controlpb.TargetRecord) bool {
+	return s == nil || len(s.services) == 0 || s.services[r.GetService()]
+}
+
+// had reports whether the target was in the scope before it moved to another
+// failure domain.
+func (s *Scope) had(t *target) bool {
+	return s.hasService(t.heard) && slices.ContainsFunc(t.formerDomains, func(name string) bool { return s.domains[name] })
+}
 
 // Update returns what a subscriber that holds the given epoch and sequence
 // has to change, or nil if nothing.
@@ -31,7 +51,7 @@
 // A subscriber of another epoch, or one too far behind, gets the full list.
 // From a directory that is not settled the list is not full: it adds to what
 // the subscriber holds from elsewhere and removes nothing.
-func (d *Directory) Update(now time.Duration, epoch, sequence uint64, s Scope) *controlpb.DirectoryUpdate {
+func (d *Directory) Update(now time.Duration, epoch, sequence uint64, s *Scope) *controlpb.DirectoryUpdate {
 	if epoch != d.opts.Epoch || !d.remembers(sequence) {
 		return d.Full(now, s)
 	}
@@ -44,7 +64,7 @@
 }
 
 // since returns the changes after a sequence, or nil if there is none.
-func (d *Directory) since(now time.Duration, sequence uint64, s Scope) *controlpb.DirectoryUpdate {
+func (d *Directory) since(now time.Duration, sequence uint64, s *Scope) *controlpb.DirectoryUpdate {
 	if sequence == d.sequence {
 		return nil
 	}
@@ -71,7 +91,7 @@
 }
 
 // Full returns the whole list within the scope, by target number.
-func (d *Directory) Full(now time.Duration, s Scope) *controlpb.DirectoryUpdate {
+func (d *Directory) Full(now time.Duration, s *Scope) *controlpb.DirectoryUpdate {
 	u := d.update()
 	u.Full = d.Settled(now)
 	for _, t := range d.byID {
@@ -87,11 +107,12 @@
 	return update{&controlpb.DirectoryUpdate{Epoch: d.opts.Epoch, Sequence: d.sequence}}
 }
 
-func (u update) collect(now time.Duration, t *target, s Scope) {
-	if !s.has(t.heard) {
+func (u update) collect(now time.Duration, t *target, s *Scope) {
+	inside := s.has(t.heard)
+	if !inside && !s.had(t) {
 		return
 	}
-	if t.isGone {
+	if t.isGone || !inside {
 		u.Removed = append(u.Removed, t.heard.GetNumber())
 		return
 	}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -109,6 +110,9 @@
 	flaps    flaps
 	sequence uint64
 	change   *list.Element
+	// formerDomains are failure domains that the target was published in before.
+	// A subscriber that wants only one of these has to learn that it left.
+	formerDomains []string
 	// isGone marks a removal that is remembered for deltas.
 	isGone  bool
 	removal *list.Element
@@ -248,7 +252,8 @@
 }
 
 func (d *Directory) create(r *controlpb.TargetRecord) *target {
-	t := &target{heard: r, flaps: d.recall(r.GetNumber())}
+	t := d.recall(r.GetNumber())
+	t.heard = r
 	d.byID[r.GetNumber()] = t
 	return t
 }
@@ -308,10 +313,20 @@
 	if t.published != nil && proto.Equal(t.published, next) {
 		return
 	}
+	if t.published != nil && t.published.GetFailureDomain() != next.GetFailureDomain() {
+		t.noteDomain(t.published)
+	}
 	t.published = next
 	d.move(t)
 }
 
+// noteDomain remembers the failure domain of a record that gives way.
+func (t *target) noteDomain(last *controlpb.TargetRecord) {
+	if !slices.Contains(t.formerDomains, last.GetFailureDomain()) {
+		t.formerDomains = append(t.formerDomains, last.GetFailureDomain())
+	}
+}
+
 // move puts a change at the end of the log.
 func (d *Directory) move(t *target) {
 	d.sequence++
--- a/membership/expire.go
+++ b/membership/expire.go
@@ -70,15 +70,17 @@
 	delete(d.gone, t.heard.GetNumber())
 }
 
-// recall returns how a target flapped before its last removal.
-func (d *Directory) recall(number uint32) flaps {
+// recall returns a target of a number with what is to be remembered of its
+// last removal: how it flapped and where it was.
+func (d *Directory) recall(number uint32) *target {
 	t, ok := d.gone[number]
 	if !ok {
-		return flaps{}
+		return &target{}
 	}
 	// The target is back: its new entry stands for the removal.
 	d.drop(t)
-	return t.flaps
+	t.noteDomain(t.published)
+	return &target{flaps: t.flaps, formerDomains: t.formerDomains}
 }
 
 // calm publishes the targets whose damping has ended.
--- a/membership/follower.go
+++ b/membership/follower.go
@@ -42,7 +42,7 @@
 
 // Follower is what a directory knows of one subscriber.
 type Follower struct {
-	scope           Scope
+	scope           *Scope
 	epoch, sequence uint64
 	// whole says that the subscriber's list is the whole list at sequence, not
 	// additions to what it had from elsewhere.
@@ -58,7 +58,7 @@
 
 // NewFollower returns the follower for a subscriber at a position. Digests
 // beyond the bound are taken for none.
-func NewFollower(p Position, s Scope) *Follower {
+func NewFollower(p Position, s *Scope) *Follower {
 	f := &Follower{scope: s, epoch: p.Epoch, sequence: p.Sequence, whole: p.Epoch != 0, touched: map[uint32]bool{}}
 	if len(p.Digests) <= maxListBuckets {
 		f.digests = p.Digests
@@ -148,7 +148,7 @@
 	u := d.update()
 	for t := range d.changedAfter(after) {
 		bucket := f.digests.bucketOf(t.heard.GetNumber())
-		if !f.scope.has(t.heard) || !f.touched[bucket] && own[bucket] == f.digests[bucket] {
+		if !f.scope.has(t.heard) && !f.scope.had(t) || !f.touched[bucket] && own[bucket] == f.digests[bucket] {
 			continue
 		}
 		f.additions++
@@ -163,7 +163,7 @@
 }
 
 // digests returns the digests of the targets within a scope.
-func (d *Directory) digests(buckets int, s Scope) listDigests {
+func (d *Directory) digests(buckets int, s *Scope) listDigests {
 	out := make(listDigests, buckets)
 	for _, t := range d.byID {
 		if s.has(t.heard) {
--- a/membership/list_test.go
+++ b/membership/list_test.go
@@ -78,6 +78,7 @@
 // watcher is a subscriber that moves from one control host to another.
 type watcher struct {
 	list     *membership.List
+	scope    *membership.Scope
 	follower *membership.Follower
 	host     int
 	life     int
@@ -86,14 +87,14 @@
 	kinds  map[membership.Kind]int
 }
 
-func newWatcher() *watcher {
-	return &watcher{list: &membership.List{}, newest: map[uint32]*controlpb.TargetRecord{}, kinds: map[membership.Kind]int{}}
+func newWatcher(scope *membership.Scope) *watcher {
+	return &watcher{list: &membership.List{}, scope: scope, newest: map[uint32]*controlpb.TargetRecord{}, kinds: map[membership.Kind]int{}}
 }
 
 // move opens another subscription.
 func (w *watcher) move(n *network, host int) {
 	w.host, w.life = host, n.lives[host]
-	w.follower = membership.NewFollower(w.list.Position(), nil)
+	w.follower = membership.NewFollower(w.list.Position(), w.scope)
 }
 
 // follow takes the next update, or loses it, which ends the subscription.
@@ -123,8 +124,13 @@
 
 // mustEqual holds that the subscriber has the records of its control host.
 func (w *watcher) mustEqual(n *network) {
-	want := n.hosts[w.host].Full(n.now, nil).GetPut()
+	want := n.hosts[w.host].Full(n.now, w.scope).GetPut()
 	got := recordsOf(w.list)
+	for _, r := range got {
+		if w.scope != nil && r.GetFailureDomain() != "oke-ado" {
+			n.t.Fatalf("out of scope: %v", r)
+		}
+	}
 	same := slices.EqualFunc(got, want, func(a, b *controlpb.TargetRecord) bool {
 		a, b = proto.CloneOf(a), proto.CloneOf(b)
 		a.AgeMs, b.AgeMs = 0, 0
@@ -138,12 +144,17 @@
 // TestSubscriberComesToTheSameDirectory runs drawn schedules of moves between
 // control hosts, lost updates, and all that befalls control hosts and agents.
 // The subscriber never goes back to an older record, and in the end it holds
-// what its control host holds, whichever it is; it needs no full list for that.
+// what its control host holds within its scope, whichever it is; it needs no full
+// list for that.
 func TestSubscriberComesToTheSameDirectory(t *testing.T) {
 	kinds := map[membership.Kind]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		n := newNetwork(t, rapid.IntRange(2, 100).Draw(t, "agents"))
-		w := newWatcher()
+		var scope *membership.Scope
+		if rapid.Bool().Draw(t, "scoped") {
+			scope = membership.NewScope(nil, "oke-ado")
+		}
+		w := newWatcher(scope)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			n.step()
 			if rapid.IntRange(0, 3).Draw(t, "moves") == 0 {
@@ -290,3 +301,20 @@
 	l.Apply(u, time.Time{})
 	is.Equal(len(recordsOf(&l)), 1_000)
 }
+
+// A target that went and came back in another failure domain between two
+// updates is gone for one who wants the first domain only.
+func TestTargetThatMovedOutOfScopeIsRemoved(t *testing.T) {
+	is := is.New(t)
+	d := hostOf(1, 1)
+	f := membership.NewFollower(membership.Position{}, membership.NewScope(nil, "oke-ado"))
+	u, _ := d.Next(2*lease, f)
+	is.Equal(len(u.GetPut()), 1)
+	is.Equal(d.Expire(2*lease), 1)
+	back := named(1)
+	back.FailureDomain, back.Incarnation = "dugbe", 2
+	d.Announce(2*lease, back, membership.Direct)
+	u, _ = d.Next(2*lease, f)
+	is.Equal(u.GetRemoved(), []uint32{1})
+	is.Equal(len(u.GetPut()), 0)
+}
--- a/test/directory_test.go
+++ b/test/directory_test.go
@@ -49,3 +49,48 @@
 	t.Logf("%v records received in all, %d targets", received(), total)
 	is.True(received() < 1.25*float64(total)) // another list would be twice as many
 }
+
+// TestEntryHostOfOneRegion restricts an entry host to the failure domains of
+// two targets, while flows are open to all. Every flow stays where it is through
+// that host alone, and new ones begin at the targets that it knows.
+func TestEntryHostOfOneRegion(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	type flow struct {
+		service *processtest.Service
+		caller  *processtest.Caller
+		target  string
+	}
+	var flows []flow
+	for _, s := range d.services() {
+		met := map[string]bool{}
+		processtest.Eventually(t, "a flow to each target of "+s.Name, func() bool {
+			caller := s.NewCaller()
+			answer := caller.Echo("begins")
+			flows = append(flows, flow{s, caller, answer.Target})
+			met[answer.Target] = true
+			return len(met) == len(d.targets[s])
+		})
+	}
+
+	entry := d.entries[0]
+	// The failure domain of a target bears its name.
+	inside := []*processtest.Target{d.targets[d.lodgement][0], d.targets[d.certificates][0]}
+	entry.Restrict(inside[0].Name, inside[1].Name)
+	processtest.Eventually(t, "the targets inside", func() bool {
+		return entry.Reading("subscriber_targets", "", "") == float64(len(inside))
+	})
+	d.entries[1].Leave()
+	for _, f := range flows {
+		answer := f.caller.Echo("goes on")
+		is.Equal(answer.Outcome, processtest.OutcomeAnswered)
+		is.Equal(answer.Target, f.target)
+	}
+	for i, s := range d.services() {
+		for range 10 {
+			answer := s.NewCaller().Echo("new")
+			is.Equal(answer.Outcome, processtest.OutcomeAnswered)
+			is.True(inside[i].Answered(answer))
+		}
+	}
+}
