--- a/internal/agentd/drain_test.go
+++ b/internal/agentd/drain_test.go
@@ -36,7 +36,7 @@
 	is.True(a.counter("flows_handed_on", "leaving") >= 1)
 	// Long after the span in which the agent could have gone, the watch lives.
 	for range 5 {
-		time.Sleep(a.timing.handOn / 2)
+		a.pass(t, a.timing.handOn)
 		backend.events <- "still here"
 		is.Equal(session.line(t), "still here")
 	}
@@ -71,23 +71,49 @@
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
 	client := w.caller()
-	done := make(chan answer, 4)
+	var held []inFlight
 	for range 4 {
-		go func() {
-			got, _ := send(client, "GET", w.url("/hold"), "")
-			done <- got
-		}()
+		held = append(held, start(t.Context(), client, "GET", w.url("/hold")))
 	}
 	eventually(t, "requests run", func() bool { return backend.running.Load() == 4 })
 	a.stop()
-	time.Sleep(2 * a.timing.handOn)
+	a.pass(t, 2*a.timing.handOn)
 	close(backend.hold)
-	for range 4 {
-		is.Equal((<-done).body, "held")
+	for _, f := range held {
+		is.Equal((<-f.got).body, "held")
 	}
 	a.waitDone(t)
 }
 
+// Callers of a stopping agent stay until its successor takes flows, so that no
+// other target has to carry them in between.
+func TestCallersStayUntilTheSuccessorIsThere(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	backend := newFakeBackend(t)
+	timing := testTiming()
+	timing.successorWait = time.Hour // longer than the test waits
+	old := w.startAgentWith("t1", backend.server.URL, timing, nil)
+	other := w.startAgent("t2", newFakeBackend(t).server.URL)
+	w.entry.choose(old.FrameAddr(), other.FrameAddr())
+	client := w.caller()
+	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+	old.stop()
+	eventually(t, "draining announced", func() bool {
+		return old.published.last().GetState() == controlpb.TargetState_TARGET_STATE_DRAINING
+	})
+	for range 10 {
+		old.pass(t, old.timing.checkEvery)
+		got := mustSend(t, client, "GET", w.url("/echo?text=x"), "")
+		is.Equal(got.header.Get(headerTarget), old.plane.Load().self.String())
+	}
+	next := w.startAgent("t1", backend.server.URL)
+	w.entry.choose(next.FrameAddr(), "")
+	w.known.set(next.published.last())
+	movesTo(t, w, client, next)
+	old.waitDone(t)
+}
+
 // The brief's rolling replacement: a new process of the same target takes
 // over while the old one still holds sessions.
 func TestOldAndNewProcessOverlap(t *testing.T) {
--- a/internal/entryd/directory.go
+++ b/internal/entryd/directory.go
@@ -61,6 +61,17 @@
 type members struct {
 	targets []routing.Target
 	started []time.Duration
+	// damped is the number of targets that flap.
+	damped int
+}
+
+// damped returns the number of targets that flap.
+func (d *directory) damped() int {
+	sum := 0
+	for _, m := range d.services {
+		sum += m.damped
+	}
+	return sum
 }
 
 // usableFunc tells whether frames may go to an address.
@@ -235,6 +246,9 @@
 	}
 	m.targets = append(m.targets, t)
 	m.started = append(m.started, d.start(previous, lifeOf(record), start))
+	if t.Damped {
+		m.damped++
+	}
 }
 
 // start remembers and returns when the target had its cold start.
--- a/internal/entryd/forwarder.go
+++ b/internal/entryd/forwarder.go
@@ -271,6 +271,16 @@
 	}
 }
 
+// countCandidates tells between how many targets the tables in force decide.
+func (f *Forwarder) countCandidates() {
+	sum := 0
+	for _, b := range f.built {
+		sum += b.service.table.Len()
+	}
+	f.counters.candidates.Update(float64(sum))
+	f.counters.damped.Update(float64(f.directory.damped()))
+}
+
 // renew gives the open public addresses the tables of the services that they
 // have. Which address has which service can't have changed, and looking every
 // address up again would cost more than the tables.
@@ -281,6 +291,16 @@
 		l.service.Store(f.service(l.policy, now))
 	}
 	f.tables.Store(&tables{listeners: listeners, loads: f.directory.loads})
+	f.countCandidates()
+}
+
+// dropUnused forgets the tables of services that no address stands for.
+func (f *Forwarder) dropUnused() {
+	used := make(map[uint32]bool, len(f.built))
+	for _, policy := range f.addresses {
+		used[policy.number] = true
+	}
+	maps.DeleteFunc(f.built, func(number uint32, _ builtService) bool { return !used[number] })
 }
 
 // builtService is a service with the policy that its table was built by.
@@ -328,6 +348,8 @@
 
 	f.tables.Store(&tables{listeners: after, loads: f.directory.loads})
 	f.counters.openAddresses.Update(float64(len(after)))
+	f.dropUnused()
+	f.countCandidates()
 	maps.DeleteFunc(f.refusedOpen, func(address netip.AddrPort, _ string) bool {
 		return f.addresses[address] == nil
 	})
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -19,8 +19,12 @@
 	// registeredMessage is the log message of an agent that control hosts
 	// have given its target's number.
 	registeredMessage = "target registered"
-	// leavingMessage is the log message of an agent that takes no new flow.
-	leavingMessage = "leaving"
+	// takingMessage is the log message of an agent that takes new flows from
+	// now on, or no more.
+	takingMessage = "taking new flows"
+
+	// backendAge is the gauge of the backend server's age.
+	backendAge = "backend_age"
 
 	targetPollMS = 200
 )
@@ -110,6 +114,15 @@
 	t.Backend = Start(c.t, "backend-"+t.Name, append(args, t.options.Faults...)...)
 }
 
+// RestartBackend kills the backend server and starts it again with other
+// faults.
+func (t *Target) RestartBackend(faults ...string) {
+	t.service.cluster.t.Helper()
+	t.Backend.Kill()
+	t.options.Faults = faults
+	t.LaunchBackend()
+}
+
 // LaunchAgent starts another process of the agent, beside an older one that
 // may still be leaving. It takes another frame address.
 func (t *Target) LaunchAgent() {
@@ -138,7 +151,17 @@
 func (t *Target) StopAgent() {
 	t.service.cluster.t.Helper()
 	t.Agent.Terminate()
-	t.Agent.WaitLog(leavingMessage)
+	t.WaitTakesNoFlow()
+}
+
+// WaitTakesNoFlow waits until the newest agent takes no new flow.
+func (t *Target) WaitTakesNoFlow() {
+	c := t.service.cluster
+	c.t.Helper()
+	Eventually(c.t, t.Name+" takes no new flow", func() bool {
+		lines := t.Agent.log.find(takingMessage)
+		return len(lines) > 0 && !lines[len(lines)-1].Yes
+	})
 }
 
 // Answered tells whether the target gave the answer.
@@ -184,6 +207,12 @@
 	return t.Agent.Reading(counter, "reason", reason)
 }
 
+// BackendAge returns the age of the backend server, in seconds, as the newest
+// agent holds it.
+func (t *Target) BackendAge() float64 {
+	return t.Agent.Reading(backendAge, "", "")
+}
+
 // Resident returns the memory of the newest agent, in bytes.
 func (t *Target) Resident() float64 {
 	return t.Agent.Reading(residentMemory, "", "")
