controld: subscribers spread anew after a control host returns

Cause: nothing moved back to a control host that returned; until others were lost it served few, and its peers up to twice their share.

Ruled out: clients that choose by themselves; links refused beyond a share.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -78,20 +78,20 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings:    s,
-		log:         log,
-		scope:       scope.SubScope("control"),
-		creds:       creds,
-		name:        name,
-		voters:      voters,
-		ready:       make(chan struct{}),
-		configs:     newConfigState(),
-		grants:      newGrantState(),
-		directory:   newDirectory(rand.Uint64() | 1),
-		subscribers: newSubscribers(),
-		replicas:    map[controlpb.Group]*replica.Replica{},
+		settings:  s,
+		log:       log,
+		scope:     scope.SubScope("control"),
+		creds:     creds,
+		name:      name,
+		voters:    voters,
+		ready:     make(chan struct{}),
+		configs:   newConfigState(),
+		grants:    newGrantState(),
+		directory: newDirectory(rand.Uint64() | 1),
+		replicas:  map[controlpb.Group]*replica.Replica{},
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.subscribers = d.directory.subscribers
 	d.peers = newPeers(creds, voters, d.directory, log, d.scope)
 	d.peers.self = d.selfAddress
 	d.confirm = &barrier{ctx: d.ctx, wg: &d.loops, read: func(ctx context.Context) error {
@@ -187,6 +187,7 @@
 	d.loops.Go(d.foundLoop)
 	d.loops.Go(d.syncLoop)
 	d.loops.Go(d.expireLoop)
+	d.loops.Go(d.spreadLoop)
 	d.loops.Go(d.advanceLoop)
 	d.loops.Go(func() { d.creds.Watch(d.ctx, keysPeriod, d.reportKeys) })
 	d.log.Info("control host serves", zap.String("link", d.LinkAddr()), zap.String("operator", d.OperatorAddr()))
--- a/internal/controld/directory.go
+++ b/internal/controld/directory.go
@@ -13,9 +13,13 @@
 type directory struct {
 	changed *hub
 	start   time.Time
+	// subscribers are those of this host. Its lock is never taken with mu held.
+	subscribers *subscribers
 
 	mu  sync.Mutex
 	dir *membership.Directory
+	// hosts has what other control hosts have told of their subscribers.
+	hosts map[string]hostLoad
 }
 
 func newDirectory(epoch uint64) *directory {
@@ -23,6 +27,9 @@
 		changed: newHub(),
 		start:   time.Now(),
 		dir:     membership.New(membership.Options{Epoch: epoch}),
+
+		subscribers: newSubscribers(),
+		hosts:       map[string]hostLoad{},
 	}
 }
 
@@ -47,6 +54,7 @@
 
 // hear takes what another control host passes on.
 func (d *directory) hear(host string, m *controlpb.DirectorySync) *controlpb.DirectorySyncReply {
+	d.noteLoad(host, m)
 	reply, changed := d.mergeSync(membership.Source(host), m)
 	if changed {
 		d.changed.notify()
--- a/internal/controld/peers.go
+++ b/internal/controld/peers.go
@@ -75,6 +75,13 @@
 	return p.named[m.GetId().GetName()]
 }
 
+// addressNamed returns the link address of a control host, empty if unknown.
+func (p *peers) addressNamed(name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.named[name]
+}
+
 // get returns the link to a control host, made at first use, or nil after
 // close.
 func (p *peers) get(addr string) *peer {
--- a/internal/controld/subscribers.go
+++ b/internal/controld/subscribers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,6 +33,29 @@
 	delete(s.open, who)
 }
 
+func (s *subscribers) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// draw returns one of the subscribers at random, nil if there is none.
+func (s *subscribers) draw() *subscriber {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open) == 0 {
+		return nil
+	}
+	skip := rand.IntN(len(s.open))
+	for who := range s.open {
+		if skip == 0 {
+			return who
+		}
+		skip--
+	}
+	return nil
+}
+
 // list returns the subscribers by name and names those on which the version
 // is not in force.
 func (s *subscribers) list(version uint64) ([]operator.SubscriberStatus, []string) {
@@ -62,6 +86,8 @@
 	reported atomic.Uint64
 	// heardAt is the time of the last heartbeat after start.
 	heardAt atomic.Int64
+	// moveTo gets the address of the host that the subscriber is to go to.
+	moveTo chan string
 }
 
 func newSubscriber(peer link.Peer, req *controlpb.Subscribe) *subscriber {
@@ -70,11 +96,20 @@
 		name:   peer.Name,
 		domain: req.GetFailureDomain(),
 		start:  time.Now(),
+		moveTo: make(chan string, 1),
 	}
 	s.version.Store(req.GetVersion())
 	return s
 }
 
+// ask asks the subscriber to move, unless it has just been asked.
+func (s *subscriber) ask(address string) {
+	select {
+	case s.moveTo <- address:
+	default:
+	}
+}
+
 func (s *subscriber) heard(version uint64) {
 	s.version.Store(version)
 	s.reported.Store(version)
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -131,6 +131,10 @@
 		timer.Reset(s.due())
 		select {
 		case <-ctx.Done():
+		case address := <-s.info.moveTo:
+			if err := s.send(&controlpb.SubscribeUpdate{Move: &controlpb.Move{Address: address}}); err != nil {
+				return err
+			}
 		case <-configs:
 		case <-s.reports:
 		case <-targets:
--- a/internal/controld/sync.go
+++ b/internal/controld/sync.go
@@ -25,6 +25,7 @@
 		return
 	}
 	m, cursor := p.dir.sync(p.cursor)
+	p.dir.tellLoad(m)
 	reply, err := p.tell(m)
 	if err != nil {
 		return
@@ -36,6 +37,7 @@
 	// A host that answers no digests takes records only: it gets them all.
 	p.scope.Counter(metricRepairs).Inc(1)
 	m, cursor = p.dir.repair(p.cursor, reply.GetDigests())
+	p.dir.tellLoad(m)
 	reply, err = p.tell(m)
 	if err != nil {
 		return
--- a/internal/processtest/standins.go
+++ b/internal/processtest/standins.go
@@ -62,3 +62,15 @@
 		c.must(a.AwaitAnnounced(ctx))
 	}
 }
+
+// StartSubscribers subscribes as many entry hosts as that, which do nothing
+// else, until the end of the test.
+func (c *Cluster) StartSubscribers(count int) {
+	c.t.Helper()
+	for i := range count {
+		name := fmt.Sprint("subscriber-", i)
+		client := c.client(keySettings(c.issue(keys.RoleEntry, name, "")), c.links())
+		c.t.Cleanup(client.Close)
+		c.t.Cleanup(subscriber.Start(subscriber.Options{Client: client}).Close)
+	}
+}
--- a/internal/subscriber/counters.go
+++ b/internal/subscriber/counters.go
@@ -104,6 +104,8 @@
 		return "fault"
 	case errors.Is(err, errBehind):
 		return "behind"
+	case errors.Is(err, errAsked):
+		return "asked"
 	case errors.Is(err, config.ErrBase):
 		return "gap"
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -34,6 +34,9 @@
 // than the one acted on.
 var errBehind = errors.New("control host is behind")
 
+// errAsked ends a subscription because its control host has too many.
+var errAsked = errors.New("control host asked to move")
+
 // Options configure a Subscriber. Zero durations mean the defaults.
 type Options struct {
 	Client *link.Client
@@ -274,6 +277,10 @@
 	if changed {
 		s.publish()
 	}
+	if u.GetMove() != nil {
+		s.opts.Client.Move(u.GetMove().GetAddress())
+		return errAsked
+	}
 	if !s.behindSince.IsZero() && now.Sub(s.behindSince) >= s.opts.BehindLimit {
 		s.behindSince = time.Time{}
 		s.opts.Client.Move("")
--- a/test/directory_test.go
+++ b/test/directory_test.go
@@ -94,3 +94,33 @@
 		}
 	}
 }
+
+// TestSubscribersSpreadAnew loses all control hosts but one, which then has all
+// subscribers, and brings the others back: they get theirs.
+func TestSubscribersSpreadAnew(t *testing.T) {
+	const subscribers = 40
+	d := deploy(t, 3)
+	d.StartSubscribers(subscribers)
+	all := subscribers + len(d.entries) + len(d.all())
+	kept, others := d.controls[0], d.controls[1:]
+	for _, host := range others {
+		host.Kill()
+	}
+	processtest.Eventually(t, "all subscribers at one host", func() bool { return len(kept.Status().Subscribers) == all })
+	for _, host := range others {
+		host.Launch()
+		host.WaitReady()
+	}
+	processtest.Eventually(t, "a like number at each host", func() bool {
+		sum := 0
+		for _, host := range d.controls {
+			n := len(host.Status().Subscribers)
+			if n > all/2 {
+				return false
+			}
+			sum += n
+		}
+		return sum == all
+	})
+	d.InForce(d.Patch(d.lodgement.Put()), d.entryNames()...)
+}
