routing: a refresh keeps the tables that would come out the same

Table.Refreshed compares the flags of the reports with those that the table was built from, and takes in the mean load; a table on a ramp or with another state is made anew.

--- a/internal/entryd/forwarder.go
+++ b/internal/entryd/forwarder.go
@@ -253,7 +253,7 @@
 		return
 	}
 	f.directory.loads.Decay()
-	clear(f.built)
+	f.refreshTables()
 	if len(f.refusedOpen) > 0 {
 		f.reconcile(ctx)
 		return
@@ -261,6 +261,21 @@
 	f.renew()
 }
 
+// refreshTables takes in load figures, and forgets the tables that have to be
+// made anew because of ages and reports.
+func (f *Forwarder) refreshTables() {
+	now := f.now()
+	for number, b := range f.built {
+		table, ok := b.service.table.Refreshed(now)
+		switch {
+		case !ok:
+			delete(f.built, number)
+		case table != b.service.table:
+			f.built[number] = builtService{b.policy, &service{number: number, table: table}}
+		}
+	}
+}
+
 // dropChanged forgets the tables of the services whose targets have changed.
 func (f *Forwarder) dropChanged() {
 	if f.directory.changed == nil {
@@ -288,7 +303,9 @@
 	now := f.now()
 	listeners := f.tables.Load().listeners
 	for _, l := range listeners {
-		l.service.Store(f.service(l.policy, now))
+		if s := f.service(l.policy, now); l.service.Load() != s {
+			l.service.Store(s)
+		}
 	}
 	f.tables.Store(&tables{listeners: listeners, loads: f.directory.loads})
 	f.countCandidates()
--- /dev/null
+++ b/routing/refresh_test.go
@@ -0,0 +1,68 @@
+package routing_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"eelgrasswharf.example/eelgrasswharf/routing"
+)
+
+// TestRefreshedIsAsMadeAnew: a table that is refreshed is the one that would be
+// made anew at that time, with the ages and reports that there are then.
+func TestRefreshedIsAsMadeAnew(t *testing.T) {
+	kept, changed, refused := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		policy, list := drawPolicy(t), drawTargets(t)
+		if rapid.Bool().Draw(t, "warm") {
+			for i := range list {
+				list[i].Age = time.Hour
+			}
+		}
+		loads := routing.NewLoads(nil, list)
+		now := start
+		report := func() {
+			for _, target := range list {
+				if rapid.Bool().Draw(t, "reports") {
+					r := routing.Report{Load: rapid.Uint16Range(0, 1_500).Draw(t, "load"), Ill: target.Ill, Draining: target.Draining}
+					if rapid.IntRange(0, 9).Draw(t, "turns") == 0 {
+						r.Ill = !r.Ill
+					}
+					loads.Learn(target.Number, target.Incarnation, r, now)
+				}
+			}
+		}
+		report()
+		table := routing.NewTable(policy, service, list, loads, now)
+		for range rapid.IntRange(1, 4).Draw(t, "refreshes") {
+			passed := time.Duration(rapid.IntRange(1, 6_000).Draw(t, "passed")) * time.Millisecond
+			now += passed
+			for i := range list {
+				list[i].Age += passed
+			}
+			if rapid.Bool().Draw(t, "more reports") {
+				report()
+			}
+			want := routing.NewTable(policy, service, list, loads, now)
+			got, ok := table.Refreshed(now)
+			switch {
+			case !ok:
+				refused++
+				got = want
+			case !reflect.DeepEqual(got, want):
+				t.Fatalf("refreshed %+v, made anew %+v", got, want)
+			case got == table:
+				kept++
+			default:
+				changed++
+			}
+			table = got
+		}
+	})
+	t.Logf("kept %d, changed %d, refused %d", kept, changed, refused)
+	if kept == 0 || changed == 0 || refused == 0 {
+		t.Error("a case was never drawn")
+	}
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -18,6 +18,11 @@
 	average uint32
 	// whole overrides the reason of every choice if it isn't NoTarget.
 	whole Reason
+
+	// inputs and ramping tell whether the table still holds later: ramping that a
+	// target had not come to the end of its ramp.
+	inputs  []input
+	ramping bool
 }
 
 // candidate is a target that may be chosen. It is kept small, as the list of a
@@ -58,6 +63,9 @@
 	now    time.Duration
 
 	well, ill, draining []candidate
+
+	inputs  []input
+	ramping bool
 }
 
 func (b *builder) add(t *Target, service uint32) {
@@ -70,6 +78,10 @@
 		return
 	}
 
+	// The flags are read before the report: a report that comes in between shows
+	// as a difference at the next refresh.
+	b.inputs = append(b.inputs, input{cell: c, flags: c.flags(b.now)})
+	b.ramping = b.ramping || t.Age < b.policy.ramp
 	report, known := c.fresh(b.now)
 	ill := t.Ill
 	if known {
@@ -102,7 +114,7 @@
 }
 
 func (b *builder) build() *Table {
-	t := &Table{policy: b.policy}
+	t := &Table{policy: b.policy, inputs: b.inputs, ramping: b.ramping}
 	serving := len(b.well) + len(b.ill)
 	switch {
 	case serving == 0:
@@ -130,17 +142,23 @@
 	})
 	t.candidates = slices.Clip(t.candidates)
 
+	t.average = t.averageLoad(now)
+}
+
+// averageLoad returns the mean load of the candidates with a fresh report, 0 if
+// there is none.
+func (t *Table) averageLoad(now time.Duration) uint32 {
 	var sum, known uint64
 	for i := range t.candidates {
-		c := &t.candidates[i]
-		if load, ok := c.cell.freshLoad(now); ok {
+		if load, ok := t.candidates[i].cell.freshLoad(now); ok {
 			sum += uint64(load)
 			known++
 		}
 	}
-	if known > 0 {
-		t.average = uint32(sum / known)
+	if known == 0 {
+		return 0
 	}
+	return uint32(sum / known)
 }
 
 func usable(a netip.AddrPort) bool {
