--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -34,6 +34,9 @@
 // than the one acted on.
 var errBehind = errors.New("control host is behind")
 
+// errAsked ends a subscription because its control host has too many.
+var errAsked = errors.New("control host asked to move")
+
 // Options configure a Subscriber. Zero durations mean the defaults.
 type Options struct {
 	Client *link.Client
@@ -47,6 +50,8 @@
 	// ScopedConfig limits the configuration to Services, too. The version
 	// number moves with each version all the same.
 	ScopedConfig bool
+	// FailureDomains limits the directory to these; empty means all.
+	FailureDomains []string
 	// FailureDomain is told to the control host.
 	FailureDomain string
 	// AskDelay is how long after an unconfirmed version a confirmation is
@@ -220,9 +225,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	req := &controlpb.Subscribe{
-		Services:      s.opts.Services,
-		FailureDomain: s.opts.FailureDomain,
-		ScopedConfig:  s.opts.ScopedConfig,
+		Services:       s.opts.Services,
+		FailureDomains: s.opts.FailureDomains,
+		FailureDomain:  s.opts.FailureDomain,
+		ScopedConfig:   s.opts.ScopedConfig,
 	}
 	if !s.wantSnapshot {
 		req.Version = s.versions.held().GetVersion()
@@ -275,6 +281,10 @@
 	if changed {
 		s.publish()
 	}
+	if u.GetMove() != nil {
+		s.opts.Client.Move(u.GetMove().GetAddress())
+		return errAsked
+	}
 	if !s.behindSince.IsZero() && now.Sub(s.behindSince) >= s.opts.BehindLimit {
 		s.behindSince = time.Time{}
 		s.opts.Client.Move("")
