grant: groups by hash slot, retention as a setting, records packed

The machine of grants knew one group, a retention of 24 h and a record that was four allocations (message, answer, list element, texts).

A key now has one of 1,024 hash slots, a slot table gives slots to groups, and a command names the digest of the table by which its sender chose the group. A group refuses (DECISION_TABLE) a command of another table, and one for a key of another group; nothing is done then. A group takes a table once, and none after a key was decided on without one: the former state is one group for good. Configure also sets the retention, within bounds (answers 10 min to 24 h, held 24 h to 7 days).

Ruled out: a hash over the number of groups alone (a table can move a slot later on); a table in the settings (two hosts with two tables would grant a key twice).

Tests: with the check of use taken out of mayTake, TestNoTwoGroupsGrantAKey, TestTableIsFixedOnce and TestSnapshotOfFormerBuild fail.

--- a/grant/machine.go
+++ b/grant/machine.go
@@ -1,9 +1,6 @@
 package grant
 
 import (
-	"bytes"
-	"container/list"
-
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -13,31 +10,34 @@
 // ErrState tells that a snapshot does not hold a state of this machine.
 var ErrState = errors.New("snapshot holds no grant state")
 
-type recordKey struct {
-	service uint32
-	key     string
-}
-
-// Machine is the state machine of grants. It is not safe for use by several
-// goroutines.
+// Machine is the state machine of one group of grants. It is not safe for use
+// by several goroutines.
 type Machine struct {
-	now     uint64
-	records map[recordKey]*list.Element
+	group int
+	// table is nil while none was agreed on.
+	table     *SlotTable
+	retention Retention
+	now       uint64
+	records   map[recordKey]*record
 	// held and answered have the records of each kind in the order of their
-	// last change, oldest first.
-	held     *list.List
-	answered *list.List
-	bytes    int
-	released *releasedAttempts
+	// last change.
+	held, answered order
+	bytes          int
+	released       *releasedAttempts
 }
 
-// New returns a machine without records, at logical time 0.
-func New() *Machine {
+// New returns the machine of the first group, without records, at logical time
+// 0. Without a slot table it takes every key.
+func New() *Machine { return NewGroup(0) }
+
+// NewGroup returns the machine of a group, numbered from 0. One other than the
+// first takes no key until it has a slot table.
+func NewGroup(group int) *Machine {
 	return &Machine{
-		records:  map[recordKey]*list.Element{},
-		held:     list.New(),
-		answered: list.New(),
-		released: newReleasedAttempts(),
+		group:     group,
+		retention: DefaultRetention(),
+		records:   map[recordKey]*record{},
+		released:  newReleasedAttempts(),
 	}
 }
 
@@ -56,6 +56,9 @@
 }
 
 func (m *Machine) run(c *grantpb.Command) *grantpb.Result {
+	if service, key, named := KeyOf(c); named && !m.owns(c.GetTable(), service, key) {
+		return &grantpb.Result{Decision: grantpb.Decision_DECISION_TABLE}
+	}
 	switch body := c.GetBody().(type) {
 	case *grantpb.Command_Acquire:
 		return m.acquire(body.Acquire)
@@ -66,6 +69,8 @@
 	case *grantpb.Command_Advance:
 		m.advance(body.Advance.GetElapsedMs())
 		return &grantpb.Result{Taken: true}
+	case *grantpb.Command_Configure:
+		return &grantpb.Result{Taken: m.configure(body.Configure)}
 	}
 	return &grantpb.Result{}
 }
@@ -80,14 +85,14 @@
 	if r := m.find(a.GetService(), a.GetKey()); r != nil {
 		return again(r, a)
 	}
-	r := &grantpb.Record{
+	r := newRecord(&grantpb.Record{
 		Service:   a.GetService(),
 		Key:       a.GetKey(),
 		Attempt:   a.GetAttempt(),
 		Digest:    a.GetDigest(),
 		ChangedMs: m.now,
-	}
-	if len(m.records) >= MaxRecords || m.bytes+size(r) > MaxBytes {
+	})
+	if len(m.records) >= MaxRecords || m.bytes+r.size() > MaxBytes {
 		return &grantpb.Result{Decision: grantpb.Decision_DECISION_FULL}
 	}
 	m.add(r)
@@ -103,14 +108,14 @@
 func within(length, limit int) bool { return length > 0 && length <= limit }
 
 // again decides on a key that has a record.
-func again(r *grantpb.Record, a *grantpb.Acquire) *grantpb.Result {
-	if !bytes.Equal(r.GetDigest(), a.GetDigest()) {
+func again(r *record, a *grantpb.Acquire) *grantpb.Result {
+	if r.digest() != string(a.GetDigest()) {
 		return &grantpb.Result{Decision: grantpb.Decision_DECISION_MISMATCH}
 	}
-	if r.GetAnswer() != nil {
-		return &grantpb.Result{Decision: grantpb.Decision_DECISION_ANSWERED, Answer: r.GetAnswer()}
+	if r.answered {
+		return &grantpb.Result{Decision: grantpb.Decision_DECISION_ANSWERED, Answer: r.answer()}
 	}
-	if bytes.Equal(r.GetAttempt(), a.GetAttempt()) {
+	if r.attempt() == string(a.GetAttempt()) {
 		return &grantpb.Result{Decision: grantpb.Decision_DECISION_GRANTED}
 	}
 	return &grantpb.Result{Decision: grantpb.Decision_DECISION_HELD}
@@ -120,26 +125,22 @@
 // the recorded answer.
 func (m *Machine) complete(c *grantpb.Complete) bool {
 	r := m.find(c.GetService(), c.GetKey())
-	if r == nil || c.GetAnswer() == nil || !bytes.Equal(r.GetAttempt(), c.GetAttempt()) {
+	if r == nil || c.GetAnswer() == nil || r.attempt() != string(c.GetAttempt()) {
 		return false
 	}
 	answer := bounded(c.GetAnswer())
-	if r.GetAnswer() != nil {
-		return proto.Equal(r.GetAnswer(), answer) || proto.Equal(r.GetAnswer(), omitted(answer))
+	if r.answered {
+		held := r.answer()
+		return proto.Equal(held, answer) || proto.Equal(held, omitted(answer))
 	}
-	if m.bytes+size(&grantpb.Record{Answer: answer}) > MaxBytes {
+	if m.bytes+recordOverhead+len(answer.GetContentType())+len(answer.GetBody()) > MaxBytes {
 		// The answer has to be taken whatever the room: the request ran.
 		answer = omitted(answer)
 	}
+	done := r.message()
+	done.Answer, done.ChangedMs = answer, m.now
 	m.remove(r)
-	m.add(&grantpb.Record{
-		Service:   r.GetService(),
-		Key:       r.GetKey(),
-		Attempt:   r.GetAttempt(),
-		Digest:    r.GetDigest(),
-		Answer:    answer,
-		ChangedMs: m.now,
-	})
+	m.add(newRecord(done))
 	return true
 }
 
@@ -173,7 +174,7 @@
 		ReleasedMs: m.now,
 	})
 	r := m.find(c.GetService(), c.GetKey())
-	if r == nil || r.GetAnswer() != nil || !bytes.Equal(r.GetAttempt(), c.GetAttempt()) {
+	if r == nil || r.answered || r.attempt() != string(c.GetAttempt()) {
 		return false
 	}
 	m.remove(r)
@@ -183,17 +184,13 @@
 // advance moves the logical clock and drops the records that expired.
 func (m *Machine) advance(elapsed uint64) {
 	m.now += min(elapsed, uint64(MaxAdvance.Milliseconds()))
-	m.expire(m.held, uint64(HeldRetention.Milliseconds()))
-	m.expire(m.answered, uint64(AnsweredRetention.Milliseconds()))
+	m.expire(&m.held, uint64(m.retention.Held.Milliseconds()))
+	m.expire(&m.answered, uint64(m.retention.Answered.Milliseconds()))
 	m.released.expire(m.now)
 }
 
-func (m *Machine) expire(order *list.List, retention uint64) {
-	for e := order.Front(); e != nil; e = order.Front() {
-		r := record(e)
-		if r.GetChangedMs()+retention > m.now {
-			return
-		}
+func (m *Machine) expire(o *order, retention uint64) {
+	for r := o.first; r != nil && r.changed+retention <= m.now; r = o.first {
 		m.remove(r)
 	}
 }
--- /dev/null
+++ b/grant/slots.go
@@ -0,0 +1,109 @@
+package grant
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+
+	"github.com/go-faster/errors"
+
+	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+)
+
+const (
+	// Slots is the number of hash slots. Like the hash, it never changes: a key
+	// that changed its slot could be granted by two groups.
+	Slots = 1024
+	// MaxGroups bounds the groups of a deployment.
+	MaxGroups = 16
+)
+
+// ErrSlotTable tells that a slot table is not whole.
+var ErrSlotTable = errors.New("unusable slot table")
+
+// SlotTable says which group decides on which keys. It is immutable.
+type SlotTable struct {
+	groups int
+	owners [Slots]uint8
+	digest uint64
+}
+
+// NewSlotTable returns the table that gives each group an equal run of slots.
+// Groups are numbered from 0; their count is held to 1 to MaxGroups.
+func NewSlotTable(groups int) *SlotTable {
+	t := &SlotTable{groups: min(max(groups, 1), MaxGroups)}
+	for slot := range t.owners {
+		t.owners[slot] = uint8(slot * t.groups / Slots)
+	}
+	t.digest = t.sum()
+	return t
+}
+
+// ReadSlotTable returns the table of a message. Error: ErrSlotTable.
+func ReadSlotTable(m *grantpb.SlotTable) (*SlotTable, error) {
+	groups := m.GetGroups()
+	if groups < 1 || groups > MaxGroups || len(m.GetOwners()) != Slots {
+		return nil, errors.Wrapf(ErrSlotTable, "%d groups, %d slots", groups, len(m.GetOwners()))
+	}
+	t := &SlotTable{groups: int(groups)}
+	for slot, owner := range m.GetOwners() {
+		if uint32(owner) >= groups {
+			return nil, errors.Wrapf(ErrSlotTable, "slot %d of %d groups belongs to group %d", slot, groups, owner)
+		}
+		t.owners[slot] = owner
+	}
+	t.digest = t.sum()
+	return t, nil
+}
+
+// Message returns the encoded form.
+func (t *SlotTable) Message() *grantpb.SlotTable {
+	return &grantpb.SlotTable{Groups: uint32(t.groups), Owners: append([]byte(nil), t.owners[:]...)}
+}
+
+// Groups returns the number of groups.
+func (t *SlotTable) Groups() int { return t.groups }
+
+// Digest names the table in commands. It is never 0.
+func (t *SlotTable) Digest() uint64 { return t.digest }
+
+// Owned returns the number of slots of a group.
+func (t *SlotTable) Owned(group int) int {
+	owned := 0
+	for _, owner := range t.owners {
+		if int(owner) == group {
+			owned++
+		}
+	}
+	return owned
+}
+
+// Group returns the group that decides on a key.
+func (t *SlotTable) Group(service uint32, key string) int {
+	return int(t.owners[SlotOf(service, key)])
+}
+
+// SlotOf returns the hash slot of a key.
+func SlotOf(service uint32, key string) int {
+	h := fnv.New64a()
+	var number [4]byte
+	binary.BigEndian.PutUint32(number[:], service)
+	_, _ = h.Write(number[:])
+	_, _ = h.Write([]byte(key))
+	return int(mix(h.Sum64()) % Slots)
+}
+
+// mix spreads the bits of a sum: the low ones of FNV depend on the low bits of
+// each byte alone.
+func mix(sum uint64) uint64 {
+	const factor = 0xff51afd7ed558ccd
+	sum ^= sum >> 33
+	sum *= factor
+	return sum ^ sum>>33
+}
+
+func (t *SlotTable) sum() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte{uint8(t.groups)})
+	_, _ = h.Write(t.owners[:])
+	return h.Sum64() | 1
+}
--- a/grant/table.go
+++ b/grant/table.go
@@ -1,72 +1,70 @@
 package grant
 
 import (
-	"container/list"
-
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
 )
 
-func record(e *list.Element) *grantpb.Record { return e.Value.(*grantpb.Record) }
-
-func keyOf(r *grantpb.Record) recordKey {
-	return recordKey{service: r.GetService(), key: r.GetKey()}
-}
+// recordsField is the field number of State.records.
+const recordsField = 2
 
-// size estimates the memory of a record, in bytes.
-func size(r *grantpb.Record) int {
-	fields := len(r.GetKey()) + len(r.GetAttempt()) + len(r.GetDigest())
-	answer := len(r.GetAnswer().GetBody()) + len(r.GetAnswer().GetContentType())
-	return recordOverhead + fields + answer
-}
-
-func (m *Machine) find(service uint32, key string) *grantpb.Record {
-	if e, ok := m.records[recordKey{service: service, key: key}]; ok {
-		return record(e)
-	}
-	return nil
+func (m *Machine) find(service uint32, key string) *record {
+	return m.records[recordKey{service: service, key: key}]
 }
 
 // order returns the list that a record belongs to.
-func (m *Machine) order(r *grantpb.Record) *list.List {
-	if r.GetAnswer() != nil {
-		return m.answered
+func (m *Machine) order(r *record) *order {
+	if r.answered {
+		return &m.answered
 	}
-	return m.held
+	return &m.held
 }
 
-func (m *Machine) add(r *grantpb.Record) {
-	m.records[keyOf(r)] = m.order(r).PushBack(r)
-	m.bytes += size(r)
+func (m *Machine) add(r *record) {
+	m.records[r.name()] = r
+	m.order(r).push(r)
+	m.bytes += r.size()
 }
 
-func (m *Machine) remove(r *grantpb.Record) {
-	m.order(r).Remove(m.records[keyOf(r)])
-	delete(m.records, keyOf(r))
-	m.bytes -= size(r)
+func (m *Machine) remove(r *record) {
+	m.order(r).remove(r)
+	delete(m.records, r.name())
+	m.bytes -= r.size()
 }
 
 // Len returns the number of records, held and answered.
-func (m *Machine) Len() (held, answered int) { return m.held.Len(), m.answered.Len() }
+func (m *Machine) Len() (held, answered int) { return m.held.length, m.answered.length }
 
 // Now returns the logical time in milliseconds.
 func (m *Machine) Now() uint64 { return m.now }
 
-// Snapshot returns the encoded state.
+// Snapshot returns the encoded state, a grantpb.State.
 func (m *Machine) Snapshot() ([]byte, error) {
-	state := &grantpb.State{
-		NowMs:    m.now,
-		Records:  make([]*grantpb.Record, 0, len(m.records)),
-		Released: m.released.all(),
+	options := proto.MarshalOptions{Deterministic: true}
+	data, err := options.Marshal(&grantpb.State{NowMs: m.now})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode grant state")
 	}
-	for _, order := range []*list.List{m.held, m.answered} {
-		for e := order.Front(); e != nil; e = e.Next() {
-			state.Records = append(state.Records, record(e))
+	// The records are appended one by one: as messages they would take as much
+	// memory again as the state.
+	for _, o := range []*order{&m.held, &m.answered} {
+		for r := o.first; r != nil; r = r.next {
+			encoded, err := options.Marshal(r.message())
+			if err != nil {
+				return nil, errors.Wrap(err, "encode grant record")
+			}
+			data = protowire.AppendTag(data, recordsField, protowire.BytesType)
+			data = protowire.AppendBytes(data, encoded)
 		}
 	}
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
+	rest := &grantpb.State{Released: m.released.all(), Retention: m.retention.message()}
+	if m.table != nil {
+		rest.Table = m.table.Message()
+	}
+	data, err = options.MarshalAppend(data, rest)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode grant state")
 	}
@@ -80,13 +78,25 @@
 	if err := proto.Unmarshal(data, &state); err != nil {
 		return errors.Wrap(ErrState, err.Error())
 	}
-	*m = *New()
-	m.now = state.GetNowMs()
+	restored := NewGroup(m.group)
+	restored.now = state.GetNowMs()
+	restored.retention = readRetention(state.GetRetention())
+	if state.GetTable() != nil {
+		table, err := ReadSlotTable(state.GetTable())
+		if err != nil {
+			return errors.Wrap(ErrState, err.Error())
+		}
+		restored.table = table
+	}
 	for _, r := range state.GetRecords() {
-		m.add(r)
+		if !fits(r) {
+			return errors.Wrap(ErrState, "a record exceeds its bounds")
+		}
+		restored.add(newRecord(r))
 	}
 	for _, r := range state.GetReleased() {
-		m.released.add(r)
+		restored.released.add(r)
 	}
+	*m = *restored
 	return nil
 }
