controld: groups of grants, each with its log and leader

A control host ran one group of grants. It now opens as many as the first group agreed on, or as replica.grant_groups asks for while nothing is agreed. The first group alone agrees on the slot table; the leader of each other group proposes that table to it. Loops, lanes, founding, joining, members and the hand-over go over the groups of the daemon. A host with another number of groups than the agreed one ends with an error and takes the agreed one when it is started again. Group 1 keeps its folder, number and log format, so a data folder from before opens unchanged.

Leaders: group i belongs to the i-th voter by name, which asks the present leader for it (TakeOver) when it runs, has caught up and is not leaving. Ruled out: the leader pushes; it would push back to a host that is stopping.

Grants of a table that the host does not know, or that differs, are refused and counted (reason slot_table). No request waits for the lock of the first group unless its key belongs there.

--- a/grant/table.go
+++ b/grant/table.go
@@ -38,6 +38,12 @@
 // Len returns the number of records, held and answered.
 func (m *Machine) Len() (held, answered int) { return m.held.length, m.answered.length }
 
+// Taken returns how much of MaxRecords and of MaxBytes is taken, in percent.
+func (m *Machine) Taken() (records, memory int) {
+	const whole = 100
+	return len(m.records) * whole / MaxRecords, m.bytes * whole / MaxBytes
+}
+
 // Now returns the logical time in milliseconds.
 func (m *Machine) Now() uint64 { return m.now }
 
--- a/internal/cli/replica.go
+++ b/internal/cli/replica.go
@@ -14,17 +14,17 @@
 starts with "join = true" in its settings and asks to be added as a learner, or is
 added by "replica add"; it catches up, and is promoted to a voter.
 
-A change is made in both replicated logs, which may have different leaders, so name
+A change is made in all replicated logs, which may have different leaders, so name
 all control hosts. Making it again is safe.
 
-Exit status: 0 the change is made in both logs; 1 it is not; 4 it is not known.`,
+Exit status: 0 the change is made in all logs; 1 it is not; 4 it is not known.`,
 		"  eelgrasswharf replica add 192.0.2.4:7100 "+operatorExample+
 			"\n  eelgrasswharf replica promote control-4 "+operatorExample+
 			"\n  eelgrasswharf replica remove control-1 "+operatorExample,
 		newReplicaAdd(),
 		newReplicaMember("promote NAME", "Give a learner that has caught up a vote",
 			"Gives the learner NAME a vote once it has caught up.", (*operator.Client).Promote),
-		newReplicaMember("remove NAME", "Take a control host out of both logs",
+		newReplicaMember("remove NAME", "Take a control host out of all logs",
 			"Removes the control host NAME for good. Its data folder must not be used again.\n"+
 				"A name that a quorum knows of no member of is a failure.", (*operator.Client).Remove),
 	)
@@ -36,7 +36,7 @@
 	cmd := &cobra.Command{
 		Use:     "add ADDRESS",
 		Short:   "Add a control host as a learner",
-		Long:    "Adds the control host at the link address (ip:port) to both logs, without a vote.",
+		Long:    "Adds the control host at the link address (ip:port) to all logs, without a vote.",
 		Example: "  eelgrasswharf replica add 192.0.2.4:7100 " + operatorExample,
 		Args:    exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -19,7 +19,7 @@
 	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "Show what each control host sees",
-		Long: `Asks every control host for its own view: the state of both replicated logs,
+		Long: `Asks every control host for its own view: the state of each replicated log,
 the version it knows, the directory of targets, and the subscribers on which
 that version is not yet in force. It does not wait for a quorum.
 
--- a/internal/controld/backend.go
+++ b/internal/controld/backend.go
@@ -84,17 +84,23 @@
 		Targets:      b.directory.count(),
 		Damped:       b.directory.damped(),
 	}
-	for _, group := range groups {
-		s.Groups = append(s.Groups, groupStatus(group, b.replicas[group].Status()))
+	for _, group := range b.groups {
+		s.Groups = append(s.Groups, b.groupStatus(group))
 	}
 	s.Subscribers, s.Laggards = b.subscribers.list(current.GetVersion())
-	s.GrantsHeld, s.GrantsAnswered = b.grants.count()
+	for _, group := range s.Groups {
+		if group.Grants != nil {
+			s.GrantsHeld += group.Grants.Held
+			s.GrantsAnswered += group.Grants.Answered
+		}
+	}
 	return s
 }
 
-func groupStatus(group controlpb.Group, s replica.Status) operator.GroupStatus {
+func (b *backend) groupStatus(group controlpb.Group) operator.GroupStatus {
+	s := b.replicas[group].Status()
 	out := operator.GroupStatus{
-		Group:   folders[group],
+		Group:   groupName(group),
 		State:   stateOf(s),
 		Leader:  s.Leader.GetName(),
 		Term:    s.Term,
@@ -102,6 +108,9 @@
 		Applied: s.Applied,
 		Members: []operator.MemberStatus{},
 	}
+	if group != controlpb.Group_GROUP_CONFIG {
+		out.Grants = b.grantStatus(grantIndex(group))
+	}
 	for _, m := range s.Members {
 		out.Members = append(out.Members, operator.MemberStatus{
 			MemberRef: operator.MemberRef{
@@ -117,6 +126,21 @@
 	return out
 }
 
+func (b *backend) grantStatus(index int) *operator.GrantStatus {
+	v := b.grants.at(index).view()
+	out := &operator.GrantStatus{
+		Held:               v.held,
+		Answered:           v.answered,
+		Full:               max(v.records, v.bytes),
+		AnsweredForSeconds: int(v.retention.Answered.Seconds()),
+		HeldForSeconds:     int(v.retention.Held.Seconds()),
+	}
+	if table := b.grants.table(); table != nil {
+		out.Slots = table.Owned(index)
+	}
+	return out
+}
+
 func stateOf(s replica.Status) string {
 	switch {
 	case !s.Formed:
@@ -233,11 +257,11 @@
 func (b *backend) eachMember(ctx context.Context, ref operator.MemberRef, f func(*replica.Replica, *raftpb.Member) error) error {
 	found, confirmed := false, true
 	var first error
-	for _, group := range groups {
+	for _, group := range b.groups {
 		r := b.replicas[group]
 		if err := r.ReadBarrier(ctx); err != nil {
 			confirmed = false
-			first = firstError(first, errors.Wrapf(replica.ErrMembership, "members of %s: %v", folders[group], err))
+			first = firstError(first, errors.Wrapf(replica.ErrMembership, "members of %s: %v", groupName(group), err))
 			continue
 		}
 		matches := matching(r.Status(), ref)
--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -44,6 +44,14 @@
 	expirePeriod = 500 * time.Millisecond
 	// advancePeriod is the time between steps of the grants' logical clock.
 	advancePeriod = 10 * time.Second
+	// agreePeriod is the time between looks whether each group of grants has
+	// its slot table.
+	agreePeriod = 250 * time.Millisecond
+	// spreadPeriod is the time between looks whether this host should lead a
+	// group that it does not lead, spreadPause the least time between two
+	// requests for one group: each costs the group a short halt.
+	spreadPeriod = time.Second
+	spreadPause  = 15 * time.Second
 	// foundRetry is the pause between attempts to found or join a group.
 	foundRetry = 250 * time.Millisecond
 	// foundTimeout bounds the question for another host's replicas.
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,6 +15,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/grant"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
@@ -26,17 +28,12 @@
 	ErrIdentity = errors.New("certificate does not name this control host")
 	// ErrVoters tells that the initial voters are unusable.
 	ErrVoters = errors.New("initial voters are unusable")
+	// ErrGrantGroups tells that this host cannot have its number of groups of
+	// grants: it is beyond the bound, or the deployment agreed on another one.
+	// In the latter case a host that is started again takes the agreed one.
+	ErrGrantGroups = errors.New("unfit number of groups of grants")
 )
 
-// groups lists the replicated logs of a control host.
-var groups = []controlpb.Group{controlpb.Group_GROUP_CONFIG, controlpb.Group_GROUP_GRANT}
-
-// folders names the subfolder of the data folder for each group.
-var folders = map[controlpb.Group]string{
-	controlpb.Group_GROUP_CONFIG: "config",
-	controlpb.Group_GROUP_GRANT:  "grant",
-}
-
 // Daemon is a control host.
 type Daemon struct {
 	settings *settingspb.ControlSettings
@@ -48,19 +45,26 @@
 	ready    chan struct{}
 
 	configs     *configState
-	grants      *grantState
+	grants      *grantGroups
 	directory   *directory
 	subscribers *subscribers
 	peers       *peers
-	replicas    map[controlpb.Group]*replica.Replica
-	confirm     *barrier
-	server      *link.Server
-	api         *operator.Server
+	// groups lists the replicated logs of this host. Like replicas, it does not
+	// change once they are open.
+	groups   []controlpb.Group
+	replicas map[controlpb.Group]*replica.Replica
+	confirm  *barrier
+	server   *link.Server
+	api      *operator.Server
 
 	// ctx ends the loops.
 	ctx    context.Context
 	cancel context.CancelFunc
 	loops  conc.WaitGroup
+	// leaving says that this host stops.
+	leaving atomic.Bool
+	// misfit gets the reason why this host has to be started again.
+	misfit chan error
 }
 
 // New checks the settings and loads the keys. Errors: ErrIdentity, ErrVoters.
@@ -73,6 +77,9 @@
 	if id := creds.Identity(); id.Role != keys.RoleControl || id.Name != name {
 		return nil, errors.Wrapf(ErrIdentity, "host %q, certificate %s", name, id)
 	}
+	if asked := s.GetReplica().GetGrantGroups(); asked > grant.MaxGroups {
+		return nil, errors.Wrapf(ErrGrantGroups, "%d, at most %d", asked, grant.MaxGroups)
+	}
 	voters, err := parseVoters(s.GetReplica(), name)
 	if err != nil {
 		return nil, err
@@ -85,8 +92,9 @@
 		name:        name,
 		voters:      voters,
 		ready:       make(chan struct{}),
+		misfit:      make(chan error, 1),
 		configs:     newConfigState(),
-		grants:      newGrantState(),
+		grants:      newGrantGroups(),
 		directory:   newDirectory(rand.Uint64() | 1),
 		subscribers: newSubscribers(),
 		replicas:    map[controlpb.Group]*replica.Replica{},
@@ -127,11 +135,10 @@
 func (d *Daemon) OperatorAddr() string { return d.api.Addr().String() }
 
 func (d *Daemon) open() error {
-	for _, group := range groups {
-		if err := d.openReplica(group); err != nil {
-			return errors.Wrapf(err, "open replica of %s", folders[group])
-		}
+	if err := d.openReplicas(); err != nil {
+		return err
 	}
+	d.peers.groups = d.groups
 	d.peers.open.Store(true)
 	var err error
 	listen := d.settings.GetReplica().GetListen()
@@ -148,6 +155,30 @@
 	return err
 }
 
+// openReplicas opens the configuration, the first group of grants, and then as
+// many of the others as that one agreed on or, as long as it has not, as the
+// settings ask for.
+func (d *Daemon) openReplicas() error {
+	d.groups = []controlpb.Group{controlpb.Group_GROUP_CONFIG}
+	for index := 0; index < d.groupsWanted(); index++ {
+		d.groups = append(d.groups, grantGroup(index))
+		d.grants.add()
+		for _, group := range d.groups {
+			if d.replicas[group] != nil {
+				continue
+			}
+			if err := d.openReplica(group); err != nil {
+				return errors.Wrapf(err, "open replica of %s", groupName(group))
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) groupsWanted() int {
+	return d.grants.wanted(d.settings.GetReplica().GetGrantGroups())
+}
+
 func (d *Daemon) openReplica(group controlpb.Group) error {
 	tick := time.Duration(d.settings.GetReplica().GetTickMs()) * time.Millisecond
 	if tick == 0 {
@@ -158,7 +189,7 @@
 		entries = defaultSnapshotEntries
 	}
 	opened, err := replica.Open(replica.Options{
-		Folder:          filepath.Join(d.settings.GetReplica().GetDataFolder(), folders[group]),
+		Folder:          filepath.Join(d.settings.GetReplica().GetDataFolder(), groupName(group)),
 		Name:            d.name,
 		Group:           group,
 		StateMachine:    d.machine(group),
@@ -166,8 +197,8 @@
 		Forwarder:       d.peers,
 		TickInterval:    tick,
 		SnapshotEntries: entries,
-		Log:             d.log.With(zap.String("group", folders[group])),
-		Scope:           d.scope.Tagged(map[string]string{"group": folders[group]}),
+		Log:             d.log.With(zap.String("group", groupName(group))),
+		Scope:           d.scope.Tagged(map[string]string{"group": groupName(group)}),
 	})
 	if err != nil {
 		return err
@@ -177,10 +208,10 @@
 }
 
 func (d *Daemon) machine(group controlpb.Group) replica.StateMachine {
-	if group == controlpb.Group_GROUP_GRANT {
-		return d.grants
+	if group == controlpb.Group_GROUP_CONFIG {
+		return d.configs
 	}
-	return d.configs
+	return d.grants.at(grantIndex(group))
 }
 
 func (d *Daemon) start() {
@@ -188,6 +219,8 @@
 	d.loops.Go(d.syncLoop)
 	d.loops.Go(d.expireLoop)
 	d.loops.Go(d.advanceLoop)
+	d.loops.Go(d.agreeLoop)
+	d.loops.Go(d.spreadLoop)
 	d.loops.Go(func() { d.creds.Watch(d.ctx, keysPeriod, d.reportKeys) })
 	d.log.Info("control host serves", zap.String("link", d.LinkAddr()), zap.String("operator", d.OperatorAddr()))
 }
@@ -204,20 +237,30 @@
 
 // wait returns when the context ends or a replica fails.
 func (d *Daemon) wait(ctx context.Context) error {
-	configs := d.replicas[controlpb.Group_GROUP_CONFIG]
-	grants := d.replicas[controlpb.Group_GROUP_GRANT]
+	failed := make(chan controlpb.Group, len(d.groups))
+	for _, group := range d.groups {
+		d.loops.Go(func() {
+			select {
+			case <-d.replicas[group].Done():
+				failed <- group
+			case <-d.ctx.Done():
+			}
+		})
+	}
 	select {
 	case <-ctx.Done():
 		return nil
-	case <-configs.Done():
-		return errors.Wrap(configs.Err(), "replica of config stopped")
-	case <-grants.Done():
-		return errors.Wrap(grants.Err(), "replica of grant stopped")
+	case group := <-failed:
+		return errors.Wrapf(d.replicas[group].Err(), "replica of %s stopped", groupName(group))
+	case err := <-d.misfit:
+		return err
 	}
 }
 
-// handOver passes on what this host leads, while it can still be reached.
+// handOver passes on what this host leads, while it can still be reached. It
+// asks for nothing back.
 func (d *Daemon) handOver() {
+	d.leaving.Store(true)
 	var groups conc.WaitGroup
 	for _, opened := range d.replicas {
 		groups.Go(func() {
@@ -249,10 +292,10 @@
 	d.cancel()
 	d.loops.Wait()
 	var first error
-	for _, group := range groups {
+	for _, group := range d.groups {
 		if opened := d.replicas[group]; opened != nil {
 			if err := opened.Close(); err != nil && first == nil {
-				first = errors.Wrapf(err, "close replica of %s", folders[group])
+				first = errors.Wrapf(err, "close replica of %s", groupName(group))
 			}
 		}
 	}
@@ -260,11 +303,11 @@
 	return first
 }
 
-// memberAddresses returns the link addresses of the other members of both
+// memberAddresses returns the link addresses of the other members of all
 // groups, by name of the host.
 func (d *Daemon) memberAddresses() map[string]string {
 	out := map[string]string{}
-	for _, group := range groups {
+	for _, group := range d.groups {
 		for _, m := range d.replicas[group].Status().Members {
 			if name := m.Member.GetId().GetName(); name != d.name {
 				out[name] = m.Member.GetAddress()
--- a/internal/controld/export_test.go
+++ b/internal/controld/export_test.go
@@ -9,11 +9,13 @@
 // Advance moves the logical clock of the grants as a tick of the loop does.
 func (d *Daemon) Advance(elapsed time.Duration) { d.advance(elapsed) }
 
-// GrantTime returns the logical time of the grants in milliseconds.
+// GrantTime returns the logical time of the first group of grants in
+// milliseconds.
 func (d *Daemon) GrantTime() uint64 {
-	d.grants.mu.Lock()
-	defer d.grants.mu.Unlock()
-	return d.grants.machine.Now()
+	first := d.grants.at(0)
+	first.mu.Lock()
+	defer first.mu.Unlock()
+	return first.machine.Now()
 }
 
 // Traffic returns what the host has exchanged over its links.
--- a/internal/controld/found.go
+++ b/internal/controld/found.go
@@ -61,12 +61,12 @@
 	stranger := false
 	for !d.formed() {
 		replies := d.askVoters()
-		for _, group := range groups {
+		for _, group := range d.groups {
 			if !d.replicas[group].Status().Formed && d.found(group, replies) && !stranger {
 				stranger = true
 				d.scope.Counter("stranger_to_its_group").Inc(1)
 				d.log.Warn("the group exists without this replica: add this host as a learner",
-					zap.String("group", folders[group]))
+					zap.String("group", groupName(group)))
 			}
 		}
 		if !d.pause(foundRetry) {
@@ -76,7 +76,7 @@
 }
 
 // joinLoop asks the initial voters to add this host as a learner until it is
-// a member of both groups. It asks all of them, since the groups may have
+// a member of all groups. It asks all of them, since the groups may have
 // different leaders. To be promoted is up to the operators.
 func (d *Daemon) joinLoop() {
 	address := d.memberAddress(voter{name: d.name, address: d.settings.GetReplica().GetListen()})
@@ -117,7 +117,7 @@
 }
 
 func (d *Daemon) formed() bool {
-	for _, group := range groups {
+	for _, group := range d.groups {
 		if !d.replicas[group].Status().Formed {
 			return false
 		}
@@ -222,16 +222,16 @@
 	defer cancel()
 	err := d.replicas[group].Form(ctx, m)
 	if err != nil && !errors.Is(err, replica.ErrFormed) {
-		d.log.Warn("cannot form the group", zap.String("group", folders[group]), zap.Error(err))
+		d.log.Warn("cannot form the group", zap.String("group", groupName(group)), zap.Error(err))
 		return
 	}
-	d.log.Info("group formed", zap.String("group", folders[group]), zap.Int("members", len(m.GetMembers())))
+	d.log.Info("group formed", zap.String("group", groupName(group)), zap.Int("members", len(m.GetMembers())))
 }
 
 // replicaInfos answers a ReplicaQuery.
 func (d *Daemon) replicaInfos() *controlpb.ReplicaReply {
 	reply := &controlpb.ReplicaReply{}
-	for _, group := range groups {
+	for _, group := range d.groups {
 		s := d.replicas[group].Status()
 		info := &controlpb.ReplicaInfo{Group: group, Id: d.replicas[group].ID(), Formed: s.Formed}
 		if s.Formed {
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -9,6 +9,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+	"eelgrasswharf.example/eelgrasswharf/grant"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
@@ -45,6 +46,7 @@
 	refusedIdentity   refusalReason = "identity"
 	refusedImproper   refusalReason = "improper_record"
 	refusedFull       refusalReason = "directory_full"
+	refusedTable      refusalReason = "slot_table"
 )
 
 // handler answers the requests of peers.
@@ -54,7 +56,7 @@
 func allowed(req *controlpb.Request) []keys.Role {
 	switch req.GetBody().(type) {
 	case *controlpb.Request_Raft, *controlpb.Request_Propose, *controlpb.Request_DirectorySync, *controlpb.Request_Replicas,
-		*controlpb.Request_Join:
+		*controlpb.Request_Join, *controlpb.Request_TakeOver:
 		return []keys.Role{keys.RoleControl}
 	case *controlpb.Request_Register, *controlpb.Request_Announce, *controlpb.Request_Grant:
 		return []keys.Role{keys.RoleAgent}
@@ -95,6 +97,8 @@
 		return &controlpb.Response{Body: &controlpb.Response_Replicas{Replicas: reply}}
 	case *controlpb.Request_Join:
 		return h.join(ctx, peer, body.Join)
+	case *controlpb.Request_TakeOver:
+		return h.takeOver(ctx, peer, body.TakeOver)
 	case *controlpb.Request_Register:
 		return h.register(ctx, peer, body.Register)
 	case *controlpb.Request_Announce:
@@ -139,7 +143,7 @@
 }
 
 // join adds the host that asks as a learner to the groups that this host
-// leads. The answer says whether it is a member of both now.
+// leads. The answer says whether it is a member of all now.
 func (h *handler) join(ctx context.Context, peer link.Peer, j *controlpb.Join) *controlpb.Response {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
@@ -211,32 +215,31 @@
 	return &controlpb.Response{Body: &controlpb.Response_Registration{Registration: registration}}
 }
 
+// grant has a command of an agent applied by the group that its key belongs to.
 func (h *handler) grant(ctx context.Context, peer link.Peer, c *grantpb.Command) *controlpb.Response {
-	service, proper := grantService(c)
+	service, key, proper := grant.KeyOf(c)
 	if !proper {
 		return h.fault(refusedRequest, controlpb.FaultKind_FAULT_FORBIDDEN, "an agent may not ask this")
 	}
 	if h.foreign(peer, service) {
 		return h.fault(refusedService, controlpb.FaultKind_FAULT_FORBIDDEN, "the certificate is for another service")
 	}
-	result := new(grantpb.Result)
-	if fault := h.replicate(ctx, controlpb.Group_GROUP_GRANT, c, result); fault != nil {
-		return fault
+	table := h.grants.table()
+	if table == nil || table.Groups() != h.grants.count() {
+		return h.fault(refusedTable, controlpb.FaultKind_FAULT_NOT_DONE, "this host does not know the agreed slot table")
 	}
-	return &controlpb.Response{Body: &controlpb.Response_Grant{Grant: result}}
-}
-
-// grantService returns the service of a command that agents may send.
-func grantService(c *grantpb.Command) (service uint32, proper bool) {
-	switch body := c.GetBody().(type) {
-	case *grantpb.Command_Acquire:
-		return body.Acquire.GetService(), true
-	case *grantpb.Command_Complete:
-		return body.Complete.GetService(), true
-	case *grantpb.Command_Release:
-		return body.Release.GetService(), true
+	result := &grantpb.Result{Decision: grantpb.Decision_DECISION_TABLE}
+	if stated := c.GetTable(); stated == 0 || stated == table.Digest() {
+		c.Table = table.Digest()
+		if fault := h.replicate(ctx, grantGroup(table.Group(service, key)), c, result); fault != nil {
+			return fault
+		}
+	}
+	if result.GetDecision() == grantpb.Decision_DECISION_TABLE {
+		h.count(refusedTable)
 	}
-	return 0, false
+	result.Table = table.Digest()
+	return &controlpb.Response{Body: &controlpb.Response_Grant{Grant: result}}
 }
 
 // foreign reports whether a service number is known to be that of another
--- a/internal/controld/loops.go
+++ b/internal/controld/loops.go
@@ -93,10 +93,18 @@
 }
 
 func (d *Daemon) advance(elapsed time.Duration) {
-	held, answered := d.grants.count()
-	d.scope.Gauge("grants_held").Update(float64(held))
-	d.scope.Gauge("grants_answered").Update(float64(answered))
-	if held+answered == 0 || !d.leads(controlpb.Group_GROUP_GRANT) {
+	for index := range d.grants.count() {
+		d.advanceGroup(index, elapsed)
+	}
+}
+
+func (d *Daemon) advanceGroup(index int, elapsed time.Duration) {
+	group := grantGroup(index)
+	v := d.grants.at(index).view()
+	scope := d.scope.Tagged(map[string]string{"group": groupName(group)})
+	scope.Gauge("grants_held").Update(float64(v.held))
+	scope.Gauge("grants_answered").Update(float64(v.answered))
+	if v.held+v.answered == 0 || !d.leads(group) {
 		return
 	}
 	command, err := proto.Marshal(&grantpb.Command{Body: &grantpb.Command_Advance{
@@ -109,8 +117,8 @@
 	defer cancel()
 	// A step that fails is left out: records live longer, no grant depends
 	// on it.
-	if _, err := d.replicas[controlpb.Group_GROUP_GRANT].ProposeLocal(ctx, command); err != nil {
-		d.scope.Counter("failed_advances").Inc(1)
+	if _, err := d.replicas[group].ProposeLocal(ctx, command); err != nil {
+		scope.Counter("failed_advances").Inc(1)
 	}
 }
 
--- a/internal/controld/peers.go
+++ b/internal/controld/peers.go
@@ -28,6 +28,8 @@
 	self func(controlpb.Group) string
 	// directory is what is passed on.
 	directory *directory
+	// groups lists the replicated logs. It is set before open.
+	groups []controlpb.Group
 	// open is set once all replicas of this host are open. Messages that one
 	// of them sends earlier are dropped.
 	open atomic.Bool
@@ -165,11 +167,12 @@
 }
 
 // lanes lists the queues to each peer.
-var lanes = []lane{
-	{controlpb.Group_GROUP_CONFIG, false},
-	{controlpb.Group_GROUP_CONFIG, true},
-	{controlpb.Group_GROUP_GRANT, false},
-	{controlpb.Group_GROUP_GRANT, true},
+func lanes(groups []controlpb.Group) []lane {
+	var all []lane
+	for _, group := range groups {
+		all = append(all, lane{group, false}, lane{group, true})
+	}
+	return all
 }
 
 // peer is the link to one control host. A loop for each lane and one for the
@@ -223,10 +226,11 @@
 		messages: map[lane][]*raftpb.Message{},
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	for _, l := range lanes {
+	all := lanes(owner.groups)
+	for _, l := range all {
 		p.wake[l] = make(chan struct{}, 1)
 	}
-	for _, l := range lanes {
+	for _, l := range all {
 		p.wg.Go(func() { p.loop(p.wake[l], func() { p.sendMessages(l) }) })
 	}
 	p.wg.Go(func() { p.loop(p.sync, p.sendDirectory) })
--- a/internal/controld/state.go
+++ b/internal/controld/state.go
@@ -6,7 +6,6 @@
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
-	"eelgrasswharf.example/eelgrasswharf/grant"
 )
 
 // configState lets the configuration's state machine be read while the
@@ -198,38 +197,3 @@
 	}
 	return config.Within(c, scope)
 }
-
-// grantState is the same for the state machine of grants.
-type grantState struct {
-	mu      sync.Mutex
-	machine *grant.Machine
-}
-
-func newGrantState() *grantState { return &grantState{machine: grant.New()} }
-
-// Apply implements replica.StateMachine.
-func (s *grantState) Apply(index uint64, command []byte) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.machine.Apply(index, command)
-}
-
-// Snapshot implements replica.StateMachine.
-func (s *grantState) Snapshot() ([]byte, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.machine.Snapshot()
-}
-
-// Restore implements replica.StateMachine.
-func (s *grantState) Restore(snapshot []byte) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.machine.Restore(snapshot)
-}
-
-func (s *grantState) count() (held, answered int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.machine.Len()
-}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -20,8 +20,8 @@
 	// member.
 	ErrNotFound = errors.New("not found")
 	// ErrNotEverywhere tells that the host knows the member and could not make
-	// the change in both groups. It is an ErrNotDone.
-	ErrNotEverywhere = errors.Wrap(ErrNotDone, "not in both groups")
+	// the change in all groups. It is an ErrNotDone.
+	ErrNotEverywhere = errors.Wrap(ErrNotDone, "not in all groups")
 )
 
 // Bounds of calls.
@@ -48,18 +48,18 @@
 	Config(ctx context.Context, version uint64) (*configpb.Configuration, bool, error)
 	// Status returns the host's view. It does not wait for other hosts.
 	Status() *Status
-	// A change of members is made in both groups, which may have different
-	// leaders: ErrNotEverywhere means that it was not made in both of them.
+	// A change of members is made in all groups, which may have different
+	// leaders: ErrNotEverywhere means that it was not made in all of them.
 	// Making it again is safe. Promote and Remove return ErrNotFound for a
 	// member that a quorum does not know.
 
-	// AddLearner adds the control host at a link address (ip:port) to both
+	// AddLearner adds the control host at a link address (ip:port) to all
 	// groups, without a vote. Errors: ErrNotDone, ErrUnknown.
 	AddLearner(ctx context.Context, address string) error
 	// Promote gives a learner that has caught up a vote. Errors: ErrNotDone,
 	// ErrUnknown.
 	Promote(ctx context.Context, m MemberRef) error
-	// Remove takes a member out of both groups. Errors: ErrNotDone,
+	// Remove takes a member out of all groups. Errors: ErrNotDone,
 	// ErrUnknown.
 	Remove(ctx context.Context, m MemberRef) error
 }
@@ -86,7 +86,7 @@
 	Subscribers []SubscriberStatus `json:"subscribers"`
 	// Laggards names the subscribers on which Version is not in force.
 	Laggards []string `json:"laggards"`
-	// Grants counts the held and answered keys.
+	// GrantsHeld and GrantsAnswered count the keys of all groups of grants.
 	GrantsHeld     int `json:"grants_held"`
 	GrantsAnswered int `json:"grants_answered"`
 }
@@ -101,6 +101,23 @@
 	Commit  uint64         `json:"commit"`
 	Applied uint64         `json:"applied"`
 	Members []MemberStatus `json:"members"`
+	// Grants is set for a group of grants.
+	Grants *GrantStatus `json:"grants,omitempty"`
+}
+
+// GrantStatus is what a host knows of a group of grants.
+type GrantStatus struct {
+	// Slots is how many of the hash slots belong to the group: 0 for all
+	// groups while no table is agreed on.
+	Slots int `json:"slots"`
+	// Held and Answered count the keys.
+	Held     int `json:"held"`
+	Answered int `json:"answered"`
+	// Full is how much of the table is taken, in percent.
+	Full int `json:"full_percent"`
+	// How long an answer, and a key without one, are kept, in seconds.
+	AnsweredForSeconds int `json:"answered_for_seconds"`
+	HeldForSeconds     int `json:"held_for_seconds"`
 }
 
 // MemberStatus is one member of a group.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -29,7 +29,7 @@
 	// MaxAnswer bounds an answer, in bytes.
 	MaxAnswer = 64 << 20
 	// changeRounds is how often all hosts are asked again to make a change of
-	// members that some of them could not make in both groups, changePause the
+	// members that some of them could not make in all groups, changePause the
 	// time between two rounds.
 	changeRounds = 5
 	changePause  = 200 * time.Millisecond
@@ -132,7 +132,7 @@
 	return out
 }
 
-// AddLearner adds the control host at a link address to both groups, without
+// AddLearner adds the control host at a link address to all groups, without
 // a vote. Errors: ErrNotDone, ErrUnknown.
 func (c *Client) AddLearner(ctx context.Context, address string) (*Status, error) {
 	s, _, err := c.change(ctx, "/v1/members", &addLearnerRequest{Address: address})
@@ -146,7 +146,7 @@
 	return s, err
 }
 
-// Remove takes a member out of both groups. Errors: ErrNotDone, ErrUnknown,
+// Remove takes a member out of all groups. Errors: ErrNotDone, ErrUnknown,
 // ErrNotFound.
 func (c *Client) Remove(ctx context.Context, m MemberRef) (*Status, error) {
 	s, known, err := c.change(ctx, "/v1/members/remove", &m)
@@ -157,7 +157,7 @@
 	return s, err
 }
 
-// change makes a change of members in both groups. Each host makes it where
+// change makes a change of members in all groups. Each host makes it where
 // it leads, so all are asked, and a few times: a host may not have heard yet
 // what another one has done. It is not passed on once its outcome is unknown.
 // It also reports whether some host knew the member.
--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
 	"eelgrasswharf.example/eelgrasswharf/raft"
 )
 
@@ -19,13 +20,24 @@
 // still answered. It returns nil at once if this replica does not lead or is
 // closed; ErrNoLeader, if nobody took over.
 func (r *Replica) HandOver(ctx context.Context) error {
+	return r.handOver(ctx, func() error { return r.node.TransferLeadership() })
+}
+
+// HandOverTo is HandOver to one voter. ErrNoLeader also says that this one was
+// not heard lately.
+func (r *Replica) HandOverTo(ctx context.Context, to *raftpb.ReplicaID) error {
+	return r.handOver(ctx, func() error { return r.node.TransferLeadershipTo(to) })
+}
+
+// handOver runs transfer in the loop and waits until another replica leads.
+func (r *Replica) handOver(ctx context.Context, transfer func() error) error {
 	status, changed := r.Watch()
 	if !status.Leading() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.handOverTimeout())
 	defer cancel()
-	if err := r.startHandingOver(ctx); err != nil {
+	if err := r.startHandingOver(ctx, transfer); err != nil {
 		return err
 	}
 	for status.Leading() || status.Leader == nil {
@@ -49,10 +61,10 @@
 	return handOverElections * time.Duration(r.opts.ElectionTicks) * r.opts.TickInterval
 }
 
-// startHandingOver lets the core choose a successor.
-func (r *Replica) startHandingOver(ctx context.Context) error {
+// startHandingOver asks the core for a transfer.
+func (r *Replica) startHandingOver(ctx context.Context, transfer func() error) error {
 	start := func(q *request) {
-		err := r.node.TransferLeadership()
+		err := transfer()
 		if errors.Is(err, raft.ErrNotLeader) {
 			err = nil
 		}
--- a/raft/transfer.go
+++ b/raft/transfer.go
@@ -23,7 +23,23 @@
 	if n.role != RoleLeader {
 		return ErrNotLeader
 	}
-	successor := n.successor()
+	return n.transferTo(n.successor())
+}
+
+// TransferLeadershipTo is TransferLeadership to one voter. ErrNoSuccessor: it
+// is none, or was not heard lately.
+func (n *Node) TransferLeadershipTo(id *raftpb.ReplicaID) error {
+	if n.role != RoleLeader {
+		return ErrNotLeader
+	}
+	p := n.progressOf(keyOf(id))
+	if p == nil || !n.maySucceed(p) {
+		return ErrNoSuccessor
+	}
+	return n.transferTo(p)
+}
+
+func (n *Node) transferTo(successor *progress) error {
 	if successor == nil {
 		return ErrNoSuccessor
 	}
@@ -33,16 +49,18 @@
 	return nil
 }
 
+// maySucceed reports whether a member is another voter that was heard lately.
+func (n *Node) maySucceed(p *progress) bool {
+	return p.key != n.key && p.active && isVoter(n.membership(), p.key)
+}
+
 // successor returns the progress of the other voter that holds most of the log,
 // the first of the membership among equals; nil if none was heard of since the
 // last quorum check.
 func (n *Node) successor() *progress {
 	var best *progress
 	for _, p := range n.progress {
-		if p.key == n.key || !p.active || !isVoter(n.membership(), p.key) {
-			continue
-		}
-		if best == nil || p.match > best.match {
+		if n.maySucceed(p) && (best == nil || p.match > best.match) {
 			best = p
 		}
 	}
