Groups of grants: retention by command, agents learn the table, tests with processes

Operators set how long keys are kept with grants retention: each group agrees on it in its own log, within the bounds of package grant; status shows it with slots, keys and how full the table of each group is.

An agent states the slot table that a control host named to it. A command by another table is refused with a reason and counted at both ends; the agent asks again by the table that it is told. Nothing was done, so nothing is doubled.

deployWith takes its start of control hosts as an argument (deployAs); no check was changed.

--- a/internal/agentd/control.go
+++ b/internal/agentd/control.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
@@ -18,11 +20,18 @@
 // control is what the agent asks of the control hosts.
 type control struct {
 	caller controlCaller
+	// refused counts commands that named another slot table than the agreed one.
+	refused tally.Counter
+	// table is the digest of the slot table that a control host last named, 0
+	// before the first answer. A deployment keeps its table for good: one that
+	// names another was founded anew.
+	table atomic.Uint64
 }
 
-// grant has a command applied by the grant group. It returns ErrNotDone or
-// ErrUnknown, wrapped.
-func (c control) grant(ctx context.Context, command *grantpb.Command) (*grantpb.Result, error) {
+// grant has a command applied by the group of grants that its key belongs to.
+// It returns ErrNotDone or ErrUnknown, wrapped.
+func (c *control) grant(ctx context.Context, command *grantpb.Command) (*grantpb.Result, error) {
+	command.Table = c.table.Load()
 	req := &controlpb.Request{Body: &controlpb.Request_Grant{Grant: command}}
 	res, err := c.call(ctx, req)
 	if err != nil {
@@ -32,10 +41,17 @@
 	if result == nil {
 		return nil, errors.Wrap(ErrUnknown, "no grant result in the answer")
 	}
+	if table := result.GetTable(); table != 0 {
+		c.table.Store(table)
+	}
+	if result.GetDecision() == grantpb.Decision_DECISION_TABLE {
+		c.refused.Inc(1)
+		return nil, errors.Wrap(ErrNotDone, "refused because of the slot table")
+	}
 	return result, nil
 }
 
-func (c control) call(ctx context.Context, req *controlpb.Request) (*controlpb.Response, error) {
+func (c *control) call(ctx context.Context, req *controlpb.Request) (*controlpb.Response, error) {
 	res, err := c.caller.Call(ctx, req)
 	if errors.Is(err, link.ErrNotSent) {
 		return nil, errors.Wrap(ErrNotDone, err.Error())
--- a/internal/agentd/counters.go
+++ b/internal/agentd/counters.go
@@ -28,6 +28,7 @@
 	replayed    tally.Counter
 	resets      tally.Counter
 	unrecorded  tally.Counter
+	otherTable  tally.Counter
 	sessions    tally.Gauge
 	watches     tally.Gauge
 	running     tally.Gauge
@@ -46,6 +47,7 @@
 		lastResort:  scope.Counter("return_paths_last_resort"),
 		replayed:    scope.Counter("answers_replayed"),
 		resets:      scope.Counter("answers_reset"),
+		otherTable:  scope.Counter("grants_of_another_table"),
 		unrecorded:  scope.Counter("answers_unrecorded"),
 		sessions:    scope.Gauge("sessions"),
 		watches:     scope.Gauge("watches"),
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -215,7 +215,7 @@
 func (d *Daemon) openPlane(self identity) (*plane, error) {
 	d.proxy.self = self.String()
 	d.proxy.once = &once{
-		granter:  control{caller: d.parts.control},
+		granter:  &control{caller: d.parts.control, refused: d.counters.otherTable},
 		service:  self.serviceNumber,
 		timing:   d.timing,
 		counters: d.counters,
--- a/internal/agentd/fakes_test.go
+++ b/internal/agentd/fakes_test.go
@@ -43,6 +43,8 @@
 	incarnations map[string]uint32
 	records      map[string]*grantpb.Record
 	commands     []*grantpb.Command
+	// table is the digest of the slot table, 0 if the control hosts tell none.
+	table uint64
 }
 
 func newFakeControl() *fakeControl {
@@ -89,6 +91,22 @@
 }
 
 func (f *fakeControl) grant(command *grantpb.Command) *grantpb.Result {
+	result := &grantpb.Result{Decision: grantpb.Decision_DECISION_TABLE}
+	if command.GetTable() == 0 || command.GetTable() == f.table {
+		result = f.decide(command)
+	}
+	result.Table = f.table
+	return result
+}
+
+// setTable changes the slot table.
+func (f *fakeControl) setTable(digest uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table = digest
+}
+
+func (f *fakeControl) decide(command *grantpb.Command) *grantpb.Result {
 	switch body := command.GetBody().(type) {
 	case *grantpb.Command_Acquire:
 		return f.acquire(body.Acquire)
--- a/internal/agentd/once_test.go
+++ b/internal/agentd/once_test.go
@@ -119,6 +119,22 @@
 	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=y"), "").body, "y")
 }
 
+// An agent that knows an old slot table is refused and asks again by the one
+// that it is told.
+func TestOldSlotTableIsLearnedAnew(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	client := w.caller()
+	for i, table := range []uint64{7, 7, 9, 9} {
+		w.control.setTable(table)
+		key := fmt.Sprint("k", i)
+		is.Equal(mustSend(t, client, "POST", w.url("/run"), "x", headerKey, key).body, "ran x")
+		is.Equal(backend.ran(key), 1)
+	}
+	// The Acquire of the third request was refused, and nothing else.
+	is.Equal(a.counter("grants_of_another_table", ""), int64(1))
+}
+
 func TestLostGrantIsGivenBack(t *testing.T) {
 	is := is.New(t)
 	w, _, backend := oneAgent(t)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -61,7 +61,7 @@
 	for _, args := range []string{
 		"", "control", "entry", "agent", "config", "config check", "config example", "config show",
 		"patch", "patch submit", "patch show", "status", "replica", "replica add", "replica promote",
-		"replica remove", "keys", "keys init", "keys issue", "keys secret", "keys secret add",
+		"replica remove", "grants", "grants retention", "keys", "keys init", "keys issue", "keys secret", "keys secret add",
 		"keys secret prefer", "keys secret remove", "keys authority", "keys authority add",
 		"keys authority prefer", "keys authority remove", "keys inspect", "backend", "load", "dev", "experiment",
 	} {
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -24,6 +24,8 @@
 	err     error
 	patch   *configpb.Patch
 	member  operator.MemberRef
+
+	retention operator.Retention
 }
 
 func (f *fakeControl) Submit(_ context.Context, p *configpb.Patch) (*configpb.Outcome, error) {
@@ -57,6 +59,11 @@
 	return f.err
 }
 
+func (f *fakeControl) SetRetention(_ context.Context, r operator.Retention) error {
+	f.retention = r
+	return f.err
+}
+
 // serve starts the fake and returns the flags that call it.
 func (f *fakeControl) serve(t *testing.T) []string {
 	t.Helper()
@@ -207,6 +214,18 @@
 	is.Equal(run(t, append([]string{"replica", "add", "192.0.2.4:7100"}, flags...)...).status, cli.ExitFailure)
 }
 
+func TestGrantsRetention(t *testing.T) {
+	is := is.New(t)
+	f := &fakeControl{}
+	flags := f.serve(t)
+	is.Equal(run(t, append([]string{"grants", "retention", "--answered", "30m"}, flags...)...).status, cli.ExitOK)
+	is.Equal(f.retention, operator.Retention{Answered: 30 * 60, Held: 7 * 24 * 60 * 60})
+	f.err = operator.ErrUnknown
+	is.Equal(run(t, append([]string{"grants", "retention"}, flags...)...).status, cli.ExitUnknown)
+	f.err = operator.ErrNotDone
+	is.Equal(run(t, append([]string{"grants", "retention", "--answered", "1m"}, flags...)...).status, cli.ExitFailure)
+}
+
 func TestControlHostOutOfReach(t *testing.T) {
 	is := is.New(t)
 	f := &fakeControl{}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -50,7 +50,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	root.AddCommand(
 		newControl(), newEntry(), newAgent(),
-		newConfig(), newPatch(), newStatus(), newReplica(), newKeys(),
+		newConfig(), newPatch(), newStatus(), newReplica(), newGrants(), newKeys(),
 		newBackend(), newLoad(), newDev(), newExperiment(), newMeasure(),
 	)
 	return root
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -82,6 +82,9 @@
 	for _, g := range s.Groups {
 		fmt.Fprintf(w, "  group %s: %s, leader %q, term %d, commit %d, applied %d\n",
 			g.Group, g.State, g.Leader, g.Term, g.Commit, g.Applied)
+		if g.Grants != nil {
+			writeGrants(w, g.Grants)
+		}
 		for _, m := range g.Members {
 			fmt.Fprintf(w, "    %s %s%s\n", m.Name, m.Address, learnerMark(m.Learner))
 		}
--- a/internal/controld/backend.go
+++ b/internal/controld/backend.go
@@ -126,21 +126,6 @@
 	return out
 }
 
-func (b *backend) grantStatus(index int) *operator.GrantStatus {
-	v := b.grants.at(index).view()
-	out := &operator.GrantStatus{
-		Held:               v.held,
-		Answered:           v.answered,
-		Full:               max(v.records, v.bytes),
-		AnsweredForSeconds: int(v.retention.Answered.Seconds()),
-		HeldForSeconds:     int(v.retention.Held.Seconds()),
-	}
-	if table := b.grants.table(); table != nil {
-		out.Slots = table.Owned(index)
-	}
-	return out
-}
-
 func stateOf(s replica.Status) string {
 	switch {
 	case !s.Formed:
--- a/internal/controld/spread.go
+++ b/internal/controld/spread.go
@@ -6,67 +6,14 @@
 	"slices"
 	"time"
 
-	"github.com/go-faster/errors"
-	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
-	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
 	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
-	"eelgrasswharf.example/eelgrasswharf/grant"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
 	"eelgrasswharf.example/eelgrasswharf/internal/replica"
 )
 
-// agreeLoop has the groups of grants agree on the slot table, and ends the
-// daemon if the agreed one has another number of groups than are open here.
-func (d *Daemon) agreeLoop() {
-	d.every(agreePeriod, func() {
-		table := d.grants.table()
-		if table == nil {
-			d.agree(0, grant.NewSlotTable(d.grants.count()))
-			return
-		}
-		if table.Groups() != d.grants.count() {
-			d.reportMisfit(table.Groups())
-			return
-		}
-		for index := 1; index < d.grants.count(); index++ {
-			d.agree(index, table)
-		}
-	})
-}
-
-// agree proposes a table to a group that has none, if this host leads it. The
-// first group decides: the others get what it agreed on.
-func (d *Daemon) agree(index int, table *grant.SlotTable) {
-	group := grantGroup(index)
-	if d.grants.at(index).view().table != nil || !d.leads(group) {
-		return
-	}
-	command, err := proto.Marshal(&grantpb.Command{Body: &grantpb.Command_Configure{
-		Configure: &grantpb.Configure{Table: table.Message()},
-	}})
-	if err != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(d.ctx, proposeTimeout)
-	defer cancel()
-	if _, err := d.replicas[group].ProposeLocal(ctx, command); err != nil {
-		d.scope.Counter("failed_agreements").Inc(1)
-		return
-	}
-	d.log.Info("slot table proposed", zap.String("group", groupName(group)), zap.Int("groups", table.Groups()))
-}
-
-func (d *Daemon) reportMisfit(agreed int) {
-	select {
-	case d.misfit <- errors.Wrapf(ErrGrantGroups, "the deployment agreed on %d, this host has %d open: start it again",
-		agreed, d.grants.count()):
-	default:
-	}
-}
-
 // preferred returns the voter that should lead a group of grants: each group
 // the next one, in the order of their names. Nil if there is none.
 func preferred(members []replica.MemberStatus, index int) *raftpb.ReplicaID {
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -62,6 +62,10 @@
 	// Remove takes a member out of all groups. Errors: ErrNotDone,
 	// ErrUnknown.
 	Remove(ctx context.Context, m MemberRef) error
+	// SetRetention has each group of grants agree on how long keys are kept.
+	// Doing it again is safe. Errors: ErrNotDone for one that breaks a bound,
+	// ErrNotEverywhere, ErrUnknown.
+	SetRetention(ctx context.Context, r Retention) error
 }
 
 // MemberRef names a member. Incarnation tells lives of one host apart and may
@@ -105,6 +109,14 @@
 	Grants *GrantStatus `json:"grants,omitempty"`
 }
 
+// Retention is how long keys are kept, in seconds.
+type Retention struct {
+	// Answered counts from the answer.
+	Answered int `json:"answered_for_seconds"`
+	// Held counts from the grant, for a key without an answer.
+	Held int `json:"held_for_seconds"`
+}
+
 // GrantStatus is what a host knows of a group of grants.
 type GrantStatus struct {
 	// Slots is how many of the hash slots belong to the group: 0 for all
@@ -114,10 +126,8 @@
 	Held     int `json:"held"`
 	Answered int `json:"answered"`
 	// Full is how much of the table is taken, in percent.
-	Full int `json:"full_percent"`
-	// How long an answer, and a key without one, are kept, in seconds.
-	AnsweredForSeconds int `json:"answered_for_seconds"`
-	HeldForSeconds     int `json:"held_for_seconds"`
+	Full      int       `json:"full_percent"`
+	Retention Retention `json:"retention"`
 }
 
 // MemberStatus is one member of a group.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -157,7 +157,14 @@
 	return s, err
 }
 
-// change makes a change of members in all groups. Each host makes it where
+// SetRetention has all groups of grants keep their keys that long. Errors:
+// ErrNotDone, ErrUnknown.
+func (c *Client) SetRetention(ctx context.Context, r Retention) (*Status, error) {
+	s, _, err := c.change(ctx, "/v1/grants/retention", &r)
+	return s, err
+}
+
+// change makes a change in all groups. Each host makes it where
 // it leads, so all are asked, and a few times: a host may not have heard yet
 // what another one has done. It is not passed on once its outcome is unknown.
 // It also reports whether some host knew the member.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -57,6 +58,11 @@
 	return f.change()
 }
 
+func (f *fake) SetRetention(_ context.Context, r operator.Retention) error {
+	f.asked = append(f.asked, fmt.Sprint("retention ", r.Answered, " ", r.Held))
+	return f.change()
+}
+
 func (f *fake) change() error {
 	if len(f.answers) == 0 {
 		return f.members
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -83,6 +83,7 @@
 	mux.HandleFunc("POST /v1/members", s.addLearner)
 	mux.HandleFunc("POST /v1/members/promote", s.promote)
 	mux.HandleFunc("POST /v1/members/remove", s.remove)
+	mux.HandleFunc("POST /v1/grants/retention", s.setRetention)
 	return mux
 }
 
@@ -170,6 +171,14 @@
 	s.change(w, r, func(ctx context.Context) error { return s.backend.Remove(ctx, m) })
 }
 
+func (s *Server) setRetention(w http.ResponseWriter, r *http.Request) {
+	var keep Retention
+	if !s.readJSON(w, r, &keep) {
+		return
+	}
+	s.change(w, r, func(ctx context.Context) error { return s.backend.SetRetention(ctx, keep) })
+}
+
 func (s *Server) change(w http.ResponseWriter, r *http.Request, f func(context.Context) error) {
 	ctx, cancel := context.WithTimeout(r.Context(), MemberTimeout)
 	defer cancel()
--- a/internal/processtest/control.go
+++ b/internal/processtest/control.go
@@ -30,6 +30,13 @@
 // ready.
 func (c *Cluster) StartControls(count int) []*Control {
 	c.t.Helper()
+	return c.StartControlsWith(count, 0)
+}
+
+// StartControlsWith is StartControls with so many groups of grants.
+func (c *Cluster) StartControlsWith(count, grantGroups int) []*Control {
+	c.t.Helper()
+	c.grantGroups = uint32(grantGroups)
 	for i := range count {
 		c.controls = append(c.controls, c.newControl(i+1))
 	}
@@ -91,6 +98,7 @@
 			DataFolder:     c.path("data-%s", name),
 			Listen:         host.Link.String(),
 			OperatorListen: host.Operator.String(),
+			GrantGroups:    c.grantGroups,
 		},
 	}
 	return host
--- a/internal/processtest/members.go
+++ b/internal/processtest/members.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 )
 
 // configGroup is the name of the replicated log of the configuration.
@@ -56,17 +57,39 @@
 	h.cluster.must(os.RemoveAll(h.settings.Replica.DataFolder))
 }
 
-// Replace takes the host's former replicas out of both groups and gives its
+// Replace takes the host's former replicas out of all groups and gives its
 // new ones a vote, by the command line. The host's process runs on an empty
 // data folder.
 func (h *Control) Replace() {
+	h.cluster.t.Helper()
+	h.Remove()
+	h.Join()
+}
+
+// Remove takes the host's replicas out of all groups.
+func (h *Control) Remove() {
+	h.cluster.t.Helper()
+	h.cluster.member("remove", h.name)
+}
+
+// Join gives the host's replicas a vote in all groups.
+func (h *Control) Join() {
 	c := h.cluster
 	c.t.Helper()
-	c.member("remove", h.name)
 	c.member("add", h.peerAddress().String())
 	c.member("promote", h.name)
 }
 
+// JoinUntil asks for the host to be added until it logs the message.
+func (h *Control) JoinUntil(message string) {
+	c := h.cluster
+	c.t.Helper()
+	Eventually(c.t, h.name+" says "+message, func() bool {
+		c.run(append([]string{"replica", "add", h.peerAddress().String()}, c.operatorFlags(nil)...))
+		return strings.Contains(h.Output(), message)
+	})
+}
+
 // member changes the members until the change is made; a change that could not
 // be made yet is safe to repeat.
 func (c *Cluster) member(change, argument string) {
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -9,6 +10,8 @@
 
 	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"eelgrasswharf.example/eelgrasswharf/grant"
 )
 
 // pathKind tells whether a value names something in the file system.
@@ -64,6 +67,7 @@
 	"Replica.tick_ms":          {fallback: "50", positive: true},
 	"Replica.snapshot_entries": {fallback: "10000", positive: true},
 	"Replica.max_links":        {fallback: "2000", positive: true},
+	"Replica.grant_groups":     {fallback: "1", positive: true, check: checkGrantGroups},
 
 	"Forwarding.public_ip":      {check: checkIP},
 	"Forwarding.frame_listen":   {required: true, example: "192.0.2.20:7200", check: checkAddress},
@@ -220,6 +224,13 @@
 	return ""
 }
 
+func checkGrantGroups(value string) string {
+	if n, err := strconv.Atoi(value); err != nil || n > grant.MaxGroups {
+		return fmt.Sprintf("is more than %d", grant.MaxGroups)
+	}
+	return ""
+}
+
 func checkVoter(value string) string {
 	name, addr, ok := strings.Cut(value, "=")
 	if !ok || name == "" {
--- a/test/deployment_test.go
+++ b/test/deployment_test.go
@@ -31,10 +31,16 @@
 
 // deployWith is deploy with options for all targets.
 func deployWith(t *testing.T, controls int, options processtest.TargetOptions) *deployment {
+	t.Helper()
+	return deployAs(t, options, func(c *processtest.Cluster) []*processtest.Control { return c.StartControls(controls) })
+}
+
+// deployAs is deployWith on control hosts that start starts.
+func deployAs(t *testing.T, options processtest.TargetOptions, start func(*processtest.Cluster) []*processtest.Control) *deployment {
 	t.Helper()
 	t.Parallel() // each deployment has its own addresses
 	d := &deployment{Cluster: processtest.New(t)}
-	d.controls = d.StartControls(controls)
+	d.controls = start(d.Cluster)
 	d.lodgement = d.NewService("lodgement")
 	d.certificates = d.NewService("certificates")
 	d.Patch(d.lodgement.Put(), d.certificates.Put())
