--- a/grant/table.go
+++ b/grant/table.go
@@ -50,7 +50,8 @@
 // Snapshot returns the encoded state, a grantpb.State.
 func (m *Machine) Snapshot() ([]byte, error) {
 	options := proto.MarshalOptions{Deterministic: true}
-	data, err := options.Marshal(&grantpb.State{NowMs: m.now})
+	data := make([]byte, 0, m.encodedSize())
+	data, err := options.MarshalAppend(data, &grantpb.State{NowMs: m.now})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode grant state")
 	}
@@ -77,6 +78,14 @@
 	return data, nil
 }
 
+// encodedSize estimates the size of a snapshot, in bytes, a little too high for
+// records of usual lengths: an array that has to grow is copied as a whole.
+func (m *Machine) encodedSize() int {
+	const frame, rest = 40, 1 << 10
+	fields := m.bytes - len(m.records)*recordOverhead
+	return fields + len(m.records)*frame + rest
+}
+
 // Restore replaces the state by a snapshot. On ErrState the machine is
 // unchanged.
 func (m *Machine) Restore(data []byte) error {
--- a/internal/capacity/deployment.go
+++ b/internal/capacity/deployment.go
@@ -50,10 +50,18 @@
 
 // deploy starts control hosts and waits until one leads.
 func (l *lab) deploy(ctx context.Context, hosts int) (*deployment, error) {
+	return l.deployGroups(ctx, hosts, 1)
+}
+
+// deployGroups is deploy with so many groups of grants.
+func (l *lab) deployGroups(ctx context.Context, hosts, groups int) (*deployment, error) {
 	d, err := l.prepare(hosts)
 	if err != nil {
 		return nil, err
 	}
+	for _, c := range d.controls {
+		c.settings.Replica.GrantGroups = uint32(groups)
+	}
 	for _, c := range d.controls {
 		if err := d.start(ctx, c); err != nil {
 			return nil, err
--- a/internal/capacity/grants.go
+++ b/internal/capacity/grants.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io/fs"
+	"math"
 	"path/filepath"
 	"time"
 
@@ -16,8 +17,10 @@
 )
 
 const (
-	grantLinks   = 4
+	grantLinks   = 6
 	grantWorkers = 128
+	// probeKeys are beyond the keys that are measured.
+	probeKeys = 10_000_000
 )
 
 // errNotGranted tells that a right was not given or not recorded.
@@ -30,23 +33,36 @@
 	if err != nil {
 		return err
 	}
-	if err := d.put(ctx, service(0, 1)); err != nil {
+	links, err := d.grantLinks(ctx)
+	if err != nil {
 		return err
 	}
+	return d.measureGrantSeries(ctx, links, r)
+}
+
+// grantLinks makes a service and returns links of agents of it, each to another
+// control host in turn, once the first grant was had.
+func (d *deployment) grantLinks(ctx context.Context) ([]*link.Client, error) {
+	if err := d.put(ctx, service(0, 1)); err != nil {
+		return nil, err
+	}
 	creds, err := d.credentials(keys.RoleAgent, "agent", serviceName(0))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	var links []*link.Client
-	for range grantLinks {
-		c := link.NewClient(d.links(), creds, link.ClientOptions{})
-		l.onClose(c.Close)
+	for i := range grantLinks {
+		c := link.NewClient([]string{d.links()[i%len(d.controls)]}, creds, link.ClientOptions{})
+		d.lab.onClose(c.Close)
 		links = append(links, c)
 	}
-	if err := await(ctx, "a first grant", func() bool { return grantOnce(ctx, links[0], keyOf(0)) == nil }); err != nil {
-		return err
+	for i, c := range links {
+		key := keyOf(probeKeys + i)
+		if err := await(ctx, "a first grant", func() bool { return grantOnce(ctx, c, key) == nil }); err != nil {
+			return nil, err
+		}
 	}
-	return d.measureGrantSeries(ctx, links, r)
+	return links, nil
 }
 
 func (d *deployment) measureGrantSeries(ctx context.Context, links []*link.Client, r *Report) error {
@@ -64,15 +80,11 @@
 		if err != nil {
 			return err
 		}
-		began := time.Now()
-		p := pool.New().WithErrors().WithMaxGoroutines(grantWorkers)
-		for i := range n {
-			p.Go(func() error { return grantOnce(ctx, links[i%grantLinks], keyOf(made+i)) })
-		}
-		if err := p.Wait(); err != nil {
+		took, err := grantMany(ctx, links, made, n)
+		if err != nil {
 			return err
 		}
-		wall.add(float64(n), micros(time.Since(began)))
+		wall.add(float64(n), micros(took))
 		after, err := d.meanUsage()
 		if err != nil {
 			return err
@@ -89,6 +101,98 @@
 	return r.addSlopes(wall, cpu, memory, disk)
 }
 
+// grantMany makes grants of so many keys from the first one on, many at a time.
+func grantMany(ctx context.Context, links []*link.Client, first, count int) (time.Duration, error) {
+	began := time.Now()
+	p := pool.New().WithErrors().WithMaxGoroutines(grantWorkers)
+	for i := range count {
+		p.Go(func() error { return grantOnce(ctx, links[i%len(links)], keyOf(first+i)) })
+	}
+	err := p.Wait()
+	return time.Since(began), err
+}
+
+// measureGrantGroups measures grants with more and more groups on three control
+// hosts.
+func measureGrantGroups(ctx context.Context, l *lab, r *Report) error {
+	rate := &series{name: "groups.rate", unit: PerSecond, per: "group"}
+	cpu := &series{name: "groups.cpu", unit: Microseconds, per: "group, a grant and host"}
+	rest := &series{name: "groups.rest.memory", unit: Bytes, per: "group"}
+	idle := &series{name: "groups.rest.cpu", unit: MicroCore, per: "group"}
+	for _, groups := range []int{1, 2, 4, 8} {
+		err := inLab(l.binary, l.log, func(l *lab) error {
+			d, err := l.deployGroups(ctx, 3, groups)
+			if err != nil {
+				return err
+			}
+			return d.measureGroups(ctx, float64(groups), rate, cpu, rest, idle)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return r.addSlopes(rate, cpu, rest, idle)
+}
+
+// measureGroups adds the points of one number of groups.
+func (d *deployment) measureGroups(ctx context.Context, groups float64, rate, cpu, rest, idle *series) error {
+	const grants, atRest = 8000, 3 * time.Second
+	links, err := d.grantLinks(ctx)
+	if err != nil {
+		return err
+	}
+	if err := await(ctx, "leaders spread", func() bool { return d.spread(ctx) }); err != nil {
+		return err
+	}
+	before, err := d.meanUsage()
+	if err != nil {
+		return err
+	}
+	if err := sleep(ctx, atRest); err != nil {
+		return err
+	}
+	rested, err := d.meanUsage()
+	if err != nil {
+		return err
+	}
+	rest.add(groups, rested.private)
+	idle.add(groups, load(before, rested, atRest))
+	took, err := grantMany(ctx, links, 1, grants)
+	if err != nil {
+		return err
+	}
+	after, err := d.meanUsage()
+	if err != nil {
+		return err
+	}
+	rate.add(groups, grants/took.Seconds())
+	cpu.add(groups, micros(after.cpu-rested.cpu)/grants)
+	return nil
+}
+
+// spread reports whether each control host leads its share of the groups of
+// grants, which all have a leader.
+func (d *deployment) spread(ctx context.Context) bool {
+	led, groups, least := 0, 0, math.MaxInt
+	for _, host := range d.client.Status(ctx) {
+		if host.Err != nil {
+			return false
+		}
+		mine, all := 0, 0
+		for _, g := range host.Status.Groups {
+			if g.Grants == nil {
+				continue
+			}
+			all++
+			if g.State == stateLeads {
+				mine++
+			}
+		}
+		led, groups, least = led+mine, max(groups, all), min(least, mine)
+	}
+	return led == groups && least >= groups/len(d.controls)
+}
+
 // grantOnce acquires the right to run a key and records an answer.
 func grantOnce(ctx context.Context, c *link.Client, key string) error {
 	for _, command := range []*grantpb.Command{acquire(1, key), complete(1, key)} {
--- a/internal/capacity/lab.go
+++ b/internal/capacity/lab.go
@@ -36,6 +36,7 @@
 	{"subscribers", measureSubscribers},
 	{"directory", measureDirectory},
 	{"grants", measureGrants},
+	{"groups", measureGrantGroups},
 	{"force", measureForce},
 	{"restart", measureRestart},
 }
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -18,6 +18,7 @@
 	// MicroCore is a millionth of one core, kept busy.
 	MicroCore    Unit = "ucore"
 	Milliseconds Unit = "ms"
+	PerSecond    Unit = "1/s"
 )
 
 // Slope is one measured slope and what it comes to at the size of the letter.
