--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -35,6 +35,8 @@
 	address map[string]string
 	// listen is where a host listens, if not at its address.
 	listen map[string]string
+	// grantGroups is a setting of all hosts.
+	grantGroups uint32
 }
 
 type host struct {
@@ -98,6 +100,7 @@
 		Replica: &settingspb.Replica{
 			DataFolder: data, Listen: d.listenAddress(name), OperatorListen: "127.0.0.1:0",
 			InitialVoters: d.voters, Join: join, TickMs: 20,
+			GrantGroups: d.grantGroups,
 		},
 	}
 }
