--- a/internal/agentd/control.go
+++ b/internal/agentd/control.go
@@ -9,6 +9,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+	"eelgrasswharf.example/eelgrasswharf/grant"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
 )
 
@@ -26,6 +27,31 @@
 	// before the first answer. A deployment keeps its table for good: one that
 	// names another was founded anew.
 	table atomic.Uint64
+	// slots is that table, nil if this release does not know it.
+	slots atomic.Pointer[grant.SlotTable]
+}
+
+// learn takes over the slot table that a result names.
+func (c *control) learn(result *grantpb.Result) {
+	digest := result.GetTable()
+	if digest == 0 || c.table.Swap(digest) == digest {
+		return
+	}
+	slots := grant.NewSlotTable(int(result.GetGroups()))
+	if slots.Digest() != digest {
+		slots = nil
+	}
+	c.slots.Store(slots)
+}
+
+// group returns which group of how many decides on a key, as far as is known.
+// It serves to tell which group does not answer, never to choose one.
+func (c *control) group(service uint32, key string) (group, groups int) {
+	slots := c.slots.Load()
+	if slots == nil {
+		return 0, 1
+	}
+	return slots.Group(service, key), slots.Groups()
 }
 
 // grant has a command applied by the group of grants that its key belongs to.
@@ -41,9 +67,7 @@
 	if result == nil {
 		return nil, errors.Wrap(ErrUnknown, "no grant result in the answer")
 	}
-	if table := result.GetTable(); table != 0 {
-		c.table.Store(table)
-	}
+	c.learn(result)
 	if result.GetDecision() == grantpb.Decision_DECISION_TABLE {
 		c.refused.Inc(1)
 		return nil, errors.Wrap(ErrNotDone, "refused because of the slot table")
--- a/internal/agentd/timing.go
+++ b/internal/agentd/timing.go
@@ -10,6 +10,13 @@
 	// handOn is the shortest time that a leaving agent stays to hand first
 	// packets on, while entry hosts learn that it leaves.
 	handOn time.Duration
+	// successorWait is how long the callers of a stopping agent stay while no
+	// other process of its target is known. It is shorter than a backend server
+	// that leaves at the same time serves on.
+	successorWait time.Duration
+	// moveSpan is the time over which the callers of a stopping agent are told
+	// to go elsewhere.
+	moveSpan time.Duration
 	// idleClose is the time after which a connection with no request is
 	// closed once its caller was told to go elsewhere.
 	idleClose time.Duration
@@ -25,6 +32,9 @@
 	grantWait time.Duration
 	// grantTry bounds one call for a grant.
 	grantTry time.Duration
+	// grantProbe is the least time between two calls that find out whether the
+	// control hosts answer again.
+	grantProbe time.Duration
 	// farewell bounds the wait for a control host to hear of the leaving.
 	farewell time.Duration
 	// listenRetry is the wait between two tries to open the announcement
@@ -40,12 +50,15 @@
 	return timing{
 		acceptGrace:   2 * time.Second,
 		handOn:        5 * time.Second,
+		successorWait: 2 * time.Second,
+		moveSpan:      2 * time.Second,
 		idleClose:     10 * time.Second,
 		announceLease: 10 * time.Second,
 		completeWait:  time.Second,
 		finishLimit:   time.Minute,
 		grantWait:     2 * time.Second,
 		grantTry:      500 * time.Millisecond,
+		grantProbe:    500 * time.Millisecond,
 		farewell:      5 * time.Second,
 		listenRetry:   100 * time.Millisecond,
 		checkEvery:    200 * time.Millisecond,
@@ -55,12 +68,13 @@
 }
 
 const (
-	// flowCapacity is the number of flows that a target is made for.
-	flowCapacity = 2000
+	// meanFlows is the mean number of flows of a target at the size expected.
+	meanFlows = 3333
 	// maxFlows bounds the table of return paths.
-	maxFlows = 16 * flowCapacity
-	// maxWatches bounds the open watch sessions.
-	maxWatches = 2 * flowCapacity
+	maxFlows = 16 * meanFlows
+	// maxWatches bounds the open watch sessions, at four times the mean: as far
+	// as entry hosts tell loads apart.
+	maxWatches = 4 * meanFlows
 	// maxStreams bounds the requests that one connection has open.
 	maxStreams = 256
 	// maxBodyBytes bounds the request bodies held at the same time.
--- a/internal/controld/agree.go
+++ b/internal/controld/agree.go
@@ -80,8 +80,8 @@
 	return nil
 }
 
-// SetRetention implements operator.Backend.
-func (b *backend) SetRetention(ctx context.Context, r operator.Retention) error {
+// SetRetention implements operator.Handler.
+func (h *operatorHandler) SetRetention(ctx context.Context, r operator.Retention) error {
 	keep := grant.Retention{
 		Answered: time.Duration(r.Answered) * time.Second,
 		Held:     time.Duration(r.Held) * time.Second,
@@ -91,15 +91,15 @@
 			grant.MinAnsweredRetention, grant.AnsweredRetention, grant.MinHeldRetention, grant.HeldRetention)
 	}
 	var first error
-	for index := range b.grants.count() {
-		err := (*Daemon)(b).configure(ctx, grantGroup(index), &grantpb.Configure{Retention: keep.Message()})
+	for index := range h.grants.count() {
+		err := (*Daemon)(h).configure(ctx, grantGroup(index), &grantpb.Configure{Retention: keep.Message()})
 		first = firstError(first, err)
 	}
 	return notEverywhere(first)
 }
 
-func (b *backend) grantStatus(index int) *operator.GrantStatus {
-	v := b.grants.at(index).view()
+func (h *operatorHandler) grantStatus(index int) *operator.GrantStatus {
+	v := h.grants.at(index).view()
 	out := &operator.GrantStatus{
 		Held:     v.held,
 		Answered: v.answered,
@@ -109,7 +109,7 @@
 			Held:     int(v.retention.Held.Seconds()),
 		},
 	}
-	if table := b.grants.table(); table != nil {
+	if table := h.grants.table(); table != nil {
 		out.Slots = table.Owned(index)
 	}
 	return out
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -147,7 +147,7 @@
 func (h *handler) join(ctx context.Context, peer link.Peer, j *controlpb.Join) *controlpb.Response {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	err := (*backend)(h).addLearner(ctx, j.GetAddress(), peer.Name)
+	err := (*operatorHandler)(h).addLearner(ctx, j.GetAddress(), peer.Name)
 	if errors.Is(err, operator.ErrUnknown) {
 		return h.fault(refusedUnknown, controlpb.FaultKind_FAULT_UNKNOWN, err.Error())
 	}
@@ -238,7 +238,7 @@
 	if result.GetDecision() == grantpb.Decision_DECISION_TABLE {
 		h.count(refusedTable)
 	}
-	result.Table = table.Digest()
+	result.Table, result.Groups = table.Digest(), uint32(table.Groups())
 	return &controlpb.Response{Body: &controlpb.Response_Grant{Grant: result}}
 }
 
