--- a/raft/transfer_test.go
+++ b/raft/transfer_test.go
@@ -68,6 +68,26 @@
 	is.True(errors.Is(alone.TransferLeadership(), ErrNoSuccessor))
 }
 
+// A transfer to a named voter waits for that one, though another is further
+// along, and needs one that is heard.
+func TestTransferToANamedVoter(t *testing.T) {
+	is := is.New(t)
+	n := newNode(is, options(abc()))
+	to := replica("c")
+	is.True(errors.Is(n.TransferLeadershipTo(to), ErrNotLeader))
+	elect(is, n, "b")
+	ack(is, n, 1, "b")
+	drain(n)
+	is.True(errors.Is(n.TransferLeadershipTo(n.opts.Self), ErrNoSuccessor))
+	is.True(errors.Is(n.TransferLeadershipTo(replica("stranger")), ErrNoSuccessor))
+	heard(is, n, "c")
+	is.NoErr(n.TransferLeadershipTo(to))
+	b := drain(n)
+	is.Equal(sent(b, kindTakeOver, "b"), nil)
+	is.Equal(sent(b, kindTakeOver, "c"), nil) // lacks an entry
+	is.True(sent(ack(is, n, 1, "c"), kindTakeOver, "c") != nil)
+}
+
 func TestTakeOver(t *testing.T) {
 	for name, tt := range map[string]struct {
 		membership *raftpb.Membership
