--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc/panics"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
 	"eelgrasswharf.example/eelgrasswharf/internal/wal"
@@ -127,7 +128,11 @@
 	if err := r.persist(b); err != nil {
 		return errors.Wrap(err, "persist")
 	}
-	r.send(b.Messages)
+	messages, err := r.withSnapshots(b.Messages)
+	if err != nil {
+		return errors.Wrap(err, "snapshot to send")
+	}
+	r.send(messages)
 	if err := r.restore(b.Restore); err != nil {
 		return err
 	}
@@ -253,10 +258,38 @@
 	if err != nil {
 		return errors.Wrap(err, "snapshot")
 	}
+	// The core holds the snapshot for replicas that lag, which is rare; its data
+	// can be as large as the state.
+	s.Data = nil
+	r.storedIndex = s.GetIndex()
 	r.metrics.snapshots.Inc(1)
 	return nil
 }
 
+// withSnapshots gives the data back to the snapshots among messages. A message
+// with a snapshot that was replaced since is left out: the core sends anew.
+func (r *Replica) withSnapshots(msgs []*raftpb.Message) ([]*raftpb.Message, error) {
+	out := msgs[:0:0]
+	for _, m := range msgs {
+		s := m.GetSnapshot()
+		if s == nil || r.storedIndex == 0 || s.GetIndex() > r.storedIndex {
+			out = append(out, m)
+			continue
+		}
+		if s.GetIndex() < r.storedIndex {
+			continue
+		}
+		whole, err := r.wal.Snapshot(s.GetIndex())
+		if err != nil {
+			return nil, err
+		}
+		m = proto.CloneOf(m)
+		m.Snapshot = whole
+		out = append(out, m)
+	}
+	return out, nil
+}
+
 func (r *Replica) noteSnapshotFailure(err error) {
 	r.metrics.snapshotsFailed.Inc(1)
 	r.log.Warn("snapshot not taken", zap.Uint64("applied", r.applied), zap.Error(err))
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -44,6 +44,9 @@
 	// the commands applied since.
 	snapshotIndex uint64
 	appliedBytes  int
+	// storedIndex is the index of the snapshot whose data is on the disk alone,
+	// 0 if the core's snapshot has its data.
+	storedIndex uint64
 	// hardState is the last one that was saved or waits to be.
 	hardState *raftpb.HardState
 	// commitUnsaved says that hardState differs from the saved one, in the
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -141,6 +141,13 @@
 	return l.removeOld()
 }
 
+// Snapshot reads the snapshot that was made durable at an index and not
+// replaced since. Errors: ErrDamaged, with the file.
+func (l *Log) Snapshot(index uint64) (*raftpb.Snapshot, error) {
+	s := new(raftpb.Snapshot)
+	return s, l.readMessage(numberedName(index, snapshotSuffix), s)
+}
+
 // Close ends the log with an empty record and gives the folder free.
 func (l *Log) Close() error {
 	if l.closed {
