--- a/internal/agentd/grantline.go
+++ b/internal/agentd/grantline.go
@@ -6,10 +6,22 @@
 
 	"go.uber.org/zap"
 
+	"eelgrasswharf.example/eelgrasswharf/grant"
 	"eelgrasswharf.example/eelgrasswharf/retry"
 )
 
-// grantLine tells whether the control hosts answer calls for grants, so that a
+// grantLines has the line to each group of grants that a deployment can have.
+type grantLines [grant.MaxGroups]*grantLine
+
+func newGrantLines(c clock, t timing, log *zap.Logger) grantLines {
+	var lines grantLines
+	for group := range lines {
+		lines[group] = newGrantLine(c, t, log.With(zap.Int("group", group+1)))
+	}
+	return lines
+}
+
+// grantLine tells whether a group of grants answers calls, so that a
 // request that may not be repeated is told at once when they do not.
 type grantLine struct {
 	clock clock
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -19,7 +19,7 @@
 	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "Show what each control host sees",
-		Long: `Asks every control host for its own view: the state of both replicated logs,
+		Long: `Asks every control host for its own view: the state of each replicated log,
 the version it knows, the directory of targets, and the subscribers on which
 that version is not yet in force. It does not wait for a quorum.
 
@@ -82,6 +82,9 @@
 	for _, g := range s.Groups {
 		fmt.Fprintf(w, "  group %s: %s, leader %q, term %d, commit %d, applied %d\n",
 			g.Group, g.State, g.Leader, g.Term, g.Commit, g.Applied)
+		if g.Grants != nil {
+			writeGrants(w, g.Grants)
+		}
 		for _, m := range g.Members {
 			fmt.Fprintf(w, "    %s %s%s\n", m.Name, m.Address, learnerMark(m.Learner))
 		}
