--- a/internal/agentd/housekeeping.go
+++ b/internal/agentd/housekeeping.go
@@ -15,7 +15,7 @@
 func (d *Daemon) check(one *plane) {
 	backend := d.backend.figures(d.clock.now())
 	verdict, reported := d.health.verdict()
-	d.proxy.once.line.check(d.parts.linked())
+	d.proxy.once.checkLines(d.parts.linked())
 	stopping := d.stopping.Load()
 	leaving := stopping || backend.draining || backend.lapsed
 	goAway := d.goAway(one, stopping, backend.draining)
--- a/internal/controld/peers.go
+++ b/internal/controld/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +30,8 @@
 	self func(controlpb.Group) string
 	// directory is what is passed on.
 	directory *directory
+	// groups lists the replicated logs. It is set before open.
+	groups []controlpb.Group
 	// open is set once all replicas of this host are open. Messages that one
 	// of them sends earlier are dropped.
 	open atomic.Bool
@@ -75,6 +79,13 @@
 	return p.named[m.GetId().GetName()]
 }
 
+// addressNamed returns the link address of a control host, empty if unknown.
+func (p *peers) addressNamed(name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.named[name]
+}
+
 // get returns the link to a control host, made at first use, or nil after
 // close.
 func (p *peers) get(addr string) *peer {
@@ -113,6 +124,32 @@
 	return out
 }
 
+// countTraffic adds what the links to other control hosts have carried since
+// the last call. One goroutine calls it.
+func (p *peers) countTraffic(sent, received tally.Counter) {
+	p.mu.Lock()
+	all := slices.Collect(maps.Values(p.byAddr))
+	p.mu.Unlock()
+	for _, far := range all {
+		for i, c := range []*link.Client{far.client, far.calls} {
+			s, r := c.Transferred()
+			sent.Inc(grown(&far.counted[i].BytesSent, s))
+			received.Inc(grown(&far.counted[i].BytesReceived, r))
+		}
+	}
+}
+
+// grown returns by how much a count of a connection has grown. One that is
+// smaller than before is that of another connection.
+func grown(last *uint64, now uint64) int64 {
+	if now < *last {
+		*last = 0
+	}
+	by := int64(now - *last)
+	*last = now
+	return by
+}
+
 func (p *peers) close() {
 	p.mu.Lock()
 	p.closed = true
@@ -165,11 +202,12 @@
 }
 
 // lanes lists the queues to each peer.
-var lanes = []lane{
-	{controlpb.Group_GROUP_CONFIG, false},
-	{controlpb.Group_GROUP_CONFIG, true},
-	{controlpb.Group_GROUP_GRANT, false},
-	{controlpb.Group_GROUP_GRANT, true},
+func lanes(groups []controlpb.Group) []lane {
+	var all []lane
+	for _, group := range groups {
+		all = append(all, lane{group, false}, lane{group, true})
+	}
+	return all
 }
 
 // peer is the link to one control host. A loop for each lane and one for the
@@ -183,14 +221,16 @@
 	calls *link.Client
 	// usedAt is guarded by the mutex of peers.
 	usedAt time.Time
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     conc.WaitGroup
-	scope  tally.Scope
-	self   func(controlpb.Group) string
-	dir    *directory
-	wake   map[lane]chan struct{}
-	sync   chan struct{}
+	// counted is what countTraffic has read of client and calls.
+	counted [2]link.Traffic
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      conc.WaitGroup
+	scope   tally.Scope
+	self    func(controlpb.Group) string
+	dir     *directory
+	wake    map[lane]chan struct{}
+	sync    chan struct{}
 
 	mu sync.Mutex
 	// messages wait for the far end, bounded for each lane.
@@ -223,10 +263,11 @@
 		messages: map[lane][]*raftpb.Message{},
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	for _, l := range lanes {
+	all := lanes(owner.groups)
+	for _, l := range all {
 		p.wake[l] = make(chan struct{}, 1)
 	}
-	for _, l := range lanes {
+	for _, l := range all {
 		p.wg.Go(func() { p.loop(p.wake[l], func() { p.sendMessages(l) }) })
 	}
 	p.wg.Go(func() { p.loop(p.sync, p.sendDirectory) })
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -68,10 +68,13 @@
 		info:     newSubscriber(peer, req),
 		reports:  make(chan struct{}, 1),
 		sent:     req.GetVersion(),
-		follower: membership.NewFollower(positionOf(req), membership.NewScope(req.GetServices())),
+		follower: membership.NewFollower(positionOf(req), membership.NewScope(req.GetServices(), req.GetFailureDomains()...)),
 	}
 	if req.GetScopedConfig() {
-		sub.scope = membership.NewScope(req.GetServices())
+		sub.scope = map[uint32]bool{}
+		for _, number := range req.GetServices() {
+			sub.scope[number] = true
+		}
 	}
 	d.subscribers.add(sub.info)
 	defer d.subscribers.remove(sub.info)
@@ -131,6 +134,10 @@
 		timer.Reset(s.due())
 		select {
 		case <-ctx.Done():
+		case address := <-s.info.moveTo:
+			if err := s.send(&controlpb.SubscribeUpdate{Move: &controlpb.Move{Address: address}}); err != nil {
+				return err
+			}
 		case <-configs:
 		case <-s.reports:
 		case <-targets:
--- a/internal/entryd/change_test.go
+++ b/internal/entryd/change_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+	"google.golang.org/protobuf/proto"
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/connid"
@@ -245,6 +247,8 @@
 	r.apply(view(1, all, list...))
 	is.Equal(gauge("candidates"), 4.0)
 	is.Equal(gauge("targets_damped"), 0.0)
+	list = slices.Clone(list) // lists and records that views hold are never written to
+	list[1] = proto.CloneOf(list[1])
 	list[1].Damped = true
 	r.apply(view(2, all, list...))
 	is.Equal(gauge("candidates"), 3.0)
--- a/internal/entryd/worker.go
+++ b/internal/entryd/worker.go
@@ -58,7 +58,7 @@
 // tell answers a first packet for which there is no target, so that the caller
 // need not wait for its own deadline. All else that is refused gets no answer.
 func (w *publicWorker) tell(refused refusal, n int, caller netip.AddrPort) {
-	if refused != noTarget || !w.l.service.Load().refuses {
+	if refused != noTarget || !w.f.tables.Load().current {
 		return
 	}
 	datagram := w.buf[frame.HeaderLength : frame.HeaderLength+n]
