entryd: a host that knows of some failure domains only refuses no caller

Such a host finds no target for a service whose targets all stand in other domains, and would have refused its callers although another entry host could serve them.

Ruled out: asking the control host whether there are targets elsewhere; it would take a second list, which the scope is there to save.

--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -121,7 +121,14 @@
 }
 
 func (d *Daemon) onView(v *subscriber.View) {
-	d.forwarder.Apply(&View{Config: v.Config, Targets: v.Targets, Current: v.Connected && v.DirectoryWhole})
+	d.forwarder.Apply(viewFrom(v, len(d.settings.GetDirectory().GetFailureDomains()) > 0))
+}
+
+// viewFrom makes the view of a subscription, which may be limited to some
+// failure domains. Then there may be targets elsewhere, which other entry hosts
+// know of.
+func viewFrom(v *subscriber.View, limited bool) *View {
+	return &View{Config: v.Config, Targets: v.Targets, Current: v.DirectoryWhole && !limited}
 }
 
 func (d *Daemon) replaceSecrets() {
--- a/internal/entryd/refuser_test.go
+++ b/internal/entryd/refuser_test.go
@@ -15,6 +15,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/frame"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 )
 
 // dial opens a connection from a caller's socket; it can only fail.
@@ -88,6 +89,15 @@
 	r.await("the offer", func() bool { return r.counter("connections_refused_over_budget", "") == 1 })
 }
 
+// Neither a list that may lack a target nor one of some failure domains says
+// that there is none.
+func TestViewIsCurrentOnlyIfTheDirectoryIsWhole(t *testing.T) {
+	is := is.New(t)
+	is.True(viewFrom(&subscriber.View{DirectoryWhole: true}, false).Current)
+	is.True(!viewFrom(&subscriber.View{DirectoryWhole: true}, true).Current)
+	is.True(!viewFrom(&subscriber.View{Connected: true}, false).Current)
+}
+
 // Only a whole Initial packet is answered.
 func TestOnlyInitialPacketsAreRefused(t *testing.T) {
 	is := is.New(t)
