--- a/internal/controld/members_test.go
+++ b/internal/controld/members_test.go
@@ -55,7 +55,7 @@
 	return d
 }
 
-// awaitLearner waits until a host is a learner in both groups and has their
+// awaitLearner waits until a host is a learner in all groups and has their
 // leaders.
 func (d *deployment) awaitLearner(name string) {
 	d.t.Helper()
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -34,6 +34,9 @@
 // than the one acted on.
 var errBehind = errors.New("control host is behind")
 
+// errAsked ends a subscription because its control host has too many.
+var errAsked = errors.New("control host asked to move")
+
 // Options configure a Subscriber. Zero durations mean the defaults.
 type Options struct {
 	Client *link.Client
@@ -47,6 +50,8 @@
 	// ScopedConfig limits the configuration to Services, too. The version
 	// number moves with each version all the same.
 	ScopedConfig bool
+	// FailureDomains limits the directory to these; empty means all.
+	FailureDomains []string
 	// FailureDomain is told to the control host.
 	FailureDomain string
 	// AskDelay is how long after an unconfirmed version a confirmation is
@@ -126,6 +131,8 @@
 	targets     membership.List
 	connected   bool
 	behindSince time.Time
+	// directoryWhole is what the control host said last about its list.
+	directoryWhole bool
 	// wantSnapshot asks for a whole configuration after a delta did not fit.
 	wantSnapshot bool
 }
@@ -218,9 +225,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	req := &controlpb.Subscribe{
-		Services:      s.opts.Services,
-		FailureDomain: s.opts.FailureDomain,
-		ScopedConfig:  s.opts.ScopedConfig,
+		Services:       s.opts.Services,
+		FailureDomains: s.opts.FailureDomains,
+		FailureDomain:  s.opts.FailureDomain,
+		ScopedConfig:   s.opts.ScopedConfig,
 	}
 	if !s.wantSnapshot {
 		req.Version = s.versions.held().GetVersion()
@@ -265,12 +273,18 @@
 	if d := u.GetDirectory(); d != nil {
 		changed = s.takeDirectory(d, now) || changed
 	}
+	changed = changed || s.directoryWhole != u.GetDirectoryWhole()
+	s.directoryWhole = u.GetDirectoryWhole()
 	if h := u.GetHeartbeat(); h != nil {
 		s.noteVersion(h.GetVersion(), now)
 	}
 	if changed {
 		s.publish()
 	}
+	if u.GetMove() != nil {
+		s.opts.Client.Move(u.GetMove().GetAddress())
+		return errAsked
+	}
 	if !s.behindSince.IsZero() && now.Sub(s.behindSince) >= s.opts.BehindLimit {
 		s.behindSince = time.Time{}
 		s.opts.Client.Move("")
@@ -333,10 +347,11 @@
 	old := s.view.Load()
 	targets, heardAt := s.targets.Records()
 	v := &View{
-		Config:    s.versions.acted,
-		Targets:   targets,
-		Connected: s.connected,
-		heardAt:   heardAt,
+		Config:         s.versions.acted,
+		Targets:        targets,
+		Connected:      s.connected,
+		DirectoryWhole: s.connected && s.directoryWhole,
+		heardAt:        heardAt,
 	}
 	s.view.Store(v)
 	s.counters.observe(v)
