--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -108,12 +108,13 @@
 // says nothing, as a load report makes the other one look better for as long.
 func (d *deployment) avoids(t *testing.T, target *processtest.Target) {
 	t.Helper()
-	is.New(t).Equal(d.reaching(target), 0)
+	is.New(t).Equal(d.reaching(target, manyFlows), 0)
 }
 
-// reaching opens many flows and returns how many of them the target took.
-func (d *deployment) reaching(target *processtest.Target) int {
-	const flows = 100
+const manyFlows = 100
+
+// reaching opens flows and returns how many of them the target took.
+func (d *deployment) reaching(target *processtest.Target, flows int) int {
 	taken := 0
 	for i := range flows {
 		answer := d.lodgement.NewCaller().Echo(fmt.Sprint(i))
--- a/test/lease_test.go
+++ b/test/lease_test.go
@@ -59,7 +59,7 @@
 		flapping.LaunchAgent()
 		flapping.WaitRegistered()
 		d.onEntries(t, "damping", func(e *processtest.Entry) bool { return e.Damped() == 1 || !damped() })
-		reached := d.reaching(flapping)
+		reached := d.reaching(flapping, manyFlows)
 		if damped() { // all the time; on a slow machine it may have ended
 			taken = reached
 		}
