--- a/internal/capacity/lab.go
+++ b/internal/capacity/lab.go
@@ -36,8 +36,11 @@
 	{"subscribers", measureSubscribers},
 	{"directory", measureDirectory},
 	{"grants", measureGrants},
+	{"groups", measureGrantGroups},
 	{"force", measureForce},
 	{"restart", measureRestart},
+	{"group", measureGroup},
+	{"pace", measurePace},
 }
 
 // Names returns the names of all measurements.
--- a/internal/controld/directory.go
+++ b/internal/controld/directory.go
@@ -122,6 +122,14 @@
 	return d.dir.Damped()
 }
 
+// settled reports whether a target that the directory does not hold has no
+// lease.
+func (d *directory) settled() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dir.Settled(d.now())
+}
+
 // next returns what the follower has to be sent, or nil.
 func (d *directory) next(f *membership.Follower) (*controlpb.DirectoryUpdate, membership.Kind) {
 	d.mu.Lock()
--- a/internal/controld/operators.go
+++ b/internal/controld/operators.go
@@ -88,17 +88,23 @@
 		Targets:      h.directory.count(),
 		Damped:       h.directory.damped(),
 	}
-	for _, group := range groups {
-		s.Groups = append(s.Groups, groupStatus(group, h.replicas[group].Status()))
+	for _, group := range h.groups {
+		s.Groups = append(s.Groups, h.groupStatus(group))
 	}
 	s.Subscribers, s.Laggards = h.subscribers.list(current.GetVersion())
-	s.GrantsHeld, s.GrantsAnswered = h.grants.count()
+	for _, group := range s.Groups {
+		if group.Grants != nil {
+			s.GrantsHeld += group.Grants.Held
+			s.GrantsAnswered += group.Grants.Answered
+		}
+	}
 	return s
 }
 
-func groupStatus(group controlpb.Group, s replica.Status) operator.GroupStatus {
+func (h *operatorHandler) groupStatus(group controlpb.Group) operator.GroupStatus {
+	s := h.replicas[group].Status()
 	out := operator.GroupStatus{
-		Group:   folders[group],
+		Group:   groupName(group),
 		State:   stateOf(s),
 		Leader:  s.Leader.GetName(),
 		Term:    s.Term,
@@ -106,6 +112,9 @@
 		Applied: s.Applied,
 		Members: []operator.MemberStatus{},
 	}
+	if group != controlpb.Group_GROUP_CONFIG {
+		out.Grants = h.grantStatus(grantIndex(group))
+	}
 	for _, m := range s.Members {
 		out.Members = append(out.Members, operator.MemberStatus{
 			MemberRef: operator.MemberRef{
@@ -241,11 +250,11 @@
 func (h *operatorHandler) eachMember(ctx context.Context, ref operator.MemberRef, f func(*replica.Replica, *raftpb.Member) error) error {
 	found, confirmed := false, true
 	var first error
-	for _, group := range groups {
+	for _, group := range h.groups {
 		r := h.replicas[group]
 		if err := r.ReadBarrier(ctx); err != nil {
 			confirmed = false
-			first = firstError(first, errors.Wrapf(replica.ErrMembership, "members of %s: %v", folders[group], err))
+			first = firstError(first, errors.Wrapf(replica.ErrMembership, "members of %s: %v", groupName(group), err))
 			continue
 		}
 		matches := matching(r.Status(), ref)
--- a/internal/entryd/forwarder.go
+++ b/internal/entryd/forwarder.go
@@ -23,6 +23,8 @@
 type tables struct {
 	listeners map[netip.AddrPort]*listener
 	loads     *routing.Loads
+	// current tells whether a caller may be told that there is no target.
+	current bool
 }
 
 // Forwarder forwards datagrams by the views that it is given.
@@ -54,6 +56,7 @@
 	// refusedOpen holds the last error of each address that can't be opened.
 	refusedOpen map[netip.AddrPort]string
 
+	refuser      *refuser
 	frameConns   []*net.UDPConn
 	frameAddr    netip.AddrPort
 	frameWorkers conc.WaitGroup
@@ -88,6 +91,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "frame address")
 	}
+	f.refuser, err = newRefuser(f.counters, o.Refusals)
+	if err != nil {
+		closeAll(f.frameConns)
+		return nil, err
+	}
 	return f, nil
 }
 
@@ -196,6 +204,7 @@
 // Close releases the sockets of a forwarder whose Run is never called.
 func (f *Forwarder) Close() {
 	closeAll(f.frameConns)
+	f.refuser.stop()
 }
 
 func (f *Forwarder) closeAll() {
@@ -205,6 +214,7 @@
 	}
 	closeAll(f.frameConns)
 	f.frameWorkers.Wait()
+	f.refuser.stop()
 }
 
 func (f *Forwarder) now() time.Duration {
@@ -228,6 +238,9 @@
 		f.log.Info("configuration in force", zap.Uint64("version", v.Config.GetVersion()))
 	}
 	f.view = v
+	if !v.Current {
+		f.doubt()
+	}
 	f.directory = directoryFrom(f.directory, v.Targets, f.now(), f.usable)
 	f.counters.badTarget.Inc(int64(f.directory.unusable))
 	f.dropChanged()
@@ -307,10 +320,18 @@
 			l.service.Store(s)
 		}
 	}
-	f.tables.Store(&tables{listeners: listeners, loads: f.directory.loads})
+	f.tables.Store(&tables{listeners: listeners, loads: f.directory.loads, current: f.view.Current})
 	f.countCandidates()
 }
 
+// doubt tells workers that the targets may not be all, before the list comes into
+// force: a worker that finds no target in it looks at this afterwards.
+func (f *Forwarder) doubt() {
+	t := *f.tables.Load()
+	t.current = false
+	f.tables.Store(&t)
+}
+
 // dropUnused forgets the tables of services that no address stands for.
 func (f *Forwarder) dropUnused() {
 	used := make(map[uint32]bool, len(f.built))
@@ -363,7 +384,7 @@
 		}
 	}
 
-	f.tables.Store(&tables{listeners: after, loads: f.directory.loads})
+	f.tables.Store(&tables{listeners: after, loads: f.directory.loads, current: f.view.Current})
 	f.counters.openAddresses.Update(float64(len(after)))
 	f.dropUnused()
 	f.countCandidates()
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -131,6 +131,8 @@
 	targets     membership.List
 	connected   bool
 	behindSince time.Time
+	// directoryWhole is what the control host said last about its list.
+	directoryWhole bool
 	// wantSnapshot asks for a whole configuration after a delta did not fit.
 	wantSnapshot bool
 }
@@ -271,6 +273,8 @@
 	if d := u.GetDirectory(); d != nil {
 		changed = s.takeDirectory(d, now) || changed
 	}
+	changed = changed || s.directoryWhole != u.GetDirectoryWhole()
+	s.directoryWhole = u.GetDirectoryWhole()
 	if h := u.GetHeartbeat(); h != nil {
 		s.noteVersion(h.GetVersion(), now)
 	}
@@ -343,10 +347,11 @@
 	old := s.view.Load()
 	targets, heardAt := s.targets.Records()
 	v := &View{
-		Config:    s.versions.acted,
-		Targets:   targets,
-		Connected: s.connected,
-		heardAt:   heardAt,
+		Config:         s.versions.acted,
+		Targets:        targets,
+		Connected:      s.connected,
+		DirectoryWhole: s.connected && s.directoryWhole,
+		heardAt:        heardAt,
 	}
 	s.view.Store(v)
 	s.counters.observe(v)
--- a/internal/subscriber/view.go
+++ b/internal/subscriber/view.go
@@ -16,6 +16,9 @@
 	// Connected tells whether a subscription is open. Without one the view is
 	// the last one known.
 	Connected bool
+	// DirectoryWhole tells that Targets are all that have a lease, as the
+	// control host says over an open subscription.
+	DirectoryWhole bool
 
 	// heardAt is when each record of Targets was received.
 	heardAt []time.Time
