--- /dev/null
+++ b/internal/controld/lead.go
@@ -0,0 +1,101 @@
+package controld
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/replica"
+)
+
+// preferred returns the voter that should lead a group of grants: each group
+// the next one, in the order of their names. Nil if there is none.
+func preferred(members []replica.MemberStatus, index int) *raftpb.ReplicaID {
+	var voters []*raftpb.ReplicaID
+	for _, m := range members {
+		if !m.Member.GetLearner() {
+			voters = append(voters, m.Member.GetId())
+		}
+	}
+	if len(voters) == 0 {
+		return nil
+	}
+	slices.SortFunc(voters, func(a, b *raftpb.ReplicaID) int {
+		return cmp.Or(cmp.Compare(a.GetName(), b.GetName()), cmp.Compare(a.GetIncarnation(), b.GetIncarnation()))
+	})
+	return voters[index%len(voters)]
+}
+
+// leadLoop asks for the leadership of the groups that this host should lead.
+// It asks instead of being told: a host that stops, or lags behind, does not.
+func (d *Daemon) leadLoop() {
+	if d.grants.count() == 1 {
+		return
+	}
+	asked := map[int]time.Time{}
+	d.every(spreadPeriod, func() {
+		for index := range d.grants.count() {
+			if time.Since(asked[index]) < spreadPause || !d.shouldLead(index) {
+				continue
+			}
+			asked[index] = time.Now()
+			d.askToLead(grantGroup(index))
+		}
+	})
+}
+
+// shouldLead reports whether this host should lead a group, and can, and does
+// not.
+func (d *Daemon) shouldLead(index int) bool {
+	s := d.replicas[grantGroup(index)].Status()
+	if d.leaving.Load() || s.Leader == nil || s.Leading() || s.Applied+promoteLag < s.Commit {
+		return false
+	}
+	return proto.Equal(preferred(s.Members, index), s.Self)
+}
+
+func (d *Daemon) askToLead(group controlpb.Group) {
+	s := d.replicas[group].Status()
+	for _, m := range s.Members {
+		if !proto.Equal(m.Member.GetId(), s.Leader) {
+			continue
+		}
+		p := d.peers.get(d.peers.addressOf(m.Member))
+		if p == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(d.ctx, proposeTimeout)
+		defer cancel()
+		req := &controlpb.Request{Body: &controlpb.Request_TakeOver{TakeOver: &controlpb.TakeOver{Group: group}}}
+		res, err := p.calls.Call(ctx, req)
+		if err == nil {
+			err = link.FaultOf(res)
+		}
+		if err != nil {
+			d.scope.Counter("failed_take_overs").Inc(1)
+		}
+	}
+}
+
+// takeOver hands the leadership of a group over to the host that should lead
+// it.
+func (h *handler) takeOver(ctx context.Context, peer link.Peer, t *controlpb.TakeOver) *controlpb.Response {
+	r := h.replicas[t.GetGroup()]
+	if r == nil || t.GetGroup() == controlpb.Group_GROUP_CONFIG {
+		return h.fault(refusedRequest, controlpb.FaultKind_FAULT_NOT_DONE, "no such group of grants")
+	}
+	to := preferred(r.Status().Members, grantIndex(t.GetGroup()))
+	if to.GetName() != peer.Name {
+		return h.fault(refusedSender, controlpb.FaultKind_FAULT_NOT_DONE, "another host should lead the group")
+	}
+	if err := r.HandOverTo(ctx, to); err != nil {
+		return h.fault(refusedNoLeader, controlpb.FaultKind_FAULT_NOT_DONE, err.Error())
+	}
+	return done()
+}
