agentd: tests start one agent with other times by one fixture

Cause: seven tests wrote the world, the backend server and the choice of the entry host again, only to change a time or a setting. oneAgentWith does it. No check was changed.

--- a/internal/agentd/drain_test.go
+++ b/internal/agentd/drain_test.go
@@ -168,12 +168,9 @@
 
 func TestLapsedAnnouncementKeepsEstablishedFlows(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t)
-	backend := newFakeBackend(t)
 	timing := testTiming()
 	timing.announceLease = 200 * time.Millisecond
-	a := w.startAgentWith("t1", backend.server.URL, timing, nil)
-	w.entry.choose(a.FrameAddr(), "")
+	w, a, _ := oneAgentWith(t, timing, nil)
 	client := w.caller()
 	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
 	eventually(t, "leaving", func() bool { return !a.serving() })
--- a/internal/agentd/once_test.go
+++ b/internal/agentd/once_test.go
@@ -168,12 +168,9 @@
 	for _, mode := range []controlMode{controlGone, controlDeaf} {
 		t.Run(fmt.Sprint(mode), func(t *testing.T) {
 			is := is.New(t)
-			w := newWorld(t)
-			backend := newFakeBackend(t)
 			timing := testTiming()
 			timing.grantProbe = time.Hour // none while the test asks
-			a := w.startAgentWith("t1", backend.server.URL, timing, nil)
-			w.entry.choose(a.FrameAddr(), "")
+			w, a, backend := oneAgentWith(t, timing, nil)
 			client := w.caller()
 			w.control.set(mode)
 			line := a.proxy.once.lines[0]
@@ -196,12 +193,9 @@
 // The loss of one group of grants, once it is known, refuses no key of another.
 func TestLostGroupRefusesOnlyItsKeys(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t)
-	backend := newFakeBackend(t)
 	timing := testTiming()
 	timing.grantProbe = time.Hour // none while the test asks
-	a := w.startAgentWith("t1", backend.server.URL, timing, nil)
-	w.entry.choose(a.FrameAddr(), "")
+	w, a, _ := oneAgentWith(t, timing, nil)
 	client := w.caller()
 	table := grant.NewSlotTable(2)
 	w.control.setTable(table.Digest(), table.Groups())
--- a/internal/agentd/request_test.go
+++ b/internal/agentd/request_test.go
@@ -15,10 +15,16 @@
 
 // oneAgent returns a world with one agent in front of a fake backend server.
 func oneAgent(t *testing.T) (*world, *agent, *fakeBackend) {
+	t.Helper()
+	return oneAgentWith(t, testTiming(), nil)
+}
+
+// oneAgentWith is oneAgent with other times and settings.
+func oneAgentWith(t *testing.T, timing timing, change func(*settingspb.Agent)) (*world, *agent, *fakeBackend) {
 	t.Helper()
 	w := newWorld(t)
 	backend := newFakeBackend(t)
-	a := w.startAgent("t1", backend.server.URL)
+	a := w.startAgentWith("t1", backend.server.URL, timing, change)
 	w.entry.choose(a.FrameAddr(), "")
 	return w, a, backend
 }
@@ -182,10 +188,7 @@
 
 func TestRequestBodiesAreBounded(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t)
-	backend := newFakeBackend(t)
-	a := w.startAgentWith("t1", backend.server.URL, testTiming(), func(s *settingspb.Agent) { s.MaxRequestBytes = 1000 })
-	w.entry.choose(a.FrameAddr(), "")
+	w, a, _ := oneAgentWith(t, testTiming(), func(s *settingspb.Agent) { s.MaxRequestBytes = 1000 })
 	client := w.caller()
 	is.Equal(mustSend(t, client, "POST", w.url("/echo"), strings.Repeat("b", 1000)).status, http.StatusOK)
 	got := mustSend(t, client, "POST", w.url("/echo"), strings.Repeat("b", 1001))
@@ -204,10 +207,7 @@
 
 func TestWatchTakesNoSlotAndOutlivesTheDefaultDeadline(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t)
-	backend := newFakeBackend(t)
-	a := w.startAgentWith("t1", backend.server.URL, testTiming(), func(s *settingspb.Agent) { s.DefaultDeadlineMs = 2000 })
-	w.entry.choose(a.FrameAddr(), "")
+	w, a, backend := oneAgentWith(t, testTiming(), func(s *settingspb.Agent) { s.DefaultDeadlineMs = 2000 })
 	client := w.caller()
 	for range 6 { // more than there are slots
 		watch := openWatch(t, client, w.url("/watch"))
--- a/internal/agentd/slot_test.go
+++ b/internal/agentd/slot_test.go
@@ -13,12 +13,9 @@
 // still under way.
 func TestShedRequestIsToldAtOnce(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t)
-	backend := newFakeBackend(t)
 	timing := testTiming()
 	timing.completeWait = time.Minute // longer than the test waits
-	a := w.startAgentWith("t1", backend.server.URL, timing, func(s *settingspb.Agent) { s.QueueMs = 1000 })
-	w.entry.choose(a.FrameAddr(), "")
+	w, _, backend := oneAgentWith(t, timing, func(s *settingspb.Agent) { s.QueueMs = 1000 })
 	client := w.caller()
 	const slots = 4
 	var held []inFlight
@@ -42,12 +39,9 @@
 // request while the answer is recorded.
 func TestSlotIsFreeWhileTheAnswerIsRecorded(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t)
-	backend := newFakeBackend(t)
 	timing := testTiming()
 	timing.completeWait = time.Minute // longer than the test waits
-	a := w.startAgentWith("t1", backend.server.URL, timing, nil)
-	w.entry.choose(a.FrameAddr(), "")
+	w, a, backend := oneAgentWith(t, timing, nil)
 	client := w.caller()
 	held := backend.holdOne(t.Context(), t, w, client, "POST", headerKey, "k1")
 	is.Equal(a.gate.figures().running, 1)
