--- a/internal/capacity/grants.go
+++ b/internal/capacity/grants.go
@@ -71,7 +71,7 @@
 	memory := &series{name: "grants.memory", unit: Bytes, per: "record", count: 200_000}
 	disk := &series{name: "grants.disk", unit: Bytes, per: "grant", count: 1}
 	made := 1
-	for _, n := range []int{1000, 2000, 4000, 8000} {
+	for _, n := range []int{5000, 10_000, 20_000, 40_000} {
 		size, err := folderSize(d.controls[0].settings.GetReplica().GetDataFolder())
 		if err != nil {
 			return err
