--- a/internal/settings/cross.go
+++ b/internal/settings/cross.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/raft"
 )
 
 // checkTogether reports keys that are good by themselves and contradict each
@@ -18,8 +19,8 @@
 	checkVoters(control, c, lines[keyName{"replica", "initial_voters"}])
 }
 
-// checkVoters wants each voter once and this host among them, unless it joins
-// a group that exists.
+// checkVoters wants each voter once, no more than may vote, and this host among
+// them, unless it joins a group that exists.
 func checkVoters(s *settingspb.ControlSettings, c *collector, line int) {
 	voters := s.GetReplica().GetInitialVoters()
 	if len(voters) == 0 || s.GetReplica().GetJoin() {
@@ -33,6 +34,9 @@
 		}
 		seen[name] = true
 	}
+	if len(voters) > raft.MaxVoters {
+		c.add(line, "replica.initial_voters: %d are named, at most %d may vote; let the others join as learners", len(voters), raft.MaxVoters)
+	}
 	if self := s.GetHost().GetName(); self != "" && !seen[self] {
 		c.add(line, "replica.initial_voters: this host, %q, is not among them and replica.join is not set", self)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/settings"
+	"eelgrasswharf.example/eelgrasswharf/raft"
 )
 
 func write(t *testing.T, text string) string {
@@ -235,4 +237,11 @@
 	twice := strings.Replace(example, "control-2=", "control-3=", 1)
 	found = findings(t, settings.Parse("f", []byte(twice), &settingspb.ControlSettings{}))
 	is.True(strings.Contains(found[0], `"control-3" is named twice`))
+	many := example
+	for i := range raft.MaxVoters {
+		many = strings.Replace(many, "control-2=", fmt.Sprintf("extra-%d=192.0.2.9:7100, control-2=", i), 1)
+	}
+	found = findings(t, settings.Parse("f", []byte(many), &settingspb.ControlSettings{}))
+	is.Equal(len(found), 1)
+	is.True(strings.Contains(found[0], "at most 7 may vote"))
 }
