--- a/internal/agentd/fakes_test.go
+++ b/internal/agentd/fakes_test.go
@@ -43,6 +43,9 @@
 	incarnations map[string]uint32
 	records      map[string]*grantpb.Record
 	commands     []*grantpb.Command
+	// table is the digest of the slot table, 0 if the control hosts tell none.
+	table  uint64
+	groups uint32
 }
 
 func newFakeControl() *fakeControl {
@@ -95,6 +98,22 @@
 }
 
 func (f *fakeControl) grant(command *grantpb.Command) *grantpb.Result {
+	result := &grantpb.Result{Decision: grantpb.Decision_DECISION_TABLE}
+	if command.GetTable() == 0 || command.GetTable() == f.table {
+		result = f.decide(command)
+	}
+	result.Table, result.Groups = f.table, f.groups
+	return result
+}
+
+// setTable changes the slot table.
+func (f *fakeControl) setTable(digest uint64, groups int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table, f.groups = digest, uint32(groups)
+}
+
+func (f *fakeControl) decide(command *grantpb.Command) *grantpb.Result {
 	switch body := command.GetBody().(type) {
 	case *grantpb.Command_Acquire:
 		return f.acquire(body.Acquire)
--- a/internal/agentd/once.go
+++ b/internal/agentd/once.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
+	"eelgrasswharf.example/eelgrasswharf/grant"
 	"eelgrasswharf.example/eelgrasswharf/reason"
 	"eelgrasswharf.example/eelgrasswharf/retry"
 )
@@ -35,6 +36,9 @@
 // granter has commands applied by the grant group.
 type granter interface {
 	grant(ctx context.Context, command *grantpb.Command) (*grantpb.Result, error)
+	// group returns which group of how many decides on a key, as far as is
+	// known.
+	group(service uint32, key string) (group, groups int)
 }
 
 // right is the right to run the request of one idempotency key.
@@ -50,8 +54,9 @@
 	service  uint32
 	timing   timing
 	counters *counters
-	// line tells whether the control hosts answer.
-	line *grantLine
+	// lines tell whether each group of grants answers: the loss of one must not
+	// refuse the keys of others.
+	lines grantLines
 
 	asking    atomic.Int64
 	finishing atomic.Int64
@@ -79,7 +84,8 @@
 	command := &grantpb.Command{Body: &grantpb.Command_Acquire{Acquire: &grantpb.Acquire{
 		Service: r.service, Key: r.key, Attempt: r.attempt, Digest: c.digest(),
 	}}}
-	switch o.line.allow() {
+	line := o.lineOf(r.service, r.key)
+	switch line.allow() {
 	case retry.Probe:
 		o.probe(r)
 		fallthrough
@@ -88,7 +94,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, o.timing.grantWait)
 	defer cancel()
-	result, maybe, err := o.repeat(ctx, command, o.line.away)
+	result, maybe, err := o.repeat(ctx, command, line.away)
 	if err != nil {
 		return o.unavailable(c, r, maybe)
 	}
@@ -205,17 +211,33 @@
 
 // try asks the control hosts once.
 func (o *once) try(ctx context.Context, command *grantpb.Command) (*grantpb.Result, error) {
-	began := o.line.clock.now()
+	service, key, _ := grant.KeyOf(command)
+	line := o.lineOf(service, key)
+	began := line.clock.now()
 	try, cancel := context.WithTimeout(ctx, o.timing.grantTry)
 	defer cancel()
 	result, err := o.granter.grant(try, command)
 	// A caller that gives up soon says nothing of the control hosts.
-	if err == nil || ctx.Err() == nil || o.line.clock.now()-began >= o.timing.grantTry/soonPart {
-		o.line.tried(began, err == nil)
+	if err == nil || ctx.Err() == nil || line.clock.now()-began >= o.timing.grantTry/soonPart {
+		line.tried(began, err == nil)
 	}
 	return result, err
 }
 
+// lineOf returns the line to the group that decides on a key.
+func (o *once) lineOf(service uint32, key string) *grantLine {
+	group, _ := o.granter.group(service, key)
+	return o.lines[group]
+}
+
+// checkLines records whether there is a connection to a control host.
+func (o *once) checkLines(linked bool) {
+	_, groups := o.granter.group(o.service, "")
+	for _, line := range o.lines[:groups] {
+		line.check(linked)
+	}
+}
+
 // drain waits until the background work has ended.
 func (o *once) drain() {
 	o.wait.Wait()
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -40,6 +40,9 @@
 	// reported says that its newer version has been logged.
 	reported bool
 	follower *membership.Follower
+	// whole says that the subscriber holds this host's list, not additions to
+	// one from elsewhere.
+	whole bool
 	// pending says that the directory may have changed since it was looked at.
 	pending bool
 	// confirmAt is when a quorum was last asked, unanswered since when it has
@@ -65,10 +68,13 @@
 		info:     newSubscriber(peer, req),
 		reports:  make(chan struct{}, 1),
 		sent:     req.GetVersion(),
-		follower: membership.NewFollower(positionOf(req), membership.NewScope(req.GetServices())),
+		follower: membership.NewFollower(positionOf(req), membership.NewScope(req.GetServices(), req.GetFailureDomains()...)),
 	}
 	if req.GetScopedConfig() {
-		sub.scope = membership.NewScope(req.GetServices())
+		sub.scope = map[uint32]bool{}
+		for _, number := range req.GetServices() {
+			sub.scope[number] = true
+		}
 	}
 	d.subscribers.add(sub.info)
 	defer d.subscribers.remove(sub.info)
@@ -128,6 +134,10 @@
 		timer.Reset(s.due())
 		select {
 		case <-ctx.Done():
+		case address := <-s.info.moveTo:
+			if err := s.send(&controlpb.SubscribeUpdate{Move: &controlpb.Move{Address: address}}); err != nil {
+				return err
+			}
 		case <-configs:
 		case <-s.reports:
 		case <-targets:
@@ -264,6 +274,7 @@
 
 func (s *subscription) sendDirectory() error {
 	u, kind := s.daemon.directory.next(s.follower)
+	s.whole = kind != membership.Addition
 	if u == nil {
 		return nil
 	}
@@ -283,6 +294,7 @@
 }
 
 func (s *subscription) send(u *controlpb.SubscribeUpdate) error {
+	u.DirectoryWhole = s.whole && s.daemon.directory.settled()
 	if err := s.stream.Send(u); err != nil {
 		return err
 	}
--- a/internal/entryd/worker.go
+++ b/internal/entryd/worker.go
@@ -7,7 +7,9 @@
 
 	"github.com/go-faster/errors"
 
+	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
+	"eelgrasswharf.example/eelgrasswharf/quicheader"
 	"eelgrasswharf.example/eelgrasswharf/routing"
 )
 
@@ -36,16 +38,7 @@
 
 func (w *publicWorker) run() {
 	w.header.Public = w.l.public
-	for {
-		n, caller, err := w.conn.ReadFromUDPAddrPort(w.buf[frame.HeaderLength:])
-		if err != nil {
-			if w.f.ended(err) {
-				return
-			}
-			continue
-		}
-		w.handle(n, unmap(caller))
-	}
+	w.f.read(w.conn, w.buf[frame.HeaderLength:], w.handle)
 }
 
 // handle sends the datagram of n bytes that stands behind the room for the
@@ -54,6 +47,7 @@
 	to, refused := w.frame(n, caller)
 	if refused != accepted {
 		w.f.counters.refused[refused].Inc(1)
+		w.tell(refused, n, caller)
 		return
 	}
 	if _, err := w.out.WriteToUDPAddrPort(w.buf[:frame.HeaderLength+n], to); err != nil {
@@ -61,6 +55,19 @@
 	}
 }
 
+// tell answers a first packet for which there is no target, so that the caller
+// need not wait for its own deadline. All else that is refused gets no answer.
+func (w *publicWorker) tell(refused refusal, n int, caller netip.AddrPort) {
+	if refused != noTarget || !w.f.tables.Load().current {
+		return
+	}
+	datagram := w.buf[frame.HeaderLength : frame.HeaderLength+n]
+	if packet, _ := quicheader.Parse(datagram, connid.Length); packet.Type != quicheader.Initial {
+		return
+	}
+	w.f.refuser.offer(datagram, caller, w.l.conns[0], w.f.now())
+}
+
 // frame decides on the datagram and puts the header before it.
 func (w *publicWorker) frame(n int, caller netip.AddrPort) (netip.AddrPort, refusal) {
 	if n > maxDatagram {
@@ -92,16 +99,7 @@
 }
 
 func (w *frameWorker) run() {
-	for {
-		n, agent, err := w.conn.ReadFromUDPAddrPort(w.buf[:])
-		if err != nil {
-			if w.f.ended(err) {
-				return
-			}
-			continue
-		}
-		w.handle(n, unmap(agent))
-	}
+	w.f.read(w.conn, w.buf[:], w.handle)
 }
 
 // handle sends the datagram of a reply frame to the caller, or counts why not.
@@ -161,6 +159,20 @@
 	return l, accepted
 }
 
+// read reads datagrams into buf and hands the length and sender of each to
+// handle, until the socket is closed.
+func (f *Forwarder) read(conn *net.UDPConn, buf []byte, handle func(int, netip.AddrPort)) {
+	for {
+		n, sender, err := conn.ReadFromUDPAddrPort(buf)
+		switch {
+		case err == nil:
+			handle(n, unmap(sender))
+		case f.ended(err):
+			return
+		}
+	}
+}
+
 // ended reports whether a read failed because the socket was closed. Other
 // failures are counted and followed by a pause.
 func (f *Forwarder) ended(err error) bool {
