--- a/config/machine.go
+++ b/config/machine.go
@@ -158,14 +158,19 @@
 // does, and addresses in order, so that equal configurations have equal
 // encodings.
 func assemble(base *configpb.Configuration, version uint64, put map[string]*configpb.Service, removed, retired map[string]bool) *configpb.Configuration {
-	services := make([]*configpb.Service, 0, len(base.GetServices())+len(put))
-	for _, s := range base.GetServices() {
-		if name := s.GetName(); put[name] == nil && !removed[name] {
-			services = append(services, s)
+	services := make([]*configpb.Service, len(base.GetServices()), len(base.GetServices())+len(put))
+	copy(services, base.GetServices())
+	for name := range removed {
+		if i, found := slices.BinarySearchFunc(services, name, compareName); found {
+			services = slices.Delete(services, i, i+1)
 		}
 	}
 	for name, s := range put {
-		i, _ := slices.BinarySearchFunc(services, name, compareName)
+		i, found := slices.BinarySearchFunc(services, name, compareName)
+		if found {
+			services[i] = s
+			continue
+		}
 		services = slices.Insert(services, i, s)
 	}
 	return &configpb.Configuration{Version: version, Services: services, Retired: retiredList(retired)}
