--- a/internal/backend/drain_test.go
+++ b/internal/backend/drain_test.go
@@ -28,12 +28,17 @@
 	is := is.New(t)
 	a := newAgent(t)
 	a.setDeny(true)
+	before := time.Now()
 	s := start(t, backend.Options{
 		Service: "lodgement", Target: "l-1", Announce: a.address(), Slots: 2, AnnouncePeriod: time.Millisecond,
 	})
 	a.setDeny(false)
 	await(t, func() bool { _, ok := a.last(); return ok })
 	got, _ := a.last()
+	// The age is that of the server, which was made after before.
+	is.True(got.AgeMS >= 0)
+	is.True(got.AgeMS <= time.Since(before).Milliseconds())
+	got.AgeMS = 0
 	is.Equal(got, backend.Announcement{
 		Service: "lodgement", Target: "l-1", URL: s.URL(), Slots: 2,
 		HealthPath: "/health", LoadPath: "/load", State: backend.StateServing,
