agentd: callers of a target that is seen to fail send their next requests elsewhere

Entry hosts spare new flows once the agent's verdict is ill, but a flow stays where it began and went on failing to its end.

--- a/internal/agentd/announce_test.go
+++ b/internal/agentd/announce_test.go
@@ -121,6 +121,31 @@
 	}
 }
 
+// A caller that began at a target which then fails sends its next requests to
+// another one, and its open session stays.
+func TestCallersLeaveAFailingTarget(t *testing.T) {
+	is := is.New(t)
+	w, a, backend := oneAgent(t)
+	client := w.caller()
+	session := openWatch(t, client, w.url("/watch"))
+	b := w.startAgent("t2", newFakeBackend(t).server.URL)
+	c := w.startAgent("t3", newFakeBackend(t).server.URL)
+	w.known.set(a.published.last(), b.published.last(), c.published.last())
+	w.entry.choose(a.FrameAddr(), b.FrameAddr())
+	for range 2 * health.MinSamples {
+		got := mustSend(t, client, "GET", w.url("/status?code=500"), "")
+		if got.header.Get(headerTarget) == b.plane.Load().self.String() {
+			break
+		}
+	}
+	movesTo(t, w, client, b)
+	is.True(a.plane.Load().current().ill)
+	backend.events <- "still here"
+	is.Equal(session.line(t), "still here")
+	is.Equal(backend.gone.Load(), int64(0))
+	session.close()
+}
+
 func TestPollReadsBothEndpoints(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -60,6 +60,7 @@
 	lastGate  gateFigures
 	started   time.Duration
 	moving    moving
+	shedding  shedding
 	wait      conc.WaitGroup
 }
 
--- a/internal/agentd/housekeeping.go
+++ b/internal/agentd/housekeeping.go
@@ -18,7 +18,7 @@
 	d.proxy.once.checkLines(d.parts.linked())
 	stopping := d.stopping.Load()
 	leaving := stopping || backend.draining || backend.lapsed
-	goAway := d.goAway(one, stopping, backend.draining)
+	goAway := d.goAway(one, stopping, backend.draining, verdict)
 	d.applyConfig(one.self.serviceNumber, backend.slots)
 	gate := d.gate.figures()
 	load := health.LoadInput{
@@ -41,14 +41,16 @@
 }
 
 // goAway returns the share of the callers that are told to go elsewhere.
-func (d *Daemon) goAway(one *plane, stopping, draining bool) float64 {
+func (d *Daemon) goAway(one *plane, stopping, draining bool, verdict health.Verdict) float64 {
+	now, targets := d.clock.now(), d.directory.Targets()
 	switch {
 	case draining:
 		return 1
 	case stopping:
-		return d.moving.share(d.clock.now(), successor(one.self, d.directory.Targets()), d.timing)
+		return d.moving.share(now, successor(one.self, targets), d.timing)
 	default:
-		return 0
+		policy := d.directory.Service(one.self.serviceNumber).GetPolicy()
+		return d.shedding.share(now, shouldShed(verdict, one.self, targets, policy), d.timing)
 	}
 }
 
--- a/internal/agentd/moving_test.go
+++ b/internal/agentd/moving_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/matryer/is"
 
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/health"
 )
 
 func TestCallersOfAStoppingAgentMoveToItsSuccessor(t *testing.T) {
@@ -55,3 +57,47 @@
 		is.Equal(told, tenth)
 	}
 }
+
+func TestShouldShed(t *testing.T) {
+	self := identity{serviceNumber: 1, number: 1, incarnation: 1}
+	const serving, draining = controlpb.TargetState_TARGET_STATE_SERVING, controlpb.TargetState_TARGET_STATE_DRAINING
+	record := func(service, number uint32, state controlpb.TargetState, ill bool) *controlpb.TargetRecord {
+		return &controlpb.TargetRecord{Service: service, Number: number, Incarnation: 1, State: state, Ill: ill}
+	}
+	well := []*controlpb.TargetRecord{record(1, 1, serving, false), record(1, 2, serving, false), record(1, 3, serving, false)}
+	seen := health.Verdict{Ill: true, Basis: health.BasisObservation}
+	for _, c := range []struct {
+		name    string
+		verdict health.Verdict
+		records []*controlpb.TargetRecord
+		percent uint32
+		want    bool
+	}{
+		{"well", health.Verdict{Basis: health.BasisObservation}, well, 0, false},
+		{"seen to fail", seen, well, 0, true},
+		{"says that it is ill", health.Verdict{Ill: true, Basis: health.BasisReport}, well, 0, false},
+		{"alone", seen, well[:1], 0, false},
+		{"one of two", seen, well[:2], 0, false},
+		{"one of two, panic at 60 %", seen, well[:2], 60, true},
+		{"two of three", seen, append(well[:2:2], record(1, 3, serving, true)), 0, false},
+		{"others leave", seen, append(well[:1:1], record(1, 2, draining, false), record(1, 3, draining, false)), 0, false},
+		{"others are of another service", seen, append(well[:1:1], record(2, 2, serving, false), record(2, 3, serving, false)), 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(shouldShed(c.verdict, self, c.records, &configpb.Policy{PanicPercent: c.percent}), c.want)
+		})
+	}
+}
+
+func TestCallersOfAnIllTargetLeaveByAndBy(t *testing.T) {
+	is := is.New(t)
+	const began = time.Minute
+	timing := defaultTiming()
+	var s shedding
+	is.Equal(s.share(began, false, timing), 0.0)
+	is.Equal(s.share(began, true, timing), 0.0)
+	is.Equal(s.share(began+timing.moveSpan/2, true, timing), 0.5)
+	is.Equal(s.share(began+time.Hour, true, timing), maxShed)
+	is.Equal(s.share(began+time.Hour, false, timing), 0.0) // well again
+	is.Equal(s.share(began+2*time.Hour, true, timing), 0.0)
+}
