--- a/internal/capacity/group.go
+++ b/internal/capacity/group.go
@@ -59,9 +59,9 @@
 	return r.addSlopes(s.restCPU, s.restBytes, s.versionCPU, s.versionBytes, s.applied)
 }
 
-// deployMembers starts a group with learners beside its voters, and waits until
-// all are members.
-func (l *lab) deployMembers(ctx context.Context, members int) (*deployment, error) {
+// deployMembers starts control hosts with learners beside the voters and so many
+// groups of grants, and waits until all are members of the configuration.
+func (l *lab) deployMembers(ctx context.Context, members, groups int) (*deployment, error) {
 	d, err := l.prepare(members)
 	if err != nil {
 		return nil, err
@@ -70,6 +70,7 @@
 		s := c.settings.Replica
 		s.InitialVoters = s.InitialVoters[:min(groupVoters, members)]
 		s.Join = i >= groupVoters
+		s.GrantGroups = uint32(groups)
 		metrics, err := freeAddress()
 		if err != nil {
 			return nil, err
@@ -154,7 +155,7 @@
 // measureMembers adds a point for a group of so many members. Each of them has
 // one subscriber, which tells when it has a version.
 func (l *lab) measureMembers(ctx context.Context, n int, s *groupSeries, r *Report) error {
-	d, err := l.deployMembers(ctx, n)
+	d, err := l.deployMembers(ctx, n, 1)
 	if err != nil {
 		return err
 	}
--- a/internal/capacity/lab.go
+++ b/internal/capacity/lab.go
@@ -40,6 +40,7 @@
 	{"force", measureForce},
 	{"restart", measureRestart},
 	{"group", measureGroup},
+	{"members", measureMemberGroups},
 	{"pace", measurePace},
 }
 
