--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -244,6 +244,27 @@
 	is.Equal(slow.journal.text(), want+"\nafter")
 }
 
+// A leader that has loaded its snapshot sends it whole from the disk.
+func TestRestartedLeaderSendsItsSnapshot(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, Options{SnapshotEntries: 10})
+	leader := c.leader()
+	fast, slow := others(c, leader)[0], others(c, leader)[1]
+	c.isolate(slow, true)
+	for i := range 50 {
+		c.propose(leader, fmt.Sprint(i))
+	}
+	for _, h := range []*host{leader, fast} {
+		c.kill(h)
+		c.start(h)
+	}
+	is.True(slow.counter("snapshots_restored") == 1) // that of the founding
+	c.isolate(slow, false)
+	c.propose(c.leader(slow), "last")
+	c.converge("last")
+	is.Equal(slow.counter("snapshots_restored"), int64(2))
+}
+
 // A leader is frozen in a sync while the others go on without it. What it does
 // on thawing must neither contradict them nor serve a stale read.
 func TestFrozenLeaderThaws(t *testing.T) {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -107,6 +107,9 @@
 			return err
 		}
 		r.node.Advance(batch)
+		if batch.Restore != nil {
+			r.dropSnapshotData()
+		}
 		r.flush()
 		if err := r.maybeSnapshot(); err != nil {
 			return err
@@ -258,14 +261,16 @@
 	if err != nil {
 		return errors.Wrap(err, "snapshot")
 	}
-	// The core holds the snapshot for replicas that lag, which is rare; its data
-	// can be as large as the state.
-	s.Data = nil
-	r.storedIndex = s.GetIndex()
+	r.dropSnapshotData()
 	r.metrics.snapshots.Inc(1)
 	return nil
 }
 
+// dropSnapshotData leaves the data of a snapshot that the log has on disk to it.
+// The core holds the snapshot for replicas that lag, which is rare; its data can
+// be as large as the state.
+func (r *Replica) dropSnapshotData() { r.storedIndex = r.node.DropSnapshotData() }
+
 // withSnapshots gives the data back to the snapshots among messages. A message
 // with a snapshot that was replaced since is left out: the core sends anew.
 func (r *Replica) withSnapshots(msgs []*raftpb.Message) ([]*raftpb.Message, error) {
--- a/raft/follower.go
+++ b/raft/follower.go
@@ -176,3 +176,19 @@
 	}
 	return nil
 }
+
+// DropSnapshotData lets go of the data of the node's snapshot, which can be as
+// large as the state, and returns its index, 0 if there is none. Messages of
+// later batches carry the snapshot without its data; the caller adds it from its
+// storage, which has to hold it by now. Snapshots of batches before stay whole.
+func (n *Node) DropSnapshotData() uint64 {
+	if n.snapshot == nil {
+		return 0
+	}
+	n.snapshot = &raftpb.Snapshot{
+		Index:      n.snapshot.GetIndex(),
+		Term:       n.snapshot.GetTerm(),
+		Membership: n.snapshot.GetMembership(),
+	}
+	return n.snapshot.GetIndex()
+}
--- a/raft/replication_test.go
+++ b/raft/replication_test.go
@@ -335,6 +335,26 @@
 	is.Equal(sent(drain(n), kindAppend, "b").GetEntries()[0].GetIndex(), uint64(4))
 }
 
+// Data that was let go of is gone from later messages, not from the snapshot
+// that the caller and former messages hold.
+func TestDropSnapshotData(t *testing.T) {
+	is := is.New(t)
+	o := options(members(voter("a"), learner("b")))
+	o.RetainEntries = -1
+	n := newNode(is, o)
+	drain(n)
+	is.Equal(n.DropSnapshotData(), uint64(0)) // none yet
+	s := &raftpb.Snapshot{Index: n.Status().Applied, Data: []byte("state")}
+	is.NoErr(n.Compact(s))
+	is.Equal(n.DropSnapshotData(), s.GetIndex())
+	is.Equal(string(s.GetData()), "state")
+	is.NoErr(n.Step(from("b", &raftpb.Message{Kind: kindAppendReply, Term: 1, Reject: true, LogIndex: n.progress[1].next - 1})))
+	got := sent(drain(n), kindSnapshot, "b").GetSnapshot()
+	want := proto.CloneOf(s)
+	want.Data = nil
+	is.True(proto.Equal(got, want))
+}
+
 // A snapshot that the log already agrees with only moves the commit index.
 func TestSnapshotOfKnownEntriesKeepsLog(t *testing.T) {
 	is := is.New(t)
