replica: tests share the cluster with a leader and the calls in the background

25 tests made a cluster and waited for its leader in two lines, three started a proposal with the same goroutine and channel, two a read barrier, and the counter of a scope was looked up by two copies of one loop. newLedCluster, proposeInBackground, readInBackground and counterValue stand once.

All names of tests stay, no line with an assertion changed but counterValue(old.scope, ...) to the host's counter, which is the same look-up. Ruled out: a shorter form of the schedules in group_test.go; they are alike, but not the same.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -201,6 +201,13 @@
 	return c
 }
 
+// newLedCluster returns a cluster that has a leader.
+func newLedCluster(t *testing.T, size int, opts Options) (*cluster, *host) {
+	t.Helper()
+	c := newCluster(t, size, opts)
+	return c, c.leader()
+}
+
 func (c *cluster) options(h *host) Options {
 	o := c.opts
 	o.Folder, o.Name, o.FS, o.StateMachine = h.folder, h.name, h.disk, h.journal
@@ -416,6 +423,26 @@
 	}
 }
 
+// proposeInBackground proposes at h once. The outcome comes on the channel.
+func (h *host) proposeInBackground(ctx context.Context, command string) <-chan error {
+	outcome := make(chan error, 1)
+	r := h.replica
+	go func() {
+		_, err := r.Propose(ctx, []byte(command))
+		outcome <- err
+	}()
+	return outcome
+}
+
+// readInBackground waits for a read barrier at h. The outcome comes on the
+// channel.
+func (h *host) readInBackground(ctx context.Context) <-chan error {
+	outcome := make(chan error, 1)
+	r := h.replica
+	go func() { outcome <- r.ReadBarrier(ctx) }()
+	return outcome
+}
+
 // backoff returns before the next try: at a change of the status, or after a
 // while, because a lost message changes none. It returns false if ctx ends.
 func backoff(ctx context.Context, changed <-chan struct{}) bool {
@@ -456,14 +483,7 @@
 	})
 }
 
-func (h *host) counter(name string) int64 {
-	for _, c := range h.scope.Snapshot().Counters() {
-		if c.Name() == name && len(c.Tags()) == 0 {
-			return c.Value()
-		}
-	}
-	return 0
-}
+func (h *host) counter(name string) int64 { return counterValue(h.scope, name) }
 
 func others(c *cluster, h *host) []*host {
 	var list []*host
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -54,8 +54,7 @@
 
 func TestLeaderKilledAndRestarted(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{})
-	old := c.leader()
+	c, old := newLedCluster(t, 3, Options{})
 	c.propose(old, "before")
 	c.kill(old)
 	next := c.leader()
@@ -72,8 +71,7 @@
 
 func TestReadBarrierOnAFollowerSeesWhatWasAnswered(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{})
-	leader := c.leader()
+	c, leader := newLedCluster(t, 3, Options{})
 	for i := range 20 {
 		command := fmt.Sprint(i)
 		c.propose(leader, command)
@@ -89,15 +87,13 @@
 
 func TestReadBarrierOnALaggingFollowerWaits(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{})
-	leader := c.leader()
+	c, leader := newLedCluster(t, 3, Options{})
 	follower := others(c, leader)[0]
 	c.propose(leader, "before")
 	c.converge("before")
 	c.withholdAppends(follower.name)
 	c.propose(leader, "x")
-	read := make(chan error, 1)
-	go func() { read <- follower.replica.ReadBarrier(t.Context()) }()
+	read := follower.readInBackground(t.Context())
 	// The entries come only once a read index was asked for.
 	select {
 	case err := <-read:
@@ -114,8 +110,7 @@
 // caller's deadline, and not with a claim that cannot be known.
 func TestProposalOfALeaderThatIsCutOffGetsUnknown(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{})
-	leader := c.leader()
+	c, leader := newLedCluster(t, 3, Options{})
 	c.propose(leader, "before")
 	c.isolate(leader, true)
 	_, err := leader.replica.ProposeLocal(context.WithoutCancel(t.Context()), []byte("x"))
@@ -125,8 +120,7 @@
 
 func TestReadBarrierNeedsAQuorum(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{})
-	leader := c.leader()
+	c, leader := newLedCluster(t, 3, Options{})
 	c.propose(leader, "x")
 	c.isolate(leader, true)
 	next := c.leader(leader)
@@ -141,8 +135,7 @@
 
 func TestLostFolderComesBackAsLearner(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{SnapshotEntries: 5})
-	leader := c.leader()
+	c, leader := newLedCluster(t, 3, Options{SnapshotEntries: 5})
 	for i := range 12 {
 		c.propose(leader, fmt.Sprint("before-", i))
 	}
@@ -187,8 +180,7 @@
 
 func TestLostFolderDoesNotVoteAgain(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{})
-	leader := c.leader()
+	c, leader := newLedCluster(t, 3, Options{})
 	c.propose(leader, "accepted")
 	lost, other := others(c, leader)[0], others(c, leader)[1]
 	c.kill(lost)
@@ -224,8 +216,7 @@
 
 func TestLaggingFollowerCatchesUpBySnapshot(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{SnapshotEntries: 10})
-	leader := c.leader()
+	c, leader := newLedCluster(t, 3, Options{SnapshotEntries: 10})
 	slow := others(c, leader)[0]
 	c.isolate(slow, true)
 	for i := range 50 {
@@ -248,16 +239,14 @@
 // on thawing must neither contradict them nor serve a stale read.
 func TestFrozenLeaderThaws(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{})
-	old := c.leader()
+	c, old := newLedCluster(t, 3, Options{})
 	c.propose(old, "before")
-	thaw, outcome := waitFrozen(t, old, "frozen")
+	thaw, outcome := waitFrozen(context.WithoutCancel(t.Context()), old, "frozen")
 	next := c.leader(old)
 	c.propose(next, "meanwhile")
 	status := old.replica.Status()
 	is.True(status.Leading()) // it knows nothing of it
-	read := make(chan error, 1)
-	go func() { read <- old.replica.ReadBarrier(t.Context()) }()
+	read := old.readInBackground(t.Context())
 	thaw()
 	err := <-read
 	if err == nil {
@@ -275,8 +264,7 @@
 
 func TestLeaderWithABadDiskIsReplaced(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{})
-	old := c.leader()
+	c, old := newLedCluster(t, 3, Options{})
 	c.propose(old, "before")
 	old.disk.fail(errors.New("bad disk"))
 	_, err := old.replica.Propose(t.Context(), []byte("unsure"))
@@ -292,8 +280,7 @@
 
 func TestMembershipChangesNeedTheLeader(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{})
-	leader := c.leader()
+	c, leader := newLedCluster(t, 3, Options{})
 	follower := others(c, leader)[0]
 	id := &raftpb.ReplicaID{Name: "d", Incarnation: 4}
 	is.True(errors.Is(follower.replica.AddLearner(t.Context(), &raftpb.Member{Id: id}), ErrNoLeader))
@@ -308,8 +295,7 @@
 // has another one, however long the caller would wait.
 func TestForwardToKilledLeaderIsGivenUp(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{})
-	leader := c.leader()
+	c, leader := newLedCluster(t, 3, Options{})
 	follower := others(c, leader)[0]
 	c.wait("the leader known", func() bool { return follower.replica.Status().Leader != nil })
 	sent := make(chan struct{})
@@ -363,8 +349,7 @@
 		{"cancelled", fixedForwarder{err: context.Canceled}, ErrUnknown},
 		{"not sent", fixedForwarder{err: ErrNoLeader}, ErrNoLeader},
 	}
-	c := newCluster(t, 3, Options{})
-	leader := c.leader()
+	c, leader := newLedCluster(t, 3, Options{})
 	follower := others(c, leader)[0]
 	c.wait("follower knows the leader", func() bool { return follower.replica.Status().Leader != nil })
 	r := &Replica{id: follower.replica.id, metrics: follower.replica.metrics, opts: follower.replica.opts}
--- a/internal/replica/handover_test.go
+++ b/internal/replica/handover_test.go
@@ -14,8 +14,7 @@
 // elected in the next term with all that was accepted.
 func TestCloseHandsOver(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{})
-	old := c.leader()
+	c, old := newLedCluster(t, 3, Options{})
 	c.propose(old, "before")
 	term := old.replica.Status().Term
 	var mu sync.Mutex
@@ -30,7 +29,7 @@
 	closing := old.replica
 	is.NoErr(closing.Close())
 	c.detach(old)
-	is.Equal(counterValue(old.scope, "leaderships_handed_over"), int64(1))
+	is.Equal(old.counter("leaderships_handed_over"), int64(1))
 	next := c.leader()
 	mu.Lock()
 	is.Equal(next.name, asked)
@@ -45,14 +44,12 @@
 // Without anybody to take over, a leader says so, goes on, and can be closed.
 func TestHandOverNeedsAnother(t *testing.T) {
 	is := is.New(t)
-	alone := newCluster(t, 1, Options{})
-	h := alone.leader()
+	alone, h := newLedCluster(t, 1, Options{})
 	is.True(errors.Is(h.replica.HandOver(t.Context()), ErrNoLeader))
 	alone.propose(h, "goes on")
 	is.NoErr(alone.detach(h).Close())
 
-	c := newCluster(t, 3, Options{})
-	leader := c.leader()
+	c, leader := newLedCluster(t, 3, Options{})
 	is.NoErr(others(c, leader)[0].replica.HandOver(t.Context())) // it does not lead
 	is.Equal(c.leader(), leader)
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -96,8 +96,7 @@
 
 func TestGracefulCloseKeepsTheCommitIndex(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{})
-	h := c.leader()
+	c, h := newLedCluster(t, 3, Options{})
 	c.propose(h, "x")
 	c.converge("x")
 	for _, h := range c.hosts {
@@ -110,8 +109,7 @@
 
 func TestFailedSyncStopsTheReplica(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, Options{})
-	h := c.leader()
+	c, h := newLedCluster(t, 1, Options{})
 	c.propose(h, "acknowledged")
 	failure := errors.New("bad disk")
 	h.disk.fail(failure)
@@ -130,8 +128,7 @@
 
 func TestFailedSnapshotWriteStopsTheReplica(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, Options{SnapshotEntries: 5})
-	h := c.leader()
+	_, h := newLedCluster(t, 1, Options{SnapshotEntries: 5})
 	h.journal.onApply = func(string) { h.disk.fail(os.ErrPermission) }
 	var err error
 	for err == nil {
@@ -143,8 +140,7 @@
 
 func TestDamagedFolderDoesNotOpen(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, Options{})
-	h := c.leader()
+	c, h := newLedCluster(t, 1, Options{})
 	c.propose(h, "x")
 	is.NoErr(c.detach(h).Close())
 	paths, err := filepath.Glob(filepath.Join(h.folder, "*.wal"))
@@ -159,8 +155,7 @@
 
 func TestFailedRestoreDoesNotOpen(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, Options{})
-	h := c.leader()
+	c, h := newLedCluster(t, 1, Options{})
 	is.NoErr(c.detach(h).Close())
 	h.journal = &journal{failRestore: errors.New("bad snapshot")}
 	_, err := Open(c.options(h))
@@ -170,8 +165,7 @@
 
 func TestPanicOfTheStateMachineStopsTheReplica(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, Options{})
-	h := c.leader()
+	_, h := newLedCluster(t, 1, Options{})
 	h.journal.onApply = func(string) { panic("broken state machine") }
 	_, err := h.replica.Propose(t.Context(), []byte("x"))
 	is.True(errors.Is(err, ErrUnknown))
@@ -181,24 +175,17 @@
 
 // waitFrozen freezes the leader in the sync of a proposal. The proposal's
 // outcome comes on the channel.
-func waitFrozen(t *testing.T, h *host, command string) (thaw func(), outcome chan error) {
-	t.Helper()
+func waitFrozen(ctx context.Context, h *host, command string) (thaw func(), outcome <-chan error) {
 	thaw = h.disk.freeze()
-	outcome = make(chan error, 1)
-	r := h.replica
-	go func() {
-		_, err := r.Propose(context.WithoutCancel(t.Context()), []byte(command))
-		outcome <- err
-	}()
+	outcome = h.proposeInBackground(ctx, command)
 	<-h.disk.blocked
 	return thaw, outcome
 }
 
 func TestQueueIsBounded(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, Options{MaxProposals: 3})
-	h := c.leader()
-	thaw, outcome := waitFrozen(t, h, "first")
+	c, h := newLedCluster(t, 1, Options{MaxProposals: 3})
+	thaw, outcome := waitFrozen(context.WithoutCancel(t.Context()), h, "first")
 	// Two more fill the queue. Their callers give up before they were taken.
 	ctx, cancel := context.WithCancel(t.Context())
 	refused := make(chan error, 2)
@@ -233,16 +220,9 @@
 
 func TestCallerThatGivesUpOnATakenProposalGetsUnknown(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, Options{})
-	h := c.leader()
-	thaw := h.disk.freeze()
+	c, h := newLedCluster(t, 1, Options{})
 	ctx, cancel := context.WithCancel(t.Context())
-	outcome := make(chan error, 1)
-	go func() {
-		_, err := h.replica.Propose(ctx, []byte("x"))
-		outcome <- err
-	}()
-	<-h.disk.blocked
+	thaw, outcome := waitFrozen(ctx, h, "x")
 	cancel()
 	err := <-outcome
 	is.True(errors.Is(err, ErrUnknown))
@@ -254,19 +234,14 @@
 
 func TestCloseAnswersThoseThatWait(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 3, Options{})
-	h := c.leader()
+	c, h := newLedCluster(t, 3, Options{})
 	c.propose(h, "before")
 	for _, o := range others(c, h) {
 		c.isolate(o, true)
 	}
-	outcome := make(chan error, 1)
 	r := h.replica
 	before := r.Status()
-	go func() {
-		_, err := r.Propose(t.Context(), []byte("x"))
-		outcome <- err
-	}()
+	outcome := h.proposeInBackground(t.Context(), "x")
 	c.wait("entry on the leader's disk", func() bool {
 		s := r.Status()
 		for _, m := range s.Members {
