controld: tests with one host share their set-up

Seven tests and newSingle made a deployment of one host, started it and took an operator's client for it. newLone does so once.

Names of tests and assertions stay. TestOnlyOperatorsReachTheAPI takes its operator's client before the intruder's call instead of after it; the same call is asked for the same outcome. Ruled out: folding the subscription of an entry host, as its callers differ in role, host and version.

--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -151,12 +151,19 @@
 	}
 }
 
-// newSingle is one host with a first version that these operations made.
-func newSingle(t testing.TB, ops ...*configpb.Operation) *deployment {
+// newLone is one host that runs, with an operator's client for it.
+func newLone(t testing.TB) (*deployment, *operator.Client) {
 	t.Helper()
 	d := newDeployment(t, "c1")
 	d.startAll("c1")
-	d.accept(d.operator("c1"), patch("p1", 0, ops...))
+	return d, d.operator("c1")
+}
+
+// newSingle is one host with a first version that these operations made.
+func newSingle(t testing.TB, ops ...*configpb.Operation) *deployment {
+	t.Helper()
+	d, c := newLone(t)
+	d.accept(c, patch("p1", 0, ops...))
 	return d
 }
 
@@ -298,9 +305,7 @@
 
 func TestSingleHostPatchReachesSubscriber(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	ops := d.operator("c1")
+	d, ops := newLone(t)
 	w := d.subscribe(d.link(keys.RoleEntry, "e1", "", "c1"), &controlpb.Subscribe{FailureDomain: "dugbe"})
 
 	first := w.await("a first configuration", func(u *controlpb.SubscribeUpdate) bool { return u.GetConfig() != nil })
--- a/internal/controld/follow_test.go
+++ b/internal/controld/follow_test.go
@@ -29,9 +29,7 @@
 
 func TestSlowSubscriberGetsCollapsedUpdates(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	ops := d.operator("c1")
+	d, ops := newLone(t)
 	w := d.subscribe(d.link(keys.RoleEntry, "e1", "", "c1"), &controlpb.Subscribe{})
 	w.awaitVersion(0)
 	const (
@@ -67,9 +65,7 @@
 
 func TestSubscriberResumesByDelta(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	ops := d.operator("c1")
+	d, ops := newLone(t)
 	for i := range config.MaxHistory + 20 {
 		d.accept(ops, patch(fmt.Sprintf("p%d", i), uint64(i), put("lodgement", "192.0.2.1:443")))
 	}
@@ -112,9 +108,7 @@
 // another one: it gets each version number and nothing of the service.
 func TestScopedSubscriberFollowsVersions(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	ops := d.operator("c1")
+	d, ops := newLone(t)
 	d.accept(ops, patch("p1", 0, put("lodgement", "192.0.2.1:443"), put("certificates", "192.0.2.2:443")))
 	c := d.link(keys.RoleAgent, "a1", "certificates", "c1")
 	req := &controlpb.Subscribe{Services: []uint32{2}, ScopedConfig: true}
--- a/internal/controld/roles_test.go
+++ b/internal/controld/roles_test.go
@@ -243,9 +243,7 @@
 
 func TestOperatorSeesOutcomes(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	ops := d.operator("c1")
+	d, ops := newLone(t)
 	ctx := testContext(t)
 	p := patch("lagos/2026-12-02 #1", 0, put("lodgement", "192.0.2.1:443"))
 	first := d.accept(ops, p)
@@ -284,21 +282,18 @@
 
 func TestOnlyOperatorsReachTheAPI(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
+	d, ops := newLone(t)
 	intruder := operator.NewClient([]string{d.hosts["c1"].daemon.OperatorAddr()}, d.credentials(keys.RoleAgent, "a1", "lodgement"))
 	defer intruder.Close()
 	_, err := intruder.Submit(testContext(t), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
 	is.True(err != nil)
-	_, err = d.operator("c1").Outcome(testContext(t), "p1")
+	_, err = ops.Outcome(testContext(t), "p1")
 	is.True(isError(err, operator.ErrNotFound)) // nothing of it got in
 }
 
 func TestManySubscribersFollow(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	ops := d.operator("c1")
+	d, ops := newLone(t)
 	c := d.link(keys.RoleEntry, "e1", "", "c1")
 	var all []*watcher
 	for range 20 {
