agentd: a world brings its first caller, and refusals are held in one place

40 tests made the same caller, and wrote the call and the URL out each time; eight places held status, outcome and reason of a refusal in the same three lines; the two tests of path_test.go spelled out oneAgent. The world now has its first caller (client, mustSend), checkRefused holds the three, and holdOne and movesTo lose a parameter that was the same caller everywhere.

Names of tests stay. Each of the three checks of a refusal is made by checkRefused, none is dropped; it stops the test at the first that fails, as is does. TestCallerCancels and TestOldAndNewProcessOverlap use the world's first caller in place of one of their own, which is the first connection of the world as before. Ruled out: the same for tests that need a new connection with each call; they keep w.caller().

--- a/internal/agentd/announce_test.go
+++ b/internal/agentd/announce_test.go
@@ -106,15 +106,14 @@
 				HealthPath: "/health", LoadPath: "/load",
 			})
 			eventually(t, "load report", func() bool { _, running := a.health.verdict(); return running == 4 })
-			client := w.caller()
 			for range health.MinSamples {
-				is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+				is.Equal(w.mustSend(t, "GET", "/echo?text=x", "").body, "x")
 			}
 			eventually(t, "verdict of well", func() bool { return !a.plane.Load().current().ill })
 			// A quarter of the slots at most for the report, and the flows.
 			eventually(t, "load near the truth", func() bool { return a.plane.Load().current().load <= 260 })
 			for range 2 * health.MinSamples {
-				mustSend(t, client, "GET", w.url("/status?code=500"), "")
+				w.mustSend(t, "GET", "/status?code=500", "")
 			}
 			eventually(t, "verdict of ill", func() bool { return a.plane.Load().current().ill })
 		})
@@ -126,19 +125,18 @@
 func TestCallersLeaveAFailingTarget(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
-	session := openWatch(t, client, w.url("/watch"))
+	session := openWatch(t, w.client, w.url("/watch"))
 	b := w.startAgent("t2", newFakeBackend(t).server.URL)
 	c := w.startAgent("t3", newFakeBackend(t).server.URL)
 	w.known.set(a.published.last(), b.published.last(), c.published.last())
 	w.entry.choose(a.FrameAddr(), b.FrameAddr())
 	for range 2 * health.MinSamples {
-		got := mustSend(t, client, "GET", w.url("/status?code=500"), "")
+		got := w.mustSend(t, "GET", "/status?code=500", "")
 		if got.header.Get(headerTarget) == b.plane.Load().self.String() {
 			break
 		}
 	}
-	movesTo(t, w, client, b)
+	movesTo(t, w, b)
 	is.True(a.plane.Load().current().ill)
 	backend.events <- "still here"
 	is.Equal(session.line(t), "still here")
--- a/internal/agentd/call_test.go
+++ b/internal/agentd/call_test.go
@@ -102,14 +102,13 @@
 func TestBodilessAnswers(t *testing.T) {
 	is := is.New(t)
 	w, _, _ := oneAgent(t)
-	client := w.caller()
 	for _, code := range []string{"204", "304"} {
-		got := mustSend(t, client, "GET", w.url("/status?code="+code), "")
+		got := w.mustSend(t, "GET", "/status?code="+code, "")
 		is.Equal(http.StatusText(got.status) != "", true)
 		is.Equal(got.body, "")
 		is.Equal(got.header.Get(headerOutcome), "answered")
 	}
-	got := mustSend(t, client, "HEAD", w.url("/echo?text=abc"), "")
+	got := w.mustSend(t, "HEAD", "/echo?text=abc", "")
 	is.Equal(got.status, http.StatusOK)
 	is.Equal(got.header.Get("Content-Length"), "3")
 	is.Equal(got.body, "")
--- a/internal/agentd/drain_test.go
+++ b/internal/agentd/drain_test.go
@@ -14,8 +14,7 @@
 func TestShutdownWaitsForTheWatch(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
-	session := openWatch(t, client, w.url("/watch"))
+	session := openWatch(t, w.client, w.url("/watch"))
 	second := newFakeBackend(t)
 	b := w.startAgent("t2", second.server.URL)
 	w.entry.choose(a.FrameAddr(), b.FrameAddr())
@@ -26,10 +25,10 @@
 	})
 	// The same caller's next requests move to a new connection, which the
 	// leaving agent hands on.
-	movesTo(t, w, client, b)
+	movesTo(t, w, b)
 	before := second.ran("")
 	for range 3 {
-		got := mustSend(t, client, "GET", w.url("/echo?text=x"), "")
+		got := w.mustSend(t, "GET", "/echo?text=x", "")
 		is.Equal(got.body, "x")
 		is.Equal(got.header.Get(headerTarget), b.plane.Load().self.String())
 	}
@@ -51,12 +50,12 @@
 	is.Equal(second.ran("")-before, 3)
 }
 
-// movesTo waits until a caller's requests reach another agent. A request that
-// crosses the GOAWAY on its way still runs at the leaving one.
-func movesTo(t *testing.T, w *world, client *http.Client, other *agent) {
+// movesTo waits until the first caller's requests reach another agent. A request
+// that crosses the GOAWAY on its way still runs at the leaving one.
+func movesTo(t *testing.T, w *world, other *agent) {
 	t.Helper()
 	eventually(t, "requests move to the other target", func() bool {
-		got := mustSend(t, client, "GET", w.url("/echo"), "")
+		got := w.mustSend(t, "GET", "/echo", "")
 		return got.header.Get(headerTarget) == other.plane.Load().self.String()
 	})
 }
@@ -70,10 +69,9 @@
 func TestShutdownCutsNoRequestInFlight(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
 	var held []inFlight
 	for range 4 {
-		held = append(held, start(t.Context(), client, "GET", w.url("/hold")))
+		held = append(held, start(t.Context(), w.client, "GET", w.url("/hold")))
 	}
 	eventually(t, "requests run", func() bool { return backend.running.Load() == 4 })
 	a.stop()
@@ -96,21 +94,20 @@
 	old := w.startAgentWith("t1", backend.server.URL, timing, nil)
 	other := w.startAgent("t2", newFakeBackend(t).server.URL)
 	w.entry.choose(old.FrameAddr(), other.FrameAddr())
-	client := w.caller()
-	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+	is.Equal(w.mustSend(t, "GET", "/echo?text=x", "").body, "x")
 	old.stop()
 	eventually(t, "draining announced", func() bool {
 		return old.published.last().GetState() == controlpb.TargetState_TARGET_STATE_DRAINING
 	})
 	for range 10 {
 		old.pass(t, old.timing.checkEvery)
-		got := mustSend(t, client, "GET", w.url("/echo?text=x"), "")
+		got := w.mustSend(t, "GET", "/echo?text=x", "")
 		is.Equal(got.header.Get(headerTarget), old.plane.Load().self.String())
 	}
 	next := w.startAgent("t1", backend.server.URL)
 	w.entry.choose(next.FrameAddr(), "")
 	w.known.set(next.published.last())
-	movesTo(t, w, client, next)
+	movesTo(t, w, next)
 	old.waitDone(t)
 }
 
@@ -119,8 +116,7 @@
 func TestOldAndNewProcessOverlap(t *testing.T) {
 	is := is.New(t)
 	w, old, backend := oneAgent(t)
-	first := w.caller()
-	session := openWatch(t, first, w.url("/watch"))
+	session := openWatch(t, w.client, w.url("/watch"))
 	old.stop()
 	next := w.startAgent("t1", backend.server.URL)
 	w.known.set(next.published.last())
@@ -128,30 +124,29 @@
 	w.entry.choose(old.FrameAddr(), "")                 // an entry host with an old view
 	got := mustSend(t, w.caller(), "GET", w.url("/echo?text=x"), "")
 	is.Equal(got.header.Get(headerTarget), "t1/1/2")
-	movesTo(t, w, first, next)
-	got = mustSend(t, first, "GET", w.url("/echo?text=x"), "")
+	movesTo(t, w, next)
+	got = w.mustSend(t, "GET", "/echo?text=x", "")
 	is.Equal(got.header.Get(headerTarget), "t1/1/2")
 	backend.events <- "through the old one"
 	is.Equal(session.line(t), "through the old one")
 	session.close()
 	old.waitDone(t)
-	got = mustSend(t, first, "GET", w.url("/echo?text=y"), "")
+	got = w.mustSend(t, "GET", "/echo?text=y", "")
 	is.Equal(got.body, "y")
 }
 
 func TestDrainingBackendGetsNoNewWork(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
-	session := openWatch(t, client, w.url("/watch"))
+	session := openWatch(t, w.client, w.url("/watch"))
 	second := newFakeBackend(t)
 	b := w.startAgent("t2", second.server.URL)
 	w.known.set(b.published.last())
 	a.announceState(t, "t1", backend.server.URL, "draining")
-	movesTo(t, w, client, b)
+	movesTo(t, w, b)
 	before := backend.ran("")
 	for range 5 {
-		got := mustSend(t, client, "GET", w.url("/echo?text=x"), "")
+		got := w.mustSend(t, "GET", "/echo?text=x", "")
 		is.Equal(got.header.Get(headerTarget), b.plane.Load().self.String())
 	}
 	is.Equal(backend.ran(""), before)
@@ -171,10 +166,9 @@
 	timing := testTiming()
 	timing.announceLease = 200 * time.Millisecond
 	w, a, _ := oneAgentWith(t, timing, nil)
-	client := w.caller()
-	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+	is.Equal(w.mustSend(t, "GET", "/echo?text=x", "").body, "x")
 	eventually(t, "leaving", func() bool { return !a.serving() })
-	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+	is.Equal(w.mustSend(t, "GET", "/echo?text=x", "").body, "x")
 }
 
 func TestLeavingWithNowhereToGoRefuses(t *testing.T) {
--- a/internal/agentd/fakes_test.go
+++ b/internal/agentd/fakes_test.go
@@ -463,11 +463,11 @@
 	return f
 }
 
-// holdOne starts a request that the backend server holds, and waits until it runs
-// there, alone.
-func (b *fakeBackend) holdOne(ctx context.Context, t *testing.T, w *world, client *http.Client, method string, headers ...string) inFlight {
+// holdOne starts a request of the first caller that the backend server holds, and
+// waits until it runs there, alone.
+func (b *fakeBackend) holdOne(ctx context.Context, t *testing.T, w *world, method string, headers ...string) inFlight {
 	t.Helper()
-	f := start(ctx, client, method, w.url("/hold"), headers...)
+	f := start(ctx, w.client, method, w.url("/hold"), headers...)
 	eventually(t, "request runs", func() bool { return b.running.Load() == 1 })
 	return f
 }
--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -62,6 +62,8 @@
 	control *fakeControl
 	entry   *fakeEntry
 	known   *fakeDirectory
+	// client is the first caller's.
+	client *http.Client
 }
 
 func newWorld(t *testing.T) *world {
@@ -78,6 +80,7 @@
 	w.roots = x509.NewCertPool()
 	w.roots.AppendCertsFromPEM(authority.CertificatePEM())
 	w.entry = newFakeEntry(t, w.secrets, 2)
+	w.client = w.caller()
 	return w
 }
 
@@ -250,6 +253,21 @@
 	return "https://" + w.entry.public.LocalAddr().String() + path
 }
 
+// mustSend is mustSend by the first caller.
+func (w *world) mustSend(t *testing.T, method, path, body string, headers ...string) answer {
+	t.Helper()
+	return mustSend(t, w.client, method, w.url(path), body, headers...)
+}
+
+// checkRefused holds an answer to be a refusal of that kind.
+func checkRefused(t *testing.T, got answer, status int, outcome, why string) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(got.status, status)
+	is.Equal(got.header.Get(headerOutcome), outcome)
+	is.Equal(got.header.Get(headerReason), why)
+}
+
 // fakeEntry relays between callers and agents as entry hosts do, by frames.
 type fakeEntry struct {
 	public *net.UDPConn
--- a/internal/agentd/flow_test.go
+++ b/internal/agentd/flow_test.go
@@ -71,8 +71,7 @@
 func TestMisdirectedFramesAreRefusedAndDisturbNobody(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
-	session := openWatch(t, client, w.url("/watch"))
+	session := openWatch(t, w.client, w.url("/watch"))
 	defer session.close()
 	self := a.plane.Load().self
 	good := frame.Header{
@@ -116,7 +115,7 @@
 		is.Equal(session.line(t), "undisturbed")
 		is.Equal(int64(i+1), a.counter("frames_refused", ""))
 	}
-	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+	is.Equal(w.mustSend(t, "GET", "/echo?text=x", "").body, "x")
 }
 
 func TestFloodOfFirstPacketsFillsNoTable(t *testing.T) {
@@ -212,8 +211,7 @@
 func TestSuccessorResetsFlowsOfAKilledProcess(t *testing.T) {
 	is := is.New(t)
 	w, old, backend := oneAgent(t)
-	client := w.caller()
-	session := openWatch(t, client, w.url("/watch"))
+	session := openWatch(t, w.client, w.url("/watch"))
 	defer session.close()
 	frames := old.FrameAddr()
 	must(t, old.socket.Close()) // it says no more
@@ -225,7 +223,7 @@
 	var reset *quic.StatelessResetError
 	is.True(errors.As(err, &reset))
 	is.True(next.counter("flows_of_former_process", "") >= 1)
-	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").header.Get(headerTarget), "t1/1/2")
+	is.Equal(w.mustSend(t, "GET", "/echo?text=x", "").header.Get(headerTarget), "t1/1/2")
 }
 
 // A caller that dials again from the same port holds a token of its former
@@ -257,8 +255,7 @@
 func TestSecretsChangeUnderOpenSessions(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
-	session := openWatch(t, client, w.url("/watch"))
+	session := openWatch(t, w.client, w.url("/watch"))
 	defer session.close()
 	former := w.secrets[0]
 	next := connid.Secret{ID: 2, Key: [connid.SecretLength]byte{9}}
--- a/internal/agentd/late_test.go
+++ b/internal/agentd/late_test.go
@@ -63,10 +63,9 @@
 	w := newWorld(t)
 	a := w.startAgent("t1", startLateBackend(t))
 	w.entry.choose(a.FrameAddr(), "")
-	client := w.caller()
 	for i := range 10 {
 		text := "own" + strconv.Itoa(i)
-		got := mustSend(t, client, "GET", w.url("/echo?text="+text), "")
+		got := w.mustSend(t, "GET", "/echo?text="+text, "")
 		is.Equal(got.status, http.StatusOK)
 		is.Equal(got.body, text)
 	}
--- a/internal/agentd/once_test.go
+++ b/internal/agentd/once_test.go
@@ -17,12 +17,11 @@
 func TestResendGetsTheRecordedAnswer(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
-	first := mustSend(t, client, "POST", w.url("/run"), "stamp", headerKey, "k1")
+	first := w.mustSend(t, "POST", "/run", "stamp", headerKey, "k1")
 	is.Equal(first.status, http.StatusCreated)
 	is.Equal(first.body, "ran stamp")
 	is.Equal(first.header.Get(headerReplayed), "")
-	again := mustSend(t, client, "POST", w.url("/run"), "stamp", headerKey, "k1")
+	again := w.mustSend(t, "POST", "/run", "stamp", headerKey, "k1")
 	is.Equal(again.status, http.StatusCreated)
 	is.Equal(again.body, "ran stamp")
 	is.Equal(again.header.Get("Content-Type"), "text/x-run")
@@ -30,10 +29,8 @@
 	is.Equal(again.header.Get(headerReplayed), "true")
 	is.Equal(backend.ran("k1"), 1)
 	is.Equal(a.counter("answers_replayed", ""), int64(1))
-	other := mustSend(t, client, "POST", w.url("/run"), "another", headerKey, "k1")
-	is.Equal(other.status, http.StatusConflict)
-	is.Equal(other.header.Get(headerOutcome), "not-run")
-	is.Equal(other.header.Get(headerReason), "key-mismatch")
+	other := w.mustSend(t, "POST", "/run", "another", headerKey, "k1")
+	checkRefused(t, other, http.StatusConflict, "not-run", "key-mismatch")
 	is.Equal(backend.ran("k1"), 1)
 }
 
@@ -56,13 +53,10 @@
 		t.Run(path, func(t *testing.T) {
 			is := is.New(t)
 			w, _, backend := oneAgent(t)
-			client := w.caller()
-			first := mustSend(t, client, "POST", w.url(path), "x", headerKey, "k1")
+			first := w.mustSend(t, "POST", path, "x", headerKey, "k1")
 			is.Equal(first.header.Get(headerOutcome), "unknown")
-			again := mustSend(t, client, "POST", w.url(path), "x", headerKey, "k1")
-			is.Equal(again.status, http.StatusBadGateway)
-			is.Equal(again.header.Get(headerOutcome), "unknown")
-			is.Equal(again.header.Get(headerReason), "held")
+			again := w.mustSend(t, "POST", path, "x", headerKey, "k1")
+			checkRefused(t, again, http.StatusBadGateway, "unknown", "held")
 			is.Equal(backend.ran("k1"), 1)
 		})
 	}
@@ -71,13 +65,12 @@
 func TestHeldWhileTheFirstAttemptRuns(t *testing.T) {
 	is := is.New(t)
 	w, _, backend := oneAgent(t)
-	client := w.caller()
-	held := backend.holdOne(t.Context(), t, w, client, "POST", headerKey, "k1")
-	again := mustSend(t, client, "POST", w.url("/hold"), "", headerKey, "k1")
+	held := backend.holdOne(t.Context(), t, w, "POST", headerKey, "k1")
+	again := w.mustSend(t, "POST", "/hold", "", headerKey, "k1")
 	is.Equal(again.header.Get(headerReason), "held")
 	close(backend.hold)
 	is.Equal((<-held.got).body, "held")
-	again = mustSend(t, client, "POST", w.url("/hold"), "", headerKey, "k1")
+	again = w.mustSend(t, "POST", "/hold", "", headerKey, "k1")
 	is.Equal(again.body, "held")
 	is.Equal(again.header.Get(headerReplayed), "true")
 	is.Equal(backend.ran("k1"), 1)
@@ -86,12 +79,11 @@
 func TestProvenNotRunGivesTheRightBack(t *testing.T) {
 	is := is.New(t)
 	w, _, backend := oneAgent(t)
-	client := w.caller()
 	backend.refuse.Store(3)
-	first := mustSend(t, client, "POST", w.url("/echo"), "x", headerKey, "k1")
+	first := w.mustSend(t, "POST", "/echo", "x", headerKey, "k1")
 	is.Equal(first.header.Get(headerOutcome), "not-run") // rests on the grant
 	is.True(w.control.record("k1") == nil)               // given back before the caller was told
-	again := mustSend(t, client, "POST", w.url("/echo"), "x", headerKey, "k1")
+	again := w.mustSend(t, "POST", "/echo", "x", headerKey, "k1")
 	is.Equal(again.body, "x")
 	is.Equal(backend.ran("k1"), 1)
 }
@@ -99,13 +91,12 @@
 func TestNoQuorumNoRun(t *testing.T) {
 	is := is.New(t)
 	w, _, backend := oneAgent(t)
-	client := w.caller()
-	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+	is.Equal(w.mustSend(t, "GET", "/echo?text=x", "").body, "x")
 	w.control.set(controlGone)
-	checkUnasked(t, mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "k1"), "grant-unavailable")
+	checkUnasked(t, w.mustSend(t, "POST", "/run", "x", headerKey, "k1"), "grant-unavailable")
 	is.Equal(backend.ran("k1"), 0)
 	// What may be repeated is served without the control hosts.
-	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=y"), "").body, "y")
+	is.Equal(w.mustSend(t, "GET", "/echo?text=y", "").body, "y")
 }
 
 // An agent that knows an old slot table is refused and asks again by the one
@@ -113,11 +104,10 @@
 func TestOldSlotTableIsLearnedAnew(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
 	for i, table := range []uint64{7, 7, 9, 9} {
 		w.control.setTable(table, 1)
 		key := fmt.Sprint("k", i)
-		is.Equal(mustSend(t, client, "POST", w.url("/run"), "x", headerKey, key).body, "ran x")
+		is.Equal(w.mustSend(t, "POST", "/run", "x", headerKey, key).body, "ran x")
 		is.Equal(backend.ran(key), 1)
 	}
 	// The Acquire of the third request was refused, and nothing else.
@@ -140,21 +130,20 @@
 func TestResendIsNotDenied(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
-	is.Equal(mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "k1").body, "ran x")
+	is.Equal(w.mustSend(t, "POST", "/run", "x", headerKey, "k1").body, "ran x")
 	held := a.proxy.bodies.total
 	is.True(a.proxy.bodies.held.CompareAndSwap(0, held))
-	checkUnasked(t, mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "k1"), "bodies-full")
+	checkUnasked(t, w.mustSend(t, "POST", "/run", "x", headerKey, "k1"), "bodies-full")
 	a.proxy.bodies.held.Add(-held)
 	a.proxy.once.asking.Store(maxGrants)
-	checkUnasked(t, mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "k1"), "grants-full")
+	checkUnasked(t, w.mustSend(t, "POST", "/run", "x", headerKey, "k1"), "grants-full")
 	a.proxy.once.asking.Store(0)
 	w.control.set(controlGone)
-	checkUnasked(t, mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "k1"), "grant-unavailable")
+	checkUnasked(t, w.mustSend(t, "POST", "/run", "x", headerKey, "k1"), "grant-unavailable")
 	w.control.set(controlWell)
 	var again answer
 	eventually(t, "answer replayed", func() bool {
-		again = mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "k1")
+		again = w.mustSend(t, "POST", "/run", "x", headerKey, "k1")
 		return again.header.Get(headerOutcome) == "answered"
 	})
 	is.Equal(again.body, "ran x")
@@ -171,20 +160,19 @@
 			timing := testTiming()
 			timing.grantProbe = time.Hour // none while the test asks
 			w, a, backend := oneAgentWith(t, timing, nil)
-			client := w.caller()
 			w.control.set(mode)
 			line := a.proxy.once.lines[0]
 			eventually(t, "loss known", func() bool {
-				_, _ = send(client, "POST", w.url("/run"), "x", headerKey, "first")
+				_, _ = send(w.client, "POST", w.url("/run"), "x", headerKey, "first")
 				return line.away()
 			})
 			line.allow() // the probe
 			asked := w.control.asked("k1")
-			checkUnasked(t, mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "k1"), "grant-unavailable")
+			checkUnasked(t, w.mustSend(t, "POST", "/run", "x", headerKey, "k1"), "grant-unavailable")
 			is.Equal(w.control.asked("k1"), asked) // told without asking
 			w.control.set(controlWell)
 			line.tried(0, true) // as any answer, such as that of a probe
-			is.Equal(mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "k1").body, "ran x")
+			is.Equal(w.mustSend(t, "POST", "/run", "x", headerKey, "k1").body, "ran x")
 			is.Equal(backend.ran("k1"), 1)
 		})
 	}
@@ -196,10 +184,9 @@
 	timing := testTiming()
 	timing.grantProbe = time.Hour // none while the test asks
 	w, a, _ := oneAgentWith(t, timing, nil)
-	client := w.caller()
 	table := grant.NewSlotTable(2)
 	w.control.setTable(table.Digest(), table.Groups())
-	is.Equal(mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "learns the table").body, "ran x")
+	is.Equal(w.mustSend(t, "POST", "/run", "x", headerKey, "learns the table").body, "ran x")
 	keys := map[int]string{}
 	for i := 0; len(keys) < table.Groups(); i++ {
 		key := fmt.Sprint("k", i)
@@ -207,31 +194,29 @@
 	}
 	w.control.set(controlDeaf) // the link stands
 	eventually(t, "loss known", func() bool {
-		_, _ = send(client, "POST", w.url("/run"), "x", headerKey, keys[0])
+		_, _ = send(w.client, "POST", w.url("/run"), "x", headerKey, keys[0])
 		return a.proxy.once.lines[0].away()
 	})
 	w.control.set(controlWell)
-	is.Equal(mustSend(t, client, "POST", w.url("/run"), "x", headerKey, keys[1]).body, "ran x")
+	is.Equal(w.mustSend(t, "POST", "/run", "x", headerKey, keys[1]).body, "ran x")
 }
 
 func TestLostGrantIsGivenBack(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
 	w.control.set(controlDeaf) // grants, but the agent never hears of it
-	checkUnasked(t, mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "k1"), "grant-unavailable")
+	checkUnasked(t, w.mustSend(t, "POST", "/run", "x", headerKey, "k1"), "grant-unavailable")
 	w.control.set(controlWell)
 	eventually(t, "right given back", func() bool { return w.control.record("k1") == nil })
 	eventually(t, "control hosts heard", func() bool { return !a.proxy.once.lines[0].away() })
-	is.Equal(mustSend(t, client, "POST", w.url("/run"), "x", headerKey, "k1").body, "ran x")
+	is.Equal(w.mustSend(t, "POST", "/run", "x", headerKey, "k1").body, "ran x")
 	is.Equal(backend.ran("k1"), 1)
 }
 
 func TestAnswerIsToldWhenItsRecordFails(t *testing.T) {
 	is := is.New(t)
 	w, _, backend := oneAgent(t)
-	client := w.caller()
-	held := backend.holdOne(t.Context(), t, w, client, "POST", headerKey, "k1")
+	held := backend.holdOne(t.Context(), t, w, "POST", headerKey, "k1")
 	w.control.set(controlGone)
 	close(backend.hold)
 	is.Equal((<-held.got).body, "held") // told all the same
@@ -244,13 +229,12 @@
 func TestLostConnectionDoesNotStopTheRun(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
-	held := backend.holdOne(t.Context(), t, w, client, "POST", headerKey, "k1")
+	held := backend.holdOne(t.Context(), t, w, "POST", headerKey, "k1")
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	start(ctx, w.caller(), "POST", w.url("/hold"), headerKey, "cancelled")
 	eventually(t, "the other request runs", func() bool { return backend.running.Load() == 2 })
-	must(t, client.Transport.(*http3.Transport).Close())
+	must(t, w.client.Transport.(*http3.Transport).Close())
 	is.True(<-held.fail != nil)
 	eventually(t, "the agent lost the connection", func() bool { return a.lost() == 1 })
 	// Another run is cancelled later, after the same span in which a lost
@@ -269,13 +253,12 @@
 func TestCancelledRunStops(t *testing.T) {
 	is := is.New(t)
 	w, _, backend := oneAgent(t)
-	client := w.caller()
 	ctx, cancel := context.WithCancel(t.Context())
-	held := backend.holdOne(ctx, t, w, client, "POST", headerKey, "k1")
+	held := backend.holdOne(ctx, t, w, "POST", headerKey, "k1")
 	cancel()
 	is.True(<-held.fail != nil)
 	eventually(t, "backend connection closed", func() bool { return backend.gone.Load() == 1 })
-	again := mustSend(t, client, "POST", w.url("/hold"), "", headerKey, "k1")
+	again := w.mustSend(t, "POST", "/hold", "", headerKey, "k1")
 	is.Equal(again.header.Get(headerReason), "held") // it may have run: final
 	is.Equal(backend.ran("k1"), 1)
 }
@@ -287,13 +270,12 @@
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			is := is.New(t)
 			w, _, backend := oneAgent(t)
-			client := w.caller()
 			url := w.url(fmt.Sprintf("/large?size=%d", size))
-			first := mustSend(t, client, "GET", url, "", headerKey, "k1")
+			first := mustSend(t, w.client, "GET", url, "", headerKey, "k1")
 			is.Equal(len(first.body), size)
 			eventually(t, "recorded", func() bool { return w.control.record("k1").GetAnswer().GetBodyOmitted() })
 			is.Equal(len(w.control.record("k1").GetAnswer().GetBody()), 0) // not sent for nothing
-			again := mustSend(t, client, "GET", url, "", headerKey, "k1")
+			again := mustSend(t, w.client, "GET", url, "", headerKey, "k1")
 			is.Equal(again.header.Get(headerOutcome), "unknown")
 			is.Equal(again.header.Get(headerReason), "answer-omitted")
 			is.Equal(backend.ran("k1"), 1)
@@ -304,9 +286,8 @@
 func TestAnsweredErrorsAreRecorded(t *testing.T) {
 	is := is.New(t)
 	w, _, backend := oneAgent(t)
-	client := w.caller()
 	for range 2 {
-		got := mustSend(t, client, "POST", w.url("/status?code=500"), "", headerKey, "k1")
+		got := w.mustSend(t, "POST", "/status?code=500", "", headerKey, "k1")
 		is.Equal(got.status, 500)
 		is.Equal(got.header.Get(headerOutcome), "answered")
 	}
--- a/internal/agentd/path_test.go
+++ b/internal/agentd/path_test.go
@@ -9,11 +9,8 @@
 
 func TestWholePath(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t)
-	backend := newFakeBackend(t)
-	a := w.startAgent("t1", backend.server.URL)
-	w.entry.choose(a.FrameAddr(), "")
-	got := mustSend(t, w.caller(), "POST", w.url("/echo?text=there"), "hello ", headerTimeout, "5000", headerID, "mine")
+	w, _, backend := oneAgent(t)
+	got := w.mustSend(t, "POST", "/echo?text=there", "hello ", headerTimeout, "5000", headerID, "mine")
 	is.Equal(got.status, 200)
 	is.Equal(got.body, "hello there")
 	is.Equal(got.header.Get(headerOutcome), "answered") // the backend server's own word is dropped
@@ -29,11 +26,8 @@
 
 func TestLargeAnswerIsWhole(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t)
-	backend := newFakeBackend(t)
-	a := w.startAgent("t1", backend.server.URL)
-	w.entry.choose(a.FrameAddr(), "")
-	got := mustSend(t, w.caller(), "GET", w.url("/large?size=3000000"), "")
+	w, _, _ := oneAgent(t)
+	got := w.mustSend(t, "GET", "/large?size=3000000", "")
 	is.Equal(len(got.body), 3000000)
 	is.Equal(strings.Count(got.body, "x"), 3000000)
 }
--- a/internal/agentd/request_test.go
+++ b/internal/agentd/request_test.go
@@ -31,7 +31,6 @@
 
 func TestBrokenAnswersAreNeverWhole(t *testing.T) {
 	w, a, backend := oneAgent(t)
-	client := w.caller()
 	refused := []struct {
 		path, reason string
 	}{
@@ -43,10 +42,8 @@
 	for _, c := range refused {
 		t.Run(c.path, func(t *testing.T) {
 			is := is.New(t)
-			got := mustSend(t, client, "GET", w.url(c.path), "")
-			is.Equal(got.status, http.StatusBadGateway)
-			is.Equal(got.header.Get(headerOutcome), "unknown")
-			is.Equal(got.header.Get(headerReason), c.reason)
+			got := w.mustSend(t, "GET", c.path, "")
+			checkRefused(t, got, http.StatusBadGateway, "unknown", c.reason)
 			is.Equal(got.header.Get(headerRetryAfter), "")
 			is.Equal(a.counter("requests_unknown", c.reason), int64(1))
 		})
@@ -54,7 +51,7 @@
 	for _, path := range []string{"/cut?size=200000", "/cut?size=100&chunked=1", "/cut?size=200000&chunked=1"} {
 		t.Run(path, func(t *testing.T) {
 			is := is.New(t)
-			_, err := send(client, "GET", w.url(path), "")
+			_, err := send(w.client, "GET", w.url(path), "")
 			is.True(err != nil) // the stream is reset, no whole answer
 		})
 	}
@@ -65,23 +62,21 @@
 func TestStrayAnswerReachesNobody(t *testing.T) {
 	is := is.New(t)
 	w, _, _ := oneAgent(t)
-	client := w.caller()
 	for range 5 {
-		is.Equal(mustSend(t, client, "GET", w.url("/twice"), "").body, "first")
-		is.Equal(mustSend(t, client, "GET", w.url("/echo?text=own"), "").body, "own")
+		is.Equal(w.mustSend(t, "GET", "/twice", "").body, "first")
+		is.Equal(w.mustSend(t, "GET", "/echo?text=own", "").body, "own")
 	}
 }
 
 func TestAnswersOfManyCallersAreNotCrossed(t *testing.T) {
 	is := is.New(t)
 	w, _, _ := oneAgent(t)
-	client := w.caller()
 	var wait sync.WaitGroup
 	wrong := make(chan string, 200)
 	for n := range 200 {
 		wait.Go(func() {
 			text := strings.Repeat(string(rune('a'+n%26)), n+1)
-			got, err := send(client, "POST", w.url("/echo"), text)
+			got, err := send(w.client, "POST", w.url("/echo"), text)
 			if err != nil || (got.status == http.StatusOK && got.body != text) {
 				wrong <- got.body
 			}
@@ -94,14 +89,11 @@
 func TestDeadlinePasses(t *testing.T) {
 	is := is.New(t)
 	w, _, backend := oneAgent(t)
-	client := w.caller()
-	got := mustSend(t, client, "GET", w.url("/hold"), "", headerTimeout, "100")
-	is.Equal(got.status, http.StatusGatewayTimeout)
-	is.Equal(got.header.Get(headerOutcome), "unknown")
-	is.Equal(got.header.Get(headerReason), "deadline")
+	got := w.mustSend(t, "GET", "/hold", "", headerTimeout, "100")
+	checkRefused(t, got, http.StatusGatewayTimeout, "unknown", "deadline")
 	eventually(t, "backend connection closed", func() bool { return backend.gone.Load() == 1 })
 	for _, bad := range []string{"0", "-1", "soon"} {
-		got = mustSend(t, client, "GET", w.url("/echo"), "", headerTimeout, bad)
+		got = w.mustSend(t, "GET", "/echo", "", headerTimeout, bad)
 		is.Equal(got.header.Get(headerReason), "request-invalid")
 		is.Equal(got.header.Get(headerOutcome), "not-run")
 	}
@@ -111,7 +103,7 @@
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	held := backend.holdOne(ctx, t, w, w.caller(), "GET")
+	held := backend.holdOne(ctx, t, w, "GET")
 	cancel()
 	is.True(<-held.fail != nil)
 	eventually(t, "backend connection closed", func() bool { return backend.gone.Load() == 1 })
@@ -121,17 +113,14 @@
 func TestOverloadIsShedAtOnce(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for range 4 {
-		wait.Go(func() { _, _ = send(client, "GET", w.url("/hold"), "") })
+		wait.Go(func() { _, _ = send(w.client, "GET", w.url("/hold"), "") })
 	}
 	eventually(t, "slots taken", func() bool { return backend.running.Load() == 4 })
-	got := mustSend(t, client, "GET", w.url("/echo"), "")
-	is.Equal(got.status, http.StatusServiceUnavailable)
-	is.Equal(got.header.Get(headerOutcome), "not-run")
-	is.Equal(got.header.Get(headerReason), "wait-too-long")
+	got := w.mustSend(t, "GET", "/echo", "")
+	checkRefused(t, got, http.StatusServiceUnavailable, "not-run", "wait-too-long")
 	is.True(got.header.Get(headerRetryAfter) != "")
 	is.Equal(a.counter("requests_refused", "wait-too-long"), int64(1))
 	is.Equal(backend.ran(""), 4) // it never reached the backend server
@@ -141,16 +130,13 @@
 func TestNotRunIsRetriedAndThenTold(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
 	backend.refuse.Store(2)
-	got := mustSend(t, client, "GET", w.url("/echo?text=x"), "")
+	got := w.mustSend(t, "GET", "/echo?text=x", "")
 	is.Equal(got.body, "x") // the third attempt ran
 	is.Equal(a.counter("retries", "refused"), int64(2))
 	backend.refuse.Store(3)
-	got = mustSend(t, client, "GET", w.url("/echo?text=x"), "")
-	is.Equal(got.status, http.StatusServiceUnavailable)
-	is.Equal(got.header.Get(headerOutcome), "not-run")
-	is.Equal(got.header.Get(headerReason), "backend-refused")
+	got = w.mustSend(t, "GET", "/echo?text=x", "")
+	checkRefused(t, got, http.StatusServiceUnavailable, "not-run", "backend-refused")
 	is.True(got.header.Get(headerRetryAfter) >= "3") // as the backend server asked
 	is.Equal(a.counter("retries", "attempts-spent"), int64(1))
 	is.Equal(backend.ran(""), 1)
@@ -159,10 +145,9 @@
 func TestRetryBudgetIsShared(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
 	backend.refuse.Store(1 << 30)
 	for range 20 {
-		mustSend(t, client, "GET", w.url("/echo"), "")
+		w.mustSend(t, "GET", "/echo", "")
 	}
 	retries := a.counter("retries", "refused")
 	is.True(retries <= 5+20/10) // reserve and a tenth of the requests
@@ -172,16 +157,13 @@
 func TestUnreachableBackend(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
 	backend.server.Close()
-	got := mustSend(t, client, "POST", w.url("/run"), "x")
-	is.Equal(got.status, http.StatusServiceUnavailable)
-	is.Equal(got.header.Get(headerOutcome), "not-run")
-	is.Equal(got.header.Get(headerReason), "backend-unreachable")
+	got := w.mustSend(t, "POST", "/run", "x")
+	checkRefused(t, got, http.StatusServiceUnavailable, "not-run", "backend-unreachable")
 	is.True(got.header.Get(headerRetryAfter) != "")
 	is.True(a.counter("retries", "connect") >= 1)
 	for range 3 {
-		mustSend(t, client, "GET", w.url("/echo"), "")
+		w.mustSend(t, "GET", "/echo", "")
 	}
 	eventually(t, "ill verdict", func() bool { return a.published.last().GetIll() })
 }
@@ -189,16 +171,13 @@
 func TestRequestBodiesAreBounded(t *testing.T) {
 	is := is.New(t)
 	w, a, _ := oneAgentWith(t, testTiming(), func(s *settingspb.Agent) { s.MaxRequestBytes = 1000 })
-	client := w.caller()
-	is.Equal(mustSend(t, client, "POST", w.url("/echo"), strings.Repeat("b", 1000)).status, http.StatusOK)
-	got := mustSend(t, client, "POST", w.url("/echo"), strings.Repeat("b", 1001))
-	is.Equal(got.status, http.StatusRequestEntityTooLarge)
-	is.Equal(got.header.Get(headerOutcome), "not-run")
-	is.Equal(got.header.Get(headerReason), "request-too-large")
+	is.Equal(w.mustSend(t, "POST", "/echo", strings.Repeat("b", 1000)).status, http.StatusOK)
+	got := w.mustSend(t, "POST", "/echo", strings.Repeat("b", 1001))
+	checkRefused(t, got, http.StatusRequestEntityTooLarge, "not-run", "request-too-large")
 	is.Equal(got.header.Get(headerRetryAfter), "") // the same request never fits
 	unsized, err := http.NewRequest("POST", w.url("/echo"), io.MultiReader(strings.NewReader(strings.Repeat("b", 1001))))
 	is.NoErr(err)
-	res, err := client.Do(unsized)
+	res, err := w.client.Do(unsized)
 	is.NoErr(err)
 	defer func() { _ = res.Body.Close() }()
 	is.Equal(res.StatusCode, http.StatusRequestEntityTooLarge)
@@ -208,15 +187,14 @@
 func TestWatchTakesNoSlotAndOutlivesTheDefaultDeadline(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgentWith(t, testTiming(), func(s *settingspb.Agent) { s.DefaultDeadlineMs = 2000 })
-	client := w.caller()
 	for range 6 { // more than there are slots
-		watch := openWatch(t, client, w.url("/watch"))
+		watch := openWatch(t, w.client, w.url("/watch"))
 		defer watch.close()
 	}
 	is.Equal(a.gate.figures().running, 0)
-	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+	is.Equal(w.mustSend(t, "GET", "/echo?text=x", "").body, "x")
 	// A later request reaches the default deadline, so the watches have passed it.
-	held := mustSend(t, client, "GET", w.url("/hold"), "")
+	held := w.mustSend(t, "GET", "/hold", "")
 	is.Equal(held.header.Get(headerReason), "deadline")
 	eventually(t, "the request ends at the backend server", func() bool { return backend.running.Load() == 0 })
 	is.Equal(backend.gone.Load(), int64(1)) // the request alone
--- a/internal/agentd/slot_test.go
+++ b/internal/agentd/slot_test.go
@@ -16,14 +16,13 @@
 	timing := testTiming()
 	timing.completeWait = time.Minute // longer than the test waits
 	w, _, backend := oneAgentWith(t, timing, func(s *settingspb.Agent) { s.QueueMs = 1000 })
-	client := w.caller()
 	const slots = 4
 	var held []inFlight
 	for range slots {
-		held = append(held, start(t.Context(), client, "POST", w.url("/hold")))
+		held = append(held, start(t.Context(), w.client, "POST", w.url("/hold")))
 	}
 	eventually(t, "slots taken", func() bool { return backend.running.Load() == slots })
-	shed := start(t.Context(), client, "POST", w.url("/run"), headerKey, "k1")
+	shed := start(t.Context(), w.client, "POST", w.url("/run"), headerKey, "k1")
 	eventually(t, "right granted", func() bool { return w.control.record("k1") != nil })
 	w.control.set(controlDeaf)
 	is.Equal((<-shed.got).header.Get(headerOutcome), "not-run")
@@ -42,8 +41,7 @@
 	timing := testTiming()
 	timing.completeWait = time.Minute // longer than the test waits
 	w, a, backend := oneAgentWith(t, timing, nil)
-	client := w.caller()
-	held := backend.holdOne(t.Context(), t, w, client, "POST", headerKey, "k1")
+	held := backend.holdOne(t.Context(), t, w, "POST", headerKey, "k1")
 	is.Equal(a.gate.figures().running, 1)
 	w.control.set(controlDeaf)
 	close(backend.hold)
