unittest: waits, counters and credentials of unit tests stand once

Five packages had a wait for a condition of their own (agentd, controld, link, subscriber, faultproxy; operator spelled one out), five a loop over the counters of a scope (agentd, controld, link, subscriber, replica), and link and subscriber the same authority in memory. They could not use processtest, which imports link and subscriber. internal/unittest imports keys and connid only.

Names of tests stay, no assertion is dropped: - Counter adds up all tags where no reason is given; link and subscriber took the counter without a tag then. The counters asked for so have no tags, so the value is the same, and one that had would be counted, too. - TestStrangersAreCounted waits for 2 min in place of 30 s, as all others; a value other than 1 still fails it. Waits are bounds, nothing passes by them. - polls are 5 ms apart (1, 2, 5 and 10 ms before). Ruled out: processtest.Eventually by the same code; its polls ask real processes and are 20 ms apart for that. internal/entryd keeps its own for now.

Trials on a scratch copy, with the tests that failed then: a refused announcement counted as failed (TestRegistrationSurvivesLostAnswers, TestRefusedAnnouncementIsCountedAndRepeated); a silent connection counted as another (TestSilentPathIsRedialled, TestSilentServerIsLeftForTheNext); a stranger counted twice (TestStrangersAreCounted, ended by a limit of 8 s for the run).

Run: go test -count=1 of repotest, agentd, controld, link, subscriber, operator, faultproxy and replica, ok.

--- /dev/null
+++ b/internal/unittest/unittest.go
@@ -0,0 +1,101 @@
+// Package unittest is what the unit tests of several packages share: a wait for a
+// condition, the look-up of a counter, credentials in memory and data secrets.
+//
+// It imports little, so that the packages which processtest imports can use it in
+// their own tests.
+package unittest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"eelgrasswharf.example/eelgrasswharf/connid"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+)
+
+const (
+	// Patience bounds every wait for what must come, however busy the machine
+	// is. It measures nothing: no test passes by it.
+	Patience = 2 * time.Minute
+
+	pollEvery = 5 * time.Millisecond
+)
+
+// Eventually polls the condition until it holds and fails the test when it
+// never does.
+func Eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	if !Poll(condition) {
+		t.Fatalf("never came: %s", what)
+	}
+}
+
+// Poll reports whether the condition came to hold. Goroutines besides the test's
+// own use it in place of Eventually.
+func Poll(condition func() bool) bool {
+	for end := time.Now().Add(Patience); !condition(); time.Sleep(pollEvery) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
+// Counter returns the sum of a counter over the tags that hold the reason, or
+// over all of them if it is empty.
+func Counter(scope tally.TestScope, name, reason string) int64 {
+	sum := int64(0)
+	for _, c := range scope.Snapshot().Counters() {
+		if c.Name() == name && (reason == "" || c.Tags()["reason"] == reason) {
+			sum += c.Value()
+		}
+	}
+	return sum
+}
+
+// Authority signs certificates of processes in memory.
+type Authority struct {
+	*keys.Authority
+	t testing.TB
+}
+
+// NewAuthority makes an authority.
+func NewAuthority(t testing.TB) *Authority {
+	t.Helper()
+	authority, err := keys.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &Authority{Authority: authority, t: t}
+}
+
+// Pair issues a certificate that is valid for an hour from a time on.
+func (a *Authority) Pair(id keys.Identity, from time.Time) *keys.Pair {
+	a.t.Helper()
+	pair, err := a.Process(id, nil, from, time.Hour)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return pair
+}
+
+// Credentials are those of a process that trusts this authority alone.
+func (a *Authority) Credentials(id keys.Identity) *keys.Credentials {
+	a.t.Helper()
+	credentials, err := keys.InMemory(a.CertificatePEM(), a.Pair(id, time.Now()), nil)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return credentials
+}
+
+// Secret is a data secret whose key is told by the fill.
+func Secret(id, fill byte) connid.Secret {
+	s := connid.Secret{ID: id}
+	for i := range s.Key {
+		s.Key[i] = fill + byte(i)
+	}
+	return s
+}
