frame, connid: tests share the data secret and the frame of a header

Both packages made the same secret, and seven places of frame's tests a buffer of a header's length with the header in it (put).

Lines of connid/connid_test.go: 201 before, 196 after; of frame/frame_test.go: 250 before, 235 after. Names of tests and the checks stay.

Trials on a scratch copy, with the tests that failed then: a kind behind the last one taken (TestVerdicts, FuzzParse's seeds), tags of frames not compared (TestChangedHeaderIsRefused, TestVerdicts), tags of connection IDs not compared (TestChangedIDIsRefused, TestOtherKeyUnderSameIDIsRefused).

Run: go test -count=1 ./connid ./frame ./internal/repotest, ok; the benchmarks of both once, 0 allocs/op.

--- a/connid/connid_test.go
+++ b/connid/connid_test.go
@@ -11,15 +11,10 @@
 	_ "eelgrasswharf.example/eelgrasswharf/internal/fixedseed"
 
 	"eelgrasswharf.example/eelgrasswharf/connid"
+	"eelgrasswharf.example/eelgrasswharf/internal/unittest"
 )
 
-func secret(id, fill byte) connid.Secret {
-	s := connid.Secret{ID: id}
-	for i := range s.Key {
-		s.Key[i] = fill + byte(i)
-	}
-	return s
-}
+var secret = unittest.Secret
 
 func codec(tb testing.TB, secrets ...connid.Secret) *connid.Codec {
 	tb.Helper()
--- a/frame/frame_test.go
+++ b/frame/frame_test.go
@@ -13,15 +13,10 @@
 
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
+	"eelgrasswharf.example/eelgrasswharf/internal/unittest"
 )
 
-func secret(id, fill byte) connid.Secret {
-	s := connid.Secret{ID: id}
-	for i := range s.Key {
-		s.Key[i] = fill + byte(i)
-	}
-	return s
-}
+var secret = unittest.Secret
 
 func codec(tb testing.TB, secrets ...connid.Secret) *frame.Codec {
 	tb.Helper()
@@ -47,6 +42,13 @@
 	}
 }
 
+// put returns a frame of that header, without a datagram.
+func put(c *frame.Codec, h frame.Header) []byte {
+	buf := make([]byte, frame.HeaderLength)
+	c.Put(buf, &h)
+	return buf
+}
+
 func drawIPv4(t *rapid.T, label string) netip.AddrPort {
 	ip := [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, label))
 	port := rapid.Uint16Range(1, 1<<16-1).Draw(t, label+" port")
@@ -107,8 +109,7 @@
 	is := is.New(t)
 	c := codec(t, secret(0, 1))
 	mapped := netip.MustParseAddrPort("[::ffff:192.0.2.1]:443")
-	buf := make([]byte, frame.HeaderLength)
-	c.Put(buf, &frame.Header{Kind: frame.Forward, Caller: mapped, Alternate: mapped})
+	buf := put(c, frame.Header{Kind: frame.Forward, Caller: mapped, Alternate: mapped})
 	var got frame.Header
 	is.Equal(c.Parse(buf, &got), frame.OK)
 	is.Equal(got.Caller, netip.MustParseAddrPort("192.0.2.1:443"))
@@ -117,10 +118,8 @@
 
 func TestChangedHeaderIsRefused(t *testing.T) {
 	c := codec(t, secret(2, 1))
-	want := sample()
 	for bit := range 8 * frame.HeaderLength {
-		buf := make([]byte, frame.HeaderLength)
-		c.Put(buf, &want)
+		buf := put(c, sample())
 		buf[bit/8] ^= 1 << (bit % 8)
 		var got frame.Header
 		verdict := c.Parse(buf, &got)
@@ -132,18 +131,12 @@
 
 func TestVerdicts(t *testing.T) {
 	c := codec(t, secret(2, 1))
-	want := sample()
-	good := make([]byte, frame.HeaderLength)
-	c.Put(good, &want)
-
+	good := put(c, sample())
 	change := func(offset int, xor byte) []byte {
 		buf := bytes.Clone(good)
 		buf[offset] ^= xor
 		return buf
 	}
-	noKind := make([]byte, frame.HeaderLength)
-	c.Put(noKind, &frame.Header{Kind: frame.Reply + 1})
-
 	for _, tt := range []struct {
 		name string
 		src  []byte
@@ -155,7 +148,7 @@
 		{"version", change(0, 0x80), frame.WrongVersion},
 		{"secret", change(1, 0x01), frame.UnknownSecret},
 		{"tag", change(frame.HeaderLength-1, 0x01), frame.WrongTag},
-		{"kind", noKind, frame.WrongKind},
+		{"kind", put(c, frame.Header{Kind: frame.Reply + 1}), frame.WrongKind},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -170,16 +163,12 @@
 	before := codec(t, secret(0, 1))
 	both := codec(t, secret(1, 2), secret(0, 1))
 	after := codec(t, secret(1, 2))
-	want := sample()
-	buf := make([]byte, frame.HeaderLength)
 	var got frame.Header
 
-	before.Put(buf, &want)
-	is.Equal(both.Parse(buf, &got), frame.OK)
-	is.Equal(after.Parse(buf, &got), frame.UnknownSecret)
-
-	both.Put(buf, &want)
-	is.Equal(after.Parse(buf, &got), frame.OK)
+	old := put(before, sample())
+	is.Equal(both.Parse(old, &got), frame.OK)
+	is.Equal(after.Parse(old, &got), frame.UnknownSecret)
+	is.Equal(after.Parse(put(both, sample()), &got), frame.OK)
 }
 
 func TestNewCodecChecksSecrets(t *testing.T) {
@@ -219,10 +208,8 @@
 			return
 		}
 		// What was parsed comes out the same when it is put again.
-		buf := make([]byte, frame.HeaderLength)
-		c.Put(buf, &h)
 		var again frame.Header
-		if verdict := c.Parse(buf, &again); verdict != frame.OK || again != h {
+		if verdict := c.Parse(put(c, h), &again); verdict != frame.OK || again != h {
 			t.Fatalf("%v: %v, then %v", verdict, h, again)
 		}
 	})
@@ -240,9 +227,7 @@
 
 func BenchmarkParse(b *testing.B) {
 	c := codec(b, secret(0, 1))
-	h := sample()
-	buf := make([]byte, frame.HeaderLength)
-	c.Put(buf, &h)
+	h, buf := sample(), put(c, sample())
 	b.ReportAllocs()
 	for b.Loop() {
 		c.Parse(buf, &h)
