cli: tests run a command and hold its exit status in one call

32 commands were run in one line and their exit status held in the next, 23 more spelled the flags of the fake control host by an append; five places made the keys of a deployment, three tests a daemon that does not start, and the settings for loopback of two roles stood twice. expect, expectAt, newKeys and checkNoStart stand once; TestDaemonsServeUntilSignal takes onFreePorts.

Ruled out: one table for the three daemons that do not start, since two need an address that is held open meanwhile.

Run: go test -count=1 ./internal/cli ./internal/repotest, ok.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -27,6 +27,14 @@
 	return result{status, stdout.String(), stderr.String()}
 }
 
+// expect runs a command and holds its exit status.
+func expect(t *testing.T, status int, args ...string) result {
+	t.Helper()
+	got := run(t, args...)
+	is.New(t).Equal(got.status, status)
+	return got
+}
+
 func write(t *testing.T, text string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "file.ini")
@@ -34,6 +42,14 @@
 	return path
 }
 
+// newKeys makes the keys of a deployment and returns their folder.
+func newKeys(t *testing.T) string {
+	t.Helper()
+	dir := filepath.Join(t.TempDir(), "keys")
+	expect(t, cli.ExitOK, "keys", "init", dir)
+	return dir
+}
+
 func TestUsageErrors(t *testing.T) {
 	for name, args := range map[string][]string{
 		"unknown command":  {"controll"},
@@ -49,8 +65,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			got := run(t, args...)
-			is.Equal(got.status, cli.ExitUsage)
+			got := expect(t, cli.ExitUsage, args...)
 			is.True(strings.HasPrefix(got.stderr, "eelgrasswharf"))
 			is.Equal(strings.Count(got.stderr, "\n"), 1) // one line
 		})
@@ -67,8 +82,7 @@
 	} {
 		t.Run(args, func(t *testing.T) {
 			is := is.New(t)
-			got := run(t, append(strings.Fields(args), "--help")...)
-			is.Equal(got.status, cli.ExitOK)
+			got := expect(t, cli.ExitOK, append(strings.Fields(args), "--help")...)
 			is.True(strings.Contains(got.stdout, "Examples:\n  "))
 		})
 	}
@@ -78,13 +92,10 @@
 	for _, role := range []string{"control", "entry", "agent"} {
 		t.Run(role, func(t *testing.T) {
 			is := is.New(t)
-			example := run(t, "config", "example", role)
-			is.Equal(example.status, cli.ExitOK)
+			example := expect(t, cli.ExitOK, "config", "example", role)
 			path := write(t, example.stdout)
-			got := run(t, "config", "check", path)
-			is.Equal(got.status, cli.ExitOK)
-			got = run(t, "config", "check", "--json", path)
-			is.Equal(got.status, cli.ExitOK)
+			got := expect(t, cli.ExitOK, "config", "check", path)
+			got = expect(t, cli.ExitOK, "config", "check", "--json", path)
 			var report struct {
 				Role     string
 				Findings []struct{ Place, Text string }
@@ -100,18 +111,14 @@
 	is := is.New(t)
 	example := run(t, "config", "example", "entry").stdout
 	path := write(t, strings.Replace(example, "failure_domain = oke-ado", "failure_domian = oke-ado", 1))
-	got := run(t, "config", "check", path)
-	is.Equal(got.status, cli.ExitFailure)
+	got := expect(t, cli.ExitFailure, "config", "check", path)
 	is.True(strings.Contains(got.stdout, path+":"))
 	is.True(strings.Contains(got.stdout, `did you mean "failure_domain"?`))
 	is.Equal(got.stderr, "")
-	got = run(t, "config", "check", "--json", path)
-	is.Equal(got.status, cli.ExitFailure)
+	got = expect(t, cli.ExitFailure, "config", "check", "--json", path)
 	is.True(strings.Contains(got.stdout, `"place": "`+path))
-	got = run(t, "config", "check", "--role", "agent", path)
-	is.Equal(got.status, cli.ExitFailure)
-	got = run(t, "config", "check", filepath.Join(t.TempDir(), "missing.ini"))
-	is.Equal(got.status, cli.ExitFailure)
+	got = expect(t, cli.ExitFailure, "config", "check", "--role", "agent", path)
+	got = expect(t, cli.ExitFailure, "config", "check", filepath.Join(t.TempDir(), "missing.ini"))
 	is.Equal(strings.Count(got.stderr, "\n"), 1)
 }
 
@@ -130,8 +137,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			path := write(t, c.text)
-			got := run(t, "config", "check", path)
-			is.Equal(got.status, c.status)
+			got := expect(t, c.status, "config", "check", path)
 			is.Equal(got.stderr, "") // known as a patch
 			if c.status == cli.ExitFailure {
 				is.True(strings.Contains(got.stdout, path+":"))
@@ -146,65 +152,55 @@
 	is := is.New(t)
 	example := run(t, "config", "example", "control").stdout
 	path := write(t, strings.Replace(example, "[replica]", "[replca]", 1))
-	got := run(t, "config", "check", path)
-	is.Equal(got.status, cli.ExitFailure)
+	got := expect(t, cli.ExitFailure, "config", "check", path)
 	is.True(strings.Contains(got.stdout, `: replca: unknown section; did you mean "replica"?`))
 	is.True(strings.HasPrefix(got.stdout, path+":"))
 	is.Equal(got.stderr, "")
 
 	path = write(t, "[host]\nname = a\n")
-	got = run(t, "config", "check", path)
-	is.Equal(got.status, cli.ExitFailure)
+	got = expect(t, cli.ExitFailure, "config", "check", path)
 	is.True(strings.HasPrefix(got.stdout, path+":1: no section tells the role"))
-	got = run(t, "config", "check", "--json", path)
-	is.Equal(got.status, cli.ExitFailure)
+	got = expect(t, cli.ExitFailure, "config", "check", "--json", path)
 	is.True(strings.Contains(got.stdout, `"place": "`+path+`:1"`))
 }
 
 func TestDaemonReportsUnreadableFiles(t *testing.T) {
 	is := is.New(t)
 	path := write(t, run(t, "config", "example", "entry").stdout)
-	got := run(t, "entry", "-c", path)
-	is.Equal(got.status, cli.ExitFailure)
+	got := expect(t, cli.ExitFailure, "entry", "-c", path)
 	is.True(strings.Contains(got.stderr, "keys.authority"))
 	is.True(strings.Contains(got.stderr, "no such file or directory"))
 }
 
 func TestKeys(t *testing.T) {
 	is := is.New(t)
-	dir := filepath.Join(t.TempDir(), "keys")
-	is.Equal(run(t, "keys", "init", dir).status, cli.ExitOK)
-	is.Equal(run(t, "keys", "init", dir).status, cli.ExitFailure) // never overwrites
-	got := run(t, "keys", "issue", dir, "agent", "agent-1", "--service", "lodgement", "--json")
-	is.Equal(got.status, cli.ExitOK)
+	dir := newKeys(t)
+	expect(t, cli.ExitFailure, "keys", "init", dir) // never overwrites
+	got := expect(t, cli.ExitOK, "keys", "issue", dir, "agent", "agent-1", "--service", "lodgement", "--json")
 	var files struct{ Certificate string }
 	is.NoErr(json.Unmarshal([]byte(got.stdout), &files))
-	got = run(t, "keys", "inspect", files.Certificate)
-	is.Equal(got.status, cli.ExitOK)
+	got = expect(t, cli.ExitOK, "keys", "inspect", files.Certificate)
 	is.True(strings.Contains(got.stdout, "agent-1"))
 	is.True(strings.Contains(got.stdout, "lodgement"))
-	got = run(t, "keys", "secret", "add", dir)
-	is.Equal(got.status, cli.ExitOK)
+	got = expect(t, cli.ExitOK, "keys", "secret", "add", dir)
 	id := strings.TrimSpace(got.stdout)
-	is.Equal(run(t, "keys", "secret", "prefer", dir, id).status, cli.ExitOK)
+	expect(t, cli.ExitOK, "keys", "secret", "prefer", dir, id)
 	got = run(t, "keys", "inspect", filepath.Join(dir, "data-secrets"))
 	is.True(strings.Contains(got.stdout, "IDs ["+id+" "))
-	is.Equal(run(t, "keys", "secret", "remove", dir, "0").status, cli.ExitOK)
-	is.Equal(run(t, "keys", "secret", "remove", dir, "0").status, cli.ExitFailure)
-	is.Equal(run(t, "keys", "issue", dir, "entry", "entry-1", "--ip", "localhost").status, cli.ExitUsage)
+	expect(t, cli.ExitOK, "keys", "secret", "remove", dir, "0")
+	expect(t, cli.ExitFailure, "keys", "secret", "remove", dir, "0")
+	expect(t, cli.ExitUsage, "keys", "issue", dir, "entry", "entry-1", "--ip", "localhost")
 }
 
 func TestKeysAuthority(t *testing.T) {
 	is := is.New(t)
-	dir := filepath.Join(t.TempDir(), "keys")
-	is.Equal(run(t, "keys", "init", dir).status, cli.ExitOK)
-	is.Equal(run(t, "keys", "authority", "prefer", dir).status, cli.ExitFailure) // none was added
-	is.Equal(run(t, "keys", "authority", "add", dir).status, cli.ExitOK)
-	is.Equal(run(t, "keys", "authority", "remove", dir).status, cli.ExitFailure) // it does not sign yet
-	is.Equal(run(t, "keys", "authority", "prefer", dir).status, cli.ExitOK)
-	is.Equal(run(t, "keys", "issue", dir, "entry", "entry-1").status, cli.ExitOK)
-	got := run(t, "keys", "authority", "remove", dir, "--json")
-	is.Equal(got.status, cli.ExitOK)
+	dir := newKeys(t)
+	expect(t, cli.ExitFailure, "keys", "authority", "prefer", dir) // none was added
+	expect(t, cli.ExitOK, "keys", "authority", "add", dir)
+	expect(t, cli.ExitFailure, "keys", "authority", "remove", dir) // it does not sign yet
+	expect(t, cli.ExitOK, "keys", "authority", "prefer", dir)
+	expect(t, cli.ExitOK, "keys", "issue", dir, "entry", "entry-1")
+	got := expect(t, cli.ExitOK, "keys", "authority", "remove", dir, "--json")
 	is.True(strings.Contains(got.stdout, dir))
 	got = run(t, "keys", "inspect", filepath.Join(dir, "authority.pem"))
 	is.Equal(strings.Count(got.stdout, "\n"), 1)
--- a/internal/cli/examples_test.go
+++ b/internal/cli/examples_test.go
@@ -58,7 +58,7 @@
 	t.Helper()
 	is := is.New(t)
 	keys := filepath.Join(folder, "keys")
-	is.Equal(run(t, "keys", "init", keys).status, cli.ExitOK)
+	expect(t, cli.ExitOK, "keys", "init", keys)
 	files, err := filepath.Glob(filepath.Join(folder, "*-*.ini"))
 	is.NoErr(err)
 	for _, file := range files {
@@ -68,9 +68,9 @@
 		if role == "agent" {
 			service := strings.Split(name, "-")[1]
 			args = append(args, "--service", service)
-			is.Equal(run(t, "keys", "issue", keys, "caller", "--service", service).status, cli.ExitOK)
+			expect(t, cli.ExitOK, "keys", "issue", keys, "caller", "--service", service)
 		}
-		is.Equal(run(t, args...).status, cli.ExitOK)
+		expect(t, cli.ExitOK, args...)
 	}
 }
 
@@ -100,9 +100,8 @@
 }
 
 func TestExperimentUsage(t *testing.T) {
-	is := is.New(t)
-	is.Equal(run(t, "experiment").status, cli.ExitUsage)
+	expect(t, cli.ExitUsage, "experiment")
 	file := filepath.Join(examples, "registry", "experiment.ini")
-	is.Equal(run(t, "experiment", file, "--scenario", "storm").status, cli.ExitUsage)
-	is.Equal(run(t, "experiment", "no-such-file.ini").status, cli.ExitFailure)
+	expect(t, cli.ExitUsage, "experiment", file, "--scenario", "storm")
+	expect(t, cli.ExitFailure, "experiment", "no-such-file.ini")
 }
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -68,9 +68,8 @@
 func (f *fakeControl) serve(t *testing.T) []string {
 	t.Helper()
 	is := is.New(t)
-	dir := filepath.Join(t.TempDir(), "keys")
-	is.Equal(run(t, "keys", "init", dir).status, cli.ExitOK)
-	is.Equal(run(t, "keys", "issue", dir, "operator", "ada").status, cli.ExitOK)
+	dir := newKeys(t)
+	expect(t, cli.ExitOK, "keys", "issue", dir, "operator", "ada")
 	files, err := keys.Issue(dir, keys.RoleControl, "control-1", "", nil, time.Hour)
 	is.NoErr(err)
 	creds, err := keys.Load(files)
@@ -85,6 +84,13 @@
 	}
 }
 
+// expectAt is expect of an operator's command at the fake that serves by these
+// flags.
+func expectAt(t *testing.T, status int, flags []string, args ...string) result {
+	t.Helper()
+	return expect(t, status, append(args, flags...)...)
+}
+
 func TestPatchExitStatuses(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
@@ -122,14 +128,12 @@
 			is := is.New(t)
 			f := &fakeControl{outcome: tt.outcome, err: tt.err}
 			args := append([]string{"patch", "submit", "--base", "7", "--id", "p", write(t, "# a\n[remove old]\n")}, f.serve(t)...)
-			got := run(t, args...)
-			is.Equal(got.status, tt.status)
+			got := expect(t, tt.status, args...)
 			is.True(strings.Contains(got.stdout, tt.text))
 			is.Equal(f.patch.GetId(), "p")
 			is.Equal(f.patch.GetBaseVersion(), uint64(7))
 			is.True(strings.HasSuffix(f.patch.GetPlaces()[0], ":2"))
-			got = run(t, append(args, "--json")...)
-			is.Equal(got.status, tt.status)
+			got = expect(t, tt.status, append(args, "--json")...)
 			if tt.verdict != "" {
 				var report struct{ Verdict string }
 				is.NoErr(json.Unmarshal([]byte(got.stdout), &report))
@@ -143,34 +147,31 @@
 	is := is.New(t)
 	f := &fakeControl{}
 	path := write(t, "[servce lodgement]\n")
-	got := run(t, append([]string{"patch", "submit", "--base", "1", "--id", "p", path}, f.serve(t)...)...)
-	is.Equal(got.status, cli.ExitFailure)
+	got := expectAt(t, cli.ExitFailure, f.serve(t), "patch", "submit", "--base", "1", "--id", "p", path)
 	is.True(strings.Contains(got.stderr, path+":1: "))
 	is.Equal(f.patch, nil)
 }
 
 func TestPatchShow(t *testing.T) {
-	is := is.New(t)
 	f := &fakeControl{outcome: &configpb.Outcome{Id: "p", Verdict: configpb.Verdict_VERDICT_ACCEPTED, Version: 8}}
 	flags := f.serve(t)
 	args := append([]string{"patch", "show", "p"}, flags...)
-	is.Equal(run(t, args...).status, cli.ExitOK)
+	expect(t, cli.ExitOK, args...)
 	f.err = operator.ErrNotDone // no quorum
-	is.Equal(run(t, args...).status, cli.ExitUnknown)
+	expect(t, cli.ExitUnknown, args...)
 	f.err = operator.ErrNotFound
-	is.Equal(run(t, args...).status, cli.ExitFailure)
+	expect(t, cli.ExitFailure, args...)
 }
 
 func TestConfigShowCanBeSubmittedAgain(t *testing.T) {
 	is := is.New(t)
 	f := &fakeControl{}
 	flags := f.serve(t)
-	got := run(t, append([]string{"config", "show", "--version", "5"}, flags...)...)
-	is.Equal(got.status, cli.ExitOK)
+	got := expectAt(t, cli.ExitOK, flags, "config", "show", "--version", "5")
 	is.Equal(got.stdout, "# version 5\n# no quorum confirmed that this is the newest version\n\n"+
 		"[service lodgement]\naddresses = 192.0.2.80:443\nslots = 4\n"+
 		"\n# retired addresses, open for established flows until a patch releases them:\n# [release 192.0.2.79:443]\n")
-	got = run(t, append([]string{"config", "show", "--json"}, flags...)...)
+	got = expectAt(t, cli.ExitOK, flags, "config", "show", "--json")
 	var report struct {
 		Confirmed     bool
 		Configuration struct{ Services []struct{ Name string } }
@@ -183,55 +184,50 @@
 	is := is.New(t)
 	f := &fakeControl{}
 	flags := f.serve(t)
-	got := run(t, append([]string{"status"}, flags...)...)
-	is.Equal(got.status, cli.ExitOK)
+	got := expectAt(t, cli.ExitOK, flags, "status")
 	is.True(strings.Contains(got.stdout, "control-1, version 7"))
 	is.True(strings.Contains(got.stdout, "not yet in force on: entry-2"))
 	flags[1] += ",127.0.0.1:1"
-	got = run(t, append([]string{"status", "--json"}, flags...)...)
-	is.Equal(got.status, cli.ExitOK) // one of two answered
+	got = expectAt(t, cli.ExitOK, flags, "status", "--json") // one of two answered
 	var reports []struct{ Address, Error string }
 	is.NoErr(json.Unmarshal([]byte(got.stdout), &reports))
 	is.Equal(len(reports), 2)
 	is.True(reports[1].Error != "")
 	flags[1] = "127.0.0.1:1"
-	is.Equal(run(t, append([]string{"status"}, flags...)...).status, cli.ExitFailure)
+	expectAt(t, cli.ExitFailure, flags, "status")
 }
 
 func TestReplica(t *testing.T) {
 	is := is.New(t)
 	f := &fakeControl{}
 	flags := f.serve(t)
-	is.Equal(run(t, append([]string{"replica", "add", "192.0.2.4:7100"}, flags...)...).status, cli.ExitOK)
-	got := run(t, append([]string{"replica", "promote", "control-4", "--incarnation", "3", "--json"}, flags...)...)
-	is.Equal(got.status, cli.ExitOK)
+	expectAt(t, cli.ExitOK, flags, "replica", "add", "192.0.2.4:7100")
+	expectAt(t, cli.ExitOK, flags, "replica", "promote", "control-4", "--incarnation", "3", "--json")
 	is.Equal(f.member, operator.MemberRef{Name: "control-4", Incarnation: 3})
-	is.Equal(run(t, append([]string{"replica", "remove", "control-4"}, flags...)...).status, cli.ExitOK)
+	expectAt(t, cli.ExitOK, flags, "replica", "remove", "control-4")
 	is.Equal(f.member, operator.MemberRef{Name: "control-4"})
 	f.err = operator.ErrUnknown
-	is.Equal(run(t, append([]string{"replica", "remove", "control-4"}, flags...)...).status, cli.ExitUnknown)
+	expectAt(t, cli.ExitUnknown, flags, "replica", "remove", "control-4")
 	f.err = operator.ErrNotDone
-	is.Equal(run(t, append([]string{"replica", "add", "192.0.2.4:7100"}, flags...)...).status, cli.ExitFailure)
+	expectAt(t, cli.ExitFailure, flags, "replica", "add", "192.0.2.4:7100")
 }
 
 func TestGrantsRetention(t *testing.T) {
 	is := is.New(t)
 	f := &fakeControl{}
 	flags := f.serve(t)
-	is.Equal(run(t, append([]string{"grants", "retention", "--answered", "30m"}, flags...)...).status, cli.ExitOK)
+	expectAt(t, cli.ExitOK, flags, "grants", "retention", "--answered", "30m")
 	is.Equal(f.retention, operator.Retention{Answered: 30 * 60, Held: 7 * 24 * 60 * 60})
 	f.err = operator.ErrUnknown
-	is.Equal(run(t, append([]string{"grants", "retention"}, flags...)...).status, cli.ExitUnknown)
+	expectAt(t, cli.ExitUnknown, flags, "grants", "retention")
 	f.err = operator.ErrNotDone
-	is.Equal(run(t, append([]string{"grants", "retention", "--answered", "1m"}, flags...)...).status, cli.ExitFailure)
+	expectAt(t, cli.ExitFailure, flags, "grants", "retention", "--answered", "1m")
 }
 
 func TestControlHostOutOfReach(t *testing.T) {
-	is := is.New(t)
 	f := &fakeControl{}
 	flags := f.serve(t)
 	flags[1] = "127.0.0.1:1"
-	got := run(t, append([]string{"patch", "submit", "--base", "1", "--id", "p", write(t, "[remove a]\n")}, flags...)...)
-	is.Equal(got.status, cli.ExitFailure)
-	is.Equal(run(t, append([]string{"patch", "show", "p"}, flags...)...).status, cli.ExitUnknown)
+	expectAt(t, cli.ExitFailure, flags, "patch", "submit", "--base", "1", "--id", "p", write(t, "[remove a]\n"))
+	expectAt(t, cli.ExitUnknown, flags, "patch", "show", "p")
 }
--- a/internal/cli/process_test.go
+++ b/internal/cli/process_test.go
@@ -109,8 +109,7 @@
 	holder, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer holder.Close()
-	got := run(t, append(backendArgs(), "--listen", holder.Addr().String())...)
-	is.Equal(got.status, cli.ExitFailure)
+	got := expect(t, cli.ExitFailure, append(backendArgs(), "--listen", holder.Addr().String())...)
 	is.Equal(strings.Count(got.stderr, "\n"), 1)
 	is.True(strings.Contains(got.stderr, "address already in use"))
 }
@@ -120,13 +119,11 @@
 func roleFiles(t *testing.T, role string, replace ...string) string {
 	t.Helper()
 	is := is.New(t)
-	dir := t.TempDir()
-	keyDir := filepath.Join(dir, "keys")
-	is.Equal(run(t, "keys", "init", keyDir).status, cli.ExitOK)
-	is.Equal(run(t, "keys", "issue", keyDir, role, role+"-1", "--service", serviceOf(role)).status, cli.ExitOK)
-	is.Equal(run(t, "keys", "issue", keyDir, "caller", "--service", "lodgement").status, cli.ExitOK)
+	keyDir := newKeys(t)
+	expect(t, cli.ExitOK, "keys", "issue", keyDir, role, role+"-1", "--service", serviceOf(role))
+	expect(t, cli.ExitOK, "keys", "issue", keyDir, "caller", "--service", "lodgement")
 	text := strings.NewReplacer(replace...).Replace(run(t, "config", "example", role).stdout)
-	path := filepath.Join(dir, role+".ini")
+	path := filepath.Join(filepath.Dir(keyDir), role+".ini")
 	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
 	return path
 }
@@ -138,15 +135,22 @@
 	return ""
 }
 
+// checkNoStart holds that a role fails to start with its example settings after
+// the replacements, and says why. It returns all that it said.
+func checkNoStart(t *testing.T, role, why string, replace ...string) (stderr string) {
+	t.Helper()
+	is := is.New(t)
+	got := expect(t, cli.ExitFailure, role, "-c", roleFiles(t, role, replace...))
+	is.True(strings.Contains(got.stderr, why))
+	return got.stderr
+}
+
 func TestDaemonAddressInUse(t *testing.T) {
 	is := is.New(t)
 	holder, err := net.ListenPacket("udp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer holder.Close()
-	path := roleFiles(t, "entry", "192.0.2.20:7200", holder.LocalAddr().String())
-	got := run(t, "entry", "-c", path)
-	is.Equal(got.status, cli.ExitFailure)
-	is.True(strings.Contains(got.stderr, "address already in use"))
+	checkNoStart(t, "entry", "address already in use", "192.0.2.20:7200", holder.LocalAddr().String())
 }
 
 func TestMetricsAddressInUse(t *testing.T) {
@@ -154,61 +158,41 @@
 	holder, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer holder.Close()
-	path := roleFiles(t, "entry", "192.0.2.20:7200", "127.0.0.1:0", "listen = 127.0.0.1:0", "listen = "+holder.Addr().String())
-	got := run(t, "entry", "-c", path)
-	is.Equal(got.status, cli.ExitFailure)
-	is.True(strings.Contains(got.stderr, "metrics.listen"))
+	checkNoStart(t, "entry", "metrics.listen",
+		"192.0.2.20:7200", "127.0.0.1:0", "listen = 127.0.0.1:0", "listen = "+holder.Addr().String())
 }
 
 func TestUnwritableDataFolder(t *testing.T) {
-	is := is.New(t)
-	path := roleFiles(t, "control", "data_folder = data", "data_folder = control.ini")
-	got := run(t, "control", "-c", path)
-	is.Equal(got.status, cli.ExitFailure)
-	is.Equal(strings.Count(got.stderr, "\n"), 1)
-	is.True(strings.Contains(got.stderr, "replica.data_folder"))
+	stderr := checkNoStart(t, "control", "replica.data_folder", "data_folder = data", "data_folder = control.ini")
+	is.New(t).Equal(strings.Count(stderr, "\n"), 1)
 }
 
 func TestLoadAgainstNobody(t *testing.T) {
 	is := is.New(t)
-	dir := filepath.Join(t.TempDir(), "keys")
-	is.Equal(run(t, "keys", "init", dir).status, cli.ExitOK)
-	got := run(t, "load", "--service", "lodgement", "--address", "127.0.0.1:1", "--rate", "0", "--sessions", "0",
+	dir := newKeys(t)
+	got := expect(t, cli.ExitOK, "load", "--service", "lodgement", "--address", "127.0.0.1:1", "--rate", "0", "--sessions", "0",
 		"--authority", filepath.Join(dir, "authority.pem"), "--duration", "1ms", "--json")
-	is.Equal(got.status, cli.ExitOK)
 	var report struct{ Service string }
 	is.NoErr(json.Unmarshal([]byte(got.stdout), &report))
 	is.Equal(report.Service, "lodgement")
-	got = run(t, "load", "--service", "lodgement", "--address", "localhost",
+	got = expect(t, cli.ExitUsage, "load", "--service", "lodgement", "--address", "localhost",
 		"--authority", filepath.Join(dir, "authority.pem"))
-	is.Equal(got.status, cli.ExitUsage)
-	got = run(t, "load", "--service", "lodgement", "--address", "127.0.0.1:1", "--authority", "missing.pem")
-	is.Equal(got.status, cli.ExitFailure)
+	got = expect(t, cli.ExitFailure, "load", "--service", "lodgement", "--address", "127.0.0.1:1", "--authority", "missing.pem")
 }
 
 // Each daemon says that it is ready, with the addresses that it opened, and
 // ends with success when it is told to.
 func TestDaemonsServeUntilSignal(t *testing.T) {
 	for _, tt := range []struct {
-		role    string
-		replace []string
-		bound   []string
+		role  string
+		bound []string
 	}{
-		{
-			"control", []string{
-				"listen = 192.0.2.1:7100", "listen = 127.0.0.1:0", "listen = 192.0.2.1:7101", "listen = 127.0.0.1:0",
-				"initial_voters =", ";initial_voters =",
-			},
-			[]string{"link", "operator", "metrics"},
-		},
-		{
-			"agent", []string{"192.0.2.30:7300", "127.0.0.1:0", "127.0.0.1:7301", "127.0.0.1:0"},
-			[]string{"frames", "announce", "metrics"},
-		},
+		{"control", []string{"link", "operator", "metrics"}},
+		{"agent", []string{"frames", "announce", "metrics"}},
 	} {
 		t.Run(tt.role, func(t *testing.T) {
 			is := is.New(t)
-			p := launch(t, tt.role, "-c", roleFiles(t, tt.role, tt.replace...))
+			p := launch(t, tt.role, "-c", roleFiles(t, tt.role, onFreePorts[tt.role]...))
 			line := p.awaitLine(t, "ready")
 			is.Equal(line["role"], tt.role)
 			is.Equal(line["name"], tt.role+"-1")
@@ -224,9 +208,8 @@
 
 func TestDevReportsAndEnds(t *testing.T) {
 	is := is.New(t)
-	got := run(t, "dev", "--duration", "500ms", "--rate", "20", "--sessions", "2",
+	got := expect(t, cli.ExitOK, "dev", "--duration", "500ms", "--rate", "20", "--sessions", "2",
 		"--deadline", "30s", "--attempts", "100", "--retry-percent", "10000", "--json")
-	is.Equal(got.status, cli.ExitOK)
 	var report struct {
 		Requests int
 		Outcomes map[string]int
