--- a/config/policy.go
+++ b/config/policy.go
@@ -1,6 +1,10 @@
 package config
 
-import "eelgrasswharf.example/eelgrasswharf/api/configpb"
+import (
+	"cmp"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+)
 
 // Defaults of a policy, used where a field is zero.
 const (
@@ -15,25 +19,12 @@
 // fields. The replicated state keeps policies as they were written, so that
 // replicas of different releases never disagree about the state.
 func EffectivePolicy(p *configpb.Policy) *configpb.Policy {
-	out := &configpb.Policy{
+	return &configpb.Policy{
 		Strategy:         p.GetStrategy(),
-		BrokenFlowWeight: p.GetBrokenFlowWeight(),
-		ImbalanceWeight:  p.GetImbalanceWeight(),
-		PanicPercent:     p.GetPanicPercent(),
-		RampMs:           p.GetRampMs(),
-		RetryPercent:     p.GetRetryPercent(),
-	}
-	setDefault(&out.BrokenFlowWeight, DefaultBrokenFlowWeight)
-	setDefault(&out.ImbalanceWeight, DefaultImbalanceWeight)
-	setDefault(&out.PanicPercent, DefaultPanicPercent)
-	setDefault(&out.RampMs, DefaultRampMS)
-	setDefault(&out.RetryPercent, DefaultRetryPercent)
-	return out
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+		BrokenFlowWeight: cmp.Or(p.GetBrokenFlowWeight(), DefaultBrokenFlowWeight),
+		ImbalanceWeight:  cmp.Or(p.GetImbalanceWeight(), DefaultImbalanceWeight),
+		PanicPercent:     cmp.Or(p.GetPanicPercent(), DefaultPanicPercent),
+		RampMs:           cmp.Or(p.GetRampMs(), DefaultRampMS),
+		RetryPercent:     cmp.Or(p.GetRetryPercent(), DefaultRetryPercent),
 	}
 }
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -63,25 +64,21 @@
 }
 
 func (o ClientOptions) withDefaults() ClientOptions {
-	if o.Scope == nil {
-		o.Scope = tally.NoopScope
-	}
-	if o.Log == nil {
-		o.Log = zap.NewNop()
-	}
+	o.Scope = cmp.Or(o.Scope, tally.NoopScope)
+	o.Log = cmp.Or(o.Log, zap.NewNop())
 	if len(o.Allowed) == 0 {
 		o.Allowed = []keys.Role{keys.RoleControl}
 	}
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	setDefault(&o.DialTimeout, DefaultDialTimeout)
-	setDefault(&o.HeartbeatPeriod, DefaultHeartbeatPeriod)
-	setDefault(&o.HeartbeatTimeout, DefaultHeartbeatTimeout)
-	setDefault(&o.BackoffMin, DefaultBackoffMin)
-	setDefault(&o.BackoffMax, DefaultBackoffMax)
-	setDefault(&o.MaxResponseBytes, DefaultMaxResponseBytes)
-	setDefault(&o.MaxRequestBytes, o.MaxResponseBytes)
+	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
+	o.HeartbeatPeriod = cmp.Or(o.HeartbeatPeriod, DefaultHeartbeatPeriod)
+	o.HeartbeatTimeout = cmp.Or(o.HeartbeatTimeout, DefaultHeartbeatTimeout)
+	o.BackoffMin = cmp.Or(o.BackoffMin, DefaultBackoffMin)
+	o.BackoffMax = cmp.Or(o.BackoffMax, DefaultBackoffMax)
+	o.MaxResponseBytes = cmp.Or(o.MaxResponseBytes, DefaultMaxResponseBytes)
+	o.MaxRequestBytes = cmp.Or(o.MaxRequestBytes, o.MaxResponseBytes)
 	return o
 }
 
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -89,37 +90,27 @@
 }
 
 func (o ServerOptions) withDefaults() ServerOptions {
-	if o.Scope == nil {
-		o.Scope = tally.NoopScope
-	}
-	if o.Log == nil {
-		o.Log = zap.NewNop()
-	}
+	o.Scope = cmp.Or(o.Scope, tally.NoopScope)
+	o.Log = cmp.Or(o.Log, zap.NewNop())
 	if len(o.Allowed) == 0 {
 		o.Allowed = []keys.Role{keys.RoleControl, keys.RoleEntry, keys.RoleAgent}
 	}
-	setDefault(&o.MaxConnections, DefaultMaxConnections)
-	setDefault(&o.MaxStreams, DefaultMaxStreams)
-	setDefault(&o.MaxHandshakes, DefaultMaxHandshakes)
-	setDefault(&o.AdmitPerSecond, DefaultAdmitPerSecond)
-	setDefault(&o.AdmitBurst, DefaultAdmitBurst)
-	setDefault(&o.LongestRetry, DefaultLongestRetry)
-	setDefault(&o.MaxRequestBytes, DefaultMaxRequestBytes)
-	setDefault(&o.MaxPeerBytes, DefaultMaxPeerBytes)
-	setDefault(&o.MaxResponseBytes, o.MaxPeerBytes)
-	setDefault(&o.IdleTimeout, DefaultServerIdle)
-	setDefault(&o.RequestTimeout, DefaultRequestTimeout)
-	setDefault(&o.SendTimeout, DefaultSendTimeout)
-	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
+	o.MaxConnections = cmp.Or(o.MaxConnections, DefaultMaxConnections)
+	o.MaxStreams = cmp.Or(o.MaxStreams, DefaultMaxStreams)
+	o.MaxHandshakes = cmp.Or(o.MaxHandshakes, DefaultMaxHandshakes)
+	o.AdmitPerSecond = cmp.Or(o.AdmitPerSecond, DefaultAdmitPerSecond)
+	o.AdmitBurst = cmp.Or(o.AdmitBurst, DefaultAdmitBurst)
+	o.LongestRetry = cmp.Or(o.LongestRetry, DefaultLongestRetry)
+	o.MaxRequestBytes = cmp.Or(o.MaxRequestBytes, DefaultMaxRequestBytes)
+	o.MaxPeerBytes = cmp.Or(o.MaxPeerBytes, DefaultMaxPeerBytes)
+	o.MaxResponseBytes = cmp.Or(o.MaxResponseBytes, o.MaxPeerBytes)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultServerIdle)
+	o.RequestTimeout = cmp.Or(o.RequestTimeout, DefaultRequestTimeout)
+	o.SendTimeout = cmp.Or(o.SendTimeout, DefaultSendTimeout)
+	o.DrainTimeout = cmp.Or(o.DrainTimeout, DefaultDrainTimeout)
 	return o
 }
 
-func setDefault[T int | int64 | float64 | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Server is the listening end of control links.
 type Server struct {
 	opts      ServerOptions
--- a/internal/loadgen/options.go
+++ b/internal/loadgen/options.go
@@ -1,6 +1,7 @@
 package loadgen
 
 import (
+	"cmp"
 	"crypto/rand"
 	"crypto/x509"
 	"encoding/hex"
@@ -104,13 +105,13 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Connections, DefaultConnections)
-	setDefault(&o.RequestsPerFlow, DefaultRequestsPerFlow)
-	setDefault(&o.Deadline, DefaultDeadline)
-	setDefault(&o.Attempts, DefaultAttempts)
-	setDefault(&o.RetryPercent, DefaultRetryPercent)
-	setDefault(&o.Window, DefaultWindow)
-	setDefault(&o.WatchPeriod, DefaultWatchPeriod)
+	o.Connections = cmp.Or(o.Connections, DefaultConnections)
+	o.RequestsPerFlow = cmp.Or(o.RequestsPerFlow, DefaultRequestsPerFlow)
+	o.Deadline = cmp.Or(o.Deadline, DefaultDeadline)
+	o.Attempts = cmp.Or(o.Attempts, DefaultAttempts)
+	o.RetryPercent = cmp.Or(o.RetryPercent, DefaultRetryPercent)
+	o.Window = cmp.Or(o.Window, DefaultWindow)
+	o.WatchPeriod = cmp.Or(o.WatchPeriod, DefaultWatchPeriod)
 	if o.SessionRamp == 0 {
 		o.SessionRamp = time.Duration(sessionRamp * float64(o.Duration))
 	}
@@ -127,13 +128,6 @@
 	return o
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // randomID tells runs apart. It is an identity: the seed must not fix it, or
 // the keys of a second run with the same seed would be known already.
 func randomID() string {
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -106,30 +107,14 @@
 }
 
 func (o *Options) setDefaults() {
-	if o.TickInterval <= 0 {
-		o.TickInterval = DefaultTickInterval
-	}
-	if o.ElectionTicks <= 0 {
-		o.ElectionTicks = DefaultElectionTicks
-	}
-	if o.HeartbeatTicks <= 0 {
-		o.HeartbeatTicks = DefaultHeartbeatTicks
-	}
-	if o.SnapshotEntries == 0 {
-		o.SnapshotEntries = DefaultSnapshotEntries
-	}
-	if o.MaxProposals <= 0 {
-		o.MaxProposals = DefaultMaxProposals
-	}
-	if o.MaxCommandBytes <= 0 {
-		o.MaxCommandBytes = DefaultMaxCommandBytes
-	}
-	if o.Log == nil {
-		o.Log = zap.NewNop()
-	}
-	if o.Scope == nil {
-		o.Scope = tally.NoopScope
-	}
+	o.TickInterval = cmp.Or(max(o.TickInterval, 0), DefaultTickInterval)
+	o.ElectionTicks = cmp.Or(max(o.ElectionTicks, 0), DefaultElectionTicks)
+	o.HeartbeatTicks = cmp.Or(max(o.HeartbeatTicks, 0), DefaultHeartbeatTicks)
+	o.SnapshotEntries = cmp.Or(o.SnapshotEntries, DefaultSnapshotEntries)
+	o.MaxProposals = cmp.Or(max(o.MaxProposals, 0), DefaultMaxProposals)
+	o.MaxCommandBytes = cmp.Or(max(o.MaxCommandBytes, 0), DefaultMaxCommandBytes)
+	o.Log = cmp.Or(o.Log, zap.NewNop())
+	o.Scope = cmp.Or(o.Scope, tally.NoopScope)
 }
 
 // retainEntries is the number of entries kept in memory behind a snapshot, for
--- a/internal/subscriber/announcer.go
+++ b/internal/subscriber/announcer.go
@@ -1,6 +1,7 @@
 package subscriber
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -68,18 +69,14 @@
 }
 
 func (o AnnouncerOptions) withDefaults() AnnouncerOptions {
-	if o.Scope == nil {
-		o.Scope = tally.NoopScope
-	}
-	if o.Log == nil {
-		o.Log = zap.NewNop()
-	}
+	o.Scope = cmp.Or(o.Scope, tally.NoopScope)
+	o.Log = cmp.Or(o.Log, zap.NewNop())
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
-	setDefault(&o.RetryMin, DefaultRetryMin)
-	setDefault(&o.RetryMax, DefaultRetryMax)
+	o.CallTimeout = cmp.Or(o.CallTimeout, DefaultCallTimeout)
+	o.RetryMin = cmp.Or(o.RetryMin, DefaultRetryMin)
+	o.RetryMax = cmp.Or(o.RetryMax, DefaultRetryMax)
 	return o
 }
 
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -1,6 +1,7 @@
 package subscriber
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -81,35 +82,25 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Scope == nil {
-		o.Scope = tally.NoopScope
-	}
-	if o.Log == nil {
-		o.Log = zap.NewNop()
-	}
+	o.Scope = cmp.Or(o.Scope, tally.NoopScope)
+	o.Log = cmp.Or(o.Log, zap.NewNop())
 	if o.OnView == nil {
 		o.OnView = func(*View) {}
 	}
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	setDefault(&o.AskDelay, DefaultAskDelay)
-	setDefault(&o.AskTimeout, DefaultAskTimeout)
-	setDefault(&o.UnconfirmedWait, DefaultUnconfirmedWait)
-	setDefault(&o.SilenceLimit, DefaultSilenceLimit)
-	setDefault(&o.BehindLimit, DefaultBehindLimit)
-	setDefault(&o.ReportPeriod, DefaultReportPeriod)
-	setDefault(&o.RetryMin, DefaultRetryMin)
-	setDefault(&o.RetryMax, DefaultRetryMax)
+	o.AskDelay = cmp.Or(o.AskDelay, DefaultAskDelay)
+	o.AskTimeout = cmp.Or(o.AskTimeout, DefaultAskTimeout)
+	o.UnconfirmedWait = cmp.Or(o.UnconfirmedWait, DefaultUnconfirmedWait)
+	o.SilenceLimit = cmp.Or(o.SilenceLimit, DefaultSilenceLimit)
+	o.BehindLimit = cmp.Or(o.BehindLimit, DefaultBehindLimit)
+	o.ReportPeriod = cmp.Or(o.ReportPeriod, DefaultReportPeriod)
+	o.RetryMin = cmp.Or(o.RetryMin, DefaultRetryMin)
+	o.RetryMax = cmp.Or(o.RetryMax, DefaultRetryMax)
 	return o
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Subscriber keeps a view of configuration and directory up to date.
 type Subscriber struct {
 	opts     Options
--- a/membership/damping.go
+++ b/membership/damping.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -29,18 +30,10 @@
 )
 
 func (p *Damping) setDefaults() {
-	if p.HalfLife <= 0 {
-		p.HalfLife = DefaultHalfLife
-	}
-	if p.Suppress <= 0 {
-		p.Suppress = DefaultSuppress
-	}
-	if p.Reuse <= 0 {
-		p.Reuse = DefaultReuse
-	}
-	if p.Max <= 0 {
-		p.Max = DefaultMax
-	}
+	p.HalfLife = cmp.Or(max(p.HalfLife, 0), DefaultHalfLife)
+	p.Suppress = cmp.Or(max(p.Suppress, 0), DefaultSuppress)
+	p.Reuse = cmp.Or(max(p.Reuse, 0), DefaultReuse)
+	p.Max = cmp.Or(max(p.Max, 0), DefaultMax)
 }
 
 // flaps is the penalty of one target.
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"container/list"
 	"net/netip"
 	"slices"
@@ -134,18 +135,10 @@
 }
 
 func (o *Options) setDefaults() {
-	if o.Lease <= 0 {
-		o.Lease = DefaultLease
-	}
-	if o.Hold <= 0 {
-		o.Hold = DefaultHold
-	}
-	if o.MaxTargets <= 0 {
-		o.MaxTargets = DefaultMaxTargets
-	}
-	if o.MaxRemoved <= 0 {
-		o.MaxRemoved = DefaultMaxRemoved
-	}
+	o.Lease = cmp.Or(max(o.Lease, 0), DefaultLease)
+	o.Hold = cmp.Or(max(o.Hold, 0), DefaultHold)
+	o.MaxTargets = cmp.Or(max(o.MaxTargets, 0), DefaultMaxTargets)
+	o.MaxRemoved = cmp.Or(max(o.MaxRemoved, 0), DefaultMaxRemoved)
 	o.Damping.setDefaults()
 }
 
