test: the groups' tests share their set-up, and control hosts relaunch in one call

TestLeaderOfOneGroupKilled and TestGroupsOutliveTwoLosses deployed, made callers, and ended and started runs of all groups by the same five lines (deployRunning), three tests made callers of both targets by the same two (callers), and a control host was launched and waited for eight times, after a planned end twice of them (processtest.Control.Relaunch, Restart).

Names of tests and all checks stay; the keys of TestLeaderOfOneGroupKilled that ran before the kill are named "ended" now.

--- a/internal/processtest/control.go
+++ b/internal/processtest/control.go
@@ -112,6 +112,22 @@
 	h.Process = Start(h.cluster.t, h.name, "control", "--settings", path)
 }
 
+// Relaunch starts the process of the host, which has ended, and waits until it
+// is ready.
+func (h *Control) Relaunch() {
+	h.cluster.t.Helper()
+	h.Launch()
+	h.WaitReady()
+}
+
+// Restart stops the process of the host by plan and starts it again.
+func (h *Control) Restart() {
+	h.cluster.t.Helper()
+	h.Terminate()
+	h.WaitExit()
+	h.Relaunch()
+}
+
 // Relay puts a relay in front of the host's link address. Whoever dials its
 // address can be cut off.
 func (h *Control) Relay() *faultproxy.Relay {
--- a/test/groups_test.go
+++ b/test/groups_test.go
@@ -26,6 +26,23 @@
 	return d
 }
 
+// callers returns a caller of each target of lodgement.
+func (d *deployment) callers(t *testing.T) (first, second *processtest.Caller) {
+	t.Helper()
+	targets := d.targets[d.lodgement]
+	return d.callerOf(t, targets[0]), d.callerOf(t, targets[1])
+}
+
+// deployRunning is deployGroups with keys of all groups that have ended, and
+// others that run, at the first target. It returns a caller of the second one.
+func deployRunning(t *testing.T) (d *deployment, other *processtest.Caller, attempts runs) {
+	t.Helper()
+	d = deployGroups(t)
+	caller, other := d.callers(t)
+	d.checkRun(t, caller, keysOf("ended")...)
+	return d, other, d.startRuns(t, caller, keysOf("running"))
+}
+
 // keyOf returns a key of lodgement that a group of grants decides on.
 func keyOf(group int, name string) string {
 	const lodgement = 1 // the first service that a deployment creates
@@ -61,18 +78,13 @@
 // groups run at one target. The other target serves new keys of the other groups
 // and of that one, and gets the answers of all.
 func TestLeaderOfOneGroupKilled(t *testing.T) {
-	d := deployGroups(t)
-	first, second := d.targets[d.lodgement][0], d.targets[d.lodgement][1]
-	caller, other := d.callerOf(t, first), d.callerOf(t, second)
-	d.checkRun(t, caller, keysOf("before")...)
-	attempts := d.startRuns(t, caller, keysOf("running"))
+	d, other, attempts := deployRunning(t)
 	lost := d.LeaderOfGrants(1)
 	lost.Kill()
 	d.checkRun(t, other, keyOf(2, "beside"), keyOf(0, "beside"), keyOf(1, "after"))
-	d.checkRun(t, other, append(keysOf("before"), keysOf("running")...)...)
+	d.checkRun(t, other, append(keysOf("ended"), keysOf("running")...)...)
 	attempts.giveUp()
-	lost.Launch()
-	lost.WaitReady()
+	lost.Relaunch()
 	d.SpreadGrants(grantGroups) // it leads again what it should
 	d.checkRun(t, other, keysOf("back")...)
 }
@@ -100,17 +112,12 @@
 // leader of one of them loses its disk, and another host is killed right after
 // the repair.
 func TestGroupsOutliveTwoLosses(t *testing.T) {
-	d := deployGroups(t)
-	first, second := d.targets[d.lodgement][0], d.targets[d.lodgement][1]
-	caller, other := d.callerOf(t, first), d.callerOf(t, second)
-	d.checkRun(t, caller, keysOf("ended")...)
-	attempts := d.startRuns(t, caller, keysOf("running"))
+	d, other, attempts := deployRunning(t)
 	lost := d.LeaderOfGrants(2)
 	lost.Kill()
 	lost.LoseDisk()
 	d.checkRun(t, other, keysOf("ended")...)
-	lost.Launch()
-	lost.WaitReady()
+	lost.Relaunch()
 	lost.Replace()
 	lost.Others()[0].Kill()
 	d.checkRun(t, other, append(keysOf("ended"), keysOf("running")...)...)
@@ -123,8 +130,7 @@
 func TestGroupsRestart(t *testing.T) {
 	is := is.New(t)
 	d := deployGroups(t)
-	first, second := d.targets[d.lodgement][0], d.targets[d.lodgement][1]
-	caller, other := d.callerOf(t, first), d.callerOf(t, second)
+	caller, other := d.callers(t)
 	d.checkRun(t, caller, keysOf("first")...)
 	for _, host := range d.controls {
 		d.SpreadGrants(grantGroups)
@@ -133,8 +139,7 @@
 		host.WaitExit()
 		is.True(led > 0)
 		is.True(host.Logged(handedOverMessage) >= before+led) // of every group
-		host.Launch()
-		host.WaitReady()
+		host.Relaunch()
 	}
 	d.checkRun(t, other, append(keysOf("first"), keysOf("second")...)...)
 	for _, host := range d.controls {
@@ -170,8 +175,7 @@
 	for _, host := range d.controls[1:] {
 		host.Kill()
 		host.LoseGroup(lost)
-		host.Launch()
-		host.WaitReady()
+		host.Relaunch()
 	}
 	for group := range grantGroups {
 		if group != lost {
@@ -211,21 +215,16 @@
 	d.checkRun(t, d.callerOf(t, d.targets[d.lodgement][0]), key) // nothing was granted
 
 	host.SetGrantGroups(2)
-	host.Terminate()
-	host.WaitExit()
-	host.Launch()
-	host.WaitReady()
+	host.Restart()
 	d.SpreadGrants(grantGroups) // it took the agreed number
 	host.Kill()
 	host.LoseDisk()
-	host.Launch()
-	host.WaitReady()
+	host.Relaunch()
 	host.Remove()
 	host.JoinUntil("unfit number of groups of grants")
 	is.Equal(host.WaitEnd(), 1)
 	d.checkRun(t, d.callerOf(t, d.targets[d.lodgement][1]), keysOf("without it")...)
-	host.Launch()
-	host.WaitReady()
+	host.Relaunch()
 	host.Join()
 	d.SpreadGrants(grantGroups)
 }
@@ -239,10 +238,7 @@
 	d.checkRun(t, caller, "decided before")
 	host := d.controls[0]
 	host.SetGrantGroups(grantGroups)
-	host.Terminate()
-	host.WaitExit()
-	host.Launch()
-	host.WaitReady()
+	host.Restart()
 	d.checkRun(t, caller, "decided before", "decided after")
 	is.Equal(len(host.Status().Groups), 2) // configuration and grants
 }
