names: one patch from the operator's call to the subscriber reads plainly

Followed: cli, operator.Client, operator.Server, controld, config, a subscription and the subscriber. What read badly: - operator.Client: call took method, path and body apart (six parameters); they are a request now. lost and refusal are unanswered and faultError: the first sorts a call without an answer, the second turns a fault into an error. - controld.subscription: reported (bool) stood beside info.reported (a version) and is aheadLogged; owed, pending, unanswered, confirmAt, directoryAt and messageAt are owesConfirmation, directoryPending, unansweredSince, askedAt, directorySentAt and messageSentAt; first, lacks, newest and due are sendFirst, lacksVersion, mayPassOn and untilDue. mayAsk was slices.Contains. - config: held, a service of a version, is serviceNamed, as held means a key elsewhere. subscriber: errAsked is errAskedToMove. - comments for eight functions that had none.

No behaviour changes. fuzz_test.go of operator calls the function by its new name. Ruled out: renames in agentd and entryd, which others work on; a shorter config.assemble, whose five parameters are what both its callers have.

--- a/config/machine.go
+++ b/config/machine.go
@@ -59,6 +59,7 @@
 	return &configpb.Result{}
 }
 
+// patch decides on a patch, or answers with the first decision on it.
 func (m *Machine) patch(p *configpb.Patch) *configpb.Outcome {
 	digest := Digest(p)
 	if first := m.outcomes.find(p.GetId()); first != nil {
@@ -87,6 +88,8 @@
 	}
 }
 
+// judge decides on a patch that was not seen before, and makes it a version if
+// it fits.
 func (m *Machine) judge(p *configpb.Patch) *configpb.Outcome {
 	out := &configpb.Outcome{Id: p.GetId(), Version: m.current.GetVersion(), VersionPatch: m.versionPatch}
 	if p.GetBaseVersion() != m.current.GetVersion() {
@@ -129,7 +132,7 @@
 func (m *Machine) accept(d *draft, id string) {
 	// The order in the patch decides the numbers, on every replica alike.
 	for _, name := range d.putOrder() {
-		number := held(m.current, name).GetNumber()
+		number := serviceNamed(m.current, name).GetNumber()
 		if number == 0 || d.removed[name] {
 			m.lastService++
 			number = m.lastService
@@ -179,8 +182,8 @@
 // compareName orders services by name.
 func compareName(s *configpb.Service, name string) int { return cmp.Compare(s.GetName(), name) }
 
-// held returns the service of a version, or nil.
-func held(c *configpb.Configuration, name string) *configpb.Service {
+// serviceNamed returns the service of a version, or nil.
+func serviceNamed(c *configpb.Configuration, name string) *configpb.Service {
 	i, found := slices.BinarySearchFunc(c.GetServices(), name, compareName)
 	if !found {
 		return nil
@@ -188,6 +191,7 @@
 	return c.GetServices()[i]
 }
 
+// publish makes a version the current one.
 func (m *Machine) publish(c *configpb.Configuration, id string) {
 	m.current = c
 	m.versionPatch = id
--- a/config/retired.go
+++ b/config/retired.go
@@ -54,7 +54,7 @@
 
 // leave retires the addresses that a service had before the patch.
 func (d *draft) leave(name string) {
-	for _, address := range held(d.before, name).GetAddresses() {
+	for _, address := range serviceNamed(d.before, name).GetAddresses() {
 		d.retired[address] = true
 	}
 }
--- a/config/targets.go
+++ b/config/targets.go
@@ -109,7 +109,7 @@
 	if len(r.GetProcess()) == 0 || len(r.GetProcess()) > MaxProcessLength {
 		return &configpb.Registration{Refusal: RefusalProcess}
 	}
-	service := held(m.current, r.GetService()).GetNumber()
+	service := serviceNamed(m.current, r.GetService()).GetNumber()
 	if service == 0 {
 		return &configpb.Registration{Refusal: RefusalUnknownService}
 	}
--- a/config/validate.go
+++ b/config/validate.go
@@ -79,7 +79,7 @@
 func (d *draft) count() int {
 	count := len(d.before.GetServices()) + len(d.services)
 	for name := range d.services {
-		if held(d.before, name) != nil {
+		if serviceNamed(d.before, name) != nil {
 			count--
 		}
 	}
@@ -170,7 +170,7 @@
 		d.find(d.place(i, name, ""), "the service is removed after %s put it", d.place(earlier, "", ""))
 		return
 	}
-	if held(d.before, name) == nil || d.removed[name] {
+	if serviceNamed(d.before, name) == nil || d.removed[name] {
 		d.find(d.place(i, name, ""), "there is no service of that name to remove")
 		return
 	}
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
@@ -66,22 +67,13 @@
 	return nil
 }
 
-func mayAsk(peer link.Peer, roles []keys.Role) bool {
-	for _, role := range roles {
-		if peer.Role == role {
-			return true
-		}
-	}
-	return false
-}
-
 // Call implements link.Handler.
 func (h *handler) Call(ctx context.Context, peer link.Peer, req *controlpb.Request) *controlpb.Response {
 	roles := allowed(req)
 	if roles == nil {
 		return h.fault(refusedRequest, controlpb.FaultKind_FAULT_NOT_DONE, "no such request")
 	}
-	if !mayAsk(peer, roles) {
+	if !slices.Contains(roles, peer.Role) {
 		return h.fault(refusedRole, controlpb.FaultKind_FAULT_FORBIDDEN, "the role may not ask this")
 	}
 	switch body := req.GetBody().(type) {
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,29 +36,30 @@
 	scope map[uint32]bool
 	// confirmed says that the subscriber was told of a confirmed version.
 	confirmed bool
-	// owed says that it has yet to be told so.
-	owed bool
-	// reported says that its newer version has been logged.
-	reported bool
-	follower *membership.Follower
+	// owesConfirmation says that it has yet to be told so.
+	owesConfirmation bool
+	// aheadLogged says that its newer version has been logged.
+	aheadLogged bool
+	follower    *membership.Follower
 	// whole says that the subscriber holds this host's list, not additions to
 	// one from elsewhere.
 	whole bool
-	// pending says that the directory may have changed since it was looked at.
-	pending bool
-	// confirmAt is when a quorum was last asked, unanswered since when it has
+	// directoryPending says that the directory may have changed since it was
+	// looked at.
+	directoryPending bool
+	// askedAt is when a quorum was last asked, unansweredSince since when it has
 	// not answered; zero if it has.
-	confirmAt  time.Time
-	unanswered time.Time
-	// directoryAt is when the last directory update was sent.
-	directoryAt time.Time
-	// messageAt is when the last message was sent.
-	messageAt time.Time
+	askedAt         time.Time
+	unansweredSince time.Time
+	// directorySentAt is when the last directory update was sent.
+	directorySentAt time.Time
+	// messageSentAt is when the last message was sent.
+	messageSentAt time.Time
 }
 
 // Subscribe implements link.Handler.
 func (h *handler) Subscribe(ctx context.Context, peer link.Peer, req *controlpb.Subscribe, s *link.ServerStream) error {
-	if !mayAsk(peer, []keys.Role{keys.RoleEntry, keys.RoleAgent}) {
+	if !slices.Contains([]keys.Role{keys.RoleEntry, keys.RoleAgent}, peer.Role) {
 		h.count(refusedRole)
 		return &link.FaultError{Kind: controlpb.FaultKind_FAULT_FORBIDDEN, Text: "the role may not subscribe"}
 	}
@@ -97,7 +99,8 @@
 	}
 }
 
-// listen notes the versions in force that the subscriber reports.
+// listen notes the versions in force that the subscriber reports, until its
+// stream ends.
 func (s *subscription) listen() {
 	for {
 		beat, err := s.stream.Receive()
@@ -112,17 +115,18 @@
 	}
 }
 
+// run sends what changes until the subscriber is gone or silent.
 func (s *subscription) run(ctx context.Context) error {
 	configs := s.daemon.configs.changed.join()
 	defer s.daemon.configs.changed.leave(configs)
 	targets := s.daemon.directory.changed.join()
 	defer s.daemon.directory.changed.leave(targets)
-	if err := s.first(ctx); err != nil {
+	if err := s.sendFirst(ctx); err != nil {
 		return err
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	s.pending = true
+	s.directoryPending = true
 	for ctx.Err() == nil {
 		if s.info.silent() > silenceLimit {
 			s.daemon.scope.Counter("silent_subscribers").Inc(1)
@@ -131,7 +135,7 @@
 		if err := s.step(ctx); err != nil {
 			return err
 		}
-		timer.Reset(s.due())
+		timer.Reset(s.untilDue())
 		select {
 		case <-ctx.Done():
 		case address := <-s.info.moveTo:
@@ -141,32 +145,32 @@
 		case <-configs:
 		case <-s.reports:
 		case <-targets:
-			s.pending = true
+			s.directoryPending = true
 		case <-timer.C:
 		}
 	}
 	return nil
 }
 
-// due returns how long the subscription may sleep if nothing changes.
-func (s *subscription) due() time.Duration {
-	wait := heartbeatPeriod - time.Since(s.messageAt)
-	if s.pending {
-		wait = min(wait, directoryPause-time.Since(s.directoryAt))
+// untilDue returns how long the subscription may sleep if nothing changes.
+func (s *subscription) untilDue() time.Duration {
+	wait := heartbeatPeriod - time.Since(s.messageSentAt)
+	if s.directoryPending {
+		wait = min(wait, directoryPause-time.Since(s.directorySentAt))
 	}
 	if !s.confirmed {
-		wait = min(wait, confirmRetry-time.Since(s.confirmAt))
+		wait = min(wait, confirmRetry-time.Since(s.askedAt))
 	}
-	if s.lacks() {
+	if s.lacksVersion() {
 		wait = min(wait, confirmPause)
 	}
 	return max(wait, 0)
 }
 
-// first brings the subscriber to this host's version. Whether that is the
+// sendFirst brings the subscriber to this host's version. Whether that is the
 // newest one is asked of a quorum before, so that most subscribers never act
 // on an unconfirmed version.
-func (s *subscription) first(ctx context.Context) error {
+func (s *subscription) sendFirst(ctx context.Context) error {
 	s.confirm(ctx)
 	if s.confirmed {
 		return s.sendConfig(true)
@@ -179,26 +183,26 @@
 // applied here or cannot be had.
 func (s *subscription) confirm(ctx context.Context) {
 	err := s.daemon.confirm.wait(ctx)
-	s.confirmAt = time.Now()
-	if err != nil && s.unanswered.IsZero() {
-		s.unanswered = s.confirmAt
+	s.askedAt = time.Now()
+	if err != nil && s.unansweredSince.IsZero() {
+		s.unansweredSince = s.askedAt
 	}
 	if err != nil {
 		return
 	}
-	s.unanswered = time.Time{}
+	s.unansweredSince = time.Time{}
 	if s.confirmed {
 		return
 	}
 	s.confirmed = true
 	// Even without a change the subscriber has to learn of it.
-	s.owed = true
+	s.owesConfirmation = true
 }
 
-// lacks tells whether there is a version to send. One that acts on a version
-// gets no other before it has reported the last: what is sent into a path that
-// is silent for a while would come all at once, one old version after another.
-func (s *subscription) lacks() bool {
+// lacksVersion tells whether there is a version to send. One that acts on a
+// version gets no other before it has reported the last: what is sent into a path
+// that is silent for a while would come all at once, one old version after another.
+func (s *subscription) lacksVersion() bool {
 	if s.daemon.configs.version() <= s.sent {
 		return false
 	}
@@ -206,35 +210,35 @@
 	return acting == 0 || acting >= s.sent
 }
 
-// newest tells whether this host's version may be passed on as the newest. A
+// mayPassOn tells whether this host's version may be passed on as the newest. A
 // host that was cut off or frozen applies what it missed one by one, and its
 // subscribers are to go to the last of it in one step; so a quorum is asked
 // before each new version. One that does not answer holds a version up while a
 // leader is known, and for a bounded time: being applied, it was accepted.
-func (s *subscription) newest() bool {
-	return s.unanswered.IsZero() ||
+func (s *subscription) mayPassOn() bool {
+	return s.unansweredSince.IsZero() ||
 		s.daemon.replicas[controlpb.Group_GROUP_CONFIG].Status().Leader == nil ||
-		time.Since(s.unanswered) >= confirmPatience
+		time.Since(s.unansweredSince) >= confirmPatience
 }
 
 // step sends what the subscriber lacks.
 func (s *subscription) step(ctx context.Context) error {
-	overdue := !s.confirmed && time.Since(s.confirmAt) >= confirmRetry
-	if overdue || s.lacks() {
+	overdue := !s.confirmed && time.Since(s.askedAt) >= confirmRetry
+	if overdue || s.lacksVersion() {
 		s.confirm(ctx)
 	}
-	if s.owed || s.lacks() && s.newest() {
+	if s.owesConfirmation || s.lacksVersion() && s.mayPassOn() {
 		if err := s.sendConfig(s.confirmed); err != nil {
 			return err
 		}
 	}
-	if s.pending && time.Since(s.directoryAt) >= directoryPause {
-		s.pending = false
+	if s.directoryPending && time.Since(s.directorySentAt) >= directoryPause {
+		s.directoryPending = false
 		if err := s.sendDirectory(); err != nil {
 			return err
 		}
 	}
-	if time.Since(s.messageAt) >= heartbeatPeriod {
+	if time.Since(s.messageSentAt) >= heartbeatPeriod {
 		beat := &controlpb.Heartbeat{Version: s.daemon.configs.version()}
 		return s.send(&controlpb.SubscribeUpdate{Heartbeat: beat})
 	}
@@ -255,23 +259,24 @@
 		return err
 	}
 	s.sent = u.GetVersion()
-	s.owed = false
+	s.owesConfirmation = false
 	return nil
 }
 
 // reportLag tells of a subscriber ahead of a quorum's newest version: state
 // was lost.
 func (s *subscription) reportLag(current *configpb.Configuration, confirmed bool) {
-	if !confirmed || s.reported {
+	if !confirmed || s.aheadLogged {
 		return
 	}
-	s.reported = true
+	s.aheadLogged = true
 	s.daemon.scope.Counter("subscribers_ahead").Inc(1)
 	s.daemon.log.Error("a subscriber has a version that the group does not know",
 		zap.String("subscriber", s.info.name), zap.Uint64("its_version", s.sent),
 		zap.Uint64("version", current.GetVersion()))
 }
 
+// sendDirectory sends what the subscriber lacks of the directory, if anything.
 func (s *subscription) sendDirectory() error {
 	u, kind := s.daemon.directory.next(s.follower)
 	s.whole = kind != membership.Addition
@@ -282,7 +287,7 @@
 		return err
 	}
 	s.countDirectory(u, kind)
-	s.directoryAt = time.Now()
+	s.directorySentAt = time.Now()
 	return nil
 }
 
@@ -298,6 +303,6 @@
 	if err := s.stream.Send(u); err != nil {
 		return err
 	}
-	s.messageAt = time.Now()
+	s.messageSentAt = time.Now()
 	return nil
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -68,7 +68,7 @@
 		return nil, errors.Wrap(ErrNotDone, err.Error())
 	}
 	var a outcomeAnswer
-	if err := c.anyHost(ctx, http.MethodPost, "/v1/patches", body, &a); err != nil {
+	if err := c.anyHost(ctx, request{http.MethodPost, "/v1/patches", body}, &a); err != nil {
 		return nil, err
 	}
 	return decodeOutcome(&a)
@@ -78,7 +78,7 @@
 // tell, ErrNotFound if a quorum knows of no such patch.
 func (c *Client) Outcome(ctx context.Context, id string) (*configpb.Outcome, error) {
 	var a outcomeAnswer
-	if err := c.anyHost(ctx, http.MethodGet, "/v1/patches/"+url.PathEscape(id), nil, &a); err != nil {
+	if err := c.anyHost(ctx, read("/v1/patches/"+url.PathEscape(id)), &a); err != nil {
 		return nil, err
 	}
 	return decodeOutcome(&a)
@@ -100,7 +100,7 @@
 		path += "?version=" + strconv.FormatUint(version, 10)
 	}
 	var a configAnswer
-	if err := c.anyHost(ctx, http.MethodGet, path, nil, &a); err != nil {
+	if err := c.anyHost(ctx, read(path), &a); err != nil {
 		return nil, false, err
 	}
 	cfg := new(configpb.Configuration)
@@ -123,7 +123,7 @@
 	for i, addr := range c.addrs {
 		out[i].Address = addr
 		s := new(Status)
-		if err := c.call(ctx, addr, http.MethodGet, "/v1/status", nil, s); err != nil {
+		if err := c.call(ctx, addr, read("/v1/status"), s); err != nil {
 			out[i].Err = err
 			continue
 		}
@@ -202,7 +202,7 @@
 	err := errors.Wrap(ErrNotDone, "no control host is named")
 	for _, addr := range c.addrs {
 		s := new(Status)
-		if err = c.call(ctx, addr, http.MethodPost, path, body, s); err == nil {
+		if err = c.call(ctx, addr, request{http.MethodPost, path, body}, s); err == nil {
 			return s, partly, nil
 		}
 		if decisive(err) {
@@ -216,16 +216,25 @@
 // anyStatus returns the view of the first host that answers.
 func (c *Client) anyStatus(ctx context.Context) (*Status, error) {
 	s := new(Status)
-	return s, c.anyHost(ctx, http.MethodGet, "/v1/status", nil, s)
+	return s, c.anyHost(ctx, read("/v1/status"), s)
 }
 
+// request is a call of the API.
+type request struct {
+	method, path string
+	body         []byte
+}
+
+// read is a request that changes nothing.
+func read(path string) request { return request{method: http.MethodGet, path: path} }
+
 // anyHost calls the hosts in order until one answers. Once one of them left
 // the outcome unknown, a refusal by another one cannot make it known.
-func (c *Client) anyHost(ctx context.Context, method, path string, body []byte, into any) error {
+func (c *Client) anyHost(ctx context.Context, r request, into any) error {
 	last := errors.Wrap(ErrNotDone, "no control host is named")
 	unknown := false
 	for _, addr := range c.addrs {
-		err := c.call(ctx, addr, method, path, body, into)
+		err := c.call(ctx, addr, r, into)
 		if err == nil || errors.Is(err, ErrNotFound) {
 			return err
 		}
@@ -238,42 +247,44 @@
 	return last
 }
 
-func (c *Client) call(ctx context.Context, addr, method, path string, body []byte, into any) error {
+// call sends a request to one host and decodes its answer.
+func (c *Client) call(ctx context.Context, addr string, r request, into any) error {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
-	req, err := http.NewRequestWithContext(ctx, method, "https://"+addr+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, r.method, "https://"+addr+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		return errors.Wrap(ErrNotDone, err.Error())
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return lost(addr, method, connected.Load(), err)
+		return unanswered(addr, r.method, connected.Load(), err)
 	}
 	defer func() { _ = res.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(res.Body, MaxAnswer))
 	if err != nil {
-		return lost(addr, method, true, err)
+		return unanswered(addr, r.method, true, err)
 	}
 	if res.StatusCode != http.StatusOK {
-		return refusal(addr, data)
+		return faultError(addr, data)
 	}
 	if err := json.Unmarshal(data, into); err != nil {
-		return lost(addr, method, true, err)
+		return unanswered(addr, r.method, true, err)
 	}
 	return nil
 }
 
-// lost sorts a call without an answer. A call that never had a connection, or
+// unanswered sorts a call without an answer. A call that never had a connection, or
 // that only reads, changed nothing.
-func lost(addr, method string, connected bool, err error) error {
+func unanswered(addr, method string, connected bool, err error) error {
 	if !connected || method == http.MethodGet {
 		return errors.Wrapf(ErrNotDone, "%s: %v", addr, err)
 	}
 	return errors.Wrapf(ErrUnknown, "%s: %v", addr, err)
 }
 
-func refusal(addr string, data []byte) error {
+// faultError returns the error that an answer other than success stands for.
+func faultError(addr string, data []byte) error {
 	var f faultAnswer
 	if err := json.Unmarshal(data, &f); err != nil {
 		return errors.Wrapf(ErrUnknown, "%s: unreadable answer", addr)
--- a/internal/operator/fuzz_test.go
+++ b/internal/operator/fuzz_test.go
@@ -72,7 +72,7 @@
 	f.Add([]byte(`{"kind":7}`))
 	f.Add([]byte(`not done`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		err := refusal("127.0.0.1:1", data)
+		err := faultError("127.0.0.1:1", data)
 		var told faultAnswer
 		readable := json.Unmarshal(data, &told) == nil
 		if errors.Is(err, ErrNotDone) && (!readable || told.Kind != faultNotDone) {
--- a/internal/subscriber/counters.go
+++ b/internal/subscriber/counters.go
@@ -104,7 +104,7 @@
 		return "fault"
 	case errors.Is(err, errBehind):
 		return "behind"
-	case errors.Is(err, errAsked):
+	case errors.Is(err, errAskedToMove):
 		return "asked"
 	case errors.Is(err, config.ErrBase):
 		return "gap"
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -35,8 +35,8 @@
 // than the one acted on.
 var errBehind = errors.New("control host is behind")
 
-// errAsked ends a subscription because its control host has too many.
-var errAsked = errors.New("control host asked to move")
+// errAskedToMove ends a subscription because its control host has too many.
+var errAskedToMove = errors.New("control host asked to move")
 
 // Options configure a Subscriber. Zero durations mean the defaults.
 type Options struct {
@@ -274,7 +274,7 @@
 	}
 	if u.GetMove() != nil {
 		s.opts.Client.Move(u.GetMove().GetAddress())
-		return errAsked
+		return errAskedToMove
 	}
 	if !s.behindSince.IsZero() && now.Sub(s.behindSince) >= s.opts.BehindLimit {
 		s.behindSince = time.Time{}
