raft: tests start a node on its disk, make a leader and step a message in one call

Names of tests and assertions stay; the error of each Step is still held, in step. Ruled out: step inside an assertion where the line would grow over 130 columns.

--- a/raft/election_test.go
+++ b/raft/election_test.go
@@ -76,15 +76,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			o := options(abc())
-			o.HardState = &raftpb.HardState{Term: 2}
-			o.Entries = entries(1, 2)
-			n := newNode(is, o)
+			n := newNodeOn(is, abc(), &raftpb.HardState{Term: 2}, entries(1, 2))
 			if tt.leader {
 				is.NoErr(n.Step(from("c", &raftpb.Message{Kind: kindHeartbeat, Term: 2})))
 			}
-			is.NoErr(n.Step(from("b", &raftpb.Message{Kind: kindPreVote, Term: tt.term, LogIndex: tt.index, LogTerm: tt.log})))
-			b := drain(n)
+			b := step(is, n, from("b", &raftpb.Message{Kind: kindPreVote, Term: tt.term, LogIndex: tt.index, LogTerm: tt.log}))
 			reply := sent(b, kindPreVoteReply, "b")
 			is.Equal(!reply.GetReject(), tt.grant)
 			is.Equal(reply.GetTerm(), tt.replyTerm)
@@ -119,8 +115,7 @@
 			o.Entries = entries(1, 2)
 			n := newNode(is, o)
 			if tt.leader {
-				is.NoErr(n.Step(from("c", &raftpb.Message{Kind: kindHeartbeat, Term: 2})))
-				drain(n)
+				step(is, n, from("c", &raftpb.Message{Kind: kindHeartbeat, Term: 2}))
 			}
 			is.NoErr(n.Step(from("b", &raftpb.Message{Kind: kindVote, Term: tt.term, LogIndex: tt.index, LogTerm: tt.log})))
 			b, _ := n.Ready()
@@ -246,10 +241,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			o := options(abc())
-			o.HardState = &raftpb.HardState{Term: 2, Commit: 1}
-			o.Entries = entries(1)
-			n := newNode(is, o)
+			n := newNodeOn(is, abc(), &raftpb.HardState{Term: 2, Commit: 1}, entries(1))
 			is.NoErr(n.Step(bad(&raftpb.Message{Kind: kindHeartbeat, Term: 2})))
 			is.True(errors.Is(n.Step(tt.m), tt.want))
 		})
--- a/raft/node_test.go
+++ b/raft/node_test.go
@@ -68,6 +68,29 @@
 	return n
 }
 
+// newNodeOn is replica a, started on what its disk holds.
+func newNodeOn(is *is.I, m *raftpb.Membership, hard *raftpb.HardState, stored []*raftpb.Entry) *Node {
+	is.Helper()
+	o := options(m)
+	o.HardState, o.Entries = hard, stored
+	return newNode(is, o)
+}
+
+// newLeader is replica a of three, elected by b.
+func newLeader(is *is.I) *Node {
+	is.Helper()
+	n := newNode(is, options(abc()))
+	elect(is, n, "b")
+	return n
+}
+
+// step hands a message to a node and does the batches that follow from it.
+func step(is *is.I, n *Node, m *raftpb.Message) Batch {
+	is.Helper()
+	is.NoErr(n.Step(m))
+	return drain(n)
+}
+
 // drain does all batches and returns what they held.
 func drain(n *Node) Batch {
 	var all Batch
@@ -130,8 +153,7 @@
 	is.Helper()
 	timeOut(n)
 	for _, name := range others {
-		is.NoErr(n.Step(from(name, &raftpb.Message{Kind: kindPreVoteReply, Term: n.term + 1})))
-		drain(n)
+		step(is, n, from(name, &raftpb.Message{Kind: kindPreVoteReply, Term: n.term + 1}))
 	}
 	for _, name := range others {
 		is.NoErr(n.Step(from(name, &raftpb.Message{Kind: kindVoteReply, Term: n.term})))
@@ -158,10 +180,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			o := options(members(voter("a"), voter("b")))
-			o.HardState = &raftpb.HardState{Term: 1, Commit: 1}
-			o.Entries = append(entries(1), membershipEntry(1, 2, after))
-			n := newNode(is, o)
+			n := newNodeOn(is, members(voter("a"), voter("b")), &raftpb.HardState{Term: 1, Commit: 1}, append(entries(1), membershipEntry(1, 2, after)))
 			elect(is, n, "b")
 			is.Equal(ack(is, n, 3, "b").HardState.GetCommit(), uint64(3))
 			is.Equal(n.role, RoleFollower) // steps down once it has left
--- a/raft/replication_test.go
+++ b/raft/replication_test.go
@@ -31,10 +31,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			o := options(abc())
-			o.HardState = &raftpb.HardState{Term: 3, Commit: 1}
-			o.Entries = entries(1, 1, 2, 2)
-			n := newNode(is, o)
+			n := newNodeOn(is, abc(), &raftpb.HardState{Term: 3, Commit: 1}, entries(1, 1, 2, 2))
 			is.NoErr(n.Step(from("b", &raftpb.Message{Kind: kindAppend, Term: 3,
 				LogIndex: tt.index, LogTerm: tt.term, Entries: tt.sent, Commit: tt.commit})))
 			b := drain(n)
@@ -58,10 +55,7 @@
 // One rejection skips a whole run of terms that the follower cannot hold.
 func TestLeaderSkipsTermsByHint(t *testing.T) {
 	is := is.New(t)
-	o := options(abc())
-	o.HardState = &raftpb.HardState{Term: 5}
-	o.Entries = entries(1, 1, 4, 4, 4, 4)
-	n := newNode(is, o)
+	n := newNodeOn(is, abc(), &raftpb.HardState{Term: 5}, entries(1, 1, 4, 4, 4, 4))
 	b := elect(is, n, "b")
 	is.Equal(sent(b, kindAppend, "c").GetLogIndex(), uint64(6))
 	is.NoErr(n.Step(from("c", &raftpb.Message{Kind: kindAppendReply, Term: n.term, Reject: true, LogIndex: 6, Hint: 5, LogTerm: 2})))
@@ -74,11 +68,8 @@
 func TestStaleLeaderLearnsOfNewTerm(t *testing.T) {
 	for _, kind := range []raftpb.MessageKind{kindAppend, kindHeartbeat, kindSnapshot, kindVote} {
 		is := is.New(t)
-		o := options(abc())
-		o.HardState = &raftpb.HardState{Term: 5}
-		n := newNode(is, o)
-		is.NoErr(n.Step(from("b", &raftpb.Message{Kind: kind, Term: 4})))
-		b := drain(n)
+		n := newNodeOn(is, abc(), &raftpb.HardState{Term: 5}, nil)
+		b := step(is, n, from("b", &raftpb.Message{Kind: kind, Term: 4}))
 		is.Equal(len(b.Messages), 1)
 		is.Equal(b.Messages[0].GetTerm(), uint64(5))
 		is.True(b.Messages[0].GetReject())
@@ -88,10 +79,7 @@
 // Entries of earlier terms are committed only with one of the leader's term.
 func TestCommitNeedsOwnTerm(t *testing.T) {
 	is := is.New(t)
-	o := options(abc())
-	o.HardState = &raftpb.HardState{Term: 2}
-	o.Entries = entries(1, 2)
-	n := newNode(is, o)
+	n := newNodeOn(is, abc(), &raftpb.HardState{Term: 2}, entries(1, 2))
 	elect(is, n, "b")
 	ack(is, n, 2, "b", "c")
 	is.Equal(n.Status().Commit, uint64(0))
@@ -102,8 +90,7 @@
 // What the leader appends counts only after it is synced here.
 func TestLeaderCountsItselfAfterSync(t *testing.T) {
 	is := is.New(t)
-	n := newNode(is, options(abc()))
-	elect(is, n, "b")
+	n := newLeader(is)
 	index, _, err := n.Propose([]byte("x"))
 	is.NoErr(err)
 	b, ok := n.Ready()
@@ -161,26 +148,21 @@
 // A lost append is noticed at a heartbeat.
 func TestLostAppendIsRepeated(t *testing.T) {
 	is := is.New(t)
-	n := newNode(is, options(abc()))
-	elect(is, n, "b")
+	n := newLeader(is)
 	ack(is, n, 1, "b")
 	_, _, err := n.Propose(nil)
 	is.NoErr(err)
 	drain(n) // lost
 	beat := &raftpb.Message{Kind: kindHeartbeatReply, Term: n.term}
 	is.NoErr(n.Step(from("b", beat)))
-	is.NoErr(n.Step(from("b", beat)))
-	is.Equal(sent(drain(n), kindAppend, "b").GetLogIndex(), uint64(2))
+	is.Equal(sent(step(is, n, from("b", beat)), kindAppend, "b").GetLogIndex(), uint64(2))
 	is.NoErr(n.Step(from("b", &raftpb.Message{Kind: kindAppendReply, Term: n.term, Reject: true, LogIndex: 2, Hint: 1, LogTerm: 1})))
 	is.Equal(sent(drain(n), kindAppend, "b").GetEntries()[0].GetIndex(), uint64(2))
 }
 
 func TestReadIndex(t *testing.T) {
 	is := is.New(t)
-	o := options(abc())
-	o.HardState = &raftpb.HardState{Term: 1, Commit: 1}
-	o.Entries = entries(1)
-	n := newNode(is, o)
+	n := newNodeOn(is, abc(), &raftpb.HardState{Term: 1, Commit: 1}, entries(1))
 	elect(is, n, "b")
 	is.NoErr(n.ReadIndex(1))
 	is.NoErr(n.ReadIndex(2))
@@ -274,8 +256,7 @@
 
 func TestSecondChangeIsRefused(t *testing.T) {
 	is := is.New(t)
-	n := newNode(is, options(abc()))
-	elect(is, n, "b")
+	n := newLeader(is)
 	ack(is, n, 1, "b")
 	_, _, err := n.ProposeMembership(members(voter("a"), voter("b"), voter("c"), learner("d")))
 	is.NoErr(err)
@@ -289,10 +270,7 @@
 // A change whose entry is replaced is undone.
 func TestReplacedChangeIsUndone(t *testing.T) {
 	is := is.New(t)
-	o := options(abc())
-	o.HardState = &raftpb.HardState{Term: 1, Commit: 1}
-	o.Entries = append(entries(1), membershipEntry(1, 2, members(voter("a"), voter("b"))))
-	n := newNode(is, o)
+	n := newNodeOn(is, abc(), &raftpb.HardState{Term: 1, Commit: 1}, append(entries(1), membershipEntry(1, 2, members(voter("a"), voter("b")))))
 	is.Equal(len(n.Status().Membership.GetMembers()), 2)
 	is.NoErr(n.Step(from("c", &raftpb.Message{Kind: kindAppend, Term: 2, LogIndex: 1, LogTerm: 1, Entries: entries(1, 2)[1:]})))
 	is.True(proto.Equal(n.Status().Membership, abc()))
@@ -320,8 +298,7 @@
 	is.Equal(message.GetSnapshot(), s)
 	ticks(n, DefaultElectionTicks) // not answered: another one after the next sign of life
 	drain(n)
-	is.NoErr(n.Step(from("b", &raftpb.Message{Kind: kindHeartbeatReply, Term: 1})))
-	is.True(sent(drain(n), kindSnapshot, "b") != nil)
+	is.True(sent(step(is, n, from("b", &raftpb.Message{Kind: kindHeartbeatReply, Term: 1})), kindSnapshot, "b") != nil)
 
 	ob := options(nil)
 	ob.Self = replica("b")
@@ -338,12 +315,8 @@
 // A snapshot that the log already agrees with only moves the commit index.
 func TestSnapshotOfKnownEntriesKeepsLog(t *testing.T) {
 	is := is.New(t)
-	o := options(abc())
-	o.HardState = &raftpb.HardState{Term: 1}
-	o.Entries = entries(1, 1, 1)
-	n := newNode(is, o)
-	is.NoErr(n.Step(from("b", &raftpb.Message{Kind: kindSnapshot, Term: 1, Snapshot: &raftpb.Snapshot{Index: 2, Term: 1, Membership: abc()}})))
-	b := drain(n)
+	n := newNodeOn(is, abc(), &raftpb.HardState{Term: 1}, entries(1, 1, 1))
+	b := step(is, n, from("b", &raftpb.Message{Kind: kindSnapshot, Term: 1, Snapshot: &raftpb.Snapshot{Index: 2, Term: 1, Membership: abc()}}))
 	is.Equal(b.Restore, nil)
 	is.Equal(len(b.Committed), 2)
 	is.Equal(n.Status().LastIndex, uint64(3))
@@ -352,7 +325,6 @@
 func TestCompactNeedsMembership(t *testing.T) {
 	is := is.New(t)
 	n := newNode(is, options(nil))
-	is.NoErr(n.Step(from("b", &raftpb.Message{Kind: kindAppend, Term: 1, Entries: entries(1), Commit: 1})))
-	drain(n)
+	step(is, n, from("b", &raftpb.Message{Kind: kindAppend, Term: 1, Entries: entries(1), Commit: 1}))
 	is.True(errors.Is(n.Compact(&raftpb.Snapshot{Index: 1}), ErrCompact))
 }
--- a/raft/transfer_test.go
+++ b/raft/transfer_test.go
@@ -23,8 +23,7 @@
 // appended meanwhile.
 func TestTransferWaitsForTheSuccessor(t *testing.T) {
 	is := is.New(t)
-	n := newNode(is, options(abc()))
-	elect(is, n, "b")
+	n := newLeader(is)
 	ack(is, n, 1, "b", "c")
 	index, _, err := n.Propose([]byte("last"))
 	is.NoErr(err)
@@ -41,8 +40,7 @@
 
 func TestTransferIsRepeatedAndGivenUp(t *testing.T) {
 	is := is.New(t)
-	n := newNode(is, options(abc()))
-	elect(is, n, "b")
+	n := newLeader(is)
 	ack(is, n, 1, "b", "c")
 	is.NoErr(n.TransferLeadership())
 	is.True(sent(drain(n), kindTakeOver, "b") != nil)
@@ -105,13 +103,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			o := options(tt.membership)
-			o.HardState = &raftpb.HardState{Term: 2}
-			n := newNode(is, o)
-			is.NoErr(n.Step(from("c", &raftpb.Message{Kind: kindHeartbeat, Term: 2})))
-			drain(n)
-			is.NoErr(n.Step(from(tt.from, &raftpb.Message{Kind: kindTakeOver, Term: tt.term})))
-			b := drain(n)
+			n := newNodeOn(is, tt.membership, &raftpb.HardState{Term: 2}, nil)
+			step(is, n, from("c", &raftpb.Message{Kind: kindHeartbeat, Term: 2}))
+			b := step(is, n, from(tt.from, &raftpb.Message{Kind: kindTakeOver, Term: tt.term}))
 			vote := sent(b, kindVote, "b")
 			is.Equal(vote != nil, tt.campaigns)
 			if tt.campaigns {
@@ -138,16 +132,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			n := newNode(is, options(abc()))
-			elect(is, n, "b")
+			n := newLeader(is)
 			ack(is, n, 1, "b", "c")
 			if !tt.lead {
-				is.NoErr(n.Step(from("c", &raftpb.Message{Kind: kindHeartbeat, Term: 2})))
-				drain(n)
+				step(is, n, from("c", &raftpb.Message{Kind: kindHeartbeat, Term: 2}))
 			}
 			vote := &raftpb.Message{Kind: kindVote, Term: n.term + 1, TakeOver: true, LogIndex: tt.index, LogTerm: tt.index}
-			is.NoErr(n.Step(from("b", vote)))
-			is.Equal(!sent(drain(n), kindVoteReply, "b").GetReject(), tt.grant)
+			is.Equal(!sent(step(is, n, from("b", vote)), kindVoteReply, "b").GetReject(), tt.grant)
 			is.Equal(n.role, RoleFollower)
 		})
 	}
