unittest: an error that ends a test is held in one line

56 places of six packages spelled out 'if err != nil { t.Fatal(err) }', agentd had a must of its own and grant an interface for tests and rapid's draws. unittest.Must and unittest.Failer stand once. Without an error Must calls nothing, so that loops of benchmarks are not slowed.

Names of tests stay, each error is still held. Left alone: packages with fewer than four such places, and internal/entryd.

--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -29,9 +29,7 @@
 func command(b *testing.B, m *config.Machine, p *configpb.Patch) {
 	b.Helper()
 	data, err := proto.Marshal(&configpb.Command{Body: &configpb.Command_Patch{Patch: p}})
-	if err != nil {
-		b.Fatal(err)
-	}
+	must(b, err)
 	m.Apply(1, data)
 }
 
--- a/config/fuzz_test.go
+++ b/config/fuzz_test.go
@@ -20,9 +20,7 @@
 	}
 	for _, s := range seeds {
 		data, err := proto.Marshal(s)
-		if err != nil {
-			f.Fatal(err)
-		}
+		must(f, err)
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, command []byte) {
@@ -34,13 +32,9 @@
 		m.Apply(2, command)
 		m.Apply(3, command)
 		before, err := m.Snapshot()
-		if err != nil {
-			t.Fatal(err)
-		}
+		must(t, err)
 		twin := config.New()
-		if err := twin.Restore(before); err != nil {
-			t.Fatal(err)
-		}
+		must(t, twin.Restore(before))
 		after, err := twin.Snapshot()
 		if err != nil || string(before) != string(after) {
 			t.Fatal("the state changed on its way through a snapshot", err)
--- a/config/machine_test.go
+++ b/config/machine_test.go
@@ -11,8 +11,11 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
+	"eelgrasswharf.example/eelgrasswharf/internal/unittest"
 )
 
+var must = unittest.Must
+
 func service(name string, addresses ...string) *configpb.Service {
 	return &configpb.Service{Name: name, Addresses: addresses, Slots: 4}
 }
@@ -32,13 +35,9 @@
 func apply(t *testing.T, m *config.Machine, c *configpb.Command) *configpb.Result {
 	t.Helper()
 	data, err := proto.Marshal(c)
-	if err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
 	var result configpb.Result
-	if err := proto.Unmarshal(m.Apply(1, data), &result); err != nil {
-		t.Fatal(err)
-	}
+	must(t, proto.Unmarshal(m.Apply(1, data), &result))
 	return &result
 }
 
--- a/config/property_test.go
+++ b/config/property_test.go
@@ -132,25 +132,19 @@
 
 func decodeResult(t *rapid.T, data []byte) *configpb.Result {
 	var result configpb.Result
-	if err := proto.Unmarshal(data, &result); err != nil {
-		t.Fatal(err)
-	}
+	must(t, proto.Unmarshal(data, &result))
 	return &result
 }
 
 func snapshot(t *rapid.T, m *config.Machine) []byte {
 	data, err := m.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
 	return data
 }
 
 func restored(t *rapid.T, data []byte) *config.Machine {
 	m := config.New()
-	if err := m.Restore(data); err != nil {
-		t.Fatal(err)
-	}
+	must(t, m.Restore(data))
 	return m
 }
 
@@ -162,9 +156,7 @@
 		for i := range rapid.IntRange(1, 60).Draw(t, "commands") {
 			c := drawCommand(t, m.Current().GetVersion())
 			data, err := proto.Marshal(c)
-			if err != nil {
-				t.Fatal(err)
-			}
+			must(t, err)
 			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
 				twin = restored(t, snapshot(t, twin))
 			}
@@ -199,9 +191,7 @@
 		to := m.Current()
 		from := m.Version(rapid.Uint64Range(0, to.GetVersion()).Draw(t, "from"))
 		got, err := config.Merge(from, config.Diff(from, to))
-		if err != nil {
-			t.Fatal(err)
-		}
+		must(t, err)
 		if !proto.Equal(got, to) {
 			t.Fatalf("the delta leads to %v, not to %v", got, to)
 		}
--- a/config/scope_test.go
+++ b/config/scope_test.go
@@ -42,9 +42,7 @@
 			}
 			u := config.Diff(config.Within(before, scope), config.Within(next, scope))
 			merged, err := config.Merge(held, u)
-			if err != nil {
-				t.Fatal(err)
-			}
+			must(t, err)
 			if !proto.Equal(merged, config.Within(next, scope)) {
 				t.Fatalf("held %v, want the part of %v", merged, next)
 			}
--- a/grant/bench_test.go
+++ b/grant/bench_test.go
@@ -21,18 +21,14 @@
 			complete(key, "attempt-16-bytes", &grantpb.Answer{Status: 200, Body: make([]byte, 128)}),
 		} {
 			data, err := proto.Marshal(c)
-			if err != nil {
-				b.Fatal(err)
-			}
+			must(b, err)
 			m.Apply(1, data)
 		}
 	}
 	b.StopTimer()
 	held, answered := m.Len()
 	snapshot, err := m.Snapshot()
-	if err != nil {
-		b.Fatal(err)
-	}
+	must(b, err)
 	b.ReportMetric(float64(len(snapshot))/float64(held+answered), "snapshot-B/record")
 }
 
@@ -53,9 +49,7 @@
 		})
 	}
 	snapshot, err := m.Snapshot()
-	if err != nil {
-		b.Fatal(err)
-	}
+	must(b, err)
 	for i := 0; b.Loop(); i++ {
 		pair := commands[i%len(commands)]
 		m.Apply(1, pair[0])
@@ -66,8 +60,6 @@
 
 func encodedCommand(b *testing.B, c *grantpb.Command) []byte {
 	data, err := proto.Marshal(c)
-	if err != nil {
-		b.Fatal(err)
-	}
+	must(b, err)
 	return data
 }
--- a/grant/fuzz_test.go
+++ b/grant/fuzz_test.go
@@ -14,9 +14,7 @@
 func FuzzApply(f *testing.F) {
 	encode := func(m proto.Message) []byte {
 		data, err := proto.Marshal(m)
-		if err != nil {
-			f.Fatal(err)
-		}
+		must(f, err)
 		return data
 	}
 	f.Add(encode(acquire("k", "one", "d")), encode(release("k", "one")))
@@ -26,9 +24,7 @@
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		m, twin := grant.New(), grant.New()
 		m.Apply(1, first)
-		if err := twin.Restore(snapshot(t, m)); err != nil {
-			t.Fatal(err)
-		}
+		must(t, twin.Restore(snapshot(t, m)))
 		if !bytes.Equal(m.Apply(2, second), twin.Apply(2, second)) {
 			t.Fatal("the restored replica answers otherwise")
 		}
@@ -41,8 +37,6 @@
 func snapshot(t *testing.T, m *grant.Machine) []byte {
 	t.Helper()
 	data, err := m.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
 	return data
 }
--- a/grant/machine_test.go
+++ b/grant/machine_test.go
@@ -10,6 +10,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
 	"eelgrasswharf.example/eelgrasswharf/grant"
+	"eelgrasswharf.example/eelgrasswharf/internal/unittest"
 )
 
 func acquire(key, attempt, digest string) *grantpb.Command {
@@ -34,25 +35,18 @@
 	return &grantpb.Command{Body: &grantpb.Command_Advance{Advance: &grantpb.Advance{ElapsedMs: ms}}}
 }
 
-type helper interface {
-	Helper()
-	Fatal(args ...any)
-}
+var must = unittest.Must
 
-func run(t helper, m *grant.Machine, c *grantpb.Command) *grantpb.Result {
+func run(t unittest.Failer, m *grant.Machine, c *grantpb.Command) *grantpb.Result {
 	t.Helper()
 	data, err := proto.Marshal(c)
-	if err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
 	var result grantpb.Result
-	if err := proto.Unmarshal(m.Apply(1, data), &result); err != nil {
-		t.Fatal(err)
-	}
+	must(t, proto.Unmarshal(m.Apply(1, data), &result))
 	return &result
 }
 
-func pass(t helper, m *grant.Machine, ms uint64) {
+func pass(t unittest.Failer, m *grant.Machine, ms uint64) {
 	t.Helper()
 	step := uint64(grant.MaxAdvance.Milliseconds())
 	for ; ms > step; ms -= step {
--- a/grant/property_test.go
+++ b/grant/property_test.go
@@ -71,16 +71,12 @@
 
 func encoded(t *rapid.T, m *grant.Machine) []byte {
 	data, err := m.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
 	return data
 }
 
 func restored(t *rapid.T, m *grant.Machine) *grant.Machine {
 	out := grant.New()
-	if err := out.Restore(encoded(t, m)); err != nil {
-		t.Fatal(err)
-	}
+	must(t, out.Restore(encoded(t, m)))
 	return out
 }
--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -86,13 +86,6 @@
 
 func (w *world) currentSecrets() []connid.Secret { return w.secrets }
 
-func must(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 // agent is a running daemon under test.
 type agent struct {
 	*Daemon
@@ -216,7 +209,10 @@
 	return unittest.Counter(a.scope, name, reason)
 }
 
-var eventually = unittest.Eventually
+var (
+	eventually = unittest.Eventually
+	must       = unittest.Must
+)
 
 // caller returns an HTTP/3 client that reaches the entry host.
 func (w *world) caller() *http.Client {
--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -54,9 +54,7 @@
 func newDeployment(t testing.TB, names ...string) *deployment {
 	t.Helper()
 	d := &deployment{t: t, dir: t.TempDir(), hosts: map[string]*host{}, address: map[string]string{}, listen: map[string]string{}}
-	if err := keys.InitAuthority(d.dir); err != nil {
-		t.Fatal(err)
-	}
+	must(t, keys.InitAuthority(d.dir))
 	for _, name := range names {
 		d.address[name] = freeAddress(t)
 		d.voters = append(d.voters, name+"="+d.address[name])
@@ -76,18 +74,14 @@
 	d.t.Helper()
 	loopback := []netip.Addr{netip.MustParseAddr("127.0.0.1")}
 	files, err := keys.Issue(d.dir, role, name, service, loopback, time.Hour)
-	if err != nil {
-		d.t.Fatal(err)
-	}
+	must(d.t, err)
 	return files
 }
 
 func (d *deployment) credentials(role keys.Role, name, service string) *keys.Credentials {
 	d.t.Helper()
 	creds, err := keys.Load(d.issue(role, name, service))
-	if err != nil {
-		d.t.Fatal(err)
-	}
+	must(d.t, err)
 	return creds
 }
 
@@ -122,9 +116,7 @@
 	}
 	h := &host{name: name, data: data, scope: tally.NewTestScope("", nil)}
 	daemon, err := controld.New(d.settings(name, data, join), zaptest.NewLogger(d.t), h.scope)
-	if err != nil {
-		d.t.Fatal(err)
-	}
+	must(d.t, err)
 	h.daemon = daemon
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
@@ -218,6 +210,7 @@
 var (
 	eventually = unittest.Eventually
 	poll       = unittest.Poll
+	must       = unittest.Must
 )
 
 func put(name, address string) *configpb.Operation {
@@ -266,9 +259,7 @@
 // await returns the first update that fits.
 func (w *watcher) await(what string, fits func(*controlpb.SubscribeUpdate) bool) *controlpb.SubscribeUpdate {
 	w.t.Helper()
-	if err := w.stream.SetReceiveDeadline(time.Now().Add(patience)); err != nil {
-		w.t.Fatal(err)
-	}
+	must(w.t, w.stream.SetReceiveDeadline(time.Now().Add(patience)))
 	for {
 		u, err := w.stream.Receive()
 		if err != nil {
--- a/internal/controld/partition_test.go
+++ b/internal/controld/partition_test.go
@@ -27,9 +27,7 @@
 			Hosts:  []netip.AddrPort{netip.MustParseAddrPort(d.listen[name])},
 			Rand:   rand.New(rand.NewPCG(1, uint64(i))),
 		})
-		if err != nil {
-			t.Fatal(err)
-		}
+		must(t, err)
 		t.Cleanup(relay.Close)
 		relays[name] = relay
 		d.address[name] = relay.Addr().String()
--- a/internal/controld/roles_test.go
+++ b/internal/controld/roles_test.go
@@ -35,9 +35,7 @@
 func call(t *testing.T, c *link.Client, req *controlpb.Request) *controlpb.Response {
 	t.Helper()
 	res, err := c.Call(testContext(t), req)
-	if err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
 	return res
 }
 
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -47,9 +47,7 @@
 			Folder: filepath.Join(b.TempDir(), name), Name: name, Scope: scope,
 			StateMachine: &counterMachine{}, Transport: network, Addresses: map[string]string{"a": "a", "b": "b", "c": "c"},
 		})
-		if err != nil {
-			b.Fatal(err)
-		}
+		must(b, err)
 		b.Cleanup(func() { _ = r.Close() })
 		network[name].Store(r)
 		replicas = append(replicas, r)
@@ -114,6 +112,8 @@
 	b.ReportMetric(float64(b.N)/float64(max(syncs, 1)), "proposals/sync")
 }
 
+var must = unittest.Must
+
 func counterValue(scope tally.TestScope, name string) int64 {
 	return unittest.Counter(scope, name, "")
 }
@@ -138,14 +138,10 @@
 		begin := time.Now()
 		*machine = counterMachine{}
 		r, err := Open(Options{Folder: folder, Name: "a", StateMachine: machine, SnapshotEntries: 1 << 40})
-		if err != nil {
-			b.Fatal(err)
-		}
+		must(b, err)
 		worst = max(worst, time.Since(begin))
 		b.StopTimer()
-		if err := r.Close(); err != nil {
-			b.Fatal(err)
-		}
+		must(b, r.Close())
 		if machine.applied != entries {
 			b.Fatalf("%d entries applied, want %d", machine.applied, entries)
 		}
@@ -159,9 +155,7 @@
 func fillFolder(b *testing.B, folder string, entries int) {
 	b.Helper()
 	log, state, err := wal.Open(folder, wal.Options{Name: "a"})
-	if err != nil {
-		b.Fatal(err)
-	}
+	must(b, err)
 	const snapshotIndex = 1_000_000
 	other := &raftpb.ReplicaID{Name: "b", Incarnation: 1}
 	snapshot := &raftpb.Snapshot{
@@ -170,23 +164,15 @@
 	}
 	last := uint64(snapshotIndex + entries)
 	err = log.Save(wal.Batch{Snapshot: snapshot, HardState: &raftpb.HardState{Term: 1, Commit: snapshotIndex}})
-	if err != nil {
-		b.Fatal(err)
-	}
+	must(b, err)
 	const perBatch = 100
 	for next := uint64(snapshotIndex + 1); next <= last; {
 		var batch wal.Batch
 		for ; next <= last && len(batch.Entries) < perBatch; next++ {
 			batch.Entries = append(batch.Entries, &raftpb.Entry{Index: next, Term: 1, Data: make([]byte, 256)})
 		}
-		if err := log.Save(batch); err != nil {
-			b.Fatal(err)
-		}
-	}
-	if err := log.Save(wal.Batch{HardState: &raftpb.HardState{Term: 1, Commit: last}}); err != nil {
-		b.Fatal(err)
-	}
-	if err := log.Close(); err != nil {
-		b.Fatal(err)
+		must(b, log.Save(batch))
 	}
+	must(b, log.Save(wal.Batch{HardState: &raftpb.HardState{Term: 1, Commit: last}}))
+	must(b, log.Close())
 }
--- a/internal/unittest/unittest.go
+++ b/internal/unittest/unittest.go
@@ -23,6 +23,20 @@
 	pollEvery = 5 * time.Millisecond
 )
 
+// Failer is a testing.TB or a *rapid.T.
+type Failer interface {
+	Helper()
+	Fatal(args ...any)
+}
+
+// Must fails the test on an error. Without one it costs a benchmark nothing.
+func Must(t Failer, err error) {
+	if err != nil {
+		t.Helper()
+		t.Fatal(err)
+	}
+}
+
 // Eventually polls the condition until it holds and fails the test when it
 // never does.
 func Eventually(t testing.TB, what string, condition func() bool) {
@@ -65,9 +79,7 @@
 func NewAuthority(t testing.TB) *Authority {
 	t.Helper()
 	authority, err := keys.NewAuthority(time.Now(), time.Hour)
-	if err != nil {
-		t.Fatal(err)
-	}
+	Must(t, err)
 	return &Authority{Authority: authority, t: t}
 }
 
@@ -75,9 +87,7 @@
 func (a *Authority) Pair(id keys.Identity, from time.Time) *keys.Pair {
 	a.t.Helper()
 	pair, err := a.Process(id, nil, from, time.Hour)
-	if err != nil {
-		a.t.Fatal(err)
-	}
+	Must(a.t, err)
 	return pair
 }
 
@@ -85,9 +95,7 @@
 func (a *Authority) Credentials(id keys.Identity) *keys.Credentials {
 	a.t.Helper()
 	credentials, err := keys.InMemory(a.CertificatePEM(), a.Pair(id, time.Now()), nil)
-	if err != nil {
-		a.t.Fatal(err)
-	}
+	Must(a.t, err)
 	return credentials
 }
 
--- a/internal/wal/fault_test.go
+++ b/internal/wal/fault_test.go
@@ -94,21 +94,13 @@
 	l, _ := mustOpen(t, folder, testOptions())
 	for i := uint64(1); i <= 4; i++ {
 		last = l.size
-		if err := l.Save(Batch{Entries: entries(1, i, i)}); err != nil {
-			t.Fatal(err)
-		}
+		must(t, l.Save(Batch{Entries: entries(1, i, i)}))
 	}
 	path = fileNames(t, folder, segmentSuffix)[0]
 	data, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := l.file.Close(); err != nil {
-		t.Fatal(err)
-	}
-	if err := l.lock.Close(); err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
+	must(t, l.file.Close())
+	must(t, l.lock.Close())
 	return folder, path, data, last
 }
 
@@ -182,16 +174,10 @@
 	opts := Options{Name: "a", SegmentBytes: 200}
 	l, _ := mustOpen(t, folder, opts)
 	for i := uint64(1); i <= 30; i++ {
-		if err := l.Save(Batch{Entries: entries(1, i, i)}); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if err := l.Compact(&raftpb.Snapshot{Index: 10, Term: 1, Data: []byte("state")}); err != nil {
-		t.Fatal(err)
-	}
-	if err := l.Close(); err != nil {
-		t.Fatal(err)
+		must(t, l.Save(Batch{Entries: entries(1, i, i)}))
 	}
+	must(t, l.Compact(&raftpb.Snapshot{Index: 10, Term: 1, Data: []byte("state")}))
+	must(t, l.Close())
 	return folder, opts
 }
 
@@ -212,13 +198,9 @@
 		{"missing segment without entries", func(t *testing.T, folder string) string {
 			l, _ := mustOpen(t, folder, Options{Name: "a", SegmentBytes: 1})
 			for term := uint64(2); term <= 4; term++ {
-				if err := l.Save(Batch{HardState: &raftpb.HardState{Term: term}}); err != nil {
-					t.Fatal(err)
-				}
-			}
-			if err := l.Close(); err != nil {
-				t.Fatal(err)
+				must(t, l.Save(Batch{HardState: &raftpb.HardState{Term: term}}))
 			}
+			must(t, l.Close())
 			names := fileNames(t, folder, segmentSuffix)
 			remove(t, names[len(names)-2])
 			return names[len(names)-1]
@@ -279,32 +261,22 @@
 func cut(t *testing.T, path string, n int64) string {
 	t.Helper()
 	info, err := os.Stat(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := os.Truncate(path, info.Size()-n); err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
+	must(t, os.Truncate(path, info.Size()-n))
 	return ""
 }
 
 func flip(t *testing.T, path string) {
 	t.Helper()
 	data, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
 	data[len(data)-1] ^= 1
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	must(t, os.WriteFile(path, data, 0o600))
 }
 
 func remove(t *testing.T, path string) {
 	t.Helper()
-	if err := os.Remove(path); err != nil {
-		t.Fatal(err)
-	}
+	must(t, os.Remove(path))
 }
 
 // script is a series of steps that uses every part of the log.
@@ -330,9 +302,7 @@
 	t.Helper()
 	l, s := mustOpen(t, "/folder", scriptOptions(fs))
 	got := shape(s)
-	if err := l.Close(); err != nil {
-		t.Fatal(err)
-	}
+	must(t, l.Close())
 	return got
 }
 
@@ -371,9 +341,7 @@
 			return shapes
 		}
 		for _, step := range steps[:n] {
-			if err := step(); err != nil {
-				t.Fatal(err)
-			}
+			must(t, step())
 		}
 		shapes = append(shapes, reopenedShape(t, fs.crash(0, 0)))
 	}
--- a/internal/wal/fuzz_test.go
+++ b/internal/wal/fuzz_test.go
@@ -18,9 +18,7 @@
 		entries:   entries(2, 4, 6),
 	}
 	payload, err := it.encode(nil)
-	if err != nil {
-		f.Fatal(err)
-	}
+	must(f, err)
 	whole := appendRecord(nil, fuzzSalt, 5, payload)
 	f.Add(whole)
 	f.Add(whole[:len(whole)-1])
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -11,10 +11,13 @@
 	"google.golang.org/protobuf/proto"
 
 	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/unittest"
 )
 
 func testOptions() Options { return Options{Name: "a"} }
 
+var must = unittest.Must
+
 func mustOpen(t testing.TB, folder string, opts Options) (*Log, *State) {
 	t.Helper()
 	l, s, err := Open(folder, opts)
@@ -49,9 +52,7 @@
 func fileNames(t *testing.T, folder, suffix string) []string {
 	t.Helper()
 	names, err := filepath.Glob(filepath.Join(folder, "*"+suffix))
-	if err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
 	return names
 }
 
