capacity: three figures at rest are measured by one loop

entry.target, entry.address and agent.address each reached four sizes, rested and added two points, and two of them put services and waited for the version in the same way. process.atRest and deployment.putInForce stand once.

Ruled out: the flows and watches, which measure between two readings and not at rest.

--- a/internal/capacity/agent.go
+++ b/internal/capacity/agent.go
@@ -198,23 +198,15 @@
 }
 
 func (t *target) measureConfig(ctx context.Context, r *Report) error {
-	memory := &series{name: "agent.address.memory", unit: Bytes, per: "address", count: Letter.Addresses}
-	cpu := &series{name: "agent.rest.cpu", unit: MicroCore, per: "address", count: Letter.Addresses}
-	for _, n := range []int{1400, 2800, 4200, 5500} {
-		if err := t.deployment.put(ctx, servicesOf(wireServices, n)...); err != nil {
-			return err
-		}
-		if err := t.deployment.awaitInForce(ctx); err != nil {
-			return err
-		}
-		private, core, err := t.rest(ctx)
-		if err != nil {
-			return err
-		}
-		memory.add(float64(n), private)
-		cpu.add(float64(n), core)
+	memory, cpu, err := t.atRest(ctx, []int{1400, 2800, 4200, 5500}, func(n int) error {
+		return t.deployment.putInForce(ctx, servicesOf(wireServices, n)...)
+	})
+	if err != nil {
+		return err
 	}
-	return r.addSlopes(memory, cpu)
+	return r.addSlopes(
+		&series{name: "agent.address.memory", unit: Bytes, per: "address", count: Letter.Addresses, at: memory},
+		&series{name: "agent.rest.cpu", unit: MicroCore, per: "address", count: Letter.Addresses, at: cpu})
 }
 
 func (t *target) measureFlows(ctx context.Context, r *Report) error {
--- a/internal/capacity/announce.go
+++ b/internal/capacity/announce.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
@@ -135,6 +136,14 @@
 	})
 }
 
+// putInForce puts services and waits until the version is in force.
+func (d *deployment) putInForce(ctx context.Context, services ...*configpb.Service) error {
+	if err := d.put(ctx, services...); err != nil {
+		return err
+	}
+	return d.awaitInForce(ctx)
+}
+
 // awaitInForce waits until no subscriber of any control host lags behind.
 func (d *deployment) awaitInForce(ctx context.Context) error {
 	return await(ctx, "the version in force everywhere", func() bool {
--- a/internal/capacity/entry.go
+++ b/internal/capacity/entry.go
@@ -98,42 +98,46 @@
 	return after.private, load(before, after, window), err
 }
 
-func (e *entry) measureTargets(ctx context.Context, d *deployment, h *herd, r *Report) error {
-	memory := &series{name: "entry.target.memory", unit: Bytes, per: "target", count: Letter.Targets}
-	cpu := &series{name: "entry.target.cpu", unit: MicroCore, per: "target", count: Letter.Targets}
-	for _, n := range []int{1500, 3000, 6000, 12_000} {
-		h.grow(n)
-		if err := d.awaitTargets(ctx, n); err != nil {
-			return err
+// atRest returns the private memory and the load of a process at rest at each of
+// the sizes, which reach brings about.
+func (p *process) atRest(ctx context.Context, sizes []int, reach func(n int) error) (memory, cpu []Point, err error) {
+	for _, n := range sizes {
+		if err := reach(n); err != nil {
+			return nil, nil, err
 		}
-		private, core, err := e.rest(ctx)
+		private, core, err := p.rest(ctx)
 		if err != nil {
-			return err
+			return nil, nil, err
 		}
-		memory.add(float64(n), private)
-		cpu.add(float64(n), core)
+		memory = append(memory, Point{Size: float64(n), Figure: private})
+		cpu = append(cpu, Point{Size: float64(n), Figure: core})
 	}
-	return r.addSlopes(memory, cpu)
+	return memory, cpu, nil
+}
+
+func (e *entry) measureTargets(ctx context.Context, d *deployment, h *herd, r *Report) error {
+	memory, cpu, err := e.atRest(ctx, []int{1500, 3000, 6000, 12_000}, func(n int) error {
+		h.grow(n)
+		return d.awaitTargets(ctx, n)
+	})
+	if err != nil {
+		return err
+	}
+	return r.addSlopes(
+		&series{name: "entry.target.memory", unit: Bytes, per: "target", count: Letter.Targets, at: memory},
+		&series{name: "entry.target.cpu", unit: MicroCore, per: "target", count: Letter.Targets, at: cpu})
 }
 
 func (e *entry) measureAddresses(ctx context.Context, d *deployment, r *Report) error {
-	memory := &series{name: "entry.address.memory", unit: Bytes, per: "address", count: Letter.Addresses}
-	cpu := &series{name: "entry.address.cpu", unit: MicroCore, per: "address", count: Letter.Addresses}
-	for _, n := range []int{700, 1400, 2800, 5500} {
-		if err := d.put(ctx, servicesOf(announcedServices, n)...); err != nil {
-			return err
-		}
-		if err := d.awaitInForce(ctx); err != nil {
-			return err
-		}
-		private, core, err := e.rest(ctx)
-		if err != nil {
-			return err
-		}
-		memory.add(float64(n), private)
-		cpu.add(float64(n), core)
+	memory, cpu, err := e.atRest(ctx, []int{700, 1400, 2800, 5500}, func(n int) error {
+		return d.putInForce(ctx, servicesOf(announcedServices, n)...)
+	})
+	if err != nil {
+		return err
 	}
-	return r.addSlopes(memory, cpu)
+	return r.addSlopes(
+		&series{name: "entry.address.memory", unit: Bytes, per: "address", count: Letter.Addresses, at: memory},
+		&series{name: "entry.address.cpu", unit: MicroCore, per: "address", count: Letter.Addresses, at: cpu})
 }
 
 // measureVersions counts the time that versions take to apply at full size,
