--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -24,13 +24,13 @@
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/unittest"
 	"eelgrasswharf.example/eelgrasswharf/quicheader"
 )
 
 const (
 	testService = "lodgement"
-	// patience bounds waits for what must happen; nothing passes by it.
-	patience = 2 * time.Minute
+	patience    = unittest.Patience
 )
 
 func testTiming() timing {
@@ -62,6 +62,8 @@
 	control *fakeControl
 	entry   *fakeEntry
 	known   *fakeDirectory
+	// client is the first caller's.
+	client *http.Client
 }
 
 func newWorld(t *testing.T) *world {
@@ -78,18 +80,12 @@
 	w.roots = x509.NewCertPool()
 	w.roots.AppendCertsFromPEM(authority.CertificatePEM())
 	w.entry = newFakeEntry(t, w.secrets, 2)
+	w.client = w.caller()
 	return w
 }
 
 func (w *world) currentSecrets() []connid.Secret { return w.secrets }
 
-func must(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 // agent is a running daemon under test.
 type agent struct {
 	*Daemon
@@ -210,25 +206,13 @@
 // counter returns the sum of a counter over the tags that hold the reason,
 // or over all of them if it is empty.
 func (a *agent) counter(name, reason string) int64 {
-	sum := int64(0)
-	for _, c := range a.scope.Snapshot().Counters() {
-		if c.Name() == name && (reason == "" || c.Tags()["reason"] == reason) {
-			sum += c.Value()
-		}
-	}
-	return sum
+	return unittest.Counter(a.scope, name, reason)
 }
 
-func eventually(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	deadline := time.Now().Add(patience)
-	for !holds() {
-		if time.Now().After(deadline) {
-			t.Fatalf("never happened: %s", what)
-		}
-		time.Sleep(2 * time.Millisecond)
-	}
-}
+var (
+	eventually = unittest.Eventually
+	must       = unittest.Must
+)
 
 // caller returns an HTTP/3 client that reaches the entry host.
 func (w *world) caller() *http.Client {
@@ -250,6 +234,21 @@
 	return "https://" + w.entry.public.LocalAddr().String() + path
 }
 
+// mustSend is mustSend by the first caller.
+func (w *world) mustSend(t *testing.T, method, path, body string, headers ...string) answer {
+	t.Helper()
+	return mustSend(t, w.client, method, w.url(path), body, headers...)
+}
+
+// checkRefused holds an answer to be a refusal of that kind.
+func checkRefused(t *testing.T, got answer, status int, outcome, why string) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(got.status, status)
+	is.Equal(got.header.Get(headerOutcome), outcome)
+	is.Equal(got.header.Get(headerReason), why)
+}
+
 // fakeEntry relays between callers and agents as entry hosts do, by frames.
 type fakeEntry struct {
 	public *net.UDPConn
--- a/internal/controld/roles_test.go
+++ b/internal/controld/roles_test.go
@@ -18,17 +18,12 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+	"eelgrasswharf.example/eelgrasswharf/internal/unittest"
 )
 
 // counted returns the sum of a counter of a host, of one reason if it is named.
 func (h *host) counted(name, reason string) int64 {
-	total := int64(0)
-	for _, c := range h.scope.Snapshot().Counters() {
-		if c.Name() == name && (reason == "" || c.Tags()["reason"] == reason) {
-			total += c.Value()
-		}
-	}
-	return total
+	return unittest.Counter(h.scope, name, reason)
 }
 
 // refusals returns the counter of one refusal reason on a host.
@@ -40,9 +35,7 @@
 func call(t *testing.T, c *link.Client, req *controlpb.Request) *controlpb.Response {
 	t.Helper()
 	res, err := c.Call(testContext(t), req)
-	if err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
 	return res
 }
 
@@ -243,9 +236,7 @@
 
 func TestOperatorSeesOutcomes(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	ops := d.operator("c1")
+	d, ops := newLone(t)
 	ctx := testContext(t)
 	p := patch("lagos/2026-12-02 #1", 0, put("lodgement", "192.0.2.1:443"))
 	first := d.accept(ops, p)
@@ -284,21 +275,18 @@
 
 func TestOnlyOperatorsReachTheAPI(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
+	d, ops := newLone(t)
 	intruder := operator.NewClient([]string{d.hosts["c1"].daemon.OperatorAddr()}, d.credentials(keys.RoleAgent, "a1", "lodgement"))
 	defer intruder.Close()
 	_, err := intruder.Submit(testContext(t), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
 	is.True(err != nil)
-	_, err = d.operator("c1").Outcome(testContext(t), "p1")
+	_, err = ops.Outcome(testContext(t), "p1")
 	is.True(isError(err, operator.ErrNotFound)) // nothing of it got in
 }
 
 func TestManySubscribersFollow(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	ops := d.operator("c1")
+	d, ops := newLone(t)
 	c := d.link(keys.RoleEntry, "e1", "", "c1")
 	var all []*watcher
 	for range 20 {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -1,6 +1,7 @@
 package subscriber
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -34,8 +35,8 @@
 // than the one acted on.
 var errBehind = errors.New("control host is behind")
 
-// errAsked ends a subscription because its control host has too many.
-var errAsked = errors.New("control host asked to move")
+// errAskedToMove ends a subscription because its control host has too many.
+var errAskedToMove = errors.New("control host asked to move")
 
 // Options configure a Subscriber. Zero durations mean the defaults.
 type Options struct {
@@ -81,35 +82,25 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Scope == nil {
-		o.Scope = tally.NoopScope
-	}
-	if o.Log == nil {
-		o.Log = zap.NewNop()
-	}
+	o.Scope = cmp.Or(o.Scope, tally.NoopScope)
+	o.Log = cmp.Or(o.Log, zap.NewNop())
 	if o.OnView == nil {
 		o.OnView = func(*View) {}
 	}
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	setDefault(&o.AskDelay, DefaultAskDelay)
-	setDefault(&o.AskTimeout, DefaultAskTimeout)
-	setDefault(&o.UnconfirmedWait, DefaultUnconfirmedWait)
-	setDefault(&o.SilenceLimit, DefaultSilenceLimit)
-	setDefault(&o.BehindLimit, DefaultBehindLimit)
-	setDefault(&o.ReportPeriod, DefaultReportPeriod)
-	setDefault(&o.RetryMin, DefaultRetryMin)
-	setDefault(&o.RetryMax, DefaultRetryMax)
+	o.AskDelay = cmp.Or(o.AskDelay, DefaultAskDelay)
+	o.AskTimeout = cmp.Or(o.AskTimeout, DefaultAskTimeout)
+	o.UnconfirmedWait = cmp.Or(o.UnconfirmedWait, DefaultUnconfirmedWait)
+	o.SilenceLimit = cmp.Or(o.SilenceLimit, DefaultSilenceLimit)
+	o.BehindLimit = cmp.Or(o.BehindLimit, DefaultBehindLimit)
+	o.ReportPeriod = cmp.Or(o.ReportPeriod, DefaultReportPeriod)
+	o.RetryMin = cmp.Or(o.RetryMin, DefaultRetryMin)
+	o.RetryMax = cmp.Or(o.RetryMax, DefaultRetryMax)
 	return o
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Subscriber keeps a view of configuration and directory up to date.
 type Subscriber struct {
 	opts     Options
@@ -283,7 +274,7 @@
 	}
 	if u.GetMove() != nil {
 		s.opts.Client.Move(u.GetMove().GetAddress())
-		return errAsked
+		return errAskedToMove
 	}
 	if !s.behindSince.IsZero() && now.Sub(s.behindSince) >= s.opts.BehindLimit {
 		s.behindSince = time.Time{}
