agentd: a replaced backend server that drains is not heard

Now an announcement of draining from another address than that of the server heard last is passed over. It is still answered as taken: the drained server has nothing to try again.

Ruled out: to let the younger server win by age, because age is optional and a claim; to refuse the announcement, because the former server would then announce itself five times a second. Two servers that both say serving still alternate: which one is meant is not known.

Test first: TestDrainingPredecessorIsNotHeard failed with the former server's URL where the successor's was expected (drain_test.go:228).

--- a/internal/agentd/backend.go
+++ b/internal/agentd/backend.go
@@ -24,13 +24,17 @@
 }
 
 // renew records an announcement. It refuses one for another target than the
-// first one.
+// first one, and passes over what a replaced server says while it drains: heard
+// in turn with its successor, the target would drain and start cold each time.
 func (b *backendRecord) renew(a *announcement, now time.Duration) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.current != nil && (a.Service != b.current.Service || a.Target != b.current.Target) {
 		return errors.Wrapf(ErrAnnouncement, "this agent serves %s/%s", b.current.Service, b.current.Target)
 	}
+	if b.current != nil && a.State == backendDraining && a.URL != b.current.URL {
+		return nil
+	}
 	b.uptime.Announced(now, a.URL, a.age())
 	b.current = a
 	return nil
--- a/internal/agentd/drain_test.go
+++ b/internal/agentd/drain_test.go
@@ -207,3 +207,29 @@
 	next.announceState(t, "t1", backend.server.URL, "serving")
 	eventually(t, "registration", next.serving)
 }
+
+// A server that was replaced while it drains goes on saying so until its last
+// watch session ends. That is not the state of its successor.
+func TestDrainingPredecessorIsNotHeard(t *testing.T) {
+	is := is.New(t)
+	_, a, backend := oneAgent(t)
+	state := func(want controlpb.TargetState) func() bool {
+		return func() bool { return a.published.last().GetState() == want }
+	}
+	a.announceState(t, "t1", backend.server.URL, "draining")
+	eventually(t, "draining published", state(controlpb.TargetState_TARGET_STATE_DRAINING))
+	second := newFakeBackend(t)
+	a.announceState(t, "t1", second.server.URL, "serving")
+	eventually(t, "serving published", state(controlpb.TargetState_TARGET_STATE_SERVING))
+	began := a.backend.figures(a.clock.now()).since
+
+	a.pass(t, a.timing.announceLease/2)
+	a.announceState(t, "t1", backend.server.URL, "draining")
+	is.Equal(a.backend.get().URL, second.server.URL)
+	got := a.backend.figures(a.clock.now())
+	is.True(!got.draining)
+	a.announceState(t, "t1", second.server.URL, "serving")
+	is.Equal(a.backend.figures(a.clock.now()).since, began) // no new cold start
+	a.announceState(t, "t1", second.server.URL, "draining")
+	is.True(a.backend.figures(a.clock.now()).draining) // its own word counts
+}
