loadgen: a plot shows latency, broken flows and imbalance, with events

It drew the answers of each target alone, and load knew of no events. A file name of no known format was refused after the run only, and the run's report was lost with it (load, dev and experiment).

Now a plot has four panels of one time axis. load takes the events from a file, a line each with the time of "date -Ins", which is read when the run has ended, so that it can be written while the run goes on. Marks of one moment share a line. The format is checked before the run, and the report is written before the plot.

A first form lost most of a window's latencies, since an experiment asks for a report many times in a run and each one emptied the histogram: seen in a plot where p50 equals p99; TestTimeline holds it.

Ruled out: flags that name events beforehand, because operators act by hand while the load runs; a histogram for each window, because a run of hours has thousands.

TestPlot asks for every panel in place of a file that is not empty; the help test now covers "measure" too.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -36,16 +36,20 @@
 
 func TestUsageErrors(t *testing.T) {
 	for name, args := range map[string][]string{
-		"unknown command":  {"controll"},
-		"unknown flag":     {"entry", "--sttings", "a"},
-		"no settings":      {"entry"},
-		"too few args":     {"config", "check"},
-		"unknown role":     {"config", "example", "broker"},
-		"missing flags":    {"patch", "submit", "p.ini"},
-		"bad key role":     {"keys", "issue", "folder", "broker", "b"},
-		"bad secret":       {"keys", "secret", "prefer", "folder", "x"},
-		"bad fault":        {"backend", "--service", "s", "--target", "t", "--fault-health", "odd"},
-		"bad load address": {"dev", "--log-level", "loud"},
+		"unknown command":        {"controll"},
+		"unknown flag":           {"entry", "--sttings", "a"},
+		"no settings":            {"entry"},
+		"too few args":           {"config", "check"},
+		"unknown role":           {"config", "example", "broker"},
+		"missing flags":          {"patch", "submit", "p.ini"},
+		"bad key role":           {"keys", "issue", "folder", "broker", "b"},
+		"bad secret":             {"keys", "secret", "prefer", "folder", "x"},
+		"bad fault":              {"backend", "--service", "s", "--target", "t", "--fault-health", "odd"},
+		"bad load address":       {"dev", "--log-level", "loud"},
+		"bad plot of load":       {"load", "--service", "s", "--address", "127.0.0.1:1", "--authority", "a", "--plot", "run.gif"},
+		"bad plot of dev":        {"dev", "--duration", "1s", "--plot", "run"},
+		"bad plot of experiment": {"experiment", "experiment.ini", "--plot", "run.gif"},
+		"events, no plot":        {"load", "--service", "s", "--address", "127.0.0.1:1", "--authority", "a", "--events", "e"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -64,6 +68,7 @@
 		"replica remove", "grants", "grants retention", "keys", "keys init", "keys issue", "keys secret", "keys secret add",
 		"keys secret prefer", "keys secret remove", "keys authority", "keys authority add",
 		"keys authority prefer", "keys authority remove", "keys inspect", "backend", "load", "dev", "experiment",
+		"measure",
 	} {
 		t.Run(args, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -38,6 +38,9 @@
   eelgrasswharf dev --duration 10s --rate 500 --json`,
 		Args: noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := l.check(); err != nil {
+				return err
+			}
 			return untilSignal(cmd.Context(), func(ctx context.Context) error {
 				return runDev(ctx, cmd, l, level)
 			})
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -10,6 +10,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/experiment"
+	"eelgrasswharf.example/eelgrasswharf/internal/loadgen"
 	"eelgrasswharf.example/eelgrasswharf/internal/logging"
 )
 
@@ -56,13 +57,18 @@
 	f.StringSliceVar(&x.scenarios, "scenario", nil, "`NAMES` of scenarios, comma-separated; default all")
 	f.StringSliceVar(&x.policies, "policy", nil, "`NAMES` of policies, comma-separated; default all")
 	f.UintSliceVar(&x.seeds, "seed", []uint{1}, "`SEEDS`, comma-separated; each makes a run of every cell")
-	f.StringVar(&x.plot, "plot", "", "write the last cell's answers by target over time, with its events, to `FILE` (.svg or .png)")
+	f.StringVar(&x.plot, "plot", "", "draw the last cell over time with its events, as `load --plot` does, into `FILE` (.svg or .png)")
 	f.StringVar(&x.level, "log-level", experimentLogLevel, "lowest `LEVEL` logged: debug, info, warn or error")
 	jsonFlag(cmd, &x.asJSON)
 	return cmd
 }
 
 func runExperiment(cmd *cobra.Command, files []string, x *experimentFlags) error {
+	if x.plot != "" {
+		if err := loadgen.CheckPlotFile(x.plot); err != nil {
+			return usage(err)
+		}
+	}
 	log, err := logging.New(&settingspb.Log{Level: x.level, Format: settingspb.LogFormat_LOG_FORMAT_CONSOLE}, cmd.ErrOrStderr())
 	if err != nil {
 		return usage(err)
@@ -93,14 +99,14 @@
 	})
 }
 
+// report writes the report and then the plot, whose fault leaves the report.
 func (x *experimentFlags) report(w io.Writer, r *experiment.Result) error {
-	if x.plot != "" {
-		if err := r.Plot(x.plot); err != nil {
-			return err
-		}
-	}
+	write := r.WriteMarkdown
 	if x.asJSON {
-		return writeJSON(w, r)
+		write = func(w io.Writer) error { return writeJSON(w, r) }
+	}
+	if err := write(w); err != nil || x.plot == "" {
+		return err
 	}
-	return r.WriteMarkdown(w)
+	return r.Plot(x.plot)
 }
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -4,6 +4,7 @@
 	"crypto/x509"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,13 +13,17 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/loadgen"
 )
 
-var errNoCertificates = errors.New("no certificate in the file")
+var (
+	errNoCertificates    = errors.New("no certificate in the file")
+	errEventsWithoutPlot = errors.New("--events needs --plot")
+)
 
 // loadFlags are shared by the commands that make load.
 type loadFlags struct {
 	opts   loadgen.Options
 	asJSON bool
 	plot   string
+	events string
 }
 
 func (l *loadFlags) add(cmd *cobra.Command, duration time.Duration) {
@@ -35,23 +40,69 @@
 	f.DurationVar(&o.Deadline, "deadline", loadgen.DefaultDeadline, "deadline of a request over all attempts")
 	f.IntVar(&o.Attempts, "attempts", loadgen.DefaultAttempts, "greatest number of attempts of a request")
 	f.IntVar(&o.RetryPercent, "retry-percent", loadgen.DefaultRetryPercent, "retries allowed per hundred requests")
-	f.DurationVar(&o.Window, "window", loadgen.DefaultWindow, "window of time for imbalance")
+	f.DurationVar(&o.Window, "window", loadgen.DefaultWindow, "window of time for imbalance and plot")
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of schedule, kinds and jitter")
-	f.StringVar(&l.plot, "plot", "", "write the answers of each target over time to `FILE` (.svg or .png)")
+	f.StringVar(&l.plot, "plot", "", "draw answers of each target, latency, broken flows and imbalance over time into `FILE` (.svg or .png)")
 	jsonFlag(cmd, &l.asJSON)
 }
 
-// report writes the report and the plot.
-func (l *loadFlags) report(w io.Writer, r *loadgen.Report) error {
-	if l.plot != "" {
-		if err := loadgen.Plot(r, l.opts.Window, l.plot); err != nil {
-			return err
+// check refuses what would fail only after the run.
+func (l *loadFlags) check() error {
+	if l.plot == "" {
+		if l.events != "" {
+			return usage(errEventsWithoutPlot)
 		}
+		return nil
+	}
+	if err := loadgen.CheckPlotFile(l.plot); err != nil {
+		return usage(err)
 	}
+	return nil
+}
+
+// report writes the report and then the plot, whose fault leaves the report.
+func (l *loadFlags) report(w io.Writer, r *loadgen.Report) error {
+	write := r.WriteText
 	if l.asJSON {
-		return writeJSON(w, r)
+		write = func(w io.Writer) error { return writeJSON(w, r) }
+	}
+	if err := write(w); err != nil {
+		return err
+	}
+	if l.plot == "" {
+		return nil
+	}
+	marks, err := readEvents(l.events, r.Start)
+	if err != nil {
+		return err
+	}
+	return r.Chart(l.opts.Window, marks).Save(l.plot)
+}
+
+// readEvents reads lines of a time and a text. Empty lines and an empty path
+// have no event.
+func readEvents(path string, start time.Time) ([]loadgen.Mark, error) {
+	if path == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "events")
 	}
-	return r.WriteText(w)
+	var marks []loadgen.Mark
+	for n, line := range strings.Split(string(text), "\n") {
+		when, what, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if when == "" {
+			continue
+		}
+		// RFC 3339 takes the comma too that "date -Ins" writes.
+		at, err := time.Parse(time.RFC3339, when)
+		if err != nil {
+			return nil, errors.Wrapf(err, "events: %s:%d", path, n+1)
+		}
+		marks = append(marks, loadgen.Mark{Seconds: at.Sub(start).Seconds(), Text: strings.TrimSpace(what)})
+	}
+	return marks, nil
 }
 
 func newLoad() *cobra.Command {
@@ -67,11 +118,21 @@
 earlier ones. Callers honour Retry-After and never repeat a request that may not
 be repeated and whose outcome is unknown.
 
-Doubled runs are reported only when --runs-url names every backend server.`,
+Doubled runs are reported only when --runs-url names every backend server.
+
+--plot draws the run over time. What is done to the deployment meanwhile can be
+written into a file, one event a line, as a time of "date -Ins" and a text; the
+file that --events names is read at the end of the run, and each event is marked.`,
 		Example: `  eelgrasswharf load --service lodgement --address 192.0.2.80:443 \
-    --authority keys/authority.pem --rate 500 --sessions 200 --duration 60s --json`,
+    --authority keys/authority.pem --rate 500 --sessions 200 --duration 60s --json
+  echo "$(date -Ins) drain lodgement-1" >> events.txt
+  eelgrasswharf load --service lodgement --address 192.0.2.80:443 \
+    --authority keys/authority.pem --duration 60s --plot run.svg --events events.txt`,
 		Args: noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := l.check(); err != nil {
+				return err
+			}
 			roots, err := readRoots(authority)
 			if err != nil {
 				return err
@@ -92,6 +153,7 @@
 	f.StringSliceVar(&l.opts.Addresses, "address", nil, "public `ADDRESSES` (ip:port) to call, comma-separated")
 	f.StringVar(&authority, "authority", "", "certificate authority `FILE` (PEM)")
 	f.StringSliceVar(&l.opts.Targets, "targets", nil, "`NAMES` of all targets of the service, comma-separated")
+	f.StringVar(&l.events, "events", "", "mark the events of `FILE` in the plot")
 	f.StringSliceVar(&l.opts.RunURLs, "runs-url", nil, "base `URLS` of all backend servers, comma-separated")
 	l.add(cmd, 10*time.Second)
 	require(cmd, "service", "address", "authority")
--- a/internal/cli/process_test.go
+++ b/internal/cli/process_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
@@ -186,6 +187,31 @@
 	is.Equal(got.status, cli.ExitFailure)
 }
 
+// TestLoadMarksEvents expects marks at the events of the file, and that a fault
+// of it does not cost the report.
+func TestLoadMarksEvents(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	is.Equal(run(t, "keys", "init", filepath.Join(dir, "keys")).status, cli.ExitOK)
+	events, plot := filepath.Join(dir, "events.txt"), filepath.Join(dir, "run.svg")
+	args := []string{
+		"load", "--service", "lodgement", "--address", "127.0.0.1:1", "--rate", "0", "--sessions", "0", "--duration", "1ms",
+		"--authority", filepath.Join(dir, "keys", "authority.pem"), "--plot", plot, "--events", events,
+	}
+	now := time.Now()
+	is.NoErr(os.WriteFile(events, []byte(now.Format("2006-01-02T15:04:05,999999999Z07:00")+" drain lodgement-1\n\n"), 0o600))
+	is.Equal(run(t, args...).status, cli.ExitOK)
+	text, err := os.ReadFile(plot)
+	is.NoErr(err)
+	is.True(strings.Contains(string(text), "drain lodgement-1"))
+
+	is.NoErr(os.WriteFile(events, []byte("yesterday drain\n"), 0o600))
+	got := run(t, args...)
+	is.Equal(got.status, cli.ExitFailure)
+	is.True(strings.Contains(got.stderr, "events.txt:1"))
+	is.True(strings.Contains(got.stdout, "service lodgement: 0 requests"))
+}
+
 // Each daemon says that it is ready, with the addresses that it opened, and
 // ends with success when it is told to.
 func TestDaemonsServeUntilSignal(t *testing.T) {
--- a/internal/experiment/cell.go
+++ b/internal/experiment/cell.go
@@ -61,6 +61,8 @@
 	BrokenBy  map[string]int `json:"broken_by"`
 
 	windows []map[string]int
+	moments []loadgen.Moment
+	ratios  []float64
 }
 
 // Faults is the number of outcomes that must never happen.
@@ -78,7 +80,7 @@
 		Misrouted: r.Misrouted, WrongAnswers: r.WrongAnswers,
 		P50: r.LatencyMS.P50, P99: r.LatencyMS.P99,
 		Outcomes: r.Outcomes, RetriesBy: r.Retries, BrokenBy: r.BrokenBy,
-		windows: r.Windows,
+		windows: r.Windows, moments: r.Moments, ratios: ratiosOf(r.Windows, window, m),
 	}
 	for _, n := range r.Retries {
 		c.Retries += n
--- a/internal/experiment/members.go
+++ b/internal/experiment/members.go
@@ -53,9 +53,8 @@
 // imbalance is the measure that the package comment defines.
 func imbalance(windows []map[string]int, length time.Duration, m members) loadgen.Imbalance {
 	var ratios []float64
-	for i, w := range windows {
-		from := time.Duration(i) * length
-		if ratio, ok := ratioOf(w, m.during(from, from+length)); ok {
+	for _, ratio := range ratiosOf(windows, length, m) {
+		if !math.IsNaN(ratio) {
 			ratios = append(ratios, ratio)
 		}
 	}
@@ -75,6 +74,20 @@
 	}
 }
 
+// ratiosOf is the imbalance of each window, NaN where it does not count.
+func ratiosOf(windows []map[string]int, length time.Duration, m members) []float64 {
+	out := make([]float64, len(windows))
+	for i, w := range windows {
+		from := time.Duration(i) * length
+		ratio, ok := ratioOf(w, m.during(from, from+length))
+		if !ok {
+			ratio = math.NaN()
+		}
+		out[i] = ratio
+	}
+	return out
+}
+
 // ratioOf is the imbalance of one window, if it counts.
 func ratioOf(w map[string]int, inService []string) (float64, bool) {
 	greatest, total := 0, 0
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -9,9 +9,9 @@
 // ErrNothingToPlot reports a result without cells.
 var ErrNothingToPlot = errors.New("nothing to plot")
 
-// Plot draws the answers a second of each target of the main service in the
-// last cell, with a mark for each event. The ending of the file name chooses
-// the format, for instance .svg or .png.
+// Plot draws what the callers of the main service saw over time in the last
+// cell, with a mark for each event. The ending of the file name chooses the
+// format, see loadgen.CheckPlotFile.
 func (r *Result) Plot(file string) error {
 	if len(r.Cells) == 0 {
 		return ErrNothingToPlot
@@ -22,6 +22,9 @@
 	for _, e := range c.Events {
 		marks = append(marks, loadgen.Mark{Seconds: e.Seconds, Text: e.Text})
 	}
-	title := c.Site + ", " + c.Scenario + ", " + c.Policy + ": answers of " + s.Service + " by target"
-	return loadgen.PlotWindows(title, s.windows, window, marks, file)
+	chart := loadgen.Chart{
+		Title: c.Site + ", " + c.Scenario + ", " + c.Policy + ": " + s.Service, Window: window,
+		Answers: s.windows, Moments: s.moments, Imbalance: s.ratios, Marks: marks,
+	}
+	return chart.Save(file)
 }
--- a/internal/loadgen/imbalance.go
+++ b/internal/loadgen/imbalance.go
@@ -23,8 +23,8 @@
 	out := Imbalance{Overall: maxOverMean(total, targets)}
 	var ratios []float64
 	for _, w := range windows {
-		if sum(w) >= MinPerTarget*len(targets) && len(targets) > 0 {
-			ratios = append(ratios, maxOverMean(w, targets))
+		if ratio, ok := ratioOf(w, targets); ok {
+			ratios = append(ratios, ratio)
 		}
 	}
 	out.Windows = len(ratios)
@@ -36,6 +36,14 @@
 	return out
 }
 
+// ratioOf is the imbalance of one window, if it counts.
+func ratioOf(w map[string]int, targets []string) (float64, bool) {
+	if len(targets) == 0 || sum(w) < MinPerTarget*len(targets) {
+		return 0, false
+	}
+	return maxOverMean(w, targets), true
+}
+
 func maxOverMean(counts map[string]int, targets []string) float64 {
 	greatest, total := 0, 0
 	for _, t := range targets {
--- a/internal/loadgen/plot.go
+++ b/internal/loadgen/plot.go
@@ -1,7 +1,12 @@
 package loadgen
 
 import (
+	"cmp"
 	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -9,14 +14,27 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 )
 
 const (
-	plotWidth  = 20 * vg.Centimeter
-	plotHeight = 12 * vg.Centimeter
-	markSize   = 7 * vg.Inch / 72
+	plotWidth   = 20 * vg.Centimeter
+	panelHeight = 8 * vg.Centimeter
+	panelGap    = 4 * vg.Millimeter
+	markSize    = 7 * vg.Inch / 72
+	// headroom is left above the greatest value, for the legend.
+	headroom = 1.3
+	// markShare is the part of the run within which marks share a line, since
+	// their texts would cover each other.
+	markShare = 0.02
 )
 
+// plotFormats are the endings of a plot's file.
+var plotFormats = []string{".svg", ".png"}
+
+// ErrPlotFormat reports a file name whose ending is no format of a plot.
+var ErrPlotFormat = errors.New("a plot's file ends in .svg or .png")
+
 // Mark is an event to show in a plot.
 type Mark struct {
 	// Seconds since the start of the run.
@@ -24,59 +42,200 @@
 	Text    string
 }
 
-// Plot draws the answers a second of each target over the windows of a run.
-// The ending of the file name chooses the format, for instance .svg or .png.
-func Plot(r *Report, window time.Duration, file string) error {
+// Chart is a run over time: answers of each target, latency, broken flows and
+// imbalance, one below the other. Index n of each slice is window n.
+type Chart struct {
+	Title   string
+	Window  time.Duration
+	Answers []map[string]int
+	Moments []Moment
+	// Imbalance is NaN in windows that do not count.
+	Imbalance []float64
+	Marks     []Mark
+}
+
+// CheckPlotFile reports whether Save knows the format, so that a run need not
+// end before its plot is refused.
+func CheckPlotFile(file string) error {
+	if !slices.Contains(plotFormats, strings.ToLower(filepath.Ext(file))) {
+		return errors.Wrap(ErrPlotFormat, file)
+	}
+	return nil
+}
+
+// Chart returns the run's chart, with a mark for each event.
+func (r *Report) Chart(window time.Duration, marks []Mark) *Chart {
 	if window <= 0 {
 		window = DefaultWindow
 	}
-	return PlotWindows("Answers of "+r.Service+" by target", r.Windows, window, nil, file)
+	return &Chart{
+		Title: r.Service, Window: window, Answers: r.Windows, Moments: r.Moments,
+		Imbalance: r.ratios(), Marks: marks,
+	}
 }
 
-// PlotWindows draws the answers a second of each target over windows, with a
-// vertical line for each mark.
-func PlotWindows(title string, windows []map[string]int, window time.Duration, marks []Mark, file string) error {
-	p := plot.New()
-	p.Title.Text = title
-	p.X.Label.Text = "seconds"
-	p.Y.Label.Text = "answers a second"
-	p.Y.Min = 0
-	p.Legend.Top = true
+// ratios is the imbalance of each window, NaN where it does not count.
+func (r *Report) ratios() []float64 {
+	out := make([]float64, len(r.Windows))
+	for i, w := range r.Windows {
+		ratio, ok := ratioOf(w, r.targets)
+		if !ok {
+			ratio = math.NaN()
+		}
+		out[i] = ratio
+	}
+	return out
+}
+
+// Save draws the chart. The ending of the file name chooses the format.
+func (c *Chart) Save(file string) error {
+	if err := CheckPlotFile(file); err != nil {
+		return err
+	}
+	var panels [][]*plot.Plot
+	for i, draw := range []func() (*plot.Plot, error){c.answers, c.latency, c.broken, c.imbalance} {
+		p, err := draw()
+		if err != nil {
+			return errors.Wrap(err, "plot")
+		}
+		p.X.Min, p.X.Max = 0, c.seconds()
+		p.Y.Min = 0
+		p.Y.Max *= headroom
+		if err := addMarks(p, c.joined(), i == 0); err != nil {
+			return errors.Wrap(err, "plot")
+		}
+		panels = append(panels, []*plot.Plot{p})
+	}
+	panels[0][0].Title.Text = c.Title
+	panels[len(panels)-1][0].X.Label.Text = "seconds"
+	if err := save(panels, file); err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	return nil
+}
+
+func save(panels [][]*plot.Plot, file string) (err error) {
+	format := strings.TrimPrefix(strings.ToLower(filepath.Ext(file)), ".")
+	canvas, err := draw.NewFormattedCanvas(plotWidth, panelHeight*vg.Length(len(panels)), format)
+	if err != nil {
+		return err
+	}
+	tiles := draw.Tiles{Rows: len(panels), Cols: 1, PadY: panelGap, PadRight: panelGap, PadTop: panelGap}
+	for i, row := range plot.Align(panels, tiles, draw.New(canvas)) {
+		panels[i][0].Draw(row[0])
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	if _, err := canvas.WriteTo(f); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+// seconds is the end of the last window.
+func (c *Chart) seconds() float64 {
+	return float64(max(1, len(c.Answers), len(c.Moments))) * c.Window.Seconds()
+}
+
+// joined returns the marks by time, those close to each other as one.
+func (c *Chart) joined() []Mark {
+	var out []Mark
+	sorted := slices.SortedStableFunc(slices.Values(c.Marks), func(a, b Mark) int { return cmp.Compare(a.Seconds, b.Seconds) })
+	for _, m := range sorted {
+		if n := len(out); n > 0 && m.Seconds-out[n-1].Seconds < markShare*c.seconds() {
+			out[n-1].Text += "; " + m.Text
+			continue
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func (c *Chart) answers() (*plot.Plot, error) {
+	p := panel("answers a second")
 	answered := map[string]int{}
-	for _, w := range windows {
+	for _, w := range c.Answers {
 		for target, n := range w {
 			answered[target] += n
 		}
 	}
 	for i, target := range allTargets(nil, answered) {
-		line, err := targetLine(windows, window, target)
-		if err != nil {
-			return errors.Wrap(err, "plot")
+		values := make([]float64, len(c.Answers))
+		for n, w := range c.Answers {
+			values[n] = float64(w[target]) / c.Window.Seconds()
+		}
+		if err := c.line(p, values, i, target); err != nil {
+			return nil, err
 		}
-		line.Color = plotutil.Color(i)
-		p.Add(line)
-		p.Legend.Add(target, line)
 	}
-	if err := addMarks(p, marks); err != nil {
-		return errors.Wrap(err, "plot")
+	return p, nil
+}
+
+func (c *Chart) latency() (*plot.Plot, error) {
+	p := panel("latency, ms")
+	p50, p99 := make([]float64, len(c.Moments)), make([]float64, len(c.Moments))
+	for n, m := range c.Moments {
+		p50[n], p99[n] = m.P50, m.P99
 	}
-	if err := p.Save(plotWidth, plotHeight, file); err != nil {
-		return errors.Wrap(err, "plot")
+	if err := c.line(p, p50, 0, "p50"); err != nil {
+		return nil, err
 	}
-	return nil
+	return p, c.line(p, p99, 1, "p99")
 }
 
-func targetLine(windows []map[string]int, window time.Duration, target string) (*plotter.Line, error) {
-	points := make(plotter.XYs, len(windows))
-	for n, w := range windows {
-		points[n].X = float64(n) * window.Seconds()
-		points[n].Y = float64(w[target]) / window.Seconds()
+func (c *Chart) broken() (*plot.Plot, error) {
+	p := panel("broken flows")
+	values := make([]float64, len(c.Moments))
+	for n, m := range c.Moments {
+		values[n] = float64(m.BrokenFlows)
 	}
-	return plotter.NewLine(points)
+	return p, c.line(p, values, 0, "")
 }
 
-// addMarks draws marks over the whole height, with their text along the line.
-func addMarks(p *plot.Plot, marks []Mark) error {
+func (c *Chart) imbalance() (*plot.Plot, error) {
+	p := panel("imbalance")
+	return p, c.line(p, c.Imbalance, 0, "")
+}
+
+func panel(what string) *plot.Plot {
+	p := plot.New()
+	p.Y.Label.Text = what
+	p.Y.Max = 1 // at least, so that an empty panel has a scale
+	p.Legend.Top = true
+	return p
+}
+
+// line draws one value for each window, in the middle of it. Unknown ones are
+// left out.
+func (c *Chart) line(p *plot.Plot, values []float64, color int, name string) error {
+	var points plotter.XYs
+	for n, v := range values {
+		if !math.IsNaN(v) {
+			points = append(points, plotter.XY{X: (float64(n) + 0.5) * c.Window.Seconds(), Y: v})
+		}
+	}
+	if len(points) == 0 {
+		return nil
+	}
+	line, dots, err := plotter.NewLinePoints(points)
+	if err != nil {
+		return err
+	}
+	line.Color, dots.Color = plotutil.Color(color), plotutil.Color(color)
+	line.Dashes = plotutil.Dashes(color / len(plotutil.DefaultColors))
+	dots.Radius = vg.Points(1) // a value between two unknown ones shows too
+	p.Add(line, dots)
+	if name != "" {
+		p.Legend.Add(name, line)
+	}
+	return nil
+}
+
+// addMarks draws marks over the whole height, and their text along the line.
+func addMarks(p *plot.Plot, marks []Mark, text bool) error {
 	for _, m := range marks {
 		line, err := plotter.NewLine(plotter.XYs{{X: m.Seconds, Y: p.Y.Min}, {X: m.Seconds, Y: p.Y.Max}})
 		if err != nil {
@@ -84,6 +243,9 @@
 		}
 		line.Dashes = plotutil.Dashes(1)
 		p.Add(line)
+		if !text {
+			continue
+		}
 		label, err := plotter.NewLabels(plotter.XYLabels{
 			XYs:    plotter.XYs{{X: m.Seconds, Y: p.Y.Min}},
 			Labels: []string{m.Text},
--- a/internal/loadgen/plot_test.go
+++ b/internal/loadgen/plot_test.go
@@ -1,31 +1,76 @@
 package loadgen
 
 import (
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 )
 
-func TestPlot(t *testing.T) {
+// saved draws the chart and returns the file's text.
+func saved(t *testing.T, c *Chart) string {
+	t.Helper()
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "run.svg")
+	is.NoErr(c.Save(path))
+	text, err := os.ReadFile(path)
+	is.NoErr(err)
+	return string(text)
+}
+
+func TestPlot(t *testing.T) {
+	is := is.New(t)
 	r := &Report{
 		Service:   "lodgement",
 		PerTarget: map[string]int{"l-1": 3, "l-2": 1},
 		Windows:   []map[string]int{{"l-1": 1}, nil, {"l-1": 2, "l-2": 1}},
+		Moments:   []Moment{{P50: 1, P99: 2}, {P50: math.NaN(), P99: math.NaN(), BrokenFlows: 1}},
 	}
-	is.NoErr(Plot(r, time.Second, path))
-	info, err := os.Stat(path)
-	is.NoErr(err)
-	is.True(info.Size() > 0)
-	marked := filepath.Join(t.TempDir(), "marked.svg")
-	is.NoErr(PlotWindows("marked", r.Windows, time.Second, []Mark{{Seconds: 1.5, Text: "l-1 drains"}}, marked))
-	text, err := os.ReadFile(marked)
-	is.NoErr(err)
-	is.True(strings.Contains(string(text), "l-1 drains"))
-	is.True(Plot(r, time.Second, filepath.Join(t.TempDir(), "run.unknown")) != nil)
+	text := saved(t, r.Chart(0, []Mark{{Seconds: 1.5, Text: "l-1 drains"}}))
+	for _, want := range []string{"l-2", "l-1 drains", "answers a second", "latency, ms", "p99", "broken flows", "imbalance"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("the plot lacks %q", want)
+		}
+	}
+	saved(t, (&Report{}).Chart(time.Second, nil)) // a run without an answer
+	is.True(errors.Is(r.Chart(time.Second, nil).Save(filepath.Join(t.TempDir(), "run.unknown")), ErrPlotFormat))
+	is.True(r.Chart(time.Second, nil).Save(filepath.Join(t.TempDir(), "missing", "run.png")) != nil)
+}
+
+func TestMarksOfOneMomentShareALine(t *testing.T) {
+	is := is.New(t)
+	c := &Chart{Window: time.Second, Answers: make([]map[string]int, 100), Marks: []Mark{{9, "c"}, {1, "a"}, {1.2, "b"}}}
+	is.Equal(c.joined(), []Mark{{1, "a; b"}, {9, "c"}})
+}
+
+func TestChartHasTheImbalanceOfWindowsThatCount(t *testing.T) {
+	is := is.New(t)
+	r := &Report{targets: []string{"a", "b"}, Windows: []map[string]int{{"a": 30, "b": 10}, {"a": 1}, nil}}
+	got := r.Chart(time.Second, nil).Imbalance
+	is.Equal(len(got), 3)
+	is.Equal(got[0], 1.5)
+	is.True(math.IsNaN(got[1]) && math.IsNaN(got[2])) // too few answers
+}
+
+func TestTimeline(t *testing.T) {
+	is := is.New(t)
+	line := newTimeline(time.Second)
+	line.answered(100*time.Millisecond, 10*time.Millisecond)
+	is.Equal(len(line.all()), 1) // a report in between takes nothing away
+	line.answered(900*time.Millisecond, 30*time.Millisecond)
+	line.broken(2500 * time.Millisecond)
+	line.broken(2600 * time.Millisecond)
+	line.answered(2700*time.Millisecond, 7*time.Millisecond)
+	got := line.all()
+	is.Equal(len(got), 3)
+	near := func(a, b float64) bool { return math.Abs(a-b) < 0.1 }
+	is.True(near(got[0].P50, 10) && near(got[0].P99, 30))
+	is.True(math.IsNaN(got[1].P50) && math.IsNaN(got[1].P99)) // nothing was answered
+	is.True(near(got[2].P50, 7) && near(got[2].P99, 7))
+	is.Equal([]int{got[0].BrokenFlows, got[1].BrokenFlows, got[2].BrokenFlows}, []int{0, 0, 2})
 }
--- a/internal/loadgen/recorder.go
+++ b/internal/loadgen/recorder.go
@@ -51,6 +51,7 @@
 	perTarget        map[string]int
 	sessionsAt       map[string]int
 	windows          map[int64]map[string]int
+	timeline         *timeline
 	misrouted        int
 	wrong            int
 }
@@ -61,16 +62,21 @@
 		start:        time.Now(),
 		retries:      map[string]int{},
 		outcomes:     map[string]int{},
-		latency:      hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+		latency:      newLatencies(),
 		broken:       map[string]int{},
 		lostSessions: map[string]int{},
 		refused:      map[string]int{},
 		perTarget:    map[string]int{},
 		sessionsAt:   map[string]int{},
 		windows:      map[int64]map[string]int{},
+		timeline:     newTimeline(o.Window),
 	}
 }
 
+func newLatencies() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)
+}
+
 // finished records the final outcome of a request.
 func (r *recorder) finished(q request, out outcome, latency time.Duration) {
 	r.mu.Lock()
@@ -86,9 +92,11 @@
 	}
 	// Out of range cannot happen: deadlines are far shorter.
 	_ = r.latency.RecordValue(max(lowestLatency, latency.Microseconds()))
+	since := time.Since(r.start)
+	r.timeline.answered(since, latency)
 	if name := targetName(out.target); name != "" {
 		r.perTarget[name]++
-		window := int64(time.Since(r.start) / r.opts.Window)
+		window := int64(since / r.opts.Window)
 		if r.windows[window] == nil {
 			r.windows[window] = map[string]int{}
 		}
@@ -143,6 +151,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.broken[reason]++
+	r.timeline.broken(time.Since(r.start))
 }
 
 func (r *recorder) flowLostWithHost() {
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -13,6 +13,8 @@
 type Report struct {
 	Service string `json:"service"`
 	Seed    uint64 `json:"seed"`
+	// Start of the run.
+	Start time.Time `json:"start"`
 	// Seconds the run took, with the requests that it waited for.
 	Seconds  float64 `json:"seconds"`
 	Requests int     `json:"requests"`
@@ -51,8 +53,12 @@
 	Doubled        *Doubled `json:"doubled,omitempty"`
 	DoubledUnknown string   `json:"doubled_unknown,omitempty"`
 
-	// Windows are the answers of each target in each window, for plots.
+	// Windows are the answers of each target in each window, Moments what the
+	// callers saw in it, for plots. Either may end before the other.
 	Windows []map[string]int `json:"-"`
+	Moments []Moment         `json:"-"`
+	// targets are all of the service, as far as they are known.
+	targets []string
 }
 
 // Latency holds percentiles in milliseconds.
@@ -85,6 +91,7 @@
 	return &Report{
 		Service:              r.opts.Service,
 		Seed:                 r.opts.Seed,
+		Start:                r.start,
 		Seconds:              time.Since(r.start).Seconds(),
 		Requests:             r.requests,
 		Outcomes:             maps.Clone(r.outcomes),
@@ -107,6 +114,8 @@
 		Misrouted:            r.misrouted,
 		WrongAnswers:         r.wrong,
 		Windows:              windows,
+		targets:              targets,
+		Moments:              r.timeline.all(),
 	}
 }
 
