keys: a step that cannot be taken is not called a malformed file

Cause: found by running the examples of "keys secret": "keys secret remove keys 1" on the only secret answered "the last data secret cannot be removed: malformed file", and prefer or remove of an unknown ID ended alike. The file is sound.

--- a/internal/keys/secret.go
+++ b/internal/keys/secret.go
@@ -22,6 +22,10 @@
 // ErrSecretsFull is returned when every ID of a data secret is in use.
 var ErrSecretsFull = errors.New("all IDs of data secrets are in use")
 
+// ErrSecretsUnchanged is returned for a step that cannot be taken with the data
+// secrets that there are.
+var ErrSecretsUnchanged = errors.New("data secrets unchanged")
+
 // Secret protects connection IDs and frames.
 type Secret struct {
 	// ID names the secret in connection IDs and frames: 0 to MaxSecretID.
