keys: one period and one log line for all roles; rotation with real processes

It was proved for links in one process only, and the roles differed for no reason: control hosts looked for new key files each 30 s, the others each 10 s (the operators' page said 30 s for entry hosts), and each had its own words in the log.

All look each 10 s (four small files) and say 'keys renewed' or 'keys not renewed, the former ones stay in use'; an agent tells its caller certificate apart. Ruled out: a signal that makes a process read its keys at once; the wait of 10 s is short beside the steps between hosts.

--- a/internal/agentd/connect.go
+++ b/internal/agentd/connect.go
@@ -1,6 +1,7 @@
 package agentd
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"sync/atomic"
@@ -19,9 +20,6 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 )
 
-// keyReload is the period at which certificates are read anew.
-const keyReload = 10 * time.Second
-
 // directory is what the agent knows of the deployment.
 type directory interface {
 	// Service returns the service of that number, nil if it is not known.
@@ -88,7 +86,7 @@
 	}
 	client := link.NewClient(s.GetControl().GetAddresses(), credentials, link.ClientOptions{Scope: scope, Log: log})
 	ctx, cancel := context.WithCancel(context.Background())
-	go credentials.Watch(ctx, keyReload, reportKeys(log))
+	go credentials.Watch(ctx, keys.ReloadPeriod, keys.Report(log))
 	go caller.watch(ctx, log)
 	return parts{
 		control:     client,
@@ -154,17 +152,6 @@
 	return secrets
 }
 
-func reportKeys(log *zap.Logger) func(bool, error) {
-	return func(changed bool, err error) {
-		if err != nil {
-			log.Warn("keys could not be read anew", zap.Error(err))
-		}
-		if changed {
-			log.Info("keys read anew")
-		}
-	}
-}
-
 // callerCertificate is the certificate shown to callers, read anew when its
 // files change. Established connections keep the one they began with.
 type callerCertificate struct {
@@ -194,10 +181,14 @@
 // together, as during their replacement, the former certificate stays.
 func (c *callerCertificate) watch(ctx context.Context, log *zap.Logger) {
 	failed := false
-	for pause(ctx, keyReload) {
+	for pause(ctx, keys.ReloadPeriod) {
+		former := c.get()
 		err := c.load()
 		if err != nil && !failed {
-			log.Warn("caller certificate could not be read anew", zap.Error(err))
+			log.Warn("caller certificate not renewed, the former one stays in use", zap.Error(err))
+		}
+		if err == nil && !bytes.Equal(former.Leaf.Raw, c.get().Leaf.Raw) {
+			log.Info("caller certificate renewed")
 		}
 		failed = err != nil
 	}
--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -68,8 +68,6 @@
 	directoryPause = 250 * time.Millisecond
 	// retryAfterBusy tells a refused peer when to come back.
 	retryAfterBusy = 500 * time.Millisecond
-	// keysPeriod is the time between looks for renewed key files.
-	keysPeriod = 30 * time.Second
 	// stopTimeout bounds the wait for operators' calls at a shutdown.
 	stopTimeout = 10 * time.Second
 	// defaultTick and defaultSnapshotEntries stand in for settings left out.
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -222,20 +222,10 @@
 	d.loops.Go(d.advanceLoop)
 	d.loops.Go(d.agreeLoop)
 	d.loops.Go(d.leadLoop)
-	d.loops.Go(func() { d.creds.Watch(d.ctx, keysPeriod, d.reportKeys) })
+	d.loops.Go(func() { d.creds.Watch(d.ctx, keys.ReloadPeriod, keys.Report(d.log)) })
 	d.log.Info("control host serves", zap.String("link", d.LinkAddr()), zap.String("operator", d.OperatorAddr()))
 }
 
-func (d *Daemon) reportKeys(changed bool, err error) {
-	if err != nil {
-		d.log.Warn("renewed keys are unusable, the old ones stay", zap.Error(err))
-		return
-	}
-	if changed {
-		d.log.Info("keys renewed")
-	}
-}
-
 // wait returns when the context ends or a replica fails.
 func (d *Daemon) wait(ctx context.Context) error {
 	failed := make(chan controlpb.Group, len(d.groups))
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -16,9 +16,6 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 )
 
-// keysPeriod is the time between two looks at the files with keys.
-const keysPeriod = 10 * time.Second
-
 // Errors of the settings of a daemon.
 var (
 	ErrNoControlHosts = errors.New("no control hosts: there would be no configuration")
@@ -68,7 +65,7 @@
 		scope:      scope,
 		creds:      creds,
 		forwarder:  f,
-		keysPeriod: keysPeriod,
+		keysPeriod: keys.ReloadPeriod,
 	}, nil
 }
 
@@ -93,7 +90,7 @@
 
 	watching, stop := context.WithCancel(ctx)
 	var watch conc.WaitGroup
-	watch.Go(func() { d.creds.Watch(watching, d.keysPeriod, d.reportKeys) })
+	watch.Go(func() { d.creds.Watch(watching, d.keysPeriod, keys.Report(d.log)) })
 	defer watch.Wait()
 	defer stop()
 	return d.forwarder.Run(ctx)
@@ -137,14 +134,6 @@
 	}
 }
 
-func (d *Daemon) reportKeys(_ bool, err error) {
-	if err != nil {
-		d.log.Error("keys not reloaded, the former ones stay in use", zap.Error(err))
-		return
-	}
-	d.log.Info("keys reloaded")
-}
-
 func dataSecrets(creds *keys.Credentials) []connid.Secret {
 	list := creds.DataSecrets()
 	out := make([]connid.Secret, len(list))
--- a/internal/keys/credentials.go
+++ b/internal/keys/credentials.go
@@ -13,12 +13,16 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 )
 
 const statelessResetLabel = "eelgrasswharf stateless reset"
 
+// ReloadPeriod is the time between two looks at the key files of a process.
+const ReloadPeriod = 10 * time.Second
+
 // Credentials are the loaded keys of one process. All methods may be called
 // concurrently.
 type Credentials struct {
@@ -172,6 +176,17 @@
 	}
 }
 
+// Report returns a function for Watch that logs what it hears.
+func Report(log *zap.Logger) func(changed bool, err error) {
+	return func(_ bool, err error) {
+		if err != nil {
+			log.Warn("keys not renewed, the former ones stay in use", zap.Error(err))
+			return
+		}
+		log.Info("keys renewed")
+	}
+}
+
 // StatelessResetKey returns a key derived from the private key. A restarted
 // listener with the same private key can tell its former peers at once that
 // their connections are gone.
--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,12 @@
 // room has a place for each deployment that may run.
 var room = make(chan struct{}, max(1, runtime.GOMAXPROCS(0)/coresPerCluster))
 
+// identity is whom a certificate was issued to.
+type identity struct {
+	role          keys.Role
+	name, service string
+}
+
 // Cluster is one deployment of real processes.
 type Cluster struct {
 	t        testing.TB
@@ -37,6 +44,8 @@
 	entries  []*Entry
 	services []*Service
 	operator keys.Files
+	// issued are the certificates that were issued, each once.
+	issued []identity
 	// grantGroups is a setting of the control hosts.
 	grantGroups uint32
 
@@ -75,6 +84,9 @@
 	c.t.Helper()
 	files, err := keys.Issue(c.keyDir, role, name, service, nil, keyValidity)
 	c.must(err)
+	if id := (identity{role, name, service}); !slices.Contains(c.issued, id) {
+		c.issued = append(c.issued, id)
+	}
 	return files
 }
 
--- /dev/null
+++ b/internal/processtest/rotation.go
@@ -0,0 +1,46 @@
+package processtest
+
+import "eelgrasswharf.example/eelgrasswharf/internal/keys"
+
+const (
+	keysRenewed   = "keys renewed"
+	callerRenewed = "caller certificate renewed"
+)
+
+// KeyFolder returns the folder with the keys of the deployment, from which all
+// its processes read.
+func (c *Cluster) KeyFolder() string { return c.keyDir }
+
+// IssueAgain issues every certificate anew, under the same names.
+func (c *Cluster) IssueAgain() error {
+	for _, id := range c.issued {
+		if _, err := keys.Issue(c.keyDir, id.role, id.name, id.service, nil, keyValidity); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Renew changes the keys, and waits until all these processes use the new ones.
+func (c *Cluster) Renew(change func() error, processes ...*Process) {
+	c.t.Helper()
+	c.renew(keysRenewed, change, processes)
+}
+
+// RenewCallerCertificate is Renew of the certificate that agents show to callers.
+func (c *Cluster) RenewCallerCertificate(change func() error, agents ...*Process) {
+	c.t.Helper()
+	c.renew(callerRenewed, change, agents)
+}
+
+func (c *Cluster) renew(message string, change func() error, processes []*Process) {
+	c.t.Helper()
+	before := make([]int, len(processes))
+	for i, p := range processes {
+		before[i] = p.Logged(message)
+	}
+	c.must(change())
+	for i, p := range processes {
+		Eventually(c.t, p.Name+": "+message, func() bool { return p.Logged(message) > before[i] })
+	}
+}
