agentd: an agent that hands a first packet on reports to the entry host

An entry host hears nothing from a target that hands first packets on: the Retry comes from the other one.

Ruled out: a mark on the frame that is handed on, by which the other agent would answer for both; a frame names one sender.

--- a/internal/agentd/drain_test.go
+++ b/internal/agentd/drain_test.go
@@ -34,6 +34,9 @@
 		is.Equal(got.header.Get(headerTarget), b.plane.Load().self.String())
 	}
 	is.True(a.counter("flows_handed_on", "leaving") >= 1)
+	number := a.plane.Load().self.number
+	is.True(w.entry.reportsSeen(number) >= 1) // or it would look silent
+	is.True(w.entry.saysDraining(number))
 	// Long after the span in which the agent could have gone, the watch lives.
 	for range 5 {
 		a.pass(t, a.timing.handOn)
--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -264,12 +264,14 @@
 	alternate netip.AddrPort
 	service   uint32
 	draining  map[uint32]bool
-	retries   int
+	// reports counts frames without a datagram by target.
+	reports map[uint32]int
+	retries int
 }
 
 func newFakeEntry(t *testing.T, secrets []connid.Secret, hosts int) *fakeEntry {
 	t.Helper()
-	e := &fakeEntry{service: 1, dead: make([]atomic.Bool, hosts), draining: map[uint32]bool{}}
+	e := &fakeEntry{service: 1, dead: make([]atomic.Bool, hosts), draining: map[uint32]bool{}, reports: map[uint32]int{}}
 	e.setSecrets(t, secrets)
 	e.public = listenUDP(t)
 	for range hosts {
@@ -317,6 +319,13 @@
 	return e.retries
 }
 
+// reportsSeen returns the number of frames without a datagram of a target.
+func (e *fakeEntry) reportsSeen(target uint32) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reports[target]
+}
+
 // saysDraining reports what the last reply of a target said.
 func (e *fakeEntry) saysDraining(target uint32) bool {
 	e.mu.Lock()
@@ -378,6 +387,9 @@
 		}
 		e.mu.Lock()
 		e.draining[h.Target] = h.Draining
+		if n == frame.HeaderLength {
+			e.reports[h.Target]++
+		}
 		if header, ok := quicheader.Parse(buffer[frame.HeaderLength:n], connid.Length); ok && header.Type == quicheader.Retry {
 			e.retries++
 		}
--- a/internal/agentd/socket.go
+++ b/internal/agentd/socket.go
@@ -202,7 +202,8 @@
 }
 
 // passOn hands a first packet on to another target and reports whether it did.
-// The frame then names the entry host, through which the other agent answers.
+// The frame then names the entry host, through which the other agent answers. The
+// entry host also gets a report of this target, which would look silent otherwise.
 func (s *frameSocket) passOn(h *frame.Header, data []byte, entry netip.AddrPort) bool {
 	to, ok := s.elsewhere(h)
 	if !ok {
@@ -211,8 +212,11 @@
 	h.Hops++
 	h.Alternate = entry
 	s.codecs.Load().frames.Put(data, h)
-	_, err := s.conn.WriteToUDPAddrPort(data, to)
-	return err == nil
+	if _, err := s.conn.WriteToUDPAddrPort(data, to); err != nil {
+		return false
+	}
+	s.write(nil, flowKey{caller: h.Caller, public: h.Public}, entry)
+	return true
 }
 
 // WriteTo implements net.PacketConn. It sends a datagram to a caller.
@@ -232,17 +236,24 @@
 	return len(p), nil
 }
 
-// send writes one reply frame. A failure to send is a lost packet, which QUIC
-// mends; reported as an error it would end the caller's connection.
+// send writes one datagram for a caller.
 func (s *frameSocket) send(p []byte, f *flow, entry netip.AddrPort) {
+	s.counters.datagrams.Inc(1)
+	s.write(p, f.key, entry)
+}
+
+// write writes one reply frame, which without a datagram is a report. A failure to
+// send is a lost packet, which QUIC mends; reported as an error it would end the
+// caller's connection.
+func (s *frameSocket) write(p []byte, key flowKey, entry netip.AddrPort) {
 	buffer := s.buffers.Get().(*[maxFrame]byte)
 	defer s.buffers.Put(buffer)
 	state := s.state()
 	h := frame.Header{
 		Kind:        frame.Reply,
 		Service:     s.self.serviceNumber,
-		Caller:      f.key.caller,
-		Public:      f.key.public,
+		Caller:      key.caller,
+		Public:      key.public,
 		Target:      s.self.number,
 		Incarnation: s.self.incarnation,
 		Load:        state.load,
@@ -251,7 +262,6 @@
 	}
 	s.codecs.Load().frames.Put(buffer[:], &h)
 	n := copy(buffer[frame.HeaderLength:], p)
-	s.counters.datagrams.Inc(1)
 	_, _ = s.conn.WriteToUDPAddrPort(buffer[:frame.HeaderLength+n], entry)
 }
 
