routing, entryd: new flows avoid a target that answers no first packet

Cause: a lost target stays on the list for its lease of 9 s, and all that spoke against it were its unanswered first packets at one per mille of load each.

An agent answers each first packet at once. A target is now silent for an entry host once such a packet is 500 ms old and nothing has come from the target since; others are drawn in its place, at random. All silent: the choice is as before. Once a second a silent target that is drawn gets a copy of the packet, which itself goes elsewhere: a caller acts on one Retry only, so no caller waits for the probe. The way first thought of, to send the packet itself, lets the caller's next transmission, a second later, be the next probe, so it was left. Reason `silent` and a counter of probes; early data, which agents drop, tells nothing. The hash baseline is unchanged.

BenchmarkDecide keeps "first", whose targets never answer, and has "first answered" besides. -race of both packages passes.

--- a/internal/entryd/bench_test.go
+++ b/internal/entryd/bench_test.go
@@ -15,6 +15,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
+	"eelgrasswharf.example/eelgrasswharf/routing"
 )
 
 var targetCounts = []int{12, 120, 1200, 12_000}
@@ -43,6 +44,7 @@
 			packet []byte
 		}{
 			{"established", append(shortPacket(b, oneSecret, target, ""), make([]byte, 1200)...)},
+			// No target answers these, so after a while all of them are silent.
 			{"first", initialPacket("made-up-id")},
 			{"refused", append([]byte{0x40}, make([]byte, 1200)...)},
 		} {
@@ -55,6 +57,16 @@
 				}
 			})
 		}
+		b.Run("first answered/"+strconv.Itoa(n), func(b *testing.B) {
+			w := publicWorkerOf(r, publicOne)
+			length := copy(w.buf[frame.HeaderLength:], initialPacket("made-up-id"))
+			loads := r.f.tables.Load().loads
+			b.ReportAllocs()
+			for b.Loop() {
+				w.frame(length, caller)
+				loads.Learn(w.header.Target, 1, routing.Report{}, r.f.now())
+			}
+		})
 		b.Run("reply/"+strconv.Itoa(n), func(b *testing.B) {
 			w := &frameWorker{f: r.f}
 			h := frame.Header{Kind: frame.Reply, Service: lodgement, Caller: caller, Public: publicOne, Target: uint32(n), Incarnation: 1}
--- a/internal/entryd/counters.go
+++ b/internal/entryd/counters.go
@@ -19,7 +19,9 @@
 	// reports counts reply frames that carry a load figure and no datagram.
 	reports tally.Counter
 	// first counts new flows by what decided on their target.
-	first   [routing.ReasonCount]tally.Counter
+	first [routing.ReasonCount]tally.Counter
+	// probes counts copies of first packets that went to silent targets.
+	probes  tally.Counter
 	refused [refusalCount]tally.Counter
 
 	// refusalsSent counts callers that were told that their service has no
@@ -52,6 +54,7 @@
 		forwarded:          scope.Counter("datagrams_forwarded"),
 		replied:            scope.Counter("datagrams_replied"),
 		reports:            scope.Counter("load_reports"),
+		probes:             scope.Counter("silent_probes"),
 		refusalsSent:       scope.Counter("connections_refused"),
 		refusalsOverBudget: scope.Counter("connections_refused_over_budget"),
 
--- a/internal/entryd/decide.go
+++ b/internal/entryd/decide.go
@@ -48,6 +48,8 @@
 	kind    frame.Kind
 	reason  routing.Reason
 	refused refusal
+	// probe is a target that gets a copy of the datagram, or zero.
+	probe routing.Picked
 }
 
 // decider holds what decides on datagrams and stays the same while the
@@ -71,7 +73,14 @@
 	if refused := checkFirst(packet, len(datagram), verdict); refused != accepted {
 		return decision{refused: refused}
 	}
-	return d.first(s, c.hasher.Hash(caller, packet.Destination), now, h)
+	hash := c.hasher.Hash(caller, packet.Destination)
+	if packet.Type == quicheader.ZeroRTT {
+		// An agent drops early data, without a word.
+		choice, ok := s.table.ChooseUnanswered(hash, now)
+		return first(s, choice, ok, h)
+	}
+	choice, ok := s.table.Choose(hash, now)
+	return first(s, choice, ok, h)
 }
 
 // checkFirst tells why a packet whose connection ID names no target can't be
@@ -110,9 +119,8 @@
 	return decision{to: t.Address, kind: frame.Forward}
 }
 
-// first sends a datagram to the target that routing chooses.
-func (d *decider) first(s *service, hash uint64, now time.Duration, h *frame.Header) decision {
-	choice, ok := s.table.Choose(hash, now)
+// first sends a datagram to the target that routing chose.
+func first(s *service, choice routing.Choice, ok bool, h *frame.Header) decision {
 	if !ok {
 		return decision{refused: noTarget}
 	}
@@ -121,7 +129,7 @@
 	h.Alternate = choice.Alternate
 	h.Target = choice.Target.Number
 	h.Incarnation = choice.Target.Incarnation
-	return decision{to: choice.Target.Address, kind: frame.First, reason: choice.Reason}
+	return decision{to: choice.Target.Address, kind: frame.First, reason: choice.Reason, probe: choice.Probe}
 }
 
 func (d *decider) inside(ip netip.Addr) bool {
--- a/internal/entryd/forward_test.go
+++ b/internal/entryd/forward_test.go
@@ -10,6 +10,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
+	"eelgrasswharf.example/eelgrasswharf/routing"
 )
 
 func TestEstablishedFlowNeedsNoDirectory(t *testing.T) {
@@ -266,3 +267,38 @@
 	_, datagram, _ := agent.receiveFrame()
 	is.Equal(datagram, packet)
 }
+
+// TestSilentTargetGetsACopy has one of two targets answer all the time and the
+// other one never. Once it is silent, it gets copies only.
+func TestSilentTargetGetsACopy(t *testing.T) {
+	is := is.New(t)
+	r := start(t, testOptions())
+	silent, other, caller := newSocket(t), newSocket(t), newSocket(t)
+	r.apply(view(1, services(serviceAt(lodgement, publicOne)),
+		record(lodgement, 1, silent.addr()), record(lodgement, 2, other.addr())))
+	w := publicWorkerOf(r, publicOne)
+	i := 0
+	next := func() int {
+		i++
+		return copy(w.buf[frame.HeaderLength:], initialPacket(fmt.Sprintf("made-up-%d", i)))
+	}
+	answered := func() { r.f.tables.Load().loads.Learn(2, 1, routing.Report{}, r.f.now()) }
+	r.await("silence", func() bool {
+		w.frame(next(), caller.addr()) // decides, and sends nothing
+		answered()
+		return r.counter("first_forwarded", "silent") > 0
+	})
+	r.await("a probe", func() bool {
+		w.handle(next(), caller.addr())
+		answered()
+		return r.counter("silent_probes", "") > 0
+	})
+
+	h, datagram, _ := silent.receiveFrame()
+	is.Equal(h.Kind, frame.First)
+	is.Equal(h.Service, uint32(lodgement))
+	is.Equal(h.Caller, caller.addr())
+	is.Equal(h.Target, uint32(1))
+	is.Equal(h.Alternate, other.addr())
+	is.Equal(datagram, initialPacket(fmt.Sprintf("made-up-%d", i)))
+}
--- a/internal/entryd/worker.go
+++ b/internal/entryd/worker.go
@@ -34,6 +34,8 @@
 	out    *net.UDPConn
 	buf    [bufferLength]byte
 	header frame.Header
+	// probe is a silent target that gets a copy of the datagram, or zero.
+	probe routing.Picked
 }
 
 func (w *publicWorker) run() {
@@ -53,6 +55,22 @@
 	if _, err := w.out.WriteToUDPAddrPort(w.buf[:frame.HeaderLength+n], to); err != nil {
 		w.f.counters.toAgentFailed.Inc(1)
 	}
+	if w.probe.Address.IsValid() {
+		w.sendProbe(n, to)
+	}
+}
+
+// sendProbe sends a copy of the first packet that went to an agent to a silent
+// target, with that agent as alternate.
+func (w *publicWorker) sendProbe(n int, sent netip.AddrPort) {
+	w.f.counters.probes.Inc(1)
+	w.header.Alternate = sent
+	w.header.Target = w.probe.Number
+	w.header.Incarnation = w.probe.Incarnation
+	w.f.codecs.Load().frames.Put(w.buf[:], &w.header)
+	if _, err := w.out.WriteToUDPAddrPort(w.buf[:frame.HeaderLength+n], w.probe.Address); err != nil {
+		w.f.counters.toAgentFailed.Inc(1)
+	}
 }
 
 // tell answers a first packet for which there is no target, so that the caller
@@ -76,6 +94,7 @@
 	c := w.f.codecs.Load()
 	datagram := w.buf[frame.HeaderLength : frame.HeaderLength+n]
 	d := w.f.decider.decide(c, w.l.service.Load(), datagram, caller, w.f.now(), &w.header)
+	w.probe = d.probe
 	if d.refused != accepted {
 		return netip.AddrPort{}, d.refused
 	}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -21,19 +21,46 @@
 	maxSteps = 64
 )
 
-// Choose decides on a new flow by a hash that is evenly spread over 64 bits.
-// It reports false, with the reason NoTarget, if there is no candidate. It
-// allocates nothing.
+// Choose decides on a new flow, whose first packet its target answers at once, by
+// a hash that is evenly spread over 64 bits. It reports false, with the reason
+// NoTarget, if there is no candidate. It allocates nothing.
 func (t *Table) Choose(hash uint64, now time.Duration) (Choice, bool) {
+	c, chosen, silent := t.choose(hash, now)
+	if chosen == nil {
+		return c, false
+	}
+	chosen.cell.sent(now)
+	if silent != nil && silent != chosen && silent.cell.takeProbe(now) {
+		c.Probe = silent.picked()
+	}
+	return c, true
+}
+
+// ChooseUnanswered is Choose for a packet that a target need not answer, so that
+// its silence afterwards tells nothing.
+func (t *Table) ChooseUnanswered(hash uint64, now time.Duration) (Choice, bool) {
+	c, chosen, _ := t.choose(hash, now)
+	return c, chosen != nil
+}
+
+// choose returns the choice, the chosen candidate and a drawn one that was left
+// out because it is silent.
+func (t *Table) choose(hash uint64, now time.Duration) (c Choice, chosen, silent *candidate) {
 	a, b := t.draw(hash, now)
 	if a == nil {
-		return Choice{Reason: NoTarget}, false
+		return Choice{Reason: NoTarget}, nil, nil
+	}
+	if t.policy.avoidsSilent() {
+		a, b, silent = t.avoid(a, b, hash, now)
 	}
 
 	chosen, reason := a, Only
 	if b != nil {
 		chosen, reason = t.better(a, b, hash, now)
 	}
+	if silent != nil {
+		reason = Silent
+	}
 	if t.whole != NoTarget {
 		reason = t.whole
 	}
@@ -42,7 +69,25 @@
 		Target:    chosen.picked(),
 		Alternate: alternate(a, b, chosen),
 		Reason:    reason,
-	}, true
+	}, chosen, silent
+}
+
+// avoid replaces silent ones of two candidates and returns one that it replaced. If
+// no other one is found, they stay: they are as good as any.
+func (t *Table) avoid(a, b *candidate, hash uint64, now time.Duration) (c, d, silent *candidate) {
+	switch {
+	case a.cell.silent(now):
+		silent = a
+	case b != nil && b.cell.silent(now):
+		silent = b
+	default:
+		return a, b, nil
+	}
+	heard := t.heard(a, b, hash, now)
+	if heard.a == nil {
+		return a, b, nil
+	}
+	return heard.a, heard.b, silent
 }
 
 // draw returns two different candidates, or one, or none.
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -28,6 +28,19 @@
 // between two reports spreads and a silent target loses. The weights of the
 // policy are scaled so that only their ratio counts.
 //
+// # Silence
+//
+// A target answers each first packet at once. One that was sent a first packet and
+// from which no frame at all has come since counts as silent after SilentAfter: it,
+// its host or the way to it is lost, and its lease may take seconds to tell. Other
+// candidates are drawn in its place. The baseline by hash does not look at silence,
+// and where all are silent the fault is more likely this host's own, so the choice
+// is as if none were. So that it comes back without other traffic, a silent target
+// that is drawn gets a copy of the packet, one in ProbePeriod. No caller waits for
+// the probe. A new incarnation is not silent.
+//
+// # The ramp
+//
 // A candidate within its ramp takes part only in a share of the draws, which
 // grows with its age from a sixteenth to all. The growth follows
 // age^(broken flow weight / imbalance weight), the exponent held between 1/4
--- a/routing/loads.go
+++ b/routing/loads.go
@@ -39,6 +39,9 @@
 	// unanswered counts flows sent since the last report.
 	unanswered  atomic.Uint32
 	incarnation uint32
+	// waiting is the stamp of the first packet since the last frame that the
+	// target had to answer, zero if there is none; probed that of the last probe.
+	waiting, probed atomic.Int64
 }
 
 // Layout of a packed report.
@@ -102,8 +105,8 @@
 	return len(l.cells)
 }
 
-// Learn keeps a report and reports whether the incarnation is on the list. It
-// allocates nothing.
+// Learn keeps the report of a frame that came now, ends the silence of its sender
+// and reports whether the incarnation is on the list. It allocates nothing.
 func (l *Loads) Learn(number, incarnation uint32, r Report, now time.Duration) bool {
 	c := l.find(number, incarnation)
 	if c == nil {
@@ -113,6 +116,7 @@
 	if c.unanswered.Load() != 0 {
 		c.unanswered.Store(0)
 	}
+	c.answered()
 	return true
 }
 
--- a/routing/target.go
+++ b/routing/target.go
@@ -35,6 +35,9 @@
 	// Alternate is the frame address of the other candidate, or zero.
 	Alternate netip.AddrPort
 	Reason    Reason
+	// Probe is a silent target that gets a copy of the packet, or zero. Should it
+	// answer too, the caller acts on the first of the two Retries.
+	Probe Picked
 }
 
 // Reason tells what decided a choice.
@@ -58,6 +61,9 @@
 	Panic
 	// LastResort: all targets are draining, one of them has to pass it on.
 	LastResort
+	// Silent: a drawn candidate has not answered for a while, and one that is
+	// not silent was taken in its place.
+	Silent
 
 	// ReasonCount is the number of reasons.
 	ReasonCount
@@ -82,6 +88,8 @@
 		return "panic"
 	case LastResort:
 		return "last_resort"
+	case Silent:
+		return "silent"
 	default:
 		return "invalid"
 	}
