sleep: a wait that a context cuts short stands once; a cell of an experiment is run by its plan

backend, capacity, experiment, link, loadgen and subscriber each had the same timer and select. internal/sleep.For has it once; it returns at once for a duration that is not positive, as backend's did, and the context's error if that ended in the same moment. experiment.runCell took site, scenario, policy and seed apart (seven parameters); it takes the plan that its only caller has.

--- a/internal/backend/handlers.go
+++ b/internal/backend/handlers.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 const (
@@ -66,7 +68,7 @@
 		defer cancel()
 		answer, err := w(ctx, r, body)
 		if err == nil && hits(faults.LateEvery, number) {
-			err = sleep(r.Context(), faults.LateBy)
+			err = sleep.For(r.Context(), faults.LateBy)
 		}
 		if err != nil {
 			http.Error(rw, "the deadline passed during the work", http.StatusGatewayTimeout)
@@ -121,7 +123,7 @@
 }
 
 func (s *Server) echo(ctx context.Context, r *http.Request, _ []byte) ([]byte, error) {
-	err := sleep(ctx, s.workTime(r))
+	err := sleep.For(ctx, s.workTime(r))
 	return []byte(r.URL.Query().Get("text")), err
 }
 
@@ -143,7 +145,7 @@
 			return nil, err
 		}
 	}
-	err := sleep(ctx, s.workTime(r))
+	err := sleep.For(ctx, s.workTime(r))
 	return body, err
 }
 
@@ -161,7 +163,7 @@
 		if err := control.Flush(); err != nil {
 			return
 		}
-		if sleep(r.Context(), period) != nil {
+		if sleep.For(r.Context(), period) != nil {
 			return
 		}
 	}
@@ -262,18 +264,3 @@
 	}
 	return time.Duration(n) * time.Millisecond
 }
-
-// sleep waits for d or returns the error of ctx when that ends first.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/capacity/agent.go
+++ b/internal/capacity/agent.go
@@ -20,6 +20,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/backend"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 const (
@@ -158,7 +159,7 @@
 		if !errors.Is(err, errStatus) {
 			return err
 		}
-		if sleep(ctx, refusedPause) != nil {
+		if sleep.For(ctx, refusedPause) != nil {
 			return err
 		}
 	}
@@ -227,7 +228,7 @@
 			return err
 		}
 		opening.add(float64(n-began), micros(opened.cpu-before.cpu))
-		if err := sleep(ctx, callerWindow); err != nil {
+		if err := sleep.For(ctx, callerWindow); err != nil {
 			return err
 		}
 		rested, err := t.usage()
@@ -256,7 +257,7 @@
 		if err := await(ctx, "open watches", func() bool { return t.backend.Watching() >= n }); err != nil {
 			return err
 		}
-		if err := sleep(ctx, settle); err != nil {
+		if err := sleep.For(ctx, settle); err != nil {
 			return err
 		}
 		u, err := t.usage()
--- a/internal/capacity/directory.go
+++ b/internal/capacity/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
@@ -41,7 +42,7 @@
 		if err := d.awaitTargets(ctx, n); err != nil {
 			return err
 		}
-		if err := sleep(ctx, renewal); err != nil {
+		if err := sleep.For(ctx, renewal); err != nil {
 			return err
 		}
 		before, err := d.meanUsage()
@@ -49,7 +50,7 @@
 			return err
 		}
 		bytes := h.bytes()
-		if err := sleep(ctx, renewal); err != nil {
+		if err := sleep.For(ctx, renewal); err != nil {
 			return err
 		}
 		wire.add(float64(n), (h.bytes()-bytes)/renewal.Seconds())
--- a/internal/capacity/entry.go
+++ b/internal/capacity/entry.go
@@ -14,6 +14,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
@@ -84,14 +85,14 @@
 // rest returns the private memory and the load of a process that nothing is
 // asked of.
 func (p *process) rest(ctx context.Context) (private, core float64, err error) {
-	if err := sleep(ctx, settle); err != nil {
+	if err := sleep.For(ctx, settle); err != nil {
 		return 0, 0, err
 	}
 	before, err := p.usage()
 	if err != nil {
 		return 0, 0, err
 	}
-	if err := sleep(ctx, window); err != nil {
+	if err := sleep.For(ctx, window); err != nil {
 		return 0, 0, err
 	}
 	after, err := p.usage()
@@ -299,7 +300,7 @@
 	const poll, stalled = 100 * time.Microsecond, 50 * time.Millisecond
 	seen, since := f.arrived.Load(), time.Now()
 	for seen < count && time.Since(since) < stalled {
-		if err := sleep(ctx, poll); err != nil {
+		if err := sleep.For(ctx, poll); err != nil {
 			return err
 		}
 		if now := f.arrived.Load(); now != seen {
--- a/internal/capacity/grants.go
+++ b/internal/capacity/grants.go
@@ -14,6 +14,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 const (
@@ -148,7 +149,7 @@
 	if err != nil {
 		return err
 	}
-	if err := sleep(ctx, atRest); err != nil {
+	if err := sleep.For(ctx, atRest); err != nil {
 		return err
 	}
 	rested, err := d.meanUsage()
--- a/internal/capacity/group.go
+++ b/internal/capacity/group.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 const (
@@ -169,14 +170,14 @@
 	if leader == nil {
 		return errLeaderChanged
 	}
-	if err := sleep(ctx, settle); err != nil {
+	if err := sleep.For(ctx, settle); err != nil {
 		return err
 	}
 	began, err := leader.read(ctx)
 	if err != nil {
 		return err
 	}
-	if err := sleep(ctx, groupWindow); err != nil {
+	if err := sleep.For(ctx, groupWindow); err != nil {
 		return err
 	}
 	rested, err := leader.read(ctx)
@@ -246,5 +247,5 @@
 		}
 		times = append(times, last)
 	}
-	return times, sleep(ctx, counterAge)
+	return times, sleep.For(ctx, counterAge)
 }
--- a/internal/capacity/lab.go
+++ b/internal/capacity/lab.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 // ErrUnknownMeasurement tells that no measurement has the given name.
@@ -113,18 +115,6 @@
 	}
 }
 
-// sleep waits for d, or returns the context's error.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 const (
 	pollPeriod = 10 * time.Millisecond
 	// patience bounds every wait for what must happen.
@@ -139,7 +129,7 @@
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	for !holds() {
-		if sleep(ctx, pollPeriod) != nil {
+		if sleep.For(ctx, pollPeriod) != nil {
 			return errors.Wrap(errImpatient, what)
 		}
 	}
--- a/internal/capacity/pace.go
+++ b/internal/capacity/pace.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 // paceSubscribers is how many subscriptions share what is measured.
@@ -47,7 +49,7 @@
 	if err := f.grow(ctx, paceSubscribers, d.version); err != nil {
 		return err
 	}
-	if err := sleep(ctx, settle); err != nil {
+	if err := sleep.For(ctx, settle); err != nil {
 		return err
 	}
 	const per = "change a second"
@@ -87,7 +89,7 @@
 				return err
 			}
 		}
-		if err := sleep(ctx, time.Until(due)); err != nil {
+		if err := sleep.For(ctx, time.Until(due)); err != nil {
 			return err
 		}
 	}
--- a/internal/capacity/subscribers.go
+++ b/internal/capacity/subscribers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 const (
@@ -48,7 +50,7 @@
 		if err := f.grow(ctx, n, d.version); err != nil {
 			return err
 		}
-		if err := sleep(ctx, settle); err != nil {
+		if err := sleep.For(ctx, settle); err != nil {
 			return err
 		}
 		far, near, bytes, err := d.watch(ctx, f)
@@ -70,7 +72,7 @@
 	before := f.bytes()
 	for i := range far {
 		if i > 0 {
-			if err = sleep(ctx, window); err != nil {
+			if err = sleep.For(ctx, window); err != nil {
 				return far, near, 0, err
 			}
 			bytes = f.bytes() - before
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -68,7 +68,7 @@
 			failed = append(failed, ctx.Err())
 			break
 		}
-		cell, err := runCell(ctx, p.site, p.scenario, p.policy, p.seed, o.Log, &closing)
+		cell, err := runCell(ctx, p, o.Log, &closing)
 		if err != nil {
 			failed = append(failed, errors.Wrapf(err, "%s, %s, %s, seed %d",
 				p.site.Name(), p.scenario.Name, p.policy.Name, p.seed))
--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -33,7 +33,7 @@
 	}}
 	var closing conc.WaitGroup
 	defer closing.Wait()
-	cell, err := runCell(t.Context(), s, sc, Policies()[0], 1, zaptest.NewLogger(t), &closing)
+	cell, err := runCell(t.Context(), plan{s, sc, Policies()[0], 1}, zaptest.NewLogger(t), &closing)
 	is.NoErr(err)
 	is.Equal(len(cell.Services), 2)
 	is.Equal(len(cell.Events), 2)
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"eelgrasswharf.example/eelgrasswharf/internal/backend"
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 // Scenario is a sequence of events under load.
@@ -67,14 +68,14 @@
 			return err
 		}
 	}
-	t.sleep(ctx, settle)
+	_ = sleep.For(ctx, settle)
 	for i := range t.d.Entries() {
 		t.mark(fmt.Sprintf("entry-%d restarts", i+1))
 		if err := t.d.RestartEntry(ctx, i); err != nil {
 			return err
 		}
 	}
-	t.sleep(ctx, settle)
+	_ = sleep.For(ctx, settle)
 	for _, service := range t.site.services {
 		for i := range service.Targets {
 			t.mark(fmt.Sprintf("agent of %s-%d restarts", service.Name, i+1))
@@ -175,14 +176,14 @@
 		return err
 	}
 	for range crashes {
-		if !t.sleep(ctx, life) {
+		if sleep.For(ctx, life) != nil {
 			return ctx.Err()
 		}
 		t.mark("the new server crashes")
 		if err := t.d.CrashServer(service, index); err != nil {
 			return err
 		}
-		if !t.sleep(ctx, gap) {
+		if sleep.For(ctx, gap) != nil {
 			return ctx.Err()
 		}
 		if err := t.d.StartServer(service, index, cold()); err != nil {
--- a/internal/experiment/trial.go
+++ b/internal/experiment/trial.go
@@ -12,6 +12,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/internal/dev"
 	"eelgrasswharf.example/eelgrasswharf/internal/loadgen"
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 const (
@@ -55,10 +56,10 @@
 
 // runCell starts a deployment, makes one run and returns its cell. The
 // deployment ends in the background, within closing.
-func runCell(ctx context.Context, site *Site, sc Scenario, p Policy, seed uint64, log *zap.Logger, closing *conc.WaitGroup) (*Cell, error) {
+func runCell(ctx context.Context, p plan, log *zap.Logger, closing *conc.WaitGroup) (*Cell, error) {
 	startCtx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	o := site.options(p, seed)
+	o := p.site.options(p.policy, p.seed)
 	o.Log = log
 	d, err := dev.Start(startCtx, o)
 	if err != nil {
@@ -66,20 +67,20 @@
 	}
 	// A graceful end takes seconds and needs next to no processor time.
 	defer closing.Go(d.Close)
-	t := &trial{site: site, d: d, members: map[string]*members{}, failed: map[string]bool{}}
+	t := &trial{site: p.site, d: d, members: map[string]*members{}, failed: map[string]bool{}}
 	// Every target is past its ramp before the load begins, by the tables that
 	// entry hosts build from time to time.
-	if !t.sleep(ctx, site.ramp()+tableTime) {
+	if sleep.For(ctx, p.site.ramp()+tableTime) != nil {
 		return nil, ctx.Err()
 	}
-	cell, err := t.run(ctx, sc, seed)
+	cell, err := t.run(ctx, p.scenario, p.seed)
 	if err == nil {
 		err = d.Err()
 	}
 	if err != nil {
 		return nil, err
 	}
-	cell.Site, cell.Scenario, cell.Policy, cell.Seed = site.Name(), sc.Name, p.Name, seed
+	cell.Site, cell.Scenario, cell.Policy, cell.Seed = p.site.Name(), p.scenario.Name, p.policy.Name, p.seed
 	return cell, nil
 }
 
@@ -102,7 +103,7 @@
 		defer close(ended)
 		eventsErr = sc.run(eventsCtx, t)
 		// Callers feel an event for a while.
-		t.sleep(eventsCtx, max(sc.Length-time.Since(t.began), afterEvents))
+		_ = sleep.For(eventsCtx, max(sc.Length-time.Since(t.began), afterEvents))
 	})
 	reports, err := t.load(ctx, sc.Length, ended, seed)
 	stop()
@@ -186,24 +187,12 @@
 
 // at waits until a time of the run.
 func (t *trial) at(ctx context.Context, moment time.Duration) error {
-	if !t.sleep(ctx, time.Until(t.began.Add(moment))) {
+	if sleep.For(ctx, time.Until(t.began.Add(moment))) != nil {
 		return ctx.Err()
 	}
 	return nil
 }
 
-// sleep reports whether ctx lasted that long.
-func (t *trial) sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func closed(c <-chan struct{}) bool {
 	select {
 	case <-c:
--- a/internal/link/redial.go
+++ b/internal/link/redial.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 // Reasons for the loss of a connection.
@@ -95,7 +96,7 @@
 	if time.Since(established) < c.opts.BackoffMax {
 		// A server that lets us in and drops us again is no better than one
 		// that refuses.
-		c.pause(c.jitter(c.opts.BackoffMin))
+		_ = sleep.For(c.ctx, c.jitter(c.opts.BackoffMin))
 	}
 }
 
@@ -141,7 +142,7 @@
 		r.notBefore[addr] = time.Now().Add(wait)
 	}
 	r.index = (r.index + 1) % len(c.addrs)
-	c.pause(c.wait(r, time.Now()))
+	_ = sleep.For(c.ctx, c.wait(r, time.Now()))
 }
 
 // wait returns how long to pause before the next address: hardly at all while
@@ -177,15 +178,6 @@
 	return r.notBefore[c.addrs[r.index]].Sub(now)
 }
 
-func (c *Client) pause(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.ctx.Done():
-	}
-}
-
 func dialReason(err error) string {
 	if _, busy := retryAfter(err); busy {
 		return "busy"
--- a/internal/loadgen/generator.go
+++ b/internal/loadgen/generator.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 // sessionRamp is the share of the run over which sessions are opened, unless
@@ -63,7 +65,7 @@
 		if g.opts.Enough(g.rec.report()) {
 			end()
 		}
-		sleep(runCtx, enoughPeriod)
+		_ = sleep.For(runCtx, enoughPeriod)
 	}
 }
 
@@ -72,7 +74,7 @@
 	step := g.opts.SessionRamp / time.Duration(max(1, g.opts.Sessions))
 	for i := range g.opts.Sessions {
 		wg.Go(func() {
-			sleep(ctx, time.Duration(i)*step)
+			_ = sleep.For(ctx, time.Duration(i)*step)
 			g.session(ctx)
 		})
 	}
@@ -97,7 +99,7 @@
 			scheduled:     next,
 			seed:          draw.Uint64(),
 		}
-		sleep(runCtx, time.Until(next))
+		_ = sleep.For(runCtx, time.Until(next))
 		if runCtx.Err() != nil {
 			return
 		}
--- a/internal/loadgen/request.go
+++ b/internal/loadgen/request.go
@@ -17,6 +17,8 @@
 	"github.com/go-faster/errors"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 const (
@@ -63,7 +65,7 @@
 			return
 		}
 		g.rec.retried(out)
-		sleep(ctx, wait)
+		_ = sleep.For(ctx, wait)
 	}
 }
 
@@ -192,12 +194,3 @@
 	name, _, _ := strings.Cut(target, "/")
 	return name
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/loadgen/session.go
+++ b/internal/loadgen/session.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/quic-go/quic-go/http3"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 const (
@@ -24,7 +26,7 @@
 func (g *generator) session(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := g.watchOnce(ctx)
-		sleep(ctx, max(pause, reopenPause))
+		_ = sleep.For(ctx, max(pause, reopenPause))
 	}
 }
 
--- a/internal/subscriber/settle.go
+++ b/internal/subscriber/settle.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 // jitterShare is how far a period is varied, up and down.
@@ -31,7 +32,7 @@
 	}
 	pause := s.opts.AskDelay
 	for {
-		s.sleep(jitter(r, pause))
+		_ = sleep.For(s.ctx, jitter(r, pause))
 		if s.ctx.Err() != nil || s.settled() {
 			return
 		}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -16,6 +16,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
@@ -171,7 +172,7 @@
 		if received {
 			pause = s.opts.RetryMin
 		}
-		s.sleep(max(jitter(s.opts.Rand, pause), requestedPause(err)))
+		_ = sleep.For(s.ctx, max(jitter(s.opts.Rand, pause), requestedPause(err)))
 		pause = min(2*pause, s.opts.RetryMax)
 	}
 }
@@ -365,12 +366,3 @@
 	default:
 	}
 }
-
-func (s *Subscriber) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-s.ctx.Done():
-	}
-}
