cli: commands that do one thing to a folder of keys share their frame

Ruled out: keys secret prefer and remove, whose second argument is parsed between, and keys issue.

Run: go test -count=1 ./internal/cli ./internal/repotest, ok (help, usage and both forms of output of these commands are tested there).

--- a/internal/cli/authority.go
+++ b/internal/cli/authority.go
@@ -24,20 +24,10 @@
 }
 
 func newAuthorityStep(verb, short, text string, step func(dir string) error) *cobra.Command {
-	var asJSON bool
-	cmd := &cobra.Command{
+	return folderCommand(&cobra.Command{
 		Use:     verb + " FOLDER",
 		Short:   short,
 		Long:    short + ".\n\nThe steps are add, prefer, remove; one out of order fails and changes nothing.",
 		Example: "  eelgrasswharf keys authority " + verb + " keys",
-		Args:    exactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if err := step(args[0]); err != nil {
-				return err
-			}
-			return done(cmd.OutOrStdout(), asJSON, keyReport{Folder: args[0]}, text)
-		},
-	}
-	jsonFlag(cmd, &asJSON)
-	return cmd
+	}, func(dir string) (keyReport, string, error) { return keyReport{Folder: dir}, text, step(dir) })
 }
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -26,19 +26,27 @@
 }
 
 func newKeysInit() *cobra.Command {
-	var asJSON bool
-	cmd := &cobra.Command{
+	return folderCommand(&cobra.Command{
 		Use:     "init FOLDER",
 		Short:   "Make an authority and the first data secret",
 		Long:    "Makes the certificate authority and the first data secret of a deployment. It never overwrites an authority.",
 		Example: "  eelgrasswharf keys init keys",
-		Args:    exactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if err := keys.InitAuthority(args[0]); err != nil {
-				return err
-			}
-			return done(cmd.OutOrStdout(), asJSON, keyReport{Folder: args[0]}, "authority and data secret made in "+args[0])
-		},
+	}, func(dir string) (keyReport, string, error) {
+		return keyReport{Folder: dir}, "authority and data secret made in " + dir, keys.InitAuthority(dir)
+	})
+}
+
+// folderCommand completes a command that does one thing to a folder of keys.
+// change returns the report of it and the text for people.
+func folderCommand(cmd *cobra.Command, change func(dir string) (keyReport, string, error)) *cobra.Command {
+	var asJSON bool
+	cmd.Args = exactArgs(1)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		report, text, err := change(args[0])
+		if err != nil {
+			return err
+		}
+		return done(cmd.OutOrStdout(), asJSON, report, text)
 	}
 	jsonFlag(cmd, &asJSON)
 	return cmd
@@ -52,6 +60,7 @@
 	SecretID    *uint8 `json:"secret_id,omitempty"`
 }
 
+// done tells what a keys command did.
 func done(w io.Writer, asJSON bool, report keyReport, text string) error {
 	if asJSON {
 		return writeJSON(w, report)
@@ -132,23 +141,15 @@
 }
 
 func newSecretAdd() *cobra.Command {
-	var asJSON bool
-	cmd := &cobra.Command{
+	return folderCommand(&cobra.Command{
 		Use:     "add FOLDER",
 		Short:   "Add a secret that decodes only",
 		Long:    "Adds a data secret, which decodes only until it is preferred, and prints its ID.",
 		Example: "  eelgrasswharf keys secret add keys",
-		Args:    exactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			id, err := keys.AddDataSecret(args[0])
-			if err != nil {
-				return err
-			}
-			return done(cmd.OutOrStdout(), asJSON, keyReport{Folder: args[0], SecretID: &id}, strconv.Itoa(int(id)))
-		},
-	}
-	jsonFlag(cmd, &asJSON)
-	return cmd
+	}, func(dir string) (keyReport, string, error) {
+		id, err := keys.AddDataSecret(dir)
+		return keyReport{Folder: dir, SecretID: &id}, strconv.Itoa(int(id)), err
+	})
 }
 
 func newSecretEdit(verb, short string, edit func(dir string, id uint8) error) *cobra.Command {
