keys: the files of a process name their settings, and tests share a folder of keys

The section [keys] was filled from keys.Files by the same four lines in dev, capacity, processtest and the tests of controld, agentd and keys (Files.Settings now), and the tests of controld, agentd and operator each made an authority on the disk and issued and loaded certificates of it (unittest.KeyFolder).

Names of tests and checks stay.

Trial on a scratch copy: Settings without the data secrets makes TestIssueAndLoad fail.

Run: go test -count=1 of keys, agentd, controld, operator, capacity and repotest, ok. Not run yet: internal/dev and process tests over the changed processtest; they wait for a free slot. Both build and vet.

--- a/internal/agentd/deployment_test.go
+++ b/internal/agentd/deployment_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"os"
 	"testing"
 	"time"
@@ -20,23 +19,23 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+	"eelgrasswharf.example/eelgrasswharf/internal/unittest"
 )
 
 // deployment is a control host with a service, and keys on disk.
 type deployment struct {
 	t       *testing.T
-	dir     string
+	keys    *unittest.KeyFolder
 	control *controld.Daemon
 }
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir()}
-	must(t, keys.InitAuthority(d.dir))
+	d := &deployment{t: t, keys: unittest.NewKeyFolder(t)}
 	address := freeAddress(t)
 	control, err := controld.New(&settingspb.ControlSettings{
 		Host: &settingspb.Host{Name: "c1", FailureDomain: "bodija"},
-		Keys: d.keys(keys.RoleControl, "c1", ""),
+		Keys: d.keys.Issue(keys.RoleControl, "c1", "").Settings(),
 		Replica: &settingspb.Replica{
 			DataFolder: t.TempDir(), Listen: address, OperatorListen: "127.0.0.1:0",
 			InitialVoters: []string{"c1=" + address}, TickMs: 20,
@@ -73,28 +72,10 @@
 	return loopback.Address(t, loopback.Host(t)).String()
 }
 
-func (d *deployment) files(role keys.Role, name, service string) keys.Files {
-	d.t.Helper()
-	loopback := []netip.Addr{netip.MustParseAddr("127.0.0.1")}
-	files, err := keys.Issue(d.dir, role, name, service, loopback, time.Hour)
-	must(d.t, err)
-	return files
-}
-
-func (d *deployment) keys(role keys.Role, name, service string) *settingspb.Keys {
-	files := d.files(role, name, service)
-	return &settingspb.Keys{
-		Authority: files.Authority, Certificate: files.Certificate,
-		PrivateKey: files.PrivateKey, DataSecrets: files.DataSecrets,
-	}
-}
-
 // putService has the service accepted by the control host.
 func (d *deployment) putService() {
 	d.t.Helper()
-	credentials, err := keys.Load(d.files(keys.RoleOperator, "ada", ""))
-	must(d.t, err)
-	client := operator.NewClient([]string{d.control.OperatorAddr()}, credentials)
+	client := operator.NewClient([]string{d.control.OperatorAddr()}, d.keys.Credentials(keys.RoleOperator, "ada", ""))
 	defer client.Close()
 	patch := &configpb.Patch{Id: "p1", Operations: []*configpb.Operation{{
 		Body: &configpb.Operation_PutService{PutService: &configpb.Service{
@@ -112,11 +93,11 @@
 // agent runs an agent that New made, with its own links to the control host.
 func (d *deployment) agent(target, backendURL string) (*agent, context.CancelFunc) {
 	d.t.Helper()
-	caller := d.files(keys.RoleCaller, "", testService)
+	caller := d.keys.Issue(keys.RoleCaller, "", testService)
 	scope := tally.NewTestScope("", nil)
 	daemon, err := New(&settingspb.AgentSettings{
 		Host:    &settingspb.Host{Name: target, FailureDomain: "bodija"},
-		Keys:    d.keys(keys.RoleAgent, target, testService),
+		Keys:    d.keys.Issue(keys.RoleAgent, target, testService).Settings(),
 		Control: &settingspb.ControlPeers{Addresses: []string{d.control.LinkAddr()}},
 		Agent: &settingspb.Agent{
 			FrameListen: "127.0.0.1:0", AnnounceListen: "127.0.0.1:0", PollMs: 20,
@@ -138,7 +119,7 @@
 
 func (d *deployment) secrets() []connid.Secret {
 	d.t.Helper()
-	credentials, err := keys.Load(d.files(keys.RoleEntry, "e1", ""))
+	credentials, err := keys.Load(d.keys.Issue(keys.RoleEntry, "e1", ""))
 	must(d.t, err)
 	return dataSecrets(credentials)
 }
@@ -149,7 +130,7 @@
 	d := newDeployment(t)
 	w := newWorld(t)
 	w.entry = newFakeEntry(t, d.secrets(), 1)
-	authority, err := os.ReadFile(d.files(keys.RoleEntry, "e1", "").Authority)
+	authority, err := os.ReadFile(d.keys.Issue(keys.RoleEntry, "e1", "").Authority)
 	is.NoErr(err)
 	w.roots.AppendCertsFromPEM(authority)
 	backend := newFakeBackend(t)
--- a/internal/capacity/deployment.go
+++ b/internal/capacity/deployment.go
@@ -165,10 +165,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &settingspb.Keys{
-		Authority: files.Authority, Certificate: files.Certificate,
-		PrivateKey: files.PrivateKey, DataSecrets: files.DataSecrets,
-	}, nil
+	return files.Settings(), nil
 }
 
 func (d *deployment) credentials(role keys.Role, name, service string) (*keys.Credentials, error) {
--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"testing"
 	"time"
 
@@ -29,7 +28,7 @@
 // deployment is a set of control hosts in this process.
 type deployment struct {
 	t       testing.TB
-	dir     string
+	keys    *unittest.KeyFolder
 	hosts   map[string]*host
 	voters  []string
 	address map[string]string
@@ -53,8 +52,7 @@
 
 func newDeployment(t testing.TB, names ...string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), hosts: map[string]*host{}, address: map[string]string{}, listen: map[string]string{}}
-	must(t, keys.InitAuthority(d.dir))
+	d := &deployment{t: t, keys: unittest.NewKeyFolder(t), hosts: map[string]*host{}, address: map[string]string{}, listen: map[string]string{}}
 	for _, name := range names {
 		d.address[name] = freeAddress(t)
 		d.voters = append(d.voters, name+"="+d.address[name])
@@ -70,29 +68,10 @@
 	return loopback.Address(t, loopback.Host(t)).String()
 }
 
-func (d *deployment) issue(role keys.Role, name, service string) keys.Files {
-	d.t.Helper()
-	loopback := []netip.Addr{netip.MustParseAddr("127.0.0.1")}
-	files, err := keys.Issue(d.dir, role, name, service, loopback, time.Hour)
-	must(d.t, err)
-	return files
-}
-
-func (d *deployment) credentials(role keys.Role, name, service string) *keys.Credentials {
-	d.t.Helper()
-	creds, err := keys.Load(d.issue(role, name, service))
-	must(d.t, err)
-	return creds
-}
-
 func (d *deployment) settings(name, data string, join bool) *settingspb.ControlSettings {
-	files := d.issue(keys.RoleControl, name, "")
 	return &settingspb.ControlSettings{
 		Host: &settingspb.Host{Name: name, FailureDomain: "bodija"},
-		Keys: &settingspb.Keys{
-			Authority: files.Authority, Certificate: files.Certificate,
-			PrivateKey: files.PrivateKey, DataSecrets: files.DataSecrets,
-		},
+		Keys: d.keys.Issue(keys.RoleControl, name, "").Settings(),
 		Replica: &settingspb.Replica{
 			DataFolder: data, Listen: d.listenAddress(name), OperatorListen: "127.0.0.1:0",
 			InitialVoters: d.voters, Join: join, TickMs: 20, MaxLinks: d.maxLinks,
@@ -183,7 +162,7 @@
 	for _, name := range names {
 		addrs = append(addrs, d.hosts[name].daemon.OperatorAddr())
 	}
-	c := operator.NewClient(addrs, d.credentials(keys.RoleOperator, "ada", ""))
+	c := operator.NewClient(addrs, d.keys.Credentials(keys.RoleOperator, "ada", ""))
 	d.t.Cleanup(c.Close)
 	return c
 }
@@ -195,7 +174,7 @@
 	for _, h := range hosts {
 		addrs = append(addrs, d.hosts[h].daemon.LinkAddr())
 	}
-	c := link.NewClient(addrs, d.credentials(role, name, service), link.ClientOptions{HeartbeatTimeout: patience})
+	c := link.NewClient(addrs, d.keys.Credentials(role, name, service), link.ClientOptions{HeartbeatTimeout: patience})
 	d.t.Cleanup(c.Close)
 	return c
 }
--- a/internal/controld/roles_test.go
+++ b/internal/controld/roles_test.go
@@ -276,7 +276,7 @@
 func TestOnlyOperatorsReachTheAPI(t *testing.T) {
 	is := is.New(t)
 	d, ops := newLone(t)
-	intruder := operator.NewClient([]string{d.hosts["c1"].daemon.OperatorAddr()}, d.credentials(keys.RoleAgent, "a1", "lodgement"))
+	intruder := operator.NewClient([]string{d.hosts["c1"].daemon.OperatorAddr()}, d.keys.Credentials(keys.RoleAgent, "a1", "lodgement"))
 	defer intruder.Close()
 	_, err := intruder.Submit(testContext(t), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
 	is.True(err != nil)
--- a/internal/controld/wave_bench_test.go
+++ b/internal/controld/wave_bench_test.go
@@ -146,10 +146,10 @@
 	d.accept(d.operator("c1"), patch("p0", 0, ops...))
 	var creds []*keys.Credentials
 	for i := range waveAgents {
-		creds = append(creds, d.credentials(keys.RoleAgent, fmt.Sprint("a", i), serviceName(i)))
+		creds = append(creds, d.keys.Credentials(keys.RoleAgent, fmt.Sprint("a", i), serviceName(i)))
 	}
 	for i := range waveEntries {
-		creds = append(creds, d.credentials(keys.RoleEntry, fmt.Sprint("e", i), ""))
+		creds = append(creds, d.keys.Credentials(keys.RoleEntry, fmt.Sprint("e", i), ""))
 	}
 	var addrs []string
 	for _, h := range d.hosts {
--- a/internal/dev/keys.go
+++ b/internal/dev/keys.go
@@ -33,10 +33,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &settingspb.Keys{
-		Authority:   files.Authority,
-		Certificate: files.Certificate,
-		PrivateKey:  files.PrivateKey,
-		DataSecrets: files.DataSecrets,
-	}, nil
+	return files.Settings(), nil
 }
--- a/internal/keys/dir.go
+++ b/internal/keys/dir.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 )
 
 // Names of the files in a folder of keys.
@@ -37,6 +39,16 @@
 	DataSecrets string
 }
 
+// Settings returns the section of a settings file that names the files.
+func (f Files) Settings() *settingspb.Keys {
+	return &settingspb.Keys{
+		Authority:   f.Authority,
+		Certificate: f.Certificate,
+		PrivateKey:  f.PrivateKey,
+		DataSecrets: f.DataSecrets,
+	}
+}
+
 // InitAuthority makes an authority and the first data secret in a folder. It
 // refuses a folder that holds an authority already.
 func InitAuthority(dir string) error {
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -13,8 +13,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
-
-	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 )
 
 var someIP = []netip.Addr{netip.MustParseAddr("127.0.0.1")}
@@ -45,12 +43,7 @@
 		t.Run(string(id.Role), func(t *testing.T) {
 			is := is.New(t)
 			files := issue(t, dir, id.Role, id.Name, id.Service)
-			creds, err := FromSettings(&settingspb.Keys{
-				Authority:   files.Authority,
-				Certificate: files.Certificate,
-				PrivateKey:  files.PrivateKey,
-				DataSecrets: files.DataSecrets,
-			})
+			creds, err := FromSettings(files.Settings())
 			is.NoErr(err)
 			is.Equal(creds.Identity(), id)
 			is.Equal(len(creds.DataSecrets()), 1)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"testing"
 	"time"
 
@@ -17,6 +16,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+	"eelgrasswharf.example/eelgrasswharf/internal/unittest"
 )
 
 // fake answers what a test wants.
@@ -74,31 +74,19 @@
 
 // site has the keys of a test deployment.
 type site struct {
-	t   *testing.T
-	dir string
+	t    *testing.T
+	keys *unittest.KeyFolder
 }
 
 func newSite(t *testing.T) *site {
 	t.Helper()
-	s := &site{t: t, dir: t.TempDir()}
-	if err := keys.InitAuthority(s.dir); err != nil {
-		t.Fatal(err)
-	}
+	s := &site{t: t, keys: unittest.NewKeyFolder(t)}
 	return s
 }
 
 func (s *site) credentials(role keys.Role, name string) *keys.Credentials {
 	s.t.Helper()
-	loopback := []netip.Addr{netip.MustParseAddr("127.0.0.1")}
-	files, err := keys.Issue(s.dir, role, name, "", loopback, time.Hour)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	creds, err := keys.Load(files)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	return creds
+	return s.keys.Credentials(role, name, "")
 }
 
 func (s *site) serve(f *fake) *operator.Server {
--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -78,15 +78,6 @@
 	return files
 }
 
-func keySettings(files keys.Files) *settingspb.Keys {
-	return &settingspb.Keys{
-		Authority:   files.Authority,
-		Certificate: files.Certificate,
-		PrivateKey:  files.PrivateKey,
-		DataSecrets: files.DataSecrets,
-	}
-}
-
 // metricsSettings open a metrics listener on a free port.
 func metricsSettings(ip netip.Addr) *settingspb.Metrics {
 	return &settingspb.Metrics{Listen: netip.AddrPortFrom(ip, 0).String()}
--- a/internal/processtest/control.go
+++ b/internal/processtest/control.go
@@ -92,7 +92,7 @@
 	}
 	host.settings = &settingspb.ControlSettings{
 		Host:    hostSettings(name, name),
-		Keys:    keySettings(c.issue(keys.RoleControl, name, "")),
+		Keys:    c.issue(keys.RoleControl, name, "").Settings(),
 		Metrics: metricsSettings(ip),
 		Replica: &settingspb.Replica{
 			DataFolder:     c.path("data-%s", name),
--- a/internal/processtest/entry.go
+++ b/internal/processtest/entry.go
@@ -53,7 +53,7 @@
 	e := &Entry{cluster: c, Host: name, ip: ip}
 	e.settings = &settingspb.EntrySettings{
 		Host:    hostSettings(name, name),
-		Keys:    keySettings(c.issue(keys.RoleEntry, name, "")),
+		Keys:    c.issue(keys.RoleEntry, name, "").Settings(),
 		Metrics: metricsSettings(ip),
 		Control: &settingspb.ControlPeers{Addresses: c.linksOr(control)},
 		Forwarding: &settingspb.Forwarding{
--- a/internal/processtest/standins.go
+++ b/internal/processtest/standins.go
@@ -42,7 +42,7 @@
 	c.t.Helper()
 	s.standIns++
 	name := fmt.Sprintf("%s-stand-ins-%d", s.Name, s.standIns)
-	client := c.client(keySettings(c.issue(keys.RoleAgent, name, s.Name)), c.links())
+	client := c.client(c.issue(keys.RoleAgent, name, s.Name).Settings(), c.links())
 	c.t.Cleanup(client.Close)
 	address := loopback.Address(c.t, loopback.Host(c.t)).String()
 	announcers := make([]*subscriber.Announcer, count)
@@ -69,7 +69,7 @@
 	c.t.Helper()
 	for i := range count {
 		name := fmt.Sprint("subscriber-", i)
-		client := c.client(keySettings(c.issue(keys.RoleEntry, name, "")), c.links())
+		client := c.client(c.issue(keys.RoleEntry, name, "").Settings(), c.links())
 		c.t.Cleanup(client.Close)
 		c.t.Cleanup(subscriber.Start(subscriber.Options{Client: client}).Close)
 	}
--- a/internal/processtest/target.go
+++ b/internal/processtest/target.go
@@ -85,7 +85,7 @@
 	announce := loopback.Address(c.t, t.ip)
 	t.settings = &settingspb.AgentSettings{
 		Host:    hostSettings(name, name),
-		Keys:    keySettings(c.issue(keys.RoleAgent, name, s.Name)),
+		Keys:    c.issue(keys.RoleAgent, name, s.Name).Settings(),
 		Metrics: metricsSettings(t.ip),
 		Control: &settingspb.ControlPeers{Addresses: c.linksOr(options.Control)},
 		Agent: &settingspb.Agent{
--- a/internal/unittest/unittest.go
+++ b/internal/unittest/unittest.go
@@ -1,11 +1,13 @@
 // Package unittest is what the unit tests of several packages share: a wait for a
-// condition, the look-up of a counter, credentials in memory and data secrets.
+// condition, the look-up of a counter, credentials in memory and on disk, and data
+// secrets.
 //
 // It imports little, so that the packages which processtest imports can use it in
 // their own tests.
 package unittest
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -99,6 +101,37 @@
 	return credentials
 }
 
+// KeyFolder is a folder of keys on the disk, as an operator has it.
+type KeyFolder struct {
+	dir string
+	t   testing.TB
+}
+
+// NewKeyFolder makes a folder with an authority and a data secret.
+func NewKeyFolder(t testing.TB) *KeyFolder {
+	t.Helper()
+	f := &KeyFolder{dir: t.TempDir(), t: t}
+	Must(t, keys.InitAuthority(f.dir))
+	return f
+}
+
+// Issue writes a certificate for a process on loopback.
+func (f *KeyFolder) Issue(role keys.Role, name, service string) keys.Files {
+	f.t.Helper()
+	loopback := []netip.Addr{netip.MustParseAddr("127.0.0.1")}
+	files, err := keys.Issue(f.dir, role, name, service, loopback, time.Hour)
+	Must(f.t, err)
+	return files
+}
+
+// Credentials issues a certificate and loads it.
+func (f *KeyFolder) Credentials(role keys.Role, name, service string) *keys.Credentials {
+	f.t.Helper()
+	credentials, err := keys.Load(f.Issue(role, name, service))
+	Must(f.t, err)
+	return credentials
+}
+
 // Secret is a data secret whose key is told by the fill.
 func Secret(id, fill byte) connid.Secret {
 	s := connid.Secret{ID: id}
