logging: no stacks below the level error

Ordinary lines such as "control host not reached" (info) carried errorVerbose, a stack with the source folders of the machine that built the binary: 10 times in one log of a control host.

Ruled out: to drop it everywhere, since at the level error it is part of a report of a fault; to use errors without stacks, which the house style does not.

Test first: TestOnlyErrorsShowTheirStack failed at info and warn (logging_test.go:66, true != false).

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -25,7 +25,7 @@
 		level = parsed
 	}
 	core := zapcore.NewCore(encoder(s.GetFormat()), zapcore.Lock(zapcore.AddSync(w)), level)
-	return zap.New(core), nil
+	return zap.New(plainErrors{core}), nil
 }
 
 func encoder(format settingspb.LogFormat) zapcore.Encoder {
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/logging"
@@ -41,3 +43,27 @@
 	_, err := logging.New(&settingspb.Log{Level: "loud"}, &bytes.Buffer{})
 	is.True(errors.Is(err, logging.ErrLevel))
 }
+
+// A stack helps with a fault of this release, which is logged as an error. Below
+// that it is noise, and tells folders of the machine that built the binary.
+func TestOnlyErrorsShowTheirStack(t *testing.T) {
+	cause := errors.Wrap(errors.New("no answer"), "dial")
+	for _, tt := range []struct {
+		level zapcore.Level
+		stack bool
+	}{{zapcore.InfoLevel, false}, {zapcore.WarnLevel, false}, {zapcore.ErrorLevel, true}} {
+		t.Run(tt.level.String(), func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			log, err := logging.New(nil, &out)
+			is.NoErr(err)
+			log.With(zap.Int("group", 1)).Log(tt.level, "link lost", zap.Error(cause), zap.Error(nil))
+			var line map[string]any
+			is.NoErr(json.Unmarshal(out.Bytes(), &line))
+			is.Equal(line["error"], "dial: no answer")
+			is.Equal(line["group"], 1.0)
+			_, stack := line["errorVerbose"]
+			is.Equal(stack, tt.stack)
+		})
+	}
+}
