loadgen: marks that do not fit no longer keep a plot from ending

Now marks outside the run are left out, and a text is cut to five eighths of a panel.

Test first: TestMarksThatDoNotFit failed (plot_test.go:59; the text was not drawn at all). After: packages loadgen, experiment, cli and repotest passed once, and a plot with the four texts of the scenario was looked at.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -122,7 +122,8 @@
 
 --plot draws the run over time. What is done to the deployment meanwhile can be
 written into a file, one event a line, as a time of "date -Ins" and a text; the
-file that --events names is read at the end of the run, and each event is marked.`,
+file that --events names is read at the end of the run, and each event within the run
+is marked.`,
 		Example: `  eelgrasswharf load --service lodgement --address 192.0.2.80:443 \
     --authority keys/authority.pem --rate 500 --sessions 200 --duration 60s --json
   echo "$(date -Ins) drain lodgement-1" >> events.txt
--- a/internal/loadgen/plot.go
+++ b/internal/loadgen/plot.go
@@ -22,6 +22,9 @@
 	panelHeight = 8 * vg.Centimeter
 	panelGap    = 4 * vg.Millimeter
 	markSize    = 7 * vg.Inch / 72
+	// markLength bounds the text of a mark. It runs upwards, and a panel has to
+	// have room for it.
+	markLength = panelHeight * 5 / 8
 	// headroom is left above the greatest value, for the legend.
 	headroom = 1.3
 	// markShare is the part of the run within which marks share a line, since
@@ -140,11 +143,15 @@
 	return float64(max(1, len(c.Answers), len(c.Moments))) * c.Window.Seconds()
 }
 
-// joined returns the marks by time, those close to each other as one.
+// joined returns the marks within the run by time, those close to each other as
+// one.
 func (c *Chart) joined() []Mark {
 	var out []Mark
 	sorted := slices.SortedStableFunc(slices.Values(c.Marks), func(a, b Mark) int { return cmp.Compare(a.Seconds, b.Seconds) })
 	for _, m := range sorted {
+		if m.Seconds < 0 || m.Seconds > c.seconds() {
+			continue
+		}
 		if n := len(out); n > 0 && m.Seconds-out[n-1].Seconds < markShare*c.seconds() {
 			out[n-1].Text += "; " + m.Text
 			continue
@@ -255,7 +262,21 @@
 		}
 		label.TextStyle[0].Rotation = math.Pi / 2
 		label.TextStyle[0].Font.Size = markSize
+		label.Offset.X = -markSize / 4 // beside the line
+		label.Labels[0] = shortened(m.Text, label.TextStyle[0].Width)
 		p.Add(label)
 	}
 	return nil
 }
+
+// shortened cuts a text to markLength.
+func shortened(text string, width func(string) vg.Length) string {
+	runes := []rune(text)
+	if width(text) <= markLength {
+		return text
+	}
+	for len(runes) > 0 && width(string(runes)+"…") > markLength {
+		runes = runes[:len(runes)-1]
+	}
+	return string(runes) + "…"
+}
--- a/internal/loadgen/plot_test.go
+++ b/internal/loadgen/plot_test.go
@@ -48,6 +48,19 @@
 	is.Equal(c.joined(), []Mark{{1, "a; b"}, {9, "c"}})
 }
 
+// Texts beyond the panel's height, and marks outside the run, once left no room
+// for the plot itself, which then was never drawn to its end.
+func TestMarksThatDoNotFit(t *testing.T) {
+	is := is.New(t)
+	c := &Chart{Window: time.Second, Answers: []map[string]int{{"l-1": 1}, {"l-1": 2}}, Marks: []Mark{
+		{-3600, "of an earlier run"}, {1, "drain " + strings.Repeat("of a long name ", 50)}, {3600, "of a later run"},
+	}}
+	text := saved(t, c)
+	is.True(strings.Contains(text, "drain of a long name"))
+	is.True(!strings.Contains(text, "of an earlier run") && !strings.Contains(text, "of a later run"))
+	is.NoErr(c.Save(filepath.Join(t.TempDir(), "run.png")))
+}
+
 func TestChartHasTheImbalanceOfWindowsThatCount(t *testing.T) {
 	is := is.New(t)
 	r := &Report{targets: []string{"a", "b"}, Windows: []map[string]int{{"a": 30, "b": 10}, {"a": 1}, nil}}
