experiment: the imbalance after a cold start is told apart

With a drain at 1.5 s, a start soon after it and a ramp of 2 s, the windows of the measure (2 s from the start of the load on, targets counted that were in service for the whole of one) count the new target only from 4 s on, when its ramp is over. Half of the windows of the scenario are thus the same whatever the weights are.

Answers are now counted in steps of 0.5 s, four of which make a window. The imbalance is as before (windows begin with the load); besides, it is taken over windows that begin with the first whole step after the first cold start of the run. Ruled out: shorter windows, as 20 answers a target make a ratio of 1.3 by chance alone.

Tests: TestImbalanceAfterAStart, TestStepsAddUpToWindows are new; no existing test changed.

--- a/internal/experiment/cell.go
+++ b/internal/experiment/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"eelgrasswharf.example/eelgrasswharf/internal/loadgen"
 )
@@ -39,6 +40,9 @@
 	// percentile.
 	Imbalance    float64 `json:"imbalance"`
 	ImbalanceP99 float64 `json:"imbalance_p99"`
+	// ImbalanceAfterStart is the mean over the windows from the first cold
+	// start on, 0 without one.
+	ImbalanceAfterStart float64 `json:"imbalance_after_start"`
 	// Refused requests ended as not run, Unknown ones without an answer.
 	Refused int `json:"refused"`
 	Unknown int `json:"unknown"`
@@ -70,7 +74,8 @@
 
 // serviceCell reads a report of the callers.
 func serviceCell(r *loadgen.Report, m members) ServiceCell {
-	even := imbalance(r.Windows, window, m)
+	windows := joinSteps(r.Windows)
+	even := imbalance(windows, window, m)
 	c := ServiceCell{
 		Service: r.Service, Requests: r.Requests, Flows: r.Flows, Sessions: r.Sessions,
 		BrokenFlows: r.BrokenFlows, LostWithHost: r.FlowsLostWithHost,
@@ -78,7 +83,11 @@
 		Misrouted: r.Misrouted, WrongAnswers: r.WrongAnswers,
 		P50: r.LatencyMS.P50, P99: r.LatencyMS.P99,
 		Outcomes: r.Outcomes, RetriesBy: r.Retries, BrokenBy: r.BrokenBy,
-		windows: r.Windows,
+		windows: windows,
+	}
+	if first, ok := m.firstStart(); ok && first < len(r.Windows) {
+		after := imbalance(joinSteps(r.Windows[first:]), window, m.since(time.Duration(first)*step))
+		c.ImbalanceAfterStart = after.Overall
 	}
 	for _, n := range r.Retries {
 		c.Retries += n
--- a/internal/experiment/doc.go
+++ b/internal/experiment/doc.go
@@ -19,6 +19,10 @@
 // until the loss. Windows in which no target was in service throughout, or
 // with fewer than loadgen.MinPerTarget answers a target, are left out.
 //
+// The weights of a policy decide only while a target is cold, and in those
+// windows it is often not yet counted. So imbalance is told once more over
+// windows that begin with the first cold start of the run.
+//
 // # Correctness
 //
 // Doubled, misrouted and falsely "not run" must be 0 in every cell. They are
--- a/internal/experiment/markdown.go
+++ b/internal/experiment/markdown.go
@@ -47,6 +47,7 @@
 	{"lost with host", 0, func(c *ServiceCell) float64 { return float64(c.LostWithHost) }},
 	{"imbalance", 2, func(c *ServiceCell) float64 { return c.Imbalance }},
 	{"imbalance p99", 2, func(c *ServiceCell) float64 { return c.ImbalanceP99 }},
+	{"imbalance after start", 2, func(c *ServiceCell) float64 { return c.ImbalanceAfterStart }},
 	{"refused", 0, func(c *ServiceCell) float64 { return float64(c.Refused) }},
 	{"unknown", 0, func(c *ServiceCell) float64 { return float64(c.Unknown) }},
 	{"failed", 0, func(c *ServiceCell) float64 { return float64(c.Failed) }},
--- a/internal/experiment/members.go
+++ b/internal/experiment/members.go
@@ -50,6 +50,49 @@
 	return targets
 }
 
+// firstStart returns the first whole step after the first cold start of the
+// run, if there is one.
+func (m members) firstStart() (int, bool) {
+	first, found := 0, false
+	for _, s := range m {
+		at := int((s.from + step - 1) / step)
+		if s.from > 0 && (!found || at < first) {
+			first, found = at, true
+		}
+	}
+	return first, found
+}
+
+// since returns the members that are left at a time of the run, with times
+// that count from then on.
+func (m members) since(start time.Duration) members {
+	var left members
+	for _, s := range m {
+		switch {
+		case s.to == 0:
+			left = append(left, span{target: s.target, from: s.from - start})
+		case s.to > start:
+			left = append(left, span{target: s.target, from: s.from - start, to: s.to - start})
+		}
+	}
+	return left
+}
+
+// joinSteps adds the answers of steps up to windows. The last one may be short.
+func joinSteps(steps []map[string]int) []map[string]int {
+	var windows []map[string]int
+	for part := range slices.Chunk(steps, stepsPerWindow) {
+		w := map[string]int{}
+		for _, s := range part {
+			for target, n := range s {
+				w[target] += n
+			}
+		}
+		windows = append(windows, w)
+	}
+	return windows
+}
+
 // imbalance is the measure that the package comment defines.
 func imbalance(windows []map[string]int, length time.Duration, m members) loadgen.Imbalance {
 	var ratios []float64
--- a/internal/experiment/members_test.go
+++ b/internal/experiment/members_test.go
@@ -62,3 +62,38 @@
 		})
 	}
 }
+
+func TestImbalanceAfterAStart(t *testing.T) {
+	is := is.New(t)
+	var m members
+	m.join("a", 0)
+	_, started := m.firstStart()
+	is.True(!started) // who is there when the load begins does not start in the run
+	m.join("b", 0)
+	m.leave("b", 2*step)
+	m.join("d", 9*step)
+	m.join("c", 5*step+1)
+	first, started := m.firstStart()
+	is.True(started)
+	is.Equal(first, 6) // the first whole step
+	is.Equal(m.since(6*step), members{{target: "a", from: -6 * step}, {target: "d", from: 3 * step}, {target: "c", from: 1 - step}})
+	is.Equal(m.since(step)[1], span{target: "b", from: -step, to: step})
+
+	// Before c is there all is even; then a has three times its answers.
+	var steps []map[string]int
+	for i := range 6 + stepsPerWindow {
+		if i < 6 {
+			steps = append(steps, map[string]int{"a": 50, "b": 50})
+			continue
+		}
+		steps = append(steps, map[string]int{"a": 15, "c": 5})
+	}
+	even := serviceCell(&loadgen.Report{Windows: steps}, members{{target: "a"}, {target: "b", to: 6 * step}})
+	is.Equal(even.ImbalanceAfterStart, 0.0) // nobody started
+	is.Equal(serviceCell(&loadgen.Report{Windows: steps}, m).ImbalanceAfterStart, 1.5)
+}
+
+func TestStepsAddUpToWindows(t *testing.T) {
+	one := map[string]int{"a": 1, "b": 2}
+	is.New(t).Equal(joinSteps([]map[string]int{one, one, one, nil, one}), []map[string]int{{"a": 3, "b": 6}, one})
+}
--- a/internal/experiment/site.go
+++ b/internal/experiment/site.go
@@ -115,7 +115,7 @@
 		Deadline:        milliseconds(c.GetDeadlineMs()),
 		Duration:        length,
 		Seed:            seed,
-		Window:          window,
+		Window:          step,
 	}
 }
 
--- a/internal/experiment/trial.go
+++ b/internal/experiment/trial.go
@@ -15,8 +15,11 @@
 )
 
 const (
-	// window is the time over which imbalance is taken.
-	window = 2 * time.Second
+	// window is the time over which imbalance is taken, step that over which
+	// answers are counted: a window may begin at any step.
+	window         = stepsPerWindow * step
+	step           = 500 * time.Millisecond
+	stepsPerWindow = 4
 	// sessionShare is the part of the load over which sessions are opened, so
 	// that each event finds old ones and new ones.
 	sessionShare = 0.8
