loadgen: the first flows differ in length, so that later ones begin one by one

Cause: requests take the connections in turn and each flow carries the same number of them. So all 50 flows of a service were opened in the first round of requests, and all ended within one round: at 140 requests a second and 15 requests a flow that is after 750 requests, 5.4 s. In the scenario drain-cold-start at matching that moment comes right after the ramp of the new target. Real callers do not move in step.

The first flow of a connection is now shorter, by 0 to 14 requests.

Ruled out: that the load figure alone makes the target overshoot (it lags by 4 s, but 0.03 to 1.48 of the share within half a second needs ten flows in it).

TestFirstFlowsEndOneByOne is new; no existing test changed.

--- a/internal/loadgen/doc.go
+++ b/internal/loadgen/doc.go
@@ -3,7 +3,8 @@
 //
 // It is an open-loop generator: requests start on a schedule fixed by rate
 // and seed, whatever became of the earlier ones, and latency counts from the
-// scheduled time. Callers speak HTTP/3 and keep to the caller protocol: they
+// scheduled time. Flows take turns, and the first ones differ in length, so that
+// later ones begin one by one and not all in one round. Callers speak HTTP/3 and keep to the caller protocol: they
 // honour Retry-After, retry within a budget, and repeat a non-repeatable request
 // whose outcome is unknown only where the answer asks them to come back.
 //
--- a/internal/loadgen/flow.go
+++ b/internal/loadgen/flow.go
@@ -164,10 +164,19 @@
 	// lock is a channel so that waiting ends with the request's context.
 	lock chan struct{}
 	flow *flow
+	// spent is how many requests the first flow is shorter.
+	spent int
 }
 
-func newSlot(d *dialer) *slot {
-	return &slot{dialer: d, lock: make(chan struct{}, 1)}
+// newSlot returns the slot of an index. Slots take turns, so flows of one length
+// would all end within one round and be opened anew in a burst; the first ones
+// differ in length.
+func newSlot(d *dialer, index int) *slot {
+	s := &slot{dialer: d, lock: make(chan struct{}, 1)}
+	if n := d.opts.RequestsPerFlow; n > 0 {
+		s.spent = index % n
+	}
+	return s
 }
 
 // acquire returns a flow that the caller has to release.
@@ -187,6 +196,7 @@
 		if err != nil {
 			return nil, err
 		}
+		f.uses, s.spent = s.spent, 0
 		s.flow = f
 	}
 	s.flow.uses++
--- a/internal/loadgen/generator.go
+++ b/internal/loadgen/generator.go
@@ -32,8 +32,8 @@
 	o = o.withDefaults()
 	rec := newRecorder(o)
 	g := &generator{opts: o, rec: rec, dialer: &dialer{opts: o, rec: rec}}
-	for range o.Connections {
-		g.slots = append(g.slots, newSlot(g.dialer))
+	for i := range o.Connections {
+		g.slots = append(g.slots, newSlot(g.dialer, i))
 	}
 	runCtx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
