agentd: connections that a target begins are counted; faultproxy sends in turn

Cause: that exactly one target begins with a caller could not be seen from outside. The gauge of sessions shows finished handshakes only, and a target that got half of a ClientHello finishes none. connections_begun counts when quic-go makes a connection, after the Retry. Ruled out: frames_received (counts the first packets too, which begin nothing). A relay can send each datagram of a caller to the next host in turn: by chance the two datagrams of a first flight meet the same entry host every second time.

--- a/internal/agentd/counters.go
+++ b/internal/agentd/counters.go
@@ -21,6 +21,7 @@
 	reasons  map[reason.Code]tally.Counter
 	outcomes map[retry.Outcome]tally.Counter
 
+	begun       tally.Counter
 	frames      tally.Counter
 	datagrams   tally.Counter
 	formerLives tally.Counter
@@ -42,6 +43,7 @@
 	c := &counters{
 		reasons:     make(map[reason.Code]tally.Counter),
 		outcomes:    make(map[retry.Outcome]tally.Counter),
+		begun:       scope.Counter("connections_begun"),
 		frames:      scope.Counter("frames_received"),
 		datagrams:   scope.Counter("datagrams_sent"),
 		formerLives: scope.Counter("flows_of_former_process"),
--- a/internal/agentd/flow_test.go
+++ b/internal/agentd/flow_test.go
@@ -232,11 +232,11 @@
 // connection.
 func TestEveryConnectionBeginsWithARetry(t *testing.T) {
 	is := is.New(t)
-	w, _, _ := oneAgent(t)
+	w, a, _ := oneAgent(t)
 	socket := &quic.Transport{Conn: listenUDP(t)}
 	t.Cleanup(func() { _ = socket.Close() })
 	config := &quic.Config{TokenStore: quic.NewLRUTokenStore(4, 4)}
-	for range 3 {
+	for i := range 3 {
 		before := w.entry.retriesSeen()
 		transport := &http3.Transport{
 			TLSClientConfig: &tls.Config{RootCAs: w.roots, ServerName: testService},
@@ -248,6 +248,7 @@
 		client := &http.Client{Transport: transport}
 		is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
 		is.True(w.entry.retriesSeen() > before) // one for each datagram of the first flight
+		is.Equal(a.counter("connections_begun", ""), int64(i+1))
 		must(t, transport.Close())
 	}
 }
--- a/internal/agentd/plane.go
+++ b/internal/agentd/plane.go
@@ -103,16 +103,14 @@
 }
 
 // admit refuses new connections of a target that has been leaving for longer
-// than the grace for handshakes under way.
+// than the grace for handshakes under way, and counts the others.
 func (p *plane) admit(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
-	if !p.leaving.Load() {
-		return ctx, nil
+	if p.leaving.Load() && p.clock.now()-time.Duration(p.since.Load()) > p.timing.acceptGrace {
+		p.counters.count(reason.FlowRefused)
+		return nil, ErrLeaving
 	}
-	if p.clock.now()-time.Duration(p.since.Load()) <= p.timing.acceptGrace {
-		return ctx, nil
-	}
-	p.counters.count(reason.FlowRefused)
-	return nil, ErrLeaving
+	p.counters.begun.Inc(1)
+	return ctx, nil
 }
 
 // current returns the state with the load of this moment.
--- a/internal/faultproxy/control.go
+++ b/internal/faultproxy/control.go
@@ -10,6 +10,14 @@
 	r.hosts = append([]netip.AddrPort(nil), hosts...)
 }
 
+// SendInTurn sends each datagram of a caller to the host after the one that got
+// the last, in place of one chosen at random.
+func (r *Relay) SendInTurn() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inTurn = true
+}
+
 // SetFaults sets the faults of one direction for all hosts without faults of
 // their own.
 func (r *Relay) SetFaults(direction Direction, faults Faults) {
--- a/internal/faultproxy/relay.go
+++ b/internal/faultproxy/relay.go
@@ -71,6 +71,8 @@
 	// recorded holds up to recordLimit datagrams of each direction.
 	recorded    [directions][][]byte
 	recordLimit int
+	// inTurn replaces the random choice of a host.
+	inTurn bool
 }
 
 // flow is the state of one caller address.
@@ -81,6 +83,8 @@
 	// distance is the delay one way that the caller's IP number brings.
 	distance time.Duration
 	stale    [directions]bool
+	// turn counts the datagrams to hosts.
+	turn int
 }
 
 // NewRelay opens the front address and starts to relay.
@@ -151,7 +155,7 @@
 	}
 }
 
-// toHost sends one datagram of a caller to a host chosen at random.
+// toHost sends one datagram of a caller to a host chosen at random or in turn.
 func (r *Relay) toHost(caller netip.AddrPort, datagram []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -163,6 +167,10 @@
 		return
 	}
 	host := r.hosts[r.random.IntN(len(r.hosts))]
+	if r.inTurn {
+		host = r.hosts[f.turn%len(r.hosts)]
+	}
+	f.turn++
 	r.sendLocked(pathKey{host, ToHost}, f, f.upstream, host, datagram)
 }
 
--- a/internal/faultproxy/relay_test.go
+++ b/internal/faultproxy/relay_test.go
@@ -84,6 +84,23 @@
 	is.Equal(text, "by b")
 }
 
+func TestSendsInTurn(t *testing.T) {
+	is := is.New(t)
+	caller, a, b := socket(t), socket(t), socket(t)
+	r := relay(t, Options{Hosts: []netip.AddrPort{addrOf(a), addrOf(b)}})
+	r.SendInTurn()
+	for _, text := range []string{"1", "2", "3", "4"} {
+		send(t, caller, r.Addr(), text)
+	}
+	for _, want := range []struct {
+		at   *net.UDPConn
+		text string
+	}{{a, "1"}, {b, "2"}, {a, "3"}, {b, "4"}} {
+		text, _ := receive(t, want.at)
+		is.Equal(text, want.text)
+	}
+}
+
 func TestHostsChangeWhileRunning(t *testing.T) {
 	is := is.New(t)
 	caller, a, b := socket(t), socket(t), socket(t)
