--- a/internal/processtest/process.go
+++ b/internal/processtest/process.go
@@ -94,11 +94,6 @@
 	p.signal(syscall.SIGTERM)
 }
 
-// Freeze stops the process (SIGSTOP) until Thaw.
-func (p *Process) Freeze() {
-	p.signal(syscall.SIGSTOP)
-}
-
 // Thaw lets a frozen process go on (SIGCONT).
 func (p *Process) Thaw() {
 	p.signal(syscall.SIGCONT)
