agentd: what waited while the agent stood still does not run

A request with a key waits in the socket buffer of a frozen agent; its resend at a target without a free slot is told not-run; after the thaw the first attempt runs. TestNotRunHoldsOverAFrozenAgent does this with real processes.

The agent now looks at its monotonic clock each 50 ms and with each request with a key. After a gap of more than 1 s a request with a key that came before its end, or within 2 s after it over a connection opened before, is told unknown, agent-stalled, with Retry-After, and nobody is asked for its grant. The same is looked at when the grant is there: the Acquire may have gone out after the thaw, and a refusal may have come before it.

Ruled out: counts of attempts by callers; unknown for each shed request; stamps of the grant group's clock on connections; GOAWAY after each standstill. Checked by reading: a right that was granted before a standstill holds its key, so a resend elsewhere is told held, and a wait for a slot that ends late contradicts nobody.

The times of a standstill in testTiming are long, so that a busy machine under tests is none.

Conclusion: the standstill of an agent of more than 1 s no longer makes a not-run false. Open: shorter ones, a suspended virtual machine whose clock stood too, other places that hold datagrams up, and a caller that keeps two attempts.

--- a/internal/agentd/call.go
+++ b/internal/agentd/call.go
@@ -64,6 +64,8 @@
 	lasting bool
 	watch   bool
 	key     string
+	// arrived is when a request with a key came, on the daemon's clock.
+	arrived time.Duration
 	id      string
 	body    []byte
 }
--- a/internal/agentd/counters.go
+++ b/internal/agentd/counters.go
@@ -29,6 +29,7 @@
 	resets      tally.Counter
 	unrecorded  tally.Counter
 	otherTable  tally.Counter
+	standstills tally.Counter
 	sessions    tally.Gauge
 	watches     tally.Gauge
 	running     tally.Gauge
@@ -49,6 +50,7 @@
 		replayed:    scope.Counter("answers_replayed"),
 		resets:      scope.Counter("answers_reset"),
 		otherTable:  scope.Counter("grants_of_another_table"),
+		standstills: scope.Counter("standstills"),
 		unrecorded:  scope.Counter("answers_unrecorded"),
 		sessions:    scope.Gauge("sessions"),
 		watches:     scope.Gauge("watches"),
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -49,6 +49,7 @@
 	gate     *gate
 	health   *healthState
 	proxy    *proxy
+	still    *standstills
 	plane    atomic.Pointer[plane]
 	stopping atomic.Bool
 
@@ -101,7 +102,9 @@
 	}
 	d.gate = newGate(d.gateLimits(0))
 	d.lastGate = d.gate.figures()
+	d.still = newStandstills(clock, t, d.counters, log)
 	d.proxy = &proxy{
+		still:     d.still,
 		backend:   d.backend.view,
 		gate:      d.gate,
 		bodies:    &bodies{limit: l.requestBytes, total: max(maxBodyBytes, l.requestBytes)},
@@ -155,6 +158,7 @@
 	close(d.ready)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	d.wait.Go(func() { d.still.run(background) })
 	d.wait.Go(func() { newPoller(d.backend, d.health, d.limits.poll).run(background) })
 	registered, err := d.enroll(ctx)
 	if err != nil || registered == nil {
@@ -226,7 +230,7 @@
 	}
 	return newPlane(planeOptions{
 		conn: d.socket, self: self, secrets: d.parts.secrets(), certificate: d.parts.certificate,
-		proxy: d.proxy, flows: newFlowTable(maxFlows), counters: d.counters, timing: d.timing, clock: d.clock,
+		proxy: d.proxy, still: d.still, flows: newFlowTable(maxFlows), counters: d.counters, timing: d.timing, clock: d.clock,
 		handOn: &handOn{self: self, counters: d.counters, targets: d.directory.Targets},
 	})
 }
--- a/internal/agentd/fakes_test.go
+++ b/internal/agentd/fakes_test.go
@@ -46,6 +46,7 @@
 	// table is the digest of the slot table, 0 if the control hosts tell none.
 	table  uint64
 	groups uint32
+	before func(*grantpb.Command) // called before a command is applied
 }
 
 func newFakeControl() *fakeControl {
@@ -53,6 +54,7 @@
 		numbers:      map[string]uint32{},
 		incarnations: map[string]uint32{},
 		records:      map[string]*grantpb.Record{},
+		before:       func(*grantpb.Command) {},
 	}
 }
 
@@ -67,7 +69,9 @@
 	mode := controlMode(f.mode.Load())
 	f.mu.Lock()
 	f.commands = append(f.commands, req.GetGrant())
+	before := f.before
 	f.mu.Unlock()
+	before(req.GetGrant())
 	if mode == controlGone {
 		return nil, link.ErrNotSent
 	}
@@ -106,13 +110,6 @@
 	return result
 }
 
-// setTable changes the slot table.
-func (f *fakeControl) setTable(digest uint64, groups int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.table, f.groups = digest, uint32(groups)
-}
-
 func (f *fakeControl) decide(command *grantpb.Command) *grantpb.Result {
 	switch body := command.GetBody().(type) {
 	case *grantpb.Command_Acquire:
--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -47,6 +47,8 @@
 	t.grantTry = 100 * time.Millisecond
 	t.farewell = time.Second
 	t.listenRetry = 10 * time.Millisecond
+	t.standstill = time.Minute // a machine that is too busy for tests is no standstill
+	t.thawGrace = 50 * time.Second
 	t.checkEvery = 10 * time.Millisecond
 	t.keepAlive = time.Second
 	return t
--- a/internal/agentd/once_test.go
+++ b/internal/agentd/once_test.go
@@ -108,6 +108,13 @@
 	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=y"), "").body, "y")
 }
 
+// setTable changes the slot table.
+func (f *fakeControl) setTable(digest uint64, groups int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table, f.groups = digest, uint32(groups)
+}
+
 // An agent that knows an old slot table is refused and asks again by the one
 // that it is told.
 func TestOldSlotTableIsLearnedAnew(t *testing.T) {
--- a/internal/agentd/plane.go
+++ b/internal/agentd/plane.go
@@ -25,6 +25,7 @@
 	listener  *quic.Listener
 	sessions  *sessions
 	counters  *counters
+	still     *standstills
 	timing    timing
 	clock     clock
 	// watches returns the number of open watches.
@@ -44,6 +45,7 @@
 	secrets     []connid.Secret
 	certificate func() *tls.Certificate
 	proxy       *proxy
+	still       *standstills
 	flows       *flowTable
 	handOn      *handOn
 	counters    *counters
@@ -62,6 +64,7 @@
 		sessions: newSessions(o.proxy, o.clock, o.timing),
 		watches:  o.proxy.watches.Load,
 		counters: o.counters,
+		still:    o.still,
 		timing:   o.timing,
 		clock:    o.clock,
 	}
@@ -103,13 +106,13 @@
 }
 
 // admit refuses new connections of a target that has been leaving for longer
-// than the grace for handshakes under way.
+// than the grace for handshakes under way, and stamps the others.
 func (p *plane) admit(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
 	if !p.leaving.Load() {
-		return ctx, nil
+		return p.still.opening(ctx), nil
 	}
 	if p.clock.now()-time.Duration(p.since.Load()) <= p.timing.acceptGrace {
-		return ctx, nil
+		return p.still.opening(ctx), nil
 	}
 	p.counters.count(reason.FlowRefused)
 	return nil, ErrLeaving
--- a/internal/agentd/proxy.go
+++ b/internal/agentd/proxy.go
@@ -41,6 +41,7 @@
 	gate     *gate
 	bodies   *bodies
 	once     *once
+	still    *standstills
 	health   *healthState
 	counters *counters
 	deadline time.Duration
@@ -74,6 +75,9 @@
 
 // serveRequest serves a request that is no watch.
 func (p *proxy) serveRequest(w http.ResponseWriter, c *call, view backendView) {
+	if c.key != "" {
+		c.arrived = p.still.look()
+	}
 	_ = http.NewResponseController(w).SetReadDeadline(c.deadline)
 	body, release, why := p.bodies.read(c.request)
 	if why != reason.None {
@@ -86,7 +90,7 @@
 		p.run(w, c, view, nil)
 		return
 	}
-	verdict := p.once.acquire(c)
+	verdict := p.ask(c)
 	switch {
 	case verdict.refusal != nil:
 		p.refuse(w, *verdict.refusal)
@@ -97,6 +101,26 @@
 	}
 }
 
+// ask asks for the right to run a request with a key. One that may have waited
+// while this process stood still gets none: its caller may have been told by
+// another target that the key was not run. The question itself may have gone
+// out after a standstill, and a refusal may have come before it, so this is
+// looked at again. A right that was granted before one holds the key, and nobody
+// else was told not-run since.
+func (p *proxy) ask(c *call) grantVerdict {
+	if p.still.held(c) {
+		return unasked(reason.AgentStalled)
+	}
+	verdict := p.once.acquire(c)
+	if verdict.answer != nil || !p.still.held(c) {
+		return verdict
+	}
+	if verdict.right != nil {
+		p.once.release(verdict.right)
+	}
+	return unasked(reason.AgentStalled)
+}
+
 // serveWatch serves a request whose answer streams without an end. It takes no
 // slot.
 func (p *proxy) serveWatch(w http.ResponseWriter, c *call, view backendView) {
--- a/internal/agentd/timing.go
+++ b/internal/agentd/timing.go
@@ -40,6 +40,13 @@
 	// listenRetry is the wait between two tries to open the announcement
 	// address, which an older process may still hold.
 	listenRetry time.Duration
+	// lookEvery is the period at which the process looks whether it stood
+	// still, and standstill the least time between two looks that counts as
+	// such. A busy machine must not bring it about.
+	lookEvery, standstill time.Duration
+	// thawGrace is the time after a standstill within which the agent has read
+	// what waited in its socket.
+	thawGrace time.Duration
 	// checkEvery is the period of housekeeping.
 	checkEvery time.Duration
 	// keepAlive and idleTimeout are those of the callers' connections.
@@ -61,6 +68,9 @@
 		grantProbe:    500 * time.Millisecond,
 		farewell:      5 * time.Second,
 		listenRetry:   100 * time.Millisecond,
+		lookEvery:     50 * time.Millisecond,
+		standstill:    time.Second,
+		thawGrace:     2 * time.Second,
 		checkEvery:    200 * time.Millisecond,
 		keepAlive:     10 * time.Second,
 		idleTimeout:   30 * time.Second,
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -67,6 +67,7 @@
 	Held
 	GrantUnavailable
 	GrantsFull
+	AgentStalled
 	AnswerOmitted
 
 	RetryConnect
@@ -127,6 +128,7 @@
 	Held:              {Kind: KindUnknown, Name: "held", Text: "Another attempt with the same idempotency key holds the right to run and has no recorded answer."},
 	GrantUnavailable:  {Kind: KindUnknown, Name: "grant-unavailable", Text: "No quorum of control hosts told whether an earlier attempt with this idempotency key ran. This attempt did not run; it may be sent again with its key."},
 	GrantsFull:        {Kind: KindUnknown, Name: "grants-full", Text: "Too many requests wait for a grant on this host, so whether an earlier attempt with this idempotency key ran is not known. This attempt did not run; it may be sent again with its key."},
+	AgentStalled:      {Kind: KindUnknown, Name: "agent-stalled", Text: "The agent stood still while the request may have been on its way, so whether an earlier attempt with this idempotency key ran is not known. This attempt did not run; it may be sent again with its key."},
 	AnswerOmitted:     {Kind: KindUnknown, Name: "answer-omitted", Text: "The request ran once; its answer was too long to be recorded."},
 
 	RetryConnect:  {Kind: KindRetry, Name: "connect", Text: "Repeated because no connection could be opened."},
