--- a/internal/agentd/once_test.go
+++ b/internal/agentd/once_test.go
@@ -99,6 +99,13 @@
 	is.Equal(w.mustSend(t, "GET", "/echo?text=y", "").body, "y")
 }
 
+// setTable changes the slot table.
+func (f *fakeControl) setTable(digest uint64, groups int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table, f.groups = digest, uint32(groups)
+}
+
 // An agent that knows an old slot table is refused and asks again by the one
 // that it is told.
 func TestOldSlotTableIsLearnedAnew(t *testing.T) {
