routing: the weights have a hold on a cold target that told no load yet

Cause: a candidate without a fresh report counted as the average of the service. A new target never has one before its first flow; its cost was so the average and its risk besides, and lost against every target in even use, whatever the weights.

A target on its ramp that was not heard from now counts for the part of the average that it has of its ramp behind it, while no flow to it is unanswered.

No existing test changed.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -136,7 +136,7 @@
 	if report, known := c.cell.fresh(now); known && report.Ill {
 		risk = maxRisk
 	}
-	load := t.relative(t.load(c, now))
+	load := t.relative(t.expected(c, now))
 	unanswered := min(c.cell.unanswered.Load(), maxUnanswered)
 	return t.policy.loadWeight*load + t.policy.brokenWeight*risk + weightScale*unanswered
 }
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -22,7 +22,10 @@
 //
 // Load is the reported figure per mille, or the average of the service where
 // there is no fresh one; where that average is above 1000, a full target, it is
-// the share of the average instead, bounded at four times. Risk is 1000 for a target that looks ill, and falls
+// the share of the average instead, bounded at four times. A target within its
+// ramp that was not heard from counts for the part of the average that it has of
+// its ramp behind it, while no flow to it is unanswered: it can hardly have more.
+// Risk is 1000 for a target that looks ill, and falls
 // from 1000 to 0 over the ramp of a target after its cold start. Unanswered
 // flows are those sent to the target since its last report, so that a burst
 // between two reports spreads and a silent target loses. The weights of the
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -25,6 +25,8 @@
 
 	// fullShare stands for a target that takes part in every draw.
 	fullShare = math.MaxUint16
+	// rampedWhole stands for a target that has its whole ramp behind it.
+	rampedWhole = 1000
 )
 
 // weightScale is the sum of the two weights in a policy.
@@ -78,21 +80,26 @@
 	if age >= p.ramp {
 		return fullShare
 	}
-	done := max(float64(age)/float64(p.ramp), 0)
-	share := rampFloor + (1-rampFloor)*math.Pow(done, p.exponent)
+	share := rampFloor + (1-rampFloor)*math.Pow(p.done(age), p.exponent)
 	return uint16(share * fullShare)
 }
 
+// ramped returns how much of its ramp a target of that age has behind it.
+func (p *policy) ramped(age time.Duration) uint16 {
+	return uint16(p.done(age) * rampedWhole)
+}
+
+// done returns ramped as a fraction.
+func (p *policy) done(age time.Duration) float64 {
+	return min(max(float64(age)/float64(p.ramp), 0), 1)
+}
+
 // risk returns the risk of a target that looks ill or is of that age.
 func (p *policy) risk(ill bool, age time.Duration) uint32 {
 	if ill {
 		return maxRisk
 	}
-	if age >= p.ramp {
-		return 0
-	}
-	done := max(float64(age)/float64(p.ramp), 0)
-	return uint32(maxRisk * (1 - done))
+	return uint32(maxRisk * (1 - p.done(age)))
 }
 
 // panics reports whether so many of the targets look ill that the signal is
--- a/routing/table.go
+++ b/routing/table.go
@@ -36,6 +36,8 @@
 	port        uint16
 	// share of the draws that it takes part in, of fullShare.
 	share uint16
+	// ramped is how much of its ramp it has behind it, of rampedWhole.
+	ramped uint16
 }
 
 // NewTable returns the table of a service. It ignores targets of other
@@ -110,6 +112,7 @@
 		ip:          t.Address.Addr().Unmap().As4(),
 		port:        t.Address.Port(),
 		share:       b.policy.share(t.Age),
+		ramped:      b.policy.ramped(t.Age),
 	}
 }
 
@@ -161,6 +164,21 @@
 	return uint32(sum / known)
 }
 
+// expected returns the load of a candidate for its cost. One on its ramp of which
+// nothing fresh is known has had few draws so far, so it counts for that part of
+// the average. Taken for the average it would look no emptier than a full one, and
+// the imbalance weight would have no hold on it. It counts as the average while a
+// flow that was sent there is unanswered, so that a silent one gains little.
+func (t *Table) expected(c *candidate, now time.Duration) uint32 {
+	if load, known := c.cell.freshLoad(now); known {
+		return load
+	}
+	if c.ramped == rampedWhole || c.cell.unanswered.Load() != 0 {
+		return t.average
+	}
+	return uint32(uint64(t.average) * uint64(c.ramped) / rampedWhole)
+}
+
 func usable(a netip.AddrPort) bool {
 	ip := a.Addr().Unmap()
 	return ip.Is4() && !ip.IsUnspecified() && a.Port() != 0
