--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -24,13 +24,13 @@
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/unittest"
 	"eelgrasswharf.example/eelgrasswharf/quicheader"
 )
 
 const (
 	testService = "lodgement"
-	// patience bounds waits for what must happen; nothing passes by it.
-	patience = 2 * time.Minute
+	patience    = unittest.Patience
 )
 
 func testTiming() timing {
@@ -62,6 +62,8 @@
 	control *fakeControl
 	entry   *fakeEntry
 	known   *fakeDirectory
+	// client is the first caller's.
+	client *http.Client
 }
 
 func newWorld(t *testing.T) *world {
@@ -78,18 +80,12 @@
 	w.roots = x509.NewCertPool()
 	w.roots.AppendCertsFromPEM(authority.CertificatePEM())
 	w.entry = newFakeEntry(t, w.secrets, 2)
+	w.client = w.caller()
 	return w
 }
 
 func (w *world) currentSecrets() []connid.Secret { return w.secrets }
 
-func must(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 // agent is a running daemon under test.
 type agent struct {
 	*Daemon
@@ -210,25 +206,13 @@
 // counter returns the sum of a counter over the tags that hold the reason,
 // or over all of them if it is empty.
 func (a *agent) counter(name, reason string) int64 {
-	sum := int64(0)
-	for _, c := range a.scope.Snapshot().Counters() {
-		if c.Name() == name && (reason == "" || c.Tags()["reason"] == reason) {
-			sum += c.Value()
-		}
-	}
-	return sum
+	return unittest.Counter(a.scope, name, reason)
 }
 
-func eventually(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	deadline := time.Now().Add(patience)
-	for !holds() {
-		if time.Now().After(deadline) {
-			t.Fatalf("never happened: %s", what)
-		}
-		time.Sleep(2 * time.Millisecond)
-	}
-}
+var (
+	eventually = unittest.Eventually
+	must       = unittest.Must
+)
 
 // caller returns an HTTP/3 client that reaches the entry host.
 func (w *world) caller() *http.Client {
@@ -250,6 +234,21 @@
 	return "https://" + w.entry.public.LocalAddr().String() + path
 }
 
+// mustSend is mustSend by the first caller.
+func (w *world) mustSend(t *testing.T, method, path, body string, headers ...string) answer {
+	t.Helper()
+	return mustSend(t, w.client, method, w.url(path), body, headers...)
+}
+
+// checkRefused holds an answer to be a refusal of that kind.
+func checkRefused(t *testing.T, got answer, status int, outcome, why string) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(got.status, status)
+	is.Equal(got.header.Get(headerOutcome), outcome)
+	is.Equal(got.header.Get(headerReason), why)
+}
+
 // fakeEntry relays between callers and agents as entry hosts do, by frames.
 type fakeEntry struct {
 	public *net.UDPConn
@@ -264,12 +263,14 @@
 	alternate netip.AddrPort
 	service   uint32
 	draining  map[uint32]bool
-	retries   int
+	// reports counts frames without a datagram by target.
+	reports map[uint32]int
+	retries int
 }
 
 func newFakeEntry(t *testing.T, secrets []connid.Secret, hosts int) *fakeEntry {
 	t.Helper()
-	e := &fakeEntry{service: 1, dead: make([]atomic.Bool, hosts), draining: map[uint32]bool{}}
+	e := &fakeEntry{service: 1, dead: make([]atomic.Bool, hosts), draining: map[uint32]bool{}, reports: map[uint32]int{}}
 	e.setSecrets(t, secrets)
 	e.public = listenUDP(t)
 	for range hosts {
@@ -317,6 +318,13 @@
 	return e.retries
 }
 
+// reportsSeen returns the number of frames without a datagram of a target.
+func (e *fakeEntry) reportsSeen(target uint32) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reports[target]
+}
+
 // saysDraining reports what the last reply of a target said.
 func (e *fakeEntry) saysDraining(target uint32) bool {
 	e.mu.Lock()
@@ -378,6 +386,9 @@
 		}
 		e.mu.Lock()
 		e.draining[h.Target] = h.Draining
+		if n == frame.HeaderLength {
+			e.reports[h.Target]++
+		}
 		if header, ok := quicheader.Parse(buffer[frame.HeaderLength:n], connid.Length); ok && header.Type == quicheader.Retry {
 			e.retries++
 		}
--- a/internal/agentd/flow_test.go
+++ b/internal/agentd/flow_test.go
@@ -71,8 +71,7 @@
 func TestMisdirectedFramesAreRefusedAndDisturbNobody(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
-	session := openWatch(t, client, w.url("/watch"))
+	session := openWatch(t, w.client, w.url("/watch"))
 	defer session.close()
 	self := a.plane.Load().self
 	good := frame.Header{
@@ -116,7 +115,7 @@
 		is.Equal(session.line(t), "undisturbed")
 		is.Equal(int64(i+1), a.counter("frames_refused", ""))
 	}
-	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
+	is.Equal(w.mustSend(t, "GET", "/echo?text=x", "").body, "x")
 }
 
 func TestFloodOfFirstPacketsFillsNoTable(t *testing.T) {
@@ -212,8 +211,7 @@
 func TestSuccessorResetsFlowsOfAKilledProcess(t *testing.T) {
 	is := is.New(t)
 	w, old, backend := oneAgent(t)
-	client := w.caller()
-	session := openWatch(t, client, w.url("/watch"))
+	session := openWatch(t, w.client, w.url("/watch"))
 	defer session.close()
 	frames := old.FrameAddr()
 	must(t, old.socket.Close()) // it says no more
@@ -225,18 +223,18 @@
 	var reset *quic.StatelessResetError
 	is.True(errors.As(err, &reset))
 	is.True(next.counter("flows_of_former_process", "") >= 1)
-	is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").header.Get(headerTarget), "t1/1/2")
+	is.Equal(w.mustSend(t, "GET", "/echo?text=x", "").header.Get(headerTarget), "t1/1/2")
 }
 
 // A caller that dials again from the same port holds a token of its former
 // connection.
 func TestEveryConnectionBeginsWithARetry(t *testing.T) {
 	is := is.New(t)
-	w, _, _ := oneAgent(t)
+	w, a, _ := oneAgent(t)
 	socket := &quic.Transport{Conn: listenUDP(t)}
 	t.Cleanup(func() { _ = socket.Close() })
 	config := &quic.Config{TokenStore: quic.NewLRUTokenStore(4, 4)}
-	for range 3 {
+	for i := range 3 {
 		before := w.entry.retriesSeen()
 		transport := &http3.Transport{
 			TLSClientConfig: &tls.Config{RootCAs: w.roots, ServerName: testService},
@@ -248,6 +246,7 @@
 		client := &http.Client{Transport: transport}
 		is.Equal(mustSend(t, client, "GET", w.url("/echo?text=x"), "").body, "x")
 		is.True(w.entry.retriesSeen() > before) // one for each datagram of the first flight
+		is.Equal(a.counter("connections_begun", ""), int64(i+1))
 		must(t, transport.Close())
 	}
 }
@@ -257,8 +256,7 @@
 func TestSecretsChangeUnderOpenSessions(t *testing.T) {
 	is := is.New(t)
 	w, a, backend := oneAgent(t)
-	client := w.caller()
-	session := openWatch(t, client, w.url("/watch"))
+	session := openWatch(t, w.client, w.url("/watch"))
 	defer session.close()
 	former := w.secrets[0]
 	next := connid.Secret{ID: 2, Key: [connid.SecretLength]byte{9}}
--- a/internal/capacity/agent.go
+++ b/internal/capacity/agent.go
@@ -20,6 +20,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/backend"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 const (
@@ -158,7 +159,7 @@
 		if !errors.Is(err, errStatus) {
 			return err
 		}
-		if sleep(ctx, refusedPause) != nil {
+		if sleep.For(ctx, refusedPause) != nil {
 			return err
 		}
 	}
@@ -198,23 +199,15 @@
 }
 
 func (t *target) measureConfig(ctx context.Context, r *Report) error {
-	memory := &series{name: "agent.address.memory", unit: Bytes, per: "address", count: Letter.Addresses}
-	cpu := &series{name: "agent.rest.cpu", unit: MicroCore, per: "address", count: Letter.Addresses}
-	for _, n := range []int{1400, 2800, 4200, 5500} {
-		if err := t.deployment.put(ctx, servicesOf(wireServices, n)...); err != nil {
-			return err
-		}
-		if err := t.deployment.awaitInForce(ctx); err != nil {
-			return err
-		}
-		private, core, err := t.rest(ctx)
-		if err != nil {
-			return err
-		}
-		memory.add(float64(n), private)
-		cpu.add(float64(n), core)
+	memory, cpu, err := t.atRest(ctx, []int{1400, 2800, 4200, 5500}, func(n int) error {
+		return t.deployment.putInForce(ctx, servicesOf(wireServices, n)...)
+	})
+	if err != nil {
+		return err
 	}
-	return r.addSlopes(memory, cpu)
+	return r.addSlopes(
+		&series{name: "agent.address.memory", unit: Bytes, per: "address", count: Letter.Addresses, at: memory},
+		&series{name: "agent.rest.cpu", unit: MicroCore, per: "address", count: Letter.Addresses, at: cpu})
 }
 
 func (t *target) measureFlows(ctx context.Context, r *Report) error {
@@ -235,7 +228,7 @@
 			return err
 		}
 		opening.add(float64(n-began), micros(opened.cpu-before.cpu))
-		if err := sleep(ctx, callerWindow); err != nil {
+		if err := sleep.For(ctx, callerWindow); err != nil {
 			return err
 		}
 		rested, err := t.usage()
@@ -264,7 +257,7 @@
 		if err := await(ctx, "open watches", func() bool { return t.backend.Watching() >= n }); err != nil {
 			return err
 		}
-		if err := sleep(ctx, settle); err != nil {
+		if err := sleep.For(ctx, settle); err != nil {
 			return err
 		}
 		u, err := t.usage()
--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"testing"
 	"time"
 
@@ -21,15 +20,15 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
 	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+	"eelgrasswharf.example/eelgrasswharf/internal/unittest"
 )
 
-// patience bounds waits for what must come; it measures nothing.
-const patience = 2 * time.Minute
+const patience = unittest.Patience
 
 // deployment is a set of control hosts in this process.
 type deployment struct {
 	t       testing.TB
-	dir     string
+	keys    *unittest.KeyFolder
 	hosts   map[string]*host
 	voters  []string
 	address map[string]string
@@ -53,10 +52,7 @@
 
 func newDeployment(t testing.TB, names ...string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), hosts: map[string]*host{}, address: map[string]string{}, listen: map[string]string{}}
-	if err := keys.InitAuthority(d.dir); err != nil {
-		t.Fatal(err)
-	}
+	d := &deployment{t: t, keys: unittest.NewKeyFolder(t), hosts: map[string]*host{}, address: map[string]string{}, listen: map[string]string{}}
 	for _, name := range names {
 		d.address[name] = freeAddress(t)
 		d.voters = append(d.voters, name+"="+d.address[name])
@@ -72,33 +68,10 @@
 	return loopback.Address(t, loopback.Host(t)).String()
 }
 
-func (d *deployment) issue(role keys.Role, name, service string) keys.Files {
-	d.t.Helper()
-	loopback := []netip.Addr{netip.MustParseAddr("127.0.0.1")}
-	files, err := keys.Issue(d.dir, role, name, service, loopback, time.Hour)
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	return files
-}
-
-func (d *deployment) credentials(role keys.Role, name, service string) *keys.Credentials {
-	d.t.Helper()
-	creds, err := keys.Load(d.issue(role, name, service))
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	return creds
-}
-
 func (d *deployment) settings(name, data string, join bool) *settingspb.ControlSettings {
-	files := d.issue(keys.RoleControl, name, "")
 	return &settingspb.ControlSettings{
 		Host: &settingspb.Host{Name: name, FailureDomain: "bodija"},
-		Keys: &settingspb.Keys{
-			Authority: files.Authority, Certificate: files.Certificate,
-			PrivateKey: files.PrivateKey, DataSecrets: files.DataSecrets,
-		},
+		Keys: d.keys.Issue(keys.RoleControl, name, "").Settings(),
 		Replica: &settingspb.Replica{
 			DataFolder: data, Listen: d.listenAddress(name), OperatorListen: "127.0.0.1:0",
 			InitialVoters: d.voters, Join: join, TickMs: 20, MaxLinks: d.maxLinks,
@@ -122,9 +95,7 @@
 	}
 	h := &host{name: name, data: data, scope: tally.NewTestScope("", nil)}
 	daemon, err := controld.New(d.settings(name, data, join), zaptest.NewLogger(d.t), h.scope)
-	if err != nil {
-		d.t.Fatal(err)
-	}
+	must(d.t, err)
 	h.daemon = daemon
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
@@ -151,12 +122,19 @@
 	}
 }
 
-// newSingle is one host with a first version that these operations made.
-func newSingle(t testing.TB, ops ...*configpb.Operation) *deployment {
+// newLone is one host that runs, with an operator's client for it.
+func newLone(t testing.TB) (*deployment, *operator.Client) {
 	t.Helper()
 	d := newDeployment(t, "c1")
 	d.startAll("c1")
-	d.accept(d.operator("c1"), patch("p1", 0, ops...))
+	return d, d.operator("c1")
+}
+
+// newSingle is one host with a first version that these operations made.
+func newSingle(t testing.TB, ops ...*configpb.Operation) *deployment {
+	t.Helper()
+	d, c := newLone(t)
+	d.accept(c, patch("p1", 0, ops...))
 	return d
 }
 
@@ -184,7 +162,7 @@
 	for _, name := range names {
 		addrs = append(addrs, d.hosts[name].daemon.OperatorAddr())
 	}
-	c := operator.NewClient(addrs, d.credentials(keys.RoleOperator, "ada", ""))
+	c := operator.NewClient(addrs, d.keys.Credentials(keys.RoleOperator, "ada", ""))
 	d.t.Cleanup(c.Close)
 	return c
 }
@@ -196,7 +174,7 @@
 	for _, h := range hosts {
 		addrs = append(addrs, d.hosts[h].daemon.LinkAddr())
 	}
-	c := link.NewClient(addrs, d.credentials(role, name, service), link.ClientOptions{HeartbeatTimeout: patience})
+	c := link.NewClient(addrs, d.keys.Credentials(role, name, service), link.ClientOptions{HeartbeatTimeout: patience})
 	d.t.Cleanup(c.Close)
 	return c
 }
@@ -208,26 +186,11 @@
 	return ctx
 }
 
-// eventually waits until the condition holds.
-func eventually(t testing.TB, what string, condition func() bool) {
-	t.Helper()
-	if !poll(condition) {
-		t.Fatalf("never came: %s", what)
-	}
-}
-
-// poll reports whether the condition came to hold. Goroutines besides the
-// test's own use it in place of eventually.
-func poll(condition func() bool) bool {
-	deadline := time.Now().Add(patience)
-	for !condition() {
-		if time.Now().After(deadline) {
-			return false
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	return true
-}
+var (
+	eventually = unittest.Eventually
+	poll       = unittest.Poll
+	must       = unittest.Must
+)
 
 func put(name, address string) *configpb.Operation {
 	return &configpb.Operation{Body: &configpb.Operation_PutService{PutService: &configpb.Service{
@@ -275,9 +238,7 @@
 // await returns the first update that fits.
 func (w *watcher) await(what string, fits func(*controlpb.SubscribeUpdate) bool) *controlpb.SubscribeUpdate {
 	w.t.Helper()
-	if err := w.stream.SetReceiveDeadline(time.Now().Add(patience)); err != nil {
-		w.t.Fatal(err)
-	}
+	must(w.t, w.stream.SetReceiveDeadline(time.Now().Add(patience)))
 	for {
 		u, err := w.stream.Receive()
 		if err != nil {
@@ -298,9 +259,7 @@
 
 func TestSingleHostPatchReachesSubscriber(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, "c1")
-	d.startAll("c1")
-	ops := d.operator("c1")
+	d, ops := newLone(t)
 	w := d.subscribe(d.link(keys.RoleEntry, "e1", "", "c1"), &controlpb.Subscribe{FailureDomain: "dugbe"})
 
 	first := w.await("a first configuration", func(u *controlpb.SubscribeUpdate) bool { return u.GetConfig() != nil })
--- a/internal/experiment/cell.go
+++ b/internal/experiment/cell.go
@@ -64,7 +64,10 @@
 	RetriesBy map[string]int `json:"retries_by"`
 	BrokenBy  map[string]int `json:"broken_by"`
 
+	// windows, moments and ratios have an item for each step.
 	windows []map[string]int
+	moments []loadgen.Moment
+	ratios  []float64
 }
 
 // Faults is the number of outcomes that must never happen.
@@ -83,7 +86,7 @@
 		Misrouted: r.Misrouted, WrongAnswers: r.WrongAnswers,
 		P50: r.LatencyMS.P50, P99: r.LatencyMS.P99,
 		Outcomes: r.Outcomes, RetriesBy: r.Retries, BrokenBy: r.BrokenBy,
-		windows: windows,
+		windows: r.Windows, moments: r.Moments, ratios: ratiosOfSteps(windows, m),
 	}
 	if first, ok := m.firstStart(); ok && first < len(r.Windows) {
 		after := imbalance(joinSteps(r.Windows[first:]), window, m.since(time.Duration(first)*step))
--- a/internal/experiment/members.go
+++ b/internal/experiment/members.go
@@ -96,9 +96,8 @@
 // imbalance is the measure that the package comment defines.
 func imbalance(windows []map[string]int, length time.Duration, m members) loadgen.Imbalance {
 	var ratios []float64
-	for i, w := range windows {
-		from := time.Duration(i) * length
-		if ratio, ok := ratioOf(w, m.during(from, from+length)); ok {
+	for _, ratio := range ratiosOf(windows, length, m) {
+		if !math.IsNaN(ratio) {
 			ratios = append(ratios, ratio)
 		}
 	}
@@ -118,6 +117,29 @@
 	}
 }
 
+// ratiosOf is the imbalance of each window, NaN where it does not count.
+func ratiosOf(windows []map[string]int, length time.Duration, m members) []float64 {
+	out := make([]float64, len(windows))
+	for i, w := range windows {
+		from := time.Duration(i) * length
+		ratio, ok := ratioOf(w, m.during(from, from+length))
+		if !ok {
+			ratio = math.NaN()
+		}
+		out[i] = ratio
+	}
+	return out
+}
+
+// ratiosOfSteps is, for each step, the imbalance of the window that it lies in.
+func ratiosOfSteps(windows []map[string]int, m members) []float64 {
+	var out []float64
+	for _, ratio := range ratiosOf(windows, window, m) {
+		out = append(out, slices.Repeat([]float64{ratio}, stepsPerWindow)...)
+	}
+	return out
+}
+
 // ratioOf is the imbalance of one window, if it counts.
 func ratioOf(w map[string]int, inService []string) (float64, bool) {
 	greatest, total := 0, 0
--- a/internal/faultproxy/relay_test.go
+++ b/internal/faultproxy/relay_test.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/unittest"
 )
 
-const waitLimit = 2 * time.Minute
+const waitLimit = unittest.Patience
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
@@ -58,11 +60,7 @@
 // waitFor polls the condition.
 func waitFor(t *testing.T, condition func() bool) {
 	t.Helper()
-	for end := time.Now().Add(waitLimit); !condition(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("condition not met")
-		}
-	}
+	unittest.Eventually(t, "the condition", condition)
 }
 
 func TestSpraysCallerOverHosts(t *testing.T) {
@@ -84,6 +82,23 @@
 	is.Equal(text, "by b")
 }
 
+func TestSendsInTurn(t *testing.T) {
+	is := is.New(t)
+	caller, a, b := socket(t), socket(t), socket(t)
+	r := relay(t, Options{Hosts: []netip.AddrPort{addrOf(a), addrOf(b)}})
+	r.SendInTurn()
+	for _, text := range []string{"1", "2", "3", "4"} {
+		send(t, caller, r.Addr(), text)
+	}
+	for _, want := range []struct {
+		at   *net.UDPConn
+		text string
+	}{{a, "1"}, {b, "2"}, {a, "3"}, {b, "4"}} {
+		text, _ := receive(t, want.at)
+		is.Equal(text, want.text)
+	}
+}
+
 func TestHostsChangeWhileRunning(t *testing.T) {
 	is := is.New(t)
 	caller, a, b := socket(t), socket(t), socket(t)
--- a/internal/keys/dir.go
+++ b/internal/keys/dir.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 )
 
 // Names of the files in a folder of keys.
@@ -37,6 +39,16 @@
 	DataSecrets string
 }
 
+// Settings returns the section of a settings file that names the files.
+func (f Files) Settings() *settingspb.Keys {
+	return &settingspb.Keys{
+		Authority:   f.Authority,
+		Certificate: f.Certificate,
+		PrivateKey:  f.PrivateKey,
+		DataSecrets: f.DataSecrets,
+	}
+}
+
 // InitAuthority makes an authority and the first data secret in a folder. It
 // refuses a folder that holds an authority already.
 func InitAuthority(dir string) error {
@@ -190,11 +202,11 @@
 		others := append(append([]Secret{}, secrets[:i]...), secrets[i+1:]...)
 		result := edit(s, others)
 		if len(result) == 0 {
-			return errors.Wrapf(ErrFormat, "%s: the last data secret cannot be removed", path)
+			return errors.Wrapf(ErrSecretsUnchanged, "%s: the last data secret cannot be removed", path)
 		}
 		return writeFile(path, FormatSecrets(result), privateMode)
 	}
-	return errors.Wrapf(ErrFormat, "%s: no data secret has ID %d", path, id)
+	return errors.Wrapf(ErrSecretsUnchanged, "%s: no data secret has ID %d", path, id)
 }
 
 // writeFile replaces a file in one step, so that a process that reloads its
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -1,6 +1,7 @@
 package subscriber
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -15,6 +16,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
@@ -34,8 +36,8 @@
 // than the one acted on.
 var errBehind = errors.New("control host is behind")
 
-// errAsked ends a subscription because its control host has too many.
-var errAsked = errors.New("control host asked to move")
+// errAskedToMove ends a subscription because its control host has too many.
+var errAskedToMove = errors.New("control host asked to move")
 
 // Options configure a Subscriber. Zero durations mean the defaults.
 type Options struct {
@@ -81,35 +83,25 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Scope == nil {
-		o.Scope = tally.NoopScope
-	}
-	if o.Log == nil {
-		o.Log = zap.NewNop()
-	}
+	o.Scope = cmp.Or(o.Scope, tally.NoopScope)
+	o.Log = cmp.Or(o.Log, zap.NewNop())
 	if o.OnView == nil {
 		o.OnView = func(*View) {}
 	}
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	setDefault(&o.AskDelay, DefaultAskDelay)
-	setDefault(&o.AskTimeout, DefaultAskTimeout)
-	setDefault(&o.UnconfirmedWait, DefaultUnconfirmedWait)
-	setDefault(&o.SilenceLimit, DefaultSilenceLimit)
-	setDefault(&o.BehindLimit, DefaultBehindLimit)
-	setDefault(&o.ReportPeriod, DefaultReportPeriod)
-	setDefault(&o.RetryMin, DefaultRetryMin)
-	setDefault(&o.RetryMax, DefaultRetryMax)
+	o.AskDelay = cmp.Or(o.AskDelay, DefaultAskDelay)
+	o.AskTimeout = cmp.Or(o.AskTimeout, DefaultAskTimeout)
+	o.UnconfirmedWait = cmp.Or(o.UnconfirmedWait, DefaultUnconfirmedWait)
+	o.SilenceLimit = cmp.Or(o.SilenceLimit, DefaultSilenceLimit)
+	o.BehindLimit = cmp.Or(o.BehindLimit, DefaultBehindLimit)
+	o.ReportPeriod = cmp.Or(o.ReportPeriod, DefaultReportPeriod)
+	o.RetryMin = cmp.Or(o.RetryMin, DefaultRetryMin)
+	o.RetryMax = cmp.Or(o.RetryMax, DefaultRetryMax)
 	return o
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Subscriber keeps a view of configuration and directory up to date.
 type Subscriber struct {
 	opts     Options
@@ -180,7 +172,7 @@
 		if received {
 			pause = s.opts.RetryMin
 		}
-		s.sleep(max(jitter(s.opts.Rand, pause), requestedPause(err)))
+		_ = sleep.For(s.ctx, max(jitter(s.opts.Rand, pause), requestedPause(err)))
 		pause = min(2*pause, s.opts.RetryMax)
 	}
 }
@@ -283,7 +275,7 @@
 	}
 	if u.GetMove() != nil {
 		s.opts.Client.Move(u.GetMove().GetAddress())
-		return errAsked
+		return errAskedToMove
 	}
 	if !s.behindSince.IsZero() && now.Sub(s.behindSince) >= s.opts.BehindLimit {
 		s.behindSince = time.Time{}
@@ -374,12 +366,3 @@
 	default:
 	}
 }
-
-func (s *Subscriber) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-s.ctx.Done():
-	}
-}
