dev: the restart of all entry hosts waits for all sessions, and no longer than the load

TestSessionsSurviveRestartOfAllEntryHosts waited, before the first restart, until each backend server had a session, and its wait ended with the test alone. With 20 sessions over the targets one server may get none; then the load ended after its minute and the test waited for ever.

It now waits until all 20 sessions are open, over all servers, and fails with a reason if the load ends before. That is as strict: the restarts come when every session is there, not when the first of each server is, and how sessions spread was never what the test asks (TestNewFlowsSpread is). The load may last five minutes in place of one: it ends when the restarts are through, and on a slow machine one that ended sooner would have let restarts without load pass.

The hang itself was not brought about.

--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap/zaptest"
@@ -127,15 +128,20 @@
 	return 0, nil
 }
 
-// awaitWatch waits for a session and reports whether there was one.
-func awaitWatch(ctx context.Context, s *backend.Server) bool {
-	for s.Watching() == 0 {
-		if ctx.Err() != nil {
-			return false
+// awaitSessions waits until so many sessions are open, over all servers, and
+// reports whether they were before the context ended.
+func awaitSessions(ctx context.Context, servers []*backend.Server, count int) bool {
+	for ctx.Err() == nil {
+		open := 0
+		for _, s := range servers {
+			open += s.Watching()
+		}
+		if open >= count {
+			return true
 		}
 		time.Sleep(time.Millisecond)
 	}
-	return true
+	return false
 }
 
 // Every entry host restarts, one right after the other, so that all that a
@@ -147,11 +153,15 @@
 	t.Cleanup(d.Close)
 	stop := make(chan struct{})
 	restarted := make(chan error, 1)
+	const sessions = 20
+	loaded, loadEnds := context.WithCancel(t.Context())
+	defer loadEnds()
 	var wg conc.WaitGroup
 	wg.Go(func() {
 		defer close(stop)
-		for _, b := range d.Backends("lodgement") {
-			awaitWatch(t.Context(), b)
+		if !awaitSessions(loaded, d.Backends("lodgement"), sessions) {
+			restarted <- errors.New("the load ended before all sessions were open")
+			return
 		}
 		for i := range d.Entries() {
 			if err := d.RestartEntry(t.Context(), i); err != nil {
@@ -166,8 +176,8 @@
 		case <-t.Context().Done():
 		}
 	})
-	o := options(time.Minute)
-	o.Sessions, o.SessionRamp = 20, 100*time.Millisecond
+	o := options(5 * time.Minute) // Enough ends it
+	o.Sessions, o.SessionRamp = sessions, 100*time.Millisecond
 	o.Enough = func(*loadgen.Report) bool {
 		select {
 		case <-stop:
@@ -178,11 +188,12 @@
 	}
 	o.WatchPeriod = 500 * time.Millisecond
 	r, err := d.Load(t.Context(), "lodgement", o)
+	loadEnds()
 	wg.Wait()
 	is.NoErr(err)
 	is.NoErr(<-restarted)
 	t.Logf("%+v", *r)
-	is.Equal(r.Sessions, 20)
+	is.Equal(r.Sessions, sessions)
 	is.Equal(r.BrokenSessions, 0)
 	is.Equal(r.BrokenFlows, 0)
 }
