cli: the event of TestLoadMarksEvents lies within its run

The test wrote an event a moment before its run, which was marked before and is left out now (process_test.go:200).

The event lies half an hour into a window of an hour now, so no run can begin after it; besides it the test asks that an event of an hour before is not marked. As strict as before, and one check more.

--- a/internal/cli/process_test.go
+++ b/internal/cli/process_test.go
@@ -189,15 +189,19 @@
 	is.Equal(run(t, "keys", "init", filepath.Join(dir, "keys")).status, cli.ExitOK)
 	events, plot := filepath.Join(dir, "events.txt"), filepath.Join(dir, "run.svg")
 	args := []string{
-		"load", "--service", "lodgement", "--address", "127.0.0.1:1", "--rate", "0", "--sessions", "0", "--duration", "1ms",
+		"load", "--service", "lodgement", "--address", "127.0.0.1:1", "--rate", "0", "--sessions", "0", "--duration", "1ms", "--window", "1h",
 		"--authority", filepath.Join(dir, "keys", "authority.pem"), "--plot", plot, "--events", events,
 	}
+	line := func(at time.Time, text string) string {
+		return at.Format("2006-01-02T15:04:05,999999999Z07:00") + " " + text + "\n\n"
+	}
 	now := time.Now()
-	is.NoErr(os.WriteFile(events, []byte(now.Format("2006-01-02T15:04:05,999999999Z07:00")+" drain lodgement-1\n\n"), 0o600))
+	is.NoErr(os.WriteFile(events, []byte(line(now.Add(-time.Hour), "before")+line(now.Add(30*time.Minute), "drain lodgement-1")), 0o600))
 	is.Equal(run(t, args...).status, cli.ExitOK)
 	text, err := os.ReadFile(plot)
 	is.NoErr(err)
 	is.True(strings.Contains(string(text), "drain lodgement-1"))
+	is.True(!strings.Contains(string(text), "before")) // not of this run
 
 	is.NoErr(os.WriteFile(events, []byte("yesterday drain\n"), 0o600))
 	got := run(t, args...)
