--- a/internal/capacity/members.go
+++ b/internal/capacity/members.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"eelgrasswharf.example/eelgrasswharf/grant"
+	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 )
 
 // memberSeries are the slopes by the groups of grants, at the busiest of the
@@ -43,14 +44,14 @@
 	if err != nil {
 		return err
 	}
-	if err := sleep(ctx, settle); err != nil {
+	if err := sleep.For(ctx, settle); err != nil {
 		return err
 	}
 	before, err := d.readAll(ctx)
 	if err != nil {
 		return err
 	}
-	if err := sleep(ctx, groupWindow); err != nil {
+	if err := sleep.For(ctx, groupWindow); err != nil {
 		return err
 	}
 	after, err := d.readAll(ctx)
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -23,7 +23,7 @@
 		marks = append(marks, loadgen.Mark{Seconds: e.Seconds, Text: e.Text})
 	}
 	chart := loadgen.Chart{
-		Title: c.Site + ", " + c.Scenario + ", " + c.Policy + ": " + s.Service, Window: window,
+		Title: c.Site + ", " + c.Scenario + ", " + c.Policy + ": " + s.Service, Window: step,
 		Answers: s.windows, Moments: s.moments, Imbalance: s.ratios, Marks: marks,
 	}
 	return chart.Save(file)
