--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -37,8 +37,8 @@
 	entries  []*Entry
 	services []*Service
 	operator keys.Files
-	// grantGroups is a setting of the control hosts.
-	grantGroups uint32
+	// grantGroups and maxLinks are settings of the control hosts.
+	grantGroups, maxLinks uint32
 
 	// version is the newest one that Patch made, of so many patches.
 	version uint64
--- a/internal/processtest/control.go
+++ b/internal/processtest/control.go
@@ -43,6 +43,28 @@
 	return c.found()
 }
 
+// StartBoundedControls is StartControls with so many places for entry hosts
+// and agents on each host.
+func (c *Cluster) StartBoundedControls(count, places int) []*Control {
+	c.t.Helper()
+	c.maxLinks = uint32(places)
+	return c.StartControls(count)
+}
+
+// StartLearner starts a further control host that asks to join and is never
+// promoted, and waits until it learns in every group and knows the leaders.
+func (c *Cluster) StartLearner() *Control {
+	c.t.Helper()
+	host := c.newControl(len(c.controls) + 1)
+	host.settings.Replica.InitialVoters = c.controls[0].settings.Replica.InitialVoters
+	host.settings.Replica.Join = true
+	c.controls = append(c.controls, host)
+	host.Launch()
+	host.WaitReady()
+	Eventually(c.t, host.name+" follows as a learner", host.learns)
+	return host
+}
+
 // StartRelayedControls is StartControls with a relay in front of each host's
 // link address, which the other control hosts dial. Subscribers and agents dial
 // the hosts themselves.
@@ -99,6 +121,7 @@
 			Listen:         host.Link.String(),
 			OperatorListen: host.Operator.String(),
 			GrantGroups:    c.grantGroups,
+			MaxLinks:       c.maxLinks,
 		},
 	}
 	return host
--- a/internal/processtest/members.go
+++ b/internal/processtest/members.go
@@ -5,13 +5,18 @@
 	"os"
 	"slices"
 	"strings"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 )
 
 // configGroup is the name of the replicated log of the configuration.
 const configGroup = "config"
 
-// leads is the state of the leader of a group.
-const leads = "leads"
+// States of a replica in its group.
+const (
+	leads   = "leads"
+	follows = "follows"
+)
 
 // Leader waits until one control host leads the configuration and returns it.
 func (c *Cluster) Leader() *Control {
@@ -51,6 +56,23 @@
 	return slices.DeleteFunc(all, func(o *Control) bool { return o == h })
 }
 
+// learns tells whether the host follows all groups and has a vote in none.
+func (h *Control) learns() bool {
+	status := h.Status()
+	if status == nil {
+		return false
+	}
+	for _, group := range status.Groups {
+		learner := slices.ContainsFunc(group.Members, func(m operator.MemberStatus) bool {
+			return m.Name == h.name && m.Learner
+		})
+		if !learner || group.State != follows {
+			return false
+		}
+	}
+	return len(status.Groups) > 0
+}
+
 // LoseDisk removes the data folder of a host whose process has ended.
 func (h *Control) LoseDisk() {
 	h.cluster.t.Helper()
