test: first flights over entry hosts with different views

Two entry hosts know no target in common: one is cut off from control with its two targets, whose leases have ended; the other was told of two new ones. All four take flows. 60 callers send the datagrams of their first flight to the two in turn, some lost and some doubled. Each gets its whole answer, and each target has begun as many connections (connections_begun) as it serves callers. What decides is the Retry: the caller itself chooses one target.

Not shown: that both datagrams of each caller leave before its first Retry is back.

--- /dev/null
+++ b/test/flight_test.go
@@ -0,0 +1,106 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc/pool"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
+	"eelgrasswharf.example/eelgrasswharf/internal/processtest"
+)
+
+// TestFirstFlightOverDifferentViews sends the two datagrams of each caller's
+// ClientHello, and what is sent again, to two entry hosts in turn that know no
+// target in common: one and the targets that it knows are cut off from control,
+// which has given them up and told the other of new ones. All of them take flows.
+// One target serves each caller, and no other begins with it.
+func TestFirstFlightOverDifferentViews(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const callers = 60
+	d := &deployment{Cluster: processtest.New(t)}
+	d.controls = d.StartControls(1)
+	d.lodgement = d.NewService("lodgement")
+	d.Patch(d.lodgement.Put())
+	link := d.controls[0].Relay()
+	d.entries = append(d.entries, d.StartEntry())
+	deaf := d.StartEntry(link.Addr())
+	var targets []*processtest.Target
+	for _, name := range []string{"a", "b"} {
+		targets = append(targets, d.lodgement.StartTarget(name, link.Addr()))
+	}
+	processtest.Eventually(t, "the targets on the second entry host", func() bool { return deaf.Candidates() == 2 })
+	link.Cut()
+	for _, name := range []string{"c", "d"} {
+		targets = append(targets, d.lodgement.StartTarget(name))
+	}
+	processtest.Eventually(t, "the leases of the first two end", func() bool { return d.controls[0].Status().Targets == 2 })
+	for _, target := range targets {
+		d.callerOf(t, target) // takes flows, and has one from now on
+	}
+	d.candidates(t, 2)
+	is.Equal(deaf.Candidates(), 2)
+
+	fabric := d.lodgement.Fabric
+	fabric.SendInTurn()
+	fabric.SetFaults(faultproxy.ToHost, faultproxy.Faults{Drop: 0.03, Duplicate: 0.2})
+	fabric.SetFaults(faultproxy.ToCaller, faultproxy.Faults{Drop: 0.05})
+	before := d.begun(t, targets)
+	served := d.servedBy(t, callers)
+	for i, now := range d.begun(t, targets) {
+		t.Logf("%s: %v connections begun, %d callers served", targets[i].Name, now-before[i], served[targets[i].Name])
+		is.Equal(int(now-before[i]), served[targets[i].Name])
+	}
+	is.True(served[targets[0].Name]+served[targets[1].Name] > 0) // over the one entry host
+	is.True(served[targets[2].Name]+served[targets[3].Name] > 0) // over the other one
+}
+
+// servedBy opens flows, some of them side by side, expects a whole answer on each and returns
+// how many each target serves.
+func (d *deployment) servedBy(t *testing.T, callers int) map[string]int {
+	t.Helper()
+	is := is.New(t)
+	answers, errs := make([]*processtest.Answer, callers), make([]error, callers)
+	all := pool.New().WithMaxGoroutines(slots) // more are refused when one target has them all
+	for i := range callers {
+		caller := d.lodgement.NewCaller()
+		all.Go(func() {
+			path := "/echo?text=" + url.QueryEscape(echoOf(i))
+			answers[i], errs[i] = caller.Do(context.Background(), http.MethodGet, path, nil, nil)
+		})
+	}
+	all.Wait()
+	is.NoErr(errors.Join(errs...))
+	served := make(map[string]int)
+	for i, answer := range answers {
+		is.Equal(answer.Reason, "") // not refused
+		is.Equal(answer.Status, http.StatusOK)
+		is.Equal(string(answer.Body), echoOf(i))
+		name, _, _ := strings.Cut(answer.Target, "/")
+		served[name]++
+	}
+	return served
+}
+
+func echoOf(i int) string { return strings.Repeat(fmt.Sprintf("caller %d;", i), 100) }
+
+// begun returns how many connections of callers each target has begun, by a
+// figure taken after the call: all have open flows, whose packets are counted.
+func (d *deployment) begun(t *testing.T, targets []*processtest.Target) []float64 {
+	t.Helper()
+	frames := func(target *processtest.Target) float64 { return target.Agent.Reading("frames_received", "", "") }
+	var all []float64
+	for _, target := range targets {
+		old := frames(target)
+		processtest.Eventually(t, "a new figure of "+target.Name, func() bool { return frames(target) > old })
+		all = append(all, target.Agent.Reading("connections_begun", "", ""))
+	}
+	return all
+}
