test: the whole first flight leaves before a Retry is back

quic-go takes what has arrived before it sends on, so on loopback a Retry could overtake the second half of a ClientHello. The path now takes 10 ms each way in TestFirstFlightOverDifferentViews.

--- a/test/flight_test.go
+++ b/test/flight_test.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
@@ -24,7 +25,7 @@
 func TestFirstFlightOverDifferentViews(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	const callers = 60
+	const callers, wayBack = 60, 10 * time.Millisecond // the whole first flight leaves before a Retry is back
 	d := &deployment{Cluster: processtest.New(t)}
 	d.controls = d.StartControls(1)
 	d.lodgement = d.NewService("lodgement")
@@ -50,8 +51,8 @@
 
 	fabric := d.lodgement.Fabric
 	fabric.SendInTurn()
-	fabric.SetFaults(faultproxy.ToHost, faultproxy.Faults{Drop: 0.03, Duplicate: 0.2})
-	fabric.SetFaults(faultproxy.ToCaller, faultproxy.Faults{Drop: 0.05})
+	fabric.SetFaults(faultproxy.ToHost, faultproxy.Faults{Delay: wayBack, Drop: 0.03, Duplicate: 0.2})
+	fabric.SetFaults(faultproxy.ToCaller, faultproxy.Faults{Delay: wayBack, Drop: 0.05})
 	before := d.begun(t, targets)
 	served := d.servedBy(t, callers)
 	for i, now := range d.begun(t, targets) {
