--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -46,8 +46,8 @@
 	operator keys.Files
 	// issued are the certificates that were issued, each once.
 	issued []identity
-	// grantGroups is a setting of the control hosts.
-	grantGroups uint32
+	// grantGroups and maxLinks are settings of the control hosts.
+	grantGroups, maxLinks uint32
 
 	// version is the newest one that Patch made, of so many patches.
 	version uint64
