controld, subscriber: a stopping control host keeps no announcement to itself

Its logs: a new target announced itself to a control host 150 ms before that one was told to stop. Changes wait 200 ms to be passed on together, so the host took the announcement with it, and the agent announced anew only when a third of its lease was over. Meanwhile entry hosts at the other control hosts knew only the two targets that were leaving, whose agents refuse what they cannot hand on after 2 s.

A control host that stops now tells the others, once its links are closed, what has changed; and an agent announces at once when its link has moved, which also covers a control host that is killed.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -280,6 +280,9 @@
 		calls.Go(func() { _ = d.server.Close() })
 	}
 	calls.Wait()
+	// What agents announced last may not have been passed on yet, and nobody
+	// else knows of it.
+	d.peers.tellAll()
 	d.cancel()
 	d.loops.Wait()
 	var first error
--- a/internal/controld/doc.go
+++ b/internal/controld/doc.go
@@ -5,5 +5,7 @@
 //
 // Locks are leaves: configState.mu, grantState.mu, directory.mu, hub.mu,
 // peers.mu, peer.mu and subscribers.mu are never held while another one of
-// them is taken or while anything blocks.
+// them is taken or while anything blocks. The one exception is peer.telling,
+// which is held while a message of the directory is under way; directory.mu is
+// taken under it.
 package controld
--- a/internal/controld/group_test.go
+++ b/internal/controld/group_test.go
@@ -237,6 +237,20 @@
 	}
 }
 
+// TestStoppingHostPassesOnWhatItTook stops a host right after an agent announced
+// to it. Nobody announces again.
+func TestStoppingHostPassesOnWhatItTook(t *testing.T) {
+	d := newGroup(t)
+	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
+	announces(t, agent, registered(t, agent, "t1"))
+	d.stop("c1")
+	for _, name := range []string{"c2", "c3"} {
+		if n := d.status(name).Targets; n != 1 {
+			t.Errorf("%s knows %d targets", name, n)
+		}
+	}
+}
+
 // TestRestartedHostIsToldTheDirectory restarts a host that the agent does not
 // announce to: it has forgotten all that it was told.
 func TestRestartedHostIsToldTheDirectory(t *testing.T) {
--- a/internal/controld/peers.go
+++ b/internal/controld/peers.go
@@ -150,6 +150,19 @@
 	return by
 }
 
+// tellAll tells the other control hosts at once what has changed in the
+// directory. It returns once they know, or after a bounded wait.
+func (p *peers) tellAll() {
+	p.mu.Lock()
+	all := slices.Collect(maps.Values(p.byAddr))
+	p.mu.Unlock()
+	var calls conc.WaitGroup
+	for _, far := range all {
+		calls.Go(far.sendDirectory)
+	}
+	calls.Wait()
+}
+
 func (p *peers) close() {
 	p.mu.Lock()
 	p.closed = true
@@ -236,9 +249,10 @@
 	// messages wait for the far end, bounded for each lane.
 	messages map[lane][]*raftpb.Message
 
-	// cursor is how far the far end has been told of the directory. Only the
-	// loop of the directory uses it.
-	cursor uint64
+	// telling guards cursor, which is how far the far end has been told of the
+	// directory. It is held while a message is under way.
+	telling sync.Mutex
+	cursor  uint64
 }
 
 func newPeer(addr string, owner *peers) *peer {
--- a/internal/controld/sync.go
+++ b/internal/controld/sync.go
@@ -24,6 +24,8 @@
 	if p.client.Address() == "" {
 		return
 	}
+	p.telling.Lock()
+	defer p.telling.Unlock()
 	m, cursor := p.dir.sync(p.cursor)
 	p.dir.tellLoad(m)
 	reply, err := p.tell(m)
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -100,6 +100,8 @@
 	// ready is closed while there is a connection; a new one is made when it
 	// is lost.
 	ready chan struct{}
+	// opened is closed when there is another connection, and then made anew.
+	opened chan struct{}
 	// next is where the client shall move to, if not empty.
 	next string
 	// move is signalled to leave the current connection.
@@ -110,11 +112,12 @@
 // connects at once and reconnects until it is closed.
 func NewClient(addrs []string, creds *keys.Credentials, opts ClientOptions) *Client {
 	c := &Client{
-		addrs: append([]string{}, addrs...),
-		creds: creds,
-		opts:  opts.withDefaults(),
-		ready: make(chan struct{}),
-		move:  make(chan struct{}, 1),
+		addrs:  append([]string{}, addrs...),
+		creds:  creds,
+		opts:   opts.withDefaults(),
+		ready:  make(chan struct{}),
+		opened: make(chan struct{}),
+		move:   make(chan struct{}, 1),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.opts.Rand.Shuffle(len(c.addrs), func(i, j int) {
@@ -139,6 +142,14 @@
 	return c.current.addr
 }
 
+// Opened returns a channel that is closed when the client has another
+// connection than now.
+func (c *Client) Opened() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.opened
+}
+
 // Transferred returns the bytes of UDP payload that the current connection
 // has sent and received, nothing without one.
 func (c *Client) Transferred() (sent, received uint64) {
@@ -262,6 +273,8 @@
 	defer c.mu.Unlock()
 	c.current = conn
 	close(c.ready)
+	close(c.opened)
+	c.opened = make(chan struct{})
 }
 
 func (c *Client) unpublish() {
--- a/internal/subscriber/announcer.go
+++ b/internal/subscriber/announcer.go
@@ -195,6 +195,7 @@
 	}
 	retry := a.opts.RetryMin
 	for {
+		moved := a.opts.Client.Opened()
 		lease, err := a.announce()
 		wait := jitter(a.opts.Rand, lease/renewalsPerLease)
 		if err != nil {
@@ -205,20 +206,25 @@
 			retry = a.opts.RetryMin
 			a.lastRefusal = ""
 		}
-		if !a.pause(wait) {
+		if err != nil {
+			moved = nil // as the client dials again and again
+		}
+		if !a.pause(wait, moved) {
 			return
 		}
 	}
 }
 
-// pause waits, or until the record changes. It reports whether to go on.
-func (a *Announcer) pause(d time.Duration) bool {
+// pause waits, or until the record changes or the client has moved: the next
+// control host may not have heard of the target. It reports whether to go on.
+func (a *Announcer) pause(d time.Duration, moved <-chan struct{}) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-a.ctx.Done():
 		return false
 	case <-a.changed:
+	case <-moved:
 	case <-timer.C:
 	}
 	return true
@@ -248,7 +254,7 @@
 			return true
 		}
 		a.failed("register", err)
-		if !a.pause(max(jitter(a.opts.Rand, retry), requestedPause(err))) {
+		if !a.pause(max(jitter(a.opts.Rand, retry), requestedPause(err)), nil) {
 			return false
 		}
 		retry = min(2*retry, a.opts.RetryMax)
--- a/internal/subscriber/announcer_test.go
+++ b/internal/subscriber/announcer_test.go
@@ -138,6 +138,32 @@
 	is.Equal(count(scope, metricAnnounceFailures, "announce_refused"), int64(2))
 }
 
+// A control host may go before it has told the others of a target: the next one
+// hears of it at once, not when the lease is due for renewal.
+func TestNewLinkIsAnnouncedToAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	make1 := func() *controlHost {
+		h := newControlHost(configuration(1), true)
+		h.register = func(int) *controlpb.Response { return registered("") }
+		h.announce = func(int) *controlpb.Response { return announced(time.Hour, "") }
+		return h
+	}
+	heard := func(h *controlHost) func() bool {
+		return func() (yes bool) {
+			h.read(func() { yes = len(h.announces) > 0 })
+			return yes
+		}
+	}
+	former, next := make1(), make1()
+	server := d.listen(anyPort, former)
+	startAnnouncer(t, d.client(server))
+	eventually(t, "announced", heard(former))
+	is.NoErr(server.Close())
+	d.listen(server.Addr().String(), next)
+	eventually(t, "announced to the next one", heard(next))
+}
+
 func TestAnnouncerFollowsARestartedControlHost(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t)
