--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -23,8 +23,8 @@
 callers and a backend server for them, and reports what memory, processor time,
 messages and disk grow by for each of them: the least-squares fit over at least
 four sizes with its standard error, and what it comes to at the size that the
-design is made for. A whole run takes about six minutes, 2 GB of memory and at
-most three daemons at a time.
+design is made for. A whole run takes about nine minutes, 2 GB of memory and at
+most fifteen daemons at a time.
 
 Measurements: ` + strings.Join(capacity.Names(), ", ") + `.`,
 		Example: `  eelgrasswharf measure
