--- a/cmd/eelgrasswharf/main.go
+++ b/cmd/eelgrasswharf/main.go
@@ -7,8 +7,9 @@
 	"os"
 
 	"eelgrasswharf.example/eelgrasswharf/internal/cli"
+	"eelgrasswharf.example/eelgrasswharf/platform"
 )
 
 func main() {
-	os.Exit(cli.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cli.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr, platform.Command()))
 }
--- a/config/bounds.go
+++ b/config/bounds.go
@@ -27,8 +27,13 @@
 	MaxAddresses = 1_024
 	// MaxRetired bounds the retired public addresses of a configuration.
 	MaxRetired = 16_384
+	// MaxRoutes bounds the routes of a table: three for each public address of
+	// the size expected.
+	MaxRoutes = 16_384
 	// MaxNameLength bounds names of services and targets, in bytes.
 	MaxNameLength = 63
+	// MaxTableNameLength bounds names of services in a route table, in bytes.
+	MaxTableNameLength = 255
 	// MaxIDLength bounds identifiers of patches, in bytes.
 	MaxIDLength = 128
 	// MaxProcessLength bounds the identity of a process, in bytes.
--- a/config/delta.go
+++ b/config/delta.go
@@ -36,6 +36,7 @@
 	}
 	u.Retired = without(to, from)
 	u.Released = without(from, to)
+	u.Table = diffTable(from.GetTable(), to.GetTable())
 	return u
 }
 
@@ -74,7 +75,9 @@
 	for _, address := range u.GetRetired() {
 		retired[address] = true
 	}
-	return assemble(base, u.GetVersion(), put, removed, retired), nil
+	merged := assemble(base, u.GetVersion(), put, removed, retired)
+	merged.Table = mergeTable(base.GetTable(), u.GetTable())
+	return merged, nil
 }
 
 func byName(c *configpb.Configuration) map[string]*configpb.Service {
--- a/config/machine.go
+++ b/config/machine.go
@@ -23,6 +23,8 @@
 	targets      *targets
 	// lastService is the highest service number ever assigned.
 	lastService uint32
+	// document is the operator's of the route table in force.
+	document []byte
 	// history has the newest versions, oldest first, current last.
 	history []*configpb.Configuration
 }
@@ -55,6 +57,9 @@
 	case *configpb.Command_Register:
 		registration := m.register(body.Register)
 		return &configpb.Result{Body: &configpb.Result_Registration{Registration: registration}}
+	case *configpb.Command_Replacement:
+		replaced := m.replace(body.Replacement)
+		return &configpb.Result{Body: &configpb.Result_Replaced{Replaced: replaced}}
 	}
 	return &configpb.Result{}
 }
@@ -176,7 +181,12 @@
 		}
 		services = slices.Insert(services, i, s)
 	}
-	return &configpb.Configuration{Version: version, Services: services, Retired: retiredList(retired)}
+	return &configpb.Configuration{
+		Version:  version,
+		Services: services,
+		Retired:  retiredList(retired),
+		Table:    base.GetTable(),
+	}
 }
 
 // compareName orders services by name.
--- a/config/read.go
+++ b/config/read.go
@@ -37,6 +37,10 @@
 	return m.history[version-oldest]
 }
 
+// Document returns the operator's document of the route table in force, nil if
+// there is none. It must not be changed.
+func (m *Machine) Document() []byte { return m.document }
+
 // Outcome returns what became of a patch, or nil if nothing is known of it.
 func (m *Machine) Outcome(id string) *configpb.Outcome { return m.outcomes.find(id) }
 
@@ -52,6 +56,7 @@
 		LastServiceNumber: m.lastService,
 		LastTargetNumber:  m.targets.last,
 		VersionPatch:      m.versionPatch,
+		Document:          m.document,
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
 	if err != nil {
@@ -76,6 +81,7 @@
 	}
 	m.targets = restoreTargets(state.GetTargets(), state.GetLastTargetNumber())
 	m.lastService = state.GetLastServiceNumber()
+	m.document = state.GetDocument()
 	m.history = nil
 	m.publish(state.GetConfiguration(), state.GetVersionPatch())
 	return nil
--- a/config/scope.go
+++ b/config/scope.go
@@ -4,8 +4,8 @@
 
 // Within returns the part of a configuration that concerns some services, by
 // number: a configuration of the same version with these services alone. Its
-// services are those of c. Retired addresses are left out: only entry hosts
-// open addresses, and they hold all of the configuration.
+// services are those of c. Retired addresses and routes are left out: only
+// entry hosts use them, and they hold all of the configuration.
 //
 // The difference of two parts leads from one to the other, whatever happened
 // to the services around them. It carries the version even if it is empty.
--- a/config/shared.go
+++ b/config/shared.go
@@ -69,10 +69,14 @@
 
 // bounded returns the findings, cut to MaxFindings and a count of the rest.
 func (d *draft) bounded() []*configpb.Finding {
-	left := len(d.findings) - MaxFindings
+	return boundedFindings(d.findings)
+}
+
+func boundedFindings(all []*configpb.Finding) []*configpb.Finding {
+	left := len(all) - MaxFindings
 	if left <= 0 {
-		return d.findings
+		return all
 	}
-	cut := slices.Clip(d.findings[:MaxFindings])
+	cut := slices.Clip(all[:MaxFindings])
 	return append(cut, &configpb.Finding{Place: PatchPlace, Text: fmt.Sprintf("%d further findings", left)})
 }
--- a/config/targets.go
+++ b/config/targets.go
@@ -109,6 +109,9 @@
 	if len(r.GetProcess()) == 0 || len(r.GetProcess()) > MaxProcessLength {
 		return &configpb.Registration{Refusal: RefusalProcess}
 	}
+	if r.GetCreateService() && serviceNamed(m.current, r.GetService()) == nil && tableNameFault(r.GetService()) == "" {
+		m.publish(m.withServices([]string{r.GetService()}), m.versionPatch)
+	}
 	service := serviceNamed(m.current, r.GetService()).GetNumber()
 	if service == 0 {
 		return &configpb.Registration{Refusal: RefusalUnknownService}
--- /dev/null
+++ b/flow/agent.go
@@ -0,0 +1,417 @@
+package flow
+
+import "time"
+
+const (
+	// MaxAgentFlows bounds the flows of an agent: several times what a backend
+	// server takes. A flow takes some 110 bytes.
+	MaxAgentFlows = 16_384
+	// uncertainFor is how long after its start an agent may lack flows that its
+	// target holds: flows are found again by their next packet, and those that
+	// were idle for longer may be discarded.
+	uncertainFor = 60 * time.Second
+	// absentFor is how long an agent remembers that its target does not hold a
+	// flow: longer than a sender waits between two copies of a packet, 1.6 s.
+	absentFor = 4 * time.Second
+	// maxHops bounds how often an opening packet is handed on.
+	maxHops = 3
+	// loadWindow is the time over which the requests in progress are averaged: a
+	// few times what a request takes.
+	loadWindow = 500 * time.Millisecond
+	// stuckAfter is when a request without an answer no longer counts as in
+	// progress, whatever became of it.
+	stuckAfter = 10 * time.Second
+	// flowPermille is what an open flow adds to the load of a target, in
+	// thousandths of one slot: an idle one is a request to come.
+	flowPermille = 60
+	// fullLoad is the load of a target whose slots are all taken.
+	fullLoad = 1000
+	maxLoad  = 4000
+)
+
+// State tells whether the target beside an agent takes new flows.
+type State uint8
+
+// States of a target.
+const (
+	// Absent: no backend server has been heard of, or it is gone.
+	Absent State = iota
+	// Serving: it takes new flows.
+	Serving
+	// Leaving: it keeps its flows and takes no new ones.
+	Leaving
+)
+
+// Server is what an agent knows of the target beside it.
+type Server struct {
+	State State
+	// Service is the hash of the name of its service.
+	Service uint64
+	// Slots is how many requests it runs at a time.
+	Slots int
+	// Number and Incarnation name it towards entry hosts, zero before it is
+	// registered.
+	Number, Incarnation uint32
+	// Ill: the agent holds it to be ill.
+	Ill bool
+}
+
+// Agent holds the flows of the target beside it.
+type Agent struct {
+	began  time.Duration
+	server Server
+	// peers are the agents beside other serving targets of the same service.
+	peers []Endpoint
+	flows map[Key]*agentFlow
+	// live is the number of flows that may carry requests, as of the last sweep.
+	live int
+	// running is the number of requests in progress, average that of the last
+	// moments, as of averagedAt.
+	running    int
+	average    float64
+	averagedAt time.Duration
+}
+
+type stage uint8
+
+const (
+	// offered: the opening packet went to the target.
+	offered stage = iota
+	// answered: the target has answered it.
+	answered
+	// opened: the caller has acknowledged that, or the target's later packets show
+	// it.
+	opened
+	// uncertain: a later packet went to the target, which may not hold the flow.
+	uncertain
+	// absent: the target does not hold the flow.
+	absent
+)
+
+// agentFlow is what an agent knows of a flow.
+type agentFlow struct {
+	stage stage
+	// first is the number of the target's first byte, if known.
+	first uint32
+	known bool
+	// entry is where the flow's packets come from.
+	entry     Endpoint
+	alternate Endpoint
+	hops      uint8
+	// requested is when the request in progress came, zero if there is none.
+	requested time.Duration
+	running   bool
+	// callerDone and targetDone: that end has sent its last byte.
+	callerDone, targetDone bool
+	seen      time.Duration
+	born      time.Duration
+}
+
+// NewAgent returns an agent that has just started.
+func NewAgent(now time.Duration) *Agent {
+	return &Agent{began: now, averagedAt: now, flows: make(map[Key]*agentFlow)}
+}
+
+// Len returns the number of flows.
+func (a *Agent) Len() int { return len(a.flows) }
+
+// Server returns what is known of the target.
+func (a *Agent) Server() Server { return a.server }
+
+// SetServer takes in what is known of the target.
+func (a *Agent) SetServer(s Server) { a.server = s }
+
+// SetPeers takes in the agents to which opening packets may be handed on. The
+// agent keeps the slice.
+func (a *Agent) SetPeers(peers []Endpoint) { a.peers = peers }
+
+// FromEntry decides on a caller's packet that an entry host or another agent sent.
+func (a *Agent) FromEntry(m Frame, p Packet, now time.Duration) Verdict {
+	f := a.flows[p.Key]
+	if f != nil {
+		f.seen = now
+		f.entry = m.Entry
+	}
+	if m.Kind == Open {
+		return a.open(f, m, p, now)
+	}
+	if f == nil {
+		return a.unknown(m, p, now)
+	}
+	switch f.stage {
+	case absent:
+		return missed(m, ReasonNotHeld)
+	case answered:
+		if f.known && !acknowledges(p.Ack, f.first) && !p.Flags.Has(SYN) {
+			// The caller has opened the flow with another target.
+			a.forget(p.Key, f)
+			return missed(m, ReasonElsewhere)
+		}
+		f.stage = opened
+	case offered:
+		// The target's answer may have been lost on its way to the caller, but it
+		// cannot be acknowledged before it was given.
+		a.forget(p.Key, f)
+		return missed(m, ReasonElsewhere)
+	}
+	f.callerDone = f.callerDone || p.Flags.Has(FIN) || p.Flags.Has(RST)
+	a.request(f, p, now)
+	return Verdict{Action: Deliver, Reason: ReasonHeld}
+}
+
+// missed sends a packet back to the entry host. One that searches gets no answer
+// from those that do not hold the flow.
+func missed(m Frame, reason Reason) Verdict {
+	if m.Kind != Data {
+		return Verdict{Action: Drop, Reason: reason}
+	}
+	return Verdict{Action: Return, Reason: reason, To: m.Entry, Frame: Frame{Kind: Missed, Entry: m.Entry}}
+}
+
+// unknown decides on a packet of a flow that this agent has not seen. While it may
+// lack flows of its target, the target itself is asked.
+func (a *Agent) unknown(m Frame, p Packet, now time.Duration) Verdict {
+	other := m.Service != 0 && a.server.Service != 0 && m.Service != a.server.Service
+	if other || now-a.began > uncertainFor || a.full() {
+		return missed(m, ReasonNotHeld)
+	}
+	a.flows[p.Key] = &agentFlow{stage: uncertain, entry: m.Entry, seen: now, born: now}
+	return Verdict{Action: Deliver, Reason: ReasonUncertain}
+}
+
+func (a *Agent) full() bool { return len(a.flows) >= MaxAgentFlows }
+
+// open decides on an opening packet.
+func (a *Agent) open(f *agentFlow, m Frame, p Packet, now time.Duration) Verdict {
+	if f != nil && (f.stage == offered || f.stage == answered || f.stage == opened) {
+		// A copy, or a flow under a port that was used before: the target knows.
+		return Verdict{Action: Deliver, Reason: ReasonHeld}
+	}
+	if reason := a.refuses(m); reason != "" {
+		return a.handOn(m.Alternate, m.Entry, m.Service, m.Hops, p.Key, reason)
+	}
+	if f == nil && a.full() {
+		return a.handOn(m.Alternate, m.Entry, m.Service, m.Hops, p.Key, ReasonTableFull)
+	}
+	a.flows[p.Key] = &agentFlow{
+		stage:     offered,
+		entry:     m.Entry,
+		alternate: m.Alternate,
+		hops:      m.Hops,
+		seen:      now,
+		born:      now,
+	}
+	a.live++
+	return Verdict{Action: Deliver, Reason: ReasonPlaced}
+}
+
+// refuses tells why the target takes no new flow for that frame, or nothing.
+func (a *Agent) refuses(m Frame) Reason {
+	switch {
+	case a.server.State == Absent:
+		return ReasonNoServer
+	case m.Service != a.server.Service:
+		return ReasonService
+	case a.server.State == Leaving:
+		return ReasonLeaving
+	}
+	return ""
+}
+
+// handOn sends an opening packet on to another agent of the service, or tells the
+// caller at once that there is none.
+func (a *Agent) handOn(alternate, entry Endpoint, service uint64, hops uint8, key Key, reason Reason) Verdict {
+	if hops >= maxHops {
+		return Verdict{Action: Reset, Reason: ReasonHops}
+	}
+	to := alternate
+	if to.IsZero() && len(a.peers) > 0 && service == a.server.Service {
+		to = a.peers[key.Hash(uint64(hops))%uint64(len(a.peers))]
+	}
+	if to.IsZero() {
+		return Verdict{Action: Reset, Reason: reason}
+	}
+	return Verdict{Action: Send, Reason: reason, To: to, Frame: Frame{
+		Kind:    Open,
+		Hops:    hops + 1,
+		Service: service,
+		Entry:   entry,
+	}}
+}
+
+// FromTarget decides on a packet that the target sent. Its key has the caller's end
+// and the public one, as for packets of the caller.
+func (a *Agent) FromTarget(p Packet, now time.Duration) (v Verdict, notice *Frame) {
+	f := a.flows[p.Key]
+	if p.Flags.Has(Returned) {
+		return a.returned(f, p, now), nil
+	}
+	if f == nil {
+		if a.full() {
+			return Verdict{Action: Reply, Reason: ReasonTableFull}, nil
+		}
+		// This agent has started after the flow had opened.
+		f = &agentFlow{stage: uncertain, born: now}
+		a.flows[p.Key] = f
+	}
+	f.seen = now
+	f.targetDone = f.targetDone || p.Flags.Has(FIN)
+	notice = a.progress(f, p)
+	a.answer(f, p, now)
+	if p.Flags.Has(RST) {
+		a.forget(p.Key, f)
+	}
+	return Verdict{Action: Reply, Reason: ReasonAnswered}, notice
+}
+
+// progress follows the flow's stage by a packet of the target. It returns what the
+// entry host is to be told, if anything.
+func (a *Agent) progress(f *agentFlow, p Packet) *Frame {
+	switch {
+	case p.Flags.Has(SYN | ACK):
+		if f.stage == opened {
+			return nil
+		}
+		f.stage, f.first, f.known = answered, p.Seq, true
+	case f.stage == uncertain || f.stage == absent:
+		f.stage = opened
+	default:
+		return nil
+	}
+	if f.entry.IsZero() {
+		return nil
+	}
+	return a.held(f, p.Key)
+}
+
+// Found returns the notice for the entry host that searched for a flow.
+func (a *Agent) Found(key Key) *Frame {
+	f := a.flows[key]
+	if f == nil || f.stage != opened {
+		return nil
+	}
+	return a.held(f, key)
+}
+
+func (a *Agent) held(f *agentFlow, key Key) *Frame {
+	m := a.Report()
+	m.Kind = Held
+	m.Service = a.server.Service
+	m.Entry = f.entry
+	m.Key = key
+	m.First, m.Known = f.first, f.known
+	m.Opened = f.stage == opened
+	return &m
+}
+
+// returned decides on a packet that the target sent back.
+func (a *Agent) returned(f *agentFlow, p Packet, now time.Duration) Verdict {
+	if p.Flags.Has(SYN) {
+		if f == nil || f.stage != offered {
+			return Verdict{Action: Drop, Reason: ReasonRefused}
+		}
+		a.forget(p.Key, f)
+		return a.handOn(f.alternate, f.entry, a.server.Service, f.hops, p.Key, ReasonRefused)
+	}
+	if f == nil {
+		return Verdict{Action: Drop, Reason: ReasonNotHeld}
+	}
+	switch f.stage {
+	case opened:
+		// The target held it and does not any more: it has started anew.
+		a.stop(f)
+		f.stage, f.seen = absent, now
+		return Verdict{Action: Reset, Reason: ReasonLost}
+	case uncertain, offered, answered:
+		a.stop(f)
+		f.stage, f.seen = absent, now
+		return missed(Frame{Kind: Data, Entry: f.entry}, ReasonNotHeld)
+	}
+	return Verdict{Action: Drop, Reason: ReasonNotHeld}
+}
+
+func (a *Agent) forget(key Key, f *agentFlow) {
+	a.stop(f)
+	delete(a.flows, key)
+}
+
+// request notes that a request goes to the target.
+func (a *Agent) request(f *agentFlow, p Packet, now time.Duration) {
+	if p.Length == 0 || f.running {
+		return
+	}
+	a.advance(now)
+	f.running, f.requested = true, now
+	a.running++
+}
+
+// answer notes that the target answers a request: its first data do.
+func (a *Agent) answer(f *agentFlow, p Packet, now time.Duration) {
+	if p.Length == 0 || !f.running {
+		return
+	}
+	a.advance(now)
+	a.stop(f)
+}
+
+func (a *Agent) stop(f *agentFlow) {
+	if f.running {
+		f.running = false
+		a.running--
+	}
+}
+
+// advance takes the time since the last change into the average.
+func (a *Agent) advance(now time.Duration) {
+	elapsed := now - a.averagedAt
+	if elapsed <= 0 {
+		return
+	}
+	a.averagedAt = now
+	share := min(float64(elapsed)/float64(loadWindow), 1)
+	a.average += (float64(a.running) - a.average) * share
+}
+
+// Report returns a Load frame.
+func (a *Agent) Report() Frame {
+	return Frame{
+		Kind:         Load,
+		Number:       a.server.Number,
+		Incarnation:  a.server.Incarnation,
+		LoadPermille: a.load(),
+		Draining:     a.server.State != Serving,
+		Ill:          a.server.Ill,
+	}
+}
+
+// load returns the load of the target in thousandths of its slots: the requests in
+// progress, now or lately, and a little for each open flow.
+func (a *Agent) load() uint16 {
+	slots := max(a.server.Slots, 1)
+	busy := max(float64(a.running), a.average)
+	load := (busy*fullLoad + float64(a.live*flowPermille)) / float64(slots)
+	return uint16(min(load, maxLoad))
+}
+
+// Sweep forgets the flows that were idle for longer than idle, and those older than
+// age.
+func (a *Agent) Sweep(now, idle, age time.Duration) {
+	a.advance(now)
+	a.live = 0
+	for key, f := range a.flows {
+		limit := idle
+		if f.stage == absent {
+			limit = absentFor
+		}
+		if now-f.seen > limit || now-f.born > age {
+			a.forget(key, f)
+			continue
+		}
+		if f.running && now-f.requested > stuckAfter {
+			a.stop(f)
+		}
+		if f.stage != absent && !f.callerDone && !f.targetDone {
+			a.live++
+		}
+	}
+}
--- /dev/null
+++ b/incarnation/incarnation.go
@@ -0,0 +1,161 @@
+// Package incarnation puts the reports of a backend server in order. A backend
+// server that starts again may have the name that it had, and reports that were
+// delayed may arrive after its next life has begun: the start of a life orders
+// lives, and a sequence number orders the reports of one life.
+package incarnation
+
+import "time"
+
+// Life names one life of a backend server.
+type Life struct {
+	// ID is the name that it gives itself.
+	ID string
+	// StartedMS is the time of its start by its own clock, in milliseconds since
+	// the Unix epoch, 0 if it does not tell. It is compared with other lives of the
+	// same place only.
+	StartedMS int64
+}
+
+// Report is what a backend server says of itself.
+type Report struct {
+	Life Life
+	// Sequence grows with each report of a life.
+	Sequence uint64
+	// Leaving: it takes no new flows.
+	Leaving bool
+	// Gone: it serves no more.
+	Gone bool
+	// Slots is how many requests it runs at a time.
+	Slots int
+	// WarmupLeft is how much longer it is slow after its start.
+	WarmupLeft time.Duration
+}
+
+// Verdict tells what a report is.
+type Verdict string
+
+// Verdicts.
+const (
+	// First report of a life that is newer than the one known.
+	First Verdict = "first"
+	// Newer report of the life known.
+	Newer Verdict = "newer"
+	// Late report of the life known: a later one was taken in before.
+	Late Verdict = "late"
+	// Former life: a newer one has begun.
+	Former Verdict = "former_life"
+	// Ended life: it said before that it is gone.
+	Ended Verdict = "ended_life"
+	// Unordered: the life known tells its start, this report does not.
+	Unordered Verdict = "unordered"
+)
+
+const (
+	// maxFormer bounds the former lives that are remembered.
+	maxFormer = 16
+	// revivedAfter is how many reports in a row, each newer than the one before, it
+	// takes to believe that the life known is the former one: without a start to
+	// order them, two lives that an observer hears of late can come in the wrong
+	// order. A single delayed report does not suffice.
+	revivedAfter = 2
+)
+
+// Tracker holds the newest life of the backend server at one place. The zero value
+// knows of none.
+type Tracker struct {
+	known   bool
+	current Report
+	// former has the lives before that did not tell their start, oldest first.
+	former []former
+}
+
+// former is a life that another one has succeeded.
+type former struct {
+	id string
+	// sequence of its newest report, rising counts the newer ones since the last
+	// report of the life known.
+	sequence uint64
+	rising   int
+}
+
+// Current returns the newest report, and whether there is one.
+func (t *Tracker) Current() (Report, bool) { return t.current, t.known }
+
+// Take takes in a report, unless the verdict says that a newer one is known. A life
+// that leaves does not return to service: a report that says otherwise was sent
+// before, whatever its sequence number.
+func (t *Tracker) Take(r Report) Verdict {
+	if !t.known {
+		t.known, t.current = true, r
+		return First
+	}
+	if r.Life.StartedMS == 0 && t.current.Life.StartedMS != 0 {
+		return Unordered
+	}
+	if r.Life != t.current.Life {
+		return t.another(r)
+	}
+	for i := range t.former {
+		t.former[i].rising = 0
+	}
+	if t.current.Gone {
+		return Ended
+	}
+	if r.Sequence <= t.current.Sequence && !r.Gone {
+		return Late
+	}
+	r.Leaving = r.Leaving || t.current.Leaving
+	r.Sequence = max(r.Sequence, t.current.Sequence)
+	if r.Slots == 0 {
+		r.Slots = t.current.Slots
+	}
+	t.current = r
+	return Newer
+}
+
+// another decides on a report of another life than the one known.
+func (t *Tracker) another(r Report) Verdict {
+	if !t.succeeds(r) {
+		return Former
+	}
+	if t.current.Life.StartedMS == 0 {
+		t.former = append(t.former, former{id: t.current.Life.ID, sequence: t.current.Sequence})
+		t.former = t.former[max(len(t.former)-maxFormer, 0):]
+	}
+	t.current = r
+	return First
+}
+
+// succeeds reports whether a life is later than the one known. Of two that started
+// in the same millisecond the one whose report came first stays, until it is gone.
+func (t *Tracker) succeeds(r Report) bool {
+	l, held := r.Life, t.current.Life
+	if l.StartedMS != held.StartedMS {
+		return l.StartedMS > held.StartedMS
+	}
+	if l.StartedMS != 0 {
+		return t.current.Gone
+	}
+	for i := range t.former {
+		if t.former[i].id == l.ID {
+			return t.revives(i, r)
+		}
+	}
+	return !r.Gone
+}
+
+// revives reports whether a life that was held to be a former one is the present
+// one after all. It is no longer remembered as a former one then.
+func (t *Tracker) revives(i int, r Report) bool {
+	f := &t.former[i]
+	if r.Gone || r.Sequence <= f.sequence {
+		return false
+	}
+	f.sequence = r.Sequence
+	f.rising++
+	if f.rising < revivedAfter {
+		return false
+	}
+	t.former = append(t.former[:i], t.former[i+1:]...)
+	return true
+}
--- /dev/null
+++ b/incarnation/incarnation_test.go
@@ -0,0 +1,60 @@
+package incarnation_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/incarnation"
+)
+
+func report(id string, started int64, sequence uint64) incarnation.Report {
+	return incarnation.Report{Life: incarnation.Life{ID: id, StartedMS: started}, Sequence: sequence, Slots: 4}
+}
+
+func leaving(r incarnation.Report) incarnation.Report { r.Leaving = true; return r }
+func gone(r incarnation.Report) incarnation.Report    { r.Gone = true; return r }
+
+func TestTake(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		before  []incarnation.Report
+		next    incarnation.Report
+		want    incarnation.Verdict
+		leaving bool
+		gone    bool
+	}{
+		{"first of all", nil, report("a", 100, 1), incarnation.First, false, false},
+		{"next", []incarnation.Report{report("a", 100, 1)}, report("a", 100, 2), incarnation.Newer, false, false},
+		{"repeated", []incarnation.Report{report("a", 100, 2)}, report("a", 100, 2), incarnation.Late, false, false},
+		{"overtaken by its own drain", []incarnation.Report{leaving(report("a", 100, 3))}, report("a", 100, 2), incarnation.Late, true, false},
+		{"never back from a drain", []incarnation.Report{leaving(report("a", 100, 3))}, report("a", 100, 4), incarnation.Newer, true, false},
+		{"the same name again, counting anew", []incarnation.Report{leaving(report("a", 100, 9))}, report("a", 200, 1), incarnation.First, false, false},
+		{"a drain of the life before", []incarnation.Report{report("a", 200, 1)}, leaving(report("a", 100, 50)), incarnation.Former, false, false},
+		{"another name later", []incarnation.Report{report("a", 100, 9)}, report("b", 200, 1), incarnation.First, false, false},
+		{"an earlier one after it", []incarnation.Report{report("b", 200, 1)}, report("a", 100, 10), incarnation.Former, false, false},
+		{"gone, without a sequence number", []incarnation.Report{report("a", 100, 9)}, gone(report("a", 100, 0)), incarnation.Newer, false, true},
+		{"alive after it was gone", []incarnation.Report{gone(report("a", 100, 9))}, report("a", 100, 10), incarnation.Ended, false, true},
+		{"the life before is gone", []incarnation.Report{report("a", 200, 1)}, gone(report("a", 100, 0)), incarnation.Former, false, false},
+		{"no start told, another name", []incarnation.Report{report("a", 0, 9)}, report("b", 0, 1), incarnation.First, false, false},
+		{"no start told, delayed report of the life before", []incarnation.Report{report("a", 0, 9), report("b", 0, 1)}, leaving(report("a", 0, 10)), incarnation.Former, false, false},
+		{"no start told, the wrong order at first", []incarnation.Report{report("b", 0, 3), report("a", 0, 9), report("b", 0, 4)}, report("b", 0, 5), incarnation.First, false, false},
+		{"no start told, two delayed reports around one of the present life",
+			[]incarnation.Report{report("a", 0, 9), report("b", 0, 1), report("a", 0, 10), report("b", 0, 2)}, report("a", 0, 11), incarnation.Former, false, false},
+		{"no start told, the life before is gone", []incarnation.Report{report("a", 0, 9), report("b", 0, 1)}, gone(report("a", 0, 0)), incarnation.Former, false, false},
+		{"start told before, not now", []incarnation.Report{report("a", 100, 9)}, leaving(report("a", 0, 10)), incarnation.Unordered, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var tracker incarnation.Tracker
+			for _, r := range tt.before {
+				tracker.Take(r)
+			}
+			is.Equal(tracker.Take(tt.next), tt.want)
+			current, known := tracker.Current()
+			is.True(known)
+			is.Equal(current.Leaving, tt.leaving)
+			is.Equal(current.Gone, tt.gone)
+		})
+	}
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -9,9 +9,10 @@
 )
 
 // Main runs the command line args (without the program name) and returns the
-// exit status of the process.
-func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+// exit status of the process. Further commands come from packages above this one.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer, further ...*cobra.Command) int {
 	root := newRoot()
+	root.AddCommand(further...)
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
--- a/internal/controld/agree.go
+++ b/internal/controld/agree.go
@@ -18,6 +18,9 @@
 // agreeLoop has the groups of grants agree on the slot table, and ends the
 // daemon if the agreed one has another number of groups than are open here.
 func (d *Daemon) agreeLoop() {
+	if d.grants.count() == 0 {
+		return
+	}
 	d.every(agreePeriod, func() {
 		table := d.grants.table()
 		if table == nil {
@@ -109,6 +112,9 @@
 			Held:     int(v.retention.Held.Seconds()),
 		},
 	}
+	if h.grants.count() == 0 {
+		return nil
+	}
 	if table := h.grants.table(); table != nil {
 		out.Slots = table.Owned(index)
 	}
--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -59,6 +59,18 @@
 	// joinRetry is the pause between requests to join, joinTimeout bounds one.
 	joinRetry   = time.Second
 	joinTimeout = 10 * time.Second
+	// automaticJoinTimeout bounds a request where members follow the hosts.
+	automaticJoinTimeout = 1500 * time.Millisecond
+	// membersPeriod is the time between looks whether the members follow the
+	// hosts, membersTimeout bounds one change. A host that lost its data folder
+	// is to vote again within a few seconds, and each takes two changes.
+	membersPeriod  = 200 * time.Millisecond
+	membersTimeout = 2 * time.Second
+	// votersPatience is how long after its start a host refuses changes for want
+	// of voters. Hosts that start together have joined within 2 s.
+	votersPatience = 10 * time.Second
+	// joinHops bounds how often a request to join is passed on to the leader.
+	joinHops = 2
 	// heartbeatPeriod is the longest time a subscription goes without a
 	// message; silenceLimit ends one whose subscriber says nothing.
 	heartbeatPeriod = 2 * time.Second
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"os"
 	"path/filepath"
 	"sync/atomic"
 	"time"
@@ -36,13 +37,17 @@
 
 // Daemon is a control host.
 type Daemon struct {
+	// began is when the daemon was made.
+	began    time.Time
 	settings *settingspb.ControlSettings
 	log      *zap.Logger
 	scope    tally.Scope
 	creds    *keys.Credentials
 	name     string
 	voters   []voter
-	ready    chan struct{}
+	// folder holds the replicas.
+	folder string
+	ready  chan struct{}
 
 	configs     *configState
 	grants      *grantGroups
@@ -69,11 +74,11 @@
 
 // New checks the settings and loads the keys. Errors: ErrIdentity, ErrVoters.
 func New(s *settingspb.ControlSettings, log *zap.Logger, scope tally.Scope) (*Daemon, error) {
-	creds, err := keys.FromSettings(s.GetKeys())
+	name := s.GetHost().GetName()
+	creds, err := keys.ForProcess(s.GetKeys(), keys.Identity{Role: keys.RoleControl, Name: name})
 	if err != nil {
 		return nil, err
 	}
-	name := s.GetHost().GetName()
 	if id := creds.Identity(); id.Role != keys.RoleControl || id.Name != name {
 		return nil, errors.Wrapf(ErrIdentity, "host %q, certificate %s", name, id)
 	}
@@ -85,6 +90,7 @@
 		return nil, err
 	}
 	d := &Daemon{
+		began:     time.Now(),
 		settings:  s,
 		log:       log,
 		scope:     scope.SubScope("control"),
@@ -132,9 +138,18 @@
 func (d *Daemon) LinkAddr() string { return d.server.Addr().String() }
 
 // OperatorAddr returns the address that operators call, once ready.
-func (d *Daemon) OperatorAddr() string { return d.api.Addr().String() }
+// It is empty if the settings name none.
+func (d *Daemon) OperatorAddr() string {
+	if d.api == nil {
+		return ""
+	}
+	return d.api.Addr().String()
+}
 
 func (d *Daemon) open() error {
+	if err := d.openFolder(); err != nil {
+		return err
+	}
 	if err := d.openReplicas(); err != nil {
 		return err
 	}
@@ -151,31 +166,50 @@
 	if err != nil {
 		return err
 	}
+	if d.settings.GetReplica().GetOperatorListen() == "" {
+		return nil
+	}
 	d.api, err = operator.Listen(d.settings.GetReplica().GetOperatorListen(), d.creds, (*operatorHandler)(d), d.log, d.scope)
 	return err
 }
 
+// openFolder chooses the data folder. That of a transient host is removed when
+// the daemon stops.
+func (d *Daemon) openFolder() error {
+	d.folder = d.settings.GetReplica().GetDataFolder()
+	if !d.settings.GetReplica().GetTransient() {
+		return nil
+	}
+	folder, err := os.MkdirTemp("", "eelgrasswharf-")
+	if err != nil {
+		return errors.Wrap(err, "folder of a transient host")
+	}
+	d.folder = folder
+	return nil
+}
+
 // openReplicas opens the configuration, the first group of grants, and then as
 // many of the others as that one agreed on or, as long as it has not, as the
 // settings ask for.
 func (d *Daemon) openReplicas() error {
 	d.groups = []controlpb.Group{controlpb.Group_GROUP_CONFIG}
+	if err := d.openReplica(controlpb.Group_GROUP_CONFIG); err != nil {
+		return errors.Wrapf(err, "open replica of %s", groupName(controlpb.Group_GROUP_CONFIG))
+	}
 	for index := 0; index < d.groupsWanted(); index++ {
 		d.groups = append(d.groups, grantGroup(index))
 		d.grants.add()
-		for _, group := range d.groups {
-			if d.replicas[group] != nil {
-				continue
-			}
-			if err := d.openReplica(group); err != nil {
-				return errors.Wrapf(err, "open replica of %s", groupName(group))
-			}
+		if err := d.openReplica(grantGroup(index)); err != nil {
+			return errors.Wrapf(err, "open replica of %s", groupName(grantGroup(index)))
 		}
 	}
 	return nil
 }
 
 func (d *Daemon) groupsWanted() int {
+	if d.settings.GetReplica().GetWithoutGrants() {
+		return 0
+	}
 	return d.grants.wanted(d.settings.GetReplica().GetGrantGroups())
 }
 
@@ -189,7 +223,7 @@
 		entries = defaultSnapshotEntries
 	}
 	opened, err := replica.Open(replica.Options{
-		Folder:          filepath.Join(d.settings.GetReplica().GetDataFolder(), groupName(group)),
+		Folder:          filepath.Join(d.folder, groupName(group)),
 		Name:            d.name,
 		Group:           group,
 		StateMachine:    d.machine(group),
@@ -197,6 +231,7 @@
 		Forwarder:       d.peers,
 		TickInterval:    tick,
 		SnapshotEntries: entries,
+		SnapshotBytes:   int(d.settings.GetReplica().GetSnapshotBytes()),
 		Log:             d.log.With(zap.String("group", groupName(group))),
 		Scope:           d.scope.Tagged(map[string]string{"group": groupName(group)}),
 	})
@@ -222,6 +257,7 @@
 	d.loops.Go(d.advanceLoop)
 	d.loops.Go(d.agreeLoop)
 	d.loops.Go(d.leadLoop)
+	d.loops.Go(d.membersLoop)
 	d.loops.Go(func() { d.creds.Watch(d.ctx, keys.ReloadPeriod, keys.Report(d.log)) })
 	d.log.Info("control host serves", zap.String("link", d.LinkAddr()), zap.String("operator", d.OperatorAddr()))
 }
@@ -294,6 +330,11 @@
 		}
 	}
 	d.peers.close()
+	if d.settings.GetReplica().GetTransient() {
+		if err := os.RemoveAll(d.folder); err != nil {
+			d.log.Warn("folder of a transient host not removed", zap.Error(err))
+		}
+	}
 	return first
 }
 
--- a/internal/controld/found.go
+++ b/internal/controld/found.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -53,8 +54,8 @@
 
 // foundLoop brings the replicas of an empty data folder into their groups.
 //
-// One host alone founds: the initial voter whose name sorts first, once it
-// knows the replicas of all of them. The others take over what it founded. A
+// One host alone founds: of the initial voters that keep their log the one whose
+// name sorts first, once it knows the replicas of all of them. The others take over what it founded. A
 // host whose group exists without its replica, because it lost its disk, must
 // not vote under its old name; it waits to be added as a learner.
 func (d *Daemon) foundLoop() {
@@ -65,6 +66,10 @@
 	stranger := false
 	for !d.formed() {
 		replies := d.askVoters()
+		if stranger && d.settings.GetReplica().GetAutomaticMembers() {
+			d.joinLoop()
+			return
+		}
 		for _, group := range d.groups {
 			if !d.replicas[group].Status().Formed && d.found(group, replies) && !stranger {
 				stranger = true
@@ -85,31 +90,50 @@
 func (d *Daemon) joinLoop() {
 	address := d.memberAddress(voter{name: d.name, address: d.settings.GetReplica().GetListen()})
 	for !d.formed() {
-		for _, v := range d.voters {
-			if v.name != d.name {
-				d.askToJoin(v.address, address)
-			}
-		}
+		d.askAllToJoin(address)
 		if !d.pause(joinRetry) {
 			return
 		}
 	}
 }
 
+// askAllToJoin asks all at once: one that is lost must not hold up the others.
+func (d *Daemon) askAllToJoin(address string) {
+	var calls conc.WaitGroup
+	for _, v := range d.voters {
+		if v.name != d.name {
+			calls.Go(func() { d.askToJoin(v.address, address) })
+		}
+	}
+	calls.Wait()
+}
+
 func (d *Daemon) askToJoin(at, address string) {
 	p := d.peers.get(at)
 	if p == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(d.ctx, joinTimeout)
+	ctx, cancel := context.WithTimeout(d.ctx, d.joinTimeout())
 	defer cancel()
-	req := &controlpb.Request{Body: &controlpb.Request_Join{Join: &controlpb.Join{Address: address}}}
+	req := &controlpb.Request{Body: &controlpb.Request_Join{Join: &controlpb.Join{
+		Address:   address,
+		Transient: d.settings.GetReplica().GetTransient(),
+	}}}
 	// Whether it took shows by the replicas' becoming members.
 	if _, err := p.calls.Call(ctx, req); err != nil {
 		d.scope.Counter("failed_joins").Inc(1)
 	}
 }
 
+// joinTimeout bounds a request to join. Without an operator who looks after it a
+// host is to be back within seconds, so it asks again sooner.
+func (d *Daemon) joinTimeout() time.Duration {
+	if d.settings.GetReplica().GetAutomaticMembers() {
+		return automaticJoinTimeout
+	}
+	return joinTimeout
+}
+
 // pause waits and reports whether the daemon still runs.
 func (d *Daemon) pause(wait time.Duration) bool {
 	select {
@@ -184,7 +208,7 @@
 			return false
 		}
 	}
-	if !exists && d.voters[0].name == d.name {
+	if !exists {
 		d.foundNew(group, self, infos)
 	}
 	return exists
@@ -205,11 +229,18 @@
 			if info.GetId().GetName() != v.name {
 				return // not heard of yet
 			}
+			if info.GetTransient() {
+				continue // never votes
+			}
 			id = info.GetId()
+		} else if d.settings.GetReplica().GetTransient() {
+			return
 		}
 		m.Members = append(m.Members, &raftpb.Member{Id: id, Address: d.memberAddress(v)})
 	}
-	d.form(group, m)
+	if m.GetMembers()[0].GetId() == self {
+		d.form(group, m)
+	}
 }
 
 // memberAddress puts the port in use in place of port 0.
@@ -237,7 +268,12 @@
 	reply := &controlpb.ReplicaReply{}
 	for _, group := range d.groups {
 		s := d.replicas[group].Status()
-		info := &controlpb.ReplicaInfo{Group: group, Id: d.replicas[group].ID(), Formed: s.Formed}
+		info := &controlpb.ReplicaInfo{
+			Group:     group,
+			Id:        d.replicas[group].ID(),
+			Formed:    s.Formed,
+			Transient: d.settings.GetReplica().GetTransient(),
+		}
 		if s.Formed {
 			info.Membership = &raftpb.Membership{}
 			for _, m := range s.Members {
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -1,6 +1,7 @@
 package controld
 
 import (
+	"cmp"
 	"context"
 	"slices"
 
@@ -139,7 +140,11 @@
 func (h *handler) join(ctx context.Context, peer link.Peer, j *controlpb.Join) *controlpb.Response {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	err := (*operatorHandler)(h).addLearner(ctx, j.GetAddress(), peer.Name)
+	name := cmp.Or(j.GetName(), peer.Name)
+	err := (*operatorHandler)(h).addLearner(ctx, j.GetAddress(), name)
+	if err != nil && int(j.GetHops()) < joinHops {
+		return h.passOnJoin(ctx, j, name)
+	}
 	if errors.Is(err, operator.ErrUnknown) {
 		return h.fault(refusedUnknown, controlpb.FaultKind_FAULT_UNKNOWN, err.Error())
 	}
@@ -149,6 +154,33 @@
 	return done()
 }
 
+// passOnJoin asks the leaders that this host knows of to add a host: one that
+// joins may not know the address of any leader.
+func (h *handler) passOnJoin(ctx context.Context, j *controlpb.Join, name string) *controlpb.Response {
+	next := &controlpb.Join{Address: j.GetAddress(), Transient: j.GetTransient(), Name: name, Hops: j.GetHops() + 1}
+	answer := h.fault(refusedNoLeader, controlpb.FaultKind_FAULT_NOT_DONE, "no leader is known")
+	asked := map[string]bool{}
+	for _, group := range h.groups {
+		s := h.replicas[group].Status()
+		if s.Leader == nil || s.Leading() {
+			continue
+		}
+		address := h.peers.addressOf(h.replicas[group].MemberOf(s.Leader))
+		far := h.peers.get(address)
+		if far == nil || asked[address] {
+			continue
+		}
+		asked[address] = true
+		res, err := far.calls.Call(ctx, &controlpb.Request{Body: &controlpb.Request_Join{Join: next}})
+		if err != nil {
+			answer = h.fault(refusedNoLeader, controlpb.FaultKind_FAULT_NOT_DONE, err.Error())
+			continue
+		}
+		answer = res
+	}
+	return answer
+}
+
 // propose replicates a command that a follower forwards.
 func (h *handler) propose(ctx context.Context, p *controlpb.Propose) *controlpb.Response {
 	r := h.replicas[p.GetGroup()]
@@ -216,6 +248,9 @@
 	if h.foreign(peer, service) {
 		return h.fault(refusedService, controlpb.FaultKind_FAULT_FORBIDDEN, "the certificate is for another service")
 	}
+	if h.grants.count() == 0 {
+		return h.fault(refusedRequest, controlpb.FaultKind_FAULT_NOT_DONE, "this deployment has no grants")
+	}
 	table := h.grants.table()
 	if table == nil || table.Groups() != h.grants.count() {
 		return h.fault(refusedTable, controlpb.FaultKind_FAULT_NOT_DONE, "this host does not know the agreed slot table")
--- /dev/null
+++ b/internal/controld/members.go
@@ -0,0 +1,93 @@
+package controld
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/replica"
+	"eelgrasswharf.example/eelgrasswharf/raft"
+	"eelgrasswharf.example/eelgrasswharf/voters"
+)
+
+// membersLoop changes the members of the groups that this host leads as the
+// hosts come and go, if the settings ask for it.
+func (d *Daemon) membersLoop() {
+	if !d.settings.GetReplica().GetAutomaticMembers() {
+		return
+	}
+	d.every(membersPeriod, func() {
+		for _, group := range d.groups {
+			d.followHosts(group)
+		}
+	})
+}
+
+// followHosts makes at most one change of the members of a group.
+func (d *Daemon) followHosts(group controlpb.Group) {
+	r := d.replicas[group]
+	s := r.Status()
+	if !s.Leading() || d.leaving.Load() {
+		return
+	}
+	change := voters.Next(membersOf(s), raft.MaxVoters)
+	if change.Kind == voters.None {
+		return
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, membersTimeout)
+	defer cancel()
+	err := d.changeMember(ctx, r, change)
+	log := d.log.With(
+		zap.String("group", groupName(group)),
+		zap.String("member", change.Replica.Name),
+		zap.Uint64("incarnation", change.Replica.Incarnation),
+		zap.Bool("promote", change.Kind == voters.Promote),
+		zap.String("reason", string(change.Reason)),
+	)
+	if err != nil {
+		d.scope.Counter("failed_member_changes").Inc(1)
+		log.Info("member not changed, tried again soon", zap.Error(err))
+		return
+	}
+	log.Info("member changed")
+}
+
+func (d *Daemon) changeMember(ctx context.Context, r *replica.Replica, c voters.Change) error {
+	id := &raftpb.ReplicaID{Name: c.Replica.Name, Incarnation: c.Replica.Incarnation}
+	if c.Kind == voters.Promote {
+		return r.Promote(ctx, id)
+	}
+	return r.Remove(ctx, id)
+}
+
+// membersOf returns the members of a group as its leader sees them.
+func membersOf(s replica.Status) []voters.Member {
+	out := make([]voters.Member, 0, len(s.Members))
+	for _, m := range s.Members {
+		id := m.Member.GetId()
+		self := id.GetName() == s.Self.GetName() && id.GetIncarnation() == s.Self.GetIncarnation()
+		out = append(out, voters.Member{
+			Replica:   voters.Replica{Name: id.GetName(), Incarnation: id.GetIncarnation()},
+			Learner:   m.Member.GetLearner(),
+			Transient: m.Member.GetTransient(),
+			Active:    m.Active || self,
+			CaughtUp:  m.CaughtUp || self,
+		})
+	}
+	return out
+}
+
+// enoughVoters reports whether a change of the configuration may be accepted: a
+// group that has just been founded has fewer voters than the losses that it is to
+// bear, and what it accepted then could be lost. Hosts that never come must not
+// hold it up for ever.
+func (d *Daemon) enoughVoters() bool {
+	least := int(d.settings.GetReplica().GetLeastVoters())
+	if least <= 1 || time.Since(d.began) > votersPatience {
+		return true
+	}
+	return voters.Count(membersOf(d.replicas[controlpb.Group_GROUP_CONFIG].Status())) >= least
+}
--- a/internal/controld/state.go
+++ b/internal/controld/state.go
@@ -119,6 +119,14 @@
 	return s.machine.Current(), s.machine.VersionPatch()
 }
 
+// document returns the operator's document of the route table in force, and the
+// revision of the table.
+func (s *configState) document() ([]byte, uint64) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.machine.Document(), s.machine.Current().GetTable().GetRevision()
+}
+
 func (s *configState) version() uint64 {
 	c, _ := s.current()
 	return c.GetVersion()
@@ -188,6 +196,7 @@
 		Removed:     u.GetRemoved(),
 		Retired:     u.GetRetired(),
 		Released:    u.GetReleased(),
+		Table:       u.GetTable(),
 	}
 }
 
--- /dev/null
+++ b/internal/flowd/agent.go
@@ -0,0 +1,394 @@
+package flowd
+
+import (
+	"context"
+	"encoding/binary"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/flow"
+	"eelgrasswharf.example/eelgrasswharf/incarnation"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
+)
+
+const (
+	// sweepPeriod is the time between two sweeps of an agent's table. It also
+	// bounds the age of the count of its flows.
+	sweepPeriod = 250 * time.Millisecond
+	// reportPause is the least time between two load figures to one entry host.
+	// Placing uses none that is older than a second.
+	reportPause = 250 * time.Millisecond
+	// missedReports is after how many periods without a report from the backend
+	// server it is told to be ill.
+	missedReports = 2.5
+	// maxEntries bounds the entry hosts that are remembered for load figures.
+	maxEntries = 4096
+)
+
+// AgentOptions configure an Agent.
+type AgentOptions struct {
+	Codec Codec
+	Log   *zap.Logger
+	Scope tally.Scope
+	Creds *keys.Credentials
+	// Service and Target name the target; FailureDomain is where it stands.
+	Service, Target, FailureDomain string
+	// Control has the link addresses (ip:port) of control hosts.
+	Control []string
+	// FrameListen is the address (ip:port) of frames from entry hosts and other
+	// agents, TargetListen that of the packets of the backend server, and Server
+	// where the backend server takes packets.
+	FrameListen, TargetListen, Server string
+	// CallerPort is the port at which callers take packets.
+	CallerPort uint16
+	// ReportPeriod is the time between two reports of the backend server.
+	ReportPeriod time.Duration
+	Limits       Limits
+}
+
+// Agent carries packets between a backend server, entry hosts and callers.
+type Agent struct {
+	opts    AgentOptions
+	began   time.Time
+	service uint64
+	server  flow.Endpoint
+	frames  *socket
+	targets *socket
+	reasons *reasons
+	client  *link.Client
+	ctx     context.Context
+
+	// mu guards the fields below.
+	mu        sync.Mutex
+	flows     *flow.Agent
+	tracker   incarnation.Tracker
+	heardAt   time.Time
+	ill       bool
+	announcer *subscriber.Announcer
+	// following is the subscription to the service's targets, once its number is
+	// known.
+	following *subscriber.Subscriber
+	reported  map[flow.Endpoint]time.Duration
+	buffer    []byte
+	workers   conc.WaitGroup
+}
+
+// NewAgent opens the sockets. Nothing is read before Run.
+func NewAgent(o AgentOptions) (*Agent, error) {
+	server, err := parseEndpoint(o.Server)
+	if err != nil {
+		return nil, err
+	}
+	scope := o.Scope.SubScope("flow_agent")
+	frames, err := listen(o.FrameListen, o.Log, scope)
+	if err != nil {
+		return nil, err
+	}
+	targets, err := listen(o.TargetListen, o.Log, scope)
+	if err != nil {
+		_ = frames.conn.Close()
+		return nil, err
+	}
+	a := &Agent{
+		opts:     o,
+		began:    time.Now(),
+		service:  flow.ServiceHash(o.Service),
+		server:   server,
+		frames:   frames,
+		targets:  targets,
+		reasons:  newReasons(scope),
+		reported: map[flow.Endpoint]time.Duration{},
+		buffer:   make([]byte, 0, maxDatagram),
+	}
+	a.flows = flow.NewAgent(0)
+	a.flows.SetServer(flow.Server{Service: a.service})
+	return a, nil
+}
+
+// Run serves until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	a.mu.Lock()
+	a.ctx = ctx
+	a.client = link.NewClient(a.opts.Control, a.opts.Creds, linkOptions(a.opts.Log, a.opts.Scope))
+	a.mu.Unlock()
+	a.workers.Go(func() { a.frames.serve(ctx, a.fromPeer) })
+	a.workers.Go(func() { a.targets.serve(ctx, a.fromTarget) })
+	a.workers.Go(func() { a.keep(ctx) })
+	<-ctx.Done()
+	a.workers.Wait()
+	a.stop()
+	return nil
+}
+
+func (a *Agent) stop() {
+	a.mu.Lock()
+	announcer, following := a.announcer, a.following
+	a.mu.Unlock()
+	if announcer != nil {
+		announcer.Close()
+	}
+	if following != nil {
+		following.Close()
+	}
+	a.client.Close()
+}
+
+func (a *Agent) now() time.Duration { return time.Since(a.began) }
+
+// Hear takes in a report of the backend server. When it returns, what the report
+// says is in force here: no opening packet reaches one that leaves.
+func (a *Agent) Hear(r incarnation.Report) incarnation.Verdict {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before, known := a.tracker.Current()
+	verdict := a.tracker.Take(r)
+	if verdict != incarnation.First && verdict != incarnation.Newer {
+		a.opts.Log.Info("report passed over", zap.String("reason", string(verdict)),
+			zap.String("server", r.Life.ID), zap.Int64("started_ms", r.Life.StartedMS), zap.Uint64("sequence", r.Sequence))
+		return verdict
+	}
+	a.heardAt, a.ill = time.Now(), false
+	current, _ := a.tracker.Current()
+	if verdict == incarnation.First || !known || before.Leaving != current.Leaving || before.Gone != current.Gone {
+		a.opts.Log.Info("backend server", zap.String("server", current.Life.ID), zap.Int64("started_ms", current.Life.StartedMS),
+			zap.Uint64("sequence", current.Sequence), zap.Bool("leaving", current.Leaving), zap.Bool("gone", current.Gone))
+	}
+	if verdict == incarnation.First {
+		a.announce(current)
+	}
+	a.refresh()
+	return verdict
+}
+
+// announce registers another life of the target. The lock is held.
+func (a *Agent) announce(r incarnation.Report) {
+	if a.announcer != nil {
+		former := a.announcer
+		a.workers.Go(former.Close)
+	}
+	if a.client == nil || a.ctx.Err() != nil || r.Gone {
+		a.announcer = nil
+		return
+	}
+	announcer := subscriber.StartAnnouncer(subscriber.AnnouncerOptions{
+		Client:        a.client,
+		Log:           a.opts.Log,
+		Scope:         a.opts.Scope,
+		Service:       a.opts.Service,
+		CreateService: true,
+		Target:        a.opts.Target,
+		Process:       processOf(r.Life),
+		FailureDomain: a.opts.FailureDomain,
+		Address:       a.frames.local().String(),
+		Started:       time.Now().Add(r.WarmupLeft - rampMS*time.Millisecond),
+		Status:        a.status(r),
+		CallTimeout:   dialTimeout,
+		RetryMax:      retryMax,
+	})
+	a.announcer = announcer
+	a.workers.Go(func() { a.awaitNumber(announcer) })
+}
+
+// processOf identifies a life of the backend server: an agent that starts again
+// beside it gets the same registration.
+func processOf(l incarnation.Life) []byte {
+	h := fnv.New128a()
+	_, _ = h.Write([]byte(l.ID))
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(l.StartedMS)))
+	return h.Sum(nil)
+}
+
+// awaitNumber takes in the number of the target once it is registered.
+func (a *Agent) awaitNumber(announcer *subscriber.Announcer) {
+	select {
+	case <-announcer.Registered():
+	case <-a.ctx.Done():
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.announcer != announcer {
+		return
+	}
+	a.refresh()
+	if a.following == nil {
+		a.following = subscriber.Start(subscriber.Options{
+			Client:        a.client,
+			Log:           a.opts.Log,
+			Scope:         a.opts.Scope,
+			FailureDomain: a.opts.FailureDomain,
+			Services:      []uint32{announcer.Registration().GetServiceNumber()},
+			ScopedConfig:  true,
+			RetryMax:      retryMax,
+			OnView:        a.onView,
+		})
+	}
+}
+
+// onView takes in the other targets of the service.
+func (a *Agent) onView(v *subscriber.View) {
+	own := flow.EndpointOf(a.frames.local())
+	var peers []flow.Endpoint
+	for i, record := range v.Targets {
+		t, err := targetOf(record, v.Age(i, time.Now()))
+		if err != nil || t.Draining || t.Ill || flow.EndpointOf(t.Address) == own {
+			continue
+		}
+		peers = append(peers, flow.EndpointOf(t.Address))
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.flows.SetPeers(peers)
+}
+
+func (a *Agent) status(r incarnation.Report) subscriber.Status {
+	state := controlpb.TargetState_TARGET_STATE_SERVING
+	if r.Leaving || r.Gone {
+		state = controlpb.TargetState_TARGET_STATE_DRAINING
+	}
+	return subscriber.Status{State: state, Ill: a.ill, Slots: uint32(r.Slots)}
+}
+
+// refresh brings what is known of the backend server into force here and tells it
+// to the control hosts. The lock is held.
+func (a *Agent) refresh() {
+	r, known := a.tracker.Current()
+	s := flow.Server{Service: a.service, Slots: r.Slots, Ill: a.ill}
+	switch {
+	case !known || r.Gone:
+		s.State = flow.Absent
+	case r.Leaving:
+		s.State = flow.Leaving
+	default:
+		s.State = flow.Serving
+	}
+	if a.announcer != nil {
+		registration := a.announcer.Registration()
+		s.Number, s.Incarnation = registration.GetTargetNumber(), registration.GetIncarnation()
+		a.announcer.Update(a.status(r))
+	}
+	a.flows.SetServer(s)
+}
+
+// keep sweeps the table and notices when the backend server falls silent.
+func (a *Agent) keep(ctx context.Context) {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	patience := time.Duration(missedReports * float64(a.opts.ReportPeriod))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		a.mu.Lock()
+		a.flows.Sweep(a.now(), a.opts.Limits.Idle, a.opts.Limits.Age)
+		silent := !a.heardAt.IsZero() && time.Since(a.heardAt) > patience
+		if silent && !a.ill {
+			a.ill = true
+			a.opts.Log.Info("backend server is silent", zap.Duration("for", time.Since(a.heardAt)))
+			a.refresh()
+		}
+		count := a.flows.Len()
+		a.mu.Unlock()
+		a.reasons.flows.Update(float64(count))
+	}
+}
+
+func (a *Agent) fromPeer(b []byte, from flow.Endpoint) {
+	m, packet, err := flow.ParseFrame(b)
+	if err != nil || m.Kind != flow.Open && m.Kind != flow.Data && m.Kind != flow.Search {
+		a.reasons.malformed.Inc(1)
+		return
+	}
+	p, err := a.opts.Codec.FromCaller(packet)
+	if err != nil {
+		a.reasons.malformed.Inc(1)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	v := a.flows.FromEntry(m, p, now)
+	a.act(v, p, packet)
+	if m.Kind == flow.Search && v.Action == flow.Deliver {
+		a.notify(a.flows.Found(p.Key), now)
+		return
+	}
+	a.report(m.Entry, now)
+}
+
+func (a *Agent) fromTarget(b []byte, _ flow.Endpoint) {
+	p, err := a.opts.Codec.FromTarget(b)
+	if err != nil {
+		a.reasons.malformed.Inc(1)
+		return
+	}
+	if p.Flags.Has(flow.Returned) {
+		a.opts.Codec.Restore(b)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	v, notice := a.flows.FromTarget(p, now)
+	a.act(v, p, b)
+	a.notify(notice, now)
+}
+
+// act does what a verdict says. The lock is held.
+func (a *Agent) act(v flow.Verdict, p flow.Packet, packet []byte) {
+	a.reasons.count(v)
+	switch v.Action {
+	case flow.Deliver:
+		a.targets.send(packet, a.server)
+	case flow.Send, flow.Return:
+		a.frames.send(a.framed(&v.Frame, packet), v.To)
+	case flow.Reply:
+		a.frames.send(packet, a.caller(p.Key))
+	case flow.Reset:
+		a.buffer = a.opts.Codec.AppendReset(a.buffer[:0], p.Key, p.Ack)
+		a.frames.send(a.buffer, a.caller(p.Key))
+	}
+}
+
+func (a *Agent) caller(k flow.Key) flow.Endpoint {
+	return flow.Endpoint{IP: k.Caller.IP, Port: a.opts.CallerPort}
+}
+
+func (a *Agent) framed(f *flow.Frame, packet []byte) []byte {
+	a.buffer = append(f.Append(a.buffer[:0]), packet...)
+	return a.buffer
+}
+
+// notify tells an entry host that a flow lives here. The lock is held.
+func (a *Agent) notify(m *flow.Frame, now time.Duration) {
+	if m == nil || m.Entry.IsZero() {
+		return
+	}
+	a.reported[m.Entry] = now
+	a.buffer = m.Append(a.buffer[:0])
+	a.frames.send(a.buffer, m.Entry)
+}
+
+// report tells an entry host of the load, if it has not been told lately. The lock
+// is held.
+func (a *Agent) report(to flow.Endpoint, now time.Duration) {
+	last, known := a.reported[to]
+	if to.IsZero() || known && now-last < reportPause {
+		return
+	}
+	if len(a.reported) >= maxEntries {
+		clear(a.reported)
+	}
+	m := a.flows.Report()
+	m.Entry = to
+	a.notify(&m, now)
+}
--- /dev/null
+++ b/internal/flowd/entry.go
@@ -0,0 +1,217 @@
+package flowd
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/flow"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
+)
+
+const (
+	// tablePeriod is the time between two looks at ages and load figures.
+	tablePeriod = 250 * time.Millisecond
+	// decayTables is how many of these pass between two halvings of the counts of
+	// unanswered flows: a second.
+	decayTables = 4
+	// linkHeartbeat and linkTimeout bound how long a link that has fallen silent
+	// goes unnoticed: 2.2 s, since a change has to be in force within 3 s.
+	linkHeartbeat = time.Second
+	linkTimeout   = time.Second
+	// dialTimeout bounds an attempt at one control host.
+	dialTimeout = time.Second
+	// retryMax bounds the pause between attempts.
+	retryMax = 500 * time.Millisecond
+)
+
+// Limits bound what is remembered of a flow.
+type Limits struct {
+	// Idle is how long a flow without packets is remembered, Age how long any is.
+	Idle, Age time.Duration
+}
+
+// EntryOptions configure an Entry.
+type EntryOptions struct {
+	Codec Codec
+	Log   *zap.Logger
+	Scope tally.Scope
+	Creds *keys.Credentials
+	// FailureDomain is told to control hosts.
+	FailureDomain string
+	// Control has the link addresses (ip:port) of control hosts.
+	Control []string
+	// CallerListen is the address (ip:port) that callers' packets arrive at, and
+	// AgentListen that of frames from agents.
+	CallerListen, AgentListen string
+	// CallerPort is the port at which callers take packets.
+	CallerPort uint16
+	Limits     Limits
+}
+
+// Entry forwards the packets of callers.
+type Entry struct {
+	opts    EntryOptions
+	began   time.Time
+	placer  *placer
+	callers *socket
+	agents  *socket
+	reasons *reasons
+
+	// mu guards flows and buffer.
+	mu     sync.Mutex
+	flows  *flow.Entry
+	buffer []byte
+}
+
+// NewEntry opens the sockets. Nothing is read before Run.
+func NewEntry(o EntryOptions) (*Entry, error) {
+	scope := o.Scope.SubScope("flow_entry")
+	callers, err := listen(o.CallerListen, o.Log, scope)
+	if err != nil {
+		return nil, err
+	}
+	agents, err := listen(o.AgentListen, o.Log, scope)
+	if err != nil {
+		_ = callers.conn.Close()
+		return nil, err
+	}
+	e := &Entry{
+		opts:    o,
+		began:   time.Now(),
+		placer:  newPlacer(o.Log),
+		callers: callers,
+		agents:  agents,
+		reasons: newReasons(scope),
+		buffer:  make([]byte, 0, maxDatagram),
+	}
+	e.flows = flow.NewEntry(e.placer, flow.EndpointOf(agents.local()))
+	return e, nil
+}
+
+// linkOptions are those of the link of an entry host or agent.
+func linkOptions(log *zap.Logger, scope tally.Scope) link.ClientOptions {
+	return link.ClientOptions{
+		Log:              log,
+		Scope:            scope,
+		DialTimeout:      dialTimeout,
+		HeartbeatPeriod:  linkHeartbeat,
+		HeartbeatTimeout: linkTimeout,
+		BackoffMax:       retryMax,
+	}
+}
+
+// Run forwards until the context ends.
+func (e *Entry) Run(ctx context.Context) error {
+	client := link.NewClient(e.opts.Control, e.opts.Creds, linkOptions(e.opts.Log, e.opts.Scope))
+	defer client.Close()
+	sub := subscriber.Start(subscriber.Options{
+		Client:        client,
+		Log:           e.opts.Log,
+		Scope:         e.opts.Scope,
+		FailureDomain: e.opts.FailureDomain,
+		RetryMax:      retryMax,
+		OnView:        func(v *subscriber.View) { e.placer.apply(v, e.now()) },
+	})
+	defer sub.Close()
+	var workers conc.WaitGroup
+	workers.Go(func() { e.callers.serve(ctx, e.fromCaller) })
+	workers.Go(func() { e.agents.serve(ctx, e.fromAgent) })
+	workers.Go(func() { e.keep(ctx) })
+	workers.Wait()
+	return nil
+}
+
+// Ready reports whether new flows can be placed.
+func (e *Entry) Ready() bool { return e.placer.ready() }
+
+func (e *Entry) now() time.Duration { return time.Since(e.began) }
+
+// keep sweeps the table and refreshes the figures that placing uses.
+func (e *Entry) keep(ctx context.Context) {
+	ticker := time.NewTicker(tablePeriod)
+	defer ticker.Stop()
+	for round := 1; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		decay := round%decayTables == 0
+		e.placer.refresh(e.now(), decay)
+		if !decay {
+			continue
+		}
+		e.mu.Lock()
+		e.flows.Sweep(e.now(), e.opts.Limits.Idle, e.opts.Limits.Age)
+		count := e.flows.Len()
+		e.mu.Unlock()
+		e.reasons.flows.Update(float64(count))
+	}
+}
+
+func (e *Entry) fromCaller(b []byte, _ flow.Endpoint) {
+	p, err := e.opts.Codec.FromCaller(b)
+	if err != nil {
+		e.reasons.malformed.Inc(1)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.act(e.flows.Packet(p, e.now()), p, b)
+}
+
+func (e *Entry) fromAgent(b []byte, from flow.Endpoint) {
+	m, packet, err := flow.ParseFrame(b)
+	if err != nil {
+		e.reasons.malformed.Inc(1)
+		return
+	}
+	now := e.now()
+	switch m.Kind {
+	case flow.Load:
+		e.placer.learn(m, now)
+	case flow.Held:
+		e.placer.learn(m, now)
+		e.mu.Lock()
+		e.flows.Held(m, from, now)
+		e.mu.Unlock()
+	case flow.Missed:
+		p, err := e.opts.Codec.FromCaller(packet)
+		if err != nil {
+			e.reasons.malformed.Inc(1)
+			return
+		}
+		e.mu.Lock()
+		e.act(e.flows.Missed(p, from, now), p, packet)
+		e.mu.Unlock()
+	}
+}
+
+// act does what a verdict says. The lock is held.
+func (e *Entry) act(v flow.Verdict, p flow.Packet, packet []byte) {
+	e.reasons.count(v)
+	switch v.Action {
+	case flow.Send:
+		e.agents.send(e.framed(&v.Frame, packet), v.To)
+	case flow.SendAll:
+		framed := e.framed(&v.Frame, packet)
+		for _, to := range v.All {
+			e.agents.send(framed, to)
+		}
+	case flow.Reset:
+		e.buffer = e.opts.Codec.AppendReset(e.buffer[:0], p.Key, p.Ack)
+		e.callers.send(e.buffer, flow.Endpoint{IP: p.Key.Caller.IP, Port: e.opts.CallerPort})
+	}
+}
+
+func (e *Entry) framed(f *flow.Frame, packet []byte) []byte {
+	e.buffer = append(f.Append(e.buffer[:0]), packet...)
+	return e.buffer
+}
--- /dev/null
+++ b/internal/flowd/placer.go
@@ -0,0 +1,293 @@
+package flowd
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/flow"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
+	"eelgrasswharf.example/eelgrasswharf/routing"
+)
+
+const (
+	// rampMS is how long a target that has just started gets fewer flows, in
+	// milliseconds. Backend servers are slow for some seconds after a start.
+	rampMS = 3000
+	// maxHolders bounds the agents that one packet of an unknown flow is sent to.
+	maxHolders = 256
+	// redraws bounds the draws of a target other than one that did not answer.
+	redraws = 4
+	// unfamiliarFor is how long after its start an entry host takes any agent for a
+	// possible holder: a flow stays with its service when a route moves to another
+	// one, and this host has not seen that.
+	unfamiliarFor = 60 * time.Second
+)
+
+// placer chooses targets by the newest view. It is safe for concurrent use.
+type placer struct {
+	log   *zap.Logger
+	began time.Time
+
+	mu      sync.Mutex
+	view    *subscriber.View
+	viewAt  time.Time
+	table   *configpb.RouteTable
+	routes  map[flow.Endpoint]*route
+	targets map[uint32]*serviceTargets
+	// agents are those of all targets of the view.
+	agents []flow.Endpoint
+	loads  *routing.Loads
+}
+
+// route is a route as placing needs it.
+type route struct {
+	shares []share
+	sum    uint64
+	// former has the numbers of all services that the route has had since this host
+	// started: open flows stay with them.
+	former map[uint32]bool
+}
+
+// share is one service of a route.
+type share struct {
+	service uint32
+	hash    uint64
+	weight  uint64
+}
+
+// serviceTargets are the targets of one service.
+type serviceTargets struct {
+	list []routing.Target
+	// index has the place of each in the view.
+	index []int
+	table *routing.Table
+}
+
+func newPlacer(log *zap.Logger) *placer {
+	return &placer{log: log, began: time.Now(), loads: routing.NewLoads(nil, nil), routes: map[flow.Endpoint]*route{}, targets: map[uint32]*serviceTargets{}}
+}
+
+// apply brings a view into force. now is the time on the flows' clock.
+func (p *placer) apply(v *subscriber.View, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view, p.viewAt = v, time.Now()
+	if table := v.Config.GetTable(); table != nil && table != p.table {
+		p.applyRoutes(v.Config)
+	}
+	p.applyTargets(v, now)
+}
+
+func (p *placer) applyRoutes(c *configpb.Configuration) {
+	numbers := make(map[string]uint32, len(c.GetServices()))
+	for _, s := range c.GetServices() {
+		numbers[s.GetName()] = s.GetNumber()
+	}
+	next := make(map[flow.Endpoint]*route, len(c.GetTable().GetRoutes()))
+	for _, r := range c.GetTable().GetRoutes() {
+		address, err := netip.ParseAddrPort(r.GetAddress())
+		if err != nil {
+			p.log.Error("route left out", zap.String("route", r.GetName()), zap.Error(err))
+			continue
+		}
+		key := flow.EndpointOf(address)
+		next[key] = routeFrom(r, numbers, p.routes[key])
+	}
+	p.routes, p.table = next, c.GetTable()
+	p.log.Info("routes in force",
+		zap.Uint64("revision", p.table.GetRevision()), zap.Uint64("version", c.GetVersion()), zap.Int("routes", len(next)))
+}
+
+func routeFrom(r *configpb.Route, numbers map[string]uint32, before *route) *route {
+	made := &route{former: map[uint32]bool{}}
+	if before != nil {
+		for number := range before.former {
+			made.former[number] = true
+		}
+	}
+	for _, s := range r.GetServices() {
+		number := numbers[s.GetService()]
+		made.former[number] = true
+		made.shares = append(made.shares, share{
+			service: number,
+			hash:    flow.ServiceHash(s.GetService()),
+			weight:  uint64(s.GetWeight()),
+		})
+		made.sum += uint64(s.GetWeight())
+	}
+	return made
+}
+
+func (p *placer) applyTargets(v *subscriber.View, now time.Duration) {
+	lists := map[uint32]*serviceTargets{}
+	all := make([]routing.Target, 0, len(v.Targets))
+	p.agents = p.agents[:0]
+	for i, record := range v.Targets {
+		t, err := targetOf(record, v.Age(i, p.viewAt))
+		if err != nil {
+			p.log.Error("target left out", zap.String("target", record.GetName()), zap.Error(err))
+			continue
+		}
+		of := lists[t.Service]
+		if of == nil {
+			of = &serviceTargets{}
+			lists[t.Service] = of
+		}
+		of.list = append(of.list, t)
+		of.index = append(of.index, i)
+		all = append(all, t)
+		p.agents = append(p.agents, flow.EndpointOf(t.Address))
+	}
+	p.loads = routing.NewLoads(p.loads, all)
+	p.targets = lists
+	p.rebuild(now)
+}
+
+func targetOf(record *controlpb.TargetRecord, age time.Duration) (routing.Target, error) {
+	address, err := netip.ParseAddrPort(record.GetAddress())
+	if err != nil {
+		return routing.Target{}, err
+	}
+	return routing.Target{
+		Number:      record.GetNumber(),
+		Incarnation: record.GetIncarnation(),
+		Service:     record.GetService(),
+		Address:     address,
+		Draining:    record.GetState() == controlpb.TargetState_TARGET_STATE_DRAINING,
+		Ill:         record.GetIll(),
+		Damped:      record.GetDamped(),
+		Age:         age,
+	}, nil
+}
+
+var policy = &configpb.Policy{RampMs: rampMS}
+
+// rebuild makes the tables anew. The lock is held.
+func (p *placer) rebuild(now time.Duration) {
+	for number, of := range p.targets {
+		of.table = routing.NewTable(policy, number, of.list, p.loads, now)
+	}
+}
+
+// refresh takes in ages and load figures.
+func (p *placer) refresh(now time.Duration, decay bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.view == nil {
+		return
+	}
+	wall := time.Now()
+	for _, of := range p.targets {
+		for i := range of.list {
+			of.list[i].Age = p.view.Age(of.index[i], wall)
+		}
+	}
+	if decay {
+		p.loads.Decay()
+	}
+	p.rebuild(now)
+}
+
+// learn takes in what an agent says of the load of its target.
+func (p *placer) learn(m flow.Frame, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loads.Learn(m.Number, m.Incarnation, routing.Report{Load: m.LoadPermille, Draining: m.Draining, Ill: m.Ill}, now)
+}
+
+// Place implements flow.Placer.
+func (p *placer) Place(key flow.Key, avoid flow.Endpoint, now time.Duration) (flow.Placement, flow.Reason) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.table == nil {
+		return flow.Placement{}, flow.ReasonNotReady
+	}
+	r := p.routes[key.Public]
+	if r == nil {
+		return flow.Placement{}, flow.ReasonNoRoute
+	}
+	first := r.draw(key.Hash(p.table.GetRevision()))
+	for i := range r.shares {
+		s := r.shares[(first+i)%len(r.shares)]
+		if s.weight == 0 {
+			continue
+		}
+		if placed, ok := p.choose(s, key, avoid, now); ok {
+			return placed, flow.ReasonPlaced
+		}
+	}
+	return flow.Placement{}, flow.ReasonNoTarget
+}
+
+// draw returns the index of the service that a new flow goes to, by weight.
+func (r *route) draw(hash uint64) int {
+	if r.sum == 0 {
+		return 0
+	}
+	left := hash % r.sum
+	for i, s := range r.shares {
+		if left < s.weight {
+			return i
+		}
+		left -= s.weight
+	}
+	return 0
+}
+
+func (p *placer) choose(s share, key flow.Key, avoid flow.Endpoint, now time.Duration) (flow.Placement, bool) {
+	of := p.targets[s.service]
+	if of == nil {
+		return flow.Placement{}, false
+	}
+	var placed flow.Placement
+	for salt := range uint64(redraws) {
+		c, ok := of.table.Choose(key.Hash(salt+uint64(now)), now)
+		if !ok || c.Reason == routing.LastResort {
+			return flow.Placement{}, false
+		}
+		placed = flow.Placement{Agent: flow.EndpointOf(c.Target.Address), Service: s.hash}
+		if c.Alternate.IsValid() {
+			placed.Alternate = flow.EndpointOf(c.Alternate)
+		}
+		if placed.Agent != avoid {
+			break
+		}
+	}
+	return placed, true
+}
+
+// Holders implements flow.Placer.
+func (p *placer) Holders(to []flow.Endpoint, public flow.Endpoint) []flow.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.routes[public]
+	if r == nil || p.view == nil {
+		return to
+	}
+	if time.Since(p.began) < unfamiliarFor {
+		return append(to, p.agents[:min(len(p.agents), maxHolders)]...)
+	}
+	for number, of := range p.targets {
+		if !r.former[number] {
+			continue
+		}
+		for i := range of.list {
+			if len(to) < maxHolders {
+				to = append(to, flow.EndpointOf(of.list[i].Address))
+			}
+		}
+	}
+	return to
+}
+
+// ready reports whether there are routes and targets to place flows by.
+func (p *placer) ready() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table != nil && p.view != nil && (p.view.DirectoryWhole || len(p.view.Targets) > 0)
+}
--- /dev/null
+++ b/internal/flowd/socket.go
@@ -0,0 +1,83 @@
+package flowd
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/flow"
+)
+
+const (
+	// maxDatagram is more than the longest packet with a frame before it, in bytes.
+	maxDatagram = 2048
+	// socketBuffer is what the kernel is asked to hold of datagrams that wait, in
+	// bytes: 100 ms of a link of 100 Mbit/s.
+	socketBuffer = 1 << 20
+	// errorLogPause is the least time between two log lines on failed sends.
+	errorLogPause = time.Second
+)
+
+// socket is a UDP socket whose failures are counted, and logged now and then.
+type socket struct {
+	conn     *net.UDPConn
+	log      *zap.Logger
+	failed   tally.Counter
+	loggedAt time.Time
+}
+
+func listen(address string, log *zap.Logger, scope tally.Scope) (*socket, error) {
+	resolved, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "address %q", address)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(resolved))
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen at %s", address)
+	}
+	if err := conn.SetReadBuffer(socketBuffer); err != nil {
+		log.Info("receive buffer stays as it is", zap.String("address", address), zap.Error(err))
+	}
+	return &socket{conn: conn, log: log, failed: scope.Counter("failed_sends")}, nil
+}
+
+// local returns the address that the socket opened.
+func (s *socket) local() netip.AddrPort {
+	return s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// send sends a datagram. What is lost is sent again by the ends of the flow.
+func (s *socket) send(b []byte, to flow.Endpoint) {
+	if _, err := s.conn.WriteToUDPAddrPort(b, to.AddrPort()); err != nil {
+		s.failed.Inc(1)
+	}
+}
+
+// serve calls handle for each datagram until the context ends. The slice is valid
+// during the call only.
+func (s *socket) serve(ctx context.Context, handle func(b []byte, from flow.Endpoint)) {
+	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
+	defer stop()
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// A socket may report that an earlier datagram found nobody.
+			s.failed.Inc(1)
+			if now := time.Now(); now.Sub(s.loggedAt) >= errorLogPause {
+				s.loggedAt = now
+				s.log.Info("datagram not received", zap.Error(err))
+			}
+			continue
+		}
+		handle(buffer[:n], flow.EndpointOf(from))
+	}
+}
--- a/internal/keys/credentials.go
+++ b/internal/keys/credentials.go
@@ -41,6 +41,8 @@
 	certificate *tls.Certificate
 	authorities *x509.CertPool
 	secrets     []Secret
+	// unauthenticated says that each peer's own word on its identity is believed.
+	unauthenticated bool
 }
 
 type rawFiles struct {
@@ -72,6 +74,45 @@
 	})
 }
 
+// ForProcess loads the files that a settings section names, or makes
+// unauthenticated credentials for id if the section asks for that.
+func ForProcess(s *settingspb.Keys, id Identity) (*Credentials, error) {
+	if s.GetUnauthenticated() {
+		return Unauthenticated(id)
+	}
+	return FromSettings(s)
+}
+
+// Unauthenticated makes credentials that no authority backs: a key of its own for
+// this process, and belief in what each peer's certificate says of itself. Links
+// are encrypted all the same, so that only who takes part in the handshake of a
+// link can read or change it.
+func Unauthenticated(id Identity) (*Credentials, error) {
+	now := time.Now()
+	// The validity is long because the time of day may jump, and nobody checks it.
+	authority, err := NewAuthority(now, DefaultAuthorityValidity)
+	if err != nil {
+		return nil, err
+	}
+	pair, err := authority.Process(id, nil, now, DefaultAuthorityValidity)
+	if err != nil {
+		return nil, err
+	}
+	secret, err := NewSecret(0)
+	if err != nil {
+		return nil, err
+	}
+	c, err := InMemory(authority.CertificatePEM(), pair, []Secret{secret})
+	if err != nil {
+		return nil, err
+	}
+	c.current.Load().unauthenticated = true
+	return c, nil
+}
+
+// Authenticated reports whether peers have to prove who they are.
+func (c *Credentials) Authenticated() bool { return !c.current.Load().unauthenticated }
+
 // InMemory makes credentials that no file backs.
 func InMemory(authorities []byte, pair *Pair, secrets []Secret) (*Credentials, error) {
 	c := &Credentials{}
--- a/internal/keys/tls.go
+++ b/internal/keys/tls.go
@@ -63,7 +63,7 @@
 	if len(certs) == 0 {
 		return Identity{}, ErrNoCertificate
 	}
-	id, err := verify(certs[0], certs[1:], c.current.Load().authorities, time.Now())
+	id, err := c.identify(certs)
 	if err != nil {
 		return Identity{}, err
 	}
@@ -73,6 +73,16 @@
 	return id, nil
 }
 
+// identify returns the identity of a peer's certificate, proven unless these
+// credentials are unauthenticated.
+func (c *Credentials) identify(certs []*x509.Certificate) (Identity, error) {
+	held := c.current.Load()
+	if held.unauthenticated {
+		return IdentityOf(certs[0])
+	}
+	return verify(certs[0], certs[1:], held.authorities, time.Now())
+}
+
 // CallerCertificate loads the certificate that an agent shows to callers.
 func CallerCertificate(certPath, keyPath string) (*tls.Certificate, error) {
 	certPEM, err := os.ReadFile(certPath)
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -237,7 +237,7 @@
 // maybeSnapshot takes a snapshot when enough entries were applied. A state
 // machine that cannot give one is asked again after as many entries more.
 func (r *Replica) maybeSnapshot() error {
-	if r.applied < r.snapshotIndex+r.opts.SnapshotEntries && r.appliedBytes < maxAppliedBytes {
+	if r.applied < r.snapshotIndex+r.opts.SnapshotEntries && r.appliedBytes < r.opts.SnapshotBytes {
 		return nil
 	}
 	r.snapshotIndex = r.applied
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -50,6 +50,7 @@
 	DefaultSnapshotEntries = 10_000
 	DefaultMaxProposals    = 1024
 	DefaultMaxCommandBytes = 1 << 20
+	DefaultSnapshotBytes   = 64 << 20
 )
 
 // Bounds of the intake, in bytes.
@@ -58,10 +59,6 @@
 	maxMessageBytes = 64 << 20
 )
 
-// maxAppliedBytes is the size of the commands, in bytes, after which a snapshot
-// is taken, because they stay in memory until then.
-const maxAppliedBytes = 64 << 20
-
 // Options configures a Replica.
 type Options struct {
 	// Folder holds the durable state of this replica in this group and
@@ -88,9 +85,12 @@
 	ElectionTicks int
 	// HeartbeatTicks is the time between heartbeats of a leader.
 	HeartbeatTicks int
-	// SnapshotEntries is the number of applied entries between snapshots. One
-	// is also taken when 64 MiB of commands were applied.
+	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries uint64
+	// SnapshotBytes is the size of the applied commands, in bytes, after which a
+	// snapshot is taken however few they are: they stay in memory, and in the
+	// folder, until then.
+	SnapshotBytes int
 	// MaxProposals bounds the requests of callers that wait: proposals, read
 	// barriers and membership changes.
 	MaxProposals int
@@ -111,6 +111,7 @@
 	o.ElectionTicks = cmp.Or(max(o.ElectionTicks, 0), DefaultElectionTicks)
 	o.HeartbeatTicks = cmp.Or(max(o.HeartbeatTicks, 0), DefaultHeartbeatTicks)
 	o.SnapshotEntries = cmp.Or(o.SnapshotEntries, DefaultSnapshotEntries)
+	o.SnapshotBytes = cmp.Or(max(o.SnapshotBytes, 0), DefaultSnapshotBytes)
 	o.MaxProposals = cmp.Or(max(o.MaxProposals, 0), DefaultMaxProposals)
 	o.MaxCommandBytes = cmp.Or(max(o.MaxCommandBytes, 0), DefaultMaxCommandBytes)
 	o.Log = cmp.Or(o.Log, zap.NewNop())
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -166,6 +166,10 @@
 	return texts
 }
 
+// MemberOf returns the member of that identity, or one with the configured
+// address.
+func (r *Replica) MemberOf(id *raftpb.ReplicaID) *raftpb.Member { return r.memberOf(r.Status(), id) }
+
 // memberOf returns the member of a status, or one with the configured address.
 func (r *Replica) memberOf(status Status, id *raftpb.ReplicaID) *raftpb.Member {
 	for _, m := range status.Members {
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -68,6 +68,8 @@
 	"Replica.snapshot_entries": {fallback: "10000", positive: true},
 	"Replica.max_links":        {fallback: "2000", positive: true},
 	"Replica.grant_groups":     {fallback: "1", positive: true, check: checkGrantGroups},
+	"Replica.least_voters":     {fallback: "1", positive: true},
+	"Replica.snapshot_bytes":   {fallback: "67108864", positive: true},
 
 	"Forwarding.public_ip":      {check: checkIP},
 	"Forwarding.frame_listen":   {required: true, example: "192.0.2.20:7200", check: checkAddress},
--- a/internal/subscriber/announcer.go
+++ b/internal/subscriber/announcer.go
@@ -51,6 +51,8 @@
 	Service string
 	Target  string
 	Process []byte
+	// CreateService has the service made if the configuration does not name it.
+	CreateService bool
 	// FailureDomain and Address (ip:port of the frame socket) go into the
 	// record.
 	FailureDomain string
@@ -238,6 +240,8 @@
 		Service: a.opts.Service,
 		Target:  a.opts.Target,
 		Process: a.opts.Process,
+
+		CreateService: a.opts.CreateService,
 	}}}
 	for a.ctx.Err() == nil {
 		res, err := a.call(req)
