--- a/flow/agent.go
+++ b/flow/agent.go
@@ -103,8 +103,8 @@
 	running   bool
 	// callerDone and targetDone: that end has sent its last byte.
 	callerDone, targetDone bool
-	seen      time.Duration
-	born      time.Duration
+	seen                   time.Duration
+	born                   time.Duration
 }
 
 // NewAgent returns an agent that has just started.
--- /dev/null
+++ b/flow/entry_test.go
@@ -0,0 +1,168 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/flow"
+)
+
+func TestFlowStaysWhereItBegan(t *testing.T) {
+	is := is.New(t)
+	e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA, agentB}}, entryA)
+	v := e.Packet(syn(1), 0)
+	is.Equal(v.Action, flow.Send)
+	is.Equal(v.To, agentA)
+	is.Equal(v.Frame, flow.Frame{Kind: flow.Open, Service: lodgement, Entry: entryA})
+	e.Held(heldBy(1, firstA, false), agentA, time.Millisecond)
+	for range 3 {
+		v = e.Packet(request(1, firstA), time.Second)
+		is.Equal(v.To, agentA)
+		is.Equal(v.Frame.Kind, flow.Data)
+	}
+}
+
+// A copy of an opening that nobody has answered goes to another target; one that was
+// answered goes to the same.
+func TestCopiesOfAnOpening(t *testing.T) {
+	is := is.New(t)
+	e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA, agentB, agentC}}, entryA)
+	is.Equal(e.Packet(syn(1), 0).To, agentA)
+	v := e.Packet(syn(1), 200*time.Millisecond)
+	is.Equal(v.To, agentB)
+	is.Equal(v.Reason, flow.ReasonPlacedAnew)
+	is.Equal(e.Packet(syn(1), 600*time.Millisecond).To, agentB) // two are enough
+
+	is.Equal(e.Packet(syn(2), 0).To, agentC)
+	e.Held(heldBy(2, firstA, false), agentC, 0)
+	is.Equal(e.Packet(syn(2), 200*time.Millisecond).To, agentC)
+}
+
+func TestCallerSettlesWhichOfTwoTargetsHasTheFlow(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		first uint32
+		want  flow.Endpoint
+	}{{"the first", firstA, agentA}, {"the second", firstB, agentB}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA, agentB}}, entryA)
+			e.Packet(syn(1), 0)
+			e.Packet(syn(1), 200*time.Millisecond)
+			e.Held(heldBy(1, firstA, false), agentA, 0)
+			e.Held(heldBy(1, firstB, false), agentB, 0)
+			is.Equal(e.Packet(request(1, tt.first), time.Second).To, tt.want)
+			is.Equal(e.Packet(request(1, tt.first), time.Second).To, tt.want)
+		})
+	}
+}
+
+// An agent may hand an opening on: the flow is where it was answered.
+func TestOpeningThatWasHandedOn(t *testing.T) {
+	is := is.New(t)
+	e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA}}, entryA)
+	e.Packet(syn(1), 0)
+	e.Held(heldBy(1, firstB, false), agentB, 0)
+	is.Equal(e.Packet(request(1, firstB), time.Second).To, agentB)
+}
+
+func TestUnknownFlowIsSearchedFor(t *testing.T) {
+	is := is.New(t)
+	e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA, agentB}}, entryB)
+	v := e.Packet(request(1, firstA), 0)
+	is.Equal(v.Action, flow.SendAll)
+	is.Equal(v.All, []flow.Endpoint{agentA, agentB})
+	is.Equal(v.Frame, flow.Frame{Kind: flow.Search, Entry: entryB})
+	e.Held(heldBy(1, firstA, true), agentA, 0)
+	v = e.Packet(request(1, firstA), time.Millisecond)
+	is.Equal(v.Action, flow.Send)
+	is.Equal(v.To, agentA)
+}
+
+// The packets of one flow that nobody holds must not flood the agents.
+func TestSearchesAreBounded(t *testing.T) {
+	is := is.New(t)
+	e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA}}, entryA)
+	searches := 0
+	for range 1000 {
+		if e.Packet(request(1, firstA), 0).Action == flow.SendAll {
+			searches++
+		}
+	}
+	is.True(searches < 10)
+	is.Equal(e.Packet(request(1, firstA), time.Second).Action, flow.SendAll) // but it is tried again
+}
+
+func TestPacketThatAnAgentDoesNotHold(t *testing.T) {
+	is := is.New(t)
+	e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA, agentB}}, entryA)
+	e.Packet(syn(1), 0)
+	e.Held(heldBy(1, firstA, false), agentA, 0)
+	e.Packet(request(1, firstA), 0)
+	v := e.Missed(request(1, firstA), agentA, 0)
+	is.Equal(v.Action, flow.SendAll)
+	is.Equal(v.All, []flow.Endpoint{agentB}) // not to the one that has just said no
+}
+
+// A host that has just started knows no routes: it must not tell callers anything.
+func TestNothingIsResetBeforeTheRoutesAreKnown(t *testing.T) {
+	is := is.New(t)
+	e := flow.NewEntry(&fixedPlacer{reason: flow.ReasonNotReady}, entryA)
+	is.Equal(e.Packet(syn(1), 0).Action, flow.Drop)
+	is.Equal(e.Packet(request(2, firstA), 0).Action, flow.Drop)
+}
+
+func TestOpeningThatCannotBeServedIsResetAtOnce(t *testing.T) {
+	for _, reason := range []flow.Reason{flow.ReasonNoRoute, flow.ReasonNoTarget} {
+		is := is.New(t)
+		e := flow.NewEntry(&fixedPlacer{reason: reason}, entryA)
+		v := e.Packet(syn(1), 0)
+		is.Equal(v.Action, flow.Reset)
+		is.Equal(v.Reason, reason)
+	}
+}
+
+// A later packet to an address without a route may belong to a flow that opened under
+// a newer version than this host has.
+func TestLaterPacketIsNeverReset(t *testing.T) {
+	is := is.New(t)
+	e := flow.NewEntry(&fixedPlacer{reason: flow.ReasonNoRoute}, entryA)
+	is.Equal(e.Packet(request(1, firstA), 0).Action, flow.Drop)
+}
+
+func TestPortThatIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA, agentB}}, entryA)
+	e.Packet(syn(1), 0)
+	e.Held(heldBy(1, firstA, false), agentA, 0)
+	e.Packet(request(1, firstA), 0)
+	again := syn(1)
+	again.Seq++
+	is.Equal(e.Packet(again, time.Second).To, agentB)
+}
+
+func TestEntryForgetsIdleAndOldFlows(t *testing.T) {
+	is := is.New(t)
+	e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA}}, entryA)
+	e.Packet(syn(1), 0)
+	e.Packet(syn(2), 0)
+	e.Packet(request(2, firstA), 15*time.Second)
+	e.Sweep(21*time.Second, 20*time.Second, time.Minute)
+	is.Equal(e.Len(), 1)
+	e.Packet(request(2, firstA), 61*time.Second)
+	e.Sweep(61*time.Second, 20*time.Second, time.Minute)
+	is.Equal(e.Len(), 0)
+}
+
+func TestEntryTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA}}, entryA)
+	for i := range flow.MaxEntryFlows + 10 {
+		p := syn(uint16(i))
+		p.Key.Caller.IP[2] = byte(i >> 16)
+		e.Packet(p, 0)
+	}
+	is.Equal(e.Len(), flow.MaxEntryFlows)
+}
--- /dev/null
+++ b/flow/helpers_test.go
@@ -0,0 +1,80 @@
+package flow_test
+
+import (
+	"net/netip"
+	"time"
+
+	"eelgrasswharf.example/eelgrasswharf/flow"
+)
+
+func endpoint(text string) flow.Endpoint { return flow.EndpointOf(netip.MustParseAddrPort(text)) }
+
+var (
+	public    = endpoint("198.18.0.1:443")
+	entryA    = endpoint("10.1.0.1:7721")
+	entryB    = endpoint("10.1.0.2:7721")
+	agentA    = endpoint("10.1.0.11:8172")
+	agentB    = endpoint("10.1.0.12:8172")
+	agentC    = endpoint("10.1.0.13:8172")
+	lodgement = flow.ServiceHash("lodgement")
+	copies    = flow.ServiceHash("certificates")
+)
+
+// caller's sequence number of the opening, and the targets' first ones.
+const (
+	opening = 1000
+	firstA  = 5000
+	firstB  = 9000
+)
+
+func key(port uint16) flow.Key {
+	return flow.Key{Caller: flow.Endpoint{IP: [4]byte{100, 64, 0, 7}, Port: port}, Public: public}
+}
+
+func syn(port uint16) flow.Packet { return flow.Packet{Key: key(port), Flags: flow.SYN, Seq: opening} }
+
+// request is the first packet after the opening: it acknowledges first.
+func request(port uint16, first uint32) flow.Packet {
+	return flow.Packet{Key: key(port), Flags: flow.ACK, Seq: opening + 1, Ack: first + 1, Length: 100}
+}
+
+func synAck(port uint16, first uint32) flow.Packet {
+	return flow.Packet{Key: key(port), Flags: flow.SYN | flow.ACK, Seq: first, Ack: opening + 1}
+}
+
+func response(port uint16, first uint32) flow.Packet {
+	return flow.Packet{Key: key(port), Flags: flow.ACK, Seq: first + 1, Ack: opening + 101, Length: 1000}
+}
+
+func sentBack(p flow.Packet) flow.Packet {
+	p.Flags |= flow.Returned
+	return p
+}
+
+// fixedPlacer places flows at the agents of a list in turn.
+type fixedPlacer struct {
+	agents []flow.Endpoint
+	reason flow.Reason
+	next   int
+}
+
+func (p *fixedPlacer) Place(_ flow.Key, avoid flow.Endpoint, _ time.Duration) (flow.Placement, flow.Reason) {
+	if len(p.agents) == 0 {
+		return flow.Placement{}, p.reason
+	}
+	chosen := p.agents[p.next%len(p.agents)]
+	if chosen == avoid {
+		p.next++
+		chosen = p.agents[p.next%len(p.agents)]
+	}
+	p.next++
+	return flow.Placement{Agent: chosen, Service: lodgement}, flow.ReasonPlaced
+}
+
+func (p *fixedPlacer) Holders(to []flow.Endpoint, _ flow.Endpoint) []flow.Endpoint {
+	return append(to, p.agents...)
+}
+
+func heldBy(port uint16, first uint32, opened bool) flow.Frame {
+	return flow.Frame{Kind: flow.Held, Key: key(port), First: first, Known: true, Opened: opened, Service: lodgement}
+}
