flowd: packets wait for a host that has just started; loads tell busy targets apart

Cause: after the loss of all power or processes, senders had doubled their pauses, so copies came up to 1.6 s after entry hosts were ready; the first few known targets got all flows for good; with 60 per mille a flow all loads stood at their cap (430 flows against 267 at two targets, 300 to 340 after). Registered targets are now known from the agreed state, so a directory is whole once all were heard.

--- a/config/machine.go
+++ b/config/machine.go
@@ -57,6 +57,8 @@
 	case *configpb.Command_Register:
 		registration := m.register(body.Register)
 		return &configpb.Result{Body: &configpb.Result_Registration{Registration: registration}}
+	case *configpb.Command_Unregister:
+		m.targets.unregister(body.Unregister)
 	case *configpb.Command_Replacement:
 		replaced := m.replace(body.Replacement)
 		return &configpb.Result{Body: &configpb.Result_Replaced{Replaced: replaced}}
--- a/config/targets.go
+++ b/config/targets.go
@@ -127,6 +127,23 @@
 	}
 }
 
+// unregister forgets an identity, unless a newer incarnation holds its number.
+func (t *targets) unregister(u *configpb.UnregisterTarget) {
+	e, ok := t.number[u.GetNumber()]
+	if ok && identity(e).GetIncarnation() == u.GetIncarnation() {
+		t.drop(e)
+	}
+}
+
+// Targets calls visit for each agreed identity until it returns false.
+func (m *Machine) Targets(visit func(*configpb.TargetIdentity) bool) {
+	for e := m.targets.order.Front(); e != nil; e = e.Next() {
+		if !visit(identity(e)) {
+			return
+		}
+	}
+}
+
 // Registered returns the registration that a process has, or nil.
 func (m *Machine) Registered(r *configpb.RegisterTarget) *configpb.Registration {
 	service := serviceNamed(m.current, r.GetService()).GetNumber()
--- a/flow/agent.go
+++ b/flow/agent.go
@@ -1,6 +1,9 @@
 package flow
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// MaxAgentFlows bounds the flows of an agent: several times what a backend
@@ -22,11 +25,13 @@
 	// progress, whatever became of it.
 	stuckAfter = 10 * time.Second
 	// flowPermille is what an open flow adds to the load of a target, in
-	// thousandths of one slot: an idle one is a request to come.
-	flowPermille = 60
-	// fullLoad is the load of a target whose slots are all taken.
+	// thousandths of one slot: an idle one is a request to come. Callers that keep a
+	// flow open for many requests send one every 3 s on it, of 30 ms each.
+	flowPermille = 10
+	// fullLoad is the load of a target whose slots are all taken, maxLoad the
+	// largest that a frame carries. Targets far above their capacity still differ.
 	fullLoad = 1000
-	maxLoad  = 4000
+	maxLoad  = math.MaxUint16
 )
 
 // State tells whether the target beside an agent takes new flows.
--- a/flow/entry.go
+++ b/flow/entry.go
@@ -31,6 +31,9 @@
 	// address. It appends nothing if the address has no route. All tells that no
 	// other agent can hold one.
 	Holders(to []Endpoint, public Endpoint) (list []Endpoint, all bool)
+	// Ready reports whether routes and targets are known. Before that nothing can be
+	// said of a flow that is not known.
+	Ready() bool
 	// Knows reports whether there is still a target beside an agent.
 	Knows(agent Endpoint) bool
 }
@@ -56,6 +59,8 @@
 	Reply
 	// Deny: tell the entry host that the target does not hold the flow.
 	Deny
+	// Wait: keep the packet until the host is ready.
+	Wait
 )
 
 // Reason tells what decided an action.
@@ -152,6 +157,9 @@
 	if f != nil {
 		f.seen = now
 	}
+	if (f == nil || f.count == 0) && !e.placer.Ready() {
+		return Verdict{Action: Wait, Reason: ReasonNotReady}
+	}
 	if p.Opens() {
 		return e.open(f, p, now)
 	}
@@ -159,7 +167,7 @@
 		return e.search(f, p, now)
 	}
 	e.settle(f, p)
-	if !e.placer.Knows(f.homes[0].agent) {
+	if e.placer.Ready() && !e.placer.Knows(f.homes[0].agent) {
 		// The lease of its target has ended. Should the flow live all the same, its
 		// agent answers the search.
 		f.count = 0
@@ -211,7 +219,7 @@
 
 func unplaced(reason Reason) Verdict {
 	if reason == ReasonNotReady {
-		return Verdict{Action: Drop, Reason: reason}
+		return Verdict{Action: Wait, Reason: reason}
 	}
 	return Verdict{Action: Reset, Reason: reason}
 }
@@ -421,6 +429,8 @@
 		return "reply"
 	case Deny:
 		return "deny"
+	case Wait:
+		return "wait"
 	}
 	return "invalid"
 }
--- a/flow/helpers_test.go
+++ b/flow/helpers_test.go
@@ -58,6 +58,7 @@
 	next   int
 	// doubtful: there may be more agents, lost is one without a target.
 	doubtful bool
+	unready  bool
 	lost     flow.Endpoint
 }
 
@@ -78,6 +79,8 @@
 	return append(to, p.agents...), !p.doubtful
 }
 
+func (p *fixedPlacer) Ready() bool { return !p.unready }
+
 func (p *fixedPlacer) Knows(agent flow.Endpoint) bool { return agent != p.lost }
 
 func heldBy(port uint16, first uint32, opened bool) flow.Frame {
--- /dev/null
+++ b/flow/waiting.go
@@ -0,0 +1,49 @@
+package flow
+
+import "time"
+
+const (
+	// maxWaiting bounds the packets that wait: at 1,234 bytes each, 1.2 MB.
+	maxWaiting = 1024
+	// waitFor is how long a packet may wait. Its sender sends it again within 1.6 s.
+	waitFor = 1600 * time.Millisecond
+)
+
+// Waiting holds the newest packet of each flow that an entry host cannot decide on
+// yet, because it has just started. Senders double their pauses, so that the next copy
+// of a packet may come more than a second after the host knows what to do.
+type Waiting struct {
+	packets map[Key]waitingPacket
+}
+
+type waitingPacket struct {
+	data  []byte
+	since time.Duration
+}
+
+// Put keeps a copy of a packet. It reports false if too many wait.
+func (w *Waiting) Put(key Key, packet []byte, now time.Duration) bool {
+	if w.packets == nil {
+		w.packets = make(map[Key]waitingPacket)
+	}
+	if _, known := w.packets[key]; !known && len(w.packets) >= maxWaiting {
+		return false
+	}
+	w.packets[key] = waitingPacket{data: append([]byte(nil), packet...), since: now}
+	return true
+}
+
+// Len returns the number of packets that wait.
+func (w *Waiting) Len() int { return len(w.packets) }
+
+// Take empties the buffer and returns the packets that have not waited too long.
+func (w *Waiting) Take(now time.Duration) [][]byte {
+	var out [][]byte
+	for _, p := range w.packets {
+		if now-p.since <= waitFor {
+			out = append(out, p.data)
+		}
+	}
+	w.packets = nil
+	return out
+}
--- /dev/null
+++ b/flow/waiting_test.go
@@ -0,0 +1,50 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/flow"
+)
+
+func TestWaitingPackets(t *testing.T) {
+	is := is.New(t)
+	var w flow.Waiting
+	is.True(w.Put(key(1), []byte("old"), 0))
+	is.True(w.Put(key(2), []byte("first"), time.Second))
+	is.True(w.Put(key(2), []byte("second"), time.Second))
+	got := w.Take(2 * time.Second)
+	is.Equal(len(got), 1) // the other one's sender has sent it again meanwhile
+	is.Equal(string(got[0]), "second")
+	is.Equal(w.Len(), 0)
+}
+
+func TestWaitingPacketsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var w flow.Waiting
+	kept := 0
+	for port := range 5000 {
+		if w.Put(key(uint16(port)), []byte("packet"), 0) {
+			kept++
+		}
+	}
+	is.True(kept < 5000)
+	is.Equal(w.Len(), kept)
+	is.True(w.Put(key(1), []byte("newer"), 0)) // of a flow that waits already
+}
+
+// Until a host knows routes and targets, packets wait; the flows that it knows go on.
+func TestPacketsWaitForTheRoutes(t *testing.T) {
+	is := is.New(t)
+	p := &fixedPlacer{agents: []flow.Endpoint{agentA}, unready: true}
+	e := flow.NewEntry(p, entryA)
+	is.Equal(e.Packet(syn(1), 0).Action, flow.Wait)
+	is.Equal(e.Packet(request(2, firstA), 0).Action, flow.Wait)
+	e.Held(heldBy(3, firstA, true), agentA, 0)
+	is.Equal(e.Packet(request(3, firstA), 0).Action, flow.Send)
+	p.unready = false
+	is.Equal(e.Packet(syn(1), 0).Action, flow.Send)
+	is.Equal(e.Packet(request(2, firstA), 0).Action, flow.SendAll)
+}
--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -35,7 +35,7 @@
 	// snapshot of the grants has to fit.
 	maxPeerMessage = 160 << 20
 	// syncPeriod is how long changed records wait to be passed on together.
-	syncPeriod = 200 * time.Millisecond
+	syncPeriod = 50 * time.Millisecond
 	// syncTimeout bounds the delivery of records to a peer.
 	syncTimeout = 2 * time.Second
 	// renewalsPerLease is how often in a lease all own claims are renewed.
@@ -80,7 +80,7 @@
 	silenceLimit    = 20 * time.Second
 	// directoryPause is the shortest time between two directory updates of one
 	// subscription: changes within it are sent together.
-	directoryPause = 250 * time.Millisecond
+	directoryPause = 100 * time.Millisecond
 	// retryAfterBusy tells a refused peer when to come back.
 	retryAfterBusy = 500 * time.Millisecond
 	// stopTimeout bounds the wait for operators' calls at a shutdown.
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -68,6 +68,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	loops  conc.WaitGroup
+	// stateConfirmed says that a quorum has confirmed the state here since the start.
+	stateConfirmed atomic.Bool
 	// leaving says that this host stops.
 	leaving atomic.Bool
 	// misfit gets the reason why this host has to be started again.
@@ -111,7 +113,11 @@
 	d.peers = newPeers(creds, voters, d.directory, log, d.scope)
 	d.peers.self = d.selfAddress
 	d.confirm = &barrier{ctx: d.ctx, wg: &d.loops, read: func(ctx context.Context) error {
-		return d.replicas[controlpb.Group_GROUP_CONFIG].ReadBarrier(ctx)
+		err := d.replicas[controlpb.Group_GROUP_CONFIG].ReadBarrier(ctx)
+		if err == nil {
+			d.stateConfirmed.Store(true)
+		}
+		return err
 	}}
 	return d, nil
 }
--- a/internal/controld/directory.go
+++ b/internal/controld/directory.go
@@ -35,6 +35,14 @@
 
 func (d *directory) now() time.Duration { return time.Since(d.start) }
 
+// holds reports whether the directory has heard of an incarnation of a target, or of
+// a later one.
+func (d *directory) holds(number, incarnation uint32) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dir.Holds(number, incarnation)
+}
+
 func (d *directory) lease() time.Duration { return d.dir.Lease() }
 
 // announce takes the record of an agent.
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -60,7 +60,7 @@
 	case *controlpb.Request_Raft, *controlpb.Request_Propose, *controlpb.Request_DirectorySync, *controlpb.Request_Replicas,
 		*controlpb.Request_Join, *controlpb.Request_TakeOver:
 		return []keys.Role{keys.RoleControl}
-	case *controlpb.Request_Register, *controlpb.Request_Announce, *controlpb.Request_Grant:
+	case *controlpb.Request_Register, *controlpb.Request_Announce, *controlpb.Request_Grant, *controlpb.Request_Unregister:
 		return []keys.Role{keys.RoleAgent}
 	case *controlpb.Request_Version:
 		return []keys.Role{keys.RoleControl, keys.RoleEntry, keys.RoleAgent}
@@ -98,6 +98,8 @@
 		return h.announce(peer, body.Announce.GetRecord())
 	case *controlpb.Request_Grant:
 		return h.grant(ctx, peer, body.Grant)
+	case *controlpb.Request_Unregister:
+		return h.unregister(ctx, peer, body.Unregister)
 	}
 	return h.version(ctx)
 }
@@ -223,6 +225,19 @@
 	return nil
 }
 
+// unregister forgets a target whose backend server is gone for good.
+func (h *handler) unregister(ctx context.Context, peer link.Peer, u *configpb.UnregisterTarget) *controlpb.Response {
+	id := h.configs.target(u.GetNumber())
+	if id != nil && id.GetService() != peer.Service {
+		return h.fault(refusedService, controlpb.FaultKind_FAULT_FORBIDDEN, "the certificate is for another service")
+	}
+	command := &configpb.Command{Body: &configpb.Command_Unregister{Unregister: u}}
+	if fault := h.replicate(ctx, controlpb.Group_GROUP_CONFIG, command, new(configpb.Result)); fault != nil {
+		return fault
+	}
+	return done()
+}
+
 // proposeSoon replicates a command, and waits for a leader for a moment if none is
 // known: agents that come while one is elected would all ask again later.
 func (h *handler) proposeSoon(ctx context.Context, group controlpb.Group, command []byte) ([]byte, error) {
--- a/internal/controld/members.go
+++ b/internal/controld/members.go
@@ -80,6 +80,18 @@
 	return out
 }
 
+// directoryWhole reports whether the directory has all targets that there are: it has
+// listened for a whole lease, or a quorum has confirmed the state here and each
+// registered target has been heard of. The latter comes within a second after all
+// hosts have started at once. Targets that never say goodbye stay registered, so the
+// former has to do after one was lost.
+func (d *Daemon) directoryWhole() bool {
+	if d.directory.settled() {
+		return true
+	}
+	return d.stateConfirmed.Load() && d.configs.allTargets(d.directory.holds)
+}
+
 // enoughVoters reports whether a change of the configuration may be accepted: a
 // group that has just been founded has fewer voters than the losses that it is to
 // bear, and what it accepted then could be lost. Hosts that never come must not
--- a/internal/controld/state.go
+++ b/internal/controld/state.go
@@ -152,6 +152,19 @@
 	return s.machine.Registered(r)
 }
 
+// allTargets reports whether there is an agreed identity and heard is true for each.
+func (s *configState) allTargets(heard func(number, incarnation uint32) bool) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	all, any := true, false
+	s.machine.Targets(func(id *configpb.TargetIdentity) bool {
+		any = true
+		all = heard(id.GetNumber(), id.GetIncarnation())
+		return all
+	})
+	return all && any
+}
+
 func (s *configState) target(number uint32) *configpb.TargetIdentity {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -299,7 +299,7 @@
 }
 
 func (s *subscription) send(u *controlpb.SubscribeUpdate) error {
-	u.DirectoryWhole = s.whole && s.daemon.directory.settled()
+	u.DirectoryWhole = s.whole && s.daemon.directoryWhole()
 	if err := s.stream.Send(u); err != nil {
 		return err
 	}
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -172,6 +172,9 @@
 		a.opts.Log.Info("backend server", zap.String("server", current.Life.ID), zap.Int64("started_ms", current.Life.StartedMS),
 			zap.Uint64("sequence", current.Sequence), zap.Bool("leaving", current.Leaving), zap.Bool("gone", current.Gone))
 	}
+	if current.Gone && !before.Gone {
+		a.withdraw()
+	}
 	if verdict == incarnation.First {
 		if r.Sequence <= newSequence {
 			a.flows.Witnessed(a.now())
@@ -182,6 +185,22 @@
 	return verdict
 }
 
+// withdraw tells the control hosts that the target is gone for good. The lock is
+// held.
+func (a *Agent) withdraw() {
+	former := a.announcer
+	if former == nil || a.ctx.Err() != nil {
+		return
+	}
+	a.announcer = nil
+	former.Update(subscriber.Status{State: controlpb.TargetState_TARGET_STATE_DRAINING})
+	a.workers.Go(func() {
+		if err := former.Unregister(a.ctx); err != nil {
+			a.opts.Log.Info("target not unregistered", zap.Error(err))
+		}
+	})
+}
+
 // announce registers another life of the target. The lock is held.
 func (a *Agent) announce(r incarnation.Report) {
 	if a.announcer != nil {
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -18,6 +18,9 @@
 const (
 	// tablePeriod is the time between two looks at ages and load figures.
 	tablePeriod = 250 * time.Millisecond
+	// releasePeriod is the time between two looks whether packets that wait can be
+	// decided on.
+	releasePeriod = 20 * time.Millisecond
 	// decayTables is how many of these pass between two halvings of the counts of
 	// unanswered flows: a second.
 	decayTables = 4
@@ -65,10 +68,11 @@
 	reasons *reasons
 	client  *link.Client
 
-	// mu guards flows and buffer.
-	mu     sync.Mutex
-	flows  *flow.Entry
-	buffer []byte
+	// mu guards flows, waiting and buffer.
+	mu      sync.Mutex
+	flows   *flow.Entry
+	waiting flow.Waiting
+	buffer  []byte
 }
 
 // NewEntry opens the sockets and a link to a control host. Nothing is read before
@@ -130,6 +134,7 @@
 	workers.Go(func() { e.callers.serve(ctx, e.fromCaller) })
 	workers.Go(func() { e.agents.serve(ctx, e.fromAgent) })
 	workers.Go(func() { e.keep(ctx) })
+	workers.Go(func() { e.release(ctx) })
 	workers.Wait()
 	return nil
 }
@@ -162,6 +167,31 @@
 	}
 }
 
+// release decides on the packets that wait, once that is possible.
+func (e *Entry) release(ctx context.Context) {
+	ticker := time.NewTicker(releasePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !e.placer.Ready() {
+			continue
+		}
+		e.mu.Lock()
+		for _, packet := range e.waiting.Take(e.now()) {
+			// It was read before.
+			p, err := e.opts.Codec.FromCaller(packet)
+			if err == nil {
+				e.act(e.flows.Packet(p, e.now()), p, packet)
+			}
+		}
+		e.mu.Unlock()
+	}
+}
+
 func (e *Entry) fromCaller(b []byte, _ flow.Endpoint) {
 	p, err := e.opts.Codec.FromCaller(b)
 	if err != nil {
@@ -216,6 +246,10 @@
 		for _, to := range v.All {
 			e.agents.send(framed, to)
 		}
+	case flow.Wait:
+		if !e.waiting.Put(p.Key, packet, e.now()) {
+			e.reasons.overflow.Inc(1)
+		}
 	case flow.Reset:
 		e.buffer = e.opts.Codec.AppendReset(e.buffer[:0], p.Key, p.Ack)
 		e.callers.send(e.buffer, flow.Endpoint{IP: p.Key.Caller.IP, Port: e.opts.CallerPort})
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -27,6 +27,11 @@
 	// count as whole, where the control host does not say so: agents that start
 	// together register within a second.
 	settledAfter = 2 * time.Second
+	// gatherFor is how long a host that has just started waits for more targets
+	// before it places flows: control hosts tell each other of targets within 50 ms,
+	// and their subscribers within 100 ms more. A caller's next copy of an opening
+	// comes after 200 ms.
+	gatherFor = 180 * time.Millisecond
 	// unfamiliarFor is how long after its start an entry host takes any agent for a
 	// possible holder: a flow stays with its service when a route moves to another
 	// one, and this host has not seen that.
@@ -48,6 +53,10 @@
 	agents []flow.Endpoint
 	known  map[flow.Endpoint]bool
 	loads  *routing.Loads
+	// firstAt is when the first targets were known, gathered that the wait for more
+	// is over.
+	firstAt  time.Time
+	gathered bool
 	// changedAt is when an agent came or went last.
 	changedAt time.Time
 }
@@ -155,6 +164,9 @@
 		p.agents = append(p.agents, agent)
 		p.known[agent] = true
 	}
+	if len(before) == 0 && !p.gathered {
+		p.firstAt = p.viewAt
+	}
 	if !maps.Equal(before, p.known) {
 		p.changedAt = p.viewAt
 	}
@@ -219,7 +231,7 @@
 func (p *placer) Place(key flow.Key, avoid flow.Endpoint, now time.Duration) (flow.Placement, flow.Reason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.table == nil {
+	if !p.decides() {
 		return flow.Placement{}, flow.ReasonNotReady
 	}
 	r := p.routes[key.Public]
@@ -244,6 +256,28 @@
 	return flow.Placement{}, flow.ReasonNoTarget
 }
 
+// Ready implements flow.Placer.
+func (p *placer) Ready() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.decides()
+}
+
+// decides reports whether routes and targets are known. The lock is held.
+func (p *placer) decides() bool {
+	return p.table != nil && p.view != nil && !p.gathering()
+}
+
+// gathering reports whether this host may know only the first few of targets that
+// start with it. All flows would go to those, and long ones stay there.
+func (p *placer) gathering() bool {
+	if p.view.DirectoryWhole || p.gathered {
+		return false
+	}
+	p.gathered = len(p.known) > 0 && time.Since(p.firstAt) >= gatherFor
+	return !p.gathered
+}
+
 // draw returns the index of the service that a new flow goes to, by weight.
 func (r *route) draw(hash uint64) int {
 	if r.sum == 0 {
@@ -318,5 +352,5 @@
 func (p *placer) ready() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table != nil && p.view != nil && (p.view.DirectoryWhole || len(p.view.Targets) > 0)
+	return p.decides() && (p.view.DirectoryWhole || len(p.view.Targets) > 0)
 }
--- a/internal/flowd/reasons.go
+++ b/internal/flowd/reasons.go
@@ -11,6 +11,7 @@
 	scope     tally.Scope
 	counters  map[verdictKey]tally.Counter
 	malformed tally.Counter
+	overflow  tally.Counter
 	flows     tally.Gauge
 }
 
@@ -24,6 +25,7 @@
 		scope:     scope,
 		counters:  map[verdictKey]tally.Counter{},
 		malformed: scope.Counter("malformed_datagrams"),
+		overflow:  scope.Counter("waiting_packets_dropped"),
 		flows:     scope.Gauge("flows"),
 	}
 }
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -47,9 +47,9 @@
 	DefaultTickInterval   = 50 * time.Millisecond
 	DefaultElectionTicks  = 10
 	DefaultHeartbeatTicks = 2
-	// DefaultFirstElectionTicks leaves a leader that is there the time of two
-	// heartbeats to be heard.
-	DefaultFirstElectionTicks = 4
+	// DefaultFirstElectionTicks leaves a leader that is there the time of a heartbeat
+	// to be heard.
+	DefaultFirstElectionTicks = 3
 	DefaultSnapshotEntries    = 10_000
 	DefaultMaxProposals       = 1024
 	DefaultMaxCommandBytes    = 1 << 20
@@ -86,7 +86,7 @@
 	TickInterval time.Duration
 	// ElectionTicks is the shortest time without a leader before an election.
 	ElectionTicks int
-	// FirstElectionTicks is the same before the first election after a start.
+	// FirstElectionTicks is the same as long as no leader was known since the start.
 	FirstElectionTicks int
 	// HeartbeatTicks is the time between heartbeats of a leader.
 	HeartbeatTicks int
--- a/internal/subscriber/announcer.go
+++ b/internal/subscriber/announcer.go
@@ -176,6 +176,25 @@
 	}
 }
 
+// Unregister tells the control hosts that the target is gone for good, once: a lost
+// call costs them a lease's wait after their next start. It stops announcing.
+func (a *Announcer) Unregister(ctx context.Context) error {
+	a.Close()
+	reg := a.Registration()
+	if reg == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.opts.CallTimeout)
+	defer cancel()
+	res, err := a.opts.Client.Call(ctx, &controlpb.Request{Body: &controlpb.Request_Unregister{
+		Unregister: &configpb.UnregisterTarget{Number: reg.GetTargetNumber(), Incarnation: reg.GetIncarnation()},
+	}})
+	if err != nil {
+		return errors.Wrap(err, "unregister")
+	}
+	return link.FaultOf(res)
+}
+
 const awaitPeriod = 20 * time.Millisecond
 
 // Close stops announcing. The lease ends by itself.
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -166,6 +166,13 @@
 	return damped
 }
 
+// Holds reports whether the directory has heard of an incarnation of a target, or of
+// a later one, whose lease lasts.
+func (d *Directory) Holds(number, incarnation uint32) bool {
+	t := d.byID[number]
+	return t != nil && t.heard.GetIncarnation() >= incarnation
+}
+
 // Settled reports whether the directory has listened for a whole lease, so
 // that a target that it does not hold has no lease. Before that its list says
 // which targets exist, not which do not.
--- a/raft/election.go
+++ b/raft/election.go
@@ -11,6 +11,7 @@
 	n.failReads()
 	n.role = RoleFollower
 	n.leader = leader
+	n.ledSinceStart = n.ledSinceStart || leader != nil
 	n.progress = nil
 	n.transfer = nil
 	n.resetElectionTimer()
@@ -18,7 +19,11 @@
 
 func (n *Node) resetElectionTimer() {
 	n.electionElapsed = 0
-	n.electionTimeout = n.opts.ElectionTicks + n.rand.IntN(n.opts.ElectionTicks)
+	least := n.opts.ElectionTicks
+	if !n.ledSinceStart {
+		least = n.opts.FirstElectionTicks
+	}
+	n.electionTimeout = least + n.rand.IntN(least)
 }
 
 // hearsLeader says whether this replica leads or has heard from its leader
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -13,6 +13,7 @@
 func (n *Node) becomeLeader() {
 	n.role = RoleLeader
 	n.leader = n.self
+	n.ledSinceStart = true
 	n.electionElapsed = 0
 	n.heartbeatElapsed = 0
 	n.progress = nil
--- a/raft/node.go
+++ b/raft/node.go
@@ -25,6 +25,8 @@
 	snapshot    *raftpb.Snapshot
 	memberships []membershipRecord
 
+	// ledSinceStart says that a leader was known since the start.
+	ledSinceStart    bool
 	electionElapsed  int
 	electionTimeout  int
 	heartbeatElapsed int
@@ -71,7 +73,6 @@
 	}
 	n.opts.HardState, n.opts.Snapshot, n.opts.Entries = nil, nil, nil
 	n.becomeFollower(n.term, nil)
-	n.electionTimeout = n.opts.FirstElectionTicks + n.rand.IntN(n.opts.FirstElectionTicks)
 	if n.isOnlyVoter() {
 		n.campaign(false)
 	}
--- a/raft/options.go
+++ b/raft/options.go
@@ -28,11 +28,11 @@
 	// HeartbeatTicks is the number of ticks between heartbeats. It must be
 	// less than ElectionTicks.
 	HeartbeatTicks int
-	// FirstElectionTicks is the least number of ticks before the first election
-	// after a start; its timeout is drawn from [FirstElectionTicks,
-	// 2*FirstElectionTicks). Zero means ElectionTicks. A smaller one spares time when
-	// all replicas start at once, as after a loss of power. Where a leader is there,
-	// its replicas refuse the pre-vote, so it does no harm.
+	// FirstElectionTicks is the least number of ticks before an election as long as
+	// no leader was known since the start; the timeout is drawn from
+	// [FirstElectionTicks, 2*FirstElectionTicks). Zero means ElectionTicks. A smaller
+	// one spares time when all replicas start at once, as after a loss of power. Where
+	// a leader is there, its replicas refuse the pre-vote, so it does no harm.
 	FirstElectionTicks int
 	// Rand draws election timeouts. Required.
 	Rand *rand.Rand
