--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -64,6 +64,12 @@
 	// leaderPatience is how long a command of an agent waits for a leader: an
 	// election takes up to a second, and agents give up after one.
 	leaderPatience = 800 * time.Millisecond
+	// isolationPeriod is the time between two looks whether a leader is known, and
+	// isolatedAfter how long none may be before subscribers are told. An election
+	// takes up to a second; a version that the others accept has to be in force with
+	// these subscribers within 3 s of it.
+	isolationPeriod = 100 * time.Millisecond
+	isolatedAfter   = time.Second
 	// membersPeriod is the time between looks whether the members follow the
 	// hosts, membersTimeout bounds one change. A host that lost its data folder
 	// is to vote again within a few seconds, and each takes two changes.
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -58,11 +58,12 @@
 	peers       *peers
 	// groups lists the replicated logs of this host. Like replicas, it does not
 	// change once they are open.
-	groups   []controlpb.Group
-	replicas map[controlpb.Group]*replica.Replica
-	confirm  *barrier
-	server   *link.Server
-	api      *operator.Server
+	groups    []controlpb.Group
+	replicas  map[controlpb.Group]*replica.Replica
+	confirm   *barrier
+	isolation isolation
+	server    *link.Server
+	api       *operator.Server
 
 	// ctx ends the loops.
 	ctx    context.Context
@@ -107,6 +108,7 @@
 		grants:    newGrantGroups(),
 		directory: newDirectory(rand.Uint64()|1, time.Duration(s.GetReplica().GetLeaseMs())*time.Millisecond),
 		replicas:  map[controlpb.Group]*replica.Replica{},
+		isolation: isolation{changed: newHub()},
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.subscribers = d.directory.subscribers
@@ -266,6 +268,7 @@
 	d.loops.Go(d.agreeLoop)
 	d.loops.Go(d.leadLoop)
 	d.loops.Go(d.membersLoop)
+	d.loops.Go(d.isolationLoop)
 	d.loops.Go(func() { d.creds.Watch(d.ctx, keys.ReloadPeriod, keys.Report(d.log)) })
 	d.log.Info("control host serves", zap.String("link", d.LinkAddr()), zap.String("operator", d.OperatorAddr()))
 }
--- a/internal/controld/found.go
+++ b/internal/controld/found.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"net"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -17,6 +19,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/replica"
+	"eelgrasswharf.example/eelgrasswharf/internal/wal"
 	"eelgrasswharf.example/eelgrasswharf/raft"
 )
 
@@ -59,7 +62,7 @@
 // host whose group exists without its replica, because it lost its disk, must
 // not vote under its old name; it waits to be added as a learner.
 func (d *Daemon) foundLoop() {
-	if d.settings.GetReplica().GetJoin() {
+	if d.joins() {
 		d.joinLoop()
 		return
 	}
@@ -84,6 +87,42 @@
 	}
 }
 
+// joins reports whether this host asks to be added to a group. Where members follow
+// the hosts, one that was started as an initial voter, and was started again before
+// the group was founded, goes on as one: its settings may say by then that the
+// deployment exists. The note of it is gone with the data folder, so a host that has
+// lost its disk never founds.
+func (d *Daemon) joins() bool {
+	r := d.settings.GetReplica()
+	if !r.GetAutomaticMembers() || r.GetTransient() {
+		return r.GetJoin()
+	}
+	note := filepath.Join(d.folder, foundingNote)
+	if r.GetJoin() {
+		_, err := os.Stat(note)
+		return err != nil
+	}
+	if err := writeNote(note); err != nil {
+		d.log.Warn("founding not noted: a restart before the group exists ends it", zap.Error(err))
+	}
+	return false
+}
+
+// foundingNote is a file in the data folder of a host that was started as an initial
+// voter.
+const foundingNote = "founding"
+
+func writeNote(path string) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(file.Sync(), file.Close()); err != nil {
+		return err
+	}
+	return wal.OSFS{}.SyncDir(filepath.Dir(path))
+}
+
 // joinLoop asks the initial voters to add this host as a learner until it is
 // a member of all groups. It asks all of them, since the groups may have
 // different leaders. To be promoted is up to the operators.
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -47,6 +47,8 @@
 	// directoryPending says that the directory may have changed since it was
 	// looked at.
 	directoryPending bool
+	// isolated is what the subscriber was told last of this host's isolation.
+	isolated bool
 	// askedAt is when a quorum was last asked, unansweredSince since when it has
 	// not answered; zero if it has.
 	askedAt         time.Time
@@ -121,6 +123,8 @@
 	defer s.daemon.configs.changed.leave(configs)
 	targets := s.daemon.directory.changed.join()
 	defer s.daemon.directory.changed.leave(targets)
+	isolation := s.daemon.isolation.changed.join()
+	defer s.daemon.isolation.changed.leave(isolation)
 	if err := s.sendFirst(ctx); err != nil {
 		return err
 	}
@@ -143,6 +147,7 @@
 				return err
 			}
 		case <-configs:
+		case <-isolation:
 		case <-s.reports:
 		case <-targets:
 			s.directoryPending = true
@@ -238,8 +243,10 @@
 			return err
 		}
 	}
-	if time.Since(s.messageSentAt) >= heartbeatPeriod {
-		beat := &controlpb.Heartbeat{Version: s.daemon.configs.version()}
+	isolated := s.daemon.isolation.now.Load()
+	if isolated != s.isolated || time.Since(s.messageSentAt) >= heartbeatPeriod {
+		s.isolated = isolated
+		beat := &controlpb.Heartbeat{Version: s.daemon.configs.version(), Isolated: isolated}
 		return s.send(&controlpb.SubscribeUpdate{Heartbeat: beat})
 	}
 	return nil
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -32,7 +32,7 @@
 	// newSequence is the highest sequence number of a first report by which the
 	// backend server has just started: it counts calls, and calls again at once
 	// while the agent does not listen yet.
-	newSequence = 6
+	newSequence = 3
 	// maxEntries bounds the entry hosts that are remembered for load figures.
 	maxEntries = 4096
 )
@@ -176,7 +176,7 @@
 		a.withdraw()
 	}
 	if verdict == incarnation.First {
-		if r.Sequence <= newSequence {
+		if known || a.startedBefore(r) {
 			a.flows.Witnessed(a.now())
 		}
 		a.announce(current)
@@ -201,6 +201,14 @@
 	})
 }
 
+// startedBefore reports whether this agent has started before the backend server that
+// sends its first report. It has to be sure: an agent that takes flows of its target
+// for none has their callers told that they are gone.
+func (a *Agent) startedBefore(r incarnation.Report) bool {
+	told := r.Life.StartedMS != 0
+	return r.Sequence <= newSequence && (!told || r.Life.StartedMS >= a.began.UnixMilli())
+}
+
 // announce registers another life of the target. The lock is held.
 func (a *Agent) announce(r incarnation.Report) {
 	if a.announcer != nil {
--- a/internal/subscriber/counters.go
+++ b/internal/subscriber/counters.go
@@ -102,6 +102,8 @@
 	switch {
 	case errors.As(err, &fault):
 		return "fault"
+	case errors.Is(err, errIsolated):
+		return "isolated"
 	case errors.Is(err, errBehind):
 		return "behind"
 	case errors.Is(err, errAskedToMove):
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -36,6 +36,17 @@
 // than the one acted on.
 var errBehind = errors.New("control host is behind")
 
+// errIsolated ends a subscription to a control host that knows no leader.
+var errIsolated = errors.New("control host is isolated")
+
+// Bounds of the pause after a control host was left because it is isolated, until
+// another one is left for the same reason. Without any quorum all are isolated, and
+// subscribers must not go round among them for nothing.
+const (
+	isolationPauseMin = time.Second
+	isolationPauseMax = 30 * time.Second
+)
+
 // errAskedToMove ends a subscription because its control host has too many.
 var errAskedToMove = errors.New("control host asked to move")
 
@@ -125,6 +136,10 @@
 	behindSince time.Time
 	// directoryWhole is what the control host said last about its list.
 	directoryWhole bool
+	// stayUntil is when a control host may be left again because it is isolated,
+	// isolationPause the pause after that.
+	stayUntil      time.Time
+	isolationPause time.Duration
 	// wantSnapshot asks for a whole configuration after a delta did not fit.
 	wantSnapshot bool
 }
@@ -273,6 +288,10 @@
 	if changed {
 		s.publish()
 	}
+	if s.leavesIsolated(u, now) {
+		s.opts.Client.Move("")
+		return errIsolated
+	}
 	if u.GetMove() != nil {
 		s.opts.Client.Move(u.GetMove().GetAddress())
 		return errAskedToMove
@@ -285,6 +304,20 @@
 	return nil
 }
 
+// leavesIsolated reports whether the control host is to be left because it knows no
+// leader.
+func (s *Subscriber) leavesIsolated(u *controlpb.SubscribeUpdate, now time.Time) bool {
+	if u.GetConfig().GetConfirmed() {
+		s.isolationPause = 0
+	}
+	if !u.GetHeartbeat().GetIsolated() || now.Before(s.stayUntil) {
+		return false
+	}
+	s.isolationPause = min(max(2*s.isolationPause, isolationPauseMin), isolationPauseMax)
+	s.stayUntil = now.Add(s.isolationPause)
+	return true
+}
+
 func (s *Subscriber) takeConfig(u *controlpb.ConfigUpdate, now time.Time) (bool, error) {
 	first := s.versions.held() == nil
 	acted, err := s.versions.receive(u, now)
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -151,6 +151,28 @@
 	rec.neverBack(t)
 }
 
+// A control host that is cut off from the others may still be reached: its subscribers
+// go to another one at once, and do not go round among hosts that are all cut off.
+func TestIsolatedControlHostIsLeft(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	one, two := newControlHost(configuration(9), true), newControlHost(configuration(9), true)
+	a, b := d.listen(anyPort, one), d.listen(anyPort, two)
+	hosts := map[string]*controlHost{a.Addr().String(): one, b.Addr().String(): two}
+	c := d.client(a, b)
+	s, scope, _ := start(t, c, nil)
+	awaitReady(t, s)
+	isolated := &controlpb.SubscribeUpdate{Heartbeat: &controlpb.Heartbeat{Version: 9, Isolated: true}}
+	first := c.Address()
+	hosts[first].raw <- isolated
+	eventually(t, "left", func() bool { return count(scope, metricEndedSubscriptions, "isolated") == 1 })
+	eventually(t, "with the other one", func() bool { return s.View().Connected && c.Address() != first })
+	second := c.Address()
+	hosts[second].raw <- isolated
+	hosts[second].raw <- isolated // taken from a subscription that has stayed
+	is.Equal(c.Address(), second)
+}
+
 func TestGapIsFilledByASnapshot(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t)
