replica: a disk without room costs no process

It now leaves the group's work to the others and opens its log again. Only refused writes are borne: after a failed sync what is read may not be durable. Ruled out: going on with the open log, whose tail is not known.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -240,6 +240,7 @@
 		Transport:       d.peers,
 		Forwarder:       d.peers,
 		TickInterval:    tick,
+		WaitForRoom:     d.settings.GetReplica().GetAutomaticMembers(),
 		SnapshotEntries: entries,
 		SnapshotBytes:   int(d.settings.GetReplica().GetSnapshotBytes()),
 		Log:             d.log.With(zap.String("group", groupName(group))),
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -56,6 +57,8 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.commands = nil
+	// A replica that opens its log again begins with the snapshot.
+	j.applied = 0
 	if len(data) > 0 {
 		j.commands = strings.Split(string(data), "\n")
 	}
@@ -86,6 +89,8 @@
 	mu sync.Mutex
 	// failure, if set, is what every write and sync returns.
 	failure error
+	// full refuses every write, as a disk without room does.
+	full bool
 	// gate, if set, blocks every sync until it is closed.
 	gate chan struct{}
 	// blocked gets a token when a sync begins to wait at the gate.
@@ -100,6 +105,18 @@
 	d.failure = err
 }
 
+func (d *disk) fill(full bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full = full
+}
+
+func (d *disk) isFull() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.full
+}
+
 // freeze lets the next sync wait, and with it the whole replica.
 func (d *disk) freeze() (thaw func()) {
 	d.mu.Lock()
@@ -145,6 +162,13 @@
 	disk *disk
 }
 
+func (f *diskFile) Write(b []byte) (int, error) {
+	if f.disk.isFull() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(b)
+}
+
 func (f *diskFile) Sync() error {
 	if err := f.disk.check(); err != nil {
 		return err
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -18,8 +18,13 @@
 	defer close(r.stopped)
 	// A panic of the state machine ends this replica; its callers must not
 	// wait for ever.
-	if recovered := panics.Try(r.loop); recovered != nil {
-		r.fail(recovered.AsError())
+	for {
+		if recovered := panics.Try(r.loop); recovered != nil {
+			r.fail(recovered.AsError())
+		}
+		if !r.lacksRoom() || !r.awaitRoom() {
+			break
+		}
 	}
 	r.abandonAll()
 	r.flush()
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -35,6 +35,7 @@
 	restored        tally.Counter
 	leaderChanges   tally.Counter
 	handedOver      tally.Counter
+	roomLost        tally.Counter
 }
 
 func newCounters(scope tally.Scope) counters {
@@ -45,6 +46,7 @@
 		return scope.Tagged(map[string]string{"reason": reason}).Counter("membership_changes_refused")
 	}
 	return counters{
+		roomLost:    scope.Counter("room_lost"),
 		proposals:   scope.Counter("proposals"),
 		forwarded:   scope.Counter("proposals_forwarded"),
 		noLeader:    refused("no_leader"),
--- a/internal/replica/waiters.go
+++ b/internal/replica/waiters.go
@@ -166,6 +166,11 @@
 			r.finish(q, nil, ErrClosed)
 		}
 	}
+	r.finishStarted()
+}
+
+// finishStarted finishes what the loop has started and cannot go on with.
+func (r *Replica) finishStarted() {
 	for _, list := range r.waiters.commits {
 		for _, w := range list {
 			r.finishUnknown(w.request)
--- a/internal/wal/errors.go
+++ b/internal/wal/errors.go
@@ -13,6 +13,9 @@
 	// ErrFull: the file system of the folder has no room left, or the process may
 	// not make its files longer.
 	ErrFull = errors.New("no space left for the data folder")
+	// ErrSync: a sync failed, so that what was written before may be lost though it
+	// can be read.
+	ErrSync = errors.New("sync failed")
 	// ErrFailed: an earlier write or sync failed, so that what is on the disk
 	// is not known; only opening the folder anew helps.
 	ErrFailed = errors.New("log has failed")
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -146,7 +146,7 @@
 		return errors.Join(explain(err, "write", tmp), f.Close())
 	}
 	if err := f.Sync(); err != nil {
-		return errors.Join(explain(err, "sync", tmp), f.Close())
+		return errors.Join(ErrSync, explain(err, "sync", tmp), f.Close())
 	}
 	if err := f.Close(); err != nil {
 		return explain(err, "close", tmp)
@@ -157,7 +157,7 @@
 	// The rename itself lasts only once the folder is synced.
 	folder := filepath.Dir(path)
 	if err := fs.SyncDir(folder); err != nil {
-		return explain(err, "sync folder", folder)
+		return errors.Join(ErrSync, explain(err, "sync folder", folder))
 	}
 	return nil
 }
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -222,7 +222,7 @@
 		return l.fail(explain(err, "write", path))
 	}
 	if err := l.file.Sync(); err != nil {
-		return l.fail(explain(err, "sync", path))
+		return l.fail(errors.Join(ErrSync, explain(err, "sync", path)))
 	}
 	l.sequence++
 	l.size += len(record)
