--- a/cmd/eelgrasswharf/main.go
+++ b/cmd/eelgrasswharf/main.go
@@ -8,8 +8,9 @@
 
 	"eelgrasswharf.example/eelgrasswharf/internal/cli"
 	"eelgrasswharf.example/eelgrasswharf/platform"
+	"eelgrasswharf.example/eelgrasswharf/platform/standin"
 )
 
 func main() {
-	os.Exit(cli.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr, platform.Command()))
+	os.Exit(cli.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr, platform.Command(standin.Command())))
 }
