--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -18,7 +18,6 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/raftpb"
-	"eelgrasswharf.example/eelgrasswharf/internal/wal"
 )
 
 // testTimeout bounds what a test waits for, however busy the machine is.
--- a/internal/repotest/named_test.go
+++ b/internal/repotest/named_test.go
@@ -25,7 +25,7 @@
 	t.Helper()
 	is := is.New(t)
 	out := map[string][]string{}
-	for _, pattern := range []string{"*/*_test.go", "internal/*/*_test.go"} {
+	for _, pattern := range []string{"*/*_test.go", "internal/*/*_test.go", "platform/*/*_test.go"} {
 		files, err := filepath.Glob(filepath.Join(root, pattern))
 		is.NoErr(err)
 		for _, file := range files {
