flow: agents remember where flows of other agents live

The two agents whose addresses hash highest with the flow's key are told of it and asked first; all others only when those deny.

--- a/flow/agent.go
+++ b/flow/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -66,9 +67,16 @@
 	// certainAt is when this agent knows of all flows that its target holds.
 	certainAt time.Duration
 	server    Server
-	// peers are the agents beside other serving targets of the same service.
-	peers []Endpoint
-	flows map[Key]*agentFlow
+	// peers are the agents beside other serving targets of the same service, all are
+	// those beside any of its targets, self included; listed counts the lists so far.
+	peers, all []Endpoint
+	self       Endpoint
+	listed     uint32
+	registry   registry
+	// due and chosen are scratch space of Due.
+	due    []Registration
+	chosen []Endpoint
+	flows  map[Key]*agentFlow
 	// live is the number of flows that may carry requests, as of the last sweep.
 	live int
 	// running is the number of requests in progress, average that of the last
@@ -111,8 +119,12 @@
 	running   bool
 	// callerDone and targetDone: that end has sent its last byte.
 	callerDone, targetDone bool
-	seen                   time.Duration
-	born                   time.Duration
+	// registeredAt is when other agents were told of the flow, by the list of agents
+	// numbered registeredIn.
+	registeredAt time.Duration
+	registeredIn uint32
+	seen         time.Duration
+	born         time.Duration
 }
 
 // NewAgent returns an agent that has just started.
@@ -133,9 +145,16 @@
 // SetServer takes in what is known of the target.
 func (a *Agent) SetServer(s Server) { a.server = s }
 
-// SetPeers takes in the agents to which opening packets may be handed on. The
-// agent keeps the slice.
-func (a *Agent) SetPeers(peers []Endpoint) { a.peers = peers }
+// SetPeers takes in the agents to which opening packets may be handed on, and those
+// beside all targets of the service, among which self stands for this one. The agent
+// keeps the slices.
+func (a *Agent) SetPeers(peers, all []Endpoint, self Endpoint) {
+	a.peers, a.self = peers, self
+	if !slices.Equal(a.all, all) {
+		a.all = all
+		a.listed++
+	}
+}
 
 // FromEntry decides on a caller's packet that an entry host or another agent sent.
 func (a *Agent) FromEntry(m Frame, p Packet, now time.Duration) Verdict {
@@ -148,6 +167,12 @@
 	if m.Kind == Open {
 		return a.open(f, m, p, now)
 	}
+	if f == nil || f.stage == absent {
+		if to := a.registry.holder(p.Key); m.Kind == Search && m.Hops == 0 && !to.IsZero() {
+			m.Hops++
+			return Verdict{Action: Send, Reason: ReasonRegistered, To: to, Frame: m}
+		}
+	}
 	if f == nil {
 		return a.unknown(m, p, now)
 	}
@@ -418,6 +443,7 @@
 func (a *Agent) Sweep(now, idle, age time.Duration) {
 	a.advance(now)
 	a.live = 0
+	a.registry.sweep(now)
 	for key, f := range a.flows {
 		limit := idle
 		if f.stage == absent {
--- a/flow/agent_test.go
+++ b/flow/agent_test.go
@@ -134,7 +134,7 @@
 	a.SetServer(leaving)
 	is.Equal(a.FromEntry(data(entryA), request(1, firstA), long).Action, flow.Deliver)
 	is.Equal(a.FromEntry(open(entryA), syn(2), long).Action, flow.Reset)
-	a.SetPeers([]flow.Endpoint{agentC})
+	a.SetPeers([]flow.Endpoint{agentC}, []flow.Endpoint{agentA, agentC}, agentA)
 	is.Equal(a.FromEntry(open(entryA), syn(2), long).To, agentC)
 }
 
--- a/flow/entry.go
+++ b/flow/entry.go
@@ -10,6 +10,9 @@
 	// one burst arrive before an agent has answered.
 	searchPause = 150 * time.Millisecond
 	maxSearches = 8
+	// smallService is up to how many agents all are asked at once. A packet to 16
+	// agents, some 4 KB, takes 8 ms of a link of 4 Mbit/s.
+	smallService = 16
 	// maxDenials bounds the agents that are remembered for one flow.
 	maxDenials = 256
 )
@@ -31,6 +34,8 @@
 	// address. It appends nothing if the address has no route. All tells that no
 	// other agent can hold one.
 	Holders(to []Endpoint, public Endpoint) (list []Endpoint, all bool)
+	// Registrars appends the agents that know where a flow lives.
+	Registrars(to []Endpoint, key Key) []Endpoint
 	// Ready reports whether routes and targets are known. Before that nothing can be
 	// said of a flow that is not known.
 	Ready() bool
@@ -89,6 +94,7 @@
 	ReasonLost        Reason = "lost_by_target"
 	ReasonAnswered    Reason = "answered"
 	ReasonHeldNowhere Reason = "held_nowhere"
+	ReasonRegistered  Reason = "registered"
 )
 
 // Verdict is the decision on one packet.
@@ -101,6 +107,9 @@
 	All []Endpoint
 	// Frame is the header for Send, SendAll and Return.
 	Frame Frame
+	// Keep asks for a copy of the packet until it is known who holds its flow. Kept
+	// stands for that copy, in place of a packet.
+	Keep, Kept bool
 }
 
 // Entry remembers where the flows live that pass through one entry host.
@@ -129,8 +138,12 @@
 	// caller has acknowledged last.
 	denied []Endpoint
 	ack    uint32
-	seen   time.Duration
-	born   time.Duration
+	// asked: the agents that know where the flow lives were asked, askedOf lists them
+	// until the others are.
+	asked   bool
+	askedOf []Endpoint
+	seen    time.Duration
+	born    time.Duration
 }
 
 // home is a target that may hold a flow.
@@ -277,6 +290,13 @@
 	}
 	f.searches++
 	f.ack = p.Ack
+	if len(e.all) > smallService && !f.asked {
+		// A second packet means that those did not know, or did not answer.
+		f.asked = true
+		e.all = e.placer.Registrars(e.all[:0], p.Key)
+		f.askedOf = append(f.askedOf[:0], e.all...)
+		return Verdict{Action: SendAll, Reason: ReasonRegistered, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}, Keep: true}
+	}
 	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}}
 }
 
@@ -291,7 +311,7 @@
 		e.flows[m.Key] = f
 	}
 	f.seen = now
-	f.denied = nil
+	f.denied, f.asked, f.askedOf = nil, false, nil
 	h := home{agent: from, service: m.Service, answered: true, first: m.First}
 	if m.Opened {
 		// The caller itself has settled it.
@@ -333,6 +353,9 @@
 	if !contains(f.denied, from) && len(f.denied) < maxDenials {
 		f.denied = append(f.denied, from)
 	}
+	if f.askedOf != nil {
+		return e.widen(f, key)
+	}
 	var all bool
 	e.all, all = e.placer.Holders(e.all[:0], key.Public)
 	if !all || len(e.all) == 0 {
@@ -347,6 +370,24 @@
 	return Verdict{Action: Reset, Reason: ReasonHeldNowhere}, Packet{Key: key, Ack: f.ack}
 }
 
+// widen asks all agents once those that should know where a flow lives have denied it.
+func (e *Entry) widen(f *entryFlow, key Key) (Verdict, Packet) {
+	for _, agent := range f.askedOf {
+		if !contains(f.denied, agent) {
+			return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
+		}
+	}
+	f.askedOf = nil
+	e.all, _ = e.placer.Holders(e.all[:0], key.Public)
+	rest := e.all[:0]
+	for _, agent := range e.all {
+		if !contains(f.denied, agent) {
+			rest = append(rest, agent)
+		}
+	}
+	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: rest, Frame: Frame{Kind: Search, Entry: e.self}, Kept: true}, Packet{Key: key}
+}
+
 func contains(list []Endpoint, one Endpoint) bool {
 	for _, e := range list {
 		if e == one {
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -31,6 +31,8 @@
 	// Denied: an agent tells an entry host that searches for a flow that its target
 	// does not hold it.
 	Denied
+	// Register: an agent tells another one that it holds flows. Keys follow.
+	Register
 )
 
 // Frame is a message between entry hosts and agents.
@@ -152,6 +154,8 @@
 		}
 		f.Key = Key{Caller: endpoint(b[2:8]), Public: endpoint(b[8:14])}
 		return f, nil, nil
+	case Register:
+		return f, b[2:], nil
 	}
 	return Frame{}, nil, ErrFrame
 }
@@ -178,6 +182,30 @@
 	return f, nil, nil
 }
 
+const keyLength = 12
+
+// AppendRegister encodes a Register frame.
+func AppendRegister(b []byte, keys []Key) []byte {
+	b = append(b, byte(Register), 0)
+	for _, key := range keys {
+		b = appendEndpoint(b, key.Caller)
+		b = appendEndpoint(b, key.Public)
+	}
+	return b
+}
+
+// ParseKeys decodes what follows in a Register frame. Errors: ErrFrame.
+func ParseKeys(b []byte) ([]Key, error) {
+	if len(b)%keyLength != 0 || len(b) > MaxKeys*keyLength {
+		return nil, ErrFrame
+	}
+	keys := make([]Key, 0, len(b)/keyLength)
+	for ; len(b) > 0; b = b[keyLength:] {
+		keys = append(keys, Key{Caller: endpoint(b[:6]), Public: endpoint(b[6:12])})
+	}
+	return keys, nil
+}
+
 // ServiceHash names a service in a frame (FNV-1a). Agents compare it with the
 // service of their own target, also before any control host has told them its
 // number.
--- a/flow/helpers_test.go
+++ b/flow/helpers_test.go
@@ -79,6 +79,10 @@
 	return append(to, p.agents...), !p.doubtful
 }
 
+func (p *fixedPlacer) Registrars(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
+	return flow.AppendRegistrars(to, key, p.agents)
+}
+
 func (p *fixedPlacer) Ready() bool { return !p.unready }
 
 func (p *fixedPlacer) Knows(agent flow.Endpoint) bool { return agent != p.lost }
--- a/flow/waiting.go
+++ b/flow/waiting.go
@@ -47,3 +47,23 @@
 	w.packets = nil
 	return out
 }
+
+// TakeOne removes and returns the packet of one flow, nil if there is none that is
+// fresh.
+func (w *Waiting) TakeOne(key Key, now time.Duration) []byte {
+	p, known := w.packets[key]
+	delete(w.packets, key)
+	if !known || now-p.since > waitFor {
+		return nil
+	}
+	return p.data
+}
+
+// Sweep drops the packets that have waited too long.
+func (w *Waiting) Sweep(now time.Duration) {
+	for key, p := range w.packets {
+		if now-p.since > waitFor {
+			delete(w.packets, key)
+		}
+	}
+}
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -277,17 +277,22 @@
 // onView takes in the other targets of the service.
 func (a *Agent) onView(v *subscriber.View) {
 	own := flow.EndpointOf(a.frames.local())
-	var peers []flow.Endpoint
+	var peers, all []flow.Endpoint
 	for i, record := range v.Targets {
 		t, err := targetOf(record, v.Age(i, time.Now()))
-		if err != nil || t.Draining || t.Ill || flow.EndpointOf(t.Address) == own {
+		if err != nil {
+			continue // counted by entry hosts, which name it
+		}
+		agent := flow.EndpointOf(t.Address)
+		all = append(all, agent)
+		if t.Draining || t.Ill || agent == own {
 			continue
 		}
-		peers = append(peers, flow.EndpointOf(t.Address))
+		peers = append(peers, agent)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.flows.SetPeers(peers)
+	a.flows.SetPeers(peers, all, own)
 }
 
 func (a *Agent) status(r incarnation.Report) subscriber.Status {
@@ -338,6 +343,10 @@
 			a.opts.Log.Info("backend server is silent", zap.Duration("for", time.Since(a.heardAt)))
 			a.refresh()
 		}
+		for _, r := range a.flows.Due(a.now()) {
+			a.buffer = flow.AppendRegister(a.buffer[:0], r.Keys)
+			a.frames.send(a.buffer, r.To)
+		}
 		count := a.flows.Len()
 		a.mu.Unlock()
 		a.reasons.flows.Update(float64(count))
@@ -346,6 +355,10 @@
 
 func (a *Agent) fromPeer(b []byte, from flow.Endpoint) {
 	m, packet, err := flow.ParseFrame(b)
+	if err == nil && m.Kind == flow.Register {
+		a.register(packet, from)
+		return
+	}
 	if err != nil || m.Kind != flow.Open && m.Kind != flow.Data && m.Kind != flow.Search {
 		a.reasons.malformed.Inc(1)
 		return
@@ -367,6 +380,18 @@
 	a.report(m.Entry, now)
 }
 
+// register takes in which flows another agent holds.
+func (a *Agent) register(b []byte, from flow.Endpoint) {
+	keys, err := flow.ParseKeys(b)
+	if err != nil {
+		a.reasons.malformed.Inc(1)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.flows.Register(keys, from, a.now())
+}
+
 func (a *Agent) fromTarget(b []byte, _ flow.Endpoint) {
 	p, err := a.opts.Codec.FromTarget(b)
 	if err != nil {
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -72,7 +72,9 @@
 	mu      sync.Mutex
 	flows   *flow.Entry
 	waiting flow.Waiting
-	buffer  []byte
+	// kept has packets whose flows are searched for.
+	kept   flow.Waiting
+	buffer []byte
 }
 
 // NewEntry opens the sockets and a link to a control host. Nothing is read before
@@ -161,6 +163,7 @@
 		}
 		e.mu.Lock()
 		e.flows.Sweep(e.now(), e.opts.Limits.Idle, e.opts.Limits.Age)
+		e.kept.Sweep(e.now())
 		count := e.flows.Len()
 		e.mu.Unlock()
 		e.reasons.flows.Update(float64(count))
@@ -238,6 +241,14 @@
 // act does what a verdict says. The lock is held.
 func (e *Entry) act(v flow.Verdict, p flow.Packet, packet []byte) {
 	e.reasons.count(v)
+	if v.Keep && !e.kept.Put(p.Key, packet, e.now()) {
+		e.reasons.overflow.Inc(1)
+	}
+	if v.Kept {
+		if packet = e.kept.TakeOne(p.Key, e.now()); packet == nil {
+			return
+		}
+	}
 	switch v.Action {
 	case flow.Send:
 		e.agents.send(e.framed(&v.Frame, packet), v.To)
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -82,7 +82,9 @@
 	list []routing.Target
 	// index has the place of each in the view.
 	index []int
-	table *routing.Table
+	// agents has their agents.
+	agents []flow.Endpoint
+	table  *routing.Table
 }
 
 func newPlacer(log *zap.Logger) *placer {
@@ -161,6 +163,7 @@
 		of.index = append(of.index, i)
 		all = append(all, t)
 		agent := flow.EndpointOf(t.Address)
+		of.agents = append(of.agents, agent)
 		p.agents = append(p.agents, agent)
 		p.known[agent] = true
 	}
@@ -341,6 +344,22 @@
 	return to, all
 }
 
+// Registrars implements flow.Placer.
+func (p *placer) Registrars(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.routes[key.Public]
+	if r == nil {
+		return to
+	}
+	for number := range r.former {
+		if of := p.targets[number]; of != nil {
+			to = flow.AppendRegistrars(to, key, of.agents)
+		}
+	}
+	return to
+}
+
 // Knows implements flow.Placer.
 func (p *placer) Knows(agent flow.Endpoint) bool {
 	p.mu.Lock()
