--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,54 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"eelgrasswharf.example/eelgrasswharf/internal/explain"
+)
+
+func newExplain() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain ID FILE...",
+		Short: "Print what the logs of many processes say of one flow or version",
+		Long: `Reads the logs of many processes and prints the lines that concern one flow (by one of
+its ends, ip:port), backend server, host or version, in the order of their times. Torn
+lines and those of other programs are passed over and counted. Clocks of hosts may
+differ: the lines of one host are always in order.`,
+		Example: "  eelgrasswharf explain 100.64.0.7:40001 entry-*.log agent-*.log",
+		Args:    minArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return explainFiles(cmd, args[0], args[1:])
+		},
+	}
+}
+
+func explainFiles(cmd *cobra.Command, id string, files []string) error {
+	var sum explain.Summary
+	var all []explain.Line
+	for _, name := range files {
+		lines, err := explainFile(name, id, &sum)
+		if err != nil {
+			return err
+		}
+		all = append(all, lines...)
+	}
+	explain.Sort(all)
+	if err := explain.Write(cmd.OutOrStdout(), all); err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.ErrOrStderr(), "%d lines read, %d passed over, %d found\n", sum.Read, sum.Passed, sum.Found)
+	return nil
+}
+
+func explainFile(name, id string, sum *explain.Summary) ([]explain.Line, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	defer file.Close()
+	return explain.Read(name, file, id, sum)
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -52,7 +52,7 @@
 	root.AddCommand(
 		newControl(), newEntry(), newAgent(),
 		newConfig(), newPatch(), newStatus(), newReplica(), newGrants(), newKeys(),
-		newBackend(), newLoad(), newDev(), newExperiment(), newMeasure(),
+		newBackend(), newLoad(), newDev(), newExperiment(), newMeasure(), newExplain(),
 	)
 	return root
 }
--- a/internal/controld/group_test.go
+++ b/internal/controld/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -51,6 +52,15 @@
 	d := newDeployment(t, "c1", "c2", "c3")
 	d.startAll("c1", "c2", "c3")
 	d.accept(d.operator("c1"), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	// A host that is lost before the others have heard of a group was the only one in
+	// it, and may found it anew.
+	for _, name := range []string{"c1", "c2", "c3"} {
+		eventually(t, "all groups on "+name, func() bool {
+			return !slices.ContainsFunc(d.status(name).Groups, func(g operator.GroupStatus) bool {
+				return g.State != "leads" && g.State != "follows"
+			})
+		})
+	}
 	return d
 }
 
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -412,6 +412,7 @@
 // act does what a verdict says. The lock is held.
 func (a *Agent) act(v flow.Verdict, p flow.Packet, packet []byte) {
 	a.reasons.count(v)
+	trace(a.opts.Log, &v, &p, a.inputs)
 	switch v.Action {
 	case flow.Deliver:
 		a.targets.send(packet, a.server)
@@ -428,6 +429,17 @@
 	}
 }
 
+// inputs are what decisions here rest on, for the log. The lock is held.
+func (a *Agent) inputs() []zap.Field {
+	s := a.flows.Server()
+	return []zap.Field{
+		zap.Uint8("server_state", uint8(s.State)),
+		zap.Uint32("incarnation", s.Incarnation),
+		zap.Uint16("load_permille", a.flows.Report().LoadPermille),
+		zap.Duration("report_age", time.Since(a.heardAt)),
+	}
+}
+
 func (a *Agent) caller(k flow.Key) flow.Endpoint {
 	return flow.Endpoint{IP: k.Caller.IP, Port: a.opts.CallerPort}
 }
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -360,6 +360,21 @@
 	return to
 }
 
+// inputs are what decisions here rest on, for the log.
+func (p *placer) inputs() []zap.Field {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.view == nil {
+		return []zap.Field{zap.Bool("view", false)}
+	}
+	return []zap.Field{
+		zap.Uint64("revision", p.table.GetRevision()),
+		zap.Int("targets", len(p.view.Targets)),
+		zap.Duration("view_age", time.Since(p.viewAt)),
+		zap.Bool("whole", p.view.DirectoryWhole),
+	}
+}
+
 // Knows implements flow.Placer.
 func (p *placer) Knows(agent flow.Endpoint) bool {
 	p.mu.Lock()
