--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -22,8 +22,8 @@
 	// a silent one is left sooner than those of other processes.
 	peerHeartbeat        = time.Second
 	peerHeartbeatTimeout = time.Second
-	peerDialTimeout      = time.Second
-	peerBackoff          = time.Second
+	peerDialTimeout      = 500 * time.Millisecond
+	peerBackoff          = 300 * time.Millisecond
 	// unusedPeer is how long the link to a host that is no member is kept.
 	unusedPeer = 30 * time.Second
 	// promoteLag is how many entries a learner may lack and yet get a vote.
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"os"
 	"path/filepath"
 	"sync/atomic"
 	"time"
@@ -21,6 +20,7 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 	"eelgrasswharf.example/eelgrasswharf/internal/replica"
+	"eelgrasswharf.example/eelgrasswharf/internal/wal"
 )
 
 // Errors of New and Run.
@@ -47,9 +47,7 @@
 	voters   []voter
 	// named replaces voters for a host that joins, nil until other hosts are named.
 	named atomic.Pointer[[]voter]
-	// folder holds the replicas.
-	folder string
-	ready  chan struct{}
+	ready chan struct{}
 
 	configs     *configState
 	grants      *grantGroups
@@ -157,9 +155,6 @@
 }
 
 func (d *Daemon) open() error {
-	if err := d.openFolder(); err != nil {
-		return err
-	}
 	if err := d.openReplicas(); err != nil {
 		return err
 	}
@@ -183,21 +178,6 @@
 	return err
 }
 
-// openFolder chooses the data folder. That of a transient host is removed when
-// the daemon stops.
-func (d *Daemon) openFolder() error {
-	d.folder = d.settings.GetReplica().GetDataFolder()
-	if !d.settings.GetReplica().GetTransient() {
-		return nil
-	}
-	folder, err := os.MkdirTemp("", "eelgrasswharf-")
-	if err != nil {
-		return errors.Wrap(err, "folder of a transient host")
-	}
-	d.folder = folder
-	return nil
-}
-
 // openReplicas opens the configuration, the first group of grants, and then as
 // many of the others as that one agreed on or, as long as it has not, as the
 // settings ask for.
@@ -232,8 +212,14 @@
 	if entries == 0 {
 		entries = defaultSnapshotEntries
 	}
+	// One that keeps its log in memory has no folder.
+	var fs wal.FS
+	if d.settings.GetReplica().GetTransient() {
+		fs = wal.NewMemory()
+	}
 	opened, err := replica.Open(replica.Options{
-		Folder:          filepath.Join(d.folder, groupName(group)),
+		FS:              fs,
+		Folder:          filepath.Join(d.settings.GetReplica().GetDataFolder(), groupName(group)),
 		Name:            d.name,
 		Group:           group,
 		StateMachine:    d.machine(group),
@@ -342,11 +328,6 @@
 		}
 	}
 	d.peers.close()
-	if d.settings.GetReplica().GetTransient() {
-		if err := os.RemoveAll(d.folder); err != nil {
-			d.log.Warn("folder of a transient host not removed", zap.Error(err))
-		}
-	}
 	return first
 }
 
--- a/internal/controld/found.go
+++ b/internal/controld/found.go
@@ -97,7 +97,7 @@
 	if !r.GetAutomaticMembers() || r.GetTransient() {
 		return r.GetJoin()
 	}
-	note := filepath.Join(d.folder, foundingNote)
+	note := filepath.Join(r.GetDataFolder(), foundingNote)
 	if r.GetJoin() {
 		_, err := os.Stat(note)
 		return err != nil
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -231,7 +231,7 @@
 		Address:       a.frames.local().String(),
 		Started:       time.Now().Add(r.WarmupLeft - rampMS*time.Millisecond),
 		Status:        a.status(r),
-		CallTimeout:   dialTimeout,
+		CallTimeout:   callTimeout,
 		RetryMax:      retryMax,
 	})
 	a.announcer = announcer
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -28,10 +28,14 @@
 	// goes unnoticed: 2.2 s, since a change has to be in force within 3 s.
 	linkHeartbeat = time.Second
 	linkTimeout   = time.Second
-	// dialTimeout bounds an attempt at one control host.
-	dialTimeout = time.Second
+	// callTimeout bounds a registration or announcement.
+	callTimeout = time.Second
+	// dialTimeout bounds an attempt at one control host. A host without power answers
+	// nothing, and the next one may be back already; a handshake between regions
+	// takes 80 ms.
+	dialTimeout = 400 * time.Millisecond
 	// retryMax bounds the pause between attempts.
-	retryMax = 500 * time.Millisecond
+	retryMax = 250 * time.Millisecond
 )
 
 // Limits bound what is remembered of a flow.
--- /dev/null
+++ b/internal/wal/memory.go
@@ -0,0 +1,144 @@
+package wal
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Memory is a file system in memory, for a log that need not outlive its process. It
+// has no folders of its own: a folder is there as soon as a file is.
+type Memory struct {
+	mu    sync.Mutex
+	files map[string][]byte
+	locks map[string]bool
+}
+
+// NewMemory returns an empty file system.
+func NewMemory() *Memory {
+	return &Memory{files: map[string][]byte{}, locks: map[string]bool{}}
+}
+
+// MkdirAll implements FS.
+func (m *Memory) MkdirAll(string) error { return nil }
+
+// Create implements FS.
+func (m *Memory) Create(path string) (File, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.files[path] = nil
+	return &memoryFile{fs: m, path: path}, nil
+}
+
+// Append implements FS.
+func (m *Memory) Append(path string) (File, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, found := m.files[path]; !found {
+		return nil, missingFile("open", path)
+	}
+	return &memoryFile{fs: m, path: path}, nil
+}
+
+func missingFile(op, path string) error {
+	return &os.PathError{Op: op, Path: path, Err: os.ErrNotExist}
+}
+
+// ReadFile implements FS.
+func (m *Memory) ReadFile(path string) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	data, found := m.files[path]
+	if !found {
+		return nil, missingFile("read", path)
+	}
+	return slices.Clone(data), nil
+}
+
+// ReadDir implements FS.
+func (m *Memory) ReadDir(path string) ([]string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for name := range m.files {
+		if filepath.Dir(name) == strings.TrimSuffix(path, "/") {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// Rename implements FS.
+func (m *Memory) Rename(from, to string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	data, found := m.files[from]
+	if !found {
+		return missingFile("rename", from)
+	}
+	delete(m.files, from)
+	m.files[to] = data
+	return nil
+}
+
+// Remove implements FS.
+func (m *Memory) Remove(path string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, found := m.files[path]; !found {
+		return missingFile("remove", path)
+	}
+	delete(m.files, path)
+	return nil
+}
+
+// SyncDir implements FS.
+func (m *Memory) SyncDir(string) error { return nil }
+
+// Lock implements FS.
+func (m *Memory) Lock(path string) (io.Closer, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.locks[path] {
+		return nil, ErrLocked
+	}
+	m.locks[path] = true
+	return &memoryLock{fs: m, path: path}, nil
+}
+
+// memoryFile appends to one file.
+type memoryFile struct {
+	fs   *Memory
+	path string
+}
+
+// Write implements File.
+func (f *memoryFile) Write(b []byte) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	f.fs.files[f.path] = append(f.fs.files[f.path], b...)
+	return len(b), nil
+}
+
+// Sync implements File.
+func (f *memoryFile) Sync() error { return nil }
+
+// Close implements File.
+func (f *memoryFile) Close() error { return nil }
+
+type memoryLock struct {
+	fs   *Memory
+	path string
+}
+
+// Close implements io.Closer.
+func (l *memoryLock) Close() error {
+	l.fs.mu.Lock()
+	defer l.fs.mu.Unlock()
+	delete(l.fs.locks, l.path)
+	return nil
+}
