flow: lost targets are told of without asking everybody

An agent that was told where a flow lives now tells the entry host as well; a target whose lease has ended and whose agent is silent is known to be gone; and what is left of searches is passed on by an agent, whose links are wide.

--- a/flow/agent.go
+++ b/flow/agent.go
@@ -145,6 +145,9 @@
 // SetServer takes in what is known of the target.
 func (a *Agent) SetServer(s Server) { a.server = s }
 
+// All returns the agents beside all targets of the service. It must not be changed.
+func (a *Agent) All() []Endpoint { return a.all }
+
 // SetPeers takes in the agents to which opening packets may be handed on, and those
 // beside all targets of the service, among which self stands for this one. The agent
 // keeps the slices.
@@ -170,7 +173,7 @@
 	if f == nil || f.stage == absent {
 		if to := a.registry.holder(p.Key); m.Kind == Search && m.Hops == 0 && !to.IsZero() {
 			m.Hops++
-			return Verdict{Action: Send, Reason: ReasonRegistered, To: to, Frame: m}
+			return Verdict{Action: Send, Reason: ReasonRegistered, To: to, Frame: m, Hint: to}
 		}
 	}
 	if f == nil {
--- a/flow/entry.go
+++ b/flow/entry.go
@@ -10,9 +10,18 @@
 	// one burst arrive before an agent has answered.
 	searchPause = 150 * time.Millisecond
 	maxSearches = 8
+	// doubtFor is how long an agent whose target's lease has ended has to answer.
+	// Agents answer a packet of an entry host every 250 ms at the least; its caller
+	// sends the next one 200 ms after the first.
+	doubtFor = 150 * time.Millisecond
+	// maxHeard bounds the agents whose last word is remembered.
+	maxHeard = 32_768
 	// smallService is up to how many agents all are asked at once. A packet to 16
 	// agents, some 4 KB, takes 8 ms of a link of 4 Mbit/s.
 	smallService = 16
+	// maxRounds is how many ways of searching a large service come before all agents
+	// are sent the packet from here.
+	maxRounds = 3
 	// maxDenials bounds the agents that are remembered for one flow.
 	maxDenials = 256
 )
@@ -39,8 +48,9 @@
 	// Ready reports whether routes and targets are known. Before that nothing can be
 	// said of a flow that is not known.
 	Ready() bool
-	// Knows reports whether there is still a target beside an agent.
-	Knows(agent Endpoint) bool
+	// Knows reports whether there is still a target beside an agent. Whole tells that
+	// the list of targets has all that there are.
+	Knows(agent Endpoint) (known, whole bool)
 }
 
 // Action tells what to do with a packet.
@@ -95,6 +105,7 @@
 	ReasonAnswered    Reason = "answered"
 	ReasonHeldNowhere Reason = "held_nowhere"
 	ReasonRegistered  Reason = "registered"
+	ReasonTargetGone  Reason = "target_gone"
 )
 
 // Verdict is the decision on one packet.
@@ -110,6 +121,8 @@
 	// Keep asks for a copy of the packet until it is known who holds its flow. Kept
 	// stands for that copy, in place of a packet.
 	Keep, Kept bool
+	// Hint is where the entry host is to be told that the flow lives, or zero.
+	Hint Endpoint
 }
 
 // Entry remembers where the flows live that pass through one entry host.
@@ -119,6 +132,8 @@
 	self  Endpoint
 	flows map[Key]*entryFlow
 	all   []Endpoint
+	// heard is when each agent was heard last.
+	heard map[Endpoint]time.Duration
 }
 
 // entryFlow is what an entry host knows of a flow.
@@ -134,13 +149,16 @@
 	opened   bool
 	searches uint8
 	searched time.Duration
+	// doubted is when a packet was sent to a target whose lease has ended, 0 if the
+	// target is known.
+	doubted time.Duration
 	// denied has the agents whose targets do not hold the flow, ack is what the
 	// caller has acknowledged last.
 	denied []Endpoint
 	ack    uint32
-	// asked: the agents that know where the flow lives were asked, askedOf lists them
-	// until the others are.
-	asked   bool
+	// round counts the ways of searching a large service so far, askedOf lists the
+	// agents that should know where the flow lives until the others are asked.
+	round   uint8
 	askedOf []Endpoint
 	seen    time.Duration
 	born    time.Duration
@@ -158,7 +176,7 @@
 
 // NewEntry returns an empty table. Agents answer to self.
 func NewEntry(placer Placer, self Endpoint) *Entry {
-	return &Entry{placer: placer, self: self, flows: make(map[Key]*entryFlow)}
+	return &Entry{placer: placer, self: self, flows: make(map[Key]*entryFlow), heard: make(map[Endpoint]time.Duration)}
 }
 
 // Len returns the number of flows.
@@ -180,16 +198,49 @@
 		return e.search(f, p, now)
 	}
 	e.settle(f, p)
-	if e.placer.Ready() && !e.placer.Knows(f.homes[0].agent) {
-		// The lease of its target has ended. Should the flow live all the same, its
-		// agent answers the search.
-		f.count = 0
-		return e.search(f, p, now)
-	}
 	h := &f.homes[0]
+	if e.placer.Ready() && e.gone(f, h.agent, now) {
+		delete(e.flows, p.Key)
+		return Verdict{Action: Reset, Reason: ReasonTargetGone}
+	}
 	return Verdict{Action: Send, Reason: ReasonKnown, To: h.agent, Frame: Frame{Kind: Data, Service: h.service, Entry: e.self}}
 }
 
+// gone reports whether the target of a flow is gone: the lease of its target has ended,
+// and its agent has said nothing since a packet of the flow was sent to it. An agent
+// that only lost its control hosts answers, and the flow goes on.
+func (e *Entry) gone(f *entryFlow, agent Endpoint, now time.Duration) bool {
+	known, whole := e.placer.Knows(agent)
+	if known || !whole {
+		f.doubted = 0
+		return false
+	}
+	if f.doubted == 0 || e.heard[agent] >= f.doubted {
+		f.doubted = max(now, 1)
+		return false
+	}
+	return now-f.doubted >= doubtFor
+}
+
+// Heard notes that an agent has sent something.
+func (e *Entry) Heard(agent Endpoint, now time.Duration) {
+	if _, known := e.heard[agent]; known || len(e.heard) < maxHeard {
+		e.heard[agent] = now
+	}
+}
+
+// Hinted takes in where an agent has heard that a flow lives. The packet that was
+// searched with is on its way there.
+func (e *Entry) Hinted(m Frame, now time.Duration) {
+	f := e.flows[m.Key]
+	if f == nil || f.count > 0 {
+		return
+	}
+	f.seen, f.askedOf = now, nil
+	f.homes[0], f.count, f.opened = home{agent: m.Alternate}, 1, true
+	f.doubted = max(now, 1)
+}
+
 // settle decides which of two targets the caller opened the flow with: the first
 // packet after the opening acknowledges the number of one of them.
 func (e *Entry) settle(f *entryFlow, p Packet) {
@@ -290,14 +341,34 @@
 	}
 	f.searches++
 	f.ack = p.Ack
-	if len(e.all) > smallService && !f.asked {
-		// A second packet means that those did not know, or did not answer.
-		f.asked = true
-		e.all = e.placer.Registrars(e.all[:0], p.Key)
+	if len(e.all) > smallService && f.round < maxRounds {
+		return e.ask(f, p)
+	}
+	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}}
+}
+
+// ask searches in a large service: first by the agents that should know where the flow
+// lives, then by one of these, and after that by the other, who pass the packet on to
+// all agents. A further packet of the caller begins the next round.
+func (e *Entry) ask(f *entryFlow, p Packet) Verdict {
+	e.all = e.placer.Registrars(e.all[:0], p.Key)
+	round := f.round
+	f.round++
+	if round == 0 {
 		f.askedOf = append(f.askedOf[:0], e.all...)
 		return Verdict{Action: SendAll, Reason: ReasonRegistered, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}, Keep: true}
 	}
-	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}}
+	f.askedOf = nil
+	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: each(e.all, int(round)-1), Frame: Frame{Kind: Search, Hops: Wide, Entry: e.self}}
+}
+
+// each returns the agent at a place of each pair, in place.
+func each(pairs []Endpoint, place int) []Endpoint {
+	out := pairs[:0]
+	for i := 0; i+place < len(pairs); i += registrars {
+		out = append(out, pairs[i+place])
+	}
+	return out
 }
 
 // Held takes in what an agent says of a flow that it holds.
@@ -311,7 +382,7 @@
 		e.flows[m.Key] = f
 	}
 	f.seen = now
-	f.denied, f.asked, f.askedOf = nil, false, nil
+	f.denied, f.round, f.askedOf = nil, 0, nil
 	h := home{agent: from, service: m.Service, answered: true, first: m.First}
 	if m.Opened {
 		// The caller itself has settled it.
@@ -347,6 +418,10 @@
 // for the caller's last one.
 func (e *Entry) Denied(key Key, from Endpoint) (Verdict, Packet) {
 	f := e.flows[key]
+	if f != nil && f.count == 1 && f.homes[0].agent == from && !f.homes[0].answered {
+		// Another agent had heard that the flow lives there.
+		f.count, f.opened = 0, false
+	}
 	if f == nil || f.count > 0 {
 		return Verdict{Action: Drop, Reason: ReasonKnown}, Packet{}
 	}
@@ -377,15 +452,10 @@
 			return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
 		}
 	}
+	e.all = each(append(e.all[:0], f.askedOf...), 0)
 	f.askedOf = nil
-	e.all, _ = e.placer.Holders(e.all[:0], key.Public)
-	rest := e.all[:0]
-	for _, agent := range e.all {
-		if !contains(f.denied, agent) {
-			rest = append(rest, agent)
-		}
-	}
-	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: rest, Frame: Frame{Kind: Search, Entry: e.self}, Kept: true}, Packet{Key: key}
+	f.round = max(f.round, 2)
+	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: e.all, Frame: Frame{Kind: Search, Hops: Wide, Entry: e.self}, Kept: true}, Packet{Key: key}
 }
 
 func contains(list []Endpoint, one Endpoint) bool {
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -31,6 +31,9 @@
 	// Denied: an agent tells an entry host that searches for a flow that its target
 	// does not hold it.
 	Denied
+	// Hinted: an agent tells an entry host that searches for a flow where it has heard
+	// that the flow lives.
+	Hinted
 	// Register: an agent tells another one that it holds flows. Keys follow.
 	Register
 )
@@ -38,14 +41,16 @@
 // Frame is a message between entry hosts and agents.
 type Frame struct {
 	Kind Kind
-	// Hops counts how often an opening packet was handed on.
+	// Hops counts how often an opening packet was handed on. In a search it is 0, 1 if
+	// an agent has passed it on, or Wide.
 	Hops uint8
 	// Service is the hash of the name of the service that the packet is for, or of
 	// the sender's target in Held.
 	Service uint64
 	// Entry is where agents answer: the entry host's end.
 	Entry Endpoint
-	// Alternate is another agent for an opening packet, or zero.
+	// Alternate is another agent for an opening packet, or zero. In Hinted it is the
+	// holder.
 	Alternate Endpoint
 
 	// The rest is set in Held and Load only.
@@ -72,8 +77,13 @@
 	loadLength   = 12
 	heldLength   = loadLength + 24
 	deniedLength = 14
+	hintedLength = deniedLength + 6
 )
 
+// Wide asks the receiver of a search to pass it on to all agents of its service: links
+// of entry hosts may be narrow.
+const Wide = 2
+
 // Bits of the second byte of Held and Load.
 const (
 	bitKnown = 1 << iota
@@ -91,6 +101,11 @@
 		b = append(b, byte(f.Kind), 0)
 		b = appendEndpoint(b, f.Key.Caller)
 		return appendEndpoint(b, f.Key.Public)
+	case Hinted:
+		b = append(b, byte(f.Kind), 0)
+		b = appendEndpoint(b, f.Key.Caller)
+		b = appendEndpoint(b, f.Key.Public)
+		return appendEndpoint(b, f.Alternate)
 	}
 	b = append(b, byte(f.Kind), f.Hops)
 	b = binary.BigEndian.AppendUint64(b, f.Service)
@@ -154,6 +169,13 @@
 		}
 		f.Key = Key{Caller: endpoint(b[2:8]), Public: endpoint(b[8:14])}
 		return f, nil, nil
+	case Hinted:
+		if len(b) != hintedLength {
+			return Frame{}, nil, ErrFrame
+		}
+		f.Key = Key{Caller: endpoint(b[2:8]), Public: endpoint(b[8:14])}
+		f.Alternate = endpoint(b[14:20])
+		return f, nil, nil
 	case Register:
 		return f, b[2:], nil
 	}
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -373,6 +373,7 @@
 	now := a.now()
 	v := a.flows.FromEntry(m, p, now)
 	a.act(v, p, packet)
+	a.assist(m, v, p, packet)
 	if m.Kind == flow.Search && v.Action == flow.Deliver {
 		a.notify(a.flows.Found(p.Key), now)
 		return
@@ -380,6 +381,27 @@
 	a.report(m.Entry, now)
 }
 
+// assist helps an entry host to find a flow: it tells where the flow lives, or passes a
+// search on to all agents of the service. The lock is held.
+func (a *Agent) assist(m flow.Frame, v flow.Verdict, p flow.Packet, packet []byte) {
+	if !v.Hint.IsZero() {
+		hint := flow.Frame{Kind: flow.Hinted, Key: p.Key, Alternate: v.Hint}
+		a.buffer = hint.Append(a.buffer[:0])
+		a.frames.send(a.buffer, m.Entry)
+	}
+	if m.Kind != flow.Search || m.Hops != flow.Wide || v.Reason == flow.ReasonHeld {
+		return
+	}
+	own := flow.EndpointOf(a.frames.local())
+	m.Hops = 1
+	framed := a.framed(&m, packet)
+	for _, agent := range a.flows.All() {
+		if agent != own {
+			a.frames.send(framed, agent)
+		}
+	}
+}
+
 // register takes in which flows another agent holds.
 func (a *Agent) register(b []byte, from flow.Endpoint) {
 	keys, err := flow.ParseKeys(b)
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -217,9 +217,16 @@
 		return
 	}
 	now := e.now()
+	e.mu.Lock()
+	e.flows.Heard(from, now)
+	e.mu.Unlock()
 	switch m.Kind {
 	case flow.Load:
 		e.placer.learn(m, now)
+	case flow.Hinted:
+		e.mu.Lock()
+		e.flows.Hinted(m, now)
+		e.mu.Unlock()
 	case flow.Held:
 		e.placer.learn(m, now)
 		e.mu.Lock()
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -21,6 +21,8 @@
 	rampMS = 3000
 	// maxHolders bounds the agents that one packet of an unknown flow is sent to.
 	maxHolders = 256
+	// maxRegistrars bounds the agents that are asked first: two of each service.
+	maxRegistrars = 16
 	// redraws bounds the draws of a target other than one that did not answer.
 	redraws = 4
 	// settledAfter is how long the list of agents has to stay as it is in order to
@@ -326,7 +328,7 @@
 	if r == nil || p.view == nil {
 		return to, false
 	}
-	all := p.view.Connected && (p.view.DirectoryWhole || time.Since(p.changedAt) > settledAfter)
+	all := p.whole()
 	if time.Since(p.began) < unfamiliarFor {
 		return append(to, p.agents[:min(len(p.agents), maxHolders)]...), all && len(p.agents) <= maxHolders
 	}
@@ -352,8 +354,9 @@
 	if r == nil {
 		return to
 	}
-	for number := range r.former {
-		if of := p.targets[number]; of != nil {
+	unfamiliar := time.Since(p.began) < unfamiliarFor
+	for number, of := range p.targets {
+		if (unfamiliar || r.former[number]) && len(to) < maxRegistrars {
 			to = flow.AppendRegistrars(to, key, of.agents)
 		}
 	}
@@ -376,10 +379,15 @@
 }
 
 // Knows implements flow.Placer.
-func (p *placer) Knows(agent flow.Endpoint) bool {
+func (p *placer) Knows(agent flow.Endpoint) (known, whole bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.known[agent]
+	return p.known[agent], p.whole()
+}
+
+// whole reports whether the list of targets has all that there are. The lock is held.
+func (p *placer) whole() bool {
+	return p.view.Connected && (p.view.DirectoryWhole || time.Since(p.changedAt) > settledAfter)
 }
 
 // ready reports whether there are routes and targets to place flows by.
