--- a/flow/entry.go
+++ b/flow/entry.go
@@ -53,78 +53,6 @@
 	Knows(agent Endpoint) (known, whole bool)
 }
 
-// Action tells what to do with a packet.
-type Action uint8
-
-// Actions.
-const (
-	// Drop: nothing.
-	Drop Action = iota
-	// Send the packet to one agent.
-	Send
-	// SendAll: send the packet to several agents.
-	SendAll
-	// Reset: tell the caller that the flow is gone or was never opened.
-	Reset
-	// Deliver the packet to the own target.
-	Deliver
-	// Return the packet to the entry host.
-	Return
-	// Reply: send the target's packet to the caller.
-	Reply
-	// Deny: tell the entry host that the target does not hold the flow.
-	Deny
-	// Wait: keep the packet until the host is ready.
-	Wait
-)
-
-// Reason tells what decided an action.
-type Reason string
-
-// Reasons.
-const (
-	ReasonPlaced      Reason = "placed"
-	ReasonPlacedAnew  Reason = "placed_anew"
-	ReasonKnown       Reason = "known"
-	ReasonUnknown     Reason = "unknown_flow"
-	ReasonNotReady    Reason = "not_ready"
-	ReasonNoRoute     Reason = "no_route"
-	ReasonNoTarget    Reason = "no_target"
-	ReasonSearches    Reason = "searches_spent"
-	ReasonTableFull   Reason = "table_full"
-	ReasonHeld        Reason = "held"
-	ReasonUncertain   Reason = "uncertain"
-	ReasonElsewhere   Reason = "opened_elsewhere"
-	ReasonNotHeld     Reason = "not_held"
-	ReasonService     Reason = "other_service"
-	ReasonLeaving     Reason = "leaving"
-	ReasonNoServer    Reason = "no_backend_server"
-	ReasonRefused     Reason = "refused_by_target"
-	ReasonHops        Reason = "hops_spent"
-	ReasonLost        Reason = "lost_by_target"
-	ReasonAnswered    Reason = "answered"
-	ReasonHeldNowhere Reason = "held_nowhere"
-	ReasonRegistered  Reason = "registered"
-	ReasonTargetGone  Reason = "target_gone"
-)
-
-// Verdict is the decision on one packet.
-type Verdict struct {
-	Action Action
-	Reason Reason
-	// To is the receiver of Send. All has those of SendAll, valid until the next
-	// call.
-	To  Endpoint
-	All []Endpoint
-	// Frame is the header for Send, SendAll and Return.
-	Frame Frame
-	// Keep asks for a copy of the packet until it is known who holds its flow. Kept
-	// stands for that copy, in place of a packet.
-	Keep, Kept bool
-	// Hint is where the entry host is to be told that the flow lives, or zero.
-	Hint Endpoint
-}
-
 // Entry remembers where the flows live that pass through one entry host.
 type Entry struct {
 	placer Placer
@@ -316,61 +244,6 @@
 	return e.offer(placed, ReasonPlacedAnew)
 }
 
-// search sends a packet to all agents that may hold its flow.
-func (e *Entry) search(f *entryFlow, p Packet, now time.Duration) Verdict {
-	if p.Flags.Has(RST) {
-		// There is nobody to tell but the holder, who does not need to know.
-		return Verdict{Action: Drop, Reason: ReasonUnknown}
-	}
-	e.all, _ = e.placer.Holders(e.all[:0], p.Key.Public)
-	if len(e.all) == 0 {
-		return Verdict{Action: Drop, Reason: ReasonNoRoute}
-	}
-	if f == nil {
-		if len(e.flows) >= MaxEntryFlows {
-			return Verdict{Action: Drop, Reason: ReasonTableFull}
-		}
-		f = &entryFlow{seen: now, born: now, searched: now}
-		e.flows[p.Key] = f
-	}
-	if now-f.searched >= searchPause {
-		f.searched, f.searches = now, 0
-	}
-	if f.searches >= maxSearches {
-		return Verdict{Action: Drop, Reason: ReasonSearches}
-	}
-	f.searches++
-	f.ack = p.Ack
-	if len(e.all) > smallService && f.round < maxRounds {
-		return e.ask(f, p)
-	}
-	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}}
-}
-
-// ask searches in a large service: first by the agents that should know where the flow
-// lives, then by one of these, and after that by the other, who pass the packet on to
-// all agents. A further packet of the caller begins the next round.
-func (e *Entry) ask(f *entryFlow, p Packet) Verdict {
-	e.all = e.placer.Registrars(e.all[:0], p.Key)
-	round := f.round
-	f.round++
-	if round == 0 {
-		f.askedOf = append(f.askedOf[:0], e.all...)
-		return Verdict{Action: SendAll, Reason: ReasonRegistered, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}, Keep: true}
-	}
-	f.askedOf = nil
-	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: each(e.all, int(round)-1), Frame: Frame{Kind: Search, Hops: Wide, Entry: e.self}}
-}
-
-// each returns the agent at a place of each pair, in place.
-func each(pairs []Endpoint, place int) []Endpoint {
-	out := pairs[:0]
-	for i := 0; i+place < len(pairs); i += registrars {
-		out = append(out, pairs[i+place])
-	}
-	return out
-}
-
 // Held takes in what an agent says of a flow that it holds.
 func (e *Entry) Held(m Frame, from Endpoint, now time.Duration) {
 	f := e.flows[m.Key]
@@ -413,60 +286,6 @@
 	}
 }
 
-// Denied decides on a flow that an agent's target does not hold. Once all that could
-// hold it have said so, its caller is told at once that it is gone. The packet stands
-// for the caller's last one.
-func (e *Entry) Denied(key Key, from Endpoint) (Verdict, Packet) {
-	f := e.flows[key]
-	if f != nil && f.count == 1 && f.homes[0].agent == from && !f.homes[0].answered {
-		// Another agent had heard that the flow lives there.
-		f.count, f.opened = 0, false
-	}
-	if f == nil || f.count > 0 {
-		return Verdict{Action: Drop, Reason: ReasonKnown}, Packet{}
-	}
-	if !contains(f.denied, from) && len(f.denied) < maxDenials {
-		f.denied = append(f.denied, from)
-	}
-	if f.askedOf != nil {
-		return e.widen(f, key)
-	}
-	var all bool
-	e.all, all = e.placer.Holders(e.all[:0], key.Public)
-	if !all || len(e.all) == 0 {
-		return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
-	}
-	for _, agent := range e.all {
-		if !contains(f.denied, agent) {
-			return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
-		}
-	}
-	delete(e.flows, key)
-	return Verdict{Action: Reset, Reason: ReasonHeldNowhere}, Packet{Key: key, Ack: f.ack}
-}
-
-// widen asks all agents once those that should know where a flow lives have denied it.
-func (e *Entry) widen(f *entryFlow, key Key) (Verdict, Packet) {
-	for _, agent := range f.askedOf {
-		if !contains(f.denied, agent) {
-			return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
-		}
-	}
-	e.all = each(append(e.all[:0], f.askedOf...), 0)
-	f.askedOf = nil
-	f.round = max(f.round, 2)
-	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: e.all, Frame: Frame{Kind: Search, Hops: Wide, Entry: e.self}, Kept: true}, Packet{Key: key}
-}
-
-func contains(list []Endpoint, one Endpoint) bool {
-	for _, e := range list {
-		if e == one {
-			return true
-		}
-	}
-	return false
-}
-
 // Missed decides on a packet that an agent sent back because it does not hold the
 // flow.
 func (e *Entry) Missed(p Packet, from Endpoint, now time.Duration) Verdict {
@@ -501,16 +320,6 @@
 	}
 }
 
-func without(list []Endpoint, one Endpoint) []Endpoint {
-	kept := list[:0]
-	for _, e := range list {
-		if e != one {
-			kept = append(kept, e)
-		}
-	}
-	return kept
-}
-
 // Sweep forgets the flows that were idle for longer than idle, and those older than
 // age.
 func (e *Entry) Sweep(now, idle, age time.Duration) {
@@ -520,28 +329,3 @@
 		}
 	}
 }
-
-// String returns the action in the form used as a metric label.
-func (a Action) String() string {
-	switch a {
-	case Drop:
-		return "drop"
-	case Send:
-		return "send"
-	case SendAll:
-		return "send_all"
-	case Reset:
-		return "reset"
-	case Deliver:
-		return "deliver"
-	case Return:
-		return "return"
-	case Reply:
-		return "reply"
-	case Deny:
-		return "deny"
-	case Wait:
-		return "wait"
-	}
-	return "invalid"
-}
--- /dev/null
+++ b/flow/verdict.go
@@ -0,0 +1,98 @@
+package flow
+
+// Action tells what to do with a packet.
+type Action uint8
+
+// Actions.
+const (
+	// Drop: nothing.
+	Drop Action = iota
+	// Send the packet to one agent.
+	Send
+	// SendAll: send the packet to several agents.
+	SendAll
+	// Reset: tell the caller that the flow is gone or was never opened.
+	Reset
+	// Deliver the packet to the own target.
+	Deliver
+	// Return the packet to the entry host.
+	Return
+	// Reply: send the target's packet to the caller.
+	Reply
+	// Deny: tell the entry host that the target does not hold the flow.
+	Deny
+	// Wait: keep the packet until the host is ready.
+	Wait
+)
+
+// Reason tells what decided an action.
+type Reason string
+
+// Reasons.
+const (
+	ReasonPlaced      Reason = "placed"
+	ReasonPlacedAnew  Reason = "placed_anew"
+	ReasonKnown       Reason = "known"
+	ReasonUnknown     Reason = "unknown_flow"
+	ReasonNotReady    Reason = "not_ready"
+	ReasonNoRoute     Reason = "no_route"
+	ReasonNoTarget    Reason = "no_target"
+	ReasonSearches    Reason = "searches_spent"
+	ReasonTableFull   Reason = "table_full"
+	ReasonHeld        Reason = "held"
+	ReasonUncertain   Reason = "uncertain"
+	ReasonElsewhere   Reason = "opened_elsewhere"
+	ReasonNotHeld     Reason = "not_held"
+	ReasonService     Reason = "other_service"
+	ReasonLeaving     Reason = "leaving"
+	ReasonNoServer    Reason = "no_backend_server"
+	ReasonRefused     Reason = "refused_by_target"
+	ReasonHops        Reason = "hops_spent"
+	ReasonLost        Reason = "lost_by_target"
+	ReasonAnswered    Reason = "answered"
+	ReasonHeldNowhere Reason = "held_nowhere"
+	ReasonRegistered  Reason = "registered"
+	ReasonTargetGone  Reason = "target_gone"
+)
+
+// Verdict is the decision on one packet.
+type Verdict struct {
+	Action Action
+	Reason Reason
+	// To is the receiver of Send. All has those of SendAll, valid until the next
+	// call.
+	To  Endpoint
+	All []Endpoint
+	// Frame is the header for Send, SendAll and Return.
+	Frame Frame
+	// Keep asks for a copy of the packet until it is known who holds its flow. Kept
+	// stands for that copy, in place of a packet.
+	Keep, Kept bool
+	// Hint is where the entry host is to be told that the flow lives, or zero.
+	Hint Endpoint
+}
+
+// String returns the action in the form used as a metric label.
+func (a Action) String() string {
+	switch a {
+	case Drop:
+		return "drop"
+	case Send:
+		return "send"
+	case SendAll:
+		return "send_all"
+	case Reset:
+		return "reset"
+	case Deliver:
+		return "deliver"
+	case Return:
+		return "return"
+	case Reply:
+		return "reply"
+	case Deny:
+		return "deny"
+	case Wait:
+		return "wait"
+	}
+	return "invalid"
+}
