flow: a burst of an unknown flow goes one way; a doubted target is asked so that it has to answer

Found by reading: packets of one burst each began another round of searching, up to all agents from the entry host; and an agent that lives but has lost its control hosts may have kept silent for 250 ms, so that its flows would have been reset. subscriber.TargetOf stands once in place of twice. Tests: TestSearchInALargeService, TestFlowOfATargetWhoseLeaseHasEnded (extended, failed before).

--- a/flow/agent.go
+++ b/flow/agent.go
@@ -8,7 +8,7 @@
 
 const (
 	// MaxAgentFlows bounds the flows of an agent: several times what a backend
-	// server takes. A flow takes some 110 bytes.
+	// server takes. A flow takes 124 bytes (BenchmarkAgentPacket).
 	MaxAgentFlows = 16_384
 	// uncertainFor is how long after its start an agent may lack flows that its
 	// target holds: flows are found again by their next packet, and those that
--- /dev/null
+++ b/flow/bench_test.go
@@ -0,0 +1,95 @@
+package flow_test
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"eelgrasswharf.example/eelgrasswharf/flow"
+)
+
+// benchmarkFlows is how many flows the tables of the benchmarks hold.
+const benchmarkFlows = 10_000
+
+// perFlow reports the heap that filling a table took, by flow.
+func perFlow(b *testing.B, fill func() any) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	table := fill()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/benchmarkFlows, "B/flow")
+	runtime.KeepAlive(table)
+}
+
+func entryWithFlows() *flow.Entry {
+	e := flow.NewEntry(&fixedPlacer{agents: agents(40)}, entryA)
+	for port := range uint16(benchmarkFlows) {
+		e.Packet(syn(port), 0)
+		e.Held(heldBy(port, firstA, false), agentA, 0)
+		e.Packet(request(port, firstA), 0)
+	}
+	return e
+}
+
+func agentWithFlows() *flow.Agent {
+	a := newAgent(serving())
+	for port := range uint16(benchmarkFlows) {
+		a.FromEntry(open(entryA), syn(port), long)
+		a.FromTarget(synAck(port, firstA), long)
+		a.FromEntry(data(entryA), request(port, firstA), long)
+	}
+	return a
+}
+
+func BenchmarkEntryPacket(b *testing.B) {
+	e := entryWithFlows()
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		e.Packet(request(uint16(n%benchmarkFlows), firstA), time.Second)
+	}
+	perFlow(b, func() any { return entryWithFlows() })
+}
+
+func BenchmarkAgentPacket(b *testing.B) {
+	a := agentWithFlows()
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		port := uint16(n % benchmarkFlows)
+		a.FromEntry(data(entryA), request(port, firstA), long)
+		a.FromTarget(response(port, firstA), long)
+	}
+	perFlow(b, func() any { return agentWithFlows() })
+}
+
+// BenchmarkRegister is what a change of the list of agents costs one that holds many
+// flows: it tells the agents that are to know of them.
+func BenchmarkRegister(b *testing.B) {
+	a := agentWithFlows()
+	all := agents(44)
+	frames, keys := 0, 0
+	for n := 0; b.Loop(); n++ {
+		list := all[:43+n%2]
+		a.SetPeers(list[1:], list, list[0])
+		frames, keys = 0, 0
+		for _, r := range a.Due(long + time.Duration(n)) {
+			frames++
+			keys += len(r.Keys)
+		}
+	}
+	b.ReportMetric(float64(frames), "frames")
+	b.ReportMetric(float64(keys), "keys")
+}
+
+func BenchmarkRegistry(b *testing.B) {
+	for b.Loop() {
+		perFlow(b, func() any {
+			a := newAgent(serving())
+			for port := range uint16(benchmarkFlows) {
+				a.Register([]flow.Key{key(port)}, agentB, long)
+			}
+			return a
+		})
+	}
+}
--- a/flow/entry.go
+++ b/flow/entry.go
@@ -4,15 +4,15 @@
 
 const (
 	// MaxEntryFlows bounds the flows that an entry host remembers: twice the
-	// 40 million open flows of 2,000 entry hosts. A flow takes some 90 bytes.
+	// 40 million open flows of 2,000 entry hosts. A flow takes 204 bytes (BenchmarkEntryPacket).
 	MaxEntryFlows = 40_000
 	// searchPause and maxSearches bound the searches for one flow: the packets of
 	// one burst arrive before an agent has answered.
 	searchPause = 150 * time.Millisecond
 	maxSearches = 8
-	// doubtFor is how long an agent whose target's lease has ended has to answer.
-	// Agents answer a packet of an entry host every 250 ms at the least; its caller
-	// sends the next one 200 ms after the first.
+	// doubtFor is how long an agent whose target's lease has ended has to answer: more
+	// than a round trip between two regions, 80 ms. A caller sends its next packet 200
+	// ms after the first.
 	doubtFor = 150 * time.Millisecond
 	// maxHeard bounds the agents whose last word is remembered.
 	maxHeard = 32_768
@@ -87,6 +87,7 @@
 	// round counts the ways of searching a large service so far, askedOf lists the
 	// agents that should know where the flow lives until the others are asked.
 	round   uint8
+	roundAt time.Duration
 	askedOf []Endpoint
 	seen    time.Duration
 	born    time.Duration
@@ -127,27 +128,31 @@
 	}
 	e.settle(f, p)
 	h := &f.homes[0]
-	if e.placer.Ready() && e.gone(f, h.agent, now) {
-		delete(e.flows, p.Key)
-		return Verdict{Action: Reset, Reason: ReasonTargetGone}
+	v := Verdict{Action: Send, Reason: ReasonKnown, To: h.agent, Frame: Frame{Kind: Data, Service: h.service, Entry: e.self}}
+	if e.placer.Ready() {
+		e.doubt(f, p.Key, &v, now)
 	}
-	return Verdict{Action: Send, Reason: ReasonKnown, To: h.agent, Frame: Frame{Kind: Data, Service: h.service, Entry: e.self}}
+	return v
 }
 
-// gone reports whether the target of a flow is gone: the lease of its target has ended,
-// and its agent has said nothing since a packet of the flow was sent to it. An agent
-// that only lost its control hosts answers, and the flow goes on.
-func (e *Entry) gone(f *entryFlow, agent Endpoint, now time.Duration) bool {
-	known, whole := e.placer.Knows(agent)
+// doubt changes what becomes of a packet whose target's lease has ended. It is sent as
+// a search, which an agent always answers: one that only lost its control hosts says
+// that it holds the flow. Where the agent says nothing, the target is gone.
+func (e *Entry) doubt(f *entryFlow, key Key, v *Verdict, now time.Duration) {
+	known, whole := e.placer.Knows(v.To)
 	if known || !whole {
 		f.doubted = 0
-		return false
+		return
 	}
-	if f.doubted == 0 || e.heard[agent] >= f.doubted {
+	if f.doubted == 0 || e.heard[v.To] >= f.doubted {
 		f.doubted = max(now, 1)
-		return false
+		v.Frame.Kind, v.Frame.Hops = Search, 1
+		return
+	}
+	if now-f.doubted >= doubtFor {
+		delete(e.flows, key)
+		*v = Verdict{Action: Reset, Reason: ReasonTargetGone}
 	}
-	return now-f.doubted >= doubtFor
 }
 
 // Heard notes that an agent has sent something.
--- a/flow/entry_test.go
+++ b/flow/entry_test.go
@@ -210,11 +210,13 @@
 	p.lost, p.doubtful = agentA, true
 	is.Equal(e.Packet(request(1, firstA), time.Second).To, agentA) // the list may lack it
 	p.doubtful = false
-	is.Equal(e.Packet(request(1, firstA), 2*time.Second).To, agentA) // it is asked once more
+	v := e.Packet(request(1, firstA), 2*time.Second)
+	is.Equal(v.To, agentA)
+	is.Equal(v.Frame.Kind, flow.Search) // it has to answer
 	e.Heard(agentA, 2*time.Second)
 	is.Equal(e.Packet(request(1, firstA), 3*time.Second).To, agentA) // it lives
 	is.Equal(e.Packet(request(1, firstA), 3*time.Second+50*time.Millisecond).To, agentA)
-	v := e.Packet(request(1, firstA), 3*time.Second+200*time.Millisecond)
+	v = e.Packet(request(1, firstA), 3*time.Second+200*time.Millisecond)
 	is.Equal(v.Action, flow.Reset)
 	is.Equal(v.Reason, flow.ReasonTargetGone)
 }
--- a/flow/registry.go
+++ b/flow/registry.go
@@ -7,7 +7,7 @@
 	// them may be lost.
 	registrars = 2
 	// maxRegistered bounds the flows of others that an agent remembers: twice its
-	// share of 40 million open flows at 12,000 targets. An entry takes some 60 bytes.
+	// share of 40 million open flows at 12,000 targets. An entry takes 66 bytes (BenchmarkRegistry).
 	maxRegistered = 16_384
 	// registeredFor is how long an agent remembers where a flow of another one lives
 	// without being told again, and refreshAfter when it is told.
--- a/flow/registry_test.go
+++ b/flow/registry_test.go
@@ -130,7 +130,9 @@
 		is.Equal(v.Action == flow.Reset, i == len(rest)-1)
 	}
 
-	e.Packet(request(2, firstA), 0)
+	for range 3 { // a burst goes one way
+		is.Equal(len(e.Packet(request(2, firstA), 0).All), 2)
+	}
 	for i, want := range []int{1, 1, 40} { // by one, by the other, by itself
 		is.Equal(len(e.Packet(request(2, firstA), time.Duration(i+1)*time.Second).All), want)
 	}
--- a/flow/search.go
+++ b/flow/search.go
@@ -28,24 +28,27 @@
 	f.searches++
 	f.ack = p.Ack
 	if len(e.all) > smallService && f.round < maxRounds {
-		return e.ask(f, p)
+		return e.ask(f, p, now)
 	}
 	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}}
 }
 
 // ask searches in a large service: first by the agents that should know where the flow
 // lives, then by one of these, and after that by the other, who pass the packet on to
-// all agents. A further packet of the caller begins the next round.
-func (e *Entry) ask(f *entryFlow, p Packet) Verdict {
+// all agents. A packet that comes after a pause begins the next round; those of one
+// burst go the same way.
+func (e *Entry) ask(f *entryFlow, p Packet, now time.Duration) Verdict {
 	e.all = e.placer.Registrars(e.all[:0], p.Key)
-	round := f.round
-	f.round++
-	if round == 0 {
+	if f.round == 0 || now-f.roundAt >= searchPause {
+		f.round++
+		f.roundAt = now
+	}
+	if f.round == 1 {
 		f.askedOf = append(f.askedOf[:0], e.all...)
 		return Verdict{Action: SendAll, Reason: ReasonRegistered, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}, Keep: true}
 	}
 	f.askedOf = nil
-	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: each(e.all, int(round)-1), Frame: Frame{Kind: Search, Hops: Wide, Entry: e.self}}
+	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: each(e.all, int(f.round)%registrars), Frame: Frame{Kind: Search, Hops: Wide, Entry: e.self}}
 }
 
 // each returns the agent at a place of each pair, in place.
@@ -62,8 +65,8 @@
 // for the caller's last one.
 func (e *Entry) Denied(key Key, from Endpoint) (Verdict, Packet) {
 	f := e.flows[key]
-	if f != nil && f.count == 1 && f.homes[0].agent == from && !f.homes[0].answered {
-		// Another agent had heard that the flow lives there.
+	if f != nil && f.count == 1 && f.homes[0].agent == from && (f.doubted != 0 || !f.homes[0].answered) {
+		// It was said to live there, or has lived there and was asked again.
 		f.count, f.opened = 0, false
 	}
 	if f == nil || f.count > 0 {
@@ -99,6 +102,7 @@
 	e.all = each(append(e.all[:0], f.askedOf...), 0)
 	f.askedOf = nil
 	f.round = max(f.round, 2)
+	f.roundAt = f.searched
 	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: e.all, Frame: Frame{Kind: Search, Hops: Wide, Entry: e.self}, Kept: true}, Packet{Key: key}
 }
 
--- a/internal/entryd/directory.go
+++ b/internal/entryd/directory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 	"eelgrasswharf.example/eelgrasswharf/routing"
 )
 
@@ -218,19 +219,8 @@
 
 // targetFrom returns the target of a record, unless its address isn't usable.
 func targetFrom(record *controlpb.TargetRecord, usable usableFunc) (routing.Target, bool) {
-	address, err := netip.ParseAddrPort(record.GetAddress())
-	if err != nil || !usable(address) {
-		return routing.Target{}, false
-	}
-	return routing.Target{
-		Number:      record.GetNumber(),
-		Incarnation: record.GetIncarnation(),
-		Service:     record.GetService(),
-		Address:     address,
-		Draining:    record.GetState() == controlpb.TargetState_TARGET_STATE_DRAINING,
-		Ill:         record.GetIll(),
-		Damped:      record.GetDamped(),
-	}, true
+	target, err := subscriber.TargetOf(record)
+	return target, err == nil && usable(target.Address)
 }
 
 // add adds a target to its service.
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -278,8 +278,8 @@
 func (a *Agent) onView(v *subscriber.View) {
 	own := flow.EndpointOf(a.frames.local())
 	var peers, all []flow.Endpoint
-	for i, record := range v.Targets {
-		t, err := targetOf(record, v.Age(i, time.Now()))
+	for _, record := range v.Targets {
+		t, err := subscriber.TargetOf(record)
 		if err != nil {
 			continue // counted by entry hosts, which name it
 		}
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
-	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/flow"
 	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 	"eelgrasswharf.example/eelgrasswharf/routing"
@@ -151,11 +150,12 @@
 	before := p.known
 	p.known = make(map[flow.Endpoint]bool, len(v.Targets))
 	for i, record := range v.Targets {
-		t, err := targetOf(record, v.Age(i, p.viewAt))
+		t, err := subscriber.TargetOf(record)
 		if err != nil {
 			p.log.Error("target left out", zap.String("target", record.GetName()), zap.Error(err))
 			continue
 		}
+		t.Age = v.Age(i, p.viewAt)
 		of := lists[t.Service]
 		if of == nil {
 			of = &serviceTargets{}
@@ -180,23 +180,6 @@
 	p.rebuild(now)
 }
 
-func targetOf(record *controlpb.TargetRecord, age time.Duration) (routing.Target, error) {
-	address, err := netip.ParseAddrPort(record.GetAddress())
-	if err != nil {
-		return routing.Target{}, err
-	}
-	return routing.Target{
-		Number:      record.GetNumber(),
-		Incarnation: record.GetIncarnation(),
-		Service:     record.GetService(),
-		Address:     address,
-		Draining:    record.GetState() == controlpb.TargetState_TARGET_STATE_DRAINING,
-		Ill:         record.GetIll(),
-		Damped:      record.GetDamped(),
-		Age:         age,
-	}, nil
-}
-
 var policy = &configpb.Policy{RampMs: rampMS}
 
 // rebuild makes the tables anew. The lock is held.
--- a/internal/subscriber/view.go
+++ b/internal/subscriber/view.go
@@ -1,10 +1,14 @@
 package subscriber
 
 import (
+	"net/netip"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/routing"
 )
 
 // View is what a process knows at one moment. It is immutable.
@@ -24,6 +28,24 @@
 	heardAt []time.Time
 }
 
+// TargetOf returns the target of a record, without its age. The error tells that its
+// address cannot be read.
+func TargetOf(record *controlpb.TargetRecord) (routing.Target, error) {
+	address, err := netip.ParseAddrPort(record.GetAddress())
+	if err != nil {
+		return routing.Target{}, errors.Wrapf(err, "address of target %q", record.GetName())
+	}
+	return routing.Target{
+		Number:      record.GetNumber(),
+		Incarnation: record.GetIncarnation(),
+		Service:     record.GetService(),
+		Address:     address,
+		Draining:    record.GetState() == controlpb.TargetState_TARGET_STATE_DRAINING,
+		Ill:         record.GetIll(),
+		Damped:      record.GetDamped(),
+	}, nil
+}
+
 // Age returns the time since the cold start of a target, by its index in
 // Targets. It grows with the process's own monotonic clock.
 func (v *View) Age(i int, now time.Time) time.Duration {
