--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -315,6 +315,8 @@
 	}
 	s.isolationPause = min(max(2*s.isolationPause, isolationPauseMin), isolationPauseMax)
 	s.stayUntil = now.Add(s.isolationPause)
+	s.opts.Log.Info("leaving an isolated control host", zap.String("address", s.opts.Client.Address()),
+		zap.Duration("none_again_for", s.isolationPause))
 	return true
 }
 
--- a/test/stale_test.go
+++ b/test/stale_test.go
@@ -13,8 +13,13 @@
 // missedVersions is how many versions a stale host misses.
 const missedVersions = 300
 
-// movingMessage is the log message of a subscriber that leaves a stale host.
-const movingMessage = "moving to a control host that knows more"
+// Log messages of a subscriber that leaves a stale host: because another one is known
+// to have a newer version, or because the host says that it knows no leader. Which one
+// comes first depends on how long the host has been cut off.
+const (
+	movingMessage  = "moving to a control host that knows more"
+	leavingMessage = "leaving an isolated control host"
+)
 
 // manyVersions makes versions after base through the hosts and returns the
 // last one.
@@ -83,7 +88,7 @@
 		e.WaitReady()
 		d.InForce(newest, e.Host)
 		is.Equal(e.ActedOn(), []uint64{newest})
-		moved += min(e.Logged(movingMessage), 1)
+		moved += min(e.Logged(movingMessage)+e.Logged(leavingMessage), 1)
 		e.Kill()
 		e.Launch()
 	}
