--- a/internal/settings/cross.go
+++ b/internal/settings/cross.go
@@ -12,6 +12,12 @@
 // checkTogether reports keys that are good by themselves and contradict each
 // other.
 func checkTogether(m proto.Message, c *collector, lines keyLines) {
+	switch role := m.(type) {
+	case *settingspb.EntrySettings:
+		checkKeysTaken(role.GetKeys(), c, lines)
+	case *settingspb.AgentSettings:
+		checkKeysTaken(role.GetKeys(), c, lines)
+	}
 	control, ok := m.(*settingspb.ControlSettings)
 	if !ok {
 		return
@@ -19,6 +25,14 @@
 	checkVoters(control, c, lines[keyName{"replica", "initial_voters"}])
 }
 
+// checkKeysTaken wants entry hosts and agents that serve callers over QUIC to take keys
+// from files: connection IDs and frames need secrets that all of them share.
+func checkKeysTaken(k *settingspb.Keys, c *collector, lines keyLines) {
+	if k.GetUnauthenticated() {
+		c.add(lines[keyName{"keys", "unauthenticated"}], "keys.unauthenticated: only a control host may set it, here data secrets are shared")
+	}
+}
+
 // checkVoters wants each voter once, no more than may vote, and this host among
 // them, unless it joins a group that exists.
 func checkVoters(s *settingspb.ControlSettings, c *collector, line int) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -215,7 +215,7 @@
 		for j := range keys.Len() {
 			f := keys.Get(j)
 			_, given := lines[keyName{string(s.Name()), string(f.Name())}]
-			if given || !ruleOf(f).required {
+			if given || !ruleOf(f).required || needless(m, s) {
 				continue
 			}
 			line := max(1, lines[keyName{section: string(s.Name())}])
@@ -224,6 +224,13 @@
 	}
 }
 
+// needless reports whether the required keys of a section may be missing: those that
+// name files of keys, where no keys are taken from files.
+func needless(m protoreflect.Message, section protoreflect.FieldDescriptor) bool {
+	taken, ok := m.Get(section).Message().Interface().(*settingspb.Keys)
+	return ok && taken.GetUnauthenticated()
+}
+
 // Defaults sets every key of the root message m that is unset and has a
 // default. Messages that were made in code need it; Load and Parse apply it.
 func Defaults(m proto.Message) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -245,3 +245,15 @@
 	is.Equal(len(found), 1)
 	is.True(strings.Contains(found[0], "at most 7 may vote"))
 }
+
+func TestUnauthenticatedNeedsNoKeyFiles(t *testing.T) {
+	is := is.New(t)
+	text := "[host]\nname = a\nfailure_domain = d\n[keys]\nunauthenticated = true\n" +
+		"[replica]\ndata_folder = data\nlisten = 127.0.0.1:0\noperator_listen = 127.0.0.1:0\n"
+	is.NoErr(settings.Parse("control.ini", []byte(text), &settingspb.ControlSettings{}))
+	entry := "[host]\nname = a\nfailure_domain = d\n[keys]\nunauthenticated = true\n[control]\naddresses = 127.0.0.1:1\n" +
+		"[forwarding]\nframe_listen = 127.0.0.1:0\nagent_networks = 127.0.0.0/8\n"
+	err := settings.Parse("entry.ini", []byte(entry), &settingspb.EntrySettings{})
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "entry.ini:5: keys.unauthenticated"))
+}
