controld: a list of targets is called whole only with the last of them

It is now asked before the list is read, and said with it. Ruled out: agents that took their targets for new (their first reports had sequence 4).

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -114,8 +114,8 @@
 	d.peers.self = d.selfAddress
 	d.confirm = &barrier{ctx: d.ctx, wg: &d.loops, read: func(ctx context.Context) error {
 		err := d.replicas[controlpb.Group_GROUP_CONFIG].ReadBarrier(ctx)
-		if err == nil {
-			d.stateConfirmed.Store(true)
+		if err == nil && !d.stateConfirmed.Swap(true) {
+			d.directory.changed.notify()
 		}
 		return err
 	}}
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -44,6 +44,8 @@
 	// whole says that the subscriber holds this host's list, not additions to
 	// one from elsewhere.
 	whole bool
+	// complete says that the subscriber was sent all targets that there are.
+	complete bool
 	// directoryPending says that the directory may have changed since it was
 	// looked at.
 	directoryPending bool
@@ -246,6 +248,12 @@
 	isolated := s.daemon.isolation.now.Load()
 	if isolated != s.isolated || time.Since(s.messageSentAt) >= heartbeatPeriod {
 		s.isolated = isolated
+		if !s.complete {
+			// It may have become so without any change of the list.
+			if err := s.sendDirectory(); err != nil {
+				return err
+			}
+		}
 		beat := &controlpb.Heartbeat{Version: s.daemon.configs.version(), Isolated: isolated}
 		return s.send(&controlpb.SubscribeUpdate{Heartbeat: beat})
 	}
@@ -285,8 +293,12 @@
 
 // sendDirectory sends what the subscriber lacks of the directory, if anything.
 func (s *subscription) sendDirectory() error {
+	// Asked before the list is read: targets that are heard of in between are in the
+	// list, or in the next one.
+	complete := s.daemon.directoryWhole()
 	u, kind := s.daemon.directory.next(s.follower)
 	s.whole = kind != membership.Addition
+	s.complete = s.whole && complete
 	if u == nil {
 		return nil
 	}
@@ -306,7 +318,7 @@
 }
 
 func (s *subscription) send(u *controlpb.SubscribeUpdate) error {
-	u.DirectoryWhole = s.whole && s.daemon.directoryWhole()
+	u.DirectoryWhole = s.complete
 	if err := s.stream.Send(u); err != nil {
 		return err
 	}
