--- a/flow/entry.go
+++ b/flow/entry.go
@@ -66,8 +66,8 @@
 
 // entryFlow is what an entry host knows of a flow.
 type entryFlow struct {
-	// opening is the number of the caller's opening packet, copied tells whether
-	// it was seen.
+	// opening is the number of the caller's opening packet, began tells whether it
+	// was seen here.
 	opening uint32
 	began   bool
 	// homes are the targets that were offered the flow, or said to hold it.
