controld: hosts that keep no log stand by; subscribers, agents and operators are sent to hosts that serve

Change: with the setting stand_by (which the platform sets on hosts without a disk) such a host is a member only once too few members answer or they have more subscribers than they are to serve (package voters, Lacks), one at a time, after 3 s. Until then it keeps one link, to a member. It sends operators to that member (307), subscribers and agents to any. Members name the hosts that serve to their subscribers and, since a host that stands by keeps nothing over a restart, to the seeds of their settings that are no members. A host that leads no group does not dial one that asks to join.

Ruled out: fewer processes by a smaller share or a count in the deploy file (the share is rounded up, spare machines get none by count, seeds may be any host that serves control).

--- a/internal/controld/appoint.go
+++ b/internal/controld/appoint.go
@@ -33,6 +33,13 @@
 	return a.founder.name == v.name
 }
 
+// end tells that the deployment exists: nobody is to found it any more.
+func (a *appointer) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.allowed = false
+}
+
 // named returns the founder, nil if none has been named here.
 func (a *appointer) named() *voter {
 	a.mu.Lock()
--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -82,6 +82,21 @@
 	// these subscribers within 3 s of it.
 	isolationPeriod = 100 * time.Millisecond
 	isolatedAfter   = time.Second
+	// standbyPeriod is the mean pause between two questions of a host that stands by,
+	// standbyDialTimeout bounds an attempt at a link of it.
+	standbyPeriod      = time.Second
+	standbyDialTimeout = 3 * time.Second
+	// standbyTrust is how long a host that stands by relies on what a member said last.
+	standbyTrust = 5 * time.Second
+	// tellSeedsPeriod is the time between two notices of a member to a seed that is none:
+	// it bounds how long processes that find only such seeds have to wait.
+	tellSeedsPeriod = time.Second
+	// lackPatience is how long members that serve have to be lacking before a host that
+	// stands by is added: longer than a start or an election takes.
+	lackPatience = 3 * time.Second
+	// linksPerSubscriber is the part of the links of a host that its subscribers are to
+	// take up: the rest is for those of a host that is lost.
+	linksPerSubscriber = 2
 	// membersPeriod is the time between looks whether the members follow the
 	// hosts, membersTimeout bounds one change. A host that lost its data folder
 	// is to vote again within a few seconds, and each takes two changes.
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -67,6 +67,8 @@
 	replicas  map[controlpb.Group]*replica.Replica
 	confirm   *barrier
 	isolation isolation
+	standby   *standby
+	lack      lack
 	server    *link.Server
 	api       *operator.Server
 
@@ -114,6 +116,7 @@
 		directory: newDirectory(rand.Uint64()|1, time.Duration(s.GetReplica().GetLeaseMs())*time.Millisecond),
 		replicas:  map[controlpb.Group]*replica.Replica{},
 		isolation: isolation{changed: newHub()},
+		standby:   newStandby(),
 	}
 	d.replacements = d.scope.Histogram("replacement_seconds", metrics.Durations)
 	d.inForce = d.scope.Histogram("in_force_seconds", metrics.Durations)
@@ -265,6 +268,7 @@
 	d.loops.Go(d.leadLoop)
 	d.loops.Go(d.membersLoop)
 	d.loops.Go(d.rejoinLoop)
+	d.loops.Go(d.tellSeedsLoop)
 	d.loops.Go(d.isolationLoop)
 	d.loops.Go(func() { d.creds.Watch(d.ctx, keys.ReloadPeriod, keys.Report(d.log)) })
 	d.log.Info("control host serves", zap.String("link", d.LinkAddr()), zap.String("operator", d.OperatorAddr()))
--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -42,6 +42,8 @@
 	goneAfterMs uint32
 	// transient hosts keep their logs in memory only.
 	transient map[string]bool
+	// standBy has transient hosts stand by as long as they are not needed.
+	standBy bool
 }
 
 type host struct {
@@ -82,7 +84,7 @@
 			GrantGroups: d.grantGroups,
 
 			AutomaticMembers: d.goneAfterMs > 0, GoneAfterMs: d.goneAfterMs, LeastVoters: d.leastVoters(),
-			Transient: d.transient[name],
+			Transient: d.transient[name], StandBy: d.standBy,
 		},
 	}
 }
--- a/internal/controld/export_test.go
+++ b/internal/controld/export_test.go
@@ -18,5 +18,8 @@
 	return first.machine.Now()
 }
 
+// Links returns how many links the host has accepted.
+func (d *Daemon) Links() int { return d.server.Connections() }
+
 // Traffic returns what the host has exchanged over its links.
 func (d *Daemon) Traffic() link.Traffic { return d.server.Traffic() }
--- a/internal/controld/found.go
+++ b/internal/controld/found.go
@@ -69,6 +69,9 @@
 	stranger := false
 	for !d.formed() {
 		replies := d.askVoters()
+		if d.mayStandBy() && someStandsBy(replies) {
+			stranger = true
+		}
 		if stranger && d.settings.GetReplica().GetAutomaticMembers() {
 			d.joinLoop()
 			return
@@ -127,6 +130,10 @@
 // a member of all groups. It asks all of them, since the groups may have
 // different leaders. To be promoted is up to the operators.
 func (d *Daemon) joinLoop() {
+	if d.mayStandBy() {
+		d.standByLoop()
+		return
+	}
 	address := d.memberAddress(voter{name: d.name, address: d.settings.GetReplica().GetListen()})
 	asks := newAsks(func(at string) { d.askToJoin(at, address) })
 	defer asks.calls.Wait()
@@ -226,6 +233,16 @@
 	return true
 }
 
+// someStandsBy reports whether a host stands by for a group that exists.
+func someStandsBy(replies map[string]*controlpb.ReplicaReply) bool {
+	for _, reply := range replies {
+		if len(reply.GetStandsBy().GetAddresses()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // askVoters returns the replicas of the other initial voters that answer.
 func (d *Daemon) askVoters() map[string]*controlpb.ReplicaReply {
 	replies := map[string]*controlpb.ReplicaReply{}
@@ -370,5 +387,8 @@
 		}
 		reply.Replicas = append(reply.Replicas, info)
 	}
+	if hosts := d.standby.serving(); len(hosts) > 0 && d.standsBy() {
+		reply.StandsBy = &controlpb.ControlHosts{Addresses: hosts}
+	}
 	return reply
 }
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -50,6 +50,7 @@
 	refusedImproper   refusalReason = "improper_record"
 	refusedFull       refusalReason = "directory_full"
 	refusedTable      refusalReason = "slot_table"
+	refusedStandsBy   refusalReason = "stands_by"
 )
 
 // handler answers the requests of peers.
@@ -59,7 +60,7 @@
 func allowed(req *controlpb.Request) []keys.Role {
 	switch req.GetBody().(type) {
 	case *controlpb.Request_Raft, *controlpb.Request_Propose, *controlpb.Request_DirectorySync, *controlpb.Request_Replicas,
-		*controlpb.Request_Join, *controlpb.Request_TakeOver:
+		*controlpb.Request_Join, *controlpb.Request_TakeOver, *controlpb.Request_Serving:
 		return []keys.Role{keys.RoleControl}
 	case *controlpb.Request_Register, *controlpb.Request_Announce, *controlpb.Request_Grant, *controlpb.Request_Unregister:
 		return []keys.Role{keys.RoleAgent}
@@ -78,6 +79,9 @@
 	if !slices.Contains(roles, peer.Role) {
 		return h.fault(refusedRole, controlpb.FaultKind_FAULT_FORBIDDEN, "the role may not ask this")
 	}
+	if peer.Role != keys.RoleControl && (*Daemon)(h).standsBy() {
+		return h.refuseStandingBy(ctx)
+	}
 	switch body := req.GetBody().(type) {
 	case *controlpb.Request_Raft:
 		return h.raft(peer, body.Raft)
@@ -93,6 +97,9 @@
 		return h.join(ctx, peer, body.Join)
 	case *controlpb.Request_TakeOver:
 		return h.takeOver(ctx, peer, body.TakeOver)
+	case *controlpb.Request_Serving:
+		(*Daemon)(h).noteServing(body.Serving.GetAddresses())
+		return done()
 	case *controlpb.Request_Register:
 		return h.register(ctx, peer, body.Register)
 	case *controlpb.Request_Announce:
@@ -143,8 +150,16 @@
 func (h *handler) join(ctx context.Context, peer link.Peer, j *controlpb.Join) *controlpb.Response {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
+	if answer := h.standByAnswer(j); answer != nil {
+		return answer
+	}
 	name := cmp.Or(j.GetName(), peer.Name)
-	err := (*operatorHandler)(h).addLearner(ctx, j.GetAddress(), name)
+	// A host that leads no group cannot add one, and asking the host that joins who it is
+	// would cost that one a link from each member.
+	err := errors.Wrap(operator.ErrNotDone, "this host leads no group")
+	if h.leadsAny() {
+		err = (*operatorHandler)(h).addLearner(ctx, j.GetAddress(), name)
+	}
 	if err != nil && h.appoints(peer, j) {
 		return &controlpb.Response{Body: &controlpb.Response_Found{Found: &controlpb.Found{}}}
 	}
@@ -160,6 +175,10 @@
 	return done()
 }
 
+func (h *handler) leadsAny() bool {
+	return slices.ContainsFunc(h.groups, (*Daemon)(h).leads)
+}
+
 // appoints reports whether a host that asks to join is to found the groups.
 func (h *handler) appoints(peer link.Peer, j *controlpb.Join) bool {
 	if j.GetTransient() || j.GetHops() > 0 || (*Daemon)(h).formed() {
@@ -171,7 +190,16 @@
 // passOnJoin asks the leaders that this host knows of to add a host: one that
 // joins may not know the address of any leader.
 func (h *handler) passOnJoin(ctx context.Context, j *controlpb.Join, name string) *controlpb.Response {
-	next := &controlpb.Join{Address: j.GetAddress(), Transient: j.GetTransient(), Name: name, Hops: j.GetHops() + 1}
+	next := &controlpb.Join{
+		Address:   j.GetAddress(),
+		Transient: j.GetTransient(),
+		StandBy:   j.GetStandBy(),
+		Name:      name,
+		Hops:      j.GetHops() + 1,
+	}
+	if far := h.standby.link(); far != nil {
+		return h.callJoin(ctx, far, next)
+	}
 	answer := h.fault(refusedNoLeader, controlpb.FaultKind_FAULT_NOT_DONE, "no leader is known")
 	asked := map[string]bool{}
 	for _, group := range h.groups {
@@ -185,16 +213,20 @@
 			continue
 		}
 		asked[address] = true
-		res, err := far.calls.Call(ctx, &controlpb.Request{Body: &controlpb.Request_Join{Join: next}})
-		if err != nil {
-			answer = h.fault(refusedNoLeader, controlpb.FaultKind_FAULT_NOT_DONE, err.Error())
-			continue
-		}
-		answer = res
+		answer = h.callJoin(ctx, far.calls, next)
 	}
 	return answer
 }
 
+// callJoin asks another control host to add a host.
+func (h *handler) callJoin(ctx context.Context, to *link.Client, j *controlpb.Join) *controlpb.Response {
+	res, err := to.Call(ctx, &controlpb.Request{Body: &controlpb.Request_Join{Join: j}})
+	if err != nil {
+		return h.fault(refusedNoLeader, controlpb.FaultKind_FAULT_NOT_DONE, err.Error())
+	}
+	return res
+}
+
 // propose replicates a command that a follower forwards.
 func (h *handler) propose(ctx context.Context, p *controlpb.Propose) *controlpb.Response {
 	r := h.replicas[p.GetGroup()]
--- a/internal/controld/isolation.go
+++ b/internal/controld/isolation.go
@@ -22,7 +22,7 @@
 	led := time.Now()
 	d.every(isolationPeriod, func() {
 		s := d.replicas[controlpb.Group_GROUP_CONFIG].Status()
-		if s.Leader != nil {
+		if s.Leader != nil || d.standsBy() {
 			led = time.Now()
 		}
 		isolated := time.Since(led) >= isolatedAfter
--- a/internal/controld/loops.go
+++ b/internal/controld/loops.go
@@ -68,7 +68,7 @@
 		last = traffic
 		d.directory.expire()
 		if d.formed() {
-			d.peers.keep(d.peerAddresses())
+			d.peers.keepUsed(d.peerAddresses(), unusedPeer)
 		}
 		list, laggards := d.subscribers.list(d.configs.version())
 		all.Update(float64(len(list)))
--- a/internal/controld/members.go
+++ b/internal/controld/members.go
@@ -37,9 +37,16 @@
 	s := r.Status()
 	if !s.Leading() || d.leaving.Load() {
 		silent.forget()
+		if group == controlpb.Group_GROUP_CONFIG {
+			d.lack.note(false, time.Now())
+		}
 		return
 	}
-	change := voters.Next(silent.note(membersOf(s), time.Now()), d.memberLimits())
+	members := silent.note(membersOf(s), time.Now())
+	if group == controlpb.Group_GROUP_CONFIG {
+		d.noteSupply(members)
+	}
+	change := voters.Next(members, d.memberLimits())
 	if change.Kind == voters.None {
 		return
 	}
--- a/internal/controld/operators.go
+++ b/internal/controld/operators.go
@@ -21,6 +21,7 @@
 	stateFollows    = "follows"
 	stateNoLeader   = "no leader"
 	stateNotFounded = "not founded"
+	stateStandsBy   = "stands by"
 )
 
 // operatorHandler serves the operators' API.
@@ -112,6 +113,9 @@
 		Applied: s.Applied,
 		Members: []operator.MemberStatus{},
 	}
+	if (*Daemon)(h).standsBy() {
+		out.State = stateStandsBy
+	}
 	if group != controlpb.Group_GROUP_CONFIG {
 		out.Grants = h.grantStatus(grantIndex(group))
 	}
--- a/internal/controld/peers.go
+++ b/internal/controld/peers.go
@@ -103,10 +103,10 @@
 	return held
 }
 
-// keep closes the links to hosts that are not among addrs and have not been
-// used for unusedPeer.
-func (p *peers) keep(addrs map[string]bool) {
-	for _, old := range p.outside(addrs, unusedPeer) {
+// keepUsed closes the links to hosts that are not among addrs and have not been
+// used for a time.
+func (p *peers) keepUsed(addrs map[string]bool, unused time.Duration) {
+	for _, old := range p.outside(addrs, unused) {
 		old.close()
 	}
 }
@@ -167,9 +167,7 @@
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
-	for _, old := range p.outside(nil, 0) {
-		old.close()
-	}
+	p.keepUsed(nil, 0)
 }
 
 // Send implements replica.Transport.
--- a/internal/controld/routes.go
+++ b/internal/controld/routes.go
@@ -18,8 +18,12 @@
 
 // Replace has the group decide on a replacement of the route table. An error for
 // which errors.Is(err, operator.ErrNotDone) holds says that nothing was done;
-// after any other one the replacement may or may not come into force.
+// after any other one the replacement may or may not come into force. A host that stands
+// by answers with a StandbyError.
 func (d *Daemon) Replace(ctx context.Context, r *configpb.Replacement) (*configpb.ReplaceOutcome, error) {
+	if err := d.standsByError(); err != nil {
+		return nil, err
+	}
 	if !d.enoughVoters() {
 		return nil, errors.Wrap(operator.ErrNotDone, errFewVoters.Error())
 	}
@@ -50,8 +54,11 @@
 
 // Document returns the operator's document of the newest route table, as a quorum
 // confirms it, and its revision. Without any table the revision is 0. Errors:
-// operator.ErrNotDone, if no quorum confirms the state.
+// operator.ErrNotDone, if no quorum confirms the state, or as a StandbyError.
 func (d *Daemon) Document(ctx context.Context) (document []byte, revision uint64, err error) {
+	if err := d.standsByError(); err != nil {
+		return nil, 0, err
+	}
 	if err := d.confirm.wait(ctx); err != nil {
 		return nil, 0, errors.Wrapf(operator.ErrNotDone, "no quorum confirms the state: %v", err)
 	}
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -49,6 +49,8 @@
 	// directoryPending says that the directory may have changed since it was
 	// looked at.
 	directoryPending bool
+	// hosts are the control hosts that the subscriber was told of last.
+	hosts []string
 	// isolated is what the subscriber was told last of this host's isolation.
 	isolated bool
 	// askedAt is when a quorum was last asked, unansweredSince since when it has
@@ -68,6 +70,11 @@
 		return &link.FaultError{Kind: controlpb.FaultKind_FAULT_FORBIDDEN, Text: "the role may not subscribe"}
 	}
 	d := (*Daemon)(h)
+	if d.standsBy() {
+		if sent, err := h.sendElsewhere(ctx, s); sent || err != nil {
+			return err
+		}
+	}
 	sub := &subscription{
 		daemon:   d,
 		stream:   s,
@@ -247,6 +254,9 @@
 			return err
 		}
 	}
+	if err := s.sendHosts(); err != nil {
+		return err
+	}
 	isolated := s.daemon.isolation.now.Load()
 	if isolated != s.isolated || time.Since(s.messageSentAt) >= heartbeatPeriod {
 		s.isolated = isolated
@@ -312,6 +322,20 @@
 	return nil
 }
 
+// sendHosts names the control hosts that serve, if they are others than last time. A
+// subscriber may know a few of them only, which may all be lost, or stand by.
+func (s *subscription) sendHosts() error {
+	if !s.daemon.settings.GetReplica().GetAutomaticMembers() {
+		return nil
+	}
+	hosts := s.daemon.servingHosts()
+	if len(hosts) == 0 || slices.Equal(hosts, s.hosts) {
+		return nil
+	}
+	s.hosts = hosts
+	return s.send(&controlpb.SubscribeUpdate{Hosts: &controlpb.ControlHosts{Addresses: hosts}})
+}
+
 // countDirectory counts an update of the directory and its records by kind.
 func (s *subscription) countDirectory(u *controlpb.DirectoryUpdate, kind membership.Kind) {
 	scope := s.daemon.scope.Tagged(map[string]string{tagKind: string(kind)})
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -109,8 +110,10 @@
 	ready chan struct{}
 	// opened is closed when there is another connection, and then made anew.
 	opened chan struct{}
-	// nextAddrs replaces addrs before the next attempt, if not nil.
-	nextAddrs []string
+	// configured is what the caller gave, learned what servers named. Both replace
+	// addrs before the next attempt if stale is set.
+	configured, learned []string
+	stale               bool
 	// next is where the client shall move to, if not empty.
 	next string
 	// move is signalled to leave the current connection.
@@ -121,26 +124,30 @@
 // connects at once and reconnects until it is closed.
 func NewClient(addrs []string, creds *keys.Credentials, opts ClientOptions) *Client {
 	c := &Client{
-		addrs:  append([]string{}, addrs...),
-		creds:  creds,
-		opts:   opts.withDefaults(),
-		ready:  make(chan struct{}),
-		opened: make(chan struct{}),
-		move:   make(chan struct{}, 1),
+		addrs:      slices.Clone(addrs),
+		configured: slices.Clone(addrs),
+		creds:      creds,
+		opts:       opts.withDefaults(),
+		ready:      make(chan struct{}),
+		opened:     make(chan struct{}),
+		move:       make(chan struct{}, 1),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.opts.Rand.Shuffle(len(c.addrs), func(i, j int) {
-		c.addrs[i], c.addrs[j] = c.addrs[j], c.addrs[i]
-	})
+	c.shuffle(c.addrs)
 	c.wg.Go(c.run)
 	return c
 }
 
-// Addresses returns the servers that the client may use.
+// Addresses returns the servers that the client was given, and the one that it is
+// connected to.
 func (c *Client) Addresses() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return append([]string{}, c.addrs...)
+	out := slices.Clone(c.configured)
+	if c.current != nil && !slices.Contains(out, c.current.addr) {
+		out = append(out, c.current.addr)
+	}
+	return out
 }
 
 // SetAddresses replaces the servers that the client may use, unless the list is
@@ -151,20 +158,51 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.nextAddrs = append([]string{}, addrs...)
+	c.configured = slices.Clone(addrs)
+	c.stale = true
 }
 
-// takeAddresses takes over what SetAddresses was given last.
+// Learn adds servers that a server named to those that the client may use, in place of
+// what it learned before. They are tried first: a few servers that all clients were
+// given need not be the ones that serve.
+func (c *Client) Learn(addrs []string) {
+	if len(addrs) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.learned = slices.Clone(addrs)
+	c.stale = true
+}
+
+// takeAddresses takes over what SetAddresses and Learn were given last.
 func (c *Client) takeAddresses(r *redial) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.nextAddrs == nil {
+	if !c.stale {
 		return
 	}
-	c.addrs, c.nextAddrs = c.nextAddrs, nil
+	c.stale = false
+	next := slices.Clone(c.learned)
+	c.shuffle(next)
+	for _, addr := range c.configured {
+		if !slices.Contains(next, addr) {
+			next = append(next, addr)
+		}
+	}
+	c.addrs = next
 	r.index %= len(c.addrs)
 }
 
+// shuffle draws the order of addresses, so that many clients do not go to one server.
+func (c *Client) shuffle(addrs []string) {
+	c.randMu.Lock()
+	defer c.randMu.Unlock()
+	c.opts.Rand.Shuffle(len(addrs), func(i, j int) {
+		addrs[i], addrs[j] = addrs[j], addrs[i]
+	})
+}
+
 // Address returns the server of the current connection, or "" without one.
 func (c *Client) Address() string {
 	c.mu.Lock()
@@ -219,7 +257,7 @@
 // context. It waits for a connection first if there is none. The error is
 // ErrNotSent or ErrUnknown, ErrTooLarge for a request that was too large to
 // send, and ErrClosed on a closed client. A fault that the server answers is
-// a response: see FaultOf.
+// a response: see FaultOf. If the fault names other servers, the client goes to one.
 func (c *Client) Call(ctx context.Context, req *controlpb.Request) (*controlpb.Response, error) {
 	conn, err := c.await(ctx)
 	if err != nil {
@@ -229,9 +267,22 @@
 	if err != nil {
 		c.countFailure(err)
 	}
+	c.goTo(res.GetFault().GetHosts().GetAddresses())
 	return res, err
 }
 
+// goTo leaves a server that names others in its place.
+func (c *Client) goTo(hosts []string) {
+	if len(hosts) == 0 {
+		return
+	}
+	c.Learn(hosts)
+	c.randMu.Lock()
+	to := hosts[c.opts.Rand.IntN(len(hosts))]
+	c.randMu.Unlock()
+	c.Move(to)
+}
+
 // Subscribe opens a subscription. It lives until it is closed, the context
 // ends or the connection is lost.
 func (c *Client) Subscribe(ctx context.Context, req *controlpb.Subscribe) (*ClientStream, error) {
--- a/internal/link/redial.go
+++ b/internal/link/redial.go
@@ -91,6 +91,8 @@
 	byReason(c.opts.Scope, metricLostConnections, reason).Inc(1)
 	c.opts.Log.Info("control link lost", zap.String("address", conn.addr), zap.String("reason", reason))
 	if reason == reasonMoved {
+		// The server may just have named the one to go to.
+		c.takeAddresses(r)
 		r.index = c.moveTarget(r.index)
 		return
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -277,6 +277,7 @@
 		}
 		changed = changed || acted
 	}
+	s.opts.Client.Learn(u.GetHosts().GetAddresses())
 	if d := u.GetDirectory(); d != nil {
 		changed = s.takeDirectory(d, now) || changed
 	}
--- /dev/null
+++ b/voters/serving.go
@@ -0,0 +1,51 @@
+package voters
+
+// Supply is what a group has to serve its subscribers with, as its leader sees it.
+type Supply struct {
+	// Serving is how many members answer, learners included.
+	Serving int
+	// Subscribers is how many processes follow these members.
+	Subscribers int
+}
+
+// ServingLimits bound how many members serve subscribers.
+type ServingLimits struct {
+	// Least is how many members have to serve, however few the subscribers are.
+	Least int
+	// PerHost is how many subscribers one member is to serve at most.
+	PerHost int
+}
+
+// Reasons why a host that keeps no log becomes a member, or stands by.
+const (
+	// ReasonEnough: the members that keep their log serve all subscribers.
+	ReasonEnough Reason = "enough"
+	// ReasonFewServe: too few members answer.
+	ReasonFewServe Reason = "few_serve"
+	// ReasonManySubscribers: the members have more subscribers than they are to serve.
+	ReasonManySubscribers Reason = "many_subscribers"
+)
+
+// Lacks reports whether another member is needed that serves subscribers. A host that
+// keeps no log adds nothing to what a group can lose: it costs each other member a link
+// and a copy of all that changes, so it is taken in for its service alone.
+func Lacks(s Supply, l ServingLimits) (bool, Reason) {
+	switch {
+	case s.Serving < l.Least:
+		return true, ReasonFewServe
+	case s.Subscribers > s.Serving*l.PerHost:
+		return true, ReasonManySubscribers
+	}
+	return false, ReasonEnough
+}
+
+// Answering returns the number of members that answer.
+func Answering(members []Member) int {
+	count := 0
+	for _, m := range members {
+		if m.Active {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/voters/serving_test.go
@@ -0,0 +1,38 @@
+package voters_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/voters"
+)
+
+func TestLacks(t *testing.T) {
+	limits := voters.ServingLimits{Least: 3, PerHost: 1000}
+	for _, tt := range []struct {
+		name   string
+		supply voters.Supply
+		lacks  bool
+		reason voters.Reason
+	}{
+		{"no subscriber", voters.Supply{Serving: 3}, false, voters.ReasonEnough},
+		{"as many as the members are to serve", voters.Supply{Serving: 7, Subscribers: 7000}, false, voters.ReasonEnough},
+		{"one more", voters.Supply{Serving: 7, Subscribers: 7001}, true, voters.ReasonManySubscribers},
+		{"the largest fleet", voters.Supply{Serving: 14, Subscribers: 14_000}, false, voters.ReasonEnough},
+		{"few answer", voters.Supply{Serving: 2, Subscribers: 10}, true, voters.ReasonFewServe},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			lacks, reason := voters.Lacks(tt.supply, limits)
+			is.Equal(lacks, tt.lacks)
+			is.Equal(reason, tt.reason)
+		})
+	}
+}
+
+func TestAnswering(t *testing.T) {
+	members := []voters.Member{voter("a", 1), silent(voter("b", 1)), learner("c", 1), away(learner("d", 1), time.Hour)}
+	is.New(t).Equal(voters.Answering(members), 2)
+}
