flow: an entry host asks one agent to ask all others, and sends no packet to each of hundreds

Change: (1) no packet goes to each agent of a service of more than 64 from an entry host, and to smaller ones once in 150 ms; (2) where the agents that should know a flow deny it, one of eight agents of the service asks all others, 64 flows in a frame, a round in 200 ms, and tells the entry host in one frame that nobody has it (if both know the same list of agents), or where it lives; before, it passed the packet on to all, and each denied it to the entry host; (3) while the word of the agents that were offered a flow is on its way they alone are asked, for a second; one that denies is not asked again; (4) the first question goes to the agents of the services that the route leads to, not to those of all services.

--- a/flow/agent.go
+++ b/flow/agent.go
@@ -62,6 +62,7 @@
 	listed     uint32
 	registry   registry
 	queue      queue
+	inquiries  inquiries
 	// due and chosen are scratch space of Due.
 	due    []Registration
 	chosen []Endpoint
@@ -429,6 +430,7 @@
 	a.advance(now)
 	a.live = 0
 	a.registry.sweep(now)
+	a.inquiries.sweep(now)
 	for key, f := range a.flows {
 		limit := idle
 		if f.stage == absent && !f.elsewhere {
--- a/flow/entry.go
+++ b/flow/entry.go
@@ -14,6 +14,13 @@
 	// one burst arrive before an agent has answered.
 	searchPause = 150 * time.Millisecond
 	maxSearches = 8
+	// maxAsks is the same in a large service, where a search takes several packets, and
+	// maxDirects where it takes one for each agent.
+	maxAsks    = 4
+	maxDirects = 1
+	// homesPause is how long the targets that were offered a flow have to say which of them
+	// has it: as long as a datagram waits before a full link.
+	homesPause = time.Second
 	// doubtFor is how long an agent whose target's lease has ended has to answer: more
 	// than a round trip between two regions, 80 ms. A caller sends its next packet 200
 	// ms after the first.
@@ -24,8 +31,10 @@
 	// agents, some 4 KB, takes 8 ms of a link of 4 Mbit/s.
 	smallService = 16
 	// maxRounds is how many ways of searching a large service come before all agents
-	// are sent the packet from here.
+	// are sent the packet from here, and maxDirect up to how many they may be for that: a
+	// copy for each of hundreds, packet by packet, is more than a narrow link carries.
 	maxRounds = 3
+	maxDirect = 64
 	// maxDenials bounds the agents that are remembered for one flow.
 	maxDenials = 256
 )
@@ -49,6 +58,11 @@
 	Holders(to []Endpoint, public Endpoint) (list []Endpoint, all bool)
 	// Registrars appends the agents that know where a flow lives.
 	Registrars(to []Endpoint, key Key) []Endpoint
+	// Coordinators appends two agents of each service that may have the flow, either of
+	// which asks all others of its service about it.
+	Coordinators(to []Endpoint, key Key) []Endpoint
+	// Fellows appends the agents of an agent's service, itself included.
+	Fellows(to []Endpoint, agent Endpoint) []Endpoint
 	// Ready reports whether routes and targets are known. Before that nothing can be
 	// said of a flow that is not known.
 	Ready() bool
@@ -64,6 +78,9 @@
 	self  Endpoint
 	flows map[Key]*entryFlow
 	all   []Endpoint
+	// fellows and excused are scratch space of nowhere.
+	fellows []Endpoint
+	excused map[Endpoint]bool
 	// heard is when each agent was heard last.
 	heard map[Endpoint]time.Duration
 	// stalls notices that this host stood still, once it is looked at regularly. Until
@@ -97,6 +114,8 @@
 	// caller has acknowledged last.
 	denied []Endpoint
 	ack    uint32
+	// cleared has the agents by whose word no target of their services holds the flow.
+	cleared []Endpoint
 	// round counts the ways of searching a large service so far, askedOf lists the
 	// agents that should know where the flow lives until the others are asked.
 	round   uint8
@@ -119,11 +138,12 @@
 // NewEntry returns an empty table. Agents answer to self.
 func NewEntry(placer Placer, self Endpoint) *Entry {
 	return &Entry{
-		placer: placer,
-		self:   self,
-		flows:  make(map[Key]*entryFlow),
-		heard:  make(map[Endpoint]time.Duration),
-		stalls: stall.Detector{Bound: standstill},
+		placer:  placer,
+		self:    self,
+		flows:   make(map[Key]*entryFlow),
+		heard:   make(map[Endpoint]time.Duration),
+		excused: make(map[Endpoint]bool),
+		stalls:  stall.Detector{Bound: standstill},
 	}
 }
 
@@ -158,14 +178,15 @@
 
 // unconfirmed decides on a packet of an open flow of which no home is known to have it.
 // Either the agent's word is on its way, or the flow opened through another entry host: the
-// homes are asked, and all agents if none of them answers. An agent delivers nothing that
-// acknowledges another target. Taken for the flow's target, a home that is gone would have
-// its caller told so.
+// homes are asked, and all agents if none of them answers for long or all have denied it:
+// an answer that waits before a full link would otherwise make every flow that opens cost a
+// search, which keeps the link full. An agent delivers nothing that acknowledges another
+// target. Taken for the flow's target, a home that is gone would have its caller told so.
 func (e *Entry) unconfirmed(f *entryFlow, p Packet, now time.Duration) Verdict {
 	if f.asked == 0 {
 		f.asked = max(now, 1)
 	}
-	if now-f.asked >= searchPause {
+	if now-f.asked >= e.patience(f) {
 		f.count, f.opened, f.asked = 0, false, 0
 		return e.search(f, p, now)
 	}
@@ -176,6 +197,17 @@
 	return Verdict{Action: SendAll, Reason: ReasonUnconfirmed, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}}
 }
 
+// patience is how long the homes of a flow have to say whether they have it: not long if one
+// of them is gone.
+func (e *Entry) patience(f *entryFlow) time.Duration {
+	for _, h := range f.homes[:f.count] {
+		if known, _ := e.placer.Knows(h.agent); !known {
+			return searchPause
+		}
+	}
+	return homesPause
+}
+
 // doubt changes what becomes of a packet whose target's lease has ended. It is sent as
 // a search, which an agent always answers: one that only lost its control hosts says
 // that it holds the flow. Where the agent says nothing, the target is gone.
@@ -298,7 +330,7 @@
 		e.flows[m.Key] = f
 	}
 	f.seen = now
-	f.denied, f.round, f.askedOf = nil, 0, nil
+	f.denied, f.cleared, f.round, f.askedOf = nil, nil, 0, nil
 	h := home{agent: from, service: m.Service, answered: true, first: m.First}
 	if m.Opened {
 		// The caller itself has settled it.
--- a/flow/entry_test.go
+++ b/flow/entry_test.go
@@ -281,3 +281,34 @@
 	is.Equal(e.Packet(request(1, firstB), time.Second).Action, flow.SendAll)
 	is.Equal(e.Packet(request(1, firstB), time.Second+200*time.Millisecond).Action, flow.SendAll)
 }
+
+// The agent's word waits before a full link, for longer than a caller waits between two
+// packets: the targets that were offered the flow are asked, and not all agents, since that
+// would keep the link full.
+func TestWordThatComesLateCostsNoSearch(t *testing.T) {
+	is := is.New(t)
+	all := agents(40)
+	e := flow.NewEntry(&fixedPlacer{agents: all}, entryA)
+	home := e.Packet(syn(1), 0).To
+	for at := 50 * time.Millisecond; at < time.Second; at += 100 * time.Millisecond {
+		v := e.Packet(request(1, firstA), at)
+		is.Equal(v.Reason, flow.ReasonUnconfirmed)
+		is.Equal(v.All, []flow.Endpoint{home})
+	}
+	e.Held(heldBy(1, firstA, true), home, time.Second)
+	is.Equal(e.Packet(request(1, firstA), time.Second).To, home)
+}
+
+// Each target that was offered the flow says that it opened elsewhere: the next packet is
+// searched with at once.
+func TestHomesThatDenyAreAskedNoMore(t *testing.T) {
+	is := is.New(t)
+	e := flow.NewEntry(&fixedPlacer{agents: agents(40)}, entryA)
+	first := e.Packet(syn(1), 0).To
+	second := e.Packet(syn(1), 200*time.Millisecond).To
+	e.Held(heldBy(1, firstA, false), first, 201*time.Millisecond)
+	is.Equal(len(e.Packet(request(1, firstB), 210*time.Millisecond).All), 2)
+	e.Denied(key(1), first, 211*time.Millisecond)
+	e.Denied(key(1), second, 212*time.Millisecond)
+	is.Equal(e.Packet(request(1, firstB), 230*time.Millisecond).Reason, flow.ReasonRegistered)
+}
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -36,6 +36,15 @@
 	Hinted
 	// Register: an agent tells another one that it holds flows. Keys follow.
 	Register
+	// Ask: an agent asks another one which flows its target holds. Keys follow.
+	Ask
+	// Lacks and May answer: the target does not hold the flows, or may hold them. Keys
+	// follow.
+	Lacks
+	May
+	// Cleared: an agent tells an entry host that searches for a flow that no target of its
+	// service holds it.
+	Cleared
 )
 
 // Frame is a message between entry hosts and agents.
@@ -53,9 +62,12 @@
 	// holder.
 	Alternate Endpoint
 
+	// Digest stands in Cleared for the list of agents that were asked.
+	Digest uint64
+
 	// The rest is set in Held and Load only.
 
-	// Key of the flow, in Held and Denied.
+	// Key of the flow, in Held, Denied, Hinted and Cleared.
 	Key Key
 	// First is the number of the target's first byte, in Held. Known tells whether
 	// the agent saw it.
@@ -73,11 +85,12 @@
 
 // Lengths of the headers in bytes.
 const (
-	packetHeader = 22
-	loadLength   = 12
-	heldLength   = loadLength + 24
-	deniedLength = 14
-	hintedLength = deniedLength + 6
+	packetHeader  = 22
+	loadLength    = 12
+	heldLength    = loadLength + 24
+	deniedLength  = 14
+	hintedLength  = deniedLength + 6
+	clearedLength = deniedLength + 8
 )
 
 // Wide asks the receiver of a search to pass it on to all agents of its service: links
@@ -101,6 +114,11 @@
 		b = append(b, byte(f.Kind), 0)
 		b = appendEndpoint(b, f.Key.Caller)
 		return appendEndpoint(b, f.Key.Public)
+	case Cleared:
+		b = append(b, byte(f.Kind), 0)
+		b = appendEndpoint(b, f.Key.Caller)
+		b = appendEndpoint(b, f.Key.Public)
+		return binary.BigEndian.AppendUint64(b, f.Digest)
 	case Hinted:
 		b = append(b, byte(f.Kind), 0)
 		b = appendEndpoint(b, f.Key.Caller)
@@ -176,7 +194,14 @@
 		f.Key = Key{Caller: endpoint(b[2:8]), Public: endpoint(b[8:14])}
 		f.Alternate = endpoint(b[14:20])
 		return f, nil, nil
-	case Register:
+	case Cleared:
+		if len(b) != clearedLength {
+			return Frame{}, nil, ErrFrame
+		}
+		f.Key = Key{Caller: endpoint(b[2:8]), Public: endpoint(b[8:14])}
+		f.Digest = binary.BigEndian.Uint64(b[14:22])
+		return f, nil, nil
+	case Register, Ask, Lacks, May:
 		return f, b[2:], nil
 	}
 	return Frame{}, nil, ErrFrame
@@ -207,8 +232,11 @@
 const keyLength = 12
 
 // AppendRegister encodes a Register frame.
-func AppendRegister(b []byte, keys []Key) []byte {
-	b = append(b, byte(Register), 0)
+func AppendRegister(b []byte, keys []Key) []byte { return AppendKeys(b, Register, keys) }
+
+// AppendKeys encodes a frame of a kind that keys follow.
+func AppendKeys(b []byte, kind Kind, keys []Key) []byte {
+	b = append(b, byte(kind), 0)
 	for _, key := range keys {
 		b = appendEndpoint(b, key.Caller)
 		b = appendEndpoint(b, key.Public)
@@ -216,7 +244,7 @@
 	return b
 }
 
-// ParseKeys decodes what follows in a Register frame. Errors: ErrFrame.
+// ParseKeys decodes what follows in a frame of keys. Errors: ErrFrame.
 func ParseKeys(b []byte) ([]Key, error) {
 	if len(b)%keyLength != 0 || len(b) > MaxKeys*keyLength {
 		return nil, ErrFrame
--- a/flow/helpers_test.go
+++ b/flow/helpers_test.go
@@ -83,6 +83,14 @@
 	return flow.AppendRegistrars(to, key, p.agents)
 }
 
+func (p *fixedPlacer) Coordinators(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
+	return flow.AppendRegistrars(to, key, p.agents)
+}
+
+func (p *fixedPlacer) Fellows(to []flow.Endpoint, _ flow.Endpoint) []flow.Endpoint {
+	return append(to, p.agents...)
+}
+
 func (p *fixedPlacer) Ready() bool { return !p.unready }
 
 func (p *fixedPlacer) Knows(agent flow.Endpoint) (known, whole bool) {
--- a/flow/search.go
+++ b/flow/search.go
@@ -1,6 +1,9 @@
 package flow
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // search sends a packet to all agents that may hold its flow.
 func (e *Entry) search(f *entryFlow, p Packet, now time.Duration) Verdict {
@@ -22,32 +25,45 @@
 	if now-f.searched >= searchPause {
 		f.searched, f.searches = now, 0
 	}
-	if f.searches >= maxSearches {
+	asks := len(e.all) > smallService && (f.round < maxRounds || len(e.all) > maxDirect)
+	if f.searches >= searchLimit(len(e.all), asks) {
 		return Verdict{Action: Drop, Reason: ReasonSearches}
 	}
 	f.searches++
 	f.ack = p.Ack
-	if len(e.all) > smallService && f.round < maxRounds {
+	if asks {
 		return e.ask(f, p, now)
 	}
 	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}}
 }
 
+// searchLimit is how many packets of a flow are searched with in a pause.
+func searchLimit(agents int, asks bool) uint8 {
+	switch {
+	case asks:
+		return maxAsks
+	case agents > smallService:
+		return maxDirects
+	}
+	return maxSearches
+}
+
 // ask searches in a large service: first by the agents that should know where the flow
-// lives, then by one of these, and after that by the other, who pass the packet on to
-// all agents. A packet that comes after a pause begins the next round; those of one
+// lives, then by an agent that asks all others of its service, and after that by another
+// one of these. A packet that comes after a pause begins the next round; those of one
 // burst go the same way.
 func (e *Entry) ask(f *entryFlow, p Packet, now time.Duration) Verdict {
-	e.all = e.placer.Registrars(e.all[:0], p.Key)
 	if f.round == 0 || now-f.roundAt >= searchPause {
-		f.round++
+		f.round = min(f.round, math.MaxUint8-1) + 1
 		f.roundAt = now
 	}
 	if f.round == 1 {
+		e.all = e.placer.Registrars(e.all[:0], p.Key)
 		f.askedOf = append(f.askedOf[:0], e.all...)
 		return Verdict{Action: SendAll, Reason: ReasonRegistered, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}, Keep: true}
 	}
 	f.askedOf = nil
+	e.all = e.placer.Coordinators(e.all[:0], p.Key)
 	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: each(e.all, int(f.round)%registrars), Frame: Frame{Kind: Search, Hops: Wide, Entry: e.self}}
 }
 
@@ -67,7 +83,7 @@
 	f := e.flows[key]
 	if !e.MayReset(now) {
 		if f != nil {
-			f.denied = nil
+			f.denied, f.cleared = nil, nil
 		}
 		return Verdict{Action: Drop, Reason: ReasonStoodStill}, Packet{}
 	}
@@ -75,6 +91,10 @@
 		// It was said to live there, or has lived there and was asked again.
 		f.count, f.opened = 0, false
 	}
+	if f != nil && !f.opened && f.asked != 0 {
+		// It was asked whether the flow has opened there.
+		f.drop(from)
+	}
 	if f == nil || f.count > 0 {
 		return Verdict{Action: Drop, Reason: ReasonKnown}, Packet{}
 	}
@@ -84,13 +104,40 @@
 	if f.askedOf != nil {
 		return e.widen(f, key)
 	}
+	return e.nowhere(f, key)
+}
+
+// Cleared decides on a flow of which an agent says that it has asked all agents of its
+// service. That counts only if this host knows the same ones.
+func (e *Entry) Cleared(m Frame, from Endpoint, now time.Duration) (Verdict, Packet) {
+	f := e.flows[m.Key]
+	if !e.MayReset(now) {
+		return Verdict{Action: Drop, Reason: ReasonStoodStill}, Packet{}
+	}
+	if f == nil || f.count > 0 {
+		return Verdict{Action: Drop, Reason: ReasonKnown}, Packet{}
+	}
+	e.fellows = e.placer.Fellows(e.fellows[:0], from)
+	if len(e.fellows) == 0 || Digest(e.fellows) != m.Digest {
+		return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
+	}
+	f.askedOf = nil
+	if !contains(f.cleared, from) {
+		f.cleared = append(f.cleared, from)
+	}
+	return e.nowhere(f, m.Key)
+}
+
+// nowhere decides whether all that could hold a flow have said that they do not.
+func (e *Entry) nowhere(f *entryFlow, key Key) (Verdict, Packet) {
 	var all bool
 	e.all, all = e.placer.Holders(e.all[:0], key.Public)
 	if !all || len(e.all) == 0 {
 		return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
 	}
+	e.excuse(f)
 	for _, agent := range e.all {
-		if !contains(f.denied, agent) {
+		if !e.excused[agent] && !contains(f.denied, agent) {
 			return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
 		}
 	}
@@ -98,6 +145,17 @@
 	return Verdict{Action: Reset, Reason: ReasonHeldNowhere}, Packet{Key: key, Ack: f.ack}
 }
 
+// excuse collects the agents that others have spoken for.
+func (e *Entry) excuse(f *entryFlow) {
+	clear(e.excused)
+	for _, from := range f.cleared {
+		e.fellows = e.placer.Fellows(e.fellows[:0], from)
+		for _, agent := range e.fellows {
+			e.excused[agent] = true
+		}
+	}
+}
+
 // widen asks all agents once those that should know where a flow lives have denied it.
 func (e *Entry) widen(f *entryFlow, key Key) (Verdict, Packet) {
 	for _, agent := range f.askedOf {
@@ -105,7 +163,7 @@
 			return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
 		}
 	}
-	e.all = each(append(e.all[:0], f.askedOf...), 0)
+	e.all = each(e.placer.Coordinators(e.all[:0], key), 0)
 	f.askedOf = nil
 	f.round = max(f.round, 2)
 	f.roundAt = f.searched
--- a/flow/waiting.go
+++ b/flow/waiting.go
@@ -59,6 +59,15 @@
 	return p.data
 }
 
+// Peek returns the packet of one flow, nil if there is none that is fresh.
+func (w *Waiting) Peek(key Key, now time.Duration) []byte {
+	p, known := w.packets[key]
+	if !known || now-p.since > waitFor {
+		return nil
+	}
+	return p.data
+}
+
 // Sweep drops the packets that have waited too long.
 func (w *Waiting) Sweep(now time.Duration) {
 	for key, p := range w.packets {
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -79,6 +79,10 @@
 	// queued has the openings that wait, admitting tells that they are looked at soon.
 	queued    flow.Waiting
 	admitting bool
+	// searched has packets whose flows this agent asks the others about, asking tells
+	// that the next round of questions is due soon.
+	searched  flow.Waiting
+	asking    bool
 	tracker   incarnation.Tracker
 	heardAt   time.Time
 	ill       bool
@@ -179,6 +183,7 @@
 			a.opts.Log.Info("backend server is silent", zap.Duration("for", time.Since(a.heardAt)))
 			a.refresh()
 		}
+		a.searched.Sweep(a.now())
 		for _, r := range a.flows.Due(a.now()) {
 			a.buffer = flow.AppendRegister(a.buffer[:0], r.Keys)
 			a.frames.send(a.buffer, r.To)
--- a/internal/flowd/agentpackets.go
+++ b/internal/flowd/agentpackets.go
@@ -10,9 +10,17 @@
 
 func (a *Agent) fromPeer(b []byte, from flow.Endpoint) {
 	m, packet, err := flow.ParseFrame(b)
-	if err == nil && m.Kind == flow.Register {
-		a.register(packet, from)
-		return
+	if err == nil {
+		switch m.Kind {
+		case flow.Register, flow.Ask, flow.Lacks, flow.May:
+			a.fromFellow(m.Kind, packet, from)
+			return
+		case flow.Denied, flow.Held:
+			a.outcome(m, from)
+			return
+		case flow.Load:
+			return // it rides on answers to whoever searches, as this agent may
+		}
 	}
 	if err != nil || m.Kind != flow.Open && m.Kind != flow.Data && m.Kind != flow.Search {
 		a.reasons.malformed.Inc(1)
@@ -26,9 +34,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
+	if m.Kind == flow.Search && m.Hops == flow.Wide {
+		m.Hops, m.Entry = 1, a.inquire(m.Entry, p.Key, packet)
+	}
 	v := a.flows.FromEntry(m, p, now)
 	a.act(v, p, packet)
-	a.assist(m, v, p, packet)
+	a.hint(m, v, p)
 	a.admit(now)
 	if m.Kind == flow.Search && v.Action == flow.Deliver {
 		a.notify(a.flows.Found(p.Key), now)
@@ -37,37 +48,14 @@
 	a.report(m.Entry, now)
 }
 
-// assist helps an entry host to find a flow: it tells where the flow lives, or passes a
-// search on to all agents of the service. The lock is held.
-func (a *Agent) assist(m flow.Frame, v flow.Verdict, p flow.Packet, packet []byte) {
-	if !v.Hint.IsZero() {
-		hint := flow.Frame{Kind: flow.Hinted, Key: p.Key, Alternate: v.Hint}
-		a.buffer = hint.Append(a.buffer[:0])
-		a.frames.send(a.buffer, m.Entry)
-	}
-	if m.Kind != flow.Search || m.Hops != flow.Wide || v.Reason == flow.ReasonHeld {
+// hint tells an entry host that searches for a flow where it lives. The lock is held.
+func (a *Agent) hint(m flow.Frame, v flow.Verdict, p flow.Packet) {
+	if v.Hint.IsZero() {
 		return
 	}
-	own := flow.EndpointOf(a.frames.local())
-	m.Hops = 1
-	framed := a.framed(&m, packet)
-	for _, agent := range a.flows.All() {
-		if agent != own {
-			a.frames.send(framed, agent)
-		}
-	}
-}
-
-// register takes in which flows another agent holds.
-func (a *Agent) register(b []byte, from flow.Endpoint) {
-	keys, err := flow.ParseKeys(b)
-	if err != nil {
-		a.reasons.malformed.Inc(1)
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.flows.Register(keys, from, a.now())
+	hint := flow.Frame{Kind: flow.Hinted, Key: p.Key, Alternate: v.Hint}
+	a.buffer = hint.Append(a.buffer[:0])
+	a.frames.send(a.buffer, m.Entry)
 }
 
 func (a *Agent) fromTarget(b []byte, _ flow.Endpoint) {
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -273,6 +273,11 @@
 		v, p := e.flows.Denied(m.Key, from, e.look())
 		e.act(v, p, nil)
 		e.mu.Unlock()
+	case flow.Cleared:
+		e.mu.Lock()
+		v, p := e.flows.Cleared(m, from, e.look())
+		e.act(v, p, nil)
+		e.mu.Unlock()
 	case flow.Missed:
 		p, err := e.opts.Codec.FromCaller(packet)
 		if err != nil {
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,8 +22,9 @@
 	// rampMS is how long a target that has just started gets fewer flows, in
 	// milliseconds. Backend servers are slow for some seconds after a start.
 	rampMS = 3000
-	// maxHolders bounds the agents that one packet of an unknown flow is sent to.
-	maxHolders = 256
+	// maxHolders bounds the agents that may hold one unknown flow: all of the largest
+	// deployment.
+	maxHolders = 16_384
 	// maxRegistrars bounds the agents that are asked first: two of each service.
 	maxRegistrars = 16
 	// redraws bounds the draws of a target other than one that did not answer.
@@ -306,16 +308,40 @@
 
 // Registrars implements flow.Placer.
 func (p *placer) Registrars(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
+	return p.ofServices(to, key, false, flow.AppendRegistrars)
+}
+
+// ofServices appends the agents that are drawn for a flow from each service that its route
+// leads or has led to. With former, a host that has started lately takes all services for
+// such: it has not seen what routes were before.
+func (p *placer) ofServices(to []flow.Endpoint, key flow.Key, former bool, draw func(to []flow.Endpoint, key flow.Key, list []flow.Endpoint) []flow.Endpoint) []flow.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.routes[key.Public]
 	if r == nil {
 		return to
 	}
-	unfamiliar := time.Since(p.began) < unfamiliarFor
+	unfamiliar := former && time.Since(p.began) < unfamiliarFor
 	for number, of := range p.targets {
 		if (unfamiliar || r.Had(number)) && len(to) < maxRegistrars {
-			to = flow.AppendRegistrars(to, key, of.agents)
+			to = draw(to, key, of.agents)
+		}
+	}
+	return to
+}
+
+// Coordinators implements flow.Placer.
+func (p *placer) Coordinators(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
+	return p.ofServices(to, key, true, flow.AppendCoordinators)
+}
+
+// Fellows implements flow.Placer.
+func (p *placer) Fellows(to []flow.Endpoint, agent flow.Endpoint) []flow.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, of := range p.targets {
+		if slices.Contains(of.agents, agent) {
+			return append(to, of.agents...)
 		}
 	}
 	return to
