--- a/flow/queue.go
+++ b/flow/queue.go
@@ -5,17 +5,14 @@
 	"time"
 )
 
-// The load that the queue answers: all power is lost for two seconds, and 650 requests
-// come at once to ten targets of four slots that take 50 ms for each. A target queues in
-// the order of arrival, so that for two seconds each request is answered after its
-// caller's 150 ms, those that have just come as well. With openings that wait here, the
-// newest let in first, requests that come after the burst are in time.
+// The load that the queue answers: many times more requests than slots come at once, as
+// after a loss of all power. A target queues in the order of arrival, so that for seconds
+// each request is answered too late, those that have just come as well. With openings that
+// wait here, the newest let in first, requests that come after the burst are in time.
 const (
 	// admitPerSlot is how many requests a slot has, in progress or on their way, before
-	// new flows wait: one in progress and one to follow it at once. With 1 slots are idle
-	// between two requests. Of all worth on two days of such a burst, one run each: 0.839
-	// and 0.836 with 2, 0.837 and 0.833 with 1; 0.838 and 0.833 with 3, so that it matters
-	// little which.
+	// new flows wait: one in progress and one to follow it at once, since slots would be
+	// idle between two requests.
 	admitPerSlot = 2
 	// QueueLoad is the load of such a target, as its agent reports it.
 	QueueLoad = admitPerSlot * fullLoad
@@ -23,9 +20,7 @@
 	// at 30 ms each.
 	queuePerSlot = 15
 	// queueFor is how long an opening waits at most. Its caller sends a copy after 200
-	// ms, which another target is offered, and a second one after 600. Twice as long
-	// served no more (0.839 and 0.838 of all worth, one run each, with requests that had
-	// ended still counted for a while).
+	// ms, which another target is offered, and a second one after 600.
 	queueFor = 450 * time.Millisecond
 	// expectFor is how long a flow that was let in counts as a request to come: more
 	// than the two ways between caller and target within a region.
--- a/flow/standstill.go
+++ b/flow/standstill.go
@@ -9,8 +9,8 @@
 	standstill = doubtFor
 	// settleMost bounds how long a host that stood still tells nobody that a flow is gone:
 	// its link connects anew within two round trips between two regions, 160 ms, what has
-	// changed follows within 100 ms, and this is twice both. Without it a host frozen for 2.4 s reset flows that had opened through
-	// others meanwhile (soak, seed 8).
+	// changed follows within 100 ms, and this is twice both. Without it the host would reset
+	// flows that opened through others meanwhile.
 	settleMost = 500 * time.Millisecond
 )
 
--- a/internal/link/hedge.go
+++ b/internal/link/hedge.go
@@ -15,9 +15,7 @@
 
 // hedge makes another attempt whenever the ones before have had no answer for
 // HedgeAfter, and returns the first connection. The first packet of an attempt is lost
-// if the server is not up yet, and is sent again after 0.2, 0.6 and 1.4 s only. After a
-// loss of all power, routes were in force 0.45 s after the last of twelve control hosts
-// had started without it, 0.05 to 0.25 s with it (one run each, 81 machines).
+// if the server is not up yet, and is sent again after 0.2, 0.6 and 1.4 s only.
 func (c *Client) hedge(ctx context.Context, addr string) (*connection, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var attempts conc.WaitGroup
--- /dev/null
+++ b/internal/repotest/comments_test.go
@@ -0,0 +1,32 @@
+package repotest
+
+import (
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// measuring lists packages whose subject is measurement.
+var measuring = []string{"internal/capacity", "internal/experiment"}
+
+// history matches what belongs into a commit or a page: dates, numbers of issues, seeds
+// and how a figure was found.
+var history = regexp.MustCompile(`(?i)\b20[0-9]{2}-[01][0-9]-[0-3][0-9]\b|\bissue [0-9]+|#[0-9]+\b|\bseed [0-9]+|\b(trial|measured)\b|\bof all worth\b|\bone run each\b`)
+
+// TestCommentsTellNoHistory expects that comments give reasons, not the story of a change
+// or of a figure.
+func TestCommentsTellNoHistory(t *testing.T) {
+	for name, s := range sources(t) {
+		if slices.Contains(measuring, name) || strings.HasPrefix(name, "api/") {
+			continue
+		}
+		for _, file := range s.files {
+			for _, comment := range file.Comments {
+				if found := history.FindString(comment.Text()); found != "" {
+					t.Errorf("%s: %q in the comment %q", name, found, comment.Text())
+				}
+			}
+		}
+	}
+}
