--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -34,6 +34,9 @@
 	// grants: it is beyond the bound, or the deployment agreed on another one.
 	// In the latter case a host that is started again takes the agreed one.
 	ErrGrantGroups = errors.New("unfit number of groups of grants")
+	// ErrStandBy tells that this host is to stand by although it votes, or although
+	// its members do not follow the hosts.
+	ErrStandBy = errors.New("only a host with transient and automatic_members may stand by")
 )
 
 // Daemon is a control host.
@@ -84,7 +87,8 @@
 	misfit chan error
 }
 
-// New checks the settings and loads the keys. Errors: ErrIdentity, ErrVoters.
+// New checks the settings and loads the keys. Errors: ErrIdentity, ErrVoters,
+// ErrGrantGroups, ErrStandBy.
 func New(s *settingspb.ControlSettings, log *zap.Logger, scope tally.Scope) (*Daemon, error) {
 	name := s.GetHost().GetName()
 	creds, err := keys.ForProcess(s.GetKeys(), keys.Identity{Role: keys.RoleControl, Name: name})
@@ -97,6 +101,9 @@
 	if asked := s.GetReplica().GetGrantGroups(); asked > grant.MaxGroups {
 		return nil, errors.Wrapf(ErrGrantGroups, "%d, at most %d", asked, grant.MaxGroups)
 	}
+	if r := s.GetReplica(); r.GetStandBy() && !(r.GetTransient() && r.GetAutomaticMembers()) {
+		return nil, ErrStandBy
+	}
 	voters, err := parseVoters(s.GetReplica(), name)
 	if err != nil {
 		return nil, err
--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -84,7 +84,7 @@
 			GrantGroups: d.grantGroups,
 
 			AutomaticMembers: d.goneAfterMs > 0, GoneAfterMs: d.goneAfterMs, LeastVoters: d.leastVoters(),
-			Transient: d.transient[name], StandBy: d.standBy,
+			Transient: d.transient[name], StandBy: d.standBy && d.transient[name],
 		},
 	}
 }
--- a/internal/controld/standby_test.go
+++ b/internal/controld/standby_test.go
@@ -7,8 +7,11 @@
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/internal/controld"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
@@ -168,3 +171,20 @@
 	})
 	eventually(t, "one more member", func() bool { return len(d.status("d1").Groups[0].Members) == 4 })
 }
+
+// A host that keeps its log has to vote, so that it may not be told to stand by.
+func TestOnlyHostsWithoutALogMayStandBy(t *testing.T) {
+	for name, r := range map[string]*settingspb.Replica{
+		"keeps its log":       {StandBy: true, AutomaticMembers: true},
+		"members by operator": {StandBy: true, Transient: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t, "c1")
+			s := d.settings("c1", t.TempDir(), false)
+			s.Replica.StandBy, s.Replica.Transient, s.Replica.AutomaticMembers = r.GetStandBy(), r.GetTransient(), r.GetAutomaticMembers()
+			_, err := controld.New(s, zap.NewNop(), tally.NoopScope)
+			is.True(errors.Is(err, controld.ErrStandBy))
+		})
+	}
+}
