--- a/flow/agent.go
+++ b/flow/agent.go
@@ -142,9 +142,6 @@
 // SetServer takes in what is known of the target.
 func (a *Agent) SetServer(s Server) { a.server = s }
 
-// All returns the agents beside all targets of the service. It must not be changed.
-func (a *Agent) All() []Endpoint { return a.all }
-
 // SetPeers takes in the agents to which opening packets may be handed on, and those
 // beside all targets of the service, among which self stands for this one. The agent
 // keeps the slices.
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -93,8 +93,8 @@
 	clearedLength = deniedLength + 8
 )
 
-// Wide asks the receiver of a search to pass it on to all agents of its service: links
-// of entry hosts may be narrow.
+// Wide asks the receiver of a search to ask all agents of its service: links of entry
+// hosts may be narrow.
 const Wide = 2
 
 // Bits of the second byte of Held and Load.
