--- a/config/bounds.go
+++ b/config/bounds.go
@@ -30,6 +30,11 @@
 	// MaxRoutes bounds the routes of a table: three for each public address of
 	// the size expected.
 	MaxRoutes = 16_384
+	// MaxEvacuations bounds the failure domains that are evacuated at a time: several
+	// times the 21 of the size expected.
+	MaxEvacuations = 128
+	// MaxHandledOrders bounds the orders to evacuate whose identifiers are kept.
+	MaxHandledOrders = 256
 	// MaxNameLength bounds names of services and targets, in bytes.
 	MaxNameLength = 63
 	// MaxTableNameLength bounds names of services in a route table, in bytes.
--- a/config/delta.go
+++ b/config/delta.go
@@ -37,6 +37,7 @@
 	u.Retired = without(to, from)
 	u.Released = without(from, to)
 	u.Table = diffTable(from.GetTable(), to.GetTable())
+	u.Evacuations = diffEvacuations(from, to)
 	return u
 }
 
@@ -77,6 +78,9 @@
 	}
 	merged := assemble(base, u.GetVersion(), put, removed, retired)
 	merged.Table = mergeTable(base.GetTable(), u.GetTable())
+	if list := u.GetEvacuations(); list != nil {
+		merged.Evacuations = list.GetEvacuations()
+	}
 	return merged, nil
 }
 
--- /dev/null
+++ b/config/evacuation_test.go
@@ -0,0 +1,242 @@
+package config_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
+)
+
+const (
+	applied   = configpb.EvacuationVerdict_EVACUATION_VERDICT_APPLIED
+	unchanged = configpb.EvacuationVerdict_EVACUATION_VERDICT_UNCHANGED
+	invalid   = configpb.EvacuationVerdict_EVACUATION_VERDICT_INVALID
+)
+
+func begin(id, domain string) *configpb.EvacuationOrder {
+	return &configpb.EvacuationOrder{Id: id, FailureDomain: domain}
+}
+
+func end(id, domain string) *configpb.EvacuationOrder {
+	return &configpb.EvacuationOrder{Id: id, FailureDomain: domain, End: true}
+}
+
+func evacuationCommand(o *configpb.EvacuationOrder) *configpb.Command {
+	return &configpb.Command{Body: &configpb.Command_Evacuation{Evacuation: o}}
+}
+
+func order(t *testing.T, m *config.Machine, o *configpb.EvacuationOrder) *configpb.EvacuationOutcome {
+	t.Helper()
+	return apply(t, m, evacuationCommand(o)).GetEvacuated()
+}
+
+func evacuated(c *configpb.Configuration) string {
+	var names []string
+	for _, e := range c.GetEvacuations() {
+		names = append(names, e.GetFailureDomain())
+	}
+	return strings.Join(names, " ")
+}
+
+// TestEvacuationOrders plays orders and copies of them against what is in force after each.
+func TestEvacuationOrders(t *testing.T) {
+	type step struct {
+		order   *configpb.EvacuationOrder
+		verdict configpb.EvacuationVerdict
+		inForce string
+	}
+	for name, steps := range map[string][]step{
+		"begin and end": {
+			{begin("", "a"), applied, "a"},
+			{end("", "a"), applied, ""},
+		},
+		"begin twice": {
+			{begin("", "a"), applied, "a"},
+			{begin("", "a"), unchanged, "a"},
+			{begin("x", "a"), unchanged, "a"},
+		},
+		"end without a beginning": {
+			{end("", "a"), unchanged, ""},
+		},
+		"two failure domains, in order": {
+			{begin("", "b"), applied, "b"},
+			{begin("", "a"), applied, "a b"},
+			{end("", "b"), applied, "a"},
+		},
+		"a late copy of the beginning": {
+			{begin("x", "a"), applied, "a"},
+			{end("y", "a"), applied, ""},
+			{begin("x", "a"), applied, ""},
+		},
+		"a late copy of the end": {
+			{begin("x", "a"), applied, "a"},
+			{end("y", "a"), applied, ""},
+			{begin("z", "a"), applied, "a"},
+			{end("y", "a"), applied, "a"},
+		},
+		"an identifier of another order": {
+			{begin("x", "a"), applied, "a"},
+			{begin("x", "b"), invalid, "a"},
+			{end("x", "a"), invalid, "a"},
+		},
+		"without a name":  {{begin("x", ""), invalid, ""}},
+		"a long name":     {{begin("x", strings.Repeat("a", 256)), invalid, ""}},
+		"a long order id": {{begin(strings.Repeat("x", 129), "a"), invalid, ""}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := config.New()
+			for i, s := range steps {
+				before := m.Current()
+				out := order(t, m, s.order)
+				is.Equal(out.GetVerdict(), s.verdict)       // step
+				is.Equal(evacuated(m.Current()), s.inForce) // step
+				is.Equal(out.GetVerdict() == invalid, len(out.GetFindings()) > 0)
+				if s.inForce == evacuated(before) {
+					is.Equal(m.Current().GetVersion(), before.GetVersion()) // nothing changed
+				}
+				_ = i
+			}
+		})
+	}
+}
+
+func TestEvacuationTellsItsOrder(t *testing.T) {
+	is := is.New(t)
+	m := config.New()
+	submit(t, m, patch("p1", 0, put(service("s", "192.0.2.1:443"))))
+	o := begin("x", "a")
+	o.TakenUnixMs = 77
+	is.Equal(order(t, m, o).GetVersion(), uint64(2))
+	is.True(proto.Equal(m.Current().GetEvacuations()[0],
+		&configpb.Evacuation{FailureDomain: "a", SinceVersion: 2, Order: "x", SinceUnixMs: 77}))
+	is.True(config.IsEvacuated(m.Current(), "a"))
+	is.True(!config.IsEvacuated(m.Current(), "b"))
+	is.Equal(numberOf(m, "s"), uint32(1)) // services stay
+}
+
+// Patches and route tables leave evacuations as they are, and the other way round.
+func TestEvacuationsOutliveOtherChanges(t *testing.T) {
+	is := is.New(t)
+	m := config.New()
+	order(t, m, begin("", "a"))
+	submit(t, m, patch("p1", 1, put(service("s", "192.0.2.1:443"))))
+	is.Equal(evacuated(m.Current()), "a")
+	replaced := apply(t, m, &configpb.Command{Body: &configpb.Command_Replacement{Replacement: table(7)}}).GetReplaced()
+	is.Equal(replaced.GetVerdict(), configpb.ReplaceVerdict_REPLACE_VERDICT_APPLIED)
+	is.Equal(evacuated(m.Current()), "a")
+	order(t, m, end("", "a"))
+	is.Equal(m.Current().GetTable().GetRevision(), uint64(7))
+	is.Equal(numberOf(m, "s"), uint32(1))
+}
+
+// table is a route table with one route.
+func table(revision uint64) *configpb.Replacement {
+	return &configpb.Replacement{Services: []string{"s"}, Table: &configpb.RouteTable{Revision: revision, Routes: []*configpb.Route{{
+		Name: "r", Address: "198.18.0.1:443", TimeoutMs: 1000,
+		Services: []*configpb.WeightedService{{Service: "s", Weight: 1}},
+	}}}}
+}
+
+func TestPatchAgainstAVersionBeforeAnEvacuation(t *testing.T) {
+	is := is.New(t)
+	m := config.New()
+	order(t, m, begin("", "a"))
+	out := submit(t, m, patch("p1", 0, put(service("s", "192.0.2.1:443"))))
+	is.Equal(out.GetVerdict(), configpb.Verdict_VERDICT_REFUSED_BASE)
+	is.Equal(out.GetFindings()[0].GetText(), "an order to evacuate a failure domain turned version 0 into version 1")
+}
+
+func TestEvacuationsAreBounded(t *testing.T) {
+	is := is.New(t)
+	m := config.New()
+	for i := range config.MaxEvacuations {
+		is.Equal(order(t, m, begin("", fmt.Sprintf("d%d", i))).GetVerdict(), applied)
+	}
+	is.Equal(order(t, m, begin("", "one more")).GetVerdict(), invalid)
+	is.Equal(order(t, m, begin("", "d0")).GetVerdict(), unchanged)
+	for i := range 2 * config.MaxHandledOrders {
+		order(t, m, begin(fmt.Sprintf("o%d", i), "d0"))
+	}
+	var state configpb.State
+	data, err := m.Snapshot()
+	must(t, err)
+	must(t, proto.Unmarshal(data, &state))
+	is.Equal(len(state.GetEvacuationOrders()), config.MaxHandledOrders)
+	is.Equal(state.GetEvacuationOrders()[0].GetOrder().GetId(), fmt.Sprintf("o%d", config.MaxHandledOrders)) // the oldest go
+}
+
+// TestAgentsLearnOfEvacuations: the part of a configuration that an agent holds has them.
+func TestAgentsLearnOfEvacuations(t *testing.T) {
+	is := is.New(t)
+	m := config.New()
+	before := m.Current()
+	order(t, m, begin("", "a"))
+	part := config.Within(m.Current(), map[uint32]bool{9: true})
+	is.True(config.IsEvacuated(part, "a"))
+	u := config.Diff(config.Within(before, map[uint32]bool{9: true}), part)
+	merged, err := config.Merge(config.Within(before, nil), u)
+	must(t, err)
+	is.True(config.IsEvacuated(merged, "a"))
+}
+
+// TestEvacuationProperties draws orders, copies and snapshots: what is in force follows
+// from the orders that were not handled before, versions only grow, deltas lead from any
+// version to the newest, and a restored replica answers alike.
+func TestEvacuationProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := config.New()
+		want := map[string]bool{}
+		handled := map[string]*configpb.EvacuationOrder{}
+		versions := []*configpb.Configuration{m.Current()}
+		for range rapid.IntRange(1, 40).Draw(t, "orders") {
+			o := &configpb.EvacuationOrder{
+				Id:            rapid.SampledFrom([]string{"", "", "1", "2", "3", "4", "5", "6"}).Draw(t, "id"),
+				FailureDomain: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"),
+				End:           rapid.Bool().Draw(t, "end"),
+			}
+			if handled[o.GetId()] == nil {
+				want[o.GetFailureDomain()] = !o.GetEnd()
+			}
+			if o.GetId() != "" && handled[o.GetId()] == nil {
+				handled[o.GetId()] = o
+			}
+			data, err := proto.Marshal(evacuationCommand(o))
+			must(t, err)
+			twin := restored(t, snapshot(t, m))
+			answer := m.Apply(1, data)
+			if !slices.Equal(answer, twin.Apply(1, data)) {
+				t.Fatalf("a restored replica answers otherwise to %v", o)
+			}
+			if !proto.Equal(m.Current(), twin.Current()) {
+				t.Fatalf("a restored replica has another configuration after %v", o)
+			}
+			newest := versions[len(versions)-1]
+			switch m.Current().GetVersion() {
+			case newest.GetVersion():
+			case newest.GetVersion() + 1:
+				versions = append(versions, m.Current())
+			default:
+				t.Fatalf("version %d after %d", m.Current().GetVersion(), newest.GetVersion())
+			}
+			for _, domain := range []string{"a", "b", "c"} {
+				if config.IsEvacuated(m.Current(), domain) != want[domain] {
+					t.Fatalf("%s: evacuated %v after %v", domain, !want[domain], o)
+				}
+			}
+		}
+		from := rapid.SampledFrom(versions).Draw(t, "from")
+		merged, err := config.Merge(from, config.Diff(from, m.Current()))
+		must(t, err)
+		if !proto.Equal(merged, m.Current()) {
+			t.Fatalf("a delta from version %d leads elsewhere", from.GetVersion())
+		}
+	})
+}
--- a/config/machine.go
+++ b/config/machine.go
@@ -20,6 +20,7 @@
 	current      *configpb.Configuration
 	versionPatch string
 	outcomes     *outcomes
+	orders       handledOrders
 	targets      *targets
 	// lastService is the highest service number ever assigned.
 	lastService uint32
@@ -62,6 +63,9 @@
 	case *configpb.Command_Replacement:
 		replaced := m.replace(body.Replacement)
 		return &configpb.Result{Body: &configpb.Result_Replaced{Replaced: replaced}}
+	case *configpb.Command_Evacuation:
+		evacuated := m.evacuate(body.Evacuation)
+		return &configpb.Result{Body: &configpb.Result_Evacuated{Evacuated: evacuated}}
 	}
 	return &configpb.Result{}
 }
@@ -129,6 +133,10 @@
 		f.Text = fmt.Sprintf("patch %q turned version %d into version %d", winner.GetId(), base, base+1)
 		return f
 	}
+	if before, after := m.Version(base), m.Version(base+1); before != nil && !sameEvacuations(before, after) {
+		f.Text = fmt.Sprintf("an order to evacuate a failure domain turned version %d into version %d", base, base+1)
+		return f
+	}
 	// The outcome of this very patch may be among the forgotten ones.
 	f.Text = fmt.Sprintf("the outcomes of patches against version %d are no longer kept: "+
 		"compare the configuration before sending the change again", base)
@@ -184,10 +192,11 @@
 		services = slices.Insert(services, i, s)
 	}
 	return &configpb.Configuration{
-		Version:  version,
-		Services: services,
-		Retired:  retiredList(retired),
-		Table:    base.GetTable(),
+		Version:     version,
+		Services:    services,
+		Retired:     retiredList(retired),
+		Table:       base.GetTable(),
+		Evacuations: base.GetEvacuations(),
 	}
 }
 
--- a/config/read.go
+++ b/config/read.go
@@ -57,6 +57,7 @@
 		LastTargetNumber:  m.targets.last,
 		VersionPatch:      m.versionPatch,
 		Document:          m.document,
+		EvacuationOrders:  m.orders.list,
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
 	if err != nil {
@@ -82,6 +83,7 @@
 	m.targets = restoreTargets(state.GetTargets(), state.GetLastTargetNumber())
 	m.lastService = state.GetLastServiceNumber()
 	m.document = state.GetDocument()
+	m.orders = handledOrders{list: state.GetEvacuationOrders()}
 	m.history = nil
 	m.publish(state.GetConfiguration(), state.GetVersionPatch())
 	return nil
--- a/flow/agent.go
+++ b/flow/agent.go
@@ -48,6 +48,8 @@
 	Number, Incarnation uint32
 	// Ill: the agent holds it to be ill.
 	Ill bool
+	// Evacuated: its failure domain takes no new flows. It keeps those that it has.
+	Evacuated bool
 }
 
 // Agent holds the flows of the target beside it.
@@ -274,6 +276,8 @@
 		return ReasonService
 	case a.server.State == Leaving:
 		return ReasonLeaving
+	case a.server.Evacuated:
+		return ReasonEvacuated
 	}
 	return ""
 }
--- /dev/null
+++ b/flow/evacuation_test.go
@@ -0,0 +1,50 @@
+package flow_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/flow"
+)
+
+func evacuated() flow.Server {
+	s := serving()
+	s.Evacuated = true
+	return s
+}
+
+// A target in an evacuated failure domain keeps its flows; new ones are handed on, those
+// that already wait as well.
+func TestEvacuatedTargetTakesNoNewFlows(t *testing.T) {
+	is := is.New(t)
+	a := full(t)
+	a.SetPeers([]flow.Endpoint{agentB}, []flow.Endpoint{agentA, agentB}, agentA)
+	is.Equal(a.FromEntry(open(entryA), syn(11), 0).Action, flow.Wait)
+	a.SetServer(evacuated())
+
+	v := a.FromEntry(open(entryA), syn(12), 0)
+	is.Equal(v.Action, flow.Send)
+	is.Equal(v.Reason, flow.ReasonEvacuated)
+	is.Equal(v.To, agentB)
+	v, p, ok := a.Next(0)
+	is.True(ok)
+	is.Equal(p.Key, key(11))
+	is.Equal(v.Action, flow.Send)
+	is.Equal(v.To, agentB)
+
+	is.Equal(a.FromEntry(data(entryA), request(1, firstA), 0).Action, flow.Deliver) // an open flow
+	is.True(!a.Report().Draining)                                                   // it is taken back by a version alone
+
+	a.SetServer(serving())
+	a.FromTarget(response(1, firstA), 0)
+	is.Equal(a.FromEntry(open(entryA), syn(13), 0).Action, flow.Deliver)
+}
+
+func TestEvacuatedTargetWithoutPeersRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	a := newAgent(evacuated())
+	v := a.FromEntry(open(entryA), syn(1), 0)
+	is.Equal(v.Action, flow.Reset)
+	is.Equal(v.Reason, flow.ReasonEvacuated)
+}
--- a/flow/verdict.go
+++ b/flow/verdict.go
@@ -48,6 +48,7 @@
 	ReasonNotHeld     Reason = "not_held"
 	ReasonService     Reason = "other_service"
 	ReasonLeaving     Reason = "leaving"
+	ReasonEvacuated   Reason = "evacuated"
 	ReasonNoServer    Reason = "no_backend_server"
 	ReasonRefused     Reason = "refused_by_target"
 	ReasonHops        Reason = "hops_spent"
--- a/internal/agentd/connect.go
+++ b/internal/agentd/connect.go
@@ -14,6 +14,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/config"
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
@@ -26,6 +27,8 @@
 	Service(number uint32) *configpb.Service
 	// Targets returns the known targets of the own service.
 	Targets() []*controlpb.TargetRecord
+	// Evacuated reports whether the targets of a failure domain get no new flows.
+	Evacuated(failureDomain string) bool
 	Close()
 }
 
@@ -193,3 +196,8 @@
 		failed = err != nil
 	}
 }
+
+// Evacuated implements directory.
+func (s subscribed) Evacuated(failureDomain string) bool {
+	return config.IsEvacuated(s.View().Config, failureDomain)
+}
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -231,7 +231,10 @@
 	return newPlane(planeOptions{
 		conn: d.socket, self: self, secrets: d.parts.secrets(), certificate: d.parts.certificate,
 		proxy: d.proxy, still: d.still, flows: newFlowTable(maxFlows), counters: d.counters, timing: d.timing, clock: d.clock,
-		handOn: &handOn{self: self, counters: d.counters, targets: d.directory.Targets},
+		handOn: &handOn{
+			self: self, counters: d.counters, targets: d.directory.Targets,
+			evacuated: d.directory.Evacuated, domain: d.settings.GetHost().GetFailureDomain(),
+		},
 	})
 }
 
--- a/internal/agentd/fixture_test.go
+++ b/internal/agentd/fixture_test.go
@@ -411,6 +411,8 @@
 	mu      sync.Mutex
 	service *configpb.Service
 	targets []*controlpb.TargetRecord
+	// evacuated is the failure domain that is evacuated, if any.
+	evacuated string
 }
 
 func (f *fakeDirectory) Service(uint32) *configpb.Service {
@@ -419,6 +421,12 @@
 	return f.service
 }
 
+func (f *fakeDirectory) Evacuated(failureDomain string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuated == failureDomain && failureDomain != ""
+}
+
 func (f *fakeDirectory) Targets() []*controlpb.TargetRecord {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/agentd/flow_test.go
+++ b/internal/agentd/flow_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -149,15 +150,22 @@
 			Service: service, Number: number, Incarnation: incarnation, State: state, Ill: ill, Address: address.String(),
 		}
 	}
+	in := func(domain string, r *controlpb.TargetRecord) *controlpb.TargetRecord {
+		r.FailureDomain = domain
+		return r
+	}
 	serving, draining := controlpb.TargetState_TARGET_STATE_SERVING, controlpb.TargetState_TARGET_STATE_DRAINING
 	cases := []struct {
 		name    string
 		leaving bool
-		state   targetState
-		header  frame.Header
-		targets []*controlpb.TargetRecord
-		want    netip.AddrPort
-		counted reason.Code
+		// evacuated has failure domains; the own one is "own", those of known and
+		// alternate are "near" and "far".
+		evacuated []string
+		state     targetState
+		header    frame.Header
+		targets   []*controlpb.TargetRecord
+		want      netip.AddrPort
+		counted   reason.Code
 	}{
 		{name: "serving and idle", header: frame.Header{Alternate: alternate}},
 		{name: "loaded", state: targetState{present: loadedFrom}, header: frame.Header{Alternate: alternate}, want: alternate, counted: reason.FlowLoaded},
@@ -179,6 +187,13 @@
 			targets: []*controlpb.TargetRecord{record(1, 7, 4, serving, false, known)}, want: known, counted: reason.FlowLeaving},
 		{name: "own former incarnation", leaving: true,
 			targets: []*controlpb.TargetRecord{record(1, 7, 2, serving, false, known)}, counted: reason.FlowNoAlternate},
+		{name: "evacuated", evacuated: []string{"own"}, header: frame.Header{Alternate: alternate}, want: alternate, counted: reason.FlowEvacuated},
+		{name: "evacuated, the alternate too", evacuated: []string{"own", "far"}, header: frame.Header{Alternate: alternate},
+			targets: []*controlpb.TargetRecord{in("far", record(1, 8, 1, serving, false, alternate)), in("near", record(1, 9, 1, serving, false, known))},
+			want:    known, counted: reason.FlowEvacuated},
+		{name: "all evacuated", evacuated: []string{"own", "near"},
+			targets: []*controlpb.TargetRecord{in("near", record(1, 9, 1, serving, false, known))}, counted: reason.FlowNoAlternate},
+		{name: "another one evacuated", evacuated: []string{"far"}, header: frame.Header{Alternate: alternate}},
 		{name: "ill rather than none", leaving: true,
 			targets: []*controlpb.TargetRecord{record(1, 9, 1, serving, true, known)}, want: known, counted: reason.FlowLeaving},
 	}
@@ -188,9 +203,11 @@
 			scope := tally.NewTestScope("", nil)
 			o := &handOn{
 				self: self, counters: newCounters(scope),
-				leaving: func() bool { return c.leaving },
-				state:   func() targetState { return c.state },
-				targets: func() []*controlpb.TargetRecord { return c.targets },
+				leaving:   func() bool { return c.leaving },
+				state:     func() targetState { return c.state },
+				targets:   func() []*controlpb.TargetRecord { return c.targets },
+				domain:    "own",
+				evacuated: func(name string) bool { return slices.Contains(c.evacuated, name) },
 			}
 			got, ok := o.elsewhere(&c.header)
 			is.Equal(got, c.want)
--- a/internal/agentd/handon.go
+++ b/internal/agentd/handon.go
@@ -19,6 +19,10 @@
 	leaving  func() bool
 	state    func() targetState
 	targets  func() []*controlpb.TargetRecord
+	// evacuated reports whether the targets of a failure domain, domain being the own
+	// one, get no new flows.
+	evacuated func(failureDomain string) bool
+	domain    string
 }
 
 // elsewhere returns the frame address to which a first packet is handed on.
@@ -44,6 +48,9 @@
 // passes a flow on only once, to the alternate: two loaded targets would
 // otherwise send it to and fro.
 func (o *handOn) why(h *frame.Header) reason.Code {
+	if o.evacuated(o.domain) {
+		return reason.FlowEvacuated
+	}
 	if o.leaving() {
 		return reason.FlowLeaving
 	}
@@ -73,11 +80,12 @@
 }
 
 // knownLeaving reports whether this agent knows that the target at the
-// address takes no flows.
+// address takes no new flows.
 func (o *handOn) knownLeaving(a netip.AddrPort) bool {
 	for _, record := range o.targets() {
 		if record.GetAddress() == a.String() {
-			return record.GetState() != controlpb.TargetState_TARGET_STATE_SERVING
+			return record.GetState() != controlpb.TargetState_TARGET_STATE_SERVING ||
+				o.evacuated(record.GetFailureDomain())
 		}
 	}
 	return false
@@ -109,7 +117,7 @@
 	if record.GetService() != o.self.serviceNumber || !(other || newer) {
 		return netip.AddrPort{}, false
 	}
-	if record.GetState() != controlpb.TargetState_TARGET_STATE_SERVING {
+	if record.GetState() != controlpb.TargetState_TARGET_STATE_SERVING || o.evacuated(record.GetFailureDomain()) {
 		return netip.AddrPort{}, false
 	}
 	address, err := netip.ParseAddrPort(record.GetAddress())
--- a/internal/agentd/housekeeping.go
+++ b/internal/agentd/housekeeping.go
@@ -30,7 +30,10 @@
 	one.basis.Store((*loadBasis)(&load))
 	before := one.current()
 	one.state.Store(state)
-	one.setLeaving(leaving, goAway)
+	// Open sessions stay, and so does the record of the target: entry hosts learn of an
+	// evacuation from the configuration.
+	evacuated := d.directory.Evacuated(d.settings.GetHost().GetFailureDomain())
+	one.setLeaving(leaving || evacuated, goAway)
 	d.logChange(before, *state, verdict) // what a line tells is in force already
 	if goAway > 0 {
 		one.sessions.closeIdle()
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -26,6 +26,8 @@
 	member  operator.MemberRef
 
 	retention operator.Retention
+	order     *configpb.EvacuationOrder
+	evacuated *configpb.EvacuationOutcome
 }
 
 func (f *fakeControl) Submit(_ context.Context, p *configpb.Patch) (*configpb.Outcome, error) {
@@ -43,8 +45,15 @@
 	}}, Retired: []string{"192.0.2.79:443"}}, false, f.err
 }
 
+func (f *fakeControl) Evacuate(_ context.Context, o *configpb.EvacuationOrder) (*configpb.EvacuationOutcome, error) {
+	f.order = o
+	return f.evacuated, f.err
+}
+
 func (f *fakeControl) Status() *operator.Status {
-	return &operator.Status{Host: "control-1", Version: 7, Laggards: []string{"entry-2"}}
+	return &operator.Status{Host: "control-1", Version: 7, Laggards: []string{"entry-2"}, Evacuations: []operator.EvacuationStatus{{
+		FailureDomain: "dugbe", SinceVersion: 5, Since: time.Unix(1_800_000_000, 0).UTC(), Order: "works",
+	}}}
 }
 
 func (f *fakeControl) AddLearner(context.Context, string) error { return f.err }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -51,7 +51,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	root.AddCommand(
 		newControl(), newEntry(), newAgent(),
-		newConfig(), newPatch(), newStatus(), newReplica(), newGrants(), newKeys(),
+		newConfig(), newPatch(), newStatus(), newReplica(), newEvacuation(), newGrants(), newKeys(),
 		newBackend(), newLoad(), newDev(), newExperiment(), newMeasure(), newExplain(),
 	)
 	return root
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -20,7 +20,7 @@
 		Use:   "status",
 		Short: "Show what each control host sees",
 		Long: `Asks every control host for its own view: the state of each replicated log,
-the version it knows, the directory of targets, and the subscribers on which
+the version it knows, the directory of targets, what is evacuated, and the subscribers on which
 that version is not yet in force. It does not wait for a quorum.
 
 Exit status: 0 when at least one control host answered.`,
@@ -89,6 +89,7 @@
 			fmt.Fprintf(w, "    %s %s%s\n", m.Name, m.Address, learnerMark(m.Learner))
 		}
 	}
+	writeEvacuations(w, s.Evacuations)
 	if len(s.Laggards) > 0 {
 		fmt.Fprintf(w, "  not yet in force on: %s\n", strings.Join(s.Laggards, ", "))
 	}
--- a/internal/controld/directory.go
+++ b/internal/controld/directory.go
@@ -118,6 +118,13 @@
 	return d.dir.Repair(d.now(), cursor, digests)
 }
 
+// hasDomain reports whether a target stands in a failure domain.
+func (d *directory) hasDomain(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dir.HasDomain(name)
+}
+
 func (d *directory) count() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- /dev/null
+++ b/internal/controld/evacuation.go
@@ -0,0 +1,105 @@
+package controld
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+)
+
+// errCallerGone tells that whoever gave an order no longer waits for its answer.
+var errCallerGone = errors.New("the caller has gone")
+
+// Evacuate has the group decide on an order to evacuate a failure domain. Errors are as
+// those of Replace.
+func (d *Daemon) Evacuate(ctx context.Context, o *configpb.EvacuationOrder) (*configpb.EvacuationOutcome, error) {
+	if err := d.standsByError(); err != nil {
+		return nil, err
+	}
+	if findings := d.checkEvacuation(o); len(findings) > 0 {
+		return &configpb.EvacuationOutcome{
+			Verdict:  configpb.EvacuationVerdict_EVACUATION_VERDICT_INVALID,
+			Version:  d.configs.version(),
+			Findings: findings,
+		}, nil
+	}
+	if !d.enoughVoters() {
+		return nil, errors.Wrap(operator.ErrNotDone, errFewVoters.Error())
+	}
+	if err := d.confirm.wait(ctx); err != nil {
+		return nil, errors.Wrapf(operator.ErrNotDone, "no quorum confirms the state: %v", err)
+	}
+	// An order that lay in the socket of a host that stood still may have been carried out
+	// by another host meanwhile, and ended by the next order. Its caller has gone.
+	if ctx.Err() != nil {
+		return nil, errors.Wrap(operator.ErrNotDone, errCallerGone.Error())
+	}
+	if out := d.configs.alreadyEvacuated(o); out != nil {
+		return out, nil
+	}
+	return d.proposeEvacuation(ctx, o)
+}
+
+func (d *Daemon) proposeEvacuation(ctx context.Context, o *configpb.EvacuationOrder) (*configpb.EvacuationOutcome, error) {
+	stamped := proto.CloneOf(o)
+	stamped.TakenUnixMs = time.Now().UnixMilli()
+	command, err := proto.Marshal(&configpb.Command{Body: &configpb.Command_Evacuation{Evacuation: stamped}})
+	if err != nil {
+		return nil, errors.Wrap(operator.ErrNotDone, err.Error())
+	}
+	data, err := d.replicas[controlpb.Group_GROUP_CONFIG].Propose(ctx, command)
+	if err != nil {
+		return nil, operatorError(err)
+	}
+	var result configpb.Result
+	if err := proto.Unmarshal(data, &result); err != nil || result.GetEvacuated() == nil {
+		return nil, errors.Wrap(operator.ErrUnknown, "the result cannot be read")
+	}
+	out := result.GetEvacuated()
+	d.log.Info("evacuation", zap.String("failure_domain", o.GetFailureDomain()), zap.Bool("ends", o.GetEnd()),
+		zap.String("order", o.GetId()), zap.Stringer("verdict", out.GetVerdict()), zap.Uint64("version", out.GetVersion()))
+	return out, nil
+}
+
+// checkEvacuation lists the findings of an order. One that ends an evacuation may name any
+// failure domain that is evacuated.
+func (d *Daemon) checkEvacuation(o *configpb.EvacuationOrder) []*configpb.Finding {
+	findings := config.CheckEvacuation(o)
+	name := o.GetFailureDomain()
+	if len(findings) > 0 || d.knowsDomain(name) || d.configs.isEvacuated(name) {
+		return findings
+	}
+	return []*configpb.Finding{{Place: "failure domain", Text: fmt.Sprintf("%q is unknown", name)}}
+}
+
+// knowsDomain reports whether a failure domain is one of those that the settings name. If
+// they name none, those count that targets or this host stand in.
+func (d *Daemon) knowsDomain(name string) bool {
+	if named := d.settings.GetReplica().GetFailureDomains(); len(named) > 0 {
+		return slices.Contains(named, name)
+	}
+	return name == d.settings.GetHost().GetFailureDomain() || d.directory.hasDomain(name)
+}
+
+// Evacuate implements operator.Handler.
+func (h *operatorHandler) Evacuate(ctx context.Context, o *configpb.EvacuationOrder) (*configpb.EvacuationOutcome, error) {
+	return (*Daemon)(h).Evacuate(ctx, o)
+}
+
+// evacuationStatus lists what is evacuated in a version.
+func evacuationStatus(c *configpb.Configuration) []operator.EvacuationStatus {
+	out := []operator.EvacuationStatus{}
+	for _, e := range c.GetEvacuations() {
+		out = append(out, operator.EvacuationStatusOf(e))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/controld/evacuation_test.go
@@ -0,0 +1,164 @@
+package controld_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
+	"eelgrasswharf.example/eelgrasswharf/internal/controld"
+	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+)
+
+// home is the failure domain of the hosts of these tests, the only one that they know.
+const home = "bodija"
+
+func begin(id string) *configpb.EvacuationOrder {
+	return &configpb.EvacuationOrder{Id: id, FailureDomain: home}
+}
+
+func end(id string) *configpb.EvacuationOrder {
+	return &configpb.EvacuationOrder{Id: id, FailureDomain: home, End: true}
+}
+
+// order gives an order until it has an outcome: a group may have no leader yet.
+func (d *deployment) order(c *operator.Client, o *configpb.EvacuationOrder) configpb.EvacuationVerdict {
+	d.t.Helper()
+	var out *configpb.EvacuationOutcome
+	eventually(d.t, "an outcome of "+o.GetId(), func() bool {
+		var err error
+		out, err = c.Evacuate(testContext(d.t), o)
+		return err == nil
+	})
+	return out.GetVerdict()
+}
+
+// evacuated returns what a host has confirmed to be evacuated.
+func (d *deployment) evacuated(name string) bool {
+	d.t.Helper()
+	c := d.operator(name)
+	defer c.Close()
+	var version *configpb.Configuration
+	eventually(d.t, "a confirmed version of "+name, func() bool {
+		var confirmed bool
+		var err error
+		version, confirmed, err = c.Config(testContext(d.t), 0)
+		return err == nil && confirmed
+	})
+	return config.IsEvacuated(version, home)
+}
+
+// Each host takes orders and shows the same, copies elsewhere change nothing, and all of
+// it outlives the restart of every host and the loss of a disk.
+func TestEvacuationIsAgreed(t *testing.T) {
+	is := is.New(t)
+	d := newGroup(t)
+	is.Equal(d.order(d.operator("c2"), begin("o1")), configpb.EvacuationVerdict_EVACUATION_VERDICT_APPLIED)
+	for _, name := range []string{"c1", "c2", "c3"} {
+		is.True(d.evacuated(name))
+		is.Equal(d.order(d.operator(name), begin("o1")), configpb.EvacuationVerdict_EVACUATION_VERDICT_APPLIED) // the first outcome
+		is.Equal(d.order(d.operator(name), begin("")), configpb.EvacuationVerdict_EVACUATION_VERDICT_UNCHANGED)
+		shown := d.status(name).Evacuations
+		is.Equal(len(shown), 1)
+		is.Equal(shown[0].FailureDomain, home)
+		is.Equal(shown[0].Order, "o1")
+		is.True(!shown[0].Since.IsZero())
+	}
+	data := map[string]string{}
+	for _, name := range []string{"c1", "c2", "c3"} {
+		data[name] = d.stop(name).data
+	}
+	for _, name := range []string{"c1", "c2", "c3"} {
+		d.start(name, data[name], false)
+	}
+	is.True(d.evacuated("c3"))
+
+	is.Equal(d.order(d.operator("c3"), end("o2")), configpb.EvacuationVerdict_EVACUATION_VERDICT_APPLIED)
+	is.Equal(d.order(d.operator("c1"), begin("o1")), configpb.EvacuationVerdict_EVACUATION_VERDICT_APPLIED) // a late copy
+	for _, name := range []string{"c1", "c2", "c3"} {
+		is.True(!d.evacuated(name))
+	}
+}
+
+// An order outlives the loss of the leader that acknowledged it.
+func TestEvacuationOutlivesTheLeader(t *testing.T) {
+	is := is.New(t)
+	d := newGroup(t)
+	leader := d.leader()
+	is.Equal(d.order(d.operator(leader), begin("o1")), configpb.EvacuationVerdict_EVACUATION_VERDICT_APPLIED)
+	d.stop(leader)
+	for _, name := range others(leader) {
+		is.True(d.evacuated(name))
+	}
+	is.Equal(d.order(d.operator(others(leader)...), end("o2")), configpb.EvacuationVerdict_EVACUATION_VERDICT_APPLIED)
+}
+
+// Entry hosts and agents, which follow one service alone, are told of each order.
+func TestSubscribersLearnOfEvacuations(t *testing.T) {
+	is := is.New(t)
+	d := newSingle(t, put("lodgement", "192.0.2.1:443"))
+	watchers := []*watcher{
+		d.subscribe(d.link(keys.RoleEntry, "e1", "", "c1"), &controlpb.Subscribe{}),
+		d.subscribe(d.link(keys.RoleAgent, "a1", "lodgement", "c1"), &controlpb.Subscribe{Services: []uint32{1}, ScopedConfig: true}),
+	}
+	for _, w := range watchers {
+		var held *configpb.Configuration
+		step := func(evacuated bool) {
+			w.await("an evacuation", func(u *controlpb.SubscribeUpdate) bool {
+				if u.GetConfig() == nil {
+					return false
+				}
+				next, err := config.Merge(held, u.GetConfig())
+				is.NoErr(err)
+				held = next
+				return config.IsEvacuated(held, home) == evacuated
+			})
+		}
+		step(false)
+		d.order(d.operator("c1"), begin(""))
+		step(true)
+		d.order(d.operator("c1"), end(""))
+		step(false)
+	}
+}
+
+func TestEvacuationOfAnUnknownFailureDomain(t *testing.T) {
+	is := is.New(t)
+	d := newSingle(t, put("lodgement", "192.0.2.1:443"))
+	for _, name := range []string{"", "elsewhere", "Bodija"} {
+		out, err := d.operator("c1").Evacuate(testContext(t), &configpb.EvacuationOrder{FailureDomain: name})
+		is.NoErr(err)
+		is.Equal(out.GetVerdict(), configpb.EvacuationVerdict_EVACUATION_VERDICT_INVALID)
+		is.Equal(out.GetFindings()[0].GetPlace(), "failure domain")
+	}
+	is.True(!d.evacuated("c1"))
+}
+
+// An order whose caller has gone is not carried out: another host may have done so, and
+// the next order may have come since.
+func TestOrderOfACallerThatHasGone(t *testing.T) {
+	is := is.New(t)
+	d := newSingle(t, put("lodgement", "192.0.2.1:443"))
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := d.hosts["c1"].daemon.Evacuate(gone, begin(""))
+	is.True(errors.Is(err, operator.ErrNotDone))
+	is.True(!d.evacuated("c1"))
+}
+
+// A host that stands by sends the order on, and takes none itself.
+func TestStandbySendsEvacuationsElsewhere(t *testing.T) {
+	is := is.New(t)
+	d := standing(t, 3, 1, "d1", "d2", "d3")
+	d.awaitVoters("d1", 3, "d1", true)
+	d.awaitStandby("s1")
+	_, err := d.hosts["s1"].daemon.Evacuate(testContext(t), begin(""))
+	var standsBy *controld.StandbyError
+	is.True(errors.As(err, &standsBy))
+	is.True(standsBy.Serves != "")
+}
--- a/internal/controld/operators.go
+++ b/internal/controld/operators.go
@@ -88,6 +88,7 @@
 		VersionPatch: patch,
 		Targets:      h.directory.count(),
 		Damped:       h.directory.damped(),
+		Evacuations:  evacuationStatus(current),
 	}
 	for _, group := range h.groups {
 		s.Groups = append(s.Groups, h.groupStatus(group))
--- a/internal/controld/state.go
+++ b/internal/controld/state.go
@@ -30,10 +30,13 @@
 	update *controlpb.ConfigUpdate
 	// touched has the numbers of the services that it changes.
 	touched map[uint32]bool
+	// domains tells that the evacuations change, which concern all services.
+	domains bool
 }
 
 func newDelta(base, current *configpb.Configuration) delta {
 	d := delta{update: config.Diff(base, current), touched: map[uint32]bool{}}
+	d.domains = d.update.GetEvacuations() != nil
 	names := map[string]bool{}
 	for _, s := range d.update.GetPut() {
 		d.touched[s.GetNumber()] = true
@@ -52,6 +55,9 @@
 }
 
 func (d delta) touches(scope map[uint32]bool) bool {
+	if d.domains {
+		return true
+	}
 	for number := range scope {
 		if d.touched[number] {
 			return true
@@ -154,6 +160,24 @@
 	return s.machine.Version(version)
 }
 
+func (s *configState) isEvacuated(failureDomain string) bool {
+	c, _ := s.current()
+	return config.IsEvacuated(c, failureDomain)
+}
+
+// alreadyEvacuated returns the outcome of an order without an identifier that would change
+// nothing, nil if the group has to decide.
+func (s *configState) alreadyEvacuated(o *configpb.EvacuationOrder) *configpb.EvacuationOutcome {
+	c, _ := s.current()
+	if o.GetId() != "" || config.IsEvacuated(c, o.GetFailureDomain()) == o.GetEnd() {
+		return nil
+	}
+	return &configpb.EvacuationOutcome{
+		Verdict: configpb.EvacuationVerdict_EVACUATION_VERDICT_UNCHANGED,
+		Version: c.GetVersion(),
+	}
+}
+
 func (s *configState) outcome(id string) *configpb.Outcome {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -232,6 +256,7 @@
 		Retired:     u.GetRetired(),
 		Released:    u.GetReleased(),
 		Table:       u.GetTable(),
+		Evacuations: u.GetEvacuations(),
 	}
 }
 
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -123,9 +123,10 @@
 
 // viewFrom makes the view of a subscription, which may be limited to some
 // failure domains. Then there may be targets elsewhere, which other entry hosts
-// know of.
+// know of. Targets in evacuated failure domains are left out: established flows do not
+// need the list.
 func viewFrom(v *subscriber.View, limited bool) *View {
-	return &View{Config: v.Config, Targets: v.Targets, Current: v.DirectoryWhole && !limited}
+	return &View{Config: v.Config, Targets: v.OpenTargets(), Current: v.DirectoryWhole && !limited}
 }
 
 func (d *Daemon) replaceSecrets() {
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -81,11 +81,13 @@
 	admitting bool
 	// searched has packets whose flows this agent asks the others about, asking tells
 	// that the next round of questions is due soon.
-	searched  flow.Waiting
-	asking    bool
-	tracker   incarnation.Tracker
-	heardAt   time.Time
-	ill       bool
+	searched flow.Waiting
+	asking   bool
+	tracker  incarnation.Tracker
+	heardAt  time.Time
+	ill      bool
+	// evacuated: the own failure domain takes no new flows.
+	evacuated bool
 	announcer *subscriber.Announcer
 	// following is the subscription to the service's targets, once its number is
 	// known.
--- a/internal/flowd/backendserver.go
+++ b/internal/flowd/backendserver.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
 	"eelgrasswharf.example/eelgrasswharf/flow"
 	"eelgrasswharf.example/eelgrasswharf/incarnation"
 	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
@@ -144,7 +145,7 @@
 		}
 		agent := flow.EndpointOf(t.Address)
 		all = append(all, agent)
-		if t.Draining || t.Ill || agent == own {
+		if t.Draining || t.Ill || agent == own || v.Evacuated(record) {
 			continue
 		}
 		peers = append(peers, agent)
@@ -152,6 +153,17 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.flows.SetPeers(peers, all, own)
+	a.noteEvacuation(config.IsEvacuated(v.Config, a.opts.FailureDomain))
+}
+
+// noteEvacuation takes in whether the own failure domain takes new flows. The lock is held.
+func (a *Agent) noteEvacuation(evacuated bool) {
+	if a.evacuated == evacuated {
+		return
+	}
+	a.evacuated = evacuated
+	a.opts.Log.Info("failure domain", zap.String("failure_domain", a.opts.FailureDomain), zap.Bool("evacuated", evacuated))
+	a.refresh()
 }
 
 func (a *Agent) status(r incarnation.Report) subscriber.Status {
@@ -166,7 +178,7 @@
 // to the control hosts. The lock is held.
 func (a *Agent) refresh() {
 	r, known := a.tracker.Current()
-	s := flow.Server{Service: a.service, Slots: r.Slots, Ill: a.ill}
+	s := flow.Server{Service: a.service, Slots: r.Slots, Ill: a.ill, Evacuated: a.evacuated}
 	switch {
 	case !known || r.Gone:
 		s.State = flow.Absent
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -71,10 +71,11 @@
 
 // serviceTargets are the targets of one service.
 type serviceTargets struct {
-	list []routing.Target
-	// index has the place of each in the view.
+	// list has those that new flows may go to, index the place of each in the view.
+	list  []routing.Target
 	index []int
-	// agents has their agents.
+	// agents has the agents of all, also of those in evacuated failure domains, which keep
+	// their open flows.
 	agents []flow.Endpoint
 	table  *routing.Table
 }
@@ -145,8 +146,10 @@
 			of = &serviceTargets{}
 			lists[t.Service] = of
 		}
-		of.list = append(of.list, t)
-		of.index = append(of.index, i)
+		if !v.Evacuated(record) {
+			of.list = append(of.list, t)
+			of.index = append(of.index, i)
+		}
 		all = append(all, t)
 		agent := flow.EndpointOf(t.Address)
 		of.agents = append(of.agents, agent)
@@ -221,9 +224,28 @@
 		// caller sends its packet again by itself before it gives up.
 		return flow.Placement{}, flow.ReasonNotReady
 	}
+	if p.evacuated(r) {
+		return flow.Placement{}, flow.ReasonEvacuated
+	}
 	return flow.Placement{}, flow.ReasonNoTarget
 }
 
+// evacuated reports whether a route has targets, all of them in evacuated failure domains.
+// The lock is held.
+func (p *placer) evacuated(r *placement.Route) bool {
+	found := false
+	for number, of := range p.targets {
+		if !r.Leads(number) {
+			continue
+		}
+		if len(of.list) > 0 {
+			return false
+		}
+		found = found || len(of.agents) > 0
+	}
+	return found
+}
+
 // Ready implements flow.Placer.
 func (p *placer) Ready() bool {
 	p.mu.Lock()
@@ -296,12 +318,11 @@
 		if !r.Had(number) {
 			continue
 		}
-		for i := range of.list {
-			if len(to) == maxHolders {
-				return to, false
-			}
-			to = append(to, flow.EndpointOf(of.list[i].Address))
+		room := maxHolders - len(to)
+		if len(of.agents) > room {
+			return append(to, of.agents[:room]...), false
 		}
+		to = append(to, of.agents...)
 	}
 	return to, all
 }
--- /dev/null
+++ b/internal/flowd/placer_test.go
@@ -0,0 +1,101 @@
+package flowd
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/flow"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
+)
+
+const lodgement = 1
+
+// view has two targets of a service in each of these failure domains, those given being
+// evacuated.
+func view(domains []string, evacuated ...string) *subscriber.View {
+	c := &configpb.Configuration{
+		Version:  1,
+		Services: []*configpb.Service{{Number: lodgement, Name: "lodgement"}},
+		Table: &configpb.RouteTable{Revision: 1, Routes: []*configpb.Route{{
+			Address: "198.18.0.1:443", Services: []*configpb.WeightedService{{Service: "lodgement", Weight: 1}},
+		}}},
+	}
+	for _, name := range evacuated {
+		c.Evacuations = append(c.Evacuations, &configpb.Evacuation{FailureDomain: name})
+	}
+	var targets []*controlpb.TargetRecord
+	for _, domain := range domains {
+		for range 2 {
+			number := uint32(len(targets) + 1)
+			targets = append(targets, &controlpb.TargetRecord{
+				Service: lodgement, Number: number, Incarnation: 1, FailureDomain: domain,
+				Address: fmt.Sprintf("10.0.0.%d:7000", number), AgeMs: 60_000,
+			})
+		}
+	}
+	return subscriber.NewView(c, targets, time.Now())
+}
+
+func placerOf(v *subscriber.View) *placer {
+	p := newPlacer(zap.NewNop(), tally.NoopScope)
+	p.apply(v, 0)
+	return p
+}
+
+func callerKey(port int) flow.Key {
+	return flow.Key{
+		Caller: flow.Endpoint{IP: [4]byte{100, 64, 0, 7}, Port: uint16(port)},
+		Public: flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443},
+	}
+}
+
+// placed counts the flows that go to each agent.
+func placed(t *testing.T, p *placer, flows int) map[string]int {
+	t.Helper()
+	counts := map[string]int{}
+	for i := range flows {
+		got, reason := p.Place(callerKey(i+1), flow.Endpoint{}, 0)
+		if got.Agent.IsZero() {
+			t.Fatalf("flow %d: %s", i, reason)
+		}
+		counts[got.Agent.String()]++
+	}
+	return counts
+}
+
+// The targets in an evacuated failure domain get nothing, the others share all of it, and
+// flows that are open there are still found.
+func TestEvacuatedTargetsGetNoNewFlows(t *testing.T) {
+	is := is.New(t)
+	domains := []string{"a", "b", "c", "d"}
+	p := placerOf(view(domains, "b"))
+	counts := placed(t, p, 6000)
+	is.Equal(counts["10.0.0.3:7000"]+counts["10.0.0.4:7000"], 0)
+	is.Equal(len(counts), 6)
+	for _, n := range counts {
+		is.True(n > 800 && n < 1200) // a sixth each
+	}
+	holders, all := p.Holders(nil, callerKey(1).Public)
+	is.Equal(len(holders), 8)
+	is.True(all)
+
+	p.apply(view(domains), 0)
+	is.Equal(len(placed(t, p, 6000)), 8)
+}
+
+// Where all targets of a route are evacuated its callers are told so at once.
+func TestAllTargetsEvacuated(t *testing.T) {
+	is := is.New(t)
+	p := placerOf(view([]string{"a", "b"}, "a", "b"))
+	_, reason := p.Place(callerKey(1), flow.Endpoint{}, 0)
+	is.Equal(reason, flow.ReasonEvacuated)
+	_, reason = placerOf(view(nil, "a")).Place(callerKey(1), flow.Endpoint{}, 0)
+	is.Equal(reason, flow.ReasonNoTarget)
+}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -49,6 +49,10 @@
 	// Config returns a version, 0 for the current one, and whether a quorum
 	// confirmed that the host knows the newest version. Errors: ErrNotFound.
 	Config(ctx context.Context, version uint64) (*configpb.Configuration, bool, error)
+	// Evacuate begins or ends the evacuation of a failure domain. An order that breaks a
+	// bound or names an unknown failure domain has findings in its outcome. Errors:
+	// ErrNotDone, ErrUnknown.
+	Evacuate(ctx context.Context, o *configpb.EvacuationOrder) (*configpb.EvacuationOutcome, error)
 	// Status returns the host's view. It does not wait for other hosts.
 	Status() *Status
 	// A change of members is made in all groups, which may have different
@@ -96,6 +100,29 @@
 	// GrantsHeld and GrantsAnswered count the keys of all groups of grants.
 	GrantsHeld     int `json:"grants_held"`
 	GrantsAnswered int `json:"grants_answered"`
+	// Evacuations are the failure domains that get no new flows.
+	Evacuations []EvacuationStatus `json:"evacuations"`
+}
+
+// EvacuationStatus is a failure domain whose targets get no new flows.
+type EvacuationStatus struct {
+	FailureDomain string `json:"failure_domain"`
+	// SinceVersion is the version that the order made, Since when it was taken, by the
+	// clock of the control host that took it.
+	SinceVersion uint64    `json:"since_version"`
+	Since        time.Time `json:"since"`
+	// Order is the identifier of the order, if it had one.
+	Order string `json:"order,omitempty"`
+}
+
+// EvacuationStatusOf returns the status of an evacuation.
+func EvacuationStatusOf(e *configpb.Evacuation) EvacuationStatus {
+	return EvacuationStatus{
+		FailureDomain: e.GetFailureDomain(),
+		SinceVersion:  e.GetSinceVersion(),
+		Since:         time.UnixMilli(e.GetSinceUnixMs()).UTC(),
+		Order:         e.GetOrder(),
+	}
 }
 
 // GroupStatus is the state of one replicated log.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -92,6 +92,25 @@
 	return out, nil
 }
 
+// Evacuate begins or ends the evacuation of a failure domain. It tries one control host
+// after the other: that is safe for an order with an identifier, which is carried out
+// once. Errors: ErrNotDone if no host took it, ErrUnknown if one may have.
+func (c *Client) Evacuate(ctx context.Context, o *configpb.EvacuationOrder) (*configpb.EvacuationOutcome, error) {
+	body, err := protojson.Marshal(o)
+	if err != nil {
+		return nil, errors.Wrap(ErrNotDone, err.Error())
+	}
+	var a outcomeAnswer
+	if err := c.anyHost(ctx, request{http.MethodPost, "/v1/evacuations", body}, &a); err != nil {
+		return nil, err
+	}
+	out := new(configpb.EvacuationOutcome)
+	if err := protojson.Unmarshal(a.Outcome, out); err != nil {
+		return nil, errors.Wrap(ErrUnknown, err.Error())
+	}
+	return out, nil
+}
+
 // Config returns a version, 0 for the current one, and whether a quorum
 // confirmed it to be held by a host that knows the newest one.
 func (c *Client) Config(ctx context.Context, version uint64) (*configpb.Configuration, bool, error) {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -41,6 +41,11 @@
 	return &configpb.Configuration{Version: version}, true, nil
 }
 
+func (f *fake) Evacuate(_ context.Context, o *configpb.EvacuationOrder) (*configpb.EvacuationOutcome, error) {
+	f.asked = append(f.asked, fmt.Sprintf("evacuate %s %v %s", o.GetFailureDomain(), o.GetEnd(), o.GetId()))
+	return &configpb.EvacuationOutcome{Verdict: configpb.EvacuationVerdict_EVACUATION_VERDICT_APPLIED, Version: 3}, f.change()
+}
+
 func (f *fake) Status() *operator.Status { return &operator.Status{Host: "c1"} }
 
 func (f *fake) AddLearner(_ context.Context, address string) error {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -82,6 +82,7 @@
 	mux.HandleFunc("GET /v1/patches/{id...}", s.outcome)
 	mux.HandleFunc("GET /v1/config", s.config)
 	mux.HandleFunc("GET /v1/status", s.status)
+	mux.HandleFunc("POST /v1/evacuations", s.evacuate)
 	mux.HandleFunc("POST /v1/members", s.addLearner)
 	mux.HandleFunc("POST /v1/members/promote", s.promote)
 	mux.HandleFunc("POST /v1/members/remove", s.remove)
@@ -145,6 +146,26 @@
 	answer(w, http.StatusOK, &configAnswer{Config: data, Confirmed: confirmed})
 }
 
+func (s *Server) evacuate(w http.ResponseWriter, r *http.Request) {
+	var o configpb.EvacuationOrder
+	if !s.readProto(w, r, &o) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), SubmitTimeout)
+	defer cancel()
+	out, err := s.handler.Evacuate(ctx, &o)
+	if err != nil {
+		s.fault(w, err)
+		return
+	}
+	data, err := protojson.Marshal(out)
+	if err != nil {
+		s.fault(w, err)
+		return
+	}
+	answer(w, http.StatusOK, &outcomeAnswer{Outcome: data})
+}
+
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
 	answer(w, http.StatusOK, s.handler.Status())
 }
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -68,6 +68,7 @@
 	"Replica.snapshot_entries": {fallback: "10000", positive: true},
 	"Replica.max_links":        {fallback: "2000", positive: true},
 	"Replica.grant_groups":     {fallback: "1", positive: true, check: checkGrantGroups},
+	"Replica.failure_domains":  {check: checkName},
 	"Replica.least_voters":     {fallback: "1", positive: true},
 	"Replica.gone_after_ms":    {fallback: "15000", positive: true},
 	"Replica.lease_ms":         {fallback: "9000", positive: true},
--- a/internal/subscriber/view.go
+++ b/internal/subscriber/view.go
@@ -8,6 +8,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
 	"eelgrasswharf.example/eelgrasswharf/routing"
 )
 
@@ -28,6 +29,37 @@
 	heardAt []time.Time
 }
 
+// NewView returns the view of an open subscription that holds a version and all targets,
+// which were heard of at a moment.
+func NewView(c *configpb.Configuration, targets []*controlpb.TargetRecord, heard time.Time) *View {
+	v := &View{Config: c, Targets: targets, Connected: true, DirectoryWhole: true}
+	for range targets {
+		v.heardAt = append(v.heardAt, heard)
+	}
+	return v
+}
+
+// Evacuated reports whether the target of a record stands in a failure domain whose targets
+// get no new flows.
+func (v *View) Evacuated(record *controlpb.TargetRecord) bool {
+	return config.IsEvacuated(v.Config, record.GetFailureDomain())
+}
+
+// OpenTargets returns the known targets that new flows may go to, as far as evacuations
+// tell. The list must not be changed.
+func (v *View) OpenTargets() []*controlpb.TargetRecord {
+	if len(v.Config.GetEvacuations()) == 0 {
+		return v.Targets
+	}
+	open := make([]*controlpb.TargetRecord, 0, len(v.Targets))
+	for _, record := range v.Targets {
+		if !v.Evacuated(record) {
+			open = append(open, record)
+		}
+	}
+	return open
+}
+
 // TargetOf returns the target of a record, without its age. The error tells that its
 // address cannot be read.
 func TargetOf(record *controlpb.TargetRecord) (routing.Target, error) {
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -173,6 +173,16 @@
 	return t != nil && t.heard.GetIncarnation() >= incarnation
 }
 
+// HasDomain reports whether a target stands in a failure domain.
+func (d *Directory) HasDomain(name string) bool {
+	for _, t := range d.byID {
+		if t.heard.GetFailureDomain() == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Settled reports whether the directory has listened for a whole lease, so
 // that a target that it does not hold has no lease. Before that its list says
 // which targets exist, not which do not.
--- a/placement/route.go
+++ b/placement/route.go
@@ -42,6 +42,16 @@
 // Had reports whether the route has, or has had, a service.
 func (r *Route) Had(service uint32) bool { return r.had[service] }
 
+// Leads reports whether new flows of the route may go to a service.
+func (r *Route) Leads(service uint32) bool {
+	for _, s := range r.shares {
+		if s.Service == service && s.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Offer is a target of one service that would take a flow.
 type Offer struct {
 	Placement flow.Placement
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -84,6 +84,7 @@
 	FrameConnectionID
 
 	FlowLeaving
+	FlowEvacuated
 	FlowLoaded
 	FlowHops
 	FlowNoAlternate
@@ -145,6 +146,7 @@
 	FrameConnectionID: {Kind: KindFrame, Name: "connection-id", Text: "The connection ID in the datagram does not name this target."},
 
 	FlowLeaving:     {Kind: KindFlow, Name: "leaving", Text: "A new flow was handed on because the target is leaving."},
+	FlowEvacuated:   {Kind: KindFlow, Name: "evacuated", Text: "A new flow was handed on because the failure domain of the target is evacuated."},
 	FlowLoaded:      {Kind: KindFlow, Name: "loaded", Text: "A new flow was handed on because the target is far more loaded than usual."},
 	FlowHops:        {Kind: KindFlow, Name: "hops", Text: "A new flow could not be handed on again: it had its hops."},
 	FlowNoAlternate: {Kind: KindFlow, Name: "no-alternate", Text: "A new flow could not be handed on: no other target is known."},
