Warm-up: the agent beside a target keeps what its service states

Cause: warmup_s and warmup_per_s of a service, warmup_overshoot and warmup_slack of the settings were read nowhere.

Change: the statement is part of the service in the configuration, told to agents with it. The agent counts the flows that its target was let in, each from its opening until a second after its first request, so that neither openings nor first requests of any sliding second are over the bound, whichever entry hosts they come from. What is over goes to another agent at once, and waits only where nobody else takes it. The load that it reports grows with the count, so entry hosts turn elsewhere before. An agent that has just started lets nothing in for a second, one that does not know yet what is stated keeps to the slack. A target that says anew that it is cold gets its ramp anew. Traffic counters by kind and direction of entry hosts and agents.

--- a/config/bounds.go
+++ b/config/bounds.go
@@ -52,6 +52,8 @@
 	MaxSlots = 1 << 20
 	// MaxRampMS bounds the ramp after a cold start, in milliseconds.
 	MaxRampMS = 3_600_000
+	// MaxWarmupRate bounds the requests a second that a warming target is said to bear.
+	MaxWarmupRate = 1_000_000
 	// MaxWeight bounds the weights of a policy.
 	MaxWeight = 1_000
 	// maxPercent bounds percentages.
--- a/config/machine.go
+++ b/config/machine.go
@@ -152,7 +152,9 @@
 			m.lastService++
 			number = m.lastService
 		}
+		warmup := serviceNamed(m.current, name).GetWarmup()
 		d.services[name] = normalise(d.services[name], number)
+		d.services[name].Warmup = warmup
 	}
 	m.publish(assemble(m.current, m.current.GetVersion()+1, d.services, d.removed, d.retired), id)
 	if len(d.removed) > 0 {
--- a/config/routes.go
+++ b/config/routes.go
@@ -44,6 +44,9 @@
 	for i, name := range r.GetServices() {
 		c.service(i, name)
 	}
+	for i, w := range r.GetWarmups() {
+		c.warmup(fmt.Sprintf("warm-up %d %q", i+1, w.GetService()), w)
+	}
 	for i, route := range table.GetRoutes() {
 		c.route(routePlace(i, route), route)
 	}
@@ -64,6 +67,19 @@
 	c.services[name] = true
 }
 
+func (c *tableCheck) warmup(place string, w *configpb.ServiceWarmup) {
+	if !c.services[w.GetService()] {
+		c.find(place, "there is no such service")
+	}
+	if w.GetWarmup().GetDurationMs() > MaxRampMS {
+		c.find(place, "the duration is longer than %d ms", MaxRampMS)
+	}
+	// A comparison with NaN is false.
+	if rate := w.GetWarmup().GetRequestsPerSecond(); !(rate >= 0 && rate <= MaxWarmupRate) {
+		c.find(place, "%v requests a second are not from 0 to %d", rate, MaxWarmupRate)
+	}
+}
+
 // tableNameFault tells what is wrong with the name of a service in a table. Those
 // names come from another system, so all but their length is left to it.
 func tableNameFault(name string) string {
@@ -114,7 +130,7 @@
 	if r.GetTable().GetRevision() <= held {
 		return &configpb.ReplaceOutcome{Verdict: configpb.ReplaceVerdict_REPLACE_VERDICT_SUPERSEDED, Revision: held}
 	}
-	next := m.withServices(r.GetServices())
+	next := m.withServices(r)
 	next.Table = canonicalTable(m.current.GetTable(), r.GetTable())
 	m.document = r.GetDocument()
 	m.publish(next, "")
@@ -124,16 +140,26 @@
 	}
 }
 
-// withServices returns a version after the current one that has services of
-// these names. Services stay when a table no longer names them, with their
-// numbers and targets: a later table may name them again, and their backend
-// servers run on meanwhile.
-func (m *Machine) withServices(names []string) *configpb.Configuration {
+// withServices returns a version after the current one that has the services of a
+// replacement, with the warm-up that it states. Services stay when a table no longer
+// names them, with their numbers and targets: a later table may name them again, and
+// their backend servers run on meanwhile.
+func (m *Machine) withServices(r *configpb.Replacement) *configpb.Configuration {
+	warmups := make(map[string]*configpb.Warmup, len(r.GetWarmups()))
+	for _, w := range r.GetWarmups() {
+		warmups[w.GetService()] = w.GetWarmup()
+	}
 	put := map[string]*configpb.Service{}
-	for _, name := range names {
-		if serviceNamed(m.current, name) == nil {
+	for _, name := range r.GetServices() {
+		held := serviceNamed(m.current, name)
+		switch {
+		case held == nil:
 			m.lastService++
-			put[name] = &configpb.Service{Number: m.lastService, Name: name}
+			put[name] = &configpb.Service{Number: m.lastService, Name: name, Warmup: warmups[name]}
+		case !proto.Equal(held.GetWarmup(), warmups[name]):
+			changed := proto.CloneOf(held)
+			changed.Warmup = warmups[name]
+			put[name] = changed
 		}
 	}
 	return assemble(m.current, m.current.GetVersion()+1, put, nil, retiredSet(m.current))
--- a/config/targets.go
+++ b/config/targets.go
@@ -110,7 +110,7 @@
 		return &configpb.Registration{Refusal: RefusalProcess}
 	}
 	if r.GetCreateService() && serviceNamed(m.current, r.GetService()) == nil && tableNameFault(r.GetService()) == "" {
-		m.publish(m.withServices([]string{r.GetService()}), m.versionPatch)
+		m.publish(m.withServices(&configpb.Replacement{Services: []string{r.GetService()}}), m.versionPatch)
 	}
 	service := serviceNamed(m.current, r.GetService()).GetNumber()
 	if service == 0 {
--- a/flow/agent.go
+++ b/flow/agent.go
@@ -64,6 +64,7 @@
 	listed     uint32
 	registry   registry
 	queue      queue
+	warmup     warmup
 	inquiries  inquiries
 	// due and chosen are scratch space of Due.
 	due    []Registration
@@ -128,7 +129,12 @@
 
 // NewAgent returns an agent that has just started.
 func NewAgent(now time.Duration) *Agent {
-	return &Agent{certainAt: now + uncertainFor, averagedAt: now, flows: make(map[Key]*agentFlow)}
+	return &Agent{
+		certainAt:  now + uncertainFor,
+		averagedAt: now,
+		flows:      make(map[Key]*agentFlow),
+		warmup:     warmup{unknownUntil: now + warmupSpan},
+	}
 }
 
 // Len returns the number of flows.
@@ -239,12 +245,21 @@
 		// A copy, or a flow under a port that was used before: the target knows.
 		return Verdict{Action: Deliver, Reason: ReasonHeld}
 	}
-	if a.refuses(m) == "" && a.busy(now) {
+	if a.refuses(m) != "" {
+		return a.accept(f, m, p, now)
+	}
+	if a.warmup.spent(now) && m.Hops < maxHops && a.anotherTakes(m) {
+		return a.handOn(m.Alternate, m.Entry, m.Service, m.Hops, p.Key, ReasonWarming)
+	}
+	if a.busy(now) || a.warmup.spent(now) {
 		return a.queueOpening(m, p.Key, now)
 	}
 	return a.accept(f, m, p, now)
 }
 
+// anotherTakes reports whether an opening can be handed on.
+func (a *Agent) anotherTakes(m Frame) bool { return !m.Alternate.IsZero() || len(a.peers) > 0 }
+
 // accept offers a new flow to the target, or hands its opening on.
 func (a *Agent) accept(f *agentFlow, m Frame, p Packet, now time.Duration) Verdict {
 	if reason := a.refuses(m); reason != "" {
@@ -263,6 +278,7 @@
 	}
 	a.flows[p.Key] = f
 	a.queue.expect(f, now)
+	a.warmup.count(f, now)
 	a.live++
 	return Verdict{Action: Deliver, Reason: ReasonPlaced}
 }
@@ -429,6 +445,7 @@
 // age.
 func (a *Agent) Sweep(now, idle, age time.Duration) {
 	a.advance(now)
+	a.warmup.spent(now)
 	a.live = 0
 	a.registry.sweep(now)
 	a.inquiries.sweep(now)
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -45,8 +45,36 @@
 	// Cleared: an agent tells an entry host that searches for a flow that no target of its
 	// service holds it.
 	Cleared
+
+	// KindCount is one more than the highest kind.
+	KindCount
 )
 
+var kindNames = [KindCount]string{
+	0:        "invalid",
+	Open:     "open",
+	Data:     "data",
+	Search:   "search",
+	Missed:   "missed",
+	Held:     "held",
+	Load:     "load",
+	Denied:   "denied",
+	Hinted:   "hinted",
+	Register: "register",
+	Ask:      "ask",
+	Lacks:    "lacks",
+	May:      "may",
+	Cleared:  "cleared",
+}
+
+// String returns the kind in the form used as a metric label.
+func (k Kind) String() string {
+	if k >= KindCount {
+		return kindNames[0]
+	}
+	return kindNames[k]
+}
+
 // Frame is a message between entry hosts and agents.
 type Frame struct {
 	Kind Kind
--- a/flow/load.go
+++ b/flow/load.go
@@ -26,6 +26,9 @@
 		// Nothing new: a copy may come after the answer.
 		return
 	}
+	if !f.sent {
+		a.warmup.request(f, now)
+	}
 	f.sent, f.upTo = true, end
 	if f.running || f.targetDone {
 		return
@@ -68,7 +71,7 @@
 		Kind:         Load,
 		Number:       a.server.Number,
 		Incarnation:  a.server.Incarnation,
-		LoadPermille: a.load(),
+		LoadPermille: max(a.load(), a.warmup.load()),
 		Draining:     a.server.State != Serving,
 		Ill:          a.server.Ill,
 	}
--- a/flow/queue.go
+++ b/flow/queue.go
@@ -115,7 +115,7 @@
 		return spent(oldest, ReasonQueueSpent), Packet{Key: oldest.key, Flags: SYN}, true
 	}
 	newest := q.openings[last]
-	if a.refuses(newest.frame) == "" && a.busy(now) {
+	if a.refuses(newest.frame) == "" && (a.busy(now) || a.warmup.spent(now)) {
 		return Verdict{}, Packet{}, false
 	}
 	q.take(last)
--- a/flow/verdict.go
+++ b/flow/verdict.go
@@ -49,6 +49,7 @@
 	ReasonService     Reason = "other_service"
 	ReasonLeaving     Reason = "leaving"
 	ReasonEvacuated   Reason = "evacuated"
+	ReasonWarming     Reason = "warming_up"
 	ReasonNoServer    Reason = "no_backend_server"
 	ReasonRefused     Reason = "refused_by_target"
 	ReasonHops        Reason = "hops_spent"
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/flow"
 	"eelgrasswharf.example/eelgrasswharf/incarnation"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
@@ -29,6 +30,9 @@
 	// missedReports is after how many periods without a report from the backend
 	// server it is told to be ill.
 	missedReports = 2.5
+	// againMargin is how much later than told before a backend server has to be warm to
+	// count as slow anew: reports take time.
+	againMargin = time.Second
 	// newSequence is the highest sequence number of a first report by which the
 	// backend server has just started: it counts calls, and calls again at once
 	// while the agent does not listen yet.
@@ -55,7 +59,16 @@
 	CallerPort uint16
 	// ReportPeriod is the time between two reports of the backend server.
 	ReportPeriod time.Duration
-	Limits       Limits
+	// Warmup is how far a warming backend server may be loaded over what its service
+	// states.
+	Warmup WarmupMargin
+	Limits Limits
+}
+
+// WarmupMargin is how far the requests of a warming backend server may go over those that
+// its service states: by a factor, and by a number of requests a second beside it.
+type WarmupMargin struct {
+	Overshoot, Slack float64
 }
 
 // Agent carries packets between a backend server, entry hosts and callers.
@@ -88,6 +101,11 @@
 	ill      bool
 	// evacuated: the own failure domain takes no new flows.
 	evacuated bool
+	// warmup is what the service states of its targets' start, told that its configuration
+	// is known. warmAt is when the backend server is warm by its own word.
+	warmup    *configpb.Warmup
+	told      bool
+	warmAt    time.Duration
 	announcer *subscriber.Announcer
 	// following is the subscription to the service's targets, once its number is
 	// known.
@@ -188,7 +206,7 @@
 		a.searched.Sweep(a.now())
 		for _, r := range a.flows.Due(a.now()) {
 			a.buffer = flow.AppendRegister(a.buffer[:0], r.Keys)
-			a.frames.send(a.buffer, r.To)
+			a.frames.sendFrame(a.buffer, r.To)
 		}
 		count := a.flows.Len()
 		a.mu.Unlock()
--- a/internal/flowd/agentpackets.go
+++ b/internal/flowd/agentpackets.go
@@ -9,6 +9,7 @@
 )
 
 func (a *Agent) fromPeer(b []byte, from flow.Endpoint) {
+	a.frames.in.frame(b)
 	m, packet, err := flow.ParseFrame(b)
 	if err == nil {
 		switch m.Kind {
@@ -55,10 +56,11 @@
 	}
 	hint := flow.Frame{Kind: flow.Hinted, Key: p.Key, Alternate: v.Hint}
 	a.buffer = hint.Append(a.buffer[:0])
-	a.frames.send(a.buffer, m.Entry)
+	a.frames.sendFrame(a.buffer, m.Entry)
 }
 
 func (a *Agent) fromTarget(b []byte, _ flow.Endpoint) {
+	a.targets.in.packets.add(len(b))
 	p, err := a.opts.Codec.FromTarget(b)
 	if err != nil {
 		a.reasons.malformed.Inc(1)
@@ -114,17 +116,17 @@
 			a.reasons.overflow.Inc(1)
 		}
 	case flow.Deliver:
-		a.targets.send(packet, a.server)
+		a.targets.sendPacket(packet, a.server)
 	case flow.Deny:
 		a.buffer = v.Frame.Append(a.buffer[:0])
-		a.frames.send(a.buffer, v.To)
+		a.frames.sendFrame(a.buffer, v.To)
 	case flow.Send, flow.Return:
-		a.frames.send(a.framed(&v.Frame, packet), v.To)
+		a.frames.sendFrame(a.framed(&v.Frame, packet), v.To)
 	case flow.Reply:
-		a.frames.send(packet, a.caller(p.Key))
+		a.frames.sendPacket(packet, a.caller(p.Key))
 	case flow.Reset:
 		a.buffer = a.opts.Codec.AppendReset(a.buffer[:0], p.Key, p.Ack)
-		a.frames.send(a.buffer, a.caller(p.Key))
+		a.frames.sendReset(a.buffer, a.caller(p.Key))
 	}
 }
 
@@ -155,7 +157,7 @@
 	}
 	a.reported[m.Entry] = now
 	a.buffer = m.Append(a.buffer[:0])
-	a.frames.send(a.buffer, m.Entry)
+	a.frames.sendFrame(a.buffer, m.Entry)
 }
 
 // report tells an entry host of the load, if it has not been told lately. The lock
--- a/internal/flowd/backendserver.go
+++ b/internal/flowd/backendserver.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
 	"eelgrasswharf.example/eelgrasswharf/flow"
@@ -28,6 +29,7 @@
 	}
 	a.heardAt, a.ill = time.Now(), false
 	current, _ := a.tracker.Current()
+	a.noteWarmup(current.WarmupLeft)
 	if verdict == incarnation.First || !known || before.Leaving != current.Leaving || before.Gone != current.Gone {
 		a.opts.Log.Info("backend server", zap.String("server", current.Life.ID), zap.Int64("started_ms", current.Life.StartedMS),
 			zap.Uint64("sequence", current.Sequence), zap.Bool("leaving", current.Leaving), zap.Bool("gone", current.Gone))
@@ -89,7 +91,7 @@
 		Process:       processOf(r.Life),
 		FailureDomain: a.opts.FailureDomain,
 		Address:       a.frames.local().String(),
-		Started:       time.Now().Add(r.WarmupLeft - rampMS*time.Millisecond),
+		Started:       coldStart(r.WarmupLeft),
 		Status:        a.status(r),
 		CallTimeout:   callTimeout,
 		RetryMax:      retryMax,
@@ -153,9 +155,47 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.flows.SetPeers(peers, all, own)
+	a.warmup, a.told = warmupOf(v.Config, a.opts.Service), v.Config != nil
+	a.boundWarmup()
 	a.noteEvacuation(config.IsEvacuated(v.Config, a.opts.FailureDomain))
 }
 
+// warmupOf returns what a service states of its targets' start, nil if it states nothing.
+func warmupOf(c *configpb.Configuration, service string) *configpb.Warmup {
+	for _, s := range c.GetServices() {
+		if s.GetName() == service {
+			return s.GetWarmup()
+		}
+	}
+	return nil
+}
+
+// noteWarmup takes in how much longer the backend server is slow. One whose failure domain
+// was evacuated may have become so again without a start. The lock is held.
+func (a *Agent) noteWarmup(left time.Duration) {
+	before := a.warmAt
+	a.warmAt = a.now() + left
+	a.boundWarmup()
+	if a.announcer != nil && left > 0 && a.warmAt > before+againMargin {
+		a.announcer.Restarted(coldStart(left))
+	}
+}
+
+// coldStart returns the cold start that the ramp of entry hosts is to begin at for a backend
+// server that is slow for that much longer.
+func coldStart(left time.Duration) time.Time { return time.Now().Add(left - rampMS*time.Millisecond) }
+
+// boundWarmup brings the bound of a warming target into force. An agent that does not know
+// yet what the service states keeps to what any may be given. The lock is held.
+func (a *Agent) boundWarmup() {
+	margin := a.opts.Warmup
+	most := flow.FlowsWhileWarming(a.warmup.GetRequestsPerSecond(), margin.Overshoot, margin.Slack)
+	if !a.told {
+		most = max(int(margin.Slack), 1)
+	}
+	a.flows.SetWarmup(flow.Warmup{Until: a.warmAt, MostFlows: most})
+}
+
 // noteEvacuation takes in whether the own failure domain takes new flows. The lock is held.
 func (a *Agent) noteEvacuation(evacuated bool) {
 	if a.evacuated == evacuated {
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -236,6 +236,7 @@
 }
 
 func (e *Entry) fromCaller(b []byte, _ flow.Endpoint) {
+	e.callers.in.packets.add(len(b))
 	p, err := e.opts.Codec.FromCaller(b)
 	if err != nil {
 		e.reasons.malformed.Inc(1)
@@ -247,6 +248,7 @@
 }
 
 func (e *Entry) fromAgent(b []byte, from flow.Endpoint) {
+	e.agents.in.frame(b)
 	m, packet, err := flow.ParseFrame(b)
 	if err != nil {
 		e.reasons.malformed.Inc(1)
@@ -304,11 +306,11 @@
 	}
 	switch v.Action {
 	case flow.Send:
-		e.agents.send(e.framed(&v.Frame, packet), v.To)
+		e.agents.sendFrame(e.framed(&v.Frame, packet), v.To)
 	case flow.SendAll:
 		framed := e.framed(&v.Frame, packet)
 		for _, to := range v.All {
-			e.agents.send(framed, to)
+			e.agents.sendFrame(framed, to)
 		}
 	case flow.Wait:
 		if !e.waiting.Put(p.Key, packet, e.now()) {
@@ -316,7 +318,7 @@
 		}
 	case flow.Reset:
 		e.buffer = e.opts.Codec.AppendReset(e.buffer[:0], p.Key, p.Ack)
-		e.callers.send(e.buffer, flow.Endpoint{IP: p.Key.Caller.IP, Port: e.opts.CallerPort})
+		e.callers.sendReset(e.buffer, flow.Endpoint{IP: p.Key.Caller.IP, Port: e.opts.CallerPort})
 	}
 }
 
--- a/internal/flowd/fellows.go
+++ b/internal/flowd/fellows.go
@@ -58,7 +58,7 @@
 		return
 	}
 	a.buffer = flow.AppendKeys(a.buffer[:0], kind, keys)
-	a.frames.send(a.buffer, to)
+	a.frames.sendFrame(a.buffer, to)
 }
 
 // tell sends notices about flows: a search goes with the packet. The lock is held.
@@ -72,7 +72,7 @@
 				continue // its caller sends a copy
 			}
 		}
-		a.frames.send(a.framed(&n.Frame, packet), n.To)
+		a.frames.sendFrame(a.framed(&n.Frame, packet), n.To)
 	}
 }
 
--- a/internal/flowd/socket.go
+++ b/internal/flowd/socket.go
@@ -29,6 +29,8 @@
 	conn   *net.UDPConn
 	log    *zap.Logger
 	failed tally.Counter
+	// in and out count what it receives and sends.
+	in, out *traffic
 	// handling is how long datagrams take from the read to the last send.
 	handling tally.Histogram
 	loggedAt time.Time
@@ -51,6 +53,8 @@
 		conn:     conn,
 		log:      log,
 		failed:   scope.Counter("failed_sends"),
+		in:       newTraffic(scope, from, received),
+		out:      newTraffic(scope, from, sent),
 		handling: scope.Tagged(map[string]string{"from": from}).Histogram("handling_seconds", metrics.Durations),
 	}, nil
 }
@@ -60,7 +64,24 @@
 	return s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-// send sends a datagram. What is lost is sent again by the ends of the flow.
+// sendFrame sends a datagram that begins with a frame, sendPacket one that is a packet of
+// a caller or backend server, sendReset one that tells a caller that its flow is gone. What
+// is lost is sent again by the ends of the flow.
+func (s *socket) sendFrame(b []byte, to flow.Endpoint) {
+	s.out.frame(b)
+	s.send(b, to)
+}
+
+func (s *socket) sendPacket(b []byte, to flow.Endpoint) {
+	s.out.packets.add(len(b))
+	s.send(b, to)
+}
+
+func (s *socket) sendReset(b []byte, to flow.Endpoint) {
+	s.out.resets.add(len(b))
+	s.send(b, to)
+}
+
 func (s *socket) send(b []byte, to flow.Endpoint) {
 	if _, err := s.conn.WriteToUDPAddrPort(b, to.AddrPort()); err != nil {
 		s.failed.Inc(1)
--- a/internal/settings/patch.go
+++ b/internal/settings/patch.go
@@ -26,7 +26,7 @@
 
 // hiddenFields are fields of a service that the section name or the control
 // host sets.
-var hiddenFields = map[protoreflect.Name]bool{"number": true, "name": true, "policy": true}
+var hiddenFields = map[protoreflect.Name]bool{"number": true, "name": true, "policy": true, "warmup": true}
 
 // LoadPatch reads a patch file into operations with their places. A section
 // [service NAME] creates or replaces a service; its keys are the fields of
