flow: no packet of an unknown flow is ever copied to all agents of a large service

Cause of the storm after the loss of all power on the shifted site: a search that got no answer in three rounds went to all agents by itself if there were 64 at most, one copy each, packet by packet. Openings, questions and the control link were lost in that queue, nothing came back, no flow was reset, callers sent again.

The entry host itself sends no more than one copy a service.

Ruled out: the timeout of dialling as the cause: the control link is lost two seconds after the searches fill the link, and stays when they do not.

--- a/flow/entry.go
+++ b/flow/entry.go
@@ -14,10 +14,8 @@
 	// one burst arrive before an agent has answered.
 	searchPause = 150 * time.Millisecond
 	maxSearches = 8
-	// maxAsks is the same in a large service, where a search takes several packets, and
-	// maxDirects where it takes one for each agent.
-	maxAsks    = 4
-	maxDirects = 1
+	// maxAsks is the same in a large service, where a search takes several packets.
+	maxAsks = 4
 	// homesPause is how long the targets that were offered a flow have to say which of them
 	// has it: as long as a datagram waits before a full link.
 	homesPause = time.Second
@@ -28,13 +26,10 @@
 	// maxHeard bounds the agents whose last word is remembered.
 	maxHeard = 32_768
 	// smallService is up to how many agents all are asked at once. A packet to 16
-	// agents, some 4 KB, takes 8 ms of a link of 4 Mbit/s.
+	// agents, some 4 KB, takes 8 ms of a link of 4 Mbit/s. In a larger service no packet is
+	// ever copied to all: callers send it again as long as they have no answer, and the
+	// copies would fill the link that the answers have to come through.
 	smallService = 16
-	// maxRounds is how many ways of searching a large service come before all agents
-	// are sent the packet from here, and maxDirect up to how many they may be for that: a
-	// copy for each of hundreds, packet by packet, is more than a narrow link carries.
-	maxRounds = 3
-	maxDirect = 64
 	// maxDenials bounds the agents that are remembered for one flow.
 	maxDenials = 256
 )
@@ -59,8 +54,9 @@
 	// Registrars appends the agents that know where a flow lives.
 	Registrars(to []Endpoint, key Key) []Endpoint
 	// Coordinators appends two agents of each service that may have the flow, either of
-	// which asks all others of its service about it.
-	Coordinators(to []Endpoint, key Key) []Endpoint
+	// which asks all others of its service about it. Another turn names others, in case
+	// that both are lost.
+	Coordinators(to []Endpoint, key Key, turn int) []Endpoint
 	// Fellows appends the agents of an agent's service, itself included.
 	Fellows(to []Endpoint, agent Endpoint) []Endpoint
 	// Ready reports whether routes and targets are known. Before that nothing can be
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -21,9 +21,9 @@
 )
 
 // AppendCoordinators appends the agents of a list that inquire about a flow among all of
-// the list, the first one and another one in case of its loss.
-func AppendCoordinators(to []Endpoint, key Key, list []Endpoint) []Endpoint {
-	group := Key{Caller: Endpoint{Port: uint16(key.Hash(0) % coordinators)}}
+// the list, the first one and another one in case of its loss. Another turn gives others.
+func AppendCoordinators(to []Endpoint, key Key, turn int, list []Endpoint) []Endpoint {
+	group := Key{Caller: Endpoint{Port: uint16((key.Hash(0) + uint64(turn)) % coordinators)}}
 	return AppendRegistrars(to, group, list)
 }
 
--- a/flow/search.go
+++ b/flow/search.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// firstWide is the round of a search in which an agent is asked to ask all others.
+const firstWide = 2
+
 // search sends a packet to all agents that may hold its flow.
 func (e *Entry) search(f *entryFlow, p Packet, now time.Duration) Verdict {
 	if p.Flags.Has(RST) {
@@ -25,8 +28,8 @@
 	if now-f.searched >= searchPause {
 		f.searched, f.searches = now, 0
 	}
-	asks := len(e.all) > smallService && (f.round < maxRounds || len(e.all) > maxDirect)
-	if f.searches >= searchLimit(len(e.all), asks) {
+	asks := len(e.all) > smallService
+	if f.searches >= searchLimit(asks) {
 		return Verdict{Action: Drop, Reason: ReasonSearches}
 	}
 	f.searches++
@@ -38,19 +41,16 @@
 }
 
 // searchLimit is how many packets of a flow are searched with in a pause.
-func searchLimit(agents int, asks bool) uint8 {
-	switch {
-	case asks:
+func searchLimit(asks bool) uint8 {
+	if asks {
 		return maxAsks
-	case agents > smallService:
-		return maxDirects
 	}
 	return maxSearches
 }
 
 // ask searches in a large service: first by the agents that should know where the flow
-// lives, then by an agent that asks all others of its service, and after that by another
-// one of these. A packet that comes after a pause begins the next round; those of one
+// lives, then by an agent that asks all others of its service, and after that by one other
+// of these after another. A packet that comes after a pause begins the next round; those of one
 // burst go the same way.
 func (e *Entry) ask(f *entryFlow, p Packet, now time.Duration) Verdict {
 	if f.round == 0 || now-f.roundAt >= searchPause {
@@ -63,8 +63,9 @@
 		return Verdict{Action: SendAll, Reason: ReasonRegistered, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}, Keep: true}
 	}
 	f.askedOf = nil
-	e.all = e.placer.Coordinators(e.all[:0], p.Key)
-	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: each(e.all, int(f.round)%registrars), Frame: Frame{Kind: Search, Hops: Wide, Entry: e.self}}
+	asked := int(f.round) - firstWide
+	e.all = e.placer.Coordinators(e.all[:0], p.Key, asked/registrars)
+	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: each(e.all, asked%registrars), Frame: Frame{Kind: Search, Hops: Wide, Entry: e.self}}
 }
 
 // each returns the agent at a place of each pair, in place.
@@ -163,9 +164,9 @@
 			return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
 		}
 	}
-	e.all = each(e.placer.Coordinators(e.all[:0], key), 0)
+	e.all = each(e.placer.Coordinators(e.all[:0], key, 0), 0)
 	f.askedOf = nil
-	f.round = max(f.round, 2)
+	f.round = max(f.round, firstWide)
 	f.roundAt = f.searched
 	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: e.all, Frame: Frame{Kind: Search, Hops: Wide, Entry: e.self}, Kept: true}, Packet{Key: key}
 }
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -352,8 +352,10 @@
 }
 
 // Coordinators implements flow.Placer.
-func (p *placer) Coordinators(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
-	return p.ofServices(to, key, true, flow.AppendCoordinators)
+func (p *placer) Coordinators(to []flow.Endpoint, key flow.Key, turn int) []flow.Endpoint {
+	return p.ofServices(to, key, true, func(to []flow.Endpoint, key flow.Key, list []flow.Endpoint) []flow.Endpoint {
+		return flow.AppendCoordinators(to, key, turn, list)
+	})
 }
 
 // Fellows implements flow.Placer.
