link: an attempt at a control host goes on beside the next ones

Cause: each attempt was given up after 400 ms. Only the first failure of a series left a line. A client that was given no address waited for ever, also once it learned one.

Ways: a timeout that grows with failures (a server that is gone then costs seconds, just when many are gone); attempts that overlap (chosen): after 400 ms without an answer the next server is tried beside it, four at most, each for 3 s. The former way is DialPatience = 0.

Each attempt that fails has its line and its count by reason.

--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -34,10 +34,12 @@
 	linkTimeout   = time.Second
 	// callTimeout bounds a registration or announcement.
 	callTimeout = time.Second
-	// dialTimeout bounds an attempt at one control host. A host without power answers
-	// nothing, and the next one may be back already; a handshake between regions
-	// takes 80 ms.
-	dialTimeout = 400 * time.Millisecond
+	// dialTimeout is how long an attempt at one control host has no answer before the next
+	// one is tried. A host without power answers nothing, and the next one may be back
+	// already; a handshake between regions takes 80 ms. dialPatience bounds an attempt:
+	// behind a full link a handshake of two round trips takes seconds.
+	dialTimeout  = 400 * time.Millisecond
+	dialPatience = 3 * time.Second
 	// retryMax bounds the pause between attempts.
 	retryMax = 250 * time.Millisecond
 )
@@ -120,6 +122,7 @@
 		Log:              log,
 		Scope:            scope,
 		DialTimeout:      dialTimeout,
+		DialPatience:     dialPatience,
 		HeartbeatPeriod:  linkHeartbeat,
 		HeartbeatTimeout: linkTimeout,
 		BackoffMax:       retryMax,
--- a/internal/link/bench_test.go
+++ b/internal/link/bench_test.go
@@ -48,7 +48,7 @@
 	s, c := benchmarkPair(b)
 	before := processorTime(b)
 	for b.Loop() {
-		conn, err := c.dial(context.Background(), s.Addr().String())
+		conn, err := c.dial(context.Background(), s.Addr().String(), DefaultDialTimeout)
 		is.NoErr(err)
 		conn.close(codeNone)
 	}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -48,8 +48,11 @@
 	Allowed []keys.Role
 	// LocalIP is the IP number that sockets are opened on; by default any.
 	LocalIP netip.Addr
-	// DialTimeout bounds one attempt: handshake and first heartbeat.
-	DialTimeout time.Duration
+	// DialTimeout is how long an attempt, handshake and first heartbeat, has no answer
+	// before the next server is tried. DialPatience bounds the attempt, which goes on
+	// beside the next ones; by default it is DialTimeout.
+	DialTimeout  time.Duration
+	DialPatience time.Duration
 	// HedgeAfter is how long an attempt has no answer before another one is made
 	// beside it; zero means one attempt at a time. It is for links that everything
 	// waits for: a server in need gets more handshakes to do.
@@ -80,6 +83,7 @@
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
+	o.DialPatience = max(o.DialPatience, o.DialTimeout)
 	o.HeartbeatPeriod = cmp.Or(o.HeartbeatPeriod, DefaultHeartbeatPeriod)
 	o.HeartbeatTimeout = cmp.Or(o.HeartbeatTimeout, DefaultHeartbeatTimeout)
 	o.BackoffMin = cmp.Or(o.BackoffMin, DefaultBackoffMin)
@@ -114,6 +118,8 @@
 	// addrs before the next attempt if stale is set.
 	configured, learned []string
 	stale               bool
+	// named is closed when configured or learned has changed, and then made anew.
+	named chan struct{}
 	// next is where the client shall move to, if not empty.
 	next string
 	// move is signalled to leave the current connection.
@@ -130,6 +136,7 @@
 		opts:       opts.withDefaults(),
 		ready:      make(chan struct{}),
 		opened:     make(chan struct{}),
+		named:      make(chan struct{}),
 		move:       make(chan struct{}, 1),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -159,7 +166,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.configured = slices.Clone(addrs)
-	c.stale = true
+	c.nameAddresses()
 }
 
 // Learn adds servers that a server named to those that the client may use, in place of
@@ -172,7 +179,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.learned = slices.Clone(addrs)
-	c.stale = true
+	c.nameAddresses()
 }
 
 // takeAddresses takes over what SetAddresses and Learn were given last.
@@ -321,7 +328,7 @@
 }
 
 func (c *Client) callOnce(ctx context.Context, addr string, req *controlpb.Request) Answer {
-	conn, err := c.dial(ctx, addr)
+	conn, err := c.dial(ctx, addr, c.opts.DialTimeout)
 	if err != nil {
 		return Answer{Address: addr, Err: notSent(err)}
 	}
--- a/internal/link/connection.go
+++ b/internal/link/connection.go
@@ -23,10 +23,10 @@
 	calls        inflight
 }
 
-// dial connects to a server, by several attempts beside each other if the options
-// ask for it.
-func (c *Client) dial(ctx context.Context, addr string) (*connection, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
+// dial connects to a server within a timeout, by several attempts beside each other if the
+// options ask for it.
+func (c *Client) dial(ctx context.Context, addr string, timeout time.Duration) (*connection, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if c.opts.HedgeAfter <= 0 {
 		return c.attempt(ctx, addr)
--- a/internal/link/redial.go
+++ b/internal/link/redial.go
@@ -51,18 +51,11 @@
 
 // run keeps a connection until the client is closed.
 func (c *Client) run() {
-	if len(c.addrs) == 0 {
-		<-c.ctx.Done()
-		return
-	}
 	r := &redial{notBefore: make(map[string]time.Time)}
-	for c.ctx.Err() == nil {
-		c.takeAddresses(r)
-		addr := c.addrs[r.index]
-		conn, err := c.dial(c.ctx, addr)
-		if err != nil {
-			c.dialFailed(r, addr, err)
-			continue
+	for c.awaitAddresses(r) {
+		conn := c.reach(r)
+		if conn == nil {
+			return
 		}
 		c.serve(r, conn)
 	}
@@ -74,6 +67,7 @@
 		c.opts.Log.Info("control link established", zap.String("address", conn.addr))
 	}
 	r.failures = 0
+	r.at(c.addrs, conn.addr)
 	clear(r.notBefore)
 	established := time.Now()
 	c.drainMove()
@@ -134,23 +128,6 @@
 	return (index + 1) % len(c.addrs)
 }
 
-// dialFailed counts a failed attempt, chooses the next address and pauses.
-func (c *Client) dialFailed(r *redial, addr string, err error) {
-	if c.ctx.Err() != nil {
-		return
-	}
-	byReason(c.opts.Scope, metricDialFailures, dialReason(err)).Inc(1)
-	if r.failures == 0 {
-		c.opts.Log.Info("control host not reached", zap.String("address", addr), zap.Error(err))
-	}
-	r.failures++
-	if wait, ok := retryAfter(err); ok {
-		r.notBefore[addr] = time.Now().Add(wait)
-	}
-	r.index = (r.index + 1) % len(c.addrs)
-	_ = sleep.For(c.ctx, c.wait(r, time.Now()))
-}
-
 // wait returns how long to pause before the next address: hardly at all while
 // others are untried, growing from round to round, and as long as a busy
 // server asked for.
