voters: votes are spread over failure domains

Cause: the group gave votes to learners in the order in which they joined, without knowing where they stand: six disks of which four stand in one failure domain got six votes, and the loss of that domain took the quorum (a property test of hosts in one to six domains failed on the former rule).

Change: members tell their failure domain. The learner whose domain has the fewest votes that answer gets the next one; none does by which the loss of one domain would take the quorum, once there are as many voters as the stated losses of hosts ask for. A silent voter counts as a vote that is not given, so its successor in the same domain gets one.

--- a/internal/controld/found.go
+++ b/internal/controld/found.go
@@ -313,7 +313,7 @@
 func (d *Daemon) foundNew(group controlpb.Group, self *raftpb.ReplicaID, infos map[string]*controlpb.ReplicaInfo) {
 	m := &raftpb.Membership{}
 	for _, v := range d.voters {
-		id := self
+		id, domain := self, d.settings.GetHost().GetFailureDomain()
 		if v.name != d.name {
 			info := infos[v.name]
 			if info.GetId().GetName() != v.name {
@@ -322,11 +322,11 @@
 			if info.GetTransient() {
 				continue // never votes
 			}
-			id = info.GetId()
+			id, domain = info.GetId(), info.GetFailureDomain()
 		} else if d.settings.GetReplica().GetTransient() {
 			continue
 		}
-		m.Members = append(m.Members, &raftpb.Member{Id: id, Address: d.memberAddress(v)})
+		m.Members = append(m.Members, &raftpb.Member{Id: id, Address: d.memberAddress(v), FailureDomain: domain})
 	}
 	switch {
 	case len(m.GetMembers()) == 0 && d.voters[0].name == d.name:
@@ -343,7 +343,9 @@
 	for _, group := range d.groups {
 		self := d.replicas[group]
 		if !self.Status().Formed {
-			d.form(group, &raftpb.Membership{Members: []*raftpb.Member{{Id: self.ID(), Address: address}}})
+			d.form(group, &raftpb.Membership{Members: []*raftpb.Member{{
+				Id: self.ID(), Address: address, FailureDomain: d.settings.GetHost().GetFailureDomain(),
+			}}})
 		}
 	}
 }
@@ -378,6 +380,8 @@
 			Id:        d.replicas[group].ID(),
 			Formed:    s.Formed,
 			Transient: d.settings.GetReplica().GetTransient(),
+
+			FailureDomain: d.settings.GetHost().GetFailureDomain(),
 		}
 		if s.Formed {
 			info.Membership = &raftpb.Membership{}
--- a/internal/controld/members.go
+++ b/internal/controld/members.go
@@ -92,7 +92,9 @@
 		id := m.Member.GetId()
 		self := id.GetName() == s.Self.GetName() && id.GetIncarnation() == s.Self.GetIncarnation()
 		out = append(out, voters.Member{
-			Replica:   voters.Replica{Name: id.GetName(), Incarnation: id.GetIncarnation()},
+			Replica:       voters.Replica{Name: id.GetName(), Incarnation: id.GetIncarnation()},
+			FailureDomain: m.Member.GetFailureDomain(),
+
 			Learner:   m.Member.GetLearner(),
 			Transient: m.Member.GetTransient(),
 			Active:    m.Active || self,
--- a/internal/controld/operators.go
+++ b/internal/controld/operators.go
@@ -171,7 +171,9 @@
 		if r == nil || isMember(r.Status(), info.GetId()) {
 			continue
 		}
-		member := &raftpb.Member{Id: info.GetId(), Address: address, Learner: true, Transient: info.GetTransient()}
+		member := &raftpb.Member{
+			Id: info.GetId(), Address: address, Learner: true, Transient: info.GetTransient(), FailureDomain: info.GetFailureDomain(),
+		}
 		first = firstError(first, r.AddLearner(ctx, member))
 	}
 	return notEverywhere(first)
--- a/voters/voters.go
+++ b/voters/voters.go
@@ -15,6 +15,8 @@
 // Member is one member of the group as its leader sees it.
 type Member struct {
 	Replica
+	// FailureDomain is where its host stands, empty if that is not known.
+	FailureDomain string
 	// Learner: it has no vote.
 	Learner bool
 	// Transient: it keeps its log in memory only and must never vote.
@@ -55,6 +57,9 @@
 	ReasonSettled Reason = "settled"
 	// ReasonFormerVotes: a learner could vote, but its host's former replica does so far.
 	ReasonFormerVotes Reason = "former_votes"
+	// ReasonUneven: a learner could vote, but then the loss of its failure domain would
+	// take the quorum.
+	ReasonUneven Reason = "uneven"
 	// ReasonFull: a learner could vote, but there are as many voters as may be.
 	ReasonFull Reason = "full"
 )
@@ -91,20 +96,32 @@
 	if silent, found := gone(members, l); found {
 		return Change{Kind: Remove, Replica: silent, Reason: ReasonGone}
 	}
-	full := Count(members) >= l.Most
+	return promote(members, l)
+}
+
+// promote returns the next vote to be given.
+func promote(members []Member, l Limits) Change {
 	waits := ReasonSettled
+	var candidates []Member
 	for _, m := range members {
 		switch {
 		case !promotable(m):
 		case formerVotes(members, m.Replica):
 			waits = ReasonFormerVotes
-		case full:
-			return Change{Reason: ReasonFull}
 		default:
-			return Change{Kind: Promote, Replica: m.Replica, Reason: ReasonCaughtUp}
+			candidates = append(candidates, m)
 		}
 	}
-	return Change{Reason: waits}
+	switch {
+	case len(candidates) == 0:
+		return Change{Reason: waits}
+	case Count(members) >= l.Most:
+		return Change{Reason: ReasonFull}
+	}
+	if next := spread(candidates, members, l); next != nil {
+		return Change{Kind: Promote, Replica: next.Replica, Reason: ReasonCaughtUp}
+	}
+	return Change{Reason: ReasonUneven}
 }
 
 // formerVotes reports whether a former replica of a host still has its vote. A leader that
