flow: searches take what the others leave of an entry host's link

Cause: at 1.0 and 1.5 Mbit/s the storm after the loss of all power was still there: the link carries both directions together, callers' packets, frames and answers filled it, and entry hosts lost their control link as silent 2 s after the start.

The width is link_mbps of the platform's settings; without it nothing is held up.

--- a/flow/entry.go
+++ b/flow/entry.go
@@ -78,7 +78,8 @@
 	fellows []Endpoint
 	excused map[Endpoint]bool
 	// heard is when each agent was heard last.
-	heard map[Endpoint]time.Duration
+	heard  map[Endpoint]time.Duration
+	budget budget
 	// stalls notices that this host stood still, once it is looked at regularly. Until
 	// settled the host may know less than others.
 	stalls  stall.Detector
--- a/flow/search.go
+++ b/flow/search.go
@@ -18,6 +18,10 @@
 	if len(e.all) == 0 {
 		return Verdict{Action: Drop, Reason: ReasonNoRoute}
 	}
+	if e.budget.full(now) {
+		// Its caller sends it again; the flows that are known come first.
+		return Verdict{Action: Drop, Reason: ReasonLinkFull}
+	}
 	if f == nil {
 		if len(e.flows) >= MaxEntryFlows {
 			return Verdict{Action: Drop, Reason: ReasonTableFull}
--- a/flow/verdict.go
+++ b/flow/verdict.go
@@ -61,6 +61,7 @@
 	ReasonUnconfirmed Reason = "unconfirmed"
 	ReasonStoodStill  Reason = "stood_still"
 	ReasonOverflow    Reason = "overflow"
+	ReasonLinkFull    Reason = "link_full"
 	ReasonQueued      Reason = "queued"
 	ReasonQueueSpent  Reason = "queue_spent"
 )
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -65,7 +65,10 @@
 	CallerListen, AgentListen string
 	// CallerPort is the port at which callers take packets.
 	CallerPort uint16
-	Limits     Limits
+	// LinkBitsPerSecond is the width of the host's link for both directions together, 0 if
+	// it is not known.
+	LinkBitsPerSecond float64
+	Limits            Limits
 }
 
 // Entry forwards the packets of callers.
@@ -113,6 +116,7 @@
 	}
 	e.client = link.NewClient(o.Control, o.Creds, linkOptions(o.Log, o.Scope))
 	e.flows = flow.NewEntry(e.placer, flow.EndpointOf(agents.local()))
+	e.flows.SetLink(o.LinkBitsPerSecond, 0)
 	return e, nil
 }
 
@@ -247,7 +251,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.act(e.flows.Packet(p, e.look()), p, b)
+	now := e.look()
+	e.flows.Carried(len(b), now)
+	e.act(e.flows.Packet(p, now), p, b)
 }
 
 func (e *Entry) fromAgent(b []byte, from flow.Endpoint) {
@@ -259,6 +265,7 @@
 	}
 	now := e.now()
 	e.mu.Lock()
+	e.flows.Carried(len(b), now)
 	e.flows.Heard(from, now)
 	e.mu.Unlock()
 	switch m.Kind {
@@ -309,11 +316,11 @@
 	}
 	switch v.Action {
 	case flow.Send:
-		e.agents.sendFrame(e.framed(&v.Frame, packet), v.To)
+		e.toAgent(e.framed(&v.Frame, packet), v.To)
 	case flow.SendAll:
 		framed := e.framed(&v.Frame, packet)
 		for _, to := range v.All {
-			e.agents.sendFrame(framed, to)
+			e.toAgent(framed, to)
 		}
 	case flow.Wait:
 		if !e.waiting.Put(p.Key, packet, e.now()) {
@@ -325,6 +332,12 @@
 	}
 }
 
+// toAgent sends a frame within the budget of the link. The lock is held.
+func (e *Entry) toAgent(framed []byte, to flow.Endpoint) {
+	e.flows.Carried(len(framed), e.now())
+	e.agents.sendFrame(framed, to)
+}
+
 func (e *Entry) framed(f *flow.Frame, packet []byte) []byte {
 	e.buffer = append(f.Append(e.buffer[:0]), packet...)
 	return e.buffer
