--- a/soak/callers.go
+++ b/soak/callers.go
@@ -49,6 +49,8 @@
 	random *rand.Rand
 	counts *counts
 	number int
+	// zoneOf returns the zone of a target's host.
+	zoneOf func(host string) string
 }
 
 func (c *caller) run(ctx context.Context) {
@@ -89,8 +91,9 @@
 	f.Close()
 }
 
-// placed holds the service that a flow was opened with.
+// placed holds the service and the zone that a flow was opened with.
 func (c *caller) placed(f *standin.Flow, route netip.AddrPort, sent time.Time) {
+	c.truth.OpenedIn(c.zoneOf(hostOf(f.Target)), sent)
 	switch want := map[netip.AddrPort]string{firstRoute: firstService, secondRoute: secondService}[route]; {
 	case want == "":
 		c.truth.ServedBy(f.Service(), sent)
--- a/soak/run.go
+++ b/soak/run.go
@@ -39,8 +39,10 @@
 
 // Streams of chance, apart from each other.
 const (
-	operatorStream = 2
-	callerStream   = 1000
+	operatorStream    = 2
+	evacuationStream  = 3
+	evacuationsStream = 4
+	callerStream      = 1000
 )
 
 // Options describe a run.
@@ -73,7 +75,7 @@
 		o.Out = io.Discard
 	}
 	d, err := standin.Start(standin.Options{
-		Binary: o.Binary, Folder: o.Folder, IPs: o.IPs, Controls: controls, Entries: entries, Losses: 1,
+		Binary: o.Binary, Folder: o.Folder, IPs: o.IPs, Controls: controls, Entries: entries, Losses: 1, Zones: zones,
 		Services: []standin.Service{{Name: firstService, Targets: firstTargets}, {Name: secondService, Targets: secondTargets}},
 	})
 	if err != nil {
@@ -128,13 +130,15 @@
 	operators := &operators{truth: r.truth, urls: in.urls(), random: r.random(operatorStream), counts: &r.counts, version: 1}
 	var load conc.WaitGroup
 	for i := range callers {
-		c := &caller{truth: r.truth, caller: from, random: r.random(callerStream + uint64(i)), counts: &r.counts, number: i}
+		c := &caller{truth: r.truth, caller: from, random: r.random(callerStream + uint64(i)), counts: &r.counts, number: i, zoneOf: r.d.ZoneOf}
 		load.Go(func() { c.run(playing) })
 	}
 	var changes conc.WaitGroup
 	changing, settle := context.WithCancel(playing)
 	defer settle()
 	changes.Go(func() { operators.change(changing) })
+	evacuating := &evacuations{truth: r.truth, orders: r.evacuationOrders(in), zones: r.d.Zones(), random: r.random(evacuationStream)}
+	changes.Go(func() { evacuating.run(changing) })
 	for _, url := range operators.urls {
 		load.Go(func() { operators.read(playing, url) })
 	}
@@ -149,6 +153,11 @@
 	return r.result(), nil
 }
 
+// evacuationOrders draws the hosts that orders to evacuate go to, by chance of its own.
+func (r *run) evacuationOrders(in *injector) *operators {
+	return &operators{urls: in.urls(), random: r.random(evacuationsStream)}
+}
+
 func (r *run) random(stream uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(r.options.Seed, stream))
 }
@@ -222,6 +231,9 @@
 	if err := f.Do(bounded, "back"); err != nil {
 		return err.Error()
 	}
+	if zone := r.d.ZoneOf(hostOf(f.Target)); r.truth.IsEvacuated(zone) {
+		return "served in " + zone + ", which is evacuated"
+	}
 	if route == changingRoute && !r.truth.Allows(f.Service(), least) {
 		return fmt.Sprintf("served by %s, which no version from %d on allows", f.Service(), least)
 	}
--- a/soak/truth.go
+++ b/soak/truth.go
@@ -38,6 +38,7 @@
 	RuleInvalid   = "what is invalid is refused"
 	RuleEnds      = "no process ends by itself"
 	RuleBack      = "service is back within its bound"
+	RuleEvacuated = "nothing opens in a zone whose evacuation is acknowledged"
 )
 
 // Truth is what has been acknowledged and done so far, against which all that is seen
@@ -61,6 +62,9 @@
 	// is, or was, disturbed by a fault.
 	ended     map[string]bool
 	disturbed map[string]time.Time
+	// evacuated has when the evacuation of each zone was acknowledged that was not taken
+	// back since.
+	evacuated map[string]time.Time
 }
 
 type ack struct {
@@ -72,7 +76,7 @@
 func NewTruth(began time.Time, patience time.Duration) *Truth {
 	return &Truth{
 		began: began, patience: patience, content: map[int]string{}, allowed: map[int][]string{},
-		ended: map[string]bool{}, disturbed: map[string]time.Time{},
+		ended: map[string]bool{}, disturbed: map[string]time.Time{}, evacuated: map[string]time.Time{},
 	}
 }
 
@@ -185,6 +189,40 @@
 	return false
 }
 
+// Evacuated notes that the evacuation of a zone was acknowledged, Returned that it is to be
+// taken back.
+func (t *Truth) Evacuated(zone string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evacuated[zone] = time.Now()
+}
+
+// Returned is explained at Evacuated.
+func (t *Truth) Returned(zone string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.evacuated, zone)
+}
+
+// IsEvacuated reports whether the evacuation of a zone stands.
+func (t *Truth) IsEvacuated(zone string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, evacuated := t.evacuated[zone]
+	return evacuated
+}
+
+// OpenedIn holds the zone that a flow was opened in.
+func (t *Truth) OpenedIn(zone string, sent time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	acked, evacuated := t.evacuated[zone]
+	if !evacuated || sent.Before(acked.Add(applyBound+t.patience)) || t.anyDisturbedSince(sent.Add(-touchWindow)) {
+		return
+	}
+	t.breakLocked(RuleEvacuated, "a flow was opened in %s %s after the acknowledgement", zone, sent.Sub(acked))
+}
+
 // LifeEnds notes that a life of a target ends now.
 func (t *Truth) LifeEnds(life string) {
 	t.mu.Lock()
