--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -49,12 +49,12 @@
 	log   *zap.Logger
 	began time.Time
 
-	mu     sync.Mutex
-	view   *subscriber.View
-	viewAt time.Time
-	table  *configpb.RouteTable
-	routes map[flow.Endpoint]*placement.Route
-	targets    map[uint32]*serviceTargets
+	mu      sync.Mutex
+	view    *subscriber.View
+	viewAt  time.Time
+	table   *configpb.RouteTable
+	routes  map[flow.Endpoint]*placement.Route
+	targets map[uint32]*serviceTargets
 	// agents are those of all targets of the view.
 	agents []flow.Endpoint
 	known  map[flow.Endpoint]bool
