--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,6 +47,10 @@
 		for _, v := range result.Violations {
 			t.Errorf("seed %d: %s", s.seed, v)
 		}
-		is.True(result.Faults > 0 && result.Served > 0 && result.Changes > 0 && result.Reads > 0) // it did something
+		t.Logf("seed %d: %+v", s.seed, *result)
+		is.True(result.Faults > 0)
+		is.True(result.Served > 0)
+		is.True(result.Changes > 0)
+		is.True(result.Reads > 0)
 	}
 }
