--- a/config/evacuation_test.go
+++ b/config/evacuation_test.go
@@ -93,7 +93,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			m := config.New()
-			for i, s := range steps {
+			for _, s := range steps {
 				before := m.Current()
 				out := order(t, m, s.order)
 				is.Equal(out.GetVerdict(), s.verdict)       // step
@@ -102,7 +102,6 @@
 				if s.inForce == evacuated(before) {
 					is.Equal(m.Current().GetVersion(), before.GetVersion()) // nothing changed
 				}
-				_ = i
 			}
 		})
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -39,10 +39,10 @@
 
 // Streams of chance, apart from each other.
 const (
-	operatorStream    = 2
-	evacuationStream  = 3
-	evacuationsStream = 4
-	callerStream      = 1000
+	operatorStream       = 2
+	evacuationStream     = 3
+	evacuationHostStream = 4
+	callerStream         = 1000
 )
 
 // Options describe a run.
@@ -155,7 +155,7 @@
 
 // evacuationOrders draws the hosts that orders to evacuate go to, by chance of its own.
 func (r *run) evacuationOrders(in *injector) *operators {
-	return &operators{urls: in.urls(), random: r.random(evacuationsStream)}
+	return &operators{urls: in.urls(), random: r.random(evacuationHostStream)}
 }
 
 func (r *run) random(stream uint64) *rand.Rand {
--- a/soak/truth.go
+++ b/soak/truth.go
@@ -189,15 +189,14 @@
 	return false
 }
 
-// Evacuated notes that the evacuation of a zone was acknowledged, Returned that it is to be
-// taken back.
+// Evacuated notes that the evacuation of a zone was acknowledged.
 func (t *Truth) Evacuated(zone string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.evacuated[zone] = time.Now()
 }
 
-// Returned is explained at Evacuated.
+// Returned notes that the evacuation of a zone is to be taken back.
 func (t *Truth) Returned(zone string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
