controld, subscriber: log what tells the hypotheses of the CONFIG incident apart

The lines of an entry host did not name the control host of its subscription, a suppressed move away from an isolated one had no line, and a control host that knows a leader but confirms nothing had neither line nor gauge.

- subscription state changed: address and version
- staying with an isolated control host
- confirmation state changed, confirmation_age_seconds: a read barrier at least every 400 ms, since without a new version none was made.
This is the only change of what runs; subscribers do not act on it yet.

--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -80,6 +80,12 @@
 	// short enough that a version accepted by the others is active within 3 s.
 	isolationPeriod = 100 * time.Millisecond
 	isolationDelay  = time.Second
+	// confirmationPeriod is the longest time between two confirmations of the local state,
+	// confirmationRetry the interval of attempts after a failed one. confirmationOverdue is
+	// the age that is logged: longer than most elections.
+	confirmationPeriod  = 400 * time.Millisecond
+	confirmationRetry   = 100 * time.Millisecond
+	confirmationOverdue = 1500 * time.Millisecond
 	// standbyPeriod is the mean interval between a standby's requests for membership,
 	// standbyDialTimeout bounds an attempt to connect.
 	standbyPeriod      = time.Second
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -64,14 +64,15 @@
 	peers       *peers
 	// groups lists the replicated logs of this host. Like replicas, it is constant once
 	// they are open.
-	groups      []controlpb.Group
-	replicas    map[controlpb.Group]*replica.Replica
-	readBarrier *barrier
-	isolation   isolation
-	standby     *standby
-	shortage    shortage
-	server      *link.Server
-	api         *operator.Server
+	groups       []controlpb.Group
+	replicas     map[controlpb.Group]*replica.Replica
+	readBarrier  *barrier
+	isolation    isolation
+	confirmation confirmation
+	standby      *standby
+	shortage     shortage
+	server       *link.Server
+	api          *operator.Server
 
 	// ctx ends the loops.
 	ctx    context.Context
@@ -130,7 +131,9 @@
 	d.peers = newPeers(creds, initialVoters, d.directory, log, d.scope)
 	d.peers.self = d.selfAddress
 	d.readBarrier = &barrier{ctx: d.ctx, wg: &d.loops, read: func(ctx context.Context) error {
+		began := time.Now()
 		err := d.replicas[controlpb.Group_GROUP_CONFIG].ReadBarrier(ctx)
+		d.confirmation.record(began, err)
 		if err == nil && !d.stateConfirmed.Swap(true) {
 			d.directory.changed.notify()
 		}
@@ -274,6 +277,7 @@
 	d.loops.Go(d.rejoinLoop)
 	d.loops.Go(d.notifySeedsLoop)
 	d.loops.Go(d.isolationLoop)
+	d.loops.Go(d.confirmationLoop)
 	d.loops.Go(func() { d.creds.Watch(d.ctx, keys.ReloadInterval, keys.LogReload(d.log)) })
 	d.log.Info("control host started", zap.String("link", d.LinkAddr()), zap.String("operator", d.OperatorAddr()))
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -308,7 +308,12 @@
 	if u.GetConfig().GetConfirmed() {
 		s.isolationBackoff = 0
 	}
-	if !u.GetHeartbeat().GetIsolated() || now.Before(s.nextIsolationMove) {
+	if !u.GetHeartbeat().GetIsolated() {
+		return false
+	}
+	if now.Before(s.nextIsolationMove) {
+		s.opts.Log.Info("staying with an isolated control host", zap.String("address", s.opts.Client.Address()),
+			zap.Duration("for", s.nextIsolationMove.Sub(now)))
 		return false
 	}
 	s.isolationBackoff = min(max(2*s.isolationBackoff, minIsolationBackoff), maxIsolationBackoff)
@@ -384,7 +389,8 @@
 		s.notifyVersion(old, v)
 	}
 	if old.Connected != v.Connected {
-		s.opts.Log.Info("subscription state changed", zap.Bool("connected", v.Connected))
+		s.opts.Log.Info("subscription state changed", zap.Bool("connected", v.Connected),
+			zap.String("address", s.opts.Client.Address()), zap.Uint64("version", v.Config.GetVersion()))
 	}
 	s.opts.OnView(v)
 }
