--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -61,7 +61,9 @@
 	grants      *grantGroups
 	directory   *directory
 	subscribers *subscribers
-	peers       *peers
+	// fs has the logs, nil for the file system of the operating system.
+	fs    wal.FS
+	peers *peers
 	// groups lists the replicated logs of this host. Like replicas, it is constant once
 	// they are open.
 	groups       []controlpb.Group
@@ -232,7 +234,7 @@
 		entries = defaultSnapshotEntries
 	}
 	// A log in memory has no directory.
-	var fs wal.FS
+	fs := d.fs
 	if d.settings.GetReplica().GetTransient() {
 		fs = wal.NewMemFS()
 	}
--- a/internal/controld/daemon_test.go
+++ b/internal/controld/daemon_test.go
@@ -21,6 +21,7 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/loopback"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 	"eelgrasswharf.example/eelgrasswharf/internal/unittest"
+	"eelgrasswharf.example/eelgrasswharf/internal/wal"
 )
 
 const waitTimeout = unittest.Timeout
@@ -44,6 +45,8 @@
 	transient map[string]bool
 	// standBy enables standby mode on the transient hosts.
 	standBy bool
+	// fs has the file systems of hosts that do not use that of the operating system.
+	fs map[string]wal.FS
 }
 
 type host struct {
@@ -114,6 +117,9 @@
 	daemon, err := controld.New(d.settings(name, data, join), zaptest.NewLogger(d.t), h.scope)
 	must(d.t, err)
 	h.daemon = daemon
+	if fs := d.fs[name]; fs != nil {
+		daemon.SetFS(fs)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	ended := make(chan struct{})
--- a/internal/controld/export_test.go
+++ b/internal/controld/export_test.go
@@ -4,8 +4,12 @@
 	"time"
 
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/wal"
 )
 
+// SetFS replaces the file system of the logs. It must be called before Run.
+func (d *Daemon) SetFS(fs wal.FS) { d.fs = fs }
+
 // Advance advances the logical clock of the grants like advanceLoop.
 func (d *Daemon) Advance(elapsed time.Duration) { d.advance(elapsed) }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -245,6 +245,28 @@
 	is.Equal(count(scope, metricLostConnections, reasonMoved), int64(2))
 }
 
+// Guards against a move that ends at the server that was left, after servers have named the
+// same addresses again.
+func TestMoveDoesNotReturnToServerJustLeft(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	var addrs []string
+	for range 3 {
+		s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c"), newFakeHandler(), ServerOptions{})
+		addrs = append(addrs, s.Addr().String())
+	}
+	c, _ := startClient(t, d.credentials(keys.RoleEntry, "e1"), fastOptions(), addrs...)
+	mustCall(t, c)
+	const moves = 30
+	for range moves {
+		left, reconnected := c.Address(), c.Reconnected()
+		c.SetLearnedAddresses(addrs)
+		c.Move("")
+		<-reconnected
+		is.True(c.Address() != left)
+	}
+}
+
 func TestClosedClient(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t)
--- a/internal/subscriber/fixture_test.go
+++ b/internal/subscriber/fixture_test.go
@@ -54,7 +54,10 @@
 	directory *controlpb.DirectoryUpdate
 	// directoryComplete is sent with each message.
 	directoryComplete bool
-	changed           chan struct{}
+	// isolated hosts say so in the first heartbeat of a subscription, which is the only one:
+	// afterwards they send changes of targets.
+	isolated bool
+	changed  chan struct{}
 	// raw has updates that are sent unchanged.
 	raw chan *controlpb.SubscribeUpdate
 	// subscribes are the received requests, heartbeats the reported versions.
@@ -129,9 +132,10 @@
 	for {
 		h.mu.Lock()
 		c, confirmed, dir, directoryComplete, changed := h.config, h.confirmed, h.directory, h.directoryComplete, h.changed
+		isolated := h.isolated
 		h.mu.Unlock()
 		u := &controlpb.SubscribeUpdate{
-			Directory: dir, DirectoryWhole: directoryComplete, Heartbeat: &controlpb.Heartbeat{Version: c.GetVersion()},
+			Directory: dir, DirectoryWhole: directoryComplete, Heartbeat: &controlpb.Heartbeat{Version: c.GetVersion(), Isolated: isolated},
 		}
 		switch {
 		case sent == nil || c.GetVersion() < sent.GetVersion():
@@ -161,11 +165,7 @@
 			return nil
 		case u = <-h.raw:
 		case <-beat:
-			h.mu.Lock()
-			u = &controlpb.SubscribeUpdate{
-				DirectoryWhole: h.directoryComplete, Heartbeat: &controlpb.Heartbeat{Version: h.config.GetVersion()},
-			}
-			h.mu.Unlock()
+			u = h.periodicUpdate()
 		}
 		if err := s.Send(u); err != nil {
 			return err
@@ -173,6 +173,16 @@
 	}
 }
 
+func (h *controlHost) periodicUpdate() *controlpb.SubscribeUpdate {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	u := &controlpb.SubscribeUpdate{DirectoryWhole: h.directoryComplete}
+	if !h.isolated {
+		u.Heartbeat = &controlpb.Heartbeat{Version: h.config.GetVersion()}
+	}
+	return u
+}
+
 func (h *controlHost) read(f func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -173,6 +173,28 @@
 	is.Equal(c.Address(), second)
 }
 
+// Guards against staying on an old version with an isolated control host that was reached
+// right after another one was left, and that says only once that it is isolated.
+func TestLeavesIsolatedHostReachedByMove(t *testing.T) {
+	d := newDeployment(t)
+	one, two := newControlHost(configuration(9), true), newControlHost(configuration(9), true)
+	a, b := d.listen(anyPort, one), d.listen(anyPort, two)
+	hosts := map[string]*controlHost{a.Addr().String(): one, b.Addr().String(): two}
+	c := d.client(a, b)
+	s, _, _ := start(t, c, nil)
+	awaitReady(t, s)
+	first := c.Address()
+	for address, h := range hosts {
+		if address != first {
+			h.set(func() { h.isolated = true })
+		}
+	}
+	hosts[first].set(func() { hosts[first].isolated = true })
+	eventually(t, "the first host was left", func() bool { return s.View().Connected && c.Address() != first })
+	hosts[first].set(func() { hosts[first].isolated, hosts[first].config = false, configuration(10) })
+	eventually(t, "version 10", func() bool { return s.View().Config.GetVersion() == 10 })
+}
+
 func TestSnapshotAfterDeltaGap(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t)
