link: a move does not return to the server that was left

An entry host that left an isolated control host came back to it at once.

Cause: control hosts name the serving hosts at the start of each subscription. A failed attempt at the next server could also lead straight back.

Names that are the same keep the order, and the server that was left comes after all others. Why this works: the order is a ring that is only drawn anew when its members change, and the left server is skipped until each other one was tried.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -165,17 +165,26 @@
 }
 
 // SetLearnedAddresses replaces the servers that were named by a server, unless addrs is
-// empty. They are tried before the configured ones, which need not be serving.
+// empty. They are tried before the configured ones, which need not be serving. The order of
+// the present ones is kept if addrs has the same servers.
 func (c *Client) SetLearnedAddresses(addrs []string) {
 	if len(addrs) == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if sameAddresses(c.learned, addrs) {
+		return
+	}
 	c.learned = slices.Clone(addrs)
 	c.notifyAddresses()
 }
 
+// sameAddresses reports whether two lists have the same addresses in any order.
+func sameAddresses(a, b []string) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
+
 // applyAddresses rebuilds addrs if the learned or configured addresses have changed. Learned
 // ones come first.
 func (c *Client) applyAddresses(state *dialState) {
--- a/internal/link/reconnect.go
+++ b/internal/link/reconnect.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -47,6 +48,16 @@
 	failures int
 	// notBefore is the earliest time to retry a busy server, by address.
 	notBefore map[string]time.Time
+	// left is the server of the last move, empty if there was none.
+	left string
+}
+
+// skipLeft selects the next address in place of that of the server that was left, until all
+// others have been tried.
+func (state *dialState) skipLeft(addrs []string) {
+	if addrs[state.index] == state.left && state.failures < len(addrs)-1 {
+		state.index = (state.index + 1) % len(addrs)
+	}
 }
 
 // run maintains a connection until the client is closed.
@@ -87,7 +98,8 @@
 	if reason == reasonMoved {
 		// The address to move to may have been learned just before the move.
 		c.applyAddresses(state)
-		state.index = c.moveIndex(state.index)
+		state.left = conn.addr
+		state.resumeAt(c.addrs, c.takeMoveTarget(conn.addr))
 		return
 	}
 	// The next server comes first, also after an unresponsive one: an attempt to a server that
@@ -115,17 +127,13 @@
 	}
 }
 
-func (c *Client) moveIndex(index int) int {
+// takeMoveTarget returns the server to move to, or the one that is left if there is none.
+func (c *Client) takeMoveTarget(leaving string) string {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	moveTo := c.moveTo
 	c.moveTo = ""
-	c.mu.Unlock()
-	for i, addr := range c.addrs {
-		if addr == moveTo {
-			return i
-		}
-	}
-	return (index + 1) % len(c.addrs)
+	return cmp.Or(moveTo, leaving)
 }
 
 // retryDelay returns the delay before the next address and skips busy servers. The delay is
--- a/internal/link/search.go
+++ b/internal/link/search.go
@@ -41,6 +41,7 @@
 	defer s.end()
 	for {
 		c.applyAddresses(state)
+		state.skipLeft(c.addrs)
 		s.start(c.addrs[state.index])
 		if conn := s.await(c.opts.DialTimeout, true); conn != nil || c.ctx.Err() != nil {
 			return conn
