controld: a heartbeat is not put off by changes of targets

A subscriber that had left one isolated control host and came to another, or back, was told once that it was isolated, at a moment when it could not move yet, and never again.

Cause: a heartbeat was due after 2 s without any message. A cut-off host goes on serving the targets of its subscribers, whose records change all the time, so none was ever due.

Heartbeats have a time of their own now.

--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -110,7 +110,7 @@
 	votersWaitTimeout = 10 * time.Second
 	// maxJoinHops bounds how often a request to join is forwarded to a leader.
 	maxJoinHops = 2
-	// heartbeatPeriod is the longest time without a message on a subscription. A
+	// heartbeatPeriod is the longest time without the state of this host on a subscription. A
 	// subscription ends if its subscriber sends nothing for subscriberTimeout.
 	heartbeatPeriod   = 2 * time.Second
 	subscriberTimeout = 20 * time.Second
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -52,12 +52,13 @@
 	hosts []string
 	// isolated is the isolation state last sent to the subscriber.
 	isolated bool
+	// heartbeatSentAt is when the state of this host was last sent.
+	heartbeatSentAt time.Time
 	// lastBarrier is the time of the last read barrier. unconfirmedSince is the time of the
 	// first failed one since the last success, zero if there is none.
 	lastBarrier      time.Time
 	unconfirmedSince time.Time
 	directorySentAt  time.Time
-	messageSentAt    time.Time
 }
 
 // Subscribe implements link.Handler.
@@ -167,7 +168,7 @@
 
 // untilNextStep returns how long the subscription may sleep if nothing changes.
 func (s *subscription) untilNextStep() time.Duration {
-	wait := heartbeatPeriod - time.Since(s.messageSentAt)
+	wait := heartbeatPeriod - time.Since(s.heartbeatSentAt)
 	if s.directoryPending {
 		wait = min(wait, directoryInterval-time.Since(s.directorySentAt))
 	}
@@ -253,7 +254,7 @@
 		return err
 	}
 	isolated := s.daemon.isolation.active.Load()
-	if isolated != s.isolated || time.Since(s.messageSentAt) >= heartbeatPeriod {
+	if isolated != s.isolated || time.Since(s.heartbeatSentAt) >= heartbeatPeriod {
 		s.isolated = isolated
 		if !s.complete {
 			// The directory may have become complete without a change of the list.
@@ -342,6 +343,8 @@
 	if err := s.stream.Send(u); err != nil {
 		return err
 	}
-	s.messageSentAt = time.Now()
+	if u.GetHeartbeat() != nil {
+		s.heartbeatSentAt = time.Now()
+	}
 	return nil
 }
