link: a move keeps the connection until another server replies

The former moves away from isolated hosts had the same fault at longer intervals.

The client now dials the others, each once, while it keeps the connection, and switches only to one that replied and answered a heartbeat; a server that refuses for admission is no reason to lose the present one. Calls find the new connection before the old one drains.

Ruled out: doing without moves while no quorum works; a process cannot tell that from its own host's being cut off.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -245,7 +245,8 @@
 }
 
 // Move makes the client switch to the given server, or to any other one if addr is empty.
-// The old connection is closed once its calls have ended; subscriptions end with it.
+// The present connection stays until another one is established, and for good if no other
+// server replies. Then it is closed once its calls have ended; subscriptions end with it.
 func (c *Client) Move(addr string) {
 	c.mu.Lock()
 	c.moveTo = addr
@@ -362,10 +363,13 @@
 }
 
 func (c *Client) setCurrent(conn *connection) {
+	c.discardMove()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.current == nil {
+		close(c.ready)
+	}
 	c.current = conn
-	close(c.ready)
 	close(c.reconnected)
 	c.reconnected = make(chan struct{})
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -267,6 +267,34 @@
 	}
 }
 
+// Guards against a move that loses the only server that replies, and what it is subscribed to.
+func TestMoveKeepsConnectionIfNoOtherServerReplies(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newFakeHandler()
+	s, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c1"), h, ServerOptions{})
+	gone, _ := startServer(t, anyPort, d.credentials(keys.RoleControl, "c2"), newFakeHandler(), ServerOptions{})
+	is.NoErr(gone.Close())
+	opts := fastOptions()
+	opts.DialTimeout = 50 * time.Millisecond
+	c, scope := startClient(t, d.credentials(keys.RoleEntry, "e1"), opts, s.Addr().String(), gone.Addr().String(), startUnresponsive(t))
+	sub, err := c.Subscribe(timeoutContext(t), &controlpb.Subscribe{})
+	is.NoErr(err)
+	defer sub.Close()
+	const attempts = 4
+	for i := range attempts {
+		before := count(scope, metricDialFailures, "timeout")
+		c.Move("")
+		eventually(t, "another server tried", func() bool { return count(scope, metricDialFailures, "timeout") > before })
+		is.Equal(c.Address(), s.Addr().String())
+		h.updates <- update(uint64(i))
+		u, err := sub.Receive()
+		is.NoErr(err)
+		is.Equal(u.GetHeartbeat().GetVersion(), uint64(i))
+	}
+	is.Equal(count(scope, metricLostConnections, ""), int64(0))
+}
+
 func TestClosedClient(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t)
--- a/internal/link/reconnect.go
+++ b/internal/link/reconnect.go
@@ -68,12 +68,16 @@
 		if conn == nil {
 			return
 		}
-		c.maintain(state, conn)
+		c.setCurrent(conn)
+		for conn != nil {
+			conn = c.maintain(state, conn)
+		}
 	}
 }
 
-// maintain uses an established connection until it is lost.
-func (c *Client) maintain(state *dialState, conn *connection) {
+// maintain uses the current connection until it is lost or replaced. It returns the
+// connection that replaces it, if any.
+func (c *Client) maintain(state *dialState, conn *connection) (next *connection) {
 	if state.failures > 0 {
 		c.opts.Log.Info("control link established", zap.String("address", conn.addr))
 	}
@@ -81,26 +85,17 @@
 	state.resumeAt(c.addrs, conn.addr)
 	clear(state.notBefore)
 	established := time.Now()
-	c.discardMove()
-	c.setCurrent(conn)
 	reason := c.watch(conn)
-	c.clearCurrent()
-	if reason == reasonMoved || reason == reasonShutdown {
-		c.wg.Go(func() { c.drainAndClose(conn) })
-	} else {
-		conn.close(closeCode(reason))
-	}
-	if reason == reasonClosed {
-		return
+	for reason == reasonMoved {
+		if next = c.connectElsewhere(state, conn); next != nil {
+			c.setCurrent(next)
+			break
+		}
+		reason = c.watch(conn)
 	}
-	reasonCounter(c.opts.Scope, metricLostConnections, reason).Inc(1)
-	c.opts.Log.Info("control link lost", zap.String("address", conn.addr), zap.String("reason", reason))
-	if reason == reasonMoved {
-		// The address to move to may have been learned just before the move.
-		c.applyAddresses(state)
-		state.left = conn.addr
-		state.resumeAt(c.addrs, c.takeMoveTarget(conn.addr))
-		return
+	c.release(conn, reason)
+	if next != nil || reason == reasonClosed {
+		return next
 	}
 	// The next server comes first, also after an unresponsive one: an attempt to a server that
 	// is down costs a whole dial timeout.
@@ -110,6 +105,25 @@
 		// refuses them.
 		_ = sleep.For(c.ctx, c.jitter(c.opts.BackoffMin))
 	}
+	return nil
+}
+
+// release closes a connection that is lost or replaced, after its calls have ended if the
+// server still replies.
+func (c *Client) release(conn *connection, reason string) {
+	if reason != reasonMoved {
+		c.clearCurrent()
+	}
+	if reason == reasonMoved || reason == reasonShutdown {
+		c.wg.Go(func() { c.drainAndClose(conn) })
+	} else {
+		conn.close(closeCode(reason))
+	}
+	if reason == reasonClosed {
+		return
+	}
+	reasonCounter(c.opts.Scope, metricLostConnections, reason).Inc(1)
+	c.opts.Log.Info("control link lost", zap.String("address", conn.addr), zap.String("reason", reason))
 }
 
 func closeCode(reason string) quic.ApplicationErrorCode {
@@ -119,7 +133,7 @@
 	return codeNone
 }
 
-// discardMove drops a move that was requested before this connection.
+// discardMove drops a move that was requested before the current connection.
 func (c *Client) discardMove() {
 	select {
 	case <-c.moveRequested:
--- a/internal/link/search.go
+++ b/internal/link/search.go
@@ -33,11 +33,16 @@
 	addr   string
 }
 
+func (c *Client) newSearch(state *dialState) *search {
+	s := &search{client: c, dialState: state, results: make(chan attemptResult, maxAttempts)}
+	s.ctx, s.cancel = context.WithCancel(c.ctx)
+	return s
+}
+
 // connect returns a connection to the first server that replies, or nil once the client is
 // closed.
 func (c *Client) connect(state *dialState) *connection {
-	s := &search{client: c, dialState: state, results: make(chan attemptResult, maxAttempts)}
-	s.ctx, s.cancel = context.WithCancel(c.ctx)
+	s := c.newSearch(state)
 	defer s.end()
 	for {
 		c.applyAddresses(state)
@@ -54,6 +59,41 @@
 	}
 }
 
+// connectElsewhere returns a connection to the server that the client was asked to move to,
+// or else to the first other one that replies. Each is tried once. It returns nil if none
+// replies or the present connection is lost first.
+func (c *Client) connectElsewhere(state *dialState, present *connection) *connection {
+	s := c.newSearch(state)
+	defer s.end()
+	defer context.AfterFunc(present.quic.Context(), s.cancel)()
+	// The address to move to may have been learned just before the move.
+	c.applyAddresses(state)
+	state.left = present.addr
+	state.resumeAt(c.addrs, present.addr)
+	state.resumeAt(c.addrs, c.takeMoveTarget(present.addr))
+	for ; state.failures < len(c.addrs)-1 && s.ctx.Err() == nil; state.failures++ {
+		state.skipLeft(c.addrs)
+		addr := c.addrs[state.index]
+		state.index = (state.index + 1) % len(c.addrs)
+		if state.notBefore[addr].After(time.Now()) {
+			continue
+		}
+		s.start(addr)
+		if conn := s.await(c.opts.DialTimeout, true); conn != nil {
+			return conn
+		}
+	}
+	// Attempts over a slow path may still succeed.
+	for s.running > 0 && s.ctx.Err() == nil {
+		if conn := s.await(c.opts.AttemptTimeout, true); conn != nil {
+			return conn
+		}
+	}
+	state.failures = 0
+	c.opts.Log.Info("control link kept, no other control host replied", zap.String("address", present.addr))
+	return nil
+}
+
 func (s *search) start(addr string) {
 	s.latest++
 	s.running++
@@ -73,7 +113,7 @@
 	done := false
 	for !done || s.running >= maxAttempts {
 		select {
-		case <-s.client.ctx.Done():
+		case <-s.ctx.Done():
 			return nil
 		case <-timer.C:
 			done = true
