freshness: a control host is left once nothing proves that its version is the newest

Cause: an entry host trusted whatever control host it was connected to, unless that host said that it knew no leader, once, at a moment when a move was allowed. Class: the freshness of a view was inferred from signs of trouble, each with a timeout of its own, in place of being proved.

Why this works: there is one bound on one age in place of a sum of timeouts; states are levels that the process keeps, not events that it can miss.

TestMovesFromIsolatedControlHost and TestMovesFromLaggingControlHost set the new options (no second move in the test's time in place of within 1 s; a limit of 1 s in place of a lag of 50 ms): what they check is as before. Removed: MaxLagTime and the loop that asked only whether a leader is known.

--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -75,17 +75,16 @@
 	leaderWaitTimeout = 800 * time.Millisecond
 	// leaderRetry is the interval between attempts while a command waits for a leader.
 	leaderRetry = 20 * time.Millisecond
-	// isolationPeriod is the interval between checks for a known leader. isolationDelay is
-	// how long there may be none before subscribers are notified: longer than an election, and
-	// short enough that a version accepted by the others is active within 3 s.
-	isolationPeriod = 100 * time.Millisecond
-	isolationDelay  = time.Second
 	// confirmationPeriod is the longest time between two confirmations of the local state,
-	// confirmationRetry the interval of attempts after a failed one. confirmationOverdue is
-	// the age that is logged: longer than most elections.
-	confirmationPeriod  = 400 * time.Millisecond
-	confirmationRetry   = 100 * time.Millisecond
-	confirmationOverdue = 1500 * time.Millisecond
+	// confirmationRetry the interval of attempts after a failed one.
+	confirmationPeriod = 400 * time.Millisecond
+	confirmationRetry  = 100 * time.Millisecond
+	// isolationPeriod is the interval between checks of the last confirmation.
+	// isolationDelay is how long ago it may be before subscribers are notified: longer than
+	// most elections, and short enough that a version accepted by the others is active
+	// within 3 s.
+	isolationPeriod = 100 * time.Millisecond
+	isolationDelay  = 1500 * time.Millisecond
 	// standbyPeriod is the mean interval between a standby's requests for membership,
 	// standbyDialTimeout bounds an attempt to connect.
 	standbyPeriod      = time.Second
@@ -110,9 +109,11 @@
 	votersWaitTimeout = 10 * time.Second
 	// maxJoinHops bounds how often a request to join is forwarded to a leader.
 	maxJoinHops = 2
-	// heartbeatPeriod is the longest time without the state of this host on a subscription. A
-	// subscription ends if its subscriber sends nothing for subscriberTimeout.
-	heartbeatPeriod   = 2 * time.Second
+	// heartbeatPeriod is the longest time without the state of this host on a subscription.
+	// With confirmationPeriod it is well below the age at which subscribers leave a host
+	// (package freshness). A subscription ends if its subscriber sends nothing for
+	// subscriberTimeout.
+	heartbeatPeriod   = 750 * time.Millisecond
 	subscriberTimeout = 20 * time.Second
 	// directoryInterval is the minimum time between two directory updates of one
 	// subscription.
--- a/internal/controld/confirmation.go
+++ b/internal/controld/confirmation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -11,14 +12,21 @@
 )
 
 // confirmation records when a quorum last confirmed that this host has applied every
-// committed version.
+// committed version. Subscribers are told how long ago that was, and leave a host on which
+// it is too long ago.
 type confirmation struct {
+	// changed is notified when isolated changes.
+	changed *notifier
+
 	mu sync.Mutex
 	// at is the start of the last read barrier that succeeded, zero if there was none: what
 	// was committed later may be missing here.
 	at time.Time
-	// overdue is set while the age exceeds confirmationOverdue.
-	overdue bool
+	// startedAt is the start of this host.
+	startedAt time.Time
+	// isolated is set while the last confirmation, or the start, is longer ago than
+	// isolationDelay.
+	isolated bool
 }
 
 // record stores the result of a read barrier.
@@ -40,45 +48,75 @@
 	return now.Sub(c.at), true
 }
 
-// setOverdue stores whether the confirmation is overdue and reports whether that changed.
-func (c *confirmation) setOverdue(overdue bool) (changed bool) {
+// isIsolated reports whether this host has not been able to confirm its state for a while.
+func (c *confirmation) isIsolated() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isolated
+}
+
+// update sets whether this host is isolated and reports whether that changed.
+func (c *confirmation) update(now time.Time) (isolated, changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changed = c.overdue != overdue
-	c.overdue = overdue
-	return changed
+	last := c.startedAt
+	if c.at.After(last) {
+		last = c.at
+	}
+	isolated = now.Sub(last) >= isolationDelay
+	changed = isolated != c.isolated
+	c.isolated = isolated
+	return isolated, changed
 }
 
 // confirmationLoop confirms the local state at least every confirmationPeriod, so that its
 // age is known also if no subscriber needs a version.
 func (d *Daemon) confirmationLoop() {
-	gauge := d.scope.Gauge("confirmation_age_seconds")
+	d.loops.Go(d.isolationLoop)
 	d.every(confirmationRetry, func() {
-		if d.isStandby() {
-			return
-		}
 		age, known := d.confirmation.age(time.Now())
-		if !known || age >= confirmationPeriod {
-			d.confirmState()
-			age, known = d.confirmation.age(time.Now())
+		if d.isStandby() || known && age < confirmationPeriod {
+			return
 		}
-		gauge.Update(age.Seconds())
-		d.logOverdue(known && age >= confirmationOverdue, age)
+		ctx, cancel := context.WithTimeout(d.ctx, barrierTimeout)
+		defer cancel()
+		// A failure shows in the age of the confirmation.
+		_ = d.readBarrier.wait(ctx)
 	})
 }
 
-// confirmState runs a read barrier. A failure shows in the age of the confirmation.
-func (d *Daemon) confirmState() {
-	ctx, cancel := context.WithTimeout(d.ctx, barrierTimeout)
-	defer cancel()
-	_ = d.readBarrier.wait(ctx)
+// isolationLoop notifies subscriptions when this host becomes isolated and when it no longer
+// is. It runs beside confirmationLoop, which waits for a confirmation.
+func (d *Daemon) isolationLoop() {
+	gauge := d.scope.Gauge("confirmation_age_seconds")
+	d.every(isolationPeriod, func() {
+		now := time.Now()
+		age, _ := d.confirmation.age(now)
+		gauge.Update(age.Seconds())
+		if isolated, changed := d.confirmation.update(now); changed {
+			d.logIsolation(isolated, age)
+			d.confirmation.changed.notify()
+		}
+	})
 }
 
-func (d *Daemon) logOverdue(overdue bool, age time.Duration) {
-	if !d.confirmation.setOverdue(overdue) {
-		return
-	}
+func (d *Daemon) logIsolation(isolated bool, age time.Duration) {
 	s := d.replicas[controlpb.Group_GROUP_CONFIG].Status()
-	d.log.Info("confirmation state changed", zap.Bool("overdue", overdue), zap.Duration("age", age),
+	d.log.Info("isolation state changed", zap.Bool("isolated", isolated), zap.Duration("confirmed_age", age),
 		zap.String("leader", s.Leader.GetName()), zap.Uint64("applied", s.Applied), zap.Uint64("version", d.configs.version()))
 }
+
+// heartbeat returns the state of this host for subscribers. The age is read before the
+// version, which therefore has all that the confirmation covers.
+func (d *Daemon) heartbeat() *controlpb.Heartbeat {
+	age, known := d.confirmation.age(time.Now())
+	ms := uint32(math.MaxUint32)
+	if known {
+		ms = uint32(min(age.Milliseconds(), math.MaxUint32-1))
+	}
+	return &controlpb.Heartbeat{
+		Version:        d.configs.version(),
+		Isolated:       d.confirmation.isIsolated(),
+		ConfirmedAgeMs: &ms,
+	}
+}
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -69,7 +69,6 @@
 	groups       []controlpb.Group
 	replicas     map[controlpb.Group]*replica.Replica
 	readBarrier  *barrier
-	isolation    isolation
 	confirmation confirmation
 	standby      *standby
 	shortage     shortage
@@ -123,7 +122,7 @@
 		grants:          newGrantGroups(),
 		directory:       newDirectory(rand.Uint64()|1, time.Duration(s.GetReplica().GetLeaseMs())*time.Millisecond),
 		replicas:        map[controlpb.Group]*replica.Replica{},
-		isolation:       isolation{changed: newNotifier()},
+		confirmation:    confirmation{changed: newNotifier(), startedAt: time.Now()},
 		standby:         newStandby(),
 	}
 	d.replacements = d.scope.Histogram("replacement_seconds", metrics.DurationBuckets)
@@ -278,7 +277,6 @@
 	d.loops.Go(d.membersLoop)
 	d.loops.Go(d.rejoinLoop)
 	d.loops.Go(d.notifySeedsLoop)
-	d.loops.Go(d.isolationLoop)
 	d.loops.Go(d.confirmationLoop)
 	d.loops.Go(func() { d.creds.Watch(d.ctx, keys.ReloadInterval, keys.LogReload(d.log)) })
 	d.log.Info("control host started", zap.String("link", d.LinkAddr()), zap.String("operator", d.OperatorAddr()))
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -132,8 +132,8 @@
 	defer s.daemon.configs.changed.unsubscribe(configs)
 	targets := s.daemon.directory.changed.subscribe()
 	defer s.daemon.directory.changed.unsubscribe(targets)
-	isolation := s.daemon.isolation.changed.subscribe()
-	defer s.daemon.isolation.changed.unsubscribe(isolation)
+	isolation := s.daemon.confirmation.changed.subscribe()
+	defer s.daemon.confirmation.changed.unsubscribe(isolation)
 	if err := s.sendInitial(ctx); err != nil {
 		return err
 	}
@@ -184,6 +184,12 @@
 // sendInitial sends this host's version. It runs a read barrier first, so that most
 // subscribers never activate an unconfirmed version.
 func (s *subscription) sendInitial(ctx context.Context) error {
+	if s.daemon.confirmation.isIsolated() {
+		// The barrier may take long to fail.
+		if err := s.send(&controlpb.SubscribeUpdate{Heartbeat: s.daemon.heartbeat()}); err != nil {
+			return err
+		}
+	}
 	s.readBarrier(ctx)
 	if s.confirmed {
 		return s.sendConfig(true)
@@ -253,21 +259,24 @@
 	if err := s.sendHosts(); err != nil {
 		return err
 	}
-	isolated := s.daemon.isolation.active.Load()
-	if isolated != s.isolated || time.Since(s.heartbeatSentAt) >= heartbeatPeriod {
-		s.isolated = isolated
+	if s.heartbeatDue() {
 		if !s.complete {
 			// The directory may have become complete without a change of the list.
 			if err := s.sendDirectory(); err != nil {
 				return err
 			}
 		}
-		heartbeat := &controlpb.Heartbeat{Version: s.daemon.configs.version(), Isolated: isolated}
-		return s.send(&controlpb.SubscribeUpdate{Heartbeat: heartbeat})
+		return s.send(&controlpb.SubscribeUpdate{Heartbeat: s.daemon.heartbeat()})
 	}
 	return nil
 }
 
+// heartbeatDue reports whether to send the state of this host. Other messages do not delay
+// it: the subscriber judges this host by it.
+func (s *subscription) heartbeatDue() bool {
+	return s.daemon.confirmation.isIsolated() != s.isolated || time.Since(s.heartbeatSentAt) >= heartbeatPeriod
+}
+
 // sendConfig sends the current version, or nothing if the subscriber has a newer one: this
 // host lags behind.
 func (s *subscription) sendConfig(confirmed bool) error {
@@ -276,9 +285,12 @@
 		s.reportAhead(current, confirmed)
 		return nil
 	}
+	// Read before the version, which therefore has all that the confirmation covers.
+	heartbeat := s.daemon.heartbeat()
 	u := s.daemon.configs.update(s.sent, s.scope)
 	u.Confirmed = confirmed
-	if err := s.send(&controlpb.SubscribeUpdate{Config: u}); err != nil {
+	heartbeat.Version = u.GetVersion()
+	if err := s.send(&controlpb.SubscribeUpdate{Config: u, Heartbeat: heartbeat}); err != nil {
 		return err
 	}
 	s.sent = u.GetVersion()
@@ -343,8 +355,8 @@
 	if err := s.stream.Send(u); err != nil {
 		return err
 	}
-	if u.GetHeartbeat() != nil {
-		s.heartbeatSentAt = time.Now()
+	if h := u.GetHeartbeat(); h != nil {
+		s.isolated, s.heartbeatSentAt = h.GetIsolated(), time.Now()
 	}
 	return nil
 }
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -78,6 +78,8 @@
 	agents    *socket
 	counters  *counters
 	client    *link.Client
+	// subscription is set before packets are handled.
+	subscription *subscriber.Subscriber
 
 	// mu guards flows, suspends, undecided, searchCopies and buffer.
 	mu       sync.Mutex
@@ -148,6 +150,7 @@
 		OnView:        func(v *subscriber.View) { e.placer.apply(v, e.now()) },
 	})
 	defer sub.Close()
+	e.subscription = sub
 	var workers conc.WaitGroup
 	workers.Go(func() { e.callers.serve(ctx, e.handleCallerPacket) })
 	workers.Go(func() { e.agents.serve(ctx, e.handleAgentFrame) })
@@ -304,7 +307,7 @@
 // applyVerdict carries out a verdict. The lock is held.
 func (e *Entry) applyVerdict(v flow.Verdict, p flow.Packet, packet []byte) {
 	e.counters.count(v)
-	logVerdict(e.opts.Log, &v, &p, e.placer.decisionInputs)
+	logVerdict(e.opts.Log, &v, &p, e.decisionInputs)
 	if v.KeepCopy && !e.searchCopies.Put(p.Key, packet, e.now()) {
 		e.counters.overflow.Inc(1)
 	}
@@ -331,6 +334,15 @@
 	}
 }
 
+// decisionInputs returns the state behind a verdict for the log.
+func (e *Entry) decisionInputs() []zap.Field {
+	fields := e.placer.decisionInputs()
+	if age, known := e.subscription.ConfirmedAge(); known {
+		fields = append(fields, zap.Duration("confirmed_age", age))
+	}
+	return fields
+}
+
 // sendToAgent sends a frame and accounts for it on the link. The lock is held.
 func (e *Entry) sendToAgent(frame []byte, to flow.Endpoint) {
 	e.flows.CountTraffic(len(frame), e.now())
--- a/internal/subscriber/counters.go
+++ b/internal/subscriber/counters.go
@@ -9,6 +9,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
+	"eelgrasswharf.example/eelgrasswharf/freshness"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
 	"eelgrasswharf.example/eelgrasswharf/membership"
 )
@@ -39,6 +40,7 @@
 	version           tally.Gauge
 	targets           tally.Gauge
 	connected         tally.Gauge
+	confirmedAge      tally.Gauge
 }
 
 func newCounters(scope tally.Scope) counters {
@@ -54,6 +56,7 @@
 		version:           scope.Gauge("subscriber_version"),
 		targets:           scope.Gauge("subscriber_targets"),
 		connected:         scope.Gauge("subscriber_connected"),
+		confirmedAge:      scope.Gauge("subscriber_confirmed_age_seconds"),
 	}
 }
 
@@ -98,13 +101,14 @@
 
 func endReason(err error) string {
 	var fault *link.FaultError
+	var move *moveError
 	switch {
 	case errors.As(err, &fault):
 		return "fault"
-	case errors.Is(err, errIsolated):
-		return "isolated"
-	case errors.Is(err, errLagging):
-		return "behind"
+	case errors.As(err, &move):
+		return string(move.reason)
+	case errors.Is(err, errNewerElsewhere):
+		return string(freshness.ReasonBehind)
 	case errors.Is(err, errMoveRequested):
 		return "asked"
 	case errors.Is(err, config.ErrBaseMismatch):
--- a/internal/subscriber/initialversion.go
+++ b/internal/subscriber/initialversion.go
@@ -88,7 +88,7 @@
 	if newer != "" && newer != s.opts.Client.Address() {
 		s.counters.movesToNewer.Inc(1)
 		s.opts.Log.Info("moving to a control host with a newer version", zap.String("address", newer))
-		s.opts.Client.Move(newer)
+		s.requestMove(newer, errNewerElsewhere)
 	}
 }
 
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -15,6 +15,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
+	"eelgrasswharf.example/eelgrasswharf/freshness"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
 	"eelgrasswharf.example/eelgrasswharf/internal/sleep"
 	"eelgrasswharf.example/eelgrasswharf/membership"
@@ -26,29 +27,17 @@
 	DefaultQueryTimeout     = 3 * time.Second
 	DefaultUnconfirmedDelay = 5 * time.Second
 	DefaultReceiveTimeout   = 3 * link.SubscriptionHeartbeatInterval
-	DefaultMaxLagTime       = 10 * time.Second
 	DefaultReportPeriod     = 5 * time.Second
 	DefaultRetryMin         = 100 * time.Millisecond
 	DefaultRetryMax         = 5 * time.Second
 )
 
-// errLagging ends a subscription to a control host whose version stays older than the
-// active one.
-var errLagging = errors.New("control host has an older version")
-
-// errIsolated ends a subscription to a control host without a leader.
-var errIsolated = errors.New("control host is isolated")
-
-// Bounds of the delay between two moves away from isolated control hosts. Without a
-// quorum all of them are isolated, and moving among them is of no use.
-const (
-	minIsolationBackoff = time.Second
-	maxIsolationBackoff = 30 * time.Second
-)
-
 // errMoveRequested ends a subscription because its control host has too many of them.
 var errMoveRequested = errors.New("control host requested a move")
 
+// errNewerElsewhere ends a subscription because another control host has a newer version.
+var errNewerElsewhere = errors.New("another control host has a newer version")
+
 // Options configure a Subscriber. Zero durations mean the defaults.
 type Options struct {
 	Client *link.Client
@@ -77,9 +66,8 @@
 	UnconfirmedDelay time.Duration
 	// ReceiveTimeout ends a subscription on which nothing is received.
 	ReceiveTimeout time.Duration
-	// MaxLagTime is how long a control host may have an older version than the active
-	// one before the subscriber moves to another one.
-	MaxLagTime time.Duration
+	// Freshness bounds the age of the proof that the active version is the newest.
+	Freshness freshness.Options
 	// ReportPeriod is the interval of reports of the active version; a new version is
 	// reported at once.
 	ReportPeriod time.Duration
@@ -103,7 +91,6 @@
 	o.QueryTimeout = cmp.Or(o.QueryTimeout, DefaultQueryTimeout)
 	o.UnconfirmedDelay = cmp.Or(o.UnconfirmedDelay, DefaultUnconfirmedDelay)
 	o.ReceiveTimeout = cmp.Or(o.ReceiveTimeout, DefaultReceiveTimeout)
-	o.MaxLagTime = cmp.Or(o.MaxLagTime, DefaultMaxLagTime)
 	o.ReportPeriod = cmp.Or(o.ReportPeriod, DefaultReportPeriod)
 	o.RetryMin = cmp.Or(o.RetryMin, DefaultRetryMin)
 	o.RetryMax = cmp.Or(o.RetryMax, DefaultRetryMax)
@@ -121,22 +108,26 @@
 	// candidate is closed once a configuration has been received.
 	candidate chan struct{}
 	view      atomic.Pointer[View]
+	// confirmedAt is the latest time at which the active version is known to have been the
+	// newest, nil if there is none.
+	confirmedAt atomic.Pointer[time.Time]
 	// report is signalled when another version is activated.
 	report chan struct{}
 
 	// mu guards the fields below and orders calls of OnView. It is acquired before the
 	// lock of link.Client, never after.
-	mu           sync.Mutex
-	versions     versions
-	targets      membership.List
-	connected    bool
-	laggingSince time.Time
+	mu        sync.Mutex
+	versions  versions
+	targets   membership.List
+	connected bool
+	// freshness decides when to leave the control host.
+	freshness *freshness.Tracker
 	// directoryComplete is the last value sent by the control host.
 	directoryComplete bool
-	// nextIsolationMove is the earliest time of another move away from an isolated
-	// control host, isolationBackoff the current delay between such moves.
-	nextIsolationMove time.Time
-	isolationBackoff  time.Duration
+	// move is the requested move to another control host, nil if there is none. moveRequested
+	// signals a new one.
+	move          *requestedMove
+	moveRequested chan struct{}
 	// wantSnapshot requests a full configuration after a delta that did not match.
 	wantSnapshot bool
 }
@@ -150,6 +141,9 @@
 		ready:     make(chan struct{}),
 		candidate: make(chan struct{}),
 		report:    make(chan struct{}, 1),
+		freshness: freshness.NewTracker(opts.Freshness),
+
+		moveRequested: make(chan struct{}, 1),
 	}
 	s.view.Store(&View{})
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -205,9 +199,11 @@
 	if err != nil {
 		return false, err
 	}
-	var reporter conc.WaitGroup
-	reporter.Go(func() { s.reportVersions(ctx, stream) })
-	defer reporter.Wait()
+	s.recordOpened(time.Now())
+	var workers conc.WaitGroup
+	workers.Go(func() { s.reportVersions(ctx, stream) })
+	workers.Go(func() { s.watchControlHost(ctx, cancel) })
+	defer workers.Wait()
 	defer cancel()
 	defer stream.Close()
 	for {
@@ -216,7 +212,7 @@
 		}
 		u, err := stream.Receive()
 		if err != nil {
-			return received, err
+			return received, cmp.Or(s.moveCause(), err)
 		}
 		received = true
 		if err := s.applyUpdate(u, time.Now()); err != nil {
@@ -281,48 +277,17 @@
 	changed = changed || s.directoryComplete != u.GetDirectoryWhole()
 	s.directoryComplete = u.GetDirectoryWhole()
 	if h := u.GetHeartbeat(); h != nil {
-		s.trackLag(h.GetVersion(), now)
+		s.recordState(h, now)
 	}
 	if changed {
 		s.publish()
 	}
-	if s.shouldLeaveIsolated(u, now) {
-		s.opts.Client.Move("")
-		return errIsolated
-	}
 	if u.GetMove() != nil {
-		s.opts.Client.Move(u.GetMove().GetAddress())
-		return errMoveRequested
-	}
-	if !s.laggingSince.IsZero() && now.Sub(s.laggingSince) >= s.opts.MaxLagTime {
-		s.laggingSince = time.Time{}
-		s.opts.Client.Move("")
-		return errLagging
+		s.requestMove(u.GetMove().GetAddress(), errMoveRequested)
 	}
 	return nil
 }
 
-// shouldLeaveIsolated reports whether to move away because the control host has no
-// leader.
-func (s *Subscriber) shouldLeaveIsolated(u *controlpb.SubscribeUpdate, now time.Time) bool {
-	if u.GetConfig().GetConfirmed() {
-		s.isolationBackoff = 0
-	}
-	if !u.GetHeartbeat().GetIsolated() {
-		return false
-	}
-	if now.Before(s.nextIsolationMove) {
-		s.opts.Log.Info("staying with an isolated control host", zap.String("address", s.opts.Client.Address()),
-			zap.Duration("for", s.nextIsolationMove.Sub(now)))
-		return false
-	}
-	s.isolationBackoff = min(max(2*s.isolationBackoff, minIsolationBackoff), maxIsolationBackoff)
-	s.nextIsolationMove = now.Add(s.isolationBackoff)
-	s.opts.Log.Info("leaving an isolated control host", zap.String("address", s.opts.Client.Address()),
-		zap.Duration("backoff", s.isolationBackoff))
-	return true
-}
-
 func (s *Subscriber) applyConfig(u *controlpb.ConfigUpdate, now time.Time) (bool, error) {
 	first := s.versions.latest() == nil
 	activated, err := s.versions.receive(u, now)
@@ -332,7 +297,6 @@
 	if errors.Is(err, config.ErrOlderVersion) {
 		// The control host has an older version and may catch up.
 		s.counters.refused(err)
-		s.trackLag(u.GetVersion(), now)
 		return false, nil
 	}
 	if err != nil {
@@ -341,7 +305,6 @@
 		return false, err
 	}
 	s.wantSnapshot = false
-	s.trackLag(u.GetVersion(), now)
 	return activated, nil
 }
 
@@ -351,24 +314,16 @@
 	return change.Changed
 }
 
-// trackLag updates the time since when the control host has an older version.
-func (s *Subscriber) trackLag(version uint64, now time.Time) {
-	switch {
-	case version >= s.versions.latest().GetVersion():
-		s.laggingSince = time.Time{}
-	case s.laggingSince.IsZero():
-		s.laggingSince = now
-	}
-}
-
 func (s *Subscriber) setConnected(connected bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !connected {
+		s.freshness.Closed()
+	}
 	if s.connected == connected {
 		return
 	}
 	s.connected = connected
-	s.laggingSince = time.Time{}
 	s.publish()
 }
 
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -116,7 +116,7 @@
 	h := newControlHost(configuration(9), true)
 	server := d.listen(anyPort, h)
 	c := d.client(server)
-	s, scope, rec := start(t, c, func(o *Options) { o.MaxLagTime = testTimeout })
+	s, scope, rec := start(t, c, func(o *Options) { o.Freshness.Limit = testTimeout })
 	awaitReady(t, s)
 	is.NoErr(server.Close())
 	eventually(t, "disconnected", func() bool { return !s.View().Connected })
@@ -141,7 +141,7 @@
 	a, b := d.listen(anyPort, one), d.listen(anyPort, two)
 	hosts := map[string]*controlHost{a.Addr().String(): one, b.Addr().String(): two}
 	c := d.client(a, b)
-	s, scope, rec := start(t, c, func(o *Options) { o.MaxLagTime = 50 * time.Millisecond })
+	s, scope, rec := start(t, c, func(o *Options) { o.Freshness.Limit = time.Second })
 	awaitReady(t, s)
 	first := c.Address()
 	hosts[first].set(func() { hosts[first].config = configuration(7) })
@@ -160,7 +160,7 @@
 	a, b := d.listen(anyPort, one), d.listen(anyPort, two)
 	hosts := map[string]*controlHost{a.Addr().String(): one, b.Addr().String(): two}
 	c := d.client(a, b)
-	s, scope, _ := start(t, c, nil)
+	s, scope, _ := start(t, c, func(o *Options) { o.Freshness.BackoffMin, o.Freshness.BackoffMax = testTimeout, testTimeout })
 	awaitReady(t, s)
 	isolated := &controlpb.SubscribeUpdate{Heartbeat: &controlpb.Heartbeat{Version: 9, Isolated: true}}
 	first := c.Address()
--- a/internal/subscriber/versions_test.go
+++ b/internal/subscriber/versions_test.go
@@ -9,6 +9,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/config"
+	"eelgrasswharf.example/eelgrasswharf/freshness"
 	_ "eelgrasswharf.example/eelgrasswharf/internal/fixedseed"
 	"eelgrasswharf.example/eelgrasswharf/membership"
 )
@@ -119,6 +120,6 @@
 	is := is.New(t)
 	is.Equal(refusalReason(config.ErrOlderVersion), "older")
 	is.Equal(refusalReason(config.ErrBaseMismatch), "gap")
-	is.Equal(endReason(errLagging), "behind")
+	is.Equal(endReason(&moveError{reason: freshness.ReasonBehind}), "behind")
 	is.Equal(endReason(config.ErrBaseMismatch), "gap")
 }
--- a/test/stalehost_test.go
+++ b/test/stalehost_test.go
@@ -14,10 +14,10 @@
 const missedVersions = 300
 
 // Log messages of a subscriber that moves from a stale host, because another host has
-// a newer version or because the stale one knows no leader.
+// a newer version or because the stale one cannot confirm its own.
 const (
 	movingMessage  = "moving to a control host with a newer version"
-	leavingMessage = "leaving an isolated control host"
+	leavingMessage = "leaving a control host without a confirmed version"
 )
 
 // createVersions creates versions after base through the hosts and returns the last
