--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -278,6 +278,9 @@
 	s.directoryComplete = u.GetDirectoryWhole()
 	if h := u.GetHeartbeat(); h != nil {
 		s.recordState(h, now)
+		if h.GetIsolated() {
+			s.moveIfStale(now)
+		}
 	}
 	if changed {
 		s.publish()
