subscriber: a registration goes to another control host after two failures

An agent learns the number of its service by the registration and subscribes after it, so no subscription leaves a host that is cut off, and register repeated its call there as long as the cut lasted. Callers lose the capacity of targets that start then.

Two failures in a row, refusals of the configuration apart, now move the client. Repeating the call elsewhere is safe: the same process gets the same registration. Announcements, releases and grants go by the link of the subscription, which leaves by the age of its proof; operators' clients, standbys and joining hosts try all hosts in turn already (read, not changed).

--- a/internal/controld/partition_test.go
+++ b/internal/controld/partition_test.go
@@ -11,6 +11,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/internal/faultproxy"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 )
 
 // newDeploymentWithRelays starts three hosts that are connected through relays.
@@ -100,3 +101,21 @@
 		return d.status("c1").Version == 3 && d.status("c2").Version == 3 && d.status("c3").Version == 3
 	})
 }
+
+// Guards against a target that is not registered as long as its agent's first control host is
+// cut off.
+func TestTargetRegistersAlthoughFirstHostIsCutOff(t *testing.T) {
+	d, relays := newDeploymentWithRelays(t)
+	relays["c3"].Cut()
+	eventually(t, "c3 to lose the leader", func() bool { return d.status("c3").Groups[0].State == "no leader" })
+	client := d.link(keys.RoleAgent, "a1", "lodgement", "c3")
+	eventually(t, "a link to c3", func() bool { return client.Address() != "" })
+	client.SetAddresses([]string{
+		d.hosts["c1"].daemon.LinkAddr(), d.hosts["c2"].daemon.LinkAddr(), d.hosts["c3"].daemon.LinkAddr(),
+	})
+	a := subscriber.StartAnnouncer(subscriber.AnnouncerOptions{
+		Client: client, Service: "lodgement", Target: "t1", Process: []byte("p1"), Address: "127.0.0.1:7000",
+	})
+	defer a.Close()
+	eventually(t, "the registration", func() bool { return a.Registration() != nil })
+}
--- a/internal/subscriber/announcer.go
+++ b/internal/subscriber/announcer.go
@@ -26,6 +26,9 @@
 	DefaultCallTimeout = 3 * time.Second
 	// renewalsPerLease is the number of renewals in one lease. Two in a row may be lost.
 	renewalsPerLease = 3
+	// failuresPerMove is the number of failed registrations at one control host after which
+	// another one is tried.
+	failuresPerMove = 2
 )
 
 // errRefused is returned if a control host refuses a registration or announcement.
@@ -267,7 +270,8 @@
 }
 
 // register retries until the target is registered. Repeating a call whose reply was
-// lost is safe: the same process gets the same registration.
+// lost is safe: the same process gets the same registration. Before the registration there
+// need not be a subscription, which would leave a control host that is cut off.
 func (a *Announcer) register() bool {
 	backoff := a.opts.RetryMin
 	req := &controlpb.Request{Body: &controlpb.Request_Register{Register: &configpb.RegisterTarget{
@@ -277,7 +281,7 @@
 
 		CreateService: a.opts.CreateService,
 	}}}
-	for a.ctx.Err() == nil {
+	for failures := 1; a.ctx.Err() == nil; failures++ {
 		res, err := a.call(req)
 		reg := res.GetRegistration()
 		if err == nil {
@@ -292,6 +296,9 @@
 			return true
 		}
 		a.recordFailure("register", err)
+		if failures%failuresPerMove == 0 && !errors.Is(err, errRefused) {
+			a.opts.Client.Move("")
+		}
 		if !a.waitForChange(max(jitter(a.opts.Rand, backoff), requestedDelay(err)), nil) {
 			return false
 		}
