activations: how long each configuration took to be in use on every entry host, by the logs

The command prints for each revision the acknowledgement, the last entry host and the lag, from the lines that are written anyway.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -40,7 +40,7 @@
 	if err := explain.Write(cmd.OutOrStdout(), all); err != nil {
 		return err
 	}
-	fmt.Fprintf(cmd.ErrOrStderr(), "%d lines read, %d skipped, %d matched\n", sum.Read, sum.Skipped, sum.Matched)
+	printSummary(cmd, &sum)
 	return nil
 }
 
@@ -52,3 +52,47 @@
 	defer file.Close()
 	return explain.Read(name, file, id, sum)
 }
+
+func newActivations() *cobra.Command {
+	return &cobra.Command{
+		Use:   "activations FILE...",
+		Short: "Print how long each configuration took to be in use on every entry host",
+		Long: `Reads the logs of control and entry hosts and prints for each revision of the route
+table when it was first accepted, the entry host that used it last, and how much later that
+was. Hosts that started later, or were restarted in between, are left out; those that did not
+use it by the end of their logs are named. Clocks of hosts may differ.`,
+		Example: "  eelgrasswharf activations control-*.log entry-*.log",
+		Args:    minArgs(1),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			return printActivations(cmd, files)
+		},
+	}
+}
+
+func printActivations(cmd *cobra.Command, files []string) error {
+	var all explain.Activations
+	var sum explain.Summary
+	for _, name := range files {
+		if err := readActivations(&all, name, &sum); err != nil {
+			return err
+		}
+	}
+	if err := explain.WriteActivations(cmd.OutOrStdout(), all.List()); err != nil {
+		return err
+	}
+	printSummary(cmd, &sum)
+	return nil
+}
+
+func readActivations(all *explain.Activations, name string, sum *explain.Summary) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer file.Close()
+	return all.Read(name, file, sum)
+}
+
+func printSummary(cmd *cobra.Command, sum *explain.Summary) {
+	fmt.Fprintf(cmd.ErrOrStderr(), "%d lines read, %d skipped, %d matched\n", sum.Read, sum.Skipped, sum.Matched)
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -52,7 +52,7 @@
 	root.AddCommand(
 		newControl(), newEntry(), newAgent(),
 		newConfig(), newPatch(), newStatus(), newReplica(), newEvacuation(), newGrants(), newKeys(),
-		newBackend(), newLoad(), newDev(), newExperiment(), newMeasure(), newExplain(),
+		newBackend(), newLoad(), newDev(), newExperiment(), newMeasure(), newExplain(), newActivations(),
 	)
 	return root
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -1,5 +1,5 @@
-// Package explain merges the log lines of many processes that mention one flow, backend
-// server, host or version.
+// Package explain reads the logs of many processes: it merges the lines that mention one flow,
+// backend server, host or version, and tells how long configurations took to be in use.
 package explain
 
 import (
