freshness, controld: plainer terms in comments and names; both loops are started together

Observe in place of Heard, reports in place of words; isolationLoop is started by start like the others. No change of behaviour; tests of freshness and subscriber pass, 20,000 plays of the property too.

--- a/freshness/property_test.go
+++ b/freshness/property_test.go
@@ -16,7 +16,7 @@
 
 const (
 	healthy condition = iota
-	// cut off from the quorum, but not from the subscriber: it says that it is isolated.
+	// cut off from the quorum, but not from the subscriber: it reports that it is isolated.
 	cut
 	// stuck hosts confirm nothing and do not know it.
 	stuck
@@ -83,7 +83,7 @@
 	if m.connected && h.condition != down && (now >= m.heartbeatAt || h.version > m.inUse) {
 		m.heartbeatAt = now + heartbeat
 		m.inUse = max(m.inUse, h.version)
-		m.tracker.Heard(h.state(now), m.inUse, at(now))
+		m.tracker.Observe(h.state(now), m.inUse, at(now))
 	}
 	if move, _ := m.tracker.Decide(at(now)); move {
 		m.tracker.Moved(at(now), m.jitter)
--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// maxPatience bounds how long a control host that tells nothing is kept, in multiples of
-	// the limit.
+	// maxPatience bounds how long a control host that reports nothing is kept, in multiples
+	// of the limit.
 	maxPatience = 8
 	// maxDoublings keeps durations in range; their bounds are reached before.
 	maxDoublings = 16
@@ -39,7 +39,7 @@
 	return o
 }
 
-// State is what a control host says of itself.
+// State is what a control host reports of itself.
 type State struct {
 	// Version is the version that it has.
 	Version uint64
@@ -61,7 +61,7 @@
 	ReasonConfirmed     Reason = "confirmed"
 	ReasonBackoff       Reason = "backoff"
 	ReasonWaiting       Reason = "waiting"
-	// ReasonIsolated: the control host says so.
+	// ReasonIsolated: the control host reports that it is.
 	ReasonIsolated Reason = "isolated"
 	// ReasonBehind: the control host has an older version than the one in use.
 	ReasonBehind Reason = "behind"
@@ -78,14 +78,14 @@
 	provenAt time.Time
 	// openedAt is the start of the subscription, zero without one.
 	openedAt time.Time
-	// heard is set once the control host has told its state on this subscription. isolated
-	// and behind are its last word.
-	heard, isolated, behind bool
+	// observed is set once the control host has reported its state on this subscription.
+	// isolated and behind are from the last report.
+	observed, isolated, behind bool
 	// hostProvenAt is like provenAt for the version of the control host, which need not have
 	// arrived.
 	hostProvenAt time.Time
 	// moves counts the moves since the last proof, nextMove is the earliest time of another.
-	// silent counts the moves from a control host that had told nothing.
+	// silent counts the moves from a control host that had reported nothing.
 	moves, silent int
 	nextMove      time.Time
 }
@@ -96,17 +96,17 @@
 // Opened records the start of a subscription to a control host.
 func (t *Tracker) Opened(now time.Time) {
 	t.openedAt = now
-	t.heard, t.isolated, t.behind = false, false, false
+	t.observed, t.isolated, t.behind = false, false, false
 	t.hostProvenAt = time.Time{}
 }
 
 // Closed records the end of the subscription.
 func (t *Tracker) Closed() { t.openedAt = time.Time{} }
 
-// Heard records the state of the control host. inUse is the version that this process has by
+// Observe records the state of the control host. inUse is the version that this process has by
 // now.
-func (t *Tracker) Heard(s State, inUse uint64, now time.Time) {
-	t.heard, t.isolated, t.behind = true, s.Isolated, s.Version < inUse
+func (t *Tracker) Observe(s State, inUse uint64, now time.Time) {
+	t.observed, t.isolated, t.behind = true, s.Isolated, s.Version < inUse
 	if !s.Confirmed {
 		return
 	}
@@ -162,8 +162,8 @@
 	return true, ReasonUnconfirmed
 }
 
-// patience returns how long a control host without a proof of its own is kept. It grows
-// with each one that told nothing, since the first message may take long over a slow path.
+// patience returns how long a control host without a confirmation is kept. It grows with
+// each one that reported nothing, since the first message may take long over a slow path.
 func (t *Tracker) patience() time.Duration {
 	return min(t.opts.Limit<<t.silent, maxPatience*t.opts.Limit)
 }
@@ -174,7 +174,7 @@
 	backoff := min(t.opts.BackoffMin<<t.moves, t.opts.BackoffMax)
 	t.nextMove = now.Add(jitter(backoff))
 	t.moves = min(t.moves+1, maxDoublings)
-	if !t.heard {
+	if !t.observed {
 		t.silent = min(t.silent+1, maxDoublings)
 	}
 }
--- a/freshness/tracker_test.go
+++ b/freshness/tracker_test.go
@@ -26,41 +26,41 @@
 }
 
 func TestDecide(t *testing.T) {
-	type heard struct {
+	type report struct {
 		at    float64
 		state freshness.State
 		inUse uint64
 	}
 	old, isolated := confirmed(9, time.Minute), freshness.State{Version: 9, Isolated: true}
 	for name, test := range map[string]struct {
-		heard  []heard
-		at     float64
-		move   bool
-		reason freshness.Reason
+		reports []report
+		at      float64
+		move    bool
+		reason  freshness.Reason
 	}{
-		"confirmed a moment ago":                      {[]heard{{0, confirmed(9, 0), 9}}, 2, false, freshness.ReasonConfirmed},
-		"confirmed too long ago":                      {[]heard{{0, confirmed(9, 0), 9}}, 2.1, true, freshness.ReasonUnconfirmed},
-		"the age of the word counts":                  {[]heard{{1, confirmed(9, 1500*time.Millisecond), 9}}, 2.1, true, freshness.ReasonUnconfirmed},
-		"an older word does not make it older":        {[]heard{{1, confirmed(9, 0), 9}, {1.5, old, 9}}, 2.9, false, freshness.ReasonConfirmed},
-		"a version that has not arrived":              {[]heard{{0, confirmed(9, 0), 9}, {2, confirmed(10, 0), 9}}, 2.1, true, freshness.ReasonUnconfirmed},
-		"it arrived":                                  {[]heard{{0, confirmed(9, 0), 9}, {2, confirmed(10, 0), 10}}, 2.1, false, freshness.ReasonConfirmed},
-		"nothing heard yet":                           {nil, 2, false, freshness.ReasonWaiting},
-		"nothing heard":                               {nil, 2.1, true, freshness.ReasonUnconfirmed},
-		"isolated":                                    {[]heard{{0, isolated, 9}}, 0, true, freshness.ReasonIsolated},
-		"isolated, confirmed by another host":         {[]heard{{0, confirmed(9, 0), 9}, {0.1, isolated, 9}}, 0.2, true, freshness.ReasonIsolated},
-		"no longer isolated":                          {[]heard{{0, isolated, 9}, {0.1, confirmed(9, 0), 9}}, 0.2, false, freshness.ReasonConfirmed},
-		"behind":                                      {[]heard{{0, confirmed(7, 0), 9}, {2, confirmed(7, 0), 9}}, 2.1, true, freshness.ReasonBehind},
-		"behind for a moment":                         {[]heard{{0, confirmed(7, 0), 9}}, 1.9, false, freshness.ReasonWaiting},
-		"confirmed too long ago when it is reached":   {[]heard{{0, old, 9}}, 0, true, freshness.ReasonUnconfirmed},
-		"never confirmed":                             {[]heard{{0, freshness.State{Version: 9}, 9}}, 2.1, true, freshness.ReasonUnconfirmed},
-		"confirmed without any version on both sides": {[]heard{{0, confirmed(0, 0), 0}}, 1, false, freshness.ReasonConfirmed},
+		"confirmed a moment ago":                      {[]report{{0, confirmed(9, 0), 9}}, 2, false, freshness.ReasonConfirmed},
+		"confirmed too long ago":                      {[]report{{0, confirmed(9, 0), 9}}, 2.1, true, freshness.ReasonUnconfirmed},
+		"the age of the report counts":                {[]report{{1, confirmed(9, 1500*time.Millisecond), 9}}, 2.1, true, freshness.ReasonUnconfirmed},
+		"an older report does not make it older":      {[]report{{1, confirmed(9, 0), 9}, {1.5, old, 9}}, 2.9, false, freshness.ReasonConfirmed},
+		"a version that has not arrived":              {[]report{{0, confirmed(9, 0), 9}, {2, confirmed(10, 0), 9}}, 2.1, true, freshness.ReasonUnconfirmed},
+		"it arrived":                                  {[]report{{0, confirmed(9, 0), 9}, {2, confirmed(10, 0), 10}}, 2.1, false, freshness.ReasonConfirmed},
+		"nothing reported yet":                        {nil, 2, false, freshness.ReasonWaiting},
+		"nothing reported":                            {nil, 2.1, true, freshness.ReasonUnconfirmed},
+		"isolated":                                    {[]report{{0, isolated, 9}}, 0, true, freshness.ReasonIsolated},
+		"isolated, confirmed by another host":         {[]report{{0, confirmed(9, 0), 9}, {0.1, isolated, 9}}, 0.2, true, freshness.ReasonIsolated},
+		"no longer isolated":                          {[]report{{0, isolated, 9}, {0.1, confirmed(9, 0), 9}}, 0.2, false, freshness.ReasonConfirmed},
+		"behind":                                      {[]report{{0, confirmed(7, 0), 9}, {2, confirmed(7, 0), 9}}, 2.1, true, freshness.ReasonBehind},
+		"behind for a moment":                         {[]report{{0, confirmed(7, 0), 9}}, 1.9, false, freshness.ReasonWaiting},
+		"confirmed too long ago when it is reached":   {[]report{{0, old, 9}}, 0, true, freshness.ReasonUnconfirmed},
+		"never confirmed":                             {[]report{{0, freshness.State{Version: 9}, 9}}, 2.1, true, freshness.ReasonUnconfirmed},
+		"confirmed without any version on both sides": {[]report{{0, confirmed(0, 0), 0}}, 1, false, freshness.ReasonConfirmed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			tracker := freshness.NewTracker(options())
 			tracker.Opened(at(0))
-			for _, h := range test.heard {
-				tracker.Heard(h.state, h.inUse, at(h.at))
+			for _, h := range test.reports {
+				tracker.Observe(h.state, h.inUse, at(h.at))
 			}
 			move, reason := tracker.Decide(at(test.at))
 			is.Equal(reason, test.reason)
@@ -85,12 +85,12 @@
 	is := is.New(t)
 	tracker := freshness.NewTracker(options())
 	tracker.Opened(at(0))
-	tracker.Heard(freshness.State{Version: 9, Isolated: true}, 9, at(0))
+	tracker.Observe(freshness.State{Version: 9, Isolated: true}, 9, at(0))
 	move, _ := tracker.Decide(at(0))
 	is.True(move)
 	tracker.Moved(at(0), exactly)
 	tracker.Opened(at(0.1))
-	tracker.Heard(freshness.State{Version: 9, Isolated: true}, 9, at(0.1))
+	tracker.Observe(freshness.State{Version: 9, Isolated: true}, 9, at(0.1))
 	_, reason := tracker.Decide(at(0.9))
 	is.Equal(reason, freshness.ReasonBackoff)
 	move, reason = tracker.Decide(at(1))
@@ -105,7 +105,7 @@
 	var moves []float64
 	for now := 0.0; now < 20; now += 0.1 {
 		tracker.Opened(at(now))
-		tracker.Heard(freshness.State{Version: 9, Isolated: true}, 9, at(now))
+		tracker.Observe(freshness.State{Version: 9, Isolated: true}, 9, at(now))
 		if move, _ := tracker.Decide(at(now)); move {
 			tracker.Moved(at(now), exactly)
 			moves = append(moves, now)
@@ -113,8 +113,8 @@
 	}
 	is.Equal(len(moves), 7) // about 0, 1, 3, 7, 11, 15 and 19 s
 	// A proof ends that.
-	tracker.Heard(confirmed(9, 0), 9, at(30))
-	tracker.Heard(freshness.State{Version: 9, Isolated: true}, 9, at(30))
+	tracker.Observe(confirmed(9, 0), 9, at(30))
+	tracker.Observe(freshness.State{Version: 9, Isolated: true}, 9, at(30))
 	move, _ := tracker.Decide(at(30))
 	is.True(move)
 	tracker.Moved(at(30), exactly)
@@ -149,7 +149,7 @@
 	tracker := freshness.NewTracker(freshness.Options{})
 	_, known := tracker.Age(at(5))
 	is.True(!known)
-	tracker.Heard(confirmed(9, time.Second), 9, at(5))
+	tracker.Observe(confirmed(9, time.Second), 9, at(5))
 	age, known := tracker.Age(at(6))
 	is.True(known)
 	is.Equal(age, 2*time.Second)
--- a/internal/controld/confirmation.go
+++ b/internal/controld/confirmation.go
@@ -72,7 +72,6 @@
 // confirmationLoop confirms the local state at least every confirmationPeriod, so that its
 // age is known also if no subscriber needs a version.
 func (d *Daemon) confirmationLoop() {
-	d.loops.Go(d.isolationLoop)
 	d.every(confirmationRetry, func() {
 		age, known := d.confirmation.age(time.Now())
 		if d.isStandby() || known && age < confirmationPeriod {
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -278,6 +278,7 @@
 	d.loops.Go(d.rejoinLoop)
 	d.loops.Go(d.notifySeedsLoop)
 	d.loops.Go(d.confirmationLoop)
+	d.loops.Go(d.isolationLoop)
 	d.loops.Go(func() { d.creds.Watch(d.ctx, keys.ReloadInterval, keys.LogReload(d.log)) })
 	d.log.Info("control host started", zap.String("link", d.LinkAddr()), zap.String("operator", d.OperatorAddr()))
 }
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -272,7 +272,7 @@
 }
 
 // heartbeatDue reports whether to send the state of this host. Other messages do not delay
-// it: the subscriber judges this host by it.
+// it, as the subscriber decides by it whether to leave this host.
 func (s *subscription) heartbeatDue() bool {
 	return s.daemon.confirmation.isIsolated() != s.isolated || time.Since(s.heartbeatSentAt) >= heartbeatPeriod
 }
--- a/internal/subscriber/freshness.go
+++ b/internal/subscriber/freshness.go
@@ -64,8 +64,8 @@
 	return s.move.cause
 }
 
-// stateOf translates a heartbeat. A control host of an earlier release gives no age; it
-// counts as confirmed unless it says that it is isolated.
+// stateOf translates a heartbeat. A control host of an earlier release reports no age; it
+// counts as confirmed unless it reports that it is isolated.
 func stateOf(h *controlpb.Heartbeat) freshness.State {
 	return freshness.State{
 		Version:   h.GetVersion(),
@@ -75,9 +75,9 @@
 	}
 }
 
-// recordState records what the control host says of itself. The caller holds mu.
+// recordState records what the control host reports of itself. The caller holds mu.
 func (s *Subscriber) recordState(h *controlpb.Heartbeat, now time.Time) {
-	s.freshness.Heard(stateOf(h), s.versions.latest().GetVersion(), now)
+	s.freshness.Observe(stateOf(h), s.versions.latest().GetVersion(), now)
 	if age, known := s.freshness.Age(now); known {
 		at := now.Add(-age)
 		s.confirmedAt.Store(&at)
