platform: the lease of a target outlasts the loss of its control host

What callers saw: flows that were open at a target that lived were reset (held_nowhere).

Cause: all control hosts are killed and back within 0.7 s. Their list of targets counts as complete one lease after their start, 1.2 s with reports each 0.4 s. An agent finds by its heartbeat that its control host is gone, up to 2.2 s later, and announces its target then: until then a complete list lacks a target that lives. An entry host that had been restarted asked all targets of that list for the flow, had it denied by each, and reset it.

Ruled out: the flow table of the entry host, which had no state of the flow; the agents that denied, which did not hold it. A host lost twice in a row within the time can still exceed it.

--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -42,6 +42,11 @@
 	maxBackoff = 250 * time.Millisecond
 )
 
+// MinLease is the shortest lease of a target. Within this time its agent finds that a
+// control host is lost and announces the target at another one; until then a list without
+// the target must not count as complete.
+const MinLease = 3500 * time.Millisecond
+
 // Limits bound the lifetime of flows in the table.
 type Limits struct {
 	// Idle is the lifetime of a flow without packets, Age that of any flow.
