--- a/freshness/property_test.go
+++ b/freshness/property_test.go
@@ -22,9 +22,11 @@
 	stuck
 	// down hosts send nothing.
 	down
-	conditions
 )
 
+// faults are the conditions that strike gives.
+var faults = []condition{cut, stuck, down}
+
 // Times of the model in seconds.
 const (
 	step            = 0.05
@@ -129,7 +131,7 @@
 	}
 	for range rapid.IntRange(0, (len(m.hosts)-1)/2).Draw(rt, "struck") {
 		h := m.hosts[rapid.IntRange(0, len(m.hosts)-1).Draw(rt, "host")]
-		h.condition = condition(rapid.IntRange(1, int(conditions)-1).Draw(rt, "condition"))
+		h.condition = rapid.SampledFrom(faults).Draw(rt, "condition")
 	}
 	m.lastEvent = now
 }
