controld: subscribers move by the size of the imbalance, also before directories are complete

Settings name three control hosts, so at a start all processes subscribe to these, and each of them lets one go a second, none before its directory is complete (a lease: 9 s, three report periods on the platform).

Subscribers that were asked and are still here are not counted, those asked since a count was received are added to it. Hosts with an incomplete directory tell their number too (starting_subscribers), and take subscribers from hosts that are no further; a complete one moves none there, as before. A number that changes by 8 is told at once.

--- a/internal/controld/bounds.go
+++ b/internal/controld/bounds.go
@@ -39,6 +39,9 @@
 	maxPeerMessage = 160 << 20
 	// syncPeriod is how long changed records are collected before they are sent to peers.
 	syncPeriod = 50 * time.Millisecond
+	// subscribersPerSync is the change of the number of subscribers that is sent to peers at
+	// once, since they decide by it where subscribers move.
+	subscribersPerSync = 8
 	// syncTimeout bounds the delivery of records to a peer.
 	syncTimeout = 2 * time.Second
 	// renewalsPerLease is the number of directory summaries sent to peers per lease.
--- a/internal/controld/loops.go
+++ b/internal/controld/loops.go
@@ -25,18 +25,19 @@
 	}
 }
 
-// syncLoop triggers a sync with the other control hosts after a change, and a few times per
-// lease for a summary of the unchanged records.
+// syncLoop triggers a sync with the other control hosts after a change of records or of the
+// number of subscribers, and a few times per lease for a summary of the unchanged records.
 func (d *Daemon) syncLoop() {
 	var renewed time.Time
 	var synced uint64
+	syncedCount := 0
 	d.every(syncPeriod, func() {
-		own := d.directory.localSequence()
+		own, count := d.directory.localSequence(), d.subscribers.count()
 		due := time.Since(renewed) >= d.directory.lease()/renewalsPerLease
-		if own == synced && !due {
+		if own == synced && !due && max(count-syncedCount, syncedCount-count) < subscribersPerSync {
 			return
 		}
-		synced = own
+		synced, syncedCount = own, count
 		if due {
 			renewed = time.Now()
 		}
--- a/internal/controld/rebalance.go
+++ b/internal/controld/rebalance.go
@@ -4,70 +4,97 @@
 	"math/rand/v2"
 	"time"
 
+	"go.uber.org/zap"
+
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
 const (
-	// movePeriod is the interval between checks whether a subscriber should move.
+	// movePeriod is the interval between checks whether subscribers should move.
 	movePeriod = 250 * time.Millisecond
-	// moveInterval is the mean time between two moves away from this host, jittered from
-	// 0.5 to 1.5 of it.
+	// moveInterval is the mean time between two rounds of moves away from this host,
+	// jittered from 0.5 to 1.5 of it.
 	moveInterval = time.Second
-	// metricMoves counts the decisions by reason.
+	// metricMoves counts the decisions by reason, metricMoved the subscribers asked to move.
 	metricMoves = "subscriber_moves"
+	metricMoved = "subscribers_moved"
 	tagReason   = "reason"
 )
 
 // hostLoad is the last subscriber count reported by another control host.
 type hostLoad struct {
 	subscribers int
+	// complete reports whether the host's directory is complete.
+	complete bool
 	// receivedAt is the time of receipt, since the start of the directory.
 	receivedAt time.Duration
+	// sent is the number of subscribers asked to move there since.
+	sent int
 }
 
-// recordLoad stores the subscriber count of another host. A host that reports none takes no
-// subscribers for now.
+// recordLoad stores the subscriber count of another host. A host of an earlier release
+// reports none before its directory is complete, and takes no subscribers until then.
 func (d *directory) recordLoad(host string, m *controlpb.DirectorySync) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if m.Subscribers == nil {
+	switch {
+	case m.Subscribers != nil:
+		d.loads[host] = hostLoad{subscribers: int(m.GetSubscribers()), complete: true, receivedAt: d.now()}
+	case m.StartingSubscribers != nil:
+		d.loads[host] = hostLoad{subscribers: int(m.GetStartingSubscribers()), receivedAt: d.now()}
+	default:
 		delete(d.loads, host)
-		return
 	}
-	d.loads[host] = hostLoad{int(m.GetSubscribers()), d.now()}
+}
+
+// recordMoves records that subscribers were asked to move to another host.
+func (d *directory) recordMoves(host string, count int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	load := d.loads[host]
+	load.sent += count
+	d.loads[host] = load
 }
 
 // rebalancer returns the subscriber counts of all hosts as known here.
 func (d *directory) rebalancer() membership.Rebalancer {
-	own := d.subscribers.count()
+	own := d.subscribers.staying()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
 	s := membership.Rebalancer{Own: own, Complete: d.dir.Complete(now)}
 	for name, h := range d.loads {
-		s.Others = append(s.Others, membership.HostLoad{Name: name, Subscribers: h.subscribers, Age: now - h.receivedAt})
+		s.Others = append(s.Others, membership.HostLoad{
+			Name:        name,
+			Subscribers: h.subscribers,
+			Complete:    h.complete,
+			Age:         now - h.receivedAt,
+			Sent:        h.sent,
+		})
 	}
 	return s
 }
 
-// addLoad adds this host's subscriber count to a message once its directory is complete.
+// addLoad adds this host's subscriber count to a message.
 func (d *directory) addLoad(m *controlpb.DirectorySync) {
-	if s := d.rebalancer(); s.Complete {
-		own := uint32(s.Own)
+	own := uint32(d.subscribers.count())
+	if d.complete() {
 		m.Subscribers = &own
+		return
 	}
+	m.StartingSubscribers = &own
 }
 
-// rebalanceLoop moves subscribers to other hosts, one at a time, while this host has
-// considerably more of them.
+// rebalanceLoop moves subscribers to other hosts while this host has considerably more of
+// them.
 func (d *Daemon) rebalanceLoop() {
 	movedAt, interval := time.Now(), moveInterval
 	lastReason := membership.RebalanceReason("")
 	d.every(movePeriod, func() {
 		s := d.directory.rebalancer()
 		s.SinceMove, s.Interval = time.Since(movedAt), interval
-		to, reason := s.Decide()
+		moves, reason := s.Decide()
 		if reason != lastReason || reason == membership.RebalanceMove {
 			d.scope.Tagged(map[string]string{tagReason: string(reason)}).Counter(metricMoves).Inc(1)
 		}
@@ -76,8 +103,26 @@
 			return
 		}
 		movedAt, interval = time.Now(), moveInterval/2+rand.N(moveInterval)
-		if sub := d.subscribers.random(); sub != nil {
-			sub.requestMove(d.peers.addressByName(to))
-		}
+		d.moveSubscribers(s.Own, moves)
 	})
 }
+
+// moveSubscribers asks subscribers, chosen at random, to move.
+func (d *Daemon) moveSubscribers(own int, moves []membership.Moves) {
+	moved := 0
+	for _, move := range moves {
+		address := d.peers.addressByName(move.Host)
+		if address == "" {
+			continue
+		}
+		chosen := d.subscribers.sample(move.Subscribers)
+		for _, sub := range chosen {
+			sub.requestMove(address)
+		}
+		d.directory.recordMoves(move.Host, len(chosen))
+		moved += len(chosen)
+	}
+	d.scope.Counter(metricMoved).Inc(int64(moved))
+	d.log.Info("subscribers asked to move to other control hosts",
+		zap.Int("subscribers", own), zap.Int("moved", moved), zap.Int("hosts", len(moves)))
+}
--- a/internal/controld/standby.go
+++ b/internal/controld/standby.go
@@ -258,9 +258,8 @@
 }
 
 func (d *Daemon) servingLoad(members []voters.Member) voters.ServingLoad {
-	rebalancer := d.directory.rebalancer()
-	s := voters.ServingLoad{Serving: voters.CountActive(members), Subscribers: rebalancer.Own}
-	for _, other := range rebalancer.Others {
+	s := voters.ServingLoad{Serving: voters.CountActive(members), Subscribers: d.subscribers.count()}
+	for _, other := range d.directory.rebalancer().Others {
 		s.Subscribers += other.Subscribers
 	}
 	return s
--- a/internal/controld/subscribers.go
+++ b/internal/controld/subscribers.go
@@ -13,6 +13,10 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 )
 
+// moveTimeout is how long a subscriber that was asked to move counts as leaving. It exceeds an
+// attempt at a host over a slow path.
+const moveTimeout = 5 * time.Second
+
 // subscribers is the set of open subscriptions.
 type subscribers struct {
 	mu   sync.Mutex
@@ -39,21 +43,31 @@
 	return len(s.open)
 }
 
-// random returns a random subscriber, nil if there is none.
-func (s *subscribers) random() *subscriber {
+// staying returns the number of subscriptions without those that were asked to move.
+func (s *subscribers) staying() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.open) == 0 {
-		return nil
+	n := 0
+	for sub := range s.open {
+		if !sub.isMoving() {
+			n++
+		}
 	}
-	skip := rand.IntN(len(s.open))
+	return n
+}
+
+// sample returns at most count random subscribers that were not asked to move.
+func (s *subscribers) sample(count int) []*subscriber {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*subscriber
 	for sub := range s.open {
-		if skip == 0 {
-			return sub
+		if !sub.isMoving() {
+			out = append(out, sub)
 		}
-		skip--
 	}
-	return nil
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(count, len(out))]
 }
 
 // list returns the subscribers by name, and the names of those on an older version.
@@ -85,8 +99,10 @@
 	reported atomic.Uint64
 	// lastSeen is the time of the last heartbeat, since start.
 	lastSeen atomic.Int64
-	// moveTo receives the address of the host that the subscriber has to move to.
-	moveTo chan string
+	// moveTo receives the address of the host that the subscriber has to move to. movingUntil
+	// is when the subscriber counts as staying again, since start; zero if it was not asked.
+	moveTo      chan string
+	movingUntil atomic.Int64
 }
 
 func newSubscriber(peer link.Peer, req *controlpb.Subscribe) *subscriber {
@@ -103,12 +119,18 @@
 
 // requestMove asks the subscriber to move, unless a request is pending.
 func (s *subscriber) requestMove(address string) {
+	s.movingUntil.Store(int64(time.Since(s.start) + moveTimeout))
 	select {
 	case s.moveTo <- address:
 	default:
 	}
 }
 
+// isMoving reports whether the subscriber was asked to move and may still do so.
+func (s *subscriber) isMoving() bool {
+	return time.Since(s.start) < time.Duration(s.movingUntil.Load())
+}
+
 // recordReport stores the active version of the subscriber. It reports whether it differs
 // from the last report.
 func (s *subscriber) recordReport(version uint64) (changed bool) {
