link: a refused client is sent to the other servers, or keeps one place in a queue

A refused client asked all servers that it knew and then waited for the earliest time that one had named. At a start it knows three, whose queues grow to 30 s; later it knows all, takes a place in each queue and uses one, so each queue is as many times too long.

By the ALPN name that it offers a client tells whether a server has named others to it. If not, a refusal names the members and keeps no place. If so, a host that is out of its rate keeps a place, and the client waits for it; one that has no room names the members again. Clients and servers of earlier releases read and send what they did.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -187,6 +187,7 @@
 		Log:                    d.log,
 		MaxControlRequestBytes: maxPeerMessage,
 		MaxConnections:         int(d.settings.GetReplica().GetMaxLinks()),
+		OtherServers:           d.otherServingHosts,
 	})
 	if err != nil {
 		return err
--- a/internal/controld/standby.go
+++ b/internal/controld/standby.go
@@ -286,6 +286,19 @@
 	return out
 }
 
+// otherServingHosts returns the link addresses of the serving hosts other than this one, none
+// if settings name all hosts.
+func (d *Daemon) otherServingHosts() []string {
+	if !d.settings.GetReplica().GetAutomaticMembers() {
+		return nil
+	}
+	if d.isStandby() {
+		return d.standby.servingHosts()
+	}
+	own := d.selfAddress(controlpb.Group_GROUP_CONFIG)
+	return slices.DeleteFunc(d.memberLinkAddresses(), func(address string) bool { return address == own })
+}
+
 // awaitServingHosts waits until this standby knows serving hosts. It returns none if the
 // context ends first or this host has become a member.
 func (d *Daemon) awaitServingHosts(ctx context.Context) []string {
--- a/internal/link/admission.go
+++ b/internal/link/admission.go
@@ -39,22 +39,20 @@
 	refusalCapacity refusal = "capacity"
 )
 
-// admit reserves a place for a connection. Without one it returns the reason and the
-// retry-after time. Refused peers get successive times at the admitted rate so that they do
-// not return together.
-func (a *admission) admit(now time.Time) (refusal, time.Duration) {
+// admit reserves a place for a connection, or returns the reason why there is none.
+func (a *admission) admit(now time.Time) refusal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refill(now)
 	if a.open >= a.capacity {
-		return refusalCapacity, a.nextRetryAfter(now)
+		return refusalCapacity
 	}
 	if a.tokens < 1 {
-		return refusalRate, a.nextRetryAfter(now)
+		return refusalRate
 	}
 	a.tokens--
 	a.open++
-	return "", 0
+	return ""
 }
 
 // release frees the place of an admitted connection.
@@ -72,7 +70,11 @@
 	a.refilledAt = now
 }
 
+// nextRetryAfter returns the time after which a refused peer may return. Peers get successive
+// times at the admitted rate so that they do not return together.
 func (a *admission) nextRetryAfter(now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.lastRetryAt.Before(now) {
 		a.lastRetryAt = now
 	}
--- a/internal/link/connection.go
+++ b/internal/link/connection.go
@@ -56,7 +56,7 @@
 		receiveLimit: c.opts.MaxResponseBytes,
 	}
 	tlsConfig := c.creds.ClientTLS(c.opts.Allowed...)
-	tlsConfig.NextProtos = []string{protocolName}
+	tlsConfig.NextProtos = c.protocols()
 	conn.quic, err = conn.transport.Dial(ctx, remote, tlsConfig, c.quicConfig())
 	if err != nil {
 		conn.close(codeNone)
@@ -74,6 +74,16 @@
 	return conn, nil
 }
 
+// protocols returns the ALPN names to offer.
+func (c *Client) protocols() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.learned) == 0 {
+		return []string{protocolNewcomer, protocolQueue, protocolName}
+	}
+	return []string{protocolQueue, protocolName}
+}
+
 func (c *connection) close(code quic.ApplicationErrorCode) {
 	if c.quic != nil {
 		_ = c.quic.CloseWithError(code, "")
--- a/internal/link/errors.go
+++ b/internal/link/errors.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -119,26 +117,3 @@
 	}
 	return false
 }
-
-const retryAfterPrefix = "retry-after-ms="
-
-func retryAfterText(d time.Duration) string {
-	return retryAfterPrefix + strconv.FormatInt(d.Milliseconds(), 10)
-}
-
-// retryAfter returns the retry-after time of a server that refused a connection.
-func retryAfter(err error) (time.Duration, bool) {
-	var app *quic.ApplicationError
-	if !errors.As(err, &app) || !app.Remote || app.ErrorCode != codeBusy {
-		return 0, false
-	}
-	text, ok := strings.CutPrefix(app.ErrorMessage, retryAfterPrefix)
-	if !ok {
-		return 0, false
-	}
-	ms, err := strconv.ParseUint(text, 10, 31)
-	if err != nil {
-		return 0, false
-	}
-	return time.Duration(ms) * time.Millisecond, true
-}
--- a/internal/link/reconnect.go
+++ b/internal/link/reconnect.go
@@ -48,10 +48,21 @@
 	failures int
 	// notBefore is the earliest time to retry a busy server, by address.
 	notBefore map[string]time.Time
+	// place is the server that keeps a place in its queue, empty if there is none.
+	place string
 	// left is the server of the last move, empty if there was none.
 	left string
 }
 
+// recordRefusal records the refusal of a server.
+func (state *dialState) recordRefusal(addr string, r busyRefusal, now time.Time) {
+	state.notBefore[addr] = now.Add(r.retryAfter)
+	state.place = ""
+	if r.queued {
+		state.place = addr
+	}
+}
+
 // skipLeft selects the next address in place of that of the server that was left, until all
 // others have been tried.
 func (state *dialState) skipLeft(addrs []string) {
@@ -84,6 +95,7 @@
 	state.failures = 0
 	state.resumeAt(c.addrs, conn.addr)
 	clear(state.notBefore)
+	state.place = ""
 	established := time.Now()
 	reason := c.watch(conn)
 	for reason == reasonMoved {
@@ -152,8 +164,13 @@
 
 // retryDelay returns the delay before the next address and skips busy servers. The delay is
 // short while there are untried addresses, grows with each round and covers the retry-after
-// time if all servers are busy.
+// time if all servers are busy. A client with a place in the queue of a server waits for it.
 func (c *Client) retryDelay(state *dialState, now time.Time) time.Duration {
+	if place := state.place; place != "" {
+		state.place = ""
+		state.resumeAt(c.addrs, place)
+		return state.notBefore[place].Sub(now)
+	}
 	round := state.failures / len(c.addrs)
 	d := c.opts.BackoffMin
 	for i := 0; i < round && d < c.opts.BackoffMax; i++ {
@@ -185,7 +202,7 @@
 }
 
 func dialReason(err error) string {
-	if _, busy := retryAfter(err); busy {
+	if _, busy := refusalOf(err); busy {
 		return "busy"
 	}
 	var idle *quic.IdleTimeoutError
--- a/internal/link/search.go
+++ b/internal/link/search.go
@@ -89,7 +89,7 @@
 			return conn
 		}
 	}
-	state.failures = 0
+	state.failures, state.place = 0, ""
 	c.opts.Log.Info("control link kept, no other control host replied", zap.String("address", present.addr))
 	return nil
 }
@@ -151,8 +151,9 @@
 	reasonCounter(c.opts.Scope, metricDialFailures, reason).Inc(1)
 	c.opts.Log.Info("connection to control host failed", zap.String("address", addr), zap.String("reason", reason),
 		zap.Int("failures", state.failures+1), zap.Error(err))
-	if wait, ok := retryAfter(err); ok {
-		state.notBefore[addr] = time.Now().Add(wait)
+	if refused, ok := refusalOf(err); ok {
+		state.recordRefusal(addr, refused, time.Now())
+		c.SetLearnedAddresses(refused.servers)
 	}
 }
 
--- a/internal/link/serve.go
+++ b/internal/link/serve.go
@@ -47,17 +47,18 @@
 	}
 }
 
-// admit registers a connection or refuses it with a retry-after time.
+// admit registers a connection or refuses it.
 func (s *Server) admit(conn *quic.Conn, id keys.Identity) bool {
 	if s.isClosing() {
 		s.counters.refusedWhileClosing.Inc(1)
-		_ = conn.CloseWithError(codeBusy, retryAfterText(s.opts.DrainTimeout))
+		_ = conn.CloseWithError(codeBusy, busyRefusal{retryAfter: s.opts.DrainTimeout}.message())
 		return false
 	}
 	if id.Role != keys.RoleControl {
-		if reason, wait := s.admission.admit(time.Now()); reason != "" {
+		if reason := s.admission.admit(time.Now()); reason != "" {
 			s.counters.refusedAdmission(reason)
-			_ = conn.CloseWithError(codeBusy, retryAfterText(wait))
+			refused := s.refusal(conn.ConnectionState().TLS.NegotiatedProtocol, reason)
+			_ = conn.CloseWithError(codeBusy, refused.message())
 			return false
 		}
 	}
@@ -68,6 +69,23 @@
 	return true
 }
 
+// refusal returns what a refused client is told. One that knows no other servers is sent to
+// these: a place in the queue would be left unused. One that does keeps its place: if it asked
+// the others meanwhile, each would keep a place of which it uses one, and the queues would
+// take that much longer.
+func (s *Server) refusal(protocol string, reason refusal) busyRefusal {
+	full := reason == refusalCapacity
+	if protocol == protocolNewcomer || protocol == protocolQueue && full {
+		if others := s.opts.OtherServers(); len(others) > 0 {
+			return busyRefusal{servers: others}
+		}
+	}
+	return busyRefusal{
+		retryAfter: s.admission.nextRetryAfter(time.Now()),
+		queued:     protocol == protocolQueue && !full,
+	}
+}
+
 func (s *Server) removeConnection(conn *quic.Conn, id keys.Identity) {
 	_ = conn.CloseWithError(codeNone, "")
 	if id.Role != keys.RoleControl {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -70,6 +70,9 @@
 	// hosts.
 	AdmitPerSecond float64
 	AdmitBurst     int
+	// OtherServers returns the addresses (ip:port) of the servers that a refused client may
+	// try, without this one; nil means none.
+	OtherServers func() []string
 	// MaxRetryAfter bounds the retry-after time sent to refused peers.
 	MaxRetryAfter time.Duration
 	// MaxRequestBytes bounds a request; MaxControlRequestBytes one of a control host.
@@ -102,6 +105,9 @@
 	o.MaxRequestBytes = cmp.Or(o.MaxRequestBytes, DefaultMaxRequestBytes)
 	o.MaxControlRequestBytes = cmp.Or(o.MaxControlRequestBytes, DefaultMaxControlRequestBytes)
 	o.MaxResponseBytes = cmp.Or(o.MaxResponseBytes, o.MaxControlRequestBytes)
+	if o.OtherServers == nil {
+		o.OtherServers = func() []string { return nil }
+	}
 	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
 	o.RequestTimeout = cmp.Or(o.RequestTimeout, DefaultRequestTimeout)
 	o.SendTimeout = cmp.Or(o.SendTimeout, DefaultSendTimeout)
@@ -192,7 +198,8 @@
 // tlsConfig returns the TLS configuration, which counts refused peers by reason.
 func (s *Server) tlsConfig() *tls.Config {
 	config := s.creds.ServerTLS(s.opts.Allowed...)
-	config.NextProtos = []string{protocolName}
+	// In the order of preference.
+	config.NextProtos = []string{protocolNewcomer, protocolQueue, protocolName}
 	verify := config.VerifyConnection
 	config.VerifyConnection = func(state tls.ConnectionState) error {
 		err := verify(state)
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -9,6 +9,10 @@
 const (
 	// protocolName is the ALPN name of control links.
 	protocolName = "eelgrasswharf-control/1"
+	// protocolQueue is offered by a client that waits for its place in the queue of a server
+	// that refuses it, protocolNewcomer in addition by one that no server has named others to.
+	protocolQueue    = "eelgrasswharf-control/2"
+	protocolNewcomer = "eelgrasswharf-control/2-newcomer"
 
 	// Receive windows are small since messages are short; they bound the memory that a peer
 	// can occupy.
