targets, flowd: the tables of an entry host cost what changed, on both data paths

Change. entryd's directory moved to package targets and serves both; it merges the targets of a changed service and decodes only what changed. The packet path refreshes its tables with Table.Refresh, keeps agents in sets that change by what was added and removed (agentSet), and finds the service of an agent by a map in place of a search through all lists. Start times of targets follow the rule that entryd had: the earliest one seen.

What a change still costs is the copy of the service's list and its new table.

TestAgentSetMatchesRecords and TestDirectoryUpdateMatchesRebuild hold the increments against sets and directories made anew.

--- a/internal/entryd/bench_test.go
+++ b/internal/entryd/bench_test.go
@@ -15,6 +15,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
+	"eelgrasswharf.example/eelgrasswharf/internal/targets"
 	"eelgrasswharf.example/eelgrasswharf/routing"
 )
 
@@ -160,7 +161,7 @@
 		}
 		run("record", modified, func() {})
 		run("target", without, func() {})
-		run("rebuild", modified, func() { r.f.directory.records = []*controlpb.TargetRecord{all[0], all[0]} })
+		run("rebuild", modified, func() { r.f.directory = targets.New(nil, []*controlpb.TargetRecord{all[0], all[0]}, 0, r.f.usable) })
 	}
 }
 
--- a/internal/entryd/forwarder.go
+++ b/internal/entryd/forwarder.go
@@ -15,6 +15,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/connid"
+	"eelgrasswharf.example/eelgrasswharf/internal/targets"
 	"eelgrasswharf.example/eelgrasswharf/routing"
 )
 
@@ -50,7 +51,7 @@
 
 	// Owned by the goroutine of Run.
 	view      *View
-	directory *directory
+	directory *targets.Directory
 	// serviceCache has the services with their current tables, by number.
 	serviceCache map[uint32]cachedService
 	addresses    map[netip.AddrPort]*servicePolicy
@@ -240,8 +241,8 @@
 	if !v.Complete {
 		f.markIncomplete()
 	}
-	f.directory = newDirectory(f.directory, v.Targets, f.now(), f.usable)
-	f.counters.unusableTargets.Inc(int64(f.directory.unusable))
+	f.directory = targets.New(f.directory, v.Targets, f.now(), f.usable)
+	f.counters.unusableTargets.Inc(int64(f.directory.Unusable()))
 	f.dropChanged()
 	if newVersion || len(f.openErrors) > 0 {
 		f.reconcile(ctx)
@@ -264,7 +265,7 @@
 	if f.view == nil {
 		return
 	}
-	f.directory.loads.Decay()
+	f.directory.Loads().Decay()
 	f.refreshTables()
 	if len(f.openErrors) > 0 {
 		f.reconcile(ctx)
@@ -289,12 +290,7 @@
 
 // dropChanged drops the tables of services whose targets have changed.
 func (f *Forwarder) dropChanged() {
-	if f.directory.changed == nil {
-		clear(f.serviceCache)
-	}
-	for number := range f.directory.changed {
-		delete(f.serviceCache, number)
-	}
+	maps.DeleteFunc(f.serviceCache, func(number uint32, _ cachedService) bool { return f.directory.Changed(number) })
 }
 
 // updateGauges updates the gauges of candidates and damped targets.
@@ -304,7 +300,7 @@
 		sum += cached.service.table.Len()
 	}
 	f.counters.candidates.Update(float64(sum))
-	f.counters.damped.Update(float64(f.directory.damped()))
+	f.counters.damped.Update(float64(f.directory.Damped()))
 }
 
 // updateListeners sets the current tables on the open listeners. It is called when no
@@ -317,7 +313,7 @@
 			l.service.Store(s)
 		}
 	}
-	f.tables.Store(&tables{listeners: listeners, loads: f.directory.loads, complete: f.view.Complete})
+	f.tables.Store(&tables{listeners: listeners, loads: f.directory.Loads(), complete: f.view.Complete})
 	f.updateGauges()
 }
 
@@ -349,7 +345,7 @@
 func (f *Forwarder) service(policy *servicePolicy, now time.Duration) *service {
 	cached, ok := f.serviceCache[policy.number]
 	if !ok || cached.policy != policy.policy {
-		cached = cachedService{policy.policy, &service{number: policy.number, table: f.directory.table(policy, now)}}
+		cached = cachedService{policy.policy, &service{number: policy.number, table: f.directory.Table(policy.policy, policy.number, now)}}
 		f.serviceCache[policy.number] = cached
 	}
 	return cached.service
@@ -380,7 +376,7 @@
 		}
 	}
 
-	f.tables.Store(&tables{listeners: after, loads: f.directory.loads, complete: f.view.Complete})
+	f.tables.Store(&tables{listeners: after, loads: f.directory.Loads(), complete: f.view.Complete})
 	f.counters.openAddresses.Update(float64(len(after)))
 	f.dropUnused()
 	f.updateGauges()
--- a/internal/entryd/options_test.go
+++ b/internal/entryd/options_test.go
@@ -4,13 +4,10 @@
 	"net/netip"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
-	"google.golang.org/protobuf/proto"
 
-	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/connid"
 	"eelgrasswharf.example/eelgrasswharf/frame"
@@ -76,68 +73,6 @@
 	is.True(strings.Contains(err.Error(), o.FrameListen.String())) // names the address
 }
 
-func TestAgeGrowsBetweenViews(t *testing.T) {
-	is := is.New(t)
-	address := netip.MustParseAddrPort("127.0.0.1:7000")
-	usable := func(netip.AddrPort) bool { return true }
-	young := record(lodgement, 1, address)
-	young.AgeMs = 1000
-	list := []*controlpb.TargetRecord{young}
-	ageAt := func(d *directory, now time.Duration) time.Duration {
-		d.table(&servicePolicy{number: lodgement}, now)
-		return d.services[lodgement].targets[0].Age
-	}
-
-	const begin = time.Hour
-	d := newDirectory(nil, list, begin, usable)
-	is.Equal(ageAt(d, begin), time.Second)
-	is.Equal(ageAt(d, begin+2*time.Second), 3*time.Second)
-
-	// A repeated record doesn't make the target younger.
-	d = newDirectory(d, list, begin+5*time.Second, usable)
-	is.Equal(ageAt(d, begin+5*time.Second), 6*time.Second)
-
-	// A new incarnation has a new cold start.
-	again := proto.CloneOf(young) // records of views are immutable
-	again.Incarnation = 2
-	d = newDirectory(d, []*controlpb.TargetRecord{again}, begin+9*time.Second, usable)
-	is.Equal(ageAt(d, begin+9*time.Second), time.Second)
-}
-
-// A restart of the backend server in the same incarnation is another cold start.
-func TestColdStartOfTheSameIncarnation(t *testing.T) {
-	known := coldStart{at: time.Hour, sequence: 5}
-	for _, tt := range []struct {
-		name   string
-		record coldStart
-		want   coldStart
-	}{
-		{"the same record later", coldStart{time.Hour + time.Minute, 5}, known},
-		{"an older record", coldStart{time.Hour + time.Minute, 4}, known},
-		{"a newer record, delayed", coldStart{time.Hour + restartMargin, 6}, coldStart{time.Hour, 6}},
-		{"a newer record, less delayed", coldStart{time.Hour - time.Millisecond, 6}, coldStart{time.Hour - time.Millisecond, 6}},
-		{"another start", coldStart{time.Hour + time.Minute, 6}, coldStart{time.Hour + time.Minute, 6}},
-	} {
-		t.Run(tt.name, func(t *testing.T) {
-			is.New(t).Equal(known.merge(tt.record), tt.want)
-		})
-	}
-}
-
-func TestRestartResetsAge(t *testing.T) {
-	is := is.New(t)
-	usable := func(netip.AddrPort) bool { return true }
-	one := record(lodgement, 1, netip.MustParseAddrPort("127.0.0.1:7000"))
-	list := []*controlpb.TargetRecord{one}
-	d := newDirectory(nil, list, time.Hour, usable)
-	again := proto.CloneOf(one)
-	again.AgeMs = 10
-	again.Sequence++
-	d = newDirectory(d, []*controlpb.TargetRecord{again}, time.Hour+time.Second, usable)
-	d.table(&servicePolicy{number: lodgement}, time.Hour+time.Second)
-	is.Equal(d.services[lodgement].targets[0].Age, 10*time.Millisecond)
-}
-
 func TestEveryRefusalHasAName(t *testing.T) {
 	is := is.New(t)
 	seen := make(map[string]bool)
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -1,9 +1,7 @@
 package flowd
 
 import (
-	"maps"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +12,7 @@
 	"eelgrasswharf.example/eelgrasswharf/flow"
 	"eelgrasswharf.example/eelgrasswharf/internal/metrics"
 	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
+	"eelgrasswharf.example/eelgrasswharf/internal/targets"
 	"eelgrasswharf.example/eelgrasswharf/placement"
 	"eelgrasswharf.example/eelgrasswharf/routing"
 )
@@ -50,10 +49,12 @@
 	viewReceivedAt time.Time
 	table          *configpb.RouteTable
 	routes         map[flow.Endpoint]*placement.Route
-	targets        map[uint32]*serviceTargets
-	// agents has the agents of all targets of the view, known has them as a set.
-	agents []flow.Endpoint
-	known  map[flow.Endpoint]bool
+	// directory has the targets that take new flows, tables the table of each service.
+	directory *targets.Directory
+	tables    map[uint32]*routing.Table
+	// agents has the agents of all targets, including evacuated ones, which keep their
+	// flows.
+	agents agentSet
 	loads  *routing.LoadReports
 	// firstTargetsAt is when the first targets were known, discovered is set when the
 	// wait for more is over.
@@ -65,31 +66,32 @@
 	loadAge tally.Histogram
 }
 
-// serviceTargets are the targets of one service.
-type serviceTargets struct {
-	// list has the targets for new flows, viewIndex the index of each in the view.
-	list      []routing.Target
-	viewIndex []int
-	// agents has the agents of all targets, including evacuated ones, which keep their
-	// flows.
-	agents []flow.Endpoint
-	table  *routing.Table
-}
-
 func newPlacer(log *zap.Logger, scope tally.Scope) *placer {
 	loadAge := scope.Histogram("load_age_seconds", metrics.DurationBuckets)
-	return &placer{log: log, loadAge: loadAge, startedAt: time.Now(), loads: routing.NewLoadReports(nil, nil), routes: map[flow.Endpoint]*placement.Route{}, targets: map[uint32]*serviceTargets{}}
+	return &placer{
+		log:       log,
+		loadAge:   loadAge,
+		startedAt: time.Now(),
+		loads:     routing.NewLoadReports(nil, nil),
+		routes:    map[flow.Endpoint]*placement.Route{},
+		tables:    map[uint32]*routing.Table{},
+		agents:    newAgentSet(),
+	}
 }
 
 // apply activates a view. now is the time on the clock of the flow table.
 func (p *placer) apply(v *subscriber.View, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	previous := p.view
+	if previous == nil {
+		previous = &subscriber.View{}
+	}
 	p.view, p.viewReceivedAt = v, time.Now()
 	if table := v.Config.GetTable(); table != nil && table != p.table {
 		p.applyRoutes(v.Config)
 	}
-	p.applyTargets(v, now)
+	p.applyTargets(previous, v, now)
 }
 
 func (p *placer) applyRoutes(c *configpb.Configuration) {
@@ -124,71 +126,50 @@
 	return placement.NewRoute(services, previous)
 }
 
-func (p *placer) applyTargets(v *subscriber.View, now time.Duration) {
-	lists := map[uint32]*serviceTargets{}
-	all := make([]routing.Target, 0, len(v.Targets))
-	p.agents = p.agents[:0]
-	previous := p.known
-	p.known = make(map[flow.Endpoint]bool, len(v.Targets))
-	for i, record := range v.Targets {
-		t, err := subscriber.TargetOf(record)
-		if err != nil {
-			p.log.Error("target skipped", zap.String("target", record.GetName()), zap.Error(err))
-			continue
-		}
-		t.Age = v.Age(i, p.viewReceivedAt)
-		st := lists[t.Service]
-		if st == nil {
-			st = &serviceTargets{}
-			lists[t.Service] = st
-		}
-		if !v.Evacuated(record) {
-			st.list = append(st.list, t)
-			st.viewIndex = append(st.viewIndex, i)
-		}
-		all = append(all, t)
-		agent := flow.EndpointOf(t.Address)
-		st.agents = append(st.agents, agent)
-		p.agents = append(p.agents, agent)
-		p.known[agent] = true
-	}
-	if len(previous) == 0 && !p.discovered {
+func (p *placer) applyTargets(previous, v *subscriber.View, now time.Duration) {
+	if p.agents.len() == 0 && !p.discovered {
 		p.firstTargetsAt = p.viewReceivedAt
 	}
-	if !maps.Equal(previous, p.known) {
+	change := p.agents.apply(targets.Diff(previous.Targets, v.Targets))
+	if len(change.added)+len(change.removed) > 0 {
 		p.agentsChangedAt = p.viewReceivedAt
 	}
-	p.loads = routing.NewLoadReports(p.loads, all)
-	p.targets = lists
-	p.rebuild(now)
+	for _, record := range change.invalid {
+		p.log.Error("target skipped", zap.String("target", record.GetName()), zap.String("address", record.GetAddress()))
+	}
+	p.directory = targets.New(p.directory, v.AvailableTargets(), now, anyAddress)
+	p.loads = p.directory.Loads()
+	for number := range p.tables {
+		if p.directory.Len(number) == 0 {
+			delete(p.tables, number)
+		}
+	}
+	for _, number := range p.directory.Services() {
+		if p.tables[number] == nil || p.directory.Changed(number) {
+			p.tables[number] = p.directory.Table(policy, number, now)
+		}
+	}
 }
 
-var policy = &configpb.Policy{RampMs: rampMS}
+// anyAddress accepts all addresses that can be decoded.
+func anyAddress(netip.AddrPort) bool { return true }
 
-// rebuild recreates the routing tables. The lock is held.
-func (p *placer) rebuild(now time.Duration) {
-	for number, st := range p.targets {
-		st.table = routing.NewTable(policy, number, st.list, p.loads, now)
-	}
-}
+var policy = &configpb.Policy{RampMs: rampMS}
 
-// refresh updates target ages and loads.
+// refresh updates the tables with target ages and loads.
 func (p *placer) refresh(now time.Duration, decay bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.view == nil {
-		return
-	}
-	wall := time.Now()
-	for _, st := range p.targets {
-		for i := range st.list {
-			st.list[i].Age = p.view.Age(st.viewIndex[i], wall)
-		}
-	}
 	if decay {
 		p.loads.Decay()
 	}
-	p.rebuild(now)
+	for number, table := range p.tables {
+		next, ok := table.Refresh(now)
+		if !ok {
+			next = p.directory.Table(policy, number, now)
+		}
+		p.tables[number] = next
+	}
 }
 
 // updateLoad applies the load report in a frame.
@@ -230,14 +211,14 @@
 // The lock is held.
 func (p *placer) allEvacuated(r *placement.Route) bool {
 	found := false
-	for number, st := range p.targets {
+	for number, list := range p.agents.services {
 		if !r.RoutesTo(number) {
 			continue
 		}
-		if len(st.list) > 0 {
+		if p.directory.Len(number) > 0 {
 			return false
 		}
-		found = found || len(st.agents) > 0
+		found = found || len(list.agents) > 0
 	}
 	return found
 }
@@ -260,20 +241,20 @@
 	if p.view.DirectoryComplete || p.discovered {
 		return false
 	}
-	p.discovered = len(p.known) > 0 && time.Since(p.firstTargetsAt) >= discoveryTime
+	p.discovered = p.agents.len() > 0 && time.Since(p.firstTargetsAt) >= discoveryTime
 	return !p.discovered
 }
 
 // candidate chooses a target of one service, other than avoid if possible. The lock is
 // held.
 func (p *placer) candidate(s placement.WeightedService, key flow.Key, avoid flow.Endpoint, now time.Duration) (placement.Candidate, bool) {
-	st := p.targets[s.Service]
-	if st == nil {
+	table := p.tables[s.Service]
+	if table == nil {
 		return placement.Candidate{}, false
 	}
 	var candidate placement.Candidate
 	for salt := range uint64(maxRedraws) {
-		c, ok := st.table.Choose(key.Hash(salt+uint64(now)), now)
+		c, ok := table.Choose(key.Hash(salt+uint64(now)), now)
 		if !ok || c.Reason == routing.LastResort {
 			return placement.Candidate{}, false
 		}
@@ -307,18 +288,16 @@
 		return to, false
 	}
 	all := p.complete()
-	if time.Since(p.startedAt) < historyUnknownFor {
-		return append(to, p.agents[:min(len(p.agents), maxHolders)]...), all && len(p.agents) <= maxHolders
-	}
-	for number, st := range p.targets {
-		if !r.EverHad(number) {
+	historyUnknown := time.Since(p.startedAt) < historyUnknownFor
+	for number, list := range p.agents.services {
+		if !historyUnknown && !r.EverHad(number) {
 			continue
 		}
 		room := maxHolders - len(to)
-		if len(st.agents) > room {
-			return append(to, st.agents[:room]...), false
+		if len(list.agents) > room {
+			return append(to, list.agents[:room]...), false
 		}
-		to = append(to, st.agents...)
+		to = append(to, list.agents...)
 	}
 	return to, all
 }
@@ -339,9 +318,9 @@
 		return to
 	}
 	historyUnknown := includeFormer && time.Since(p.startedAt) < historyUnknownFor
-	for number, st := range p.targets {
+	for number, list := range p.agents.services {
 		if (historyUnknown || r.EverHad(number)) && len(to) < maxRegistrars {
-			to = pick(to, key, st.agents)
+			to = pick(to, key, list.agents)
 		}
 	}
 	return to
@@ -358,12 +337,7 @@
 func (p *placer) ServiceAgents(to []flow.Endpoint, agent flow.Endpoint) []flow.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, st := range p.targets {
-		if slices.Contains(st.agents, agent) {
-			return append(to, st.agents...)
-		}
-	}
-	return to
+	return append(to, p.agents.ofSameService(agent)...)
 }
 
 // decisionInputs returns the state behind a verdict for the log.
@@ -385,7 +359,7 @@
 func (p *placer) HasTarget(agent flow.Endpoint) (known, complete bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.known[agent], p.complete()
+	return p.agents.has(agent), p.complete()
 }
 
 // complete reports whether the list of targets is complete. The lock is held.
--- a/internal/entryd/directory_test.go
+++ b/internal/targets/directory_test.go
@@ -1,4 +1,4 @@
-package entryd
+package targets
 
 import (
 	"fmt"
@@ -41,7 +41,7 @@
 }
 
 // contents formats the targets of a directory with their start times and reports.
-func (d *directory) contents(now time.Duration) string {
+func (d *Directory) contents(now time.Duration) string {
 	out := fmt.Sprintln("unusable", d.unusable, "loads", d.loads.Len(), "incarnations", len(d.started))
 	for _, service := range slices.Sorted(maps.Keys(d.services)) {
 		m := d.services[service]
@@ -59,14 +59,14 @@
 	usable := func(a netip.AddrPort) bool { return a.Addr().As4()[1] == 0 }
 	rapid.Check(t, func(t *rapid.T) {
 		held := map[uint32]*controlpb.TargetRecord{}
-		var updated, rebuilt *directory
+		var updated, rebuilt *Directory
 		now := time.Duration(0)
 		for range rapid.IntRange(1, 12).Draw(t, "views") {
 			now += time.Duration(rapid.IntRange(0, 4_000).Draw(t, "passed")) * time.Millisecond
 			list := drawRecords(t, held)
 			before := updated
-			updated = newDirectory(before, list, now, usable)
-			rebuilt = buildDirectory(rebuilt, list, now, usable)
+			updated = New(before, list, now, usable)
+			rebuilt = build(rebuilt, list, now, usable)
 			for number, r := range held {
 				if rapid.IntRange(0, 4).Draw(t, "reports") == 0 {
 					report := routing.Report{Load: uint16(number)}
