flow, flowd: a change of the agents costs the flows with another registrar

With each target of a service that comes or goes, each agent hashed all agents for each of its flows and registered all of them again: flows x agents, and a frame to each registrar of any flow. A release of hundreds of targets is hundreds of changes.

A flow remembers its two registrars. An added agent costs one hash a flow, a removed one a selection for the flows that it was a registrar of; only the new registrar is told. The list itself follows the view by what changed (agentSet), in place of a new list with all records decoded.

Ruled out: to leave the flows until their refresh every 30 s: a search then finds registrars that know nothing.

TestRegistrationsFollowListChanges (property: registrars that follow changes are those of the whole list, each is told once, none in vain). TestFlowsAreRegistered asked for registrations after any change; it now asks for exactly one, at the new registrar, without one of the flow's registrars, and for none without another agent: the former check held registrations in vain to be right.

--- a/flow/agent.go
+++ b/flow/agent.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"slices"
 	"time"
 )
 
@@ -56,18 +55,18 @@
 	server     Server
 	// peers are the agents of the other targets of the service that take new flows.
 	// serviceAgents are those of all its targets, including self. listVersion counts
-	// the changes of serviceAgents.
+	// the changes of serviceAgents, pending has those since the last registrations.
 	peers, serviceAgents []Endpoint
 	self                 Endpoint
 	listVersion          uint32
+	pending              listChange
 	registry             registry
 	queue                queue
 	warmup               warmup
 	lookups              lookups
-	// due and registrarScratch are reused between calls.
-	due              []Registration
-	registrarScratch []Endpoint
-	flows            map[Key]*agentFlow
+	// due is reused between calls.
+	due   []Registration
+	flows map[Key]*agentFlow
 	// activeFlows is the number of flows that may carry requests, as of the last sweep.
 	activeFlows int
 	// running is the number of requests in progress, average its moving average as of
@@ -116,12 +115,12 @@
 	dataSeen bool
 	// callerDone and targetDone: that end has closed its direction.
 	callerDone, targetDone bool
-	// registeredAt is when the flow was last registered, registeredVersion the
-	// version of the agent list at that time.
-	registeredAt      time.Duration
-	registeredVersion uint32
-	lastSeen          time.Duration
-	createdAt         time.Duration
+	// registeredAt is when the flow was last registered at all of its registrars, 0 if it
+	// was not.
+	registeredAt time.Duration
+	registrars   registrarSet
+	lastSeen     time.Duration
+	createdAt    time.Duration
 }
 
 // NewAgent returns the state of an agent that starts now.
@@ -148,13 +147,40 @@
 func (a *Agent) SetServer(s Server) { a.server = s }
 
 // SetPeers sets the agents that openings may be forwarded to, and the agents of all
-// targets of the service including this one, self. The agent keeps the slices.
+// targets of the service including this one, self, each once. The agent keeps the slices.
 func (a *Agent) SetPeers(peers, serviceAgents []Endpoint, self Endpoint) {
-	a.peers, a.self = peers, self
-	if !slices.Equal(a.serviceAgents, serviceAgents) {
-		a.serviceAgents = serviceAgents
-		a.listVersion++
+	before, after := setOf(a.serviceAgents), setOf(serviceAgents)
+	var added, removed []Endpoint
+	for _, agent := range serviceAgents {
+		if !before[agent] {
+			added = append(added, agent)
+		}
+	}
+	for _, agent := range a.serviceAgents {
+		if !after[agent] {
+			removed = append(removed, agent)
+		}
+	}
+	a.ChangePeers(peers, serviceAgents, self, added, removed)
+}
+
+// ChangePeers is SetPeers for a list of which the caller knows what was added and removed.
+// The lists may be the present ones, changed in place.
+func (a *Agent) ChangePeers(peers, serviceAgents []Endpoint, self Endpoint, added, removed []Endpoint) {
+	a.peers, a.serviceAgents, a.self = peers, serviceAgents, self
+	if len(added)+len(removed) == 0 {
+		return
+	}
+	a.listVersion++
+	a.pending.record(added, removed)
+}
+
+func setOf(agents []Endpoint) map[Endpoint]bool {
+	out := make(map[Endpoint]bool, len(agents))
+	for _, agent := range agents {
+		out[agent] = true
 	}
+	return out
 }
 
 // FromEntry handles a caller's packet that an entry host or another agent sent.
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -107,8 +107,13 @@
 	configKnown bool
 	warmUntil   time.Duration
 	announcer   *subscriber.Announcer
-	// subscription follows the targets of the service, nil until its number is known.
-	subscription *subscriber.Subscriber
+	// subscription follows the targets of the service serviceNumber, nil until it is known.
+	// applied is its last view, serviceAgents and forwardTo have the agents of that view:
+	// all, and those of the targets that take new flows without the own one.
+	subscription             *subscriber.Subscriber
+	serviceNumber            uint32
+	applied                  *subscriber.View
+	serviceAgents, forwardTo agentSet
 	// loadReportedAt is when the load was last reported to each entry host.
 	loadReportedAt map[flow.Endpoint]time.Duration
 	// buffer is scratch space for frames and resets.
@@ -144,6 +149,9 @@
 		latency:        newLatency(scope),
 		loadReportedAt: map[flow.Endpoint]time.Duration{},
 		buffer:         make([]byte, 0, maxDatagram),
+		applied:        &subscriber.View{},
+		serviceAgents:  newAgentSet(),
+		forwardTo:      newAgentSet(),
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.client = link.NewClient(o.Control, o.Creds, linkOptions(o.Log, o.Scope))
--- a/internal/flowd/backendserver.go
+++ b/internal/flowd/backendserver.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +14,7 @@
 	"eelgrasswharf.example/eelgrasswharf/flow"
 	"eelgrasswharf.example/eelgrasswharf/incarnation"
 	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
+	"eelgrasswharf.example/eelgrasswharf/internal/targets"
 )
 
 // HandleReport applies a report of the backend server. The new state is effective when it
@@ -121,12 +123,13 @@
 	}
 	a.refresh()
 	if a.subscription == nil {
+		a.serviceNumber = announcer.Registration().GetServiceNumber()
 		a.subscription = subscriber.Start(subscriber.Options{
 			Client:        a.client,
 			Log:           a.opts.Log,
 			Scope:         a.opts.Scope,
 			FailureDomain: a.opts.FailureDomain,
-			Services:      []uint32{announcer.Registration().GetServiceNumber()},
+			Services:      []uint32{a.serviceNumber},
 			ScopedConfig:  true,
 			RetryMax:      maxBackoff,
 			OnView:        a.onView,
@@ -136,28 +139,51 @@
 
 // onView applies changes of the targets of the service and of its configuration.
 func (a *Agent) onView(v *subscriber.View) {
-	own := flow.EndpointOf(a.frames.local())
-	var peers, all []flow.Endpoint
-	for _, record := range v.Targets {
-		t, err := subscriber.TargetOf(record)
-		if err != nil {
-			continue // entry hosts log it
-		}
-		agent := flow.EndpointOf(t.Address)
-		all = append(all, agent)
-		if t.Draining || t.Unhealthy || agent == own || v.Evacuated(record) {
-			continue
-		}
-		peers = append(peers, agent)
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.flows.SetPeers(peers, all, own)
+	a.applyTargets(v)
 	a.warmup, a.configKnown = warmupOf(v.Config, a.opts.Service), v.Config != nil
 	a.applyWarmup()
 	a.setEvacuated(config.IsEvacuated(v.Config, a.opts.FailureDomain))
 }
 
+// applyTargets applies changes of the targets of the service. The lock is held.
+func (a *Agent) applyTargets(v *subscriber.View) {
+	own := flow.EndpointOf(a.frames.local())
+	deleted, put := targets.Diff(a.applied.Targets, v.Targets)
+	// Records without a valid address are logged by entry hosts.
+	change := a.serviceAgents.apply(deleted, put)
+	if sameEvacuations(a.applied.Config, v.Config) {
+		a.forwardTo.apply(acceptingNew(deleted, a.applied, own), acceptingNew(put, v, own))
+	} else {
+		a.forwardTo = newAgentSet()
+		a.forwardTo.apply(nil, acceptingNew(v.Targets, v, own))
+	}
+	a.applied = v
+	a.flows.ChangePeers(a.forwardTo.ofService(a.serviceNumber), a.serviceAgents.ofService(a.serviceNumber), own, change.added, change.removed)
+}
+
+// acceptingNew returns the records of targets that new flows may be forwarded to, without
+// that of the own agent.
+func acceptingNew(records []*controlpb.TargetRecord, v *subscriber.View, own flow.Endpoint) []*controlpb.TargetRecord {
+	var out []*controlpb.TargetRecord
+	for _, record := range records {
+		t, err := subscriber.TargetOf(record)
+		if err != nil || t.Draining || t.Unhealthy || flow.EndpointOf(t.Address) == own || v.Evacuated(record) {
+			continue
+		}
+		out = append(out, record)
+	}
+	return out
+}
+
+// sameEvacuations reports whether two configurations have the same failure domains evacuated.
+func sameEvacuations(a, b *configpb.Configuration) bool {
+	return slices.EqualFunc(a.GetEvacuations(), b.GetEvacuations(), func(x, y *configpb.Evacuation) bool {
+		return x.GetFailureDomain() == y.GetFailureDomain()
+	})
+}
+
 // warmupOf returns the warmup configuration of a service, nil if there is none.
 func warmupOf(c *configpb.Configuration, service string) *configpb.Warmup {
 	for _, s := range c.GetServices() {
