flow, flowd: lookups go on while agents come and go, and replies cost no search of the list

A lookup among all agents of a service waits for the next round of queries (0.27 s at 544 agents). A change of the list in between made it invalid, and a release changes the list up to ten times a second: lookups of flows that nobody holds ended only by luck, callers waited for their own timeouts. Besides, each reply searched the list for its sender (agents squared for a round), and an entry host made digests, sets and copies of all agents for each reset flow and search.

Agents have a position in the list; a change moves the bits of the lookups in place. Replies of agents that stay count, an added one has to reply, one that was removed and added again replies anew. The digest of a list follows its changes. An entry host decides by service (HeldElsewhere, ServiceDigest) and copies 17 agents at most for a search.

Ruled out: rounds at once after a change: 8 coordinators would ask all agents with each change.

TestAgentListChangesDuringLookup held that replies before a change do not count. They were of targets that do not hold the flow, and no target takes a flow that another has opened, so the case is allowed; the test now holds the three rules above.

--- a/flow/agent.go
+++ b/flow/agent.go
@@ -54,16 +54,16 @@
 	completeAt time.Duration
 	server     Server
 	// peers are the agents of the other targets of the service that take new flows.
-	// serviceAgents are those of all its targets, including self. listVersion counts
-	// the changes of serviceAgents, pending has those since the last registrations.
-	peers, serviceAgents []Endpoint
-	self                 Endpoint
-	listVersion          uint32
-	pending              listChange
-	registry             registry
-	queue                queue
-	warmup               warmup
-	lookups              lookups
+	// serviceAgents are those of all its targets, including self. pending has its changes
+	// since the last registrations.
+	peers         []Endpoint
+	serviceAgents agentList
+	self          Endpoint
+	pending       listChange
+	registry      registry
+	queue         queue
+	warmup        warmup
+	lookups       lookups
 	// due is reused between calls.
 	due   []Registration
 	flows map[Key]*agentFlow
@@ -147,32 +147,40 @@
 func (a *Agent) SetServer(s Server) { a.server = s }
 
 // SetPeers sets the agents that openings may be forwarded to, and the agents of all
-// targets of the service including this one, self, each once. The agent keeps the slices.
+// targets of the service including this one, self, each once. The agent keeps peers.
 func (a *Agent) SetPeers(peers, serviceAgents []Endpoint, self Endpoint) {
-	before, after := setOf(a.serviceAgents), setOf(serviceAgents)
+	after := setOf(serviceAgents)
 	var added, removed []Endpoint
 	for _, agent := range serviceAgents {
-		if !before[agent] {
+		if !a.serviceAgents.has(agent) {
 			added = append(added, agent)
 		}
 	}
-	for _, agent := range a.serviceAgents {
+	for _, agent := range a.serviceAgents.agents {
 		if !after[agent] {
 			removed = append(removed, agent)
 		}
 	}
-	a.ChangePeers(peers, serviceAgents, self, added, removed)
+	a.ChangePeers(peers, self, added, removed)
 }
 
-// ChangePeers is SetPeers for a list of which the caller knows what was added and removed.
-// The lists may be the present ones, changed in place.
-func (a *Agent) ChangePeers(peers, serviceAgents []Endpoint, self Endpoint, added, removed []Endpoint) {
-	a.peers, a.serviceAgents, a.self = peers, serviceAgents, self
+// ChangePeers is SetPeers for a caller that knows which agents of the service were added and
+// removed.
+func (a *Agent) ChangePeers(peers []Endpoint, self Endpoint, added, removed []Endpoint) {
+	a.peers, a.self = peers, self
 	if len(added)+len(removed) == 0 {
 		return
 	}
-	a.listVersion++
 	a.pending.record(added, removed)
+	for _, agent := range removed {
+		if position, known := a.serviceAgents.remove(agent); known {
+			a.lookups.removeAgent(agent, position, len(a.serviceAgents.agents))
+		}
+	}
+	for _, agent := range added {
+		a.serviceAgents.add(agent)
+		a.lookups.addAgent(len(a.serviceAgents.agents))
+	}
 }
 
 func setOf(agents []Endpoint) map[Endpoint]bool {
--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -88,9 +88,9 @@
 	frames, keys := 0, 0
 	for n := 0; b.Loop(); n++ {
 		if n%2 == 0 {
-			a.ChangePeers(all[1:count-1], all[:count-1], all[0], nil, last)
+			a.ChangePeers(all[1:count-1], all[0], nil, last)
 		} else {
-			a.ChangePeers(all[1:], all, all[0], last, nil)
+			a.ChangePeers(all[1:], all[0], last, nil)
 		}
 		frames, keys = 0, 0
 		for _, r := range a.DueRegistrations(wellAfterStart) {
@@ -113,3 +113,24 @@
 		})
 	}
 }
+
+// BenchmarkLookup measures the replies of all agents to one round of queries.
+func BenchmarkLookup(b *testing.B) {
+	for _, count := range []int{44, 500, 12_000} {
+		b.Run(fmt.Sprintf("%d_agents", count), func(b *testing.B) {
+			all := manyAgents(count)
+			keys := []flow.Key{key(1)}
+			for b.Loop() {
+				b.StopTimer()
+				a := flow.NewAgent(0)
+				a.MarkComplete(0)
+				a.SetPeers(nil, all, all[0])
+				a.Lookup(entryA, key(1), wellAfterStart)
+				b.StartTimer()
+				for _, from := range all {
+					a.HandleNotHeld(keys, from)
+				}
+			}
+		})
+	}
+}
--- a/flow/entry.go
+++ b/flow/entry.go
@@ -43,18 +43,21 @@
 	// Place chooses a target, other than avoid if possible, for a new flow to a public
 	// address. Without a target the reason is why none was chosen.
 	Place(key Key, avoid Endpoint, now time.Duration) (Placement, Reason)
-	// Holders appends the agents whose targets may hold a flow to that public
-	// address, none if the address has no route. all reports that no other agent
-	// can hold one.
-	Holders(to []Endpoint, public Endpoint) (list []Endpoint, all bool)
+	// Holders appends agents whose targets may hold a flow to that public address, at
+	// most limit of them, none if the address has no route.
+	Holders(to []Endpoint, public Endpoint, limit int) []Endpoint
+	// HeldElsewhere reports whether a flow to that public address may be held by an agent
+	// that is neither in denied nor of the same service as one in heldByNone.
+	HeldElsewhere(public Endpoint, denied, heldByNone []Endpoint) bool
 	// Registrars appends the agents at which a flow is registered.
 	Registrars(to []Endpoint, key Key) []Endpoint
 	// Coordinators appends two agents of each service that may hold the flow. Either
 	// looks it up among all agents of its service. Each turn selects other agents, in
 	// case both are lost.
 	Coordinators(to []Endpoint, key Key, turn int) []Endpoint
-	// ServiceAgents appends all agents of an agent's service, itself included.
-	ServiceAgents(to []Endpoint, agent Endpoint) []Endpoint
+	// ServiceDigest returns the Digest of all agents of an agent's service, itself
+	// included, and false if the agent is unknown.
+	ServiceDigest(agent Endpoint) (uint64, bool)
 	// Ready reports whether routes and targets are known. Before that, nothing can be
 	// concluded about unknown flows.
 	Ready() bool
@@ -69,11 +72,8 @@
 	// self is the address for replies of agents.
 	self  Endpoint
 	flows map[Key]*entryFlow
-	// all is scratch space for the agents that a packet is sent to or that may hold a flow.
+	// all is scratch space for the agents that a packet is sent to.
 	all []Endpoint
-	// serviceAgents and covered are scratch space of resetIfHeldByNone.
-	serviceAgents []Endpoint
-	covered       map[Endpoint]bool
 	// lastSeen is when each agent last sent a frame.
 	lastSeen map[Endpoint]time.Duration
 	budget   budget
@@ -136,7 +136,6 @@
 		self:     self,
 		flows:    make(map[Key]*entryFlow),
 		lastSeen: make(map[Endpoint]time.Duration),
-		covered:  make(map[Endpoint]bool),
 		stalls:   stall.Detector{Threshold: stallThreshold},
 	}
 }
--- a/flow/helpers_test.go
+++ b/flow/helpers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"eelgrasswharf.example/eelgrasswharf/flow"
@@ -75,8 +76,17 @@
 	return flow.Placement{Agent: chosen, Service: lodgement}, flow.ReasonPlaced
 }
 
-func (p *fixedPlacer) Holders(to []flow.Endpoint, _ flow.Endpoint) ([]flow.Endpoint, bool) {
-	return append(to, p.agents...), !p.incomplete
+func (p *fixedPlacer) Holders(to []flow.Endpoint, _ flow.Endpoint, limit int) []flow.Endpoint {
+	return append(to, p.agents[:min(len(p.agents), limit)]...)
+}
+
+func (p *fixedPlacer) HeldElsewhere(_ flow.Endpoint, denied, heldByNone []flow.Endpoint) bool {
+	among := func(list []flow.Endpoint) func(flow.Endpoint) bool {
+		return func(agent flow.Endpoint) bool { return slices.Contains(list, agent) }
+	}
+	covered := slices.ContainsFunc(heldByNone, among(p.agents))
+	all := !slices.ContainsFunc(p.agents, func(agent flow.Endpoint) bool { return !among(denied)(agent) })
+	return p.incomplete || len(p.agents) == 0 || !covered && !all
 }
 
 func (p *fixedPlacer) Registrars(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
@@ -87,8 +97,8 @@
 	return flow.AppendRegistrars(to, key, p.agents)
 }
 
-func (p *fixedPlacer) ServiceAgents(to []flow.Endpoint, _ flow.Endpoint) []flow.Endpoint {
-	return append(to, p.agents...)
+func (p *fixedPlacer) ServiceDigest(flow.Endpoint) (uint64, bool) {
+	return flow.Digest(p.agents), len(p.agents) > 0
 }
 
 func (p *fixedPlacer) Ready() bool { return !p.notReady }
--- a/flow/lookup.go
+++ b/flow/lookup.go
@@ -1,9 +1,6 @@
 package flow
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// coordinatorCount is how many agents of a service share its lookups, so that their
@@ -26,24 +23,14 @@
 	return AppendRegistrars(to, group, list)
 }
 
-// Digest identifies a list of agents, independent of their order.
-func Digest(agents []Endpoint) uint64 {
-	var sum uint64
-	for _, agent := range agents {
-		sum += Key{Caller: agent}.Hash(0)
-	}
-	return sum
-}
-
 // lookup is the state of a flow that an agent looks up among all others.
 type lookup struct {
 	// entry is the entry host that searches for the flow.
 	entry Endpoint
-	// notHeld has a bit for each agent of the list listVersion whose target does not
-	// hold the flow, pending counts the other agents.
-	notHeld     []uint64
-	listVersion uint32
-	pending     int
+	// notHeld has a bit, by its position in the list, for each agent whose target does not
+	// hold the flow. pending counts the other agents of the list.
+	notHeld []uint64
+	pending int
 	// candidates are the agents that may hold the flow, holder the one that does.
 	candidates []Endpoint
 	holder     Endpoint
@@ -53,24 +40,52 @@
 	lastSeen  time.Duration
 }
 
-// reset discards the replies of agents of another list.
-func (l *lookup) reset(count int, listVersion uint32) {
-	*l = lookup{entry: l.entry, lastSeen: l.lastSeen, listVersion: listVersion, pending: count}
-	l.notHeld = make([]uint64, (count+63)/64)
+// newLookup returns a lookup among a number of agents.
+func newLookup(agents int) *lookup {
+	return &lookup{pending: agents, notHeld: make([]uint64, wordsFor(agents))}
+}
+
+// wordsFor returns the number of words that have a bit for each agent.
+func wordsFor(agents int) int { return (agents + 63) / 64 }
+
+func (l *lookup) isNotHeld(index int) bool { return l.notHeld[index/64]&(1<<(index%64)) != 0 }
+
+// addAgent extends the lookup to an agent at the end of the list, which has count agents now.
+func (l *lookup) addAgent(count int) {
+	l.pending++
+	for len(l.notHeld) < wordsFor(count) {
+		l.notHeld = append(l.notHeld, 0)
+	}
+}
+
+// removeAgent removes an agent from the lookup. The one at position last has taken its
+// position.
+func (l *lookup) removeAgent(agent Endpoint, position, last int) {
+	if !l.isNotHeld(position) {
+		l.pending--
+	}
+	l.notHeld[position/64] &^= 1 << (position % 64)
+	if position != last && l.isNotHeld(last) {
+		l.notHeld[position/64] |= 1 << (position % 64)
+	}
+	l.notHeld[last/64] &^= 1 << (last % 64)
+	l.candidates = without(l.candidates, agent)
+	if l.holder == agent {
+		l.holder = Endpoint{}
+	}
 }
 
 // markNotHeld records that the target of an agent does not hold the flow.
 func (l *lookup) markNotHeld(index int) {
-	bit := uint64(1) << (index % 64)
-	if l.notHeld[index/64]&bit == 0 {
-		l.notHeld[index/64] |= bit
+	if !l.isNotHeld(index) {
+		l.notHeld[index/64] |= 1 << (index % 64)
 		l.pending--
 	}
 }
 
 // needsQuery reports whether an agent has to be queried.
 func (l *lookup) needsQuery(index int, agent Endpoint) bool {
-	return l.notHeld[index/64]&(1<<(index%64)) == 0 && !contains(l.candidates, agent)
+	return !l.isNotHeld(index) && !contains(l.candidates, agent)
 }
 
 // lookups are the lookups of one agent.
@@ -101,13 +116,10 @@
 		if a.lookups.flows == nil {
 			a.lookups.flows = make(map[Key]*lookup)
 		}
-		l = &lookup{}
+		l = newLookup(len(a.serviceAgents.agents))
 		a.lookups.flows[key] = l
 	}
 	l.entry, l.lastSeen, l.reported = entry, now, false
-	if len(l.notHeld) == 0 || l.listVersion != a.listVersion {
-		l.reset(len(a.serviceAgents), a.listVersion)
-	}
 	if l.pending > 0 && l.holder.IsZero() {
 		a.lookups.due = true
 	}
@@ -132,9 +144,9 @@
 	case !l.holder.IsZero():
 		l.reported = true
 		return append(out, Notice{Key: key, To: l.entry, Frame: Frame{Kind: Located, Key: key, Alternate: l.holder}})
-	case l.pending == 0 && len(l.notHeld) > 0:
+	case l.pending == 0 && len(a.serviceAgents.agents) > 0:
 		l.reported = true
-		return append(out, Notice{Key: key, To: l.entry, Frame: Frame{Kind: HeldByNone, Key: key, Digest: Digest(a.serviceAgents)}})
+		return append(out, Notice{Key: key, To: l.entry, Frame: Frame{Kind: HeldByNone, Key: key, Digest: a.serviceAgents.digest}})
 	}
 	return out
 }
@@ -148,7 +160,7 @@
 	if a.lookups.queriedAt == 0 {
 		return 0, true
 	}
-	interval := max(queryInterval, time.Duration(len(a.serviceAgents))*queryIntervalPerAgent)
+	interval := max(queryInterval, time.Duration(len(a.serviceAgents.agents))*queryIntervalPerAgent)
 	return max(a.lookups.queriedAt+interval-now, 0), true
 }
 
@@ -159,11 +171,11 @@
 	a.due = a.due[:0]
 	index := map[Endpoint]int{}
 	for key, l := range a.lookups.flows {
-		if l.listVersion != a.listVersion || l.pending == 0 || !l.holder.IsZero() || l.queriedAt != 0 && l.lastSeen <= l.queriedAt {
+		if l.pending == 0 || !l.holder.IsZero() || l.queriedAt != 0 && l.lastSeen <= l.queriedAt {
 			continue
 		}
 		l.queriedAt = max(now, 1)
-		for i, agent := range a.serviceAgents {
+		for i, agent := range a.serviceAgents.agents {
 			if agent != a.self && l.needsQuery(i, agent) {
 				a.addKey(index, agent, key)
 			}
@@ -216,14 +228,14 @@
 
 // applyReply applies an agent's reply to the lookups of these flows.
 func (a *Agent) applyReply(keys []Key, from Endpoint, apply func([]Notice, *lookup, int, Key) []Notice) []Notice {
-	index := slices.Index(a.serviceAgents, from)
-	if index < 0 {
+	index, known := a.serviceAgents.position[from]
+	if !known {
 		return nil
 	}
 	var out []Notice
 	for _, key := range keys {
 		l := a.lookups.flows[key]
-		if l == nil || l.listVersion != a.listVersion || len(l.notHeld) == 0 {
+		if l == nil {
 			continue
 		}
 		out = a.appendOutcome(apply(out, l, index, key), l, key)
@@ -231,6 +243,21 @@
 	return out
 }
 
+// addAgent and removeAgent apply a change of the list to all lookups: replies of the other
+// agents stay valid, since no target takes a flow that another one has opened. If each change
+// began the lookups anew, none would end while targets are replaced.
+func (ls *lookups) addAgent(count int) {
+	for _, l := range ls.flows {
+		l.addAgent(count)
+	}
+}
+
+func (ls *lookups) removeAgent(agent Endpoint, position, last int) {
+	for _, l := range ls.flows {
+		l.removeAgent(agent, position, last)
+	}
+}
+
 func (ls *lookups) sweep(now time.Duration) {
 	for key, l := range ls.flows {
 		if now-l.lastSeen > notHeldFor {
--- a/flow/lookup_test.go
+++ b/flow/lookup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 // order, and are counted.
 type cluster struct {
 	entry  *flow.Entry
+	placer *coordinatedPlacer
 	agents map[flow.Endpoint]*flow.Agent
 	all    []flow.Endpoint
 	now    time.Duration
@@ -35,7 +37,8 @@
 		agents: map[flow.Endpoint]*flow.Agent{}, all: manyAgents(count), now: wellAfterStart,
 		delivered: map[flow.Key][]flow.Endpoint{}, reset: map[flow.Key]bool{}, unreachable: map[flow.Endpoint]bool{},
 	}
-	c.entry = flow.NewEntry(&coordinatedPlacer{fixedPlacer{agents: c.all}}, entryA)
+	c.placer = &coordinatedPlacer{fixedPlacer{agents: c.all}}
+	c.entry = flow.NewEntry(c.placer, entryA)
 	for i, at := range c.all {
 		a := flow.NewAgent(c.now)
 		a.SetServer(flow.Server{State: flow.Serving, Service: lodgement, Slots: 4})
@@ -67,6 +70,9 @@
 	return out
 }
 
+// setAgents sets the agents that the entry host knows.
+func (c *cluster) setAgents(agents []flow.Endpoint) { c.placer.agents = slices.Clone(agents) }
+
 // packet sends a caller's packet to the entry host.
 func (c *cluster) packet(p flow.Packet) { c.applyEntryVerdict(c.entry.Packet(p, c.now), p) }
 
@@ -261,7 +267,9 @@
 	is.Equal(v.Action, flow.Reset)
 }
 
-// Replies for an outdated agent list are not counted for the new one.
+// A lookup goes on while the agent list changes: replies of agents that stay count, an added
+// agent has to reply as well, a removed one need not, and one that was removed and added
+// again replies anew.
 func TestAgentListChangesDuringLookup(t *testing.T) {
 	is := is.New(t)
 	all := manyAgents(20)
@@ -272,17 +280,59 @@
 	is.Equal(len(a.Lookup(entryA, key(1), wellAfterStart)), 0)
 	a.HandleNotHeld([]flow.Key{key(1)}, all[0])
 	is.Equal(len(a.Queries(wellAfterStart)), 18)
-	a.SetPeers(nil, all, all[0])
-	for _, from := range all[1:] {
+	for _, from := range all[1:17] {
 		is.Equal(len(a.HandleNotHeld([]flow.Key{key(1)}, from)), 0)
 	}
+	// 17 and 18 have not replied; 18 is removed, 1 returns, 19 is new.
+	a.SetPeers(nil, slices.Concat(all[:1], all[2:18]), all[0])
+	a.SetPeers(nil, slices.Concat(all[:18], all[19:]), all[0])
+	is.Equal(len(a.HandleNotHeld([]flow.Key{key(1)}, all[18])), 0)
 	is.Equal(len(a.Lookup(entryA, key(1), wellAfterStart+time.Second)), 0)
-	a.HandleNotHeld([]flow.Key{key(1)}, all[0])
-	is.Equal(len(a.Queries(wellAfterStart+time.Second)), 19)
-	for i, from := range all[1:] {
-		notices := a.HandleNotHeld([]flow.Key{key(1)}, from)
-		is.Equal(len(notices) == 1, i == 18)
+	queried := map[flow.Endpoint]bool{}
+	for _, q := range a.Queries(wellAfterStart + time.Second) {
+		queried[q.To] = true
+	}
+	is.Equal(queried, map[flow.Endpoint]bool{all[1]: true, all[17]: true, all[19]: true})
+	is.Equal(len(a.HandleNotHeld([]flow.Key{key(1)}, all[17])), 0)
+	is.Equal(len(a.HandleNotHeld([]flow.Key{key(1)}, all[1])), 0)
+	notices := a.HandleNotHeld([]flow.Key{key(1)}, all[19])
+	is.Equal(len(notices), 1)
+	is.Equal(notices[0].Frame.Kind, flow.HeldByNone)
+	is.Equal(notices[0].Frame.Digest, flow.Digest(slices.Concat(all[:18], all[19:])))
+}
+
+// While targets are replaced between each search and the round of queries that it waits for,
+// flows that nobody holds are still reset, and one that an agent holds never is.
+func TestLookupsEndDuringRelease(t *testing.T) {
+	is := is.New(t)
+	const size, spare, flows = 60, 30, 50
+	c := newCluster(size + spare)
+	present := slices.Clone(c.all[:size])
+	holder := c.all[0]
+	c.agents[holder].FromEntry(open(entryB), syn(1), c.now)
+	c.agents[holder].FromTarget(synAck(1, firstA), c.now)
+	c.agents[holder].FromEntry(data(entryB), request(1, firstA), c.now)
+	setList := func() {
+		for _, at := range c.all {
+			c.agents[at].SetPeers(nil, slices.Clone(present), at)
+		}
+		c.setAgents(present)
+	}
+	setList()
+	for i := range 8 {
+		c.now += 250 * time.Millisecond
+		for port := range uint16(flows) {
+			if !c.reset[key(port+1)] {
+				c.packet(request(port+1, firstA))
+			}
+		}
+		present[1+i] = c.all[size+i]
+		setList()
+		c.now += 50 * time.Millisecond
+		c.sendQueries()
 	}
+	is.True(!c.reset[key(1)])
+	is.Equal(len(c.reset), flows-1)
 }
 
 func TestCoordinatorsAreFew(t *testing.T) {
--- a/flow/registry.go
+++ b/flow/registry.go
@@ -176,7 +176,7 @@
 // updateRegistrars applies the pending change of the agent list to the registrars of a flow.
 func (a *Agent) updateRegistrars(key Key, f *agentFlow) {
 	if f.registeredAt == 0 || f.registrars.includesAny(a.pending.removed) {
-		f.registrars = selectRegistrars(key, a.serviceAgents)
+		f.registrars = selectRegistrars(key, a.serviceAgents.agents)
 		return
 	}
 	for _, agent := range a.pending.added {
--- a/flow/search.go
+++ b/flow/search.go
@@ -14,7 +14,7 @@
 		// The holder does not need the packet, and the caller expects no reply.
 		return Verdict{Action: Drop, Reason: ReasonUnknown}
 	}
-	e.all, _ = e.placer.Holders(e.all[:0], p.Key.Public)
+	e.all = e.placer.Holders(e.all[:0], p.Key.Public, maxBroadcast+1)
 	if len(e.all) == 0 {
 		return Verdict{Action: Drop, Reason: ReasonNoRoute}
 	}
@@ -121,8 +121,7 @@
 	if f == nil || f.count > 0 {
 		return Verdict{Action: Drop, Reason: ReasonKnown}, Packet{}
 	}
-	e.serviceAgents = e.placer.ServiceAgents(e.serviceAgents[:0], from)
-	if len(e.serviceAgents) == 0 || Digest(e.serviceAgents) != m.Digest {
+	if digest, known := e.placer.ServiceDigest(from); !known || digest != m.Digest {
 		return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
 	}
 	f.searchedRegistrars = nil
@@ -134,32 +133,13 @@
 
 // resetIfHeldByNone resets a flow once all agents that could hold it have denied it.
 func (e *Entry) resetIfHeldByNone(f *entryFlow, key Key) (Verdict, Packet) {
-	var all bool
-	e.all, all = e.placer.Holders(e.all[:0], key.Public)
-	if !all || len(e.all) == 0 {
+	if e.placer.HeldElsewhere(key.Public, f.denied, f.heldByNone) {
 		return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
 	}
-	e.collectCovered(f)
-	for _, agent := range e.all {
-		if !e.covered[agent] && !contains(f.denied, agent) {
-			return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
-		}
-	}
 	delete(e.flows, key)
 	return Verdict{Action: Reset, Reason: ReasonHeldNowhere}, Packet{Key: key, Ack: f.lastAck}
 }
 
-// collectCovered collects the agents that are covered by HeldByNone frames.
-func (e *Entry) collectCovered(f *entryFlow) {
-	clear(e.covered)
-	for _, from := range f.heldByNone {
-		e.serviceAgents = e.placer.ServiceAgents(e.serviceAgents[:0], from)
-		for _, agent := range e.serviceAgents {
-			e.covered[agent] = true
-		}
-	}
-}
-
 // startLookup continues the search at the coordinators once all registrars have denied
 // the flow.
 func (e *Entry) startLookup(f *entryFlow, key Key) (Verdict, Packet) {
--- a/internal/flowd/agentset.go
+++ b/internal/flowd/agentset.go
@@ -1,6 +1,8 @@
 package flowd
 
 import (
+	"slices"
+
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/flow"
 	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
@@ -24,6 +26,8 @@
 	agents []flow.Endpoint
 	// entries has the position of each agent and the number of its targets.
 	entries map[flow.Endpoint]agentEntry
+	// digest is the flow.Digest of agents.
+	digest uint64
 }
 
 type agentEntry struct {
@@ -104,6 +108,7 @@
 	if !known {
 		entry.position = len(l.agents)
 		l.agents = append(l.agents, agent)
+		l.digest += agent.Digest()
 	}
 	entry.targets++
 	l.entries[agent] = entry
@@ -127,9 +132,23 @@
 	l.entries[last] = moved
 	l.agents = l.agents[:len(l.agents)-1]
 	delete(l.entries, agent)
+	l.digest -= agent.Digest()
 	return true
 }
 
+// hasAny reports whether any of some agents is in the list.
+func (l *agentList) hasAny(agents []flow.Endpoint) bool {
+	return slices.ContainsFunc(agents, func(agent flow.Endpoint) bool { return l.entries[agent].targets > 0 })
+}
+
+// allIn reports whether all agents of the list are among some.
+func (l *agentList) allIn(agents []flow.Endpoint) bool {
+	if len(l.agents) > len(agents) {
+		return false
+	}
+	return !slices.ContainsFunc(l.agents, func(agent flow.Endpoint) bool { return !slices.Contains(agents, agent) })
+}
+
 // ofService returns the agents of a service. The list is valid until the next change.
 func (s *agentSet) ofService(service uint32) []flow.Endpoint {
 	if l := s.services[service]; l != nil {
@@ -138,13 +157,14 @@
 	return nil
 }
 
-// ofSameService returns the agents of the service of an agent, itself included.
-func (s *agentSet) ofSameService(agent flow.Endpoint) []flow.Endpoint {
-	use, known := s.uses[agent]
-	if !known {
-		return nil
+// digestOfService returns the digest of the agents of an agent's service, and false if the
+// agent is unknown.
+func (s *agentSet) digestOfService(agent flow.Endpoint) (uint64, bool) {
+	l := s.services[s.uses[agent].service]
+	if l == nil || !l.hasAny([]flow.Endpoint{agent}) {
+		return 0, false
 	}
-	return s.ofService(use.service)
+	return l.digest, true
 }
 
 // has reports whether an agent has a target.
--- a/internal/flowd/backendserver.go
+++ b/internal/flowd/backendserver.go
@@ -160,7 +160,7 @@
 		a.forwardTo.apply(nil, acceptingNew(v.Targets, v, own))
 	}
 	a.applied = v
-	a.flows.ChangePeers(a.forwardTo.ofService(a.serviceNumber), a.serviceAgents.ofService(a.serviceNumber), own, change.added, change.removed)
+	a.flows.ChangePeers(a.forwardTo.ofService(a.serviceNumber), own, change.added, change.removed)
 }
 
 // acceptingNew returns the records of targets that new flows may be forwarded to, without
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -20,8 +20,6 @@
 const (
 	// rampMS is the length of the slow start of a new target in milliseconds.
 	rampMS = 3000
-	// maxHolders bounds the agents that may hold an unknown flow.
-	maxHolders = 16_384
 	// maxRegistrars bounds the registrars or coordinators of a flow, two of each service.
 	maxRegistrars = 16
 	// maxRedraws bounds the attempts to choose a target other than the one to avoid.
@@ -280,26 +278,46 @@
 }
 
 // Holders implements flow.Placer.
-func (p *placer) Holders(to []flow.Endpoint, public flow.Endpoint) ([]flow.Endpoint, bool) {
+func (p *placer) Holders(to []flow.Endpoint, public flow.Endpoint, limit int) []flow.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.routes[public]
 	if r == nil || p.view == nil {
-		return to, false
+		return to
+	}
+	for number, list := range p.agents.services {
+		if p.mayHold(r, number) {
+			to = append(to, list.agents[:min(len(list.agents), limit-len(to))]...)
+		}
+	}
+	return to
+}
+
+// mayHold reports whether the targets of a service may hold flows of a route. The lock is
+// held.
+func (p *placer) mayHold(r *placement.Route, service uint32) bool {
+	return time.Since(p.startedAt) < historyUnknownFor || r.EverHad(service)
+}
+
+// HeldElsewhere implements flow.Placer.
+func (p *placer) HeldElsewhere(public flow.Endpoint, denied, heldByNone []flow.Endpoint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.routes[public]
+	if r == nil || p.view == nil || !p.complete() {
+		return true
 	}
-	all := p.complete()
-	historyUnknown := time.Since(p.startedAt) < historyUnknownFor
+	asked := false
 	for number, list := range p.agents.services {
-		if !historyUnknown && !r.EverHad(number) {
+		if !p.mayHold(r, number) {
 			continue
 		}
-		room := maxHolders - len(to)
-		if len(list.agents) > room {
-			return append(to, list.agents[:room]...), false
+		if !list.hasAny(heldByNone) && !list.allIn(denied) {
+			return true
 		}
-		to = append(to, list.agents...)
+		asked = true
 	}
-	return to, all
+	return !asked
 }
 
 // Registrars implements flow.Placer.
@@ -333,11 +351,11 @@
 	})
 }
 
-// ServiceAgents implements flow.Placer.
-func (p *placer) ServiceAgents(to []flow.Endpoint, agent flow.Endpoint) []flow.Endpoint {
+// ServiceDigest implements flow.Placer.
+func (p *placer) ServiceDigest(agent flow.Endpoint) (uint64, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append(to, p.agents.ofSameService(agent)...)
+	return p.agents.digestOfService(agent)
 }
 
 // decisionInputs returns the state behind a verdict for the log.
--- a/internal/flowd/placer_test.go
+++ b/internal/flowd/placer_test.go
@@ -82,9 +82,13 @@
 	for _, n := range counts {
 		is.True(n > 800 && n < 1200) // a sixth each
 	}
-	holders, all := p.Holders(nil, callerKey(1).Public)
+	public := callerKey(1).Public
+	holders := p.Holders(nil, public, 100)
 	is.Equal(len(holders), 8)
-	is.True(all)
+	is.Equal(len(p.Holders(nil, public, 3)), 3)
+	is.True(p.HeldElsewhere(public, holders[1:], nil))
+	is.True(!p.HeldElsewhere(public, holders, nil))
+	is.True(!p.HeldElsewhere(public, nil, holders[:1])) // an agent of the only service
 
 	p.apply(newTestView(domains), 0)
 	is.Equal(len(placeFlows(t, p, 6000)), 8)
