controld: a control host that has become isolated sends agents to the others at once

The agent of a new target knows the hosts of its settings. Is one of them cut off, it lets each registration wait 0.8 s for a leader and refuses it, and only after two of these the agent goes elsewhere.

A host that was confirmed once and is isolated refuses registrations at once and names the other members; the link goes to one of them, as it does from a standby. Hosts that were never confirmed wait as before: the group may be forming.

Ruled out: a shorter wait for a leader, which would fail registrations during elections.

TestIsolatedHostSendsAgentsElsewhere: an agent that knows only the host that is cut off registers; before, never.

--- a/internal/controld/confirmation.go
+++ b/internal/controld/confirmation.go
@@ -105,6 +105,12 @@
 		zap.String("leader", s.Leader.GetName()), zap.Uint64("applied", s.Applied), zap.Uint64("version", d.configs.version()))
 }
 
+// hasBecomeIsolated reports whether this host is isolated and was not at some time since its
+// start. Before, the group may be forming, and the other hosts know no more than this one.
+func (d *Daemon) hasBecomeIsolated() bool {
+	return d.confirmation.isIsolated() && d.stateConfirmed.Load()
+}
+
 // heartbeat returns the state of this host for subscribers. The age is read before the
 // version, which therefore has all that the confirmation covers.
 func (d *Daemon) heartbeat() *controlpb.Heartbeat {
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -129,6 +129,16 @@
 	return &controlpb.Response{Body: &controlpb.Response_Fault{Fault: f}}
 }
 
+// redirect returns a fault that names other hosts to go to.
+func (h *handler) redirect(reason refusalReason, text string, hosts []string) *controlpb.Response {
+	res := h.fault(reason, controlpb.FaultKind_FAULT_NOT_DONE, text)
+	if len(hosts) > 0 {
+		res.GetFault().Hosts = &controlpb.ControlHosts{Addresses: hosts}
+		res.GetFault().RetryAfterMs = 0
+	}
+	return res
+}
+
 func (h *handler) raft(peer link.Peer, batch *controlpb.RaftBatch) *controlpb.Response {
 	r := h.replicas[batch.GetGroup()]
 	if r == nil {
@@ -245,8 +255,12 @@
 }
 
 // replicate proposes a command of an agent and decodes its result. On failure it returns
-// the fault to reply with.
+// the fault to reply with. An isolated host fails at once and names the others: an agent that
+// starts knows few hosts, and would wait for this one again and again.
 func (h *handler) replicate(ctx context.Context, group controlpb.Group, command, result proto.Message) *controlpb.Response {
+	if group == controlpb.Group_GROUP_CONFIG && (*Daemon)(h).hasBecomeIsolated() {
+		return h.redirect(refusedNoLeader, "this host is isolated", (*Daemon)(h).otherServingHosts())
+	}
 	data, err := proto.Marshal(command)
 	if err != nil {
 		return h.fault(refusedRequest, controlpb.FaultKind_FAULT_NOT_DONE, err.Error())
--- a/internal/controld/partition_test.go
+++ b/internal/controld/partition_test.go
@@ -16,9 +16,16 @@
 
 // newDeploymentWithRelays starts three hosts that are connected through relays.
 func newDeploymentWithRelays(t *testing.T) (*deployment, map[string]*faultproxy.Relay) {
+	t.Helper()
+	return newDeploymentOf(t, 0)
+}
+
+// newDeploymentOf is newDeploymentWithRelays, with automatic members if removeAfterMs is not 0.
+func newDeploymentOf(t *testing.T, removeAfterMs uint32) (*deployment, map[string]*faultproxy.Relay) {
 	t.Helper()
 	names := []string{"c1", "c2", "c3"}
 	d := newDeployment(t, names...)
+	d.removeAfterMs = removeAfterMs
 	relays := map[string]*faultproxy.Relay{}
 	d.voters = nil
 	for i, name := range names {
@@ -119,3 +126,15 @@
 	defer a.Close()
 	eventually(t, "the registration", func() bool { return a.Registration() != nil })
 }
+
+// An agent that knows only a control host that has been cut off is sent to the others.
+func TestIsolatedHostSendsAgentsElsewhere(t *testing.T) {
+	d, relays := newDeploymentOf(t, 60_000)
+	eventually(t, "version 1 on c3", func() bool { return d.status("c3").Version == 1 })
+	relays["c3"].Cut()
+	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c3")
+	eventually(t, "c3 to name other hosts", func() bool {
+		return len(call(t, agent, registerRequest("lodgement", "t1", "x")).GetFault().GetHosts().GetAddresses()) == 2
+	})
+	registerTarget(t, agent, "t1")
+}
--- a/internal/controld/standby.go
+++ b/internal/controld/standby.go
@@ -323,12 +323,7 @@
 	ctx, cancel := context.WithTimeout(ctx, leaderWaitTimeout)
 	defer cancel()
 	hosts := (*Daemon)(h).awaitServingHosts(ctx)
-	res := h.fault(refusedStandby, controlpb.FaultKind_FAULT_NOT_DONE, ErrStandby.Error())
-	if len(hosts) > 0 {
-		res.GetFault().Hosts = &controlpb.ControlHosts{Addresses: hosts}
-		res.GetFault().RetryAfterMs = 0
-	}
-	return res
+	return h.redirect(refusedStandby, ErrStandby.Error(), hosts)
 }
 
 // redirectSubscriber sends the serving hosts to a subscriber, once they are known. It
