controld: new subscribers are sent to the host with the fewest; lists are not carried between incomplete hosts

Moves before directories are complete spread subscribers early, but each brings along the list that it has so far, and an incomplete host adds 64 records at most to a list of another one.

Hosts move subscribers once directories are complete, as before, by the size of the imbalance. A subscriber that no server has named others to and that has no version yet is sent to the host with the fewest, once, before it gets any list (Rebalancer.Redirect). Addresses are those of the members. Numbers are told when a link is established. A registration that waited while its host became isolated is sent on as well.

Ruled out: no bound on additions to a partial list: each update would cost digests of all targets for each subscriber, and once directories are complete nearly the whole list a second time (744 KB at 12,000 targets, 933 subscribers a host).

--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -129,6 +129,11 @@
 	return &controlpb.Response{Body: &controlpb.Response_Fault{Fault: f}}
 }
 
+// refuseAsIsolated refuses a request on an isolated host and names the others.
+func (h *handler) refuseAsIsolated() *controlpb.Response {
+	return h.redirect(refusedNoLeader, "this host is isolated", (*Daemon)(h).otherServingHosts())
+}
+
 // redirect returns a fault that names other hosts to go to.
 func (h *handler) redirect(reason refusalReason, text string, hosts []string) *controlpb.Response {
 	res := h.fault(reason, controlpb.FaultKind_FAULT_NOT_DONE, text)
@@ -259,7 +264,7 @@
 // starts knows few hosts, and would wait for this one again and again.
 func (h *handler) replicate(ctx context.Context, group controlpb.Group, command, result proto.Message) *controlpb.Response {
 	if group == controlpb.Group_GROUP_CONFIG && (*Daemon)(h).hasBecomeIsolated() {
-		return h.redirect(refusedNoLeader, "this host is isolated", (*Daemon)(h).otherServingHosts())
+		return h.refuseAsIsolated()
 	}
 	data, err := proto.Marshal(command)
 	if err != nil {
@@ -270,6 +275,9 @@
 	reply, err := h.proposeAwaitingLeader(ctx, group, data)
 	switch proposeStatus(err) {
 	case controlpb.ProposeStatus_PROPOSE_NO_LEADER:
+		if (*Daemon)(h).hasBecomeIsolated() {
+			return h.refuseAsIsolated() // while the command waited
+		}
 		return h.fault(refusedNoLeader, controlpb.FaultKind_FAULT_NOT_DONE, err.Error())
 	case controlpb.ProposeStatus_PROPOSE_BUSY:
 		return h.fault(refusedBusy, controlpb.FaultKind_FAULT_NOT_DONE, err.Error())
--- a/internal/controld/loops.go
+++ b/internal/controld/loops.go
@@ -26,14 +26,16 @@
 }
 
 // syncLoop triggers a sync with the other control hosts after a change of records or of the
-// number of subscribers, and a few times per lease for a summary of the unchanged records.
+// number of subscribers, when a link to one of them is established, and a few times per lease
+// for a summary of the unchanged records.
 func (d *Daemon) syncLoop() {
 	var renewed time.Time
 	var synced uint64
-	syncedCount := 0
+	syncedCount, syncedLinks := 0, 0
 	d.every(syncPeriod, func() {
-		own, count := d.directory.localSequence(), d.subscribers.count()
-		due := time.Since(renewed) >= d.directory.lease()/renewalsPerLease
+		own, count, links := d.directory.localSequence(), d.subscribers.count(), d.peers.connected()
+		due := time.Since(renewed) >= d.directory.lease()/renewalsPerLease || links > syncedLinks
+		syncedLinks = links
 		if own == synced && !due && max(count-syncedCount, syncedCount-count) < subscribersPerSync {
 			return
 		}
--- a/internal/controld/peers.go
+++ b/internal/controld/peers.go
@@ -78,13 +78,6 @@
 	return p.addresses[m.GetId().GetName()]
 }
 
-// addressByName returns the link address of a control host, empty if unknown.
-func (p *peers) addressByName(name string) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.addresses[name]
-}
-
 // get returns the link to a control host, created on first use, or nil after close.
 func (p *peers) get(addr string) *peer {
 	p.mu.Lock()
@@ -101,6 +94,19 @@
 	return existing
 }
 
+// connected returns how many control hosts there is a link to.
+func (p *peers) connected() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, remote := range p.byAddr {
+		if remote.client.Address() != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // closeUnused closes the links to hosts outside addrs that have not been used for a time.
 func (p *peers) closeUnused(addrs map[string]bool, unused time.Duration) {
 	for _, old := range p.removeUnused(addrs, unused) {
--- a/internal/controld/rebalance.go
+++ b/internal/controld/rebalance.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/internal/link"
 	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
@@ -111,7 +112,7 @@
 func (d *Daemon) moveSubscribers(own int, moves []membership.Moves) {
 	moved := 0
 	for _, move := range moves {
-		address := d.peers.addressByName(move.Host)
+		address := d.linkAddress(move.Host)
 		if address == "" {
 			continue
 		}
@@ -126,3 +127,33 @@
 	d.log.Info("subscribers asked to move to other control hosts",
 		zap.Int("subscribers", own), zap.Int("moved", moved), zap.Int("hosts", len(moves)))
 }
+
+// redirectOf returns the address of the host that a new subscriber has to go to, empty if this
+// host serves it. A subscriber is sent on once, since hosts may disagree about their numbers,
+// and only while it has no list of targets that it would bring along.
+func (d *Daemon) redirectOf(peer link.Peer, req *controlpb.Subscribe) string {
+	if !peer.Newcomer || req.GetVersion() != 0 || !d.settings.GetReplica().GetAutomaticMembers() {
+		return ""
+	}
+	s := d.directory.rebalancer()
+	host, redirect := s.Redirect()
+	if !redirect {
+		return ""
+	}
+	address := d.linkAddress(host)
+	if address != "" {
+		d.directory.recordMoves(host, 1)
+	}
+	return address
+}
+
+// linkAddress returns the link address of another member of the configuration group, empty if
+// there is none of that name.
+func (d *Daemon) linkAddress(name string) string {
+	for _, m := range d.replicas[controlpb.Group_GROUP_CONFIG].Status().Members {
+		if m.Member.GetId().GetName() == name {
+			return d.peers.addressOf(m.Member)
+		}
+	}
+	return ""
+}
--- a/internal/controld/standby.go
+++ b/internal/controld/standby.go
@@ -334,17 +334,21 @@
 	if len(hosts) == 0 {
 		return ctx.Err() != nil, nil
 	}
+	return true, h.redirectTo(ctx, s, hosts, randomHost(hosts))
+}
+
+// redirectTo names the serving hosts to a subscriber, and the one to move to. It returns once
+// the subscriber has closed the stream; closing it here would be an error there.
+func (h *handler) redirectTo(ctx context.Context, s *link.ServerStream, hosts []string, to string) error {
 	h.scope.Counter("subscribers_sent_elsewhere").Inc(1)
-	err = s.Send(&controlpb.SubscribeUpdate{
+	err := s.Send(&controlpb.SubscribeUpdate{
 		Hosts: &controlpb.ControlHosts{Addresses: hosts},
-		Move:  &controlpb.Move{Address: randomHost(hosts)},
+		Move:  &controlpb.Move{Address: to},
 	})
-	if err != nil {
-		return true, err
+	if err == nil {
+		<-ctx.Done()
 	}
-	// The subscriber closes the stream; closing it here would be an error there.
-	<-ctx.Done()
-	return true, nil
+	return err
 }
 
 // standbyError returns an error that names a serving host if this host is a standby, else
--- a/internal/controld/standby_test.go
+++ b/internal/controld/standby_test.go
@@ -15,6 +15,7 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/controld"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 )
 
 // newStandbyDeployment starts durable hosts d1, d2 and so on, and transient hosts s1, s2
@@ -185,3 +186,31 @@
 		})
 	}
 }
+
+// Subscribers move from a host that does not lead to members that its settings do not name.
+func TestSubscribersMoveToJoinedMembers(t *testing.T) {
+	const subscribers = 48
+	hosts := []string{"d1", "d2", "d3", "d4"}
+	d := newStandbyDeployment(t, len(hosts), 0, "d1")
+	d.awaitVoters("d1", 4, "d4", true)
+	d.accept(d.operator("d1"), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	from := hosts[slices.IndexFunc(hosts, func(name string) bool { return name != "d1" && name != d.leader() })]
+	for i := range subscribers {
+		name := fmt.Sprint("e", i)
+		s := subscriber.Start(subscriber.Options{Client: d.link(keys.RoleEntry, name, "", from)})
+		t.Cleanup(s.Close)
+	}
+	// The rebalancer tolerates a quarter plus eight above the mean.
+	share := subscribers/len(hosts)*5/4 + 8
+	eventually(t, "a balanced number at each host", func() bool {
+		sum := 0
+		for _, name := range hosts {
+			n := len(d.status(name).Subscribers)
+			if n > share {
+				return false
+			}
+			sum += n
+		}
+		return sum == subscribers
+	})
+}
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -73,6 +73,9 @@
 			return err
 		}
 	}
+	if address := d.redirectOf(peer, req); address != "" {
+		return h.redirectTo(ctx, s, d.memberLinkAddresses(), address)
+	}
 	sub := &subscription{
 		daemon:        d,
 		stream:        s,
--- a/internal/link/serve.go
+++ b/internal/link/serve.go
@@ -37,7 +37,12 @@
 		return
 	}
 	defer s.removeConnection(conn, id)
-	peer := Peer{Role: id.Role, Name: id.Name, Service: id.Service}
+	peer := Peer{
+		Role:     id.Role,
+		Name:     id.Name,
+		Service:  id.Service,
+		Newcomer: conn.ConnectionState().TLS.NegotiatedProtocol == protocolNewcomer,
+	}
 	for {
 		stream, err := conn.AcceptStream(conn.Context())
 		if err != nil {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -40,6 +40,8 @@
 	Name string
 	// Service is set for agents.
 	Service string
+	// Newcomer is set for a peer that no server has named others to.
+	Newcomer bool
 }
 
 // Handler serves requests. Both methods are called concurrently.
--- a/membership/rebalance.go
+++ b/membership/rebalance.go
@@ -58,10 +58,11 @@
 
 // Reasons of Decide.
 const (
-	RebalanceMove     RebalanceReason = "moves"
-	RebalanceNoPeers  RebalanceReason = "alone"
-	RebalanceBalanced RebalanceReason = "within"
-	RebalanceTooSoon  RebalanceReason = "pauses"
+	RebalanceMove       RebalanceReason = "moves"
+	RebalanceIncomplete RebalanceReason = "unsettled"
+	RebalanceNoPeers    RebalanceReason = "alone"
+	RebalanceBalanced   RebalanceReason = "within"
+	RebalanceTooSoon    RebalanceReason = "pauses"
 )
 
 // Decide returns how many subscribers have to move to which hosts, or none and the reason.
@@ -70,11 +71,13 @@
 // what that host lacks: hosts that decide at the same time then fill up each one together,
 // and moves end even with counts that are some seconds old.
 //
-// A host with a complete directory moves none to a host without: there they would not
-// learn which targets are gone. While all directories are incomplete nothing is lost by a
-// move, and waiting would leave all subscribers at the few hosts that settings name.
+// Only hosts with a complete directory move and get subscribers: a host without one can
+// add few records to the list that a subscriber brings along, and remove none.
 func (r *Rebalancer) Decide() ([]Moves, RebalanceReason) {
-	others := r.usable()
+	if !r.Complete {
+		return nil, RebalanceIncomplete
+	}
+	others := r.usable(true)
 	if len(others) == 0 {
 		return nil, RebalanceNoPeers
 	}
@@ -95,11 +98,37 @@
 	return distribute(excess, total/hosts, others), RebalanceMove
 }
 
-// usable returns the hosts that subscribers may move to, with those that are on their way.
-func (r *Rebalancer) usable() []HostLoad {
+// Redirect returns the host with the fewest subscribers for a new one that has no list of
+// targets yet, false if this host serves it. Such a subscriber takes a whole list from any
+// host, so directories need not be complete: after a start it reaches one of the few hosts
+// that settings name.
+func (r *Rebalancer) Redirect() (host string, redirect bool) {
+	others := r.usable(false)
+	if len(others) == 0 {
+		return "", false
+	}
+	total := r.Own
+	for _, h := range others {
+		total += h.Subscribers
+	}
+	least := slices.MinFunc(others, fewer)
+	if mean := total / (len(others) + 1); r.Own < mean+imbalanceSlack || r.Own < least.Subscribers+imbalanceSlack {
+		return "", false
+	}
+	return least.Name, true
+}
+
+// fewer orders hosts by their subscribers.
+func fewer(a, b HostLoad) int {
+	return cmp.Or(cmp.Compare(a.Subscribers, b.Subscribers), cmp.Compare(a.Name, b.Name))
+}
+
+// usable returns the hosts that subscribers may go to, all or those with a complete
+// directory, with the subscribers that are on their way.
+func (r *Rebalancer) usable(complete bool) []HostLoad {
 	var out []HostLoad
 	for _, h := range r.Others {
-		if h.Age > maxLoadAge || r.Complete && !h.Complete {
+		if h.Age > maxLoadAge || complete && !h.Complete {
 			continue
 		}
 		h.Subscribers += h.Sent
@@ -118,9 +147,7 @@
 // distribute divides the excess over the hosts below the mean, in proportion to what each
 // lacks.
 func distribute(excess, mean int, others []HostLoad) []Moves {
-	slices.SortFunc(others, func(a, b HostLoad) int {
-		return cmp.Or(cmp.Compare(a.Subscribers, b.Subscribers), cmp.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(others, fewer)
 	lacking := 0
 	for _, h := range others {
 		lacking += max(mean-h.Subscribers, 0)
