flow, routing, flowd: flows are placed on targets that follow from the flow, and searched for there first

After a restart of all processes nobody has a registration, and an agent that has started after its target can tell only by a packet to the target whether that one holds a flow. Each flow's next packet went through a coordinator to all agents of the service and so to all targets: 6,000 flows x 544 targets, cut only by what the links carried; searches went on for twelve seconds.

The two targets of which a new flow takes the better one are those that rank highest for it by a hash of flow and agent (Table.ChooseRanked) in place of two drawn at random; a second attempt takes the next two. A search asks the registrars, then the eight agents that rank highest, then a coordinator; the stage is a named state of the flow (searchStage) in place of two fields.

Ruled out: agents that keep their flows on disk (their hosts have none); registrations at control hosts (40 million); asking for many flows at a time (only a packet of the flow makes a target tell).

TestFlowsArePlacedOnCandidates: all flows on an unchanged list, 98 % after 45 % of 544 targets were replaced.

--- a/flow/entry.go
+++ b/flow/entry.go
@@ -51,6 +51,8 @@
 	HeldElsewhere(public Endpoint, denied, heldByNone []Endpoint) bool
 	// Registrars appends the agents at which a flow is registered.
 	Registrars(to []Endpoint, key Key) []Endpoint
+	// Candidates appends the agents that the flow was most likely placed on.
+	Candidates(to []Endpoint, key Key) []Endpoint
 	// Coordinators appends two agents of each service that may hold the flow. Either
 	// looks it up among all agents of its service. Each turn selects other agents, in
 	// case both are lost.
@@ -110,13 +112,15 @@
 	lastAck uint32
 	// heldByNone has the agents that reported that no target of their service holds it.
 	heldByNone []Endpoint
-	// searchRound counts the rounds of a staged search. searchedRegistrars are the
-	// registrars that the first round was sent to, nil afterwards.
-	searchRound        uint8
-	roundStart         time.Duration
-	searchedRegistrars []Endpoint
-	lastSeen           time.Duration
-	createdAt          time.Duration
+	// searchStage is the stage of a staged search, lookupRound counts its rounds of
+	// lookups, and stageStart is the start of the stage or round. asked are the agents
+	// that the stage was sent to, nil for lookups.
+	searchStage searchStage
+	lookupRound uint8
+	stageStart  time.Duration
+	asked       []Endpoint
+	lastSeen    time.Duration
+	createdAt   time.Duration
 }
 
 // candidate is a target that may hold a flow.
@@ -235,7 +239,7 @@
 	if f == nil || f.count > 0 {
 		return
 	}
-	f.lastSeen, f.searchedRegistrars = now, nil
+	f.lastSeen, f.asked = now, nil
 	f.candidates[0], f.count, f.confirmed = candidate{agent: m.Alternate}, 1, true
 	f.probedAt = max(now, 1)
 }
@@ -321,7 +325,7 @@
 		e.flows[m.Key] = f
 	}
 	f.lastSeen = now
-	f.denied, f.heldByNone, f.searchRound, f.searchedRegistrars = nil, nil, 0, nil
+	f.denied, f.heldByNone, f.searchStage, f.lookupRound, f.asked = nil, nil, 0, 0, nil
 	c := candidate{agent: from, service: m.Service, answered: true, first: m.First}
 	if m.Opened {
 		// The caller has selected this target.
--- a/flow/lookup_test.go
+++ b/flow/lookup_test.go
@@ -20,8 +20,9 @@
 	agents map[flow.Endpoint]*flow.Agent
 	all    []flow.Endpoint
 	now    time.Duration
-	// toEntry and betweenAgents count frames by receiver.
-	toEntry, betweenAgents int
+	// toEntry and betweenAgents count frames by receiver, targetPackets the packets that
+	// targets took in bounce.
+	toEntry, betweenAgents, targetPackets int
 	// delivered has the agents whose targets got a packet, reset the flows that were
 	// reset.
 	delivered map[flow.Key][]flow.Endpoint
@@ -37,7 +38,7 @@
 		agents: map[flow.Endpoint]*flow.Agent{}, all: manyAgents(count), now: wellAfterStart,
 		delivered: map[flow.Key][]flow.Endpoint{}, reset: map[flow.Key]bool{}, unreachable: map[flow.Endpoint]bool{},
 	}
-	c.placer = &coordinatedPlacer{fixedPlacer{agents: c.all}}
+	c.placer = &coordinatedPlacer{fixedPlacer: fixedPlacer{agents: c.all}}
 	c.entry = flow.NewEntry(c.placer, entryA)
 	for i, at := range c.all {
 		a := flow.NewAgent(c.now)
@@ -55,8 +56,18 @@
 	return c
 }
 
-// coordinatedPlacer selects coordinators.
-type coordinatedPlacer struct{ fixedPlacer }
+// coordinatedPlacer selects coordinators, and candidates if these are set.
+type coordinatedPlacer struct {
+	fixedPlacer
+	candidates bool
+}
+
+func (p *coordinatedPlacer) Candidates(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
+	if !p.candidates {
+		return to
+	}
+	return flow.AppendCandidates(to, key, p.agents)
+}
 
 func (p *coordinatedPlacer) Coordinators(to []flow.Endpoint, key flow.Key, turn int) []flow.Endpoint {
 	return flow.AppendCoordinators(to, key, turn, p.agents)
--- a/flow/search.go
+++ b/flow/search.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// firstLookupRound is the first round of a search that uses a coordinator.
-const firstLookupRound = 2
-
 // search handles a packet of a flow without a known holder.
 func (e *Entry) search(f *entryFlow, p Packet, now time.Duration) Verdict {
 	if p.Flags.Has(RST) {
@@ -52,22 +49,58 @@
 	return maxSearches
 }
 
-// searchStaged searches in a large service: in the first round at the registrars, after
-// that through one coordinator, another one in each round. A packet after searchInterval
-// starts the next round. The packets of a burst belong to one round.
+// searchStage is a stage of the search in a large service.
+type searchStage uint8
+
+// Stages of a search, in their order. A stage ends when all agents that it was sent to have
+// denied the flow, or with a packet after searchInterval.
+const (
+	// stageRegistrars: the agents at which the flow is registered.
+	stageRegistrars searchStage = iota + 1
+	// stageCandidates: the agents that the flow was most likely placed on. After a restart
+	// of all processes nobody has a registration, and an agent can tell only by a packet to
+	// its target whether that one holds a flow: without this stage each flow would cost a
+	// packet to each target.
+	stageCandidates
+	// stageLookup: a coordinator, which asks all agents; another one in each round.
+	stageLookup
+)
+
+// searchStaged searches in a large service. The packets of a burst belong to one stage.
 func (e *Entry) searchStaged(f *entryFlow, p Packet, now time.Duration) Verdict {
-	if f.searchRound == 0 || now-f.roundStart >= searchInterval {
-		f.searchRound = min(f.searchRound, math.MaxUint8-1) + 1
-		f.roundStart = now
-	}
-	if f.searchRound == 1 {
-		e.all = e.placer.Registrars(e.all[:0], p.Key)
-		f.searchedRegistrars = append(f.searchedRegistrars[:0], e.all...)
+	switch {
+	case f.searchStage == 0:
+		f.searchStage, f.stageStart = stageRegistrars, now
+	case now-f.stageStart < searchInterval:
+	case f.searchStage < stageLookup:
+		f.searchStage++
+		f.stageStart = now
+	default:
+		f.lookupRound = min(f.lookupRound, math.MaxUint8-1) + 1
+		f.stageStart = now
+	}
+	return e.searchVerdict(f, p.Key)
+}
+
+// searchVerdict returns the verdict that sends a packet to the agents of the flow's stage. A
+// stage without agents is passed over.
+func (e *Entry) searchVerdict(f *entryFlow, key Key) Verdict {
+	if f.searchStage == stageRegistrars {
+		e.all = e.placer.Registrars(e.all[:0], key)
+		f.asked = append(f.asked[:0], e.all...)
 		return Verdict{Action: SendAll, Reason: ReasonRegistered, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}, KeepCopy: true}
 	}
-	f.searchedRegistrars = nil
-	attempt := int(f.searchRound) - firstLookupRound
-	e.all = e.placer.Coordinators(e.all[:0], p.Key, attempt/registrars)
+	if f.searchStage == stageCandidates {
+		e.all = e.placer.Candidates(e.all[:0], key)
+		if len(e.all) > 0 {
+			f.asked = append(f.asked[:0], e.all...)
+			return Verdict{Action: SendAll, Reason: ReasonCandidate, All: e.all, Frame: Frame{Kind: Search, Hops: 1, Entry: e.self}, KeepCopy: true}
+		}
+		f.searchStage = stageLookup
+	}
+	f.asked = nil
+	attempt := int(f.lookupRound)
+	e.all = e.placer.Coordinators(e.all[:0], key, attempt/registrars)
 	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: pickFromPairs(e.all, attempt%registrars), Frame: Frame{Kind: Search, Hops: HopsLookup, Entry: e.self}}
 }
 
@@ -105,8 +138,8 @@
 	if !contains(f.denied, from) && len(f.denied) < maxDenials {
 		f.denied = append(f.denied, from)
 	}
-	if f.searchedRegistrars != nil {
-		return e.startLookup(f, key)
+	if f.asked != nil {
+		return e.nextStage(f, key)
 	}
 	return e.resetIfHeldByNone(f, key)
 }
@@ -124,7 +157,7 @@
 	if digest, known := e.placer.ServiceDigest(from); !known || digest != m.Digest {
 		return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
 	}
-	f.searchedRegistrars = nil
+	f.asked = nil
 	if !contains(f.heldByNone, from) {
 		f.heldByNone = append(f.heldByNone, from)
 	}
@@ -140,19 +173,40 @@
 	return Verdict{Action: Reset, Reason: ReasonHeldNowhere}, Packet{Key: key, Ack: f.lastAck}
 }
 
-// startLookup continues the search at the coordinators once all registrars have denied
-// the flow.
-func (e *Entry) startLookup(f *entryFlow, key Key) (Verdict, Packet) {
-	for _, agent := range f.searchedRegistrars {
-		if !contains(f.denied, agent) {
-			return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
+// nextStage continues the search once all agents of its stage have denied the flow. Agents
+// that have denied it before are not asked again.
+func (e *Entry) nextStage(f *entryFlow, key Key) (Verdict, Packet) {
+	for f.asked != nil {
+		for _, agent := range f.asked {
+			if !contains(f.denied, agent) {
+				return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
+			}
+		}
+		f.searchStage++
+		f.stageStart = f.searchedAt
+		v := e.searchVerdict(f, key)
+		v.All = withoutAll(v.All, f.denied, f.searchStage)
+		if len(v.All) > 0 {
+			v.UseCopy = true
+			return v, Packet{Key: key}
 		}
 	}
-	e.all = pickFromPairs(e.placer.Coordinators(e.all[:0], key, 0), 0)
-	f.searchedRegistrars = nil
-	f.searchRound = max(f.searchRound, firstLookupRound)
-	f.roundStart = f.searchedAt
-	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: e.all, Frame: Frame{Kind: Search, Hops: HopsLookup, Entry: e.self}, UseCopy: true}, Packet{Key: key}
+	return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
+}
+
+// withoutAll returns the agents without those that have denied the flow. A lookup needs its
+// coordinator all the same.
+func withoutAll(agents, denied []Endpoint, stage searchStage) []Endpoint {
+	if stage == stageLookup {
+		return agents
+	}
+	kept := agents[:0]
+	for _, agent := range agents {
+		if !contains(denied, agent) {
+			kept = append(kept, agent)
+		}
+	}
+	return kept
 }
 
 func contains(list []Endpoint, one Endpoint) bool {
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -313,14 +313,14 @@
 func (e *Entry) applyVerdict(v flow.Verdict, p flow.Packet, packet []byte) {
 	e.counters.count(v)
 	logVerdict(e.opts.Log, &v, &p, e.decisionInputs)
-	if v.KeepCopy && !e.searchCopies.Put(p.Key, packet, e.now()) {
-		e.counters.overflow.Inc(1)
-	}
 	if v.UseCopy {
 		if packet = e.searchCopies.TakeOne(p.Key, e.now()); packet == nil {
 			return
 		}
 	}
+	if v.KeepCopy && !e.searchCopies.Put(p.Key, packet, e.now()) {
+		e.counters.overflow.Inc(1)
+	}
 	switch v.Action {
 	case flow.Send:
 		e.sendToAgent(e.encoded(&v.Frame, packet), v.To)
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -20,7 +20,8 @@
 const (
 	// rampMS is the length of the slow start of a new target in milliseconds.
 	rampMS = 3000
-	// maxRegistrars bounds the registrars or coordinators of a flow, two of each service.
+	// maxRegistrars bounds the registrars, candidates or coordinators of a flow: two of
+	// each service, or eight.
 	maxRegistrars = 16
 	// maxRedraws bounds the attempts to choose a target other than the one to avoid.
 	maxRedraws = 4
@@ -251,8 +252,10 @@
 		return placement.Candidate{}, false
 	}
 	var candidate placement.Candidate
-	for salt := range uint64(maxRedraws) {
-		c, ok := table.Choose(key.Hash(salt+uint64(now)), now)
+	ranking := key.Ranking()
+	rank := func(ip [4]byte, port uint16) uint64 { return ranking.Rank(flow.Endpoint{IP: ip, Port: port}) }
+	for attempt := range maxRedraws {
+		c, ok := table.ChooseRanked(rank, attempt, key.Hash(uint64(attempt)+uint64(now)), now)
 		if !ok || c.Reason == routing.LastResort {
 			return placement.Candidate{}, false
 		}
@@ -344,6 +347,11 @@
 	return to
 }
 
+// Candidates implements flow.Placer.
+func (p *placer) Candidates(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
+	return p.appendFromServices(to, key, false, flow.AppendCandidates)
+}
+
 // Coordinators implements flow.Placer.
 func (p *placer) Coordinators(to []flow.Endpoint, key flow.Key, turn int) []flow.Endpoint {
 	return p.appendFromServices(to, key, true, func(to []flow.Endpoint, key flow.Key, list []flow.Endpoint) []flow.Endpoint {
--- a/internal/flowd/placer_test.go
+++ b/internal/flowd/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,3 +104,45 @@
 	_, reason = newTestPlacer(newTestView(nil, "a")).Place(callerKey(1), flow.Endpoint{}, 0)
 	is.Equal(reason, flow.ReasonNoTarget)
 }
+
+// A host that knows only the flow and the list of agents finds nearly all flows among the
+// candidates, also after nearly half of the targets were replaced.
+func TestFlowsArePlacedOnCandidates(t *testing.T) {
+	const targets, flows = 544, 4000
+	p := newTestPlacer(largeView(targets))
+	holders := map[flow.Key]flow.Endpoint{}
+	for i := range flows {
+		key := callerKey(i + 1)
+		avoid := flow.Endpoint{}
+		if i%10 == 0 { // a retransmission goes to another target
+			first, _ := p.Place(key, flow.Endpoint{}, 0)
+			avoid = first.Agent
+		}
+		placed, reason := p.Place(key, avoid, time.Duration(i)*time.Millisecond)
+		if placed.Agent.IsZero() || placed.Agent == avoid {
+			t.Fatalf("flow %d: %s", i, reason)
+		}
+		holders[key] = placed.Agent
+	}
+	found := func(p *placer) (found, all int) {
+		for key, holder := range holders {
+			if known, _ := p.HasTarget(holder); !known {
+				continue
+			}
+			all++
+			if slices.Contains(p.Candidates(nil, key), holder) {
+				found++
+			}
+		}
+		return found, all
+	}
+	if n, all := found(p); n != all || all != flows {
+		t.Fatalf("%d of %d flows are on candidates", n, all)
+	}
+	view := largeView(targets * 145 / 100)
+	replaced := withRecords(view, view.Targets[targets*45/100:])
+	p.apply(replaced, 0)
+	if n, all := found(p); n < all*98/100 || all < flows/3 {
+		t.Fatalf("%d of %d flows are on candidates after the release", n, all)
+	}
+}
--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -70,3 +70,16 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkChooseRanked measures the choice of a target for a new flow.
+func BenchmarkChooseRanked(b *testing.B) {
+	for _, n := range []int{12, 500, 12_000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			table, _ := build(nil, targets(n))
+			b.ReportAllocs()
+			for i := uint64(0); b.Loop(); i++ {
+				table.ChooseRanked(rankFor(i), 0, i, start)
+			}
+		})
+	}
+}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -27,11 +27,17 @@
 	if chosen == nil {
 		return c, false
 	}
+	t.recordChosen(&c, chosen, unresponsive, now)
+	return c, true
+}
+
+// recordChosen records a packet that the chosen candidate must answer, and probes the one
+// that was replaced.
+func (t *Table) recordChosen(c *Choice, chosen, unresponsive *candidate, now time.Duration) {
 	chosen.reportState.recordSent(now)
 	if unresponsive != nil && unresponsive != chosen && unresponsive.reportState.claimProbe(now) {
 		c.Probe = unresponsive.ref()
 	}
-	return c, true
 }
 
 // ChooseNoReply is Choose for a packet that the target need not answer, such as 0-RTT
@@ -51,7 +57,12 @@
 	if t.policy.skipsUnresponsive() {
 		a, b, unresponsive = t.replaceUnresponsive(a, b, hash, now)
 	}
+	c, chosen = t.settle(a, b, unresponsive, hash, now)
+	return c, chosen, unresponsive
+}
 
+// settle returns the choice between two candidates, or of the only one if b is nil.
+func (t *Table) settle(a, b, unresponsive *candidate, hash uint64, now time.Duration) (Choice, *candidate) {
 	chosen, reason := a, OnlyCandidate
 	if b != nil {
 		chosen, reason = t.pickBetter(a, b, hash, now)
@@ -67,7 +78,7 @@
 		Target:    chosen.ref(),
 		Alternate: alternate(a, b, chosen),
 		Reason:    reason,
-	}, chosen, unresponsive
+	}, chosen
 }
 
 // replaceUnresponsive replaces unresponsive candidates and returns one that it
