--- a/routing/ranked.go
+++ b/routing/ranked.go
@@ -56,17 +56,8 @@
 	if len(ranked) == 0 {
 		return nil, nil, nil
 	}
-	var usable []*candidate
 	var buffer [rankedCandidates]*candidate
-	usable = buffer[:0]
-	for _, c := range ranked {
-		if !t.reportsDraining(c, now) {
-			usable = append(usable, c)
-		}
-	}
-	if len(usable) == 0 {
-		usable = append(usable, ranked...)
-	}
+	usable := t.withoutDraining(buffer[:0], ranked, now)
 	first := 2 * attempt % len(usable)
 	if !t.policy.skipsUnresponsive() {
 		return usable[first], next(usable, first), nil
@@ -86,6 +77,19 @@
 	return p.a, p.b, unresponsive
 }
 
+// withoutDraining appends the candidates that are not draining, all if there are no others.
+func (t *Table) withoutDraining(to, ranked []*candidate, now time.Duration) []*candidate {
+	for _, c := range ranked {
+		if !t.reportsDraining(c, now) {
+			to = append(to, c)
+		}
+	}
+	if len(to) == 0 {
+		to = append(to, ranked...)
+	}
+	return to
+}
+
 // next returns the candidate after an index, nil if there is no other one.
 func next(list []*candidate, index int) *candidate {
 	if len(list) < 2 {
