flow: candidates are asked only where an agent had to ask its target

A denial tells whether the agent did not know and had to send the packet to its target (a bit that was 0). Only then the candidates are asked next; otherwise the lookup follows the registrars as before.

TestKnownFlowsAreLookedUp: 200 lost flows of 300 agents that know their flows take four frames each at an entry host; it fails without the condition. TestFlowsAreFoundAfterRestartOfAll holds as before.

--- a/flow/agent.go
+++ b/flow/agent.go
@@ -462,7 +462,9 @@
 		if f.fromSearch {
 			origin.Kind = Search
 		}
-		return notHeldVerdict(origin, p.Key, ReasonNotHeld)
+		v := notHeldVerdict(origin, p.Key, ReasonNotHeld)
+		v.Frame.Probed = v.Action == Deny && now < a.completeAt
+		return v
 	}
 	return Verdict{Action: Drop, Reason: ReasonNotHeld}
 }
--- a/flow/candidates_test.go
+++ b/flow/candidates_test.go
@@ -88,3 +88,19 @@
 	}
 	is.True(c.targetPackets <= flows*(2+8+1))
 }
+
+// Agents that know their flows are not sent the packet of each lost one: a lookup costs less on
+// a narrow link. So after the loss of all power, when targets have started after their agents.
+func TestKnownFlowsAreLookedUp(t *testing.T) {
+	is := is.New(t)
+	const flows = 200
+	c := newCluster(300)
+	c.placer.candidates = true
+	for port := range uint16(flows) {
+		c.packet(request(port, firstA))
+	}
+	c.sendQueries()
+	is.Equal(len(c.reset), flows)
+	is.Equal(c.targetPackets, 0)
+	is.True(c.toEntry <= 4*flows) // denials of the registrars, and the outcome
+}
--- a/flow/entry.go
+++ b/flow/entry.go
@@ -114,8 +114,9 @@
 	heldByNone []Endpoint
 	// searchStage is the stage of a staged search, lookupRound counts its rounds of
 	// lookups, and stageStart is the start of the stage or round. asked are the agents
-	// that the stage was sent to, nil for lookups.
+	// that the stage was sent to, nil for lookups. probed: an agent had to ask its target.
 	searchStage searchStage
+	probed      bool
 	lookupRound uint8
 	stageStart  time.Duration
 	asked       []Endpoint
@@ -325,7 +326,7 @@
 		e.flows[m.Key] = f
 	}
 	f.lastSeen = now
-	f.denied, f.heldByNone, f.searchStage, f.lookupRound, f.asked = nil, nil, 0, 0, nil
+	f.denied, f.heldByNone, f.searchStage, f.lookupRound, f.asked, f.probed = nil, nil, 0, 0, nil, false
 	c := candidate{agent: from, service: m.Service, answered: true, first: m.First}
 	if m.Opened {
 		// The caller has selected this target.
--- a/flow/entry_test.go
+++ b/flow/entry_test.go
@@ -172,14 +172,14 @@
 	e := flow.NewEntry(p, entryA)
 	e.Packet(request(1, firstA), 0)
 	denied := func(from flow.Endpoint) flow.Verdict {
-		v, _ := e.Denied(key(1), from, 0)
+		v, _ := e.Denied(denial(1), from, 0)
 		return v
 	}
 	is.Equal(denied(agentA).Action, flow.Drop)
 	is.Equal(denied(agentA).Action, flow.Drop) // a duplicate
 	is.Equal(denied(agentB).Action, flow.Drop) // the list is incomplete
 	p.incomplete = false
-	v, packet := e.Denied(key(1), agentB, 0)
+	v, packet := e.Denied(denial(1), agentB, 0)
 	is.Equal(v.Action, flow.Reset)
 	is.Equal(packet.Key, key(1))
 	is.Equal(packet.Ack, request(1, firstA).Ack)
@@ -190,9 +190,9 @@
 	is := is.New(t)
 	e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA, agentB}}, entryA)
 	e.Packet(request(1, firstA), 0)
-	e.Denied(key(1), agentA, 0)
+	e.Denied(denial(1), agentA, 0)
 	e.Held(heldBy(1, firstB, true), agentB, 0)
-	v, _ := e.Denied(key(1), agentB, 0) // a late denial
+	v, _ := e.Denied(denial(1), agentB, 0) // a late denial
 	is.Equal(v.Action, flow.Drop)
 	is.Equal(e.Packet(request(1, firstB), 0).To, agentB)
 }
@@ -301,7 +301,7 @@
 	second := e.Packet(syn(1), 200*time.Millisecond).To
 	e.Held(heldBy(1, firstA, false), first, 201*time.Millisecond)
 	is.Equal(len(e.Packet(request(1, firstB), 210*time.Millisecond).All), 2)
-	e.Denied(key(1), first, 211*time.Millisecond)
-	e.Denied(key(1), second, 212*time.Millisecond)
+	e.Denied(denial(1), first, 211*time.Millisecond)
+	e.Denied(denial(1), second, 212*time.Millisecond)
 	is.Equal(e.Packet(request(1, firstB), 230*time.Millisecond).Reason, flow.ReasonRegistered)
 }
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -89,6 +89,10 @@
 	// holder.
 	Alternate Endpoint
 
+	// Probed, in Denied: the agent has started after its target and did not know, so that
+	// the target was sent the packet.
+	Probed bool
+
 	// Digest identifies the list of agents that were queried, in HeldByNone.
 	Digest uint64
 
@@ -133,13 +137,20 @@
 	bitUnhealthy
 )
 
+// bitProbed is a bit of the second byte of Denied.
+const bitProbed = 1
+
 // Append encodes the frame, without the packet that follows.
 func (f *Frame) Append(b []byte) []byte {
 	switch f.Kind {
 	case Held, Load:
 		return f.appendReport(b)
 	case Denied:
-		b = append(b, byte(f.Kind), 0)
+		var bits byte
+		if f.Probed {
+			bits = bitProbed
+		}
+		b = append(b, byte(f.Kind), bits)
 		b = appendEndpoint(b, f.Key.Caller)
 		return appendEndpoint(b, f.Key.Public)
 	case HeldByNone:
@@ -213,6 +224,7 @@
 		if len(b) != deniedLength {
 			return Frame{}, nil, ErrFrame
 		}
+		f.Probed = b[1]&bitProbed != 0
 		f.Key = Key{Caller: parseEndpoint(b[2:8]), Public: parseEndpoint(b[8:14])}
 		return f, nil, nil
 	case Located:
--- a/flow/frame_test.go
+++ b/flow/frame_test.go
@@ -19,6 +19,7 @@
 		{Kind: flow.Missed, Entry: entryA},
 		held,
 		{Kind: flow.Denied, Key: key(3)},
+		{Kind: flow.Denied, Key: key(3), Probed: true},
 		{Kind: flow.Located, Key: key(3), Alternate: agentB},
 		{Kind: flow.Load, Number: 1, Incarnation: 2, LoadPermille: 3},
 	}
--- a/flow/helpers_test.go
+++ b/flow/helpers_test.go
@@ -109,6 +109,8 @@
 	return agent != p.gone, !p.incomplete
 }
 
+func denial(port uint16) flow.Frame { return flow.Frame{Kind: flow.Denied, Key: key(port)} }
+
 func heldBy(port uint16, first uint32, opened bool) flow.Frame {
 	return flow.Frame{Kind: flow.Held, Key: key(port), First: first, Known: true, Opened: opened, Service: lodgement}
 }
--- a/flow/lookup_test.go
+++ b/flow/lookup_test.go
@@ -117,7 +117,7 @@
 			c.reply(held.Entry, *held, to, p)
 		}
 	case flow.Deny:
-		c.reply(v.To, flow.Frame{Kind: flow.Denied, Key: p.Key}, to, p)
+		c.reply(v.To, v.Frame, to, p)
 	case flow.Send:
 		c.betweenAgents++
 		c.toAgent(v.To, v.Frame, p)
@@ -140,7 +140,7 @@
 		c.entry.Held(m, from, c.now)
 	default:
 		c.toEntry++
-		v, known := c.entry.Denied(m.Key, from, c.now)
+		v, known := c.entry.Denied(m, from, c.now)
 		if v.UseCopy {
 			known = p
 		}
--- a/flow/registry_test.go
+++ b/flow/registry_test.go
@@ -129,9 +129,9 @@
 	is.Equal(len(v.All), 2)
 	is.True(v.KeepCopy)
 	searched := append([]flow.Endpoint{}, v.All...)
-	v, _ = e.Denied(key(1), searched[0], 0)
+	v, _ = e.Denied(denial(1), searched[0], 0)
 	is.Equal(v.Action, flow.Drop)
-	v, p := e.Denied(key(1), searched[1], 0)
+	v, p := e.Denied(denial(1), searched[1], 0)
 	is.Equal(v.Action, flow.SendAll)
 	is.True(v.UseCopy)
 	is.Equal(p.Key, key(1))
@@ -144,7 +144,7 @@
 		}
 	}
 	for i, agent := range rest {
-		v, _ = e.Denied(key(1), agent, 0)
+		v, _ = e.Denied(denial(1), agent, 0)
 		is.Equal(v.Action == flow.Reset, i == len(rest)-1)
 	}
 
--- a/flow/search.go
+++ b/flow/search.go
@@ -60,7 +60,7 @@
 	// stageCandidates: the agents that the flow was most likely placed on. After a restart
 	// of all processes nobody has a registration, and an agent can tell only by a packet to
 	// its target whether that one holds a flow: without this stage each flow would cost a
-	// packet to each target.
+	// packet to each target. Where agents know their flows, a lookup costs less.
 	stageCandidates
 	// stageLookup: a coordinator, which asks all agents; another one in each round.
 	stageLookup
@@ -90,15 +90,14 @@
 		f.asked = append(f.asked[:0], e.all...)
 		return Verdict{Action: SendAll, Reason: ReasonRegistered, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}, KeepCopy: true}
 	}
-	if f.searchStage == stageCandidates {
+	if f.searchStage == stageCandidates && f.probed {
 		e.all = e.placer.Candidates(e.all[:0], key)
 		if len(e.all) > 0 {
 			f.asked = append(f.asked[:0], e.all...)
 			return Verdict{Action: SendAll, Reason: ReasonCandidate, All: e.all, Frame: Frame{Kind: Search, Hops: 1, Entry: e.self}, KeepCopy: true}
 		}
-		f.searchStage = stageLookup
 	}
-	f.asked = nil
+	f.searchStage, f.asked = stageLookup, nil
 	attempt := int(f.lookupRound)
 	e.all = e.placer.Coordinators(e.all[:0], key, attempt/registrars)
 	return Verdict{Action: SendAll, Reason: ReasonUnknown, All: pickFromPairs(e.all, attempt%registrars), Frame: Frame{Kind: Search, Hops: HopsLookup, Entry: e.self}}
@@ -116,7 +115,8 @@
 // Denied handles a Denied frame. Once no agent can hold the flow it is reset. The returned
 // packet has the key and, for a reset, the last acknowledgement of the caller. Denials are
 // ignored while the list of agents may be outdated.
-func (e *Entry) Denied(key Key, from Endpoint, now time.Duration) (Verdict, Packet) {
+func (e *Entry) Denied(m Frame, from Endpoint, now time.Duration) (Verdict, Packet) {
+	key := m.Key
 	f := e.flows[key]
 	if !e.MayReset(now) {
 		if f != nil {
@@ -135,6 +135,7 @@
 	if f == nil || f.count > 0 {
 		return Verdict{Action: Drop, Reason: ReasonKnown}, Packet{}
 	}
+	f.probed = f.probed || m.Probed
 	if !contains(f.denied, from) && len(f.denied) < maxDenials {
 		f.denied = append(f.denied, from)
 	}
--- a/flow/stall_test.go
+++ b/flow/stall_test.go
@@ -114,10 +114,10 @@
 	e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA}}, entryA)
 	e.ObserveClock(0)
 	e.Packet(request(1, firstA), 0)
-	v, _ := e.Denied(key(1), agentA, stallTime)
+	v, _ := e.Denied(denial(1), agentA, stallTime)
 	is.Equal(v.Action, flow.Drop)
 	observeRange(e, stallTime, stallTime+500*time.Millisecond)
 	e.Packet(request(1, firstA), stallTime+500*time.Millisecond)
-	v, _ = e.Denied(key(1), agentA, stallTime+501*time.Millisecond)
+	v, _ = e.Denied(denial(1), agentA, stallTime+501*time.Millisecond)
 	is.Equal(v.Action, flow.Reset)
 }
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -289,7 +289,7 @@
 		e.mu.Unlock()
 	case flow.Denied:
 		e.mu.Lock()
-		v, p := e.flows.Denied(m.Key, from, e.observeClocks())
+		v, p := e.flows.Denied(m, from, e.observeClocks())
 		e.applyVerdict(v, p, nil)
 		e.mu.Unlock()
 	case flow.HeldByNone:
