controld: a subscriber that could not go elsewhere is served

By reading: a new subscriber that is sent to a host that is lost keeps its link if no other one replies, subscribes again and would be sent on until the counts of the lost host are outdated (9 s). A host sends each subscriber on once in 15 s now. TestSubscriberIsSentOnOnce.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -71,6 +71,7 @@
 	readBarrier  *barrier
 	confirmation confirmation
 	standby      *standby
+	redirects    redirects
 	shortage     shortage
 	server       *link.Server
 	api          *operator.Server
--- a/internal/controld/rebalance.go
+++ b/internal/controld/rebalance.go
@@ -1,7 +1,9 @@
 package controld
 
 import (
+	"maps"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +19,9 @@
 	// moveInterval is the mean time between two rounds of moves away from this host,
 	// jittered from 0.5 to 1.5 of it.
 	moveInterval = time.Second
+	// redirectInterval is the least time between two redirects of one subscriber: longer than
+	// the counts of a lost host are used.
+	redirectInterval = 15 * time.Second
 	// metricMoves counts the decisions by reason, metricMoved the subscribers asked to move.
 	metricMoves = "subscriber_moves"
 	metricMoved = "subscribers_moved"
@@ -129,8 +134,9 @@
 }
 
 // redirectOf returns the address of the host that a new subscriber has to go to, empty if this
-// host serves it. A subscriber is sent on once, since hosts may disagree about their numbers,
-// and only while it has no list of targets that it would bring along.
+// host serves it. A subscriber is sent on once, since hosts may disagree about their numbers
+// and the other host may be lost, and only while it has no list of targets that it would bring
+// along.
 func (d *Daemon) redirectOf(peer link.Peer, req *controlpb.Subscribe) string {
 	if !peer.Newcomer || req.GetVersion() != 0 || !d.settings.GetReplica().GetAutomaticMembers() {
 		return ""
@@ -141,12 +147,41 @@
 		return ""
 	}
 	address := d.linkAddress(host)
-	if address != "" {
-		d.directory.recordMoves(host, 1)
+	if address == "" || !d.redirects.record(peer, time.Now()) {
+		return ""
 	}
+	d.directory.recordMoves(host, 1)
 	return address
 }
 
+// redirects has the peers that were sent to another host lately.
+type redirects struct {
+	mu sync.Mutex
+	at map[link.Peer]time.Time
+	// sweptAt is when outdated entries were last removed.
+	sweptAt time.Time
+}
+
+// record records a redirect. It returns false if the peer was redirected within
+// redirectInterval, which means that it could not go elsewhere.
+func (r *redirects) record(peer link.Peer, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	outdated := func(_ link.Peer, at time.Time) bool { return now.Sub(at) >= redirectInterval }
+	if now.Sub(r.sweptAt) >= redirectInterval {
+		r.sweptAt = now
+		maps.DeleteFunc(r.at, outdated)
+	}
+	if at, known := r.at[peer]; known && !outdated(peer, at) {
+		return false
+	}
+	if r.at == nil {
+		r.at = map[link.Peer]time.Time{}
+	}
+	r.at[peer] = now
+	return true
+}
+
 // linkAddress returns the link address of another member of the configuration group, empty if
 // there is none of that name.
 func (d *Daemon) linkAddress(name string) string {
--- a/internal/controld/rebalance_test.go
+++ b/internal/controld/rebalance_test.go
@@ -92,3 +92,18 @@
 	is.Equal(len(full.subscribers.sample(60)), 30)
 	is.Equal(full.subscribers.count(), 60) // until they have left
 }
+
+// A subscriber that comes back soon could not go elsewhere, and is served.
+func TestSubscriberIsSentOnOnce(t *testing.T) {
+	is := is.New(t)
+	var r redirects
+	now := time.Unix(0, 0)
+	e1, e2 := link.Peer{Role: keys.RoleEntry, Name: "e1", Newcomer: true}, link.Peer{Role: keys.RoleEntry, Name: "e2", Newcomer: true}
+	is.True(r.record(e1, now))
+	is.True(!r.record(e1, now.Add(3*time.Second)))
+	is.True(r.record(e2, now.Add(3*time.Second)))
+	is.True(r.record(e1, now.Add(redirectInterval)))
+	is.Equal(len(r.at), 2)
+	is.True(r.record(e1, now.Add(time.Hour)))
+	is.Equal(len(r.at), 1)
+}
