--- a/membership/rebalance.go
+++ b/membership/rebalance.go
@@ -99,9 +99,9 @@
 }
 
 // Redirect returns the host with the fewest subscribers for a new one that has no list of
-// targets yet, false if this host serves it. Such a subscriber takes a whole list from any
-// host, so directories need not be complete: after a start it reaches one of the few hosts
-// that settings name.
+// targets yet, false if this host serves it because it is not far above the mean. Such a
+// subscriber takes a whole list from any host, so directories need not be complete: after a
+// start it reaches one of the few hosts that settings name.
 func (r *Rebalancer) Redirect() (host string, redirect bool) {
 	others := r.usable(false)
 	if len(others) == 0 {
@@ -111,11 +111,11 @@
 	for _, h := range others {
 		total += h.Subscribers
 	}
-	least := slices.MinFunc(others, fewer)
-	if mean := total / (len(others) + 1); r.Own < mean+imbalanceSlack || r.Own < least.Subscribers+imbalanceSlack {
+	hosts := len(others) + 1
+	if r.Own*hosts-total <= margin(hosts, total) {
 		return "", false
 	}
-	return least.Name, true
+	return slices.MinFunc(others, fewer).Name, true
 }
 
 // fewer orders hosts by their subscribers.
@@ -139,11 +139,14 @@
 
 // imbalanced reports whether this host has to move subscribers.
 func (r *Rebalancer) imbalanced(hosts, total, least int) bool {
-	// All terms are multiplied by the number of hosts, to avoid fractions of the mean.
-	margin := total*imbalancePercent/100 + imbalanceSlack*hosts
-	return r.Own*hosts-total > margin || total-least*hosts > margin
+	limit := margin(hosts, total)
+	return r.Own*hosts-total > limit || total-least*hosts > limit
 }
 
+// margin returns how far a host may be from the mean. It is multiplied by the number of hosts,
+// like the counts that it is compared with, to avoid fractions of the mean.
+func margin(hosts, total int) int { return total*imbalancePercent/100 + imbalanceSlack*hosts }
+
 // distribute divides the excess over the hosts below the mean, in proportion to what each
 // lacks.
 func distribute(excess, mean int, others []HostLoad) []Moves {
