--- a/internal/controld/partition_test.go
+++ b/internal/controld/partition_test.go
@@ -130,7 +130,9 @@
 // An agent that knows only a control host that has been cut off is sent to the others.
 func TestIsolatedHostSendsAgentsElsewhere(t *testing.T) {
 	d, relays := newDeploymentOf(t, 60_000)
-	eventually(t, "version 1 on c3", func() bool { return d.status("c3").Version == 1 })
+	// A host that was never confirmed waits for the group to form.
+	w := d.subscribe(d.link(keys.RoleEntry, "e1", "", "c3"), &controlpb.Subscribe{})
+	w.await("a confirmed version on c3", func(u *controlpb.SubscribeUpdate) bool { return u.GetConfig().GetConfirmed() })
 	relays["c3"].Cut()
 	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c3")
 	eventually(t, "c3 to name other hosts", func() bool {
