--- a/internal/controld/confirmation.go
+++ b/internal/controld/confirmation.go
@@ -105,8 +105,9 @@
 		zap.String("leader", s.Leader.GetName()), zap.Uint64("applied", s.Applied), zap.Uint64("version", d.configs.version()))
 }
 
-// hasBecomeIsolated reports whether this host is isolated and was not at some time since its
-// start. Before, the group may be forming, and the other hosts know no more than this one.
+// hasBecomeIsolated reports whether this host is isolated after a quorum had confirmed its state
+// at least once. A host that was never confirmed may belong to a group that is still forming;
+// the other hosts then know no more than this one.
 func (d *Daemon) hasBecomeIsolated() bool {
 	return d.confirmation.isIsolated() && d.stateConfirmed.Load()
 }
--- a/routing/ranked.go
+++ b/routing/ranked.go
@@ -71,7 +71,7 @@
 		p.add(c, now)
 	}
 	if p.a == nil {
-		// The fault is more likely on this host.
+		// If none of them responds, the fault is more likely on this host.
 		return usable[first], next(usable, first), nil
 	}
 	return p.a, p.b, unresponsive
