raft: a leadership transfer right after a quorum check finds a successor

Cause: the leader clears who is active at each quorum check (every 500 ms), and a transfer takes only active voters. A planned stop that falls between the check and the next reply gets ErrNoSuccessor at once; the second try, when the replica closes, comes after the server has closed, so no reply arrives and the stop costs an election. Its own failure line is cut from the record; that it was this is likely, not shown.

Change: a voter that was active in the interval before the check can take over as well; one that has replied since is preferred. The test says at the end which leaders stopped without a transfer.

TestTransferRightAfterQuorumCheck failed before (raft: no successor).

Conclusion: a fault of the product, mended; the check of the test is as it was.

--- a/raft/errors.go
+++ b/raft/errors.go
@@ -7,7 +7,7 @@
 	// ErrNotLeader: this replica does not lead the group. Nothing was
 	// appended.
 	ErrNotLeader = errors.New("raft: not the leader")
-	// ErrNoSuccessor: no other voter is active.
+	// ErrNoSuccessor: no other voter was active lately.
 	ErrNoSuccessor = errors.New("raft: no successor")
 	// ErrBusy: the leader cannot accept the request now. Too many bytes are
 	// uncommitted, too many reads are pending, no entry of its term is
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -154,6 +154,7 @@
 		return key == n.key || n.progressOf(key).active
 	})
 	for _, p := range n.progress {
+		p.wasActive = p.active
 		p.active = false
 	}
 	return quorum
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -34,6 +34,8 @@
 	inflight []uint64
 	// active is set if the replica replied since the last quorum check.
 	active bool
+	// wasActive is the value of active at the last quorum check.
+	wasActive bool
 	// snapshotIndex and snapshotTicks describe the snapshot in flight.
 	snapshotIndex uint64
 	snapshotTicks int
--- a/raft/transfer.go
+++ b/raft/transfer.go
@@ -13,7 +13,7 @@
 // TransferLeadership asks the most up-to-date voter to become leader, so that a
 // planned stop does not cost an election timeout. During the transfer proposals
 // get ErrBusy; it is aborted if nobody takes over within an election timeout.
-// ErrNoSuccessor: no other voter is active.
+// ErrNoSuccessor: no other voter was active since the last quorum check but one.
 //
 // The successor starts an election at once, and replicas vote even while their
 // leader is active. Votes are otherwise decided as usual, so a transfer can
@@ -26,7 +26,7 @@
 }
 
 // TransferLeadershipTo is TransferLeadership to the given voter.
-// ErrNoSuccessor: it is not a voter or not active.
+// ErrNoSuccessor: it is not a voter or was not active since the last quorum check but one.
 func (n *Node) TransferLeadershipTo(id *raftpb.ReplicaID) error {
 	if n.role != RoleLeader {
 		return ErrNotLeader
@@ -48,23 +48,33 @@
 	return nil
 }
 
-// canTakeOver reports whether a member is another, active voter.
+// canTakeOver reports whether a member is another voter that was active lately. Right
+// after a quorum check nobody has replied again yet, so the interval before it counts.
 func (n *Node) canTakeOver(p *progress) bool {
-	return p.key != n.key && p.active && isVoter(n.membership(), p.key)
+	return p.key != n.key && (p.active || p.wasActive) && isVoter(n.membership(), p.key)
 }
 
-// successor returns the progress of the active voter with the highest match, the
-// first of the membership among equals; nil if there is none.
+// successor returns the progress of the best voter to take over, the first of the
+// membership among equals; nil if there is none.
 func (n *Node) successor() *progress {
 	var best *progress
 	for _, p := range n.progress {
-		if n.canTakeOver(p) && (best == nil || p.match > best.match) {
+		if n.canTakeOver(p) && (best == nil || p.betterSuccessor(best)) {
 			best = p
 		}
 	}
 	return best
 }
 
+// betterSuccessor prefers a member that replied since the last quorum check, which is
+// surely reachable, then the one with the highest match.
+func (p *progress) betterSuccessor(other *progress) bool {
+	if p.active != other.active {
+		return p.active
+	}
+	return p.match > other.match
+}
+
 // continueTransfer asks the successor to start an election once it holds the
 // complete log; before that it could not win.
 func (n *Node) continueTransfer() {
--- a/raft/transfer_test.go
+++ b/raft/transfer_test.go
@@ -66,6 +66,42 @@
 	is.True(errors.Is(alone.TransferLeadership(), ErrNoSuccessor))
 }
 
+// A planned stop may begin right after the quorum check, before anyone has replied
+// again. Members that replied in the interval before it can take over, members that
+// did not cannot.
+func TestTransferRightAfterQuorumCheck(t *testing.T) {
+	is := is.New(t)
+	n := newLeader(is)
+	ack(is, n, 1, "b", "c")
+	ticks(n, n.opts.ElectionTicks)
+	is.Equal(n.role, RoleLeader)
+	is.NoErr(n.TransferLeadership())
+	is.True(sent(drain(n), kindTakeOver, "b") != nil)
+
+	n = newLeader(is)
+	ack(is, n, 1, "b", "c")
+	ticks(n, n.opts.ElectionTicks)
+	drain(n)
+	stepHeartbeatReplies(is, n, "c")
+	ticks(n, n.opts.ElectionTicks)
+	is.Equal(n.role, RoleLeader)
+	is.True(errors.Is(n.TransferLeadershipTo(replica("b")), ErrNoSuccessor))
+	is.NoErr(n.TransferLeadership())
+	is.True(sent(drain(n), kindTakeOver, "c") != nil)
+}
+
+// A member that has replied since the quorum check is preferred to one that has not.
+func TestTransferPrefersActiveSuccessor(t *testing.T) {
+	is := is.New(t)
+	n := newLeader(is)
+	ack(is, n, 1, "b", "c")
+	ticks(n, n.opts.ElectionTicks)
+	drain(n)
+	stepHeartbeatReplies(is, n, "c")
+	is.NoErr(n.TransferLeadership())
+	is.True(sent(drain(n), kindTakeOver, "c") != nil)
+}
+
 // A transfer to a given voter waits for it, even if another is more up to date,
 // and requires it to be active.
 func TestTransferLeadershipTo(t *testing.T) {
--- a/test/leadershiptransfer_test.go
+++ b/test/leadershiptransfer_test.go
@@ -81,6 +81,9 @@
 func TestShutdownTransfersLeadership(t *testing.T) {
 	is := is.New(t)
 	const stops = 6
+	var without []string
+	// Registered first, so that it is printed after the output of the processes.
+	t.Cleanup(func() { t.Logf("leaders stopped without a transfer: %v", without) })
 	d := &deployment{Cluster: processtest.New(t)}
 	d.controls = d.StartControls(3)
 	d.lodgement = d.NewService("lodgement")
@@ -98,6 +101,9 @@
 		version, gap = s.end()
 		gaps = append(gaps, gap.Round(time.Millisecond))
 		transferred += min(leader.LogCount(transferredMessage), 1)
+		if leader.LogCount(transferredMessage) == 0 {
+			without = append(without, leader.Name)
+		}
 		leader.Launch()
 		leader.WaitReady()
 	}
