membership: an incomplete directory sends what is new to lists brought along

Cause: a control host that has just started cannot tell which records the list that a subscriber brings along lacks, only which buckets differ. While targets come back nearly all do, so it spent its 64 additions on targets that had been there all the time, and what started, changed or left was not sent until a lease had passed.

Change: removals, changes that this host saw, and targets that started within a lease before it or later are sent whatever their number, which is as many as a complete directory sends. Targets that may be in the list stay bounded by 64, and their digests are computed only while some are left.

Ruled out: a rate in place of the count; at 12,000 targets 800 a second come back, and news waits behind them.

Tests: TestIncompleteHostSendsNews failed before (0 of 600 records sent). Two older tests announced targets that were there before with an age of 0, which says that they have just started; they get the age that is meant, their checks are as they were.

--- a/membership/directory.go
+++ b/membership/directory.go
@@ -114,6 +114,8 @@
 	// formerDomains are earlier failure domains of the target, whose subscribers need its
 	// removal.
 	formerDomains []string
+	// changedHere is set once this directory has seen the target change or return.
+	changedHere bool
 	// isRemoved marks a removal that is remembered for deltas.
 	isRemoved bool
 	removal   *list.Element
@@ -187,6 +189,13 @@
 // targets that it does not have by then have no valid lease.
 func (d *Directory) Complete(now time.Duration) bool { return now-d.opts.Start >= d.opts.Lease }
 
+// startedLately reports whether a target started within a lease before the directory or
+// after it: lists of other hosts may lack it.
+func (d *Directory) startedLately(t *target) bool {
+	age := time.Duration(t.latest.GetAgeMs()) * time.Millisecond
+	return t.receivedAt-age >= d.opts.Start-d.opts.Lease
+}
+
 // Announce merges a record. One from the agent itself gets a new lease. One from another
 // control host is kept until that host withdraws it or is unresponsive for too long. The
 // record must not be changed afterwards.
@@ -325,6 +334,7 @@
 	if t.published != nil && t.published.GetFailureDomain() != next.GetFailureDomain() {
 		t.addFormerDomain(t.published)
 	}
+	t.changedHere = t.changedHere || t.published != nil
 	t.published = next
 	d.logChange(t)
 }
--- a/membership/expire.go
+++ b/membership/expire.go
@@ -76,7 +76,7 @@
 	// The new entry replaces the removal.
 	d.dropRemoval(t)
 	t.addFormerDomain(t.published)
-	return &target{flaps: t.flaps, formerDomains: t.formerDomains}
+	return &target{flaps: t.flaps, formerDomains: t.formerDomains, changedHere: true}
 }
 
 // liftDamping publishes the targets whose damping has ended.
--- a/membership/subscriber.go
+++ b/membership/subscriber.go
@@ -7,7 +7,8 @@
 )
 
 // maxAdditions bounds the records that an incomplete directory adds to a list from another
-// host. Further ones wait until the directory is complete and knows the difference.
+// host without knowing whether it lacks them. Further ones wait until the directory is
+// complete and knows the difference.
 const maxAdditions = 64
 
 // UpdateKind is the kind of an update, for a full list with the reason.
@@ -131,34 +132,68 @@
 	return u.DirectoryUpdate
 }
 
-// addition returns the changes since the last addition in buckets that differ. It returns
-// nil once there are more than maxAdditions.
+// addition returns the changes since the last addition that the subscriber's initial list
+// probably lacks. While targets come back to a host that has just started, most buckets
+// differ, so of the targets that may be in the list only maxAdditions are sent.
 func (d *Directory) addition(now time.Duration, sub *Subscriber, known bool) *controlpb.DirectoryUpdate {
-	if sub.additions > maxAdditions {
-		return nil
-	}
 	after := uint64(0)
 	if known {
 		after = sub.sequence
 	}
-	current := d.digests(len(sub.digests), sub.scope)
 	u := d.update()
+	var returned []*target
 	for t := range d.changedAfter(after) {
-		bucket := sub.digests.bucketOf(t.latest.GetNumber())
-		if !sub.scope.contains(t.latest) && !sub.scope.formerlyContained(t) || !sub.touched[bucket] && current[bucket] == sub.digests[bucket] {
-			continue
-		}
-		sub.additions++
-		if sub.additions > maxAdditions {
-			return nil
+		switch {
+		case !sub.scope.contains(t.latest) && !sub.scope.formerlyContained(t):
+		case d.isNews(t):
+			sub.touch(t)
+			u.collect(now, t, sub.scope)
+		case sub.additions <= maxAdditions:
+			returned = append(returned, t)
 		}
-		sub.touched[bucket] = true
+	}
+	for _, t := range d.takeAdditions(sub, returned) {
 		u.collect(now, t, sub.scope)
 	}
 	u.sort()
 	return u.DirectoryUpdate
 }
 
+// isNews reports whether a change is none of those that a host sees because it has just
+// started. Such changes are as many as in a complete directory, so they need no bound.
+func (d *Directory) isNews(t *target) bool {
+	return t.isRemoved || t.changedHere || d.startedLately(t)
+}
+
+// takeAdditions returns those of the returned targets that are in buckets that differ, none
+// once there are more than maxAdditions.
+func (d *Directory) takeAdditions(sub *Subscriber, returned []*target) []*target {
+	if len(returned) == 0 {
+		return nil
+	}
+	current := d.digests(len(sub.digests), sub.scope)
+	var out []*target
+	for _, t := range returned {
+		bucket := sub.digests.bucketOf(t.latest.GetNumber())
+		if sub.touched[bucket] || current[bucket] != sub.digests[bucket] {
+			out = append(out, t)
+		}
+	}
+	sub.additions += len(out)
+	if sub.additions > maxAdditions {
+		return nil
+	}
+	for _, t := range out {
+		sub.touch(t)
+	}
+	return out
+}
+
+// touch marks the bucket of a target.
+func (sub *Subscriber) touch(t *target) {
+	sub.touched[sub.digests.bucketOf(t.latest.GetNumber())] = true
+}
+
 // digests returns the digests of the targets within a scope.
 func (d *Directory) digests(buckets int, s *Scope) listDigests {
 	out := make(listDigests, buckets)
