flow: the agents that rank highest for a flow are its preferred agents

Package flow had three things called candidates: the targets offered to a flow, the agents that may hold it in a lookup, and these. No check changes.

--- a/flow/entry.go
+++ b/flow/entry.go
@@ -54,8 +54,8 @@
 	HeldElsewhere(public Endpoint, denied, heldByNone []Endpoint) bool
 	// Registrars appends the agents at which a flow is registered.
 	Registrars(to []Endpoint, key Key) []Endpoint
-	// Candidates appends the agents that the flow was most likely placed on.
-	Candidates(to []Endpoint, key Key) []Endpoint
+	// Preferred appends the agents that the flow was most likely placed on.
+	Preferred(to []Endpoint, key Key) []Endpoint
 	// Coordinators appends two agents of each service that may hold the flow. Either
 	// looks it up among all agents of its service. Each turn selects other agents, in
 	// case both are lost.
--- a/flow/helpers_test.go
+++ b/flow/helpers_test.go
@@ -93,7 +93,7 @@
 	return flow.AppendRegistrars(to, key, p.agents)
 }
 
-func (p *fixedPlacer) Candidates(to []flow.Endpoint, _ flow.Key) []flow.Endpoint { return to }
+func (p *fixedPlacer) Preferred(to []flow.Endpoint, _ flow.Key) []flow.Endpoint { return to }
 
 func (p *fixedPlacer) Coordinators(to []flow.Endpoint, key flow.Key, _ int) []flow.Endpoint {
 	return flow.AppendRegistrars(to, key, p.agents)
--- a/flow/lookup_test.go
+++ b/flow/lookup_test.go
@@ -56,17 +56,17 @@
 	return c
 }
 
-// coordinatedPlacer selects coordinators, and candidates if these are set.
+// coordinatedPlacer selects coordinators, and preferred agents if these are set.
 type coordinatedPlacer struct {
 	fixedPlacer
-	candidates bool
+	preferred bool
 }
 
-func (p *coordinatedPlacer) Candidates(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
-	if !p.candidates {
+func (p *coordinatedPlacer) Preferred(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
+	if !p.preferred {
 		return to
 	}
-	return flow.AppendCandidates(to, key, p.agents)
+	return flow.AppendPreferred(to, key, p.agents)
 }
 
 func (p *coordinatedPlacer) Coordinators(to []flow.Endpoint, key flow.Key, turn int) []flow.Endpoint {
--- a/flow/rank.go
+++ b/flow/rank.go
@@ -1,9 +1,9 @@
 package flow
 
-// candidates is the number of agents that a search asks for a flow because its opening was
+// preferredAgents is the number of agents that a search asks for a flow because its opening was
 // most likely placed on them: two for each of the placements and forwards of an opening, and
 // as many again for agents that were added since.
-const candidates = 8
+const preferredAgents = 8
 
 // rankSalt makes ranks independent of the registrars of a flow.
 const rankSalt = 0x5bd1e9955bd1e995
@@ -24,18 +24,19 @@
 	return h ^ h>>31
 }
 
-// AppendCandidates appends the agents of a list that rank highest for a flow.
-func AppendCandidates(to []Endpoint, key Key, list []Endpoint) []Endpoint {
+// AppendPreferred appends the agents of a list that rank highest for a flow, the highest
+// first.
+func AppendPreferred(to []Endpoint, key Key, list []Endpoint) []Endpoint {
 	ranking := key.Ranking()
-	var agents [candidates]Endpoint
-	var ranks [candidates]uint64
+	var agents [preferredAgents]Endpoint
+	var ranks [preferredAgents]uint64
 	count := 0
 	for _, agent := range list {
 		rank := ranking.Rank(agent)
-		if count == candidates && rank <= ranks[count-1] {
+		if count == preferredAgents && rank <= ranks[count-1] {
 			continue
 		}
-		if count < candidates {
+		if count < preferredAgents {
 			count++
 		}
 		i := count - 1
--- a/flow/candidates_test.go
+++ b/flow/rank_test.go
@@ -8,15 +8,15 @@
 	"eelgrasswharf.example/eelgrasswharf/flow"
 )
 
-// Candidates are those of the list with the highest ranks, in their order, and independent of
+// Preferred agents are those of the list with the highest ranks, in their order, and independent of
 // the registrars.
-func TestCandidates(t *testing.T) {
+func TestPreferredAgents(t *testing.T) {
 	is := is.New(t)
 	all := manyAgents(300)
 	both := 0
 	for port := range uint16(500) {
 		ranking := key(port).Ranking()
-		got := flow.AppendCandidates(nil, key(port), all)
+		got := flow.AppendPreferred(nil, key(port), all)
 		is.Equal(len(got), 8)
 		lowest := ranking.Rank(got[7])
 		for i := 1; i < len(got); i++ {
@@ -36,8 +36,8 @@
 		}
 	}
 	is.True(both < 20)
-	is.Equal(len(flow.AppendCandidates(nil, key(1), all[:3])), 3)
-	is.Equal(len(flow.AppendCandidates(nil, key(1), nil)), 0)
+	is.Equal(len(flow.AppendPreferred(nil, key(1), all[:3])), 3)
+	is.Equal(len(flow.AppendPreferred(nil, key(1), nil)), 0)
 }
 
 // bounce lets the targets of all agents but the holder send back what was delivered to them.
@@ -67,7 +67,7 @@
 	is := is.New(t)
 	const agents, flows = 300, 200
 	c := newCluster(agents)
-	c.placer.candidates = true
+	c.placer.preferred = true
 	for _, at := range c.all {
 		a := flow.NewAgent(c.now)
 		a.SetServer(flow.Server{State: flow.Serving, Service: lodgement, Slots: 4})
@@ -76,7 +76,7 @@
 	}
 	for port := range uint16(flows) {
 		// Placed on the second agent of its order.
-		holder := flow.AppendCandidates(nil, key(port), c.all)[1]
+		holder := flow.AppendPreferred(nil, key(port), c.all)[1]
 		c.packet(request(port, firstA))
 		c.bounce(port, holder)
 		is.Equal(len(c.reset), 0)
@@ -95,7 +95,7 @@
 	is := is.New(t)
 	const flows = 200
 	c := newCluster(300)
-	c.placer.candidates = true
+	c.placer.preferred = true
 	for port := range uint16(flows) {
 		c.packet(request(port, firstA))
 	}
--- a/flow/search.go
+++ b/flow/search.go
@@ -57,11 +57,11 @@
 const (
 	// stageRegistrars: the agents at which the flow is registered.
 	stageRegistrars searchStage = iota + 1
-	// stageCandidates: the agents that the flow was most likely placed on. After a restart
+	// stagePreferred: the agents that the flow was most likely placed on. After a restart
 	// of all processes nobody has a registration, and an agent can tell only by a packet to
 	// its target whether that one holds a flow: without this stage each flow would cost a
 	// packet to each target. Where agents know their flows, a lookup costs less.
-	stageCandidates
+	stagePreferred
 	// stageLookup: a coordinator, which asks all agents; another one in each round.
 	stageLookup
 )
@@ -90,11 +90,11 @@
 		f.asked = append(f.asked[:0], e.all...)
 		return Verdict{Action: SendAll, Reason: ReasonRegistered, All: e.all, Frame: Frame{Kind: Search, Entry: e.self}, KeepCopy: true}
 	}
-	if f.searchStage == stageCandidates && f.probed {
-		e.all = e.placer.Candidates(e.all[:0], key)
+	if f.searchStage == stagePreferred && f.probed {
+		e.all = e.placer.Preferred(e.all[:0], key)
 		if len(e.all) > 0 {
 			f.asked = append(f.asked[:0], e.all...)
-			return Verdict{Action: SendAll, Reason: ReasonCandidate, All: e.all, Frame: Frame{Kind: Search, Hops: 1, Entry: e.self}, KeepCopy: true}
+			return Verdict{Action: SendAll, Reason: ReasonPreferred, All: e.all, Frame: Frame{Kind: Search, Hops: 1, Entry: e.self}, KeepCopy: true}
 		}
 	}
 	f.searchStage, f.asked = stageLookup, nil
--- a/flow/verdict.go
+++ b/flow/verdict.go
@@ -57,7 +57,7 @@
 	ReasonAnswered        Reason = "answered"
 	ReasonHeldNowhere     Reason = "held_nowhere"
 	ReasonRegistered      Reason = "registered"
-	ReasonCandidate       Reason = "candidate"
+	ReasonPreferred       Reason = "preferred"
 	ReasonTargetGone      Reason = "target_gone"
 	ReasonUnconfirmed     Reason = "unconfirmed"
 	ReasonStalled         Reason = "stood_still"
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -21,7 +21,7 @@
 	// rampMS is the length of the slow start of a new target in milliseconds: backend
 	// servers are slow for some seconds after a start.
 	rampMS = 3000
-	// maxRegistrars bounds the registrars, candidates or coordinators of a flow: two of
+	// maxRegistrars bounds the registrars, preferred agents or coordinators of a flow: two of
 	// each service, or eight.
 	maxRegistrars = 16
 	// maxRedraws bounds the attempts to choose a target other than the one to avoid.
@@ -350,9 +350,9 @@
 	return to
 }
 
-// Candidates implements flow.Placer.
-func (p *placer) Candidates(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
-	return p.appendFromServices(to, key, false, flow.AppendCandidates)
+// Preferred implements flow.Placer.
+func (p *placer) Preferred(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
+	return p.appendFromServices(to, key, false, flow.AppendPreferred)
 }
 
 // Coordinators implements flow.Placer.
--- a/internal/flowd/placer_test.go
+++ b/internal/flowd/placer_test.go
@@ -106,8 +106,8 @@
 }
 
 // A host that knows only the flow and the list of agents finds nearly all flows among the
-// candidates, also after nearly half of the targets were replaced.
-func TestFlowsArePlacedOnCandidates(t *testing.T) {
+// preferred agents, also after nearly half of the targets were replaced.
+func TestFlowsArePlacedOnPreferredAgents(t *testing.T) {
 	const targets, flows = 544, 4000
 	p := newTestPlacer(largeView(targets))
 	holders := map[flow.Key]flow.Endpoint{}
@@ -130,19 +130,19 @@
 				continue
 			}
 			all++
-			if slices.Contains(p.Candidates(nil, key), holder) {
+			if slices.Contains(p.Preferred(nil, key), holder) {
 				found++
 			}
 		}
 		return found, all
 	}
 	if n, all := found(p); n != all || all != flows {
-		t.Fatalf("%d of %d flows are on candidates", n, all)
+		t.Fatalf("%d of %d flows are on preferred agents", n, all)
 	}
 	view := largeView(targets * 145 / 100)
 	replaced := withRecords(view, view.Targets[targets*45/100:])
 	p.apply(replaced, 0)
 	if n, all := found(p); n < all*98/100 || all < flows/3 {
-		t.Fatalf("%d of %d flows are on candidates after the release", n, all)
+		t.Fatalf("%d of %d flows are on preferred agents after the release", n, all)
 	}
 }
