membership: a host that has just started sends only what differs

Cause: sent every target that started within a lease before the host, also those that the list brought along has. Soon after the start of all that is the whole list once more.

Change: news is sent in buckets that differ only. Their digests are computed once for all subscribers of a scope and kept until the next change, which also spares each subscriber's own computation at the moment at which the directory becomes complete.

--- a/membership/directory.go
+++ b/membership/directory.go
@@ -92,6 +92,9 @@
 	// removals has the removals that are remembered, oldest first.
 	removals    *list.List
 	removedByID map[uint32]*target
+	// cachedDigests are those computed at sequence cachedAt.
+	cachedAt      uint64
+	cachedDigests map[digestKey]listDigests
 }
 
 // target is the state of one target number.
--- a/membership/list_test.go
+++ b/membership/list_test.go
@@ -321,6 +321,29 @@
 	is.Equal(len(recordsOf(&l)), targets+int(release))
 }
 
+// Soon after the start of all, a subscriber moves to a host that knows the same targets by
+// now. Nothing is sent but the bucket of a new one.
+func TestIncompleteHostSendsNothingKnown(t *testing.T) {
+	is := is.New(t)
+	const targets = 1_000
+	a, b := membership.New(membership.Options{Epoch: 1, Lease: lease}), membership.New(membership.Options{Epoch: 2, Lease: lease})
+	for n := range uint32(targets) {
+		a.Announce(time.Second, record(n+1, 1, 1), membership.Direct)
+		b.Announce(time.Second, record(n+1, 1, 1), "c1")
+	}
+	var l membership.List
+	u, _ := a.Next(time.Second, membership.NewSubscriber(l.Position(), nil))
+	l.Apply(u, time.Time{})
+	sub := membership.NewSubscriber(l.Position(), nil)
+	u, _ = b.Next(2*time.Second, sub)
+	is.Equal(len(u.GetPut()), 0)
+	b.Announce(2*time.Second, record(targets+1, 1, 1), membership.Direct)
+	u, _ = b.Next(2*time.Second, sub)
+	l.Apply(u, time.Time{})
+	is.Equal(len(recordsOf(&l)), targets+1)
+	is.True(len(u.GetPut()) <= 2*targets/len(l.Position().Digests)+1)
+}
+
 // A target is added, then additions stop, then it is removed: its bucket equals that of the
 // subscriber's initial list again, and has to be sent nevertheless.
 func TestDeferredRemovalIsSent(t *testing.T) {
--- a/membership/subscriber.go
+++ b/membership/subscriber.go
@@ -11,6 +11,15 @@
 // complete and knows the difference.
 const maxAdditions = 64
 
+// maxCachedDigests bounds the scopes whose digests are kept at a time.
+const maxCachedDigests = 256
+
+// digestKey identifies the digests of a scope for lists with a number of buckets.
+type digestKey struct {
+	scope   string
+	buckets int
+}
+
 // UpdateKind is the kind of an update, for a full list with the reason.
 type UpdateKind string
 
@@ -133,26 +142,36 @@
 }
 
 // addition returns the changes since the last addition that the subscriber's initial list
-// probably lacks. While targets come back to a host that has just started, most buckets
-// differ, so of the targets that may be in the list only maxAdditions are sent.
+// probably lacks: those in buckets that differ. While targets come back to a host that has
+// just started, most buckets differ, so of the targets that may be in the list only
+// maxAdditions are sent.
 func (d *Directory) addition(now time.Duration, sub *Subscriber, known bool) *controlpb.DirectoryUpdate {
 	after := uint64(0)
 	if known {
 		after = sub.sequence
 	}
 	u := d.update()
-	var returned []*target
+	var news, returned []*target
 	for t := range d.changedAfter(after) {
 		switch {
 		case !sub.scope.contains(t.latest) && !sub.scope.formerlyContained(t):
 		case d.isNews(t):
-			sub.touch(t)
-			u.collect(now, t, sub.scope)
+			news = append(news, t)
 		case sub.additions <= maxAdditions:
 			returned = append(returned, t)
 		}
 	}
-	for _, t := range d.takeAdditions(sub, returned) {
+	if len(news)+len(returned) == 0 {
+		return u.DirectoryUpdate
+	}
+	current := d.digests(len(sub.digests), sub.scope)
+	news, returned = sub.differing(news, current), sub.differing(returned, current)
+	sub.additions += len(returned)
+	if sub.additions > maxAdditions {
+		returned = nil
+	}
+	for _, t := range append(news, returned...) {
+		sub.touched[sub.digests.bucketOf(t.latest.GetNumber())] = true
 		u.collect(now, t, sub.scope)
 	}
 	u.sort()
@@ -165,37 +184,36 @@
 	return t.isRemoved || t.changedHere || d.startedLately(t)
 }
 
-// takeAdditions returns those of the returned targets that are in buckets that differ, none
-// once there are more than maxAdditions.
-func (d *Directory) takeAdditions(sub *Subscriber, returned []*target) []*target {
-	if len(returned) == 0 {
-		return nil
-	}
-	current := d.digests(len(sub.digests), sub.scope)
+// differing returns the targets in buckets that were touched by additions, or whose current
+// digest differs from that of the subscriber's initial list.
+func (sub *Subscriber) differing(all []*target, current listDigests) []*target {
 	var out []*target
-	for _, t := range returned {
+	for _, t := range all {
 		bucket := sub.digests.bucketOf(t.latest.GetNumber())
 		if sub.touched[bucket] || current[bucket] != sub.digests[bucket] {
 			out = append(out, t)
 		}
 	}
-	sub.additions += len(out)
-	if sub.additions > maxAdditions {
-		return nil
-	}
-	for _, t := range out {
-		sub.touch(t)
-	}
 	return out
 }
 
-// touch marks the bucket of a target.
-func (sub *Subscriber) touch(t *target) {
-	sub.touched[sub.digests.bucketOf(t.latest.GetNumber())] = true
+// digests returns the digests of the targets within a scope. They must not be modified: all
+// subscribers of one scope share them until the next change, so that a host with many
+// subscribers does not compute them for each.
+func (d *Directory) digests(buckets int, s *Scope) listDigests {
+	if d.cachedAt != d.sequence || len(d.cachedDigests) >= maxCachedDigests {
+		d.cachedAt, d.cachedDigests = d.sequence, map[digestKey]listDigests{}
+	}
+	key := digestKey{scope: s.key(), buckets: buckets}
+	out, ok := d.cachedDigests[key]
+	if !ok {
+		out = d.computeDigests(buckets, s)
+		d.cachedDigests[key] = out
+	}
+	return out
 }
 
-// digests returns the digests of the targets within a scope.
-func (d *Directory) digests(buckets int, s *Scope) listDigests {
+func (d *Directory) computeDigests(buckets int, s *Scope) listDigests {
 	out := make(listDigests, buckets)
 	for _, t := range d.byID {
 		if s.contains(t.latest) {
--- a/membership/update.go
+++ b/membership/update.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -16,11 +18,23 @@
 type Scope struct {
 	services map[uint32]bool
 	domains  map[string]bool
+	// name is the same for scopes of the same services and failure domains.
+	name string
 }
 
 // NewScope returns the scope of these service numbers and failure domains.
 func NewScope(services []uint32, domains ...string) *Scope {
-	return &Scope{services: setOf(services), domains: setOf(domains)}
+	s := &Scope{services: setOf(services), domains: setOf(domains)}
+	s.name = fmt.Sprintf("%d %q", slices.Sorted(maps.Keys(s.services)), slices.Sorted(maps.Keys(s.domains)))
+	return s
+}
+
+// key identifies a scope by its contents.
+func (s *Scope) key() string {
+	if s == nil {
+		return ""
+	}
+	return s.name
 }
 
 func setOf[T comparable](list []T) map[T]bool {
