flowd: a stopped target is unregistered although its notice does not give its start

Cause: a backend server that gives its start in its reports may leave it out of its notice that it stops. Control hosts that are all started again call their lists complete once each registered target is back, or after a lease; callers of lost flows wait until then.

Change: such a notice of the instance that is known and drains is confirmed by silence of one and a half report periods, or when the agent stops; any report in between shows that it was a delayed one of an earlier instance of that name. An agent that stops makes one more call of 500 ms for a stopped target that is still registered.

Ruled out: to believe the notice at once, as a name may be used again; to wait for the lease, which ends the record and not the registration.

Tests: incarnation.TestConfirmStop and four rows of the table (before: unordered), standin.TestTargetThatLeavesIsUnregistered (before: never; it waits for a line that is new).

On sites whose servers give no start nothing changes.

--- a/incarnation/incarnation.go
+++ b/incarnation/incarnation.go
@@ -46,6 +46,9 @@
 	StoppedInstance Result = "ended_life"
 	// Unordered: the start of the current instance is known, that of the report is not.
 	Unordered Result = "unordered"
+	// StopUnconfirmed: the same of a notice that the draining instance of that name has
+	// stopped. It may be a delayed one of an earlier instance, see ConfirmStop.
+	StopUnconfirmed Result = "stop_unconfirmed"
 )
 
 const (
@@ -68,6 +71,8 @@
 	// report since then of an instance with an earlier start.
 	unresponsive bool
 	candidate    Report
+	// stopPending: a notice that the current instance has stopped is not confirmed.
+	stopPending bool
 }
 
 // previous is an instance that another one has replaced.
@@ -95,12 +100,13 @@
 		return NewInstance
 	}
 	if r.Instance.StartedMS == 0 && t.current.Instance.StartedMS != 0 {
-		return Unordered
+		return t.applyUnordered(r)
 	}
 	if r.Instance != t.current.Instance {
 		return t.applyOther(r)
 	}
 	t.unresponsive = false
+	t.stopPending = false
 	for i := range t.previous {
 		t.previous[i].newerReports = 0
 	}
@@ -119,6 +125,29 @@
 	return Update
 }
 
+// applyUnordered applies a report whose start is unknown, while that of the current instance
+// is known. Only a notice of the end of a draining instance counts: an instance drains before
+// it stops.
+func (t *Tracker) applyUnordered(r Report) Result {
+	if !r.Stopped || r.Instance.ID != t.current.Instance.ID || !t.current.Draining || t.current.Stopped {
+		return Unordered
+	}
+	t.stopPending = true
+	return StopUnconfirmed
+}
+
+// ConfirmStop makes the current instance a stopped one if a notice of that is not confirmed
+// yet, and reports whether it did. It is called once the instance has been silent for longer
+// than between two reports, as any report of it shows that the notice was an earlier one's.
+func (t *Tracker) ConfirmStop() bool {
+	if !t.stopPending {
+		return false
+	}
+	t.stopPending = false
+	t.current.Stopped = true
+	return true
+}
+
 // applyOther applies a report of an instance other than the current one.
 func (t *Tracker) applyOther(r Report) Result {
 	if !t.supersedes(r) {
@@ -130,6 +159,7 @@
 	}
 	t.current = r
 	t.unresponsive = false
+	t.stopPending = false
 	return NewInstance
 }
 
--- a/incarnation/incarnation_test.go
+++ b/incarnation/incarnation_test.go
@@ -43,6 +43,10 @@
 			[]incarnation.Report{report("a", 0, 9), report("b", 0, 1), report("a", 0, 10), report("b", 0, 2)}, report("a", 0, 11), incarnation.PreviousInstance, false, false},
 		{"no start, stop of the previous instance", []incarnation.Report{report("a", 0, 9), report("b", 0, 1)}, stopped(report("a", 0, 0)), incarnation.PreviousInstance, false, false},
 		{"start known before, not now", []incarnation.Report{report("a", 100, 9)}, draining(report("a", 0, 10)), incarnation.Unordered, false, false},
+		{"stop without a start, of a draining instance", []incarnation.Report{draining(report("a", 100, 9))}, stopped(report("a", 0, 0)), incarnation.StopUnconfirmed, true, false},
+		{"stop without a start, of one that does not drain", []incarnation.Report{report("a", 100, 9)}, stopped(report("a", 0, 0)), incarnation.Unordered, false, false},
+		{"stop without a start, of another name", []incarnation.Report{draining(report("a", 100, 9))}, stopped(report("b", 0, 0)), incarnation.Unordered, true, false},
+		{"stop without a start, after the stop", []incarnation.Report{stopped(draining(report("a", 100, 9)))}, stopped(report("a", 0, 0)), incarnation.Unordered, true, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -59,6 +63,28 @@
 	}
 }
 
+// A notice of the stop without a start may be a delayed one of an earlier instance of that
+// name. It is confirmed by silence, not if the instance reports again or another one starts.
+func TestConfirmStop(t *testing.T) {
+	is := is.New(t)
+	var tracker incarnation.Tracker
+	tracker.Apply(draining(report("a", 100, 9)))
+	is.True(!tracker.ConfirmStop()) // nothing to confirm
+	tracker.Apply(stopped(report("a", 0, 0)))
+	tracker.Apply(report("a", 100, 10))
+	is.True(!tracker.ConfirmStop()) // it has reported since
+	tracker.Apply(stopped(report("a", 0, 0)))
+	is.Equal(tracker.Apply(report("a", 200, 1)), incarnation.NewInstance)
+	is.True(!tracker.ConfirmStop()) // another instance has started
+	tracker.Apply(draining(report("a", 200, 2)))
+	tracker.Apply(stopped(report("a", 0, 0)))
+	is.True(tracker.ConfirmStop())
+	current, _ := tracker.Current()
+	is.True(current.Stopped)
+	is.True(!tracker.ConfirmStop())
+	is.Equal(tracker.Apply(report("a", 200, 3)), incarnation.StoppedInstance)
+}
+
 // The wall clock may step back between two instances. The later one is accepted once the
 // current one is unresponsive and a second report has arrived.
 func TestClockStepsBack(t *testing.T) {
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -30,6 +30,12 @@
 	// missedReports is the number of report periods without a report after which the
 	// backend server counts as unhealthy.
 	missedReports = 2.5
+	// stopReports is the number of report periods without a report after which a notice of
+	// a backend server that it stops is confirmed.
+	stopReports = 1.5
+	// lastCallTimeout bounds the last call of an agent that stops. It leaves time to exit
+	// before a supervisor kills the process.
+	lastCallTimeout = 500 * time.Millisecond
 	// rewarmMargin is how much later the reported end of the warmup has to be to count as
 	// a new cold start. It covers the delay of reports.
 	rewarmMargin = time.Second
@@ -99,6 +105,8 @@
 	tracker        incarnation.Tracker
 	lastSeen       time.Time
 	unhealthy      bool
+	// stopSaidAt is when the backend server said that it stops, if that is not confirmed.
+	stopSaidAt time.Time
 	// evacuated: the own failure domain takes no new flows.
 	evacuated bool
 	// warmup is the configuration of the service, valid if configKnown. warmUntil is
@@ -107,6 +115,8 @@
 	configKnown bool
 	warmUntil   time.Duration
 	announcer   *subscriber.Announcer
+	// stoppedTarget is the announcer of a stopped target that is still registered.
+	stoppedTarget *subscriber.Announcer
 	// subscription follows the targets of the service serviceNumber, nil until it is known.
 	// applied is its last view, serviceAgents and forwardTo have the agents of that view:
 	// all, and those of the targets that take new flows without the own one.
@@ -178,6 +188,7 @@
 }
 
 func (a *Agent) stop() {
+	a.unregisterLeaving()
 	a.mu.Lock()
 	announcer, subscription := a.announcer, a.subscription
 	a.mu.Unlock()
@@ -190,6 +201,18 @@
 	a.client.Close()
 }
 
+// unregisterLeaving removes the registration of a backend server that has stopped, or has
+// said so. Nobody would do it later: each control host that starts without the others waits
+// a lease for a target that is still registered.
+func (a *Agent) unregisterLeaving() {
+	a.mu.Lock()
+	a.confirmStop()
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), lastCallTimeout)
+	defer cancel()
+	a.unregisterStopped(ctx)
+}
+
 func (a *Agent) now() time.Duration { return time.Since(a.startedAt) }
 
 // maintain sweeps the table, registers flows and detects an unresponsive backend server.
@@ -212,6 +235,9 @@
 			a.opts.Log.Info("backend server stopped reporting", zap.Duration("for", time.Since(a.lastSeen)))
 			a.refresh()
 		}
+		if time.Since(a.stopSaidAt) > time.Duration(stopReports*float64(a.opts.ReportPeriod)) {
+			a.confirmStop()
+		}
 		a.lookupPackets.Sweep(a.now())
 		for _, r := range a.flows.DueRegistrations(a.now()) {
 			a.buffer = flow.AppendRegister(a.buffer[:0], r.Keys)
--- a/internal/flowd/backendserver.go
+++ b/internal/flowd/backendserver.go
@@ -1,6 +1,7 @@
 package flowd
 
 import (
+	"context"
 	"encoding/binary"
 	"hash/fnv"
 	"slices"
@@ -24,6 +25,11 @@
 	defer a.mu.Unlock()
 	before, known := a.tracker.Current()
 	result := a.tracker.Apply(r)
+	if result == incarnation.StopUnconfirmed {
+		a.opts.Log.Info("backend server has said that it stops, its start unknown", zap.String("server", r.Instance.ID))
+		a.stopSaidAt = time.Now()
+		return result
+	}
 	if result != incarnation.NewInstance && result != incarnation.Update {
 		a.opts.Log.Info("report ignored", zap.String("reason", string(result)),
 			zap.String("server", r.Instance.ID), zap.Int64("started_ms", r.Instance.StartedMS), zap.Uint64("sequence", r.Sequence))
@@ -49,19 +55,51 @@
 	return result
 }
 
+// confirmStop unregisters a backend server that has said that it stops and has not reported
+// since. The lock is held.
+func (a *Agent) confirmStop() {
+	if !a.tracker.ConfirmStop() {
+		return
+	}
+	current, _ := a.tracker.Current()
+	a.opts.Log.Info("backend server state changed", zap.String("server", current.Instance.ID), zap.Int64("started_ms", current.Instance.StartedMS),
+		zap.Uint64("sequence", current.Sequence), zap.Bool("draining", current.Draining), zap.Bool("stopped", current.Stopped))
+	a.unregister()
+	a.refresh()
+}
+
 // unregister removes the stopped target from the directory. The lock is held.
 func (a *Agent) unregister() {
 	previous := a.announcer
-	if previous == nil || a.ctx.Err() != nil {
+	if previous == nil {
 		return
 	}
-	a.announcer = nil
+	a.announcer, a.stoppedTarget = nil, previous
 	previous.Update(subscriber.Status{State: controlpb.TargetState_TARGET_STATE_DRAINING})
-	a.workers.Go(func() {
-		if err := previous.Unregister(a.ctx); err != nil {
-			a.opts.Log.Info("failed to unregister target", zap.Error(err))
-		}
-	})
+	if a.ctx.Err() != nil {
+		return
+	}
+	a.workers.Go(func() { a.unregisterStopped(a.ctx) })
+}
+
+// unregisterStopped removes the registration of the stopped target, if there is one left.
+func (a *Agent) unregisterStopped(ctx context.Context) {
+	a.mu.Lock()
+	stopped := a.stoppedTarget
+	a.mu.Unlock()
+	if stopped == nil {
+		return
+	}
+	if err := stopped.Unregister(ctx); err != nil {
+		a.opts.Log.Info("failed to unregister target", zap.Error(err))
+		return
+	}
+	a.opts.Log.Info("target unregistered", zap.Uint32("number", stopped.Registration().GetTargetNumber()))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stoppedTarget == stopped {
+		a.stoppedTarget = nil
+	}
 }
 
 // startedBefore reports whether this agent is known to have started before the backend
