flowd: each worker unregisters the stopped target it was started for

Read in the diff: a second target that stopped before the first was unregistered took the first one's place, and both workers called for it. The line about the state of the backend server stood twice. No behaviour else changes.

--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -115,7 +115,8 @@
 	configKnown bool
 	warmUntil   time.Duration
 	announcer   *subscriber.Announcer
-	// stoppedTarget is the announcer of a stopped target that is still registered.
+	// stoppedTarget is the announcer of the last stopped target, nil once it is
+	// unregistered.
 	stoppedTarget *subscriber.Announcer
 	// subscription follows the targets of the service serviceNumber, nil until it is known.
 	// applied is its last view, serviceAgents and forwardTo have the agents of that view:
@@ -207,10 +208,14 @@
 func (a *Agent) unregisterLeaving() {
 	a.mu.Lock()
 	a.confirmStop()
+	stopped := a.stoppedTarget
 	a.mu.Unlock()
+	if stopped == nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), lastCallTimeout)
 	defer cancel()
-	a.unregisterStopped(ctx)
+	a.unregisterStopped(ctx, stopped)
 }
 
 func (a *Agent) now() time.Duration { return time.Since(a.startedAt) }
--- a/internal/flowd/backendserver.go
+++ b/internal/flowd/backendserver.go
@@ -39,8 +39,7 @@
 	current, _ := a.tracker.Current()
 	a.updateWarmup(current.WarmupLeft)
 	if result == incarnation.NewInstance || !known || before.Draining != current.Draining || before.Stopped != current.Stopped {
-		a.opts.Log.Info("backend server state changed", zap.String("server", current.Instance.ID), zap.Int64("started_ms", current.Instance.StartedMS),
-			zap.Uint64("sequence", current.Sequence), zap.Bool("draining", current.Draining), zap.Bool("stopped", current.Stopped))
+		a.logState(current)
 	}
 	if current.Stopped && !before.Stopped {
 		a.unregister()
@@ -62,12 +61,16 @@
 		return
 	}
 	current, _ := a.tracker.Current()
-	a.opts.Log.Info("backend server state changed", zap.String("server", current.Instance.ID), zap.Int64("started_ms", current.Instance.StartedMS),
-		zap.Uint64("sequence", current.Sequence), zap.Bool("draining", current.Draining), zap.Bool("stopped", current.Stopped))
+	a.logState(current)
 	a.unregister()
 	a.refresh()
 }
 
+func (a *Agent) logState(r incarnation.Report) {
+	a.opts.Log.Info("backend server state changed", zap.String("server", r.Instance.ID), zap.Int64("started_ms", r.Instance.StartedMS),
+		zap.Uint64("sequence", r.Sequence), zap.Bool("draining", r.Draining), zap.Bool("stopped", r.Stopped))
+}
+
 // unregister removes the stopped target from the directory. The lock is held.
 func (a *Agent) unregister() {
 	previous := a.announcer
@@ -79,17 +82,11 @@
 	if a.ctx.Err() != nil {
 		return
 	}
-	a.workers.Go(func() { a.unregisterStopped(a.ctx) })
+	a.workers.Go(func() { a.unregisterStopped(a.ctx, previous) })
 }
 
-// unregisterStopped removes the registration of the stopped target, if there is one left.
-func (a *Agent) unregisterStopped(ctx context.Context) {
-	a.mu.Lock()
-	stopped := a.stoppedTarget
-	a.mu.Unlock()
-	if stopped == nil {
-		return
-	}
+// unregisterStopped removes the registration of a stopped target.
+func (a *Agent) unregisterStopped(ctx context.Context, stopped *subscriber.Announcer) {
 	if err := stopped.Unregister(ctx); err != nil {
 		a.opts.Log.Info("failed to unregister target", zap.Error(err))
 		return
--- a/raft/transfer.go
+++ b/raft/transfer.go
@@ -66,8 +66,8 @@
 	return best
 }
 
-// betterSuccessor prefers a member that replied since the last quorum check, which is
-// surely reachable, then the one with the highest match.
+// betterSuccessor prefers a member that replied since the last quorum check, as the other
+// one may have been lost since, then the one with the highest match.
 func (p *progress) betterSuccessor(other *progress) bool {
 	if p.active != other.active {
 		return p.active
