comments: say what a stop, an addition and news are in one reading

Read as a newcomer in the files touched: one comment named control hosts that start without the others, where each one that starts waits; one said additions is the number of all that is sent, where only those that the list may have are counted; two had to be read twice.

--- a/incarnation/incarnation.go
+++ b/incarnation/incarnation.go
@@ -46,8 +46,9 @@
 	StoppedInstance Result = "ended_life"
 	// Unordered: the start of the current instance is known, that of the report is not.
 	Unordered Result = "unordered"
-	// StopUnconfirmed: the same of a notice that the draining instance of that name has
-	// stopped. It may be a delayed one of an earlier instance, see ConfirmStop.
+	// StopUnconfirmed: a notice, without its start, that the current instance has stopped,
+	// which is draining. It may be a delayed one of an earlier instance of that name, see
+	// ConfirmStop.
 	StopUnconfirmed Result = "stop_unconfirmed"
 )
 
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -203,8 +203,8 @@
 }
 
 // unregisterLeaving removes the registration of a backend server that has stopped, or has
-// said so. Nobody would do it later: each control host that starts without the others waits
-// a lease for a target that is still registered.
+// said so. Nobody would do it later, and each control host that starts waits a lease for a
+// target that is registered and does not announce itself.
 func (a *Agent) unregisterLeaving() {
 	a.mu.Lock()
 	a.confirmStop()
--- a/membership/subscriber.go
+++ b/membership/subscriber.go
@@ -57,7 +57,8 @@
 	complete bool
 	// digests are those of the subscriber's initial list, nil once it follows by deltas.
 	digests listDigests
-	// touched has the buckets of later additions, additions is their number.
+	// touched has the buckets of the records that an incomplete directory has sent, additions
+	// is the number of those that the initial list may have.
 	touched   map[uint32]bool
 	additions int
 }
@@ -178,8 +179,9 @@
 	return u.DirectoryUpdate
 }
 
-// isNews reports whether a change is none of those that a host sees because it has just
-// started. Such changes are as many as in a complete directory, so they need no bound.
+// isNews reports whether a target has started, changed or left, and has not merely come back
+// to a host that has just started. A complete directory sends as many such changes, so they
+// need no bound.
 func (d *Directory) isNews(t *target) bool {
 	return t.isRemoved || t.changedHere || d.startedLately(t)
 }
