flow: a target that refuses openings is not reported as one with room

Cause: agents took a target for one with room by its work alone (at most two requests a slot). Since openings are refused by their objective, a target that refuses can have less work than that: one that is faster than the usual target, or whose work is short and whose queue holds what is more urgent. Each such report sent it openings, and let its receiver try eight more unknown targets.

Change: the report to other agents is the largest load while an opening of the most urgent route would be refused, or take the place of another one (waitqueue.HasRoom asks the admission test itself).

--- a/flow/agent.go
+++ b/flow/agent.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"eelgrasswharf.example/eelgrasswharf/capacitystate"
+	"eelgrasswharf.example/eelgrasswharf/qos"
 	"eelgrasswharf.example/eelgrasswharf/servicetime"
 )
 
@@ -61,6 +62,8 @@
 	// incarnation is the last one of the target that was registered.
 	incarnation uint32
 	classes     Classes
+	// mostUrgent is the most urgent of classes.
+	mostUrgent qos.Class
 	// peers are the agents of the other targets of the service that take new flows.
 	// serviceAgents are those of all its targets, including self. pending has its changes
 	// since the last registrations.
--- a/flow/handon_test.go
+++ b/flow/handon_test.go
@@ -10,6 +10,8 @@
 	"github.com/matryer/is"
 
 	"eelgrasswharf.example/eelgrasswharf/flow"
+	"eelgrasswharf.example/eelgrasswharf/qos"
+	"eelgrasswharf.example/eelgrasswharf/waitqueue"
 )
 
 // full is the load of a target at which nothing waits shorter than elsewhere.
@@ -183,6 +185,29 @@
 	is.Equal(n, 1)
 }
 
+// A target that refuses openings, and is faster than the others, must not be reported as one with
+// room: what is handed on to it is refused there as well.
+func TestRefusingAgentReportsNoRoom(t *testing.T) {
+	is := is.New(t)
+	a, peers := fullAgent(t, 4)
+	for _, peer := range peers {
+		a.PeerFrame(paceFrom(60*millisecond), peer, 0)
+	}
+	a.Sweep(millisecond, time.Minute, time.Minute)
+	is.True(a.PeerLoadFrame().LoadPermille < flow.SaturatedLoad) // an opening waits briefly
+
+	// Two requests of 30 ms a slot leave an opening no time to meet such an objective.
+	hasty := flow.Endpoint{IP: public.IP, Port: public.Port + 1}
+	a.SetClasses(flow.Classes{
+		public: qos.Class{Priority: 1, Objective: 40 * millisecond},
+		hasty:  qos.Class{Priority: 2, Objective: time.Second},
+	})
+	handed := open(entryA)
+	handed.Hops, handed.Alternate = 2, agentB
+	is.Equal(a.FromEntry(handed, syn(500), millisecond).Reason, flow.Reason(waitqueue.Full))
+	is.Equal(a.PeerLoadFrame().LoadPermille, uint16(full))
+}
+
 func BenchmarkHandOn(b *testing.B) {
 	for _, n := range []int{40, 12_000} {
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
--- a/flow/load.go
+++ b/flow/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"eelgrasswharf.example/eelgrasswharf/servicetime"
+	"eelgrasswharf.example/eelgrasswharf/waitqueue"
 )
 
 const (
@@ -132,13 +133,33 @@
 }
 
 // PeerLoadFrame returns a Load frame for another agent, with the load of the moment: it decides
-// on the next openings, not on those until the next report.
+// on the next openings, not on those until the next report. While the most urgent openings are
+// refused the load is the largest one: what is handed on is refused too, whatever the load.
 func (a *Agent) PeerLoadFrame() Frame {
 	m := a.LoadFrame()
 	m.LoadPermille = max(a.currentLoad(), a.warmup.load())
+	if a.refusesAll(a.work.clock) {
+		m.LoadPermille = maxLoad
+	}
 	return m
 }
 
+// refusesAll reports whether an opening of the most urgent route of the service would be
+// refused now, or take the place of another one.
+func (a *Agent) refusesAll(now time.Duration) bool {
+	if !a.mostUrgent.Stated() || !a.busy(now) {
+		return false
+	}
+	opening := waitqueue.Item[Key]{
+		Class:     a.mostUrgent,
+		QueuedAt:  now,
+		SentAt:    now,
+		Work:      a.waiting.mean,
+		Refusable: true,
+	}
+	return !a.waiting.queue.HasRoom(opening, a.targetLoad(now), now)
+}
+
 // load returns the load of the target in thousandths of its slots. If no route of the service
 // states anything, it is current or averaged requests in progress, queued openings and open
 // flows. Otherwise it is the work that these are expected to be, where a request of the usual
--- a/flow/placing_test.go
+++ b/flow/placing_test.go
@@ -131,8 +131,9 @@
 }
 
 // underOverload plays all routes at four times what the slots can do. It returns the worth of the
-// answers and the part of the openings that were handed on and then refused.
-func underOverload(handOn bool) (worth, inVain float64) {
+// answers, the part of the openings that were handed on, and the part that were handed on and
+// then refused.
+func underOverload(handOn bool) (worth, handed, inVain float64) {
 	const seeds = 2
 	for seed := range uint64(seeds) {
 		p := newPlay(seed, 22, mixedSpeeds, 38)
@@ -146,23 +147,27 @@
 		})
 		p.run(p.stopAt + 6*time.Second)
 		worth += (p.share(p.good) + 0.3*p.share(p.late)) / seeds
+		handed += p.handedShare() / seeds
 		inVain += float64(p.futile) / float64(p.openings) / seeds
 	}
-	return worth, inVain
+	return worth, handed, inVain
 }
 
 // TestHandingOnUnderOverload guards against handing on that costs answers when all routes come
-// at four times what the slots can do.
+// at four times what the slots can do, and against frames between agents that serve nobody: few
+// openings may be handed on.
 func TestHandingOnUnderOverload(t *testing.T) {
-	without, _ := underOverload(false)
-	with, _ := underOverload(true)
-	t.Logf("worth %.4f with handing on, %.4f without", with, without)
-	is.New(t).True(with >= without-0.01)
+	is := is.New(t)
+	without, _, _ := underOverload(false)
+	with, handed, _ := underOverload(true)
+	t.Logf("worth %.4f with handing on, %.4f without, handed on %.4f", with, without, handed)
+	is.True(with >= without-0.01)
+	is.True(handed <= 0.1)
 }
 
 // TestFewOpeningsAreHandedOnInVain guards against frames between agents that serve nobody.
 func TestFewOpeningsAreHandedOnInVain(t *testing.T) {
-	_, inVain := underOverload(true)
+	_, _, inVain := underOverload(true)
 	t.Logf("handed on in vain %.3f", inVain)
 	is.New(t).True(inVain <= 0.1)
 }
--- a/waitqueue/admit.go
+++ b/waitqueue/admit.go
@@ -12,10 +12,7 @@
 	slots := time.Duration(max(load.Slots, 1))
 	urgent, equal := q.ahead(e)
 	ahead := load.Ahead + urgent + equal
-	budget := e.lateAt
-	if q.overloaded(e.level) {
-		budget = e.briefAt
-	}
+	budget := q.startBy(e)
 	switch {
 	case now+ahead/slots <= budget || q.owed(e.level) && equal == 0 && now+load.Ahead/slots <= e.lateAt:
 		return "", ahead
@@ -32,6 +29,25 @@
 	return Full, ahead
 }
 
+// startBy returns when a new item has to be served at the latest to be admitted.
+func (q *Queue[K]) startBy(e *entry[K]) time.Duration {
+	if q.overloaded(e.level) {
+		return e.briefAt
+	}
+	return e.lateAt
+}
+
+// HasRoom reports whether a new item would be admitted without another one being refused for it.
+func (q *Queue[K]) HasRoom(it Item[K], load Load, now time.Duration) bool {
+	if len(q.entries) >= q.size {
+		return false
+	}
+	e := entry[K]{Item: it}
+	q.setTimes(&e)
+	urgent, equal := q.ahead(&e)
+	return now+(load.Ahead+urgent+equal)/time.Duration(max(load.Slots, 1)) <= q.startBy(&e)
+}
+
 // admitHeld decides whether an item that may not be refused can meet its objective.
 func (q *Queue[K]) admitHeld(e *entry[K], load Load, now time.Duration) (Reason, time.Duration) {
 	urgent, equal := q.ahead(e)
