controld: only the leader of the configuration group decides on a host that accepts standing by

Callers and hosts saw: a host without a disk that is not needed was dialled by whoever led a group of grants (two links, 30 s) and mostly became a learner there for good: a copy of the log, the changes of the directory and two links to each member, for each such host. No failed request was traced to it.

Cause: join took "this host does not lead the configuration group" for "the host has to be a member", and dialled and added it wherever it led a group by then. With one group of grants that takes two elections that end at different moments, as in a first start (12 ms apart in one play); where the leaders differ, every request.

Change: the request is passed on to the leader of the configuration group, which decides before anyone dials; the leaders of other groups add a host once it is a member there. Join names the incarnation, so that a restarted host is decided on anew. Counter control_dialled_joins.

--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -165,20 +165,23 @@
 func (h *handler) join(ctx context.Context, peer link.Peer, j *controlpb.Join) *controlpb.Response {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	if response := h.standbyResponse(j); response != nil {
-		return response
-	}
 	name := cmp.Or(j.GetName(), peer.Name)
+	if j.GetStandBy() {
+		if response := h.decideStandby(ctx, j, name); response != nil {
+			return response
+		}
+	}
 	// Checked first, so that only leaders dial the joining host.
 	err := errors.Wrap(operator.ErrNotApplied, "this host leads no group")
 	if h.leadsAnyGroup() {
+		h.scope.Counter("dialled_joins").Inc(1)
 		err = (*operatorHandler)(h).addLearner(ctx, j.GetAddress(), name)
 	}
 	if err != nil && h.shouldBootstrap(peer, j) {
 		return &controlpb.Response{Body: &controlpb.Response_Found{Found: &controlpb.Found{}}}
 	}
 	if err != nil && int(j.GetHops()) < maxJoinHops {
-		return h.forwardJoin(ctx, j, name)
+		return h.forwardJoin(ctx, j, name, h.groups)
 	}
 	if errors.Is(err, operator.ErrOutcomeUnknown) {
 		return h.fault(refusedUnknown, controlpb.FaultKind_FAULT_UNKNOWN, err.Error())
@@ -201,22 +204,24 @@
 	return h.founderSelector.isFounder(seedHost{name: peer.Name, address: j.GetAddress()})
 }
 
-// forwardJoin forwards a request to join to the known leaders, since the joining host may
-// not know their addresses.
-func (h *handler) forwardJoin(ctx context.Context, j *controlpb.Join, name string) *controlpb.Response {
+// forwardJoin forwards a request to join to the known leaders of groups, since the joining host
+// may not know their addresses.
+func (h *handler) forwardJoin(ctx context.Context, j *controlpb.Join, name string, groups []controlpb.Group) *controlpb.Response {
 	next := &controlpb.Join{
 		Address:   j.GetAddress(),
 		Transient: j.GetTransient(),
 		StandBy:   j.GetStandBy(),
 		Name:      name,
 		Hops:      j.GetHops() + 1,
+
+		Incarnation: j.GetIncarnation(),
 	}
 	if remote := h.standby.link(); remote != nil {
 		return h.sendJoin(ctx, remote, next)
 	}
 	response := h.fault(refusedNoLeader, controlpb.FaultKind_FAULT_NOT_DONE, "no leader is known")
 	contacted := map[string]bool{}
-	for _, group := range h.groups {
+	for _, group := range groups {
 		s := h.replicas[group].Status()
 		if s.Leader == nil || s.Leading() {
 			continue
--- a/internal/controld/standby.go
+++ b/internal/controld/standby.go
@@ -13,6 +13,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
 	"eelgrasswharf.example/eelgrasswharf/internal/operator"
+	"eelgrasswharf.example/eelgrasswharf/internal/replica"
 	"eelgrasswharf.example/eelgrasswharf/voters"
 )
 
@@ -146,7 +147,12 @@
 func (d *Daemon) requestMembership(client *link.Client, address string) time.Duration {
 	ctx, cancel := context.WithTimeout(d.ctx, automaticJoinTimeout)
 	defer cancel()
-	join := &controlpb.Join{Address: address, Transient: true, StandBy: true}
+	join := &controlpb.Join{
+		Address:     address,
+		Transient:   true,
+		StandBy:     true,
+		Incarnation: d.replicas[controlpb.Group_GROUP_CONFIG].ID().GetIncarnation(),
+	}
 	res, err := client.Call(ctx, &controlpb.Request{Body: &controlpb.Request_Join{Join: join}})
 	if err == nil {
 		err = link.ResponseError(res)
@@ -190,26 +196,45 @@
 
 func randomHost(hosts []string) string { return hosts[rand.IntN(len(hosts))] }
 
-// standbyResponse returns the reply that keeps a joining host in standby, or nil if it is
-// needed as a member or this host does not know.
-func (h *handler) standbyResponse(j *controlpb.Join) *controlpb.Response {
-	if !j.GetStandBy() {
-		return nil
-	}
+// decideStandby decides on a host that accepts becoming a standby, before anyone dials it. It
+// returns the reply, or nil if the host is to be added as a member. Only the leader of the
+// configuration group knows whether a member is needed, so that other hosts pass the request on
+// to it; the leaders of other groups add a host once it is a member of that group.
+func (h *handler) decideStandby(ctx context.Context, j *controlpb.Join, name string) *controlpb.Response {
 	d := (*Daemon)(h)
-	hosts := d.standby.servingHosts()
-	if !d.isStandby() {
-		if !d.isLeader(controlpb.Group_GROUP_CONFIG) || d.shortage.consume() {
+	switch {
+	case d.isStandby():
+		return standbyReply(d.standby.servingHosts())
+	case d.isConfigMember(name, j.GetIncarnation()):
+		return nil
+	case d.isLeader(controlpb.Group_GROUP_CONFIG):
+		if d.shortage.consume() {
 			return nil
 		}
-		hosts = d.memberLinkAddresses()
+		return standbyReply(d.memberLinkAddresses())
+	case j.GetHops() >= maxJoinHops:
+		return h.fault(refusedNoLeader, controlpb.FaultKind_FAULT_NOT_DONE, "this host does not lead the configuration group")
 	}
+	return h.forwardJoin(ctx, j, name, []controlpb.Group{controlpb.Group_GROUP_CONFIG})
+}
+
+// standbyReply names the serving hosts to a standby, nil if none are known.
+func standbyReply(hosts []string) *controlpb.Response {
 	if len(hosts) == 0 {
 		return nil
 	}
 	return &controlpb.Response{Body: &controlpb.Response_StandBy{StandBy: &controlpb.ControlHosts{Addresses: hosts}}}
 }
 
+// isConfigMember reports whether a host is a member of the configuration group. Hosts of earlier
+// releases do not name the incarnation of their replica.
+func (d *Daemon) isConfigMember(name string, incarnation uint64) bool {
+	return slices.ContainsFunc(d.replicas[controlpb.Group_GROUP_CONFIG].Status().Members, func(m replica.MemberStatus) bool {
+		id := m.Member.GetId()
+		return id.GetName() == name && (incarnation == 0 || id.GetIncarnation() == incarnation)
+	})
+}
+
 // shortage records since when the group has too few serving members. A standby is added
 // only after shortageDelay, so that hosts with a durable log, which join within seconds of
 // a start, take precedence.
--- a/internal/controld/standby_test.go
+++ b/internal/controld/standby_test.go
@@ -15,6 +15,7 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/controld"
 	"eelgrasswharf.example/eelgrasswharf/internal/keys"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/internal/operator"
 	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 )
 
@@ -114,6 +115,41 @@
 	}
 }
 
+// A host that is not needed must not become a learner where the groups have different leaders: a
+// leader of grants that does not know whether it is needed would send it the log for good.
+func TestStandbyJoinsNoGroupOfAnotherLeader(t *testing.T) {
+	is := is.New(t)
+	durable := []string{"d1", "d2", "d3"}
+	d := newDeployment(t, append(slices.Clone(durable), "s1")...)
+	d.removeAfterMs = 30_000
+	d.grantGroups = 3
+	d.transient, d.standBy = map[string]bool{}, true
+	d.voters = d.voters[:len(durable)]
+	d.startAll(durable...)
+	eventually(t, "a group of grants led by each host", func() bool {
+		return !slices.ContainsFunc(durable, func(name string) bool {
+			return !slices.ContainsFunc(d.status(name).Groups[1:], func(g operator.GroupStatus) bool { return g.State == "leads" })
+		})
+	})
+	const standby = "s1"
+	d.transient[standby] = true
+	d.start(standby, "", true)
+	d.awaitStandby(standby)
+	join := &controlpb.Request{Body: &controlpb.Request_Join{Join: &controlpb.Join{
+		Address: d.address[standby], Transient: true, StandBy: true,
+	}}}
+	for _, name := range durable {
+		hosts := call(t, d.link(keys.RoleControl, standby, "", name), join).GetStandBy().GetAddresses()
+		is.Equal(len(hosts), len(durable)) // it is told who serves
+	}
+	for _, name := range durable {
+		for _, g := range d.status(name).Groups {
+			is.Equal(len(g.Members), len(durable)) // the standby is no member
+		}
+	}
+	is.Equal(d.hosts[standby].daemon.Links(), 0) // no member has dialled it
+}
+
 // A subscriber that knows only standbys is redirected to the serving hosts.
 func TestStandbyRedirectsSubscribers(t *testing.T) {
 	is := is.New(t)
