soak: a run says what it has none of, and why

A run of TestSeeds that ended at a count of 0 did not print which one. The result counts the operators' tries and keeps the last change that was not acknowledged, the faults that were planned, the time to full service and the longest stop, start and leaving of a target; what a run has none of is a line with the reason.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -40,6 +40,18 @@
 // counts are the totals of callers and operators.
 type counts struct {
 	served, opened, resets, timedOut, changes, reads atomic.Int64
+	// changesTried and readsTried count the calls of operators.
+	changesTried, readsTried atomic.Int64
+	// failure describes the last valid change that was not acknowledged.
+	failure atomic.Pointer[string]
+}
+
+// lastFailure describes the last valid change that was not acknowledged, empty if there was none.
+func (c *counts) lastFailure() string {
+	if last := c.failure.Load(); last != nil {
+		return *last
+	}
+	return ""
 }
 
 // caller opens flows one after the other.
--- a/soak/command.go
+++ b/soak/command.go
@@ -126,7 +126,12 @@
 	}
 	fmt.Fprintf(p.out, "seed %d: %s; %d faults, %d flows, %d requests served, %d timed out, %d resets, %d changes, %d reads\n",
 		seed, verdict, r.Faults, r.Opened, r.Served, r.TimedOut, r.Resets, r.Changes, r.Reads)
+	fmt.Fprintf(p.out, "  recovered after %v; longest stop %v, start %v, leaving of a target %v\n",
+		r.Recovery.Round(time.Millisecond), r.Stop.Round(time.Millisecond), r.Start.Round(time.Millisecond), r.Drain.Round(time.Millisecond))
 	for _, v := range r.Violations {
 		fmt.Fprintf(p.out, "  %s\n", v)
 	}
+	for _, missing := range r.Missing() {
+		fmt.Fprintf(p.out, "  %s\n", missing)
+	}
 }
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -34,6 +34,7 @@
 	// timeoutMargin is added to stopTimeout.
 	timeoutMargin time.Duration
 	steps         conc.WaitGroup
+	longest       *steps
 
 	mu   sync.Mutex
 	busy map[any]bool
@@ -167,9 +168,11 @@
 func (in *injector) restart(p *standin.Process, fault Fault) {
 	in.setDown(p, true)
 	if fault.Kind == StopEntry || fault.Kind == StopControl {
+		begun := time.Now()
 		if err := p.Stop(stopTimeout + in.timeoutMargin); err != nil {
 			in.checker.AddViolation(RuleProcessExit, "%s on %s did not stop cleanly: %v", p.Role, p.Host, err)
 		}
+		in.longest.record(&in.longest.stop, begun)
 	} else {
 		p.Kill()
 	}
@@ -183,9 +186,11 @@
 }
 
 func (in *injector) start(p *standin.Process) {
+	begun := time.Now()
 	if err := p.Start(); err != nil {
 		in.checker.AddViolation(RuleProcessExit, "%s on %s does not start: %v", p.Role, p.Host, err)
 	}
+	in.longest.record(&in.longest.start, begun)
 	in.setDown(p, false)
 }
 
@@ -236,7 +241,7 @@
 	}
 	in.steps.Go(func() {
 		defer in.release(t)
-		if fault.Kind == DrainTarget && t.Drain(stopTimeout+in.timeoutMargin) {
+		if fault.Kind == DrainTarget && in.drain(t) {
 			time.Sleep(drainTime)
 			if last, acked := t.LastOpened(), t.DrainAckedAt(); last.After(acked) {
 				in.checker.AddViolation(RuleDrain, "%s opened a flow %s after its agent had acknowledged the draining", t.Instance(), last.Sub(acked))
@@ -252,6 +257,12 @@
 	return true
 }
 
+// drain asks for the leaving of a target. It reports whether that was acknowledged in time.
+func (in *injector) drain(t *standin.Target) bool {
+	defer in.longest.record(&in.longest.drain, time.Now())
+	return t.Drain(stopTimeout + in.timeoutMargin)
+}
+
 // applyToPath starts a fault of the path to an entry host or a control host.
 func (in *injector) applyToPath(fault Fault) bool {
 	if fault.Kind == ResetOperator {
--- a/soak/operators.go
+++ b/soak/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -94,6 +95,8 @@
 
 func (o *operators) send(service string, urls []string) {
 	o.checker.RecordSent(o.version, service)
+	o.counts.changesTried.Add(1)
+	begun := time.Now()
 	err := standin.Replace(urls, config(o.version, service).Document(), changeTimeout)
 	switch {
 	case err == nil:
@@ -102,6 +105,10 @@
 	case errors.Is(err, standin.ErrRefused):
 		o.checker.AddViolation(RuleInvalid, "version %d is valid and was refused", o.version)
 	}
+	if err != nil {
+		text := fmt.Sprintf("version %d, after %v: %v", o.version, time.Since(begun).Round(time.Millisecond), err)
+		o.counts.failure.Store(&text)
+	}
 	// After any other error the outcome is unknown.
 }
 
@@ -135,6 +142,7 @@
 // readOne reads from a host and checks the result. It reports whether the host confirmed
 // the newest version.
 func (o *operators) readOne(url string) bool {
+	o.counts.readsTried.Add(1)
 	minVersion := o.checker.NewestAcked(time.Now())
 	version, document := standin.ReadDocument(url)
 	if version == 0 {
--- a/soak/run.go
+++ b/soak/run.go
@@ -61,15 +61,6 @@
 	Out io.Writer
 }
 
-// Result is the result of a run.
-type Result struct {
-	Violations []Violation
-	Faults     int
-	// Served, Opened, Resets and TimedOut count requests and flows, Changes and Reads
-	// the successful calls of operators.
-	Served, Opened, Resets, TimedOut, Changes, Reads int64
-}
-
 // Run runs one seed. It returns an error if the run itself fails.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	if o.Out == nil {
@@ -86,7 +77,7 @@
 	if err := deployment.Replace(config(1, firstService), startTimeout); err != nil {
 		return nil, errors.Wrap(err, "first configuration")
 	}
-	r := &run{options: o, deployment: deployment, checker: NewChecker(time.Now(), o.TimeoutMargin)}
+	r := &run{options: o, deployment: deployment, checker: NewChecker(time.Now(), o.TimeoutMargin), steps: &steps{}}
 	r.checker.RecordSent(1, firstService)
 	r.checker.RecordAcked(1, time.Now())
 	if err := r.waitReady(ctx); err != nil {
@@ -102,7 +93,12 @@
 	checker    *Checker
 	caller     *standin.Caller
 	counts     counts
-	faults     int
+	// planned counts the faults of the plan, faults those that were injected.
+	planned, faults int
+	// recovery is the time from the end of the last fault to full service.
+	recovery time.Duration
+	// steps has the longest steps of faults.
+	steps *steps
 }
 
 func (r *run) waitReady(ctx context.Context) error {
@@ -120,6 +116,7 @@
 		return nil, err
 	}
 	defer in.close()
+	in.longest = r.steps
 	from, err := standin.NewCaller(r.deployment.CallerIPs()[0], r.deployment.Router)
 	if err != nil {
 		return nil, err
@@ -166,7 +163,9 @@
 // inject injects the faults of the plan.
 func (r *run) inject(ctx context.Context, in *injector) {
 	start := time.Now()
-	for _, fault := range Plan(r.options.Seed, r.options.Length) {
+	plan := Plan(r.options.Seed, r.options.Length)
+	r.planned = len(plan)
+	for _, fault := range plan {
 		for time.Since(start) < fault.At && ctx.Err() == nil {
 			time.Sleep(min(pollInterval, fault.At-time.Since(start)))
 			in.checkProcesses()
@@ -185,6 +184,7 @@
 // timeout.
 func (r *run) waitRecovery(ctx context.Context, in *injector, o *operators) {
 	start := time.Now()
+	defer func() { r.recovery = time.Since(start) }()
 	timeout := recoveryTimeout + r.options.TimeoutMargin
 	var failure string
 	for time.Since(start) < timeout && ctx.Err() == nil {
@@ -241,16 +241,3 @@
 	}
 	return ""
 }
-
-func (r *run) result() *Result {
-	return &Result{
-		Violations: r.checker.Violations(),
-		Faults:     r.faults,
-		Served:     r.counts.served.Load(),
-		Opened:     r.counts.opened.Load(),
-		Resets:     r.counts.resets.Load(),
-		TimedOut:   r.counts.timedOut.Load(),
-		Changes:    r.counts.changes.Load(),
-		Reads:      r.counts.reads.Load(),
-	}
-}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,6 +48,9 @@
 			t.Errorf("seed %d: %s", s.seed, v)
 		}
 		t.Logf("seed %d: %+v", s.seed, *result)
+		for _, missing := range result.Missing() {
+			t.Errorf("seed %d: %s", s.seed, missing)
+		}
 		is.True(result.Faults > 0)
 		is.True(result.Served > 0)
 		is.True(result.Changes > 0)
