flow: agents return the openings that they cannot place, and a stalled entry host resets none

Callers saw: an open flow was reset although its target lived, in the moment in which an entry host that had been frozen woke.

Cause: it placed an opening from its socket by what it knew before, on a target that was leaving or evacuated by then. The agent there had nowhere to send it and reset the flow itself; its caller had opened it by a copy through another host 0.2 s before. Entry hosts reset nothing for 0.5 s after a stall, agents knew nothing of that.

Change: agents return such openings, as they do with queued ones; the entry host resets the flow unless another target was offered it, and drops it within the time after a stall. Ruled out: leases, a reset by the entry host itself, the control host that was frozen meanwhile.

TestOpeningAfterStallIsNotResetByAgents failed before.

--- a/flow/entry.go
+++ b/flow/entry.go
@@ -410,9 +410,11 @@
 	return v
 }
 
-// refused handles a queued opening that an agent refused and sent back with a frame, which names
+// refused handles an opening that an agent refused and sent back with a frame, which names
 // the agent that this host sent the opening to if that one has handed it on. The flow is reset
-// unless another target was offered it or holds it, or one that has room can be offered it.
+// unless another target was offered it or holds it, or one that has room can be offered it. After a
+// stall it is not: the opening may be old, and the caller may have opened the flow by a copy that
+// another host has passed on.
 func (e *Entry) refused(f *entryFlow, m Frame, p Packet, from Endpoint, now time.Duration) Verdict {
 	if f == nil || f.confirmed || f.openingSeq != p.Seq {
 		return Verdict{Action: Drop, Reason: ReasonKnown}
@@ -434,6 +436,9 @@
 		return v
 	}
 	delete(e.flows, p.Key)
+	if !e.MayReset(now) {
+		return Verdict{Action: Drop, Reason: ReasonStalled}
+	}
 	return Verdict{Action: Reset, Reason: ReasonQueueExpired}
 }
 
--- a/flow/forward.go
+++ b/flow/forward.go
@@ -5,12 +5,13 @@
 	return len(a.peers) > 0 || m.Hops == 0 && !m.Alternate.IsZero()
 }
 
-// forward sends an opening to another agent of the service, or resets it if there is
-// none. The alternate is that of the entry host on the first hop, afterwards the agent that
-// the entry host sent the opening to.
+// forward sends an opening to another agent of the service, or returns it to its entry host if
+// there is none. The alternate is that of the entry host on the first hop, afterwards the agent
+// that the entry host sent the opening to. Only the entry host knows whether the flow may be reset:
+// the caller may have opened it with another target by a copy of the opening.
 func (a *Agent) forward(alternate, entry Endpoint, service uint64, hops uint8, key Key, reason Reason) Verdict {
 	if hops >= maxHops {
-		return Verdict{Action: Reset, Reason: ReasonHopLimit}
+		return unplaced(alternate, entry, hops, ReasonHopLimit)
 	}
 	to, first := alternate, a.self
 	if hops > 0 {
@@ -20,7 +21,7 @@
 		to = a.peerFor(key, hops, first)
 	}
 	if to.IsZero() {
-		return Verdict{Action: Reset, Reason: reason}
+		return unplaced(alternate, entry, hops, reason)
 	}
 	return Verdict{Action: Send, Reason: reason, To: to, Frame: Frame{
 		Kind:      Open,
@@ -31,6 +32,12 @@
 	}}
 }
 
+// unplaced returns an opening that no agent takes. The frame names no service, since this is no
+// sign of too little room.
+func unplaced(alternate, entry Endpoint, hops uint8, reason Reason) Verdict {
+	return returned(Frame{Hops: hops, Entry: entry, Alternate: alternate}, reason)
+}
+
 // peerFor returns the peer that gets a flow on a hop, other than the first agent if
 // possible, or zero.
 func (a *Agent) peerFor(key Key, hops uint8, first Endpoint) Endpoint {
--- a/flow/queue.go
+++ b/flow/queue.go
@@ -135,9 +135,6 @@
 	a.waiting.turn = false
 	p := Packet{Key: newest.key, Flags: SYN}
 	v := a.withGroup(a.accept(a.flows[p.Key], newest.frame, p, now), newest.frame.Group)
-	if v.Action == Reset {
-		v = refuse(newest, v.Reason)
-	}
 	v.UseCopy = true
 	return v, p, true
 }
--- a/flow/stall_test.go
+++ b/flow/stall_test.go
@@ -53,6 +53,22 @@
 	is.Equal(v.To, agentA)
 }
 
+// An opening that was buffered by the socket of a stalled host can be placed by outdated
+// information on a target that takes no flows. Neither its agent nor the host may reset the flow,
+// which the caller may have opened by a copy of the opening meanwhile.
+func TestOpeningAfterStallIsNotResetByAgents(t *testing.T) {
+	for name, server := range map[string]flow.Server{"evacuated": evacuated(), "leaving": {State: flow.Draining, Service: lodgement, Slots: 4}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := afterStall(&fixedPlacer{agents: []flow.Endpoint{agentA}})
+			sent := e.Packet(syn(1), stallTime)
+			refused := newAgent(server).FromEntry(sent.Frame, syn(1), stallTime)
+			is.Equal(refused.Action, flow.Return)
+			is.Equal(e.Missed(refused.Frame, syn(1), agentA, stallTime+millisecond).Action, flow.Drop)
+		})
+	}
+}
+
 // The packet itself reveals the stall if the clock was not observed before.
 func TestPacketRevealsStall(t *testing.T) {
 	is := is.New(t)
--- a/flow/waiting.go
+++ b/flow/waiting.go
@@ -253,9 +253,6 @@
 	} else {
 		v = a.withGroup(a.accept(a.flows[p.Key], m, p, now), m.Group)
 	}
-	if v.Action == Reset {
-		v = returned(m, v.Reason)
-	}
 	v.UseCopy = true
 	v.Waiting.describe(&it, now)
 	return v, p
--- a/internal/flowd/trace.go
+++ b/internal/flowd/trace.go
@@ -17,7 +17,8 @@
 	{"flow placed", flow.Deliver, []flow.Reason{flow.ReasonPlaced}},
 	{"flow forwarded", flow.Send, []flow.Reason{flow.ReasonDraining, flow.ReasonEvacuated, flow.ReasonWarmingUp, flow.ReasonBusy, flow.ReasonNoServer, flow.ReasonOtherService, flow.ReasonRefusedByTarget, flow.ReasonTableFull, flow.ReasonUnhealthy}},
 	{"flow queued", flow.Wait, []flow.Reason{flow.ReasonQueued}},
-	{"queued flow returned", flow.Return, []flow.Reason{flow.ReasonQueueExpired, flow.ReasonDraining, flow.ReasonNoServer, flow.ReasonHopLimit, flow.ReasonTableFull}},
+	{"queued flow returned", flow.Return, []flow.Reason{flow.ReasonQueueExpired, flow.ReasonDraining, flow.ReasonNoServer, flow.ReasonHopLimit, flow.ReasonTableFull,
+		flow.ReasonEvacuated, flow.ReasonOtherService, flow.ReasonRefusedByTarget, flow.ReasonUnhealthy}},
 	{"waiting opening refused", flow.Return, []flow.Reason{flow.ReasonQueueFull, flow.ReasonTimeoutUnreachable, flow.ReasonDisplaced}},
 	{"searching for flow", flow.SendAll, []flow.Reason{flow.ReasonUnknown, flow.ReasonRegistered}},
 	{"searching for flow", flow.Send, []flow.Reason{flow.ReasonRegistered}},
@@ -27,7 +28,7 @@
 	{"flow reset", flow.Reset, []flow.Reason{flow.ReasonNoRoute, flow.ReasonNoTarget, flow.ReasonHeldNowhere, flow.ReasonLostByTarget, flow.ReasonHopLimit,
 		flow.ReasonDraining, flow.ReasonNoServer, flow.ReasonOtherService, flow.ReasonRefusedByTarget, flow.ReasonTableFull,
 		flow.ReasonQueueExpired, flow.ReasonTargetGone, flow.ReasonEvacuated, flow.ReasonNoRoom}},
-	{"packet dropped", flow.Drop, []flow.Reason{flow.ReasonNoRoute, flow.ReasonSearchLimit, flow.ReasonTableFull, flow.ReasonLinkFull}},
+	{"packet dropped", flow.Drop, []flow.Reason{flow.ReasonNoRoute, flow.ReasonSearchLimit, flow.ReasonTableFull, flow.ReasonLinkFull, flow.ReasonStalled}},
 	{"packet buffered", flow.Wait, []flow.Reason{flow.ReasonNotReady, flow.ReasonStalled}},
 }
 
