flow: a late copy of an opening does not reach a target that takes no new flows

Targets saw: a flow opened 107 ms after their leaving had been acknowledged.

Cause: an agent delivers the opening of a flow that it holds, as the answer may be lost, also when the caller has the answer and the target is leaving. A target that has ended the flow takes the copy for a new one. The copy came from an entry host that had been frozen.

TestLateCopyOfOpening failed before.

Change: such a copy is dropped while the target is leaving or evacuated.

--- a/flow/agent.go
+++ b/flow/agent.go
@@ -117,6 +117,9 @@
 	// openedElsewhere: the caller has opened the flow with another target, but this one
 	// may still hold a half-open flow.
 	openedElsewhere bool
+	// openingSeq is the sequence number of the opening, 0 if unknown: one that has waited, or
+	// that came before the agent started.
+	openingSeq uint32
 	// fromSearch: the last packet came from a search.
 	fromSearch bool
 	// entry is the sender of the flow's last frame.
@@ -258,6 +261,11 @@
 
 // handleOpening handles an opening packet.
 func (a *Agent) handleOpening(f *agentFlow, m Frame, p Packet, now time.Duration) Verdict {
+	if a.refusalReason(m) != "" && f != nil && f.stage == stageOpened && f.openingSeq != 0 && f.openingSeq == p.Seq {
+		// A late copy: the caller has the target's answer. A target that has ended the flow
+		// would take it for a new one.
+		return Verdict{Action: Drop, Reason: ReasonHeld}
+	}
 	if f != nil && (f.stage == stageOffered || f.stage == stageAnswered || f.stage == stageOpened) {
 		// A retransmission or a reused caller port: the target distinguishes them.
 		return Verdict{Action: Deliver, Reason: ReasonHeld}
@@ -308,6 +316,8 @@
 		group:     m.Group,
 		lastSeen:  now,
 		createdAt: now,
+
+		openingSeq: p.Seq,
 	}
 	a.flows[p.Key] = f
 	a.queue.expectRequest(f, now)
--- a/flow/agent_test.go
+++ b/flow/agent_test.go
@@ -184,6 +184,29 @@
 	is.Equal(a.FromEntry(open(entryA), syn(2), wellAfterStart).To, agentC)
 }
 
+// A late copy of the opening must not reach the target of an open flow while that takes no new
+// flows: if it has ended the flow it takes the copy for a new one.
+func TestLateCopyOfOpening(t *testing.T) {
+	is := is.New(t)
+	a := newAgent(serving())
+	a.FromEntry(open(entryA), syn(1), 0)
+	is.Equal(a.FromEntry(open(entryA), syn(1), 0).Action, flow.Deliver) // the answer may be lost
+	a.FromTarget(synAck(1, firstA), 0)
+	is.Equal(a.FromEntry(open(entryA), syn(1), 0).Action, flow.Deliver)
+	is.Equal(a.FromEntry(data(entryA), request(1, firstA), 0).Action, flow.Deliver)
+	is.Equal(a.FromEntry(open(entryA), syn(1), millisecond).Action, flow.Deliver)
+	leaving := serving()
+	leaving.State = flow.Draining
+	for _, s := range []flow.Server{leaving, evacuated()} {
+		a.SetServer(s)
+		is.Equal(a.FromEntry(open(entryA), syn(1), millisecond), flow.Verdict{Action: flow.Drop, Reason: flow.ReasonHeld})
+	}
+	a.SetServer(serving())
+	reused := syn(1)
+	reused.Seq += 1000
+	is.Equal(a.FromEntry(open(entryA), reused, millisecond).Action, flow.Deliver)
+}
+
 func TestOpeningReturnedByTarget(t *testing.T) {
 	is := is.New(t)
 	a := newAgent(serving())
