--- a/flow/agent.go
+++ b/flow/agent.go
@@ -261,9 +261,8 @@
 
 // handleOpening handles an opening packet.
 func (a *Agent) handleOpening(f *agentFlow, m Frame, p Packet, now time.Duration) Verdict {
-	if a.refusalReason(m) != "" && f != nil && f.stage == stageOpened && f.openingSeq != 0 && f.openingSeq == p.Seq {
-		// A late copy: the caller has the target's answer. A target that has ended the flow
-		// would take it for a new one.
+	if a.lateCopy(f, p) && a.refusalReason(m) != "" {
+		// A target that has ended the flow would take it for a new one.
 		return Verdict{Action: Drop, Reason: ReasonHeld}
 	}
 	if f != nil && (f.stage == stageOffered || f.stage == stageAnswered || f.stage == stageOpened) {
@@ -294,6 +293,12 @@
 	return a.accept(f, m, p, now)
 }
 
+// lateCopy reports whether an opening is a copy of the one of a flow whose caller has the target's
+// answer. Routes that state nothing have none: their packets are handled as before they could.
+func (a *Agent) lateCopy(f *agentFlow, p Packet) bool {
+	return f != nil && f.stage == stageOpened && f.openingSeq != 0 && f.openingSeq == p.Seq && a.classOf(p.Key).Stated()
+}
+
 // accept delivers an opening to the target, or forwards it.
 func (a *Agent) accept(f *agentFlow, m Frame, p Packet, now time.Duration) Verdict {
 	if f != nil && (f.stage == stageOffered || f.stage == stageAnswered || f.stage == stageOpened) {
--- a/flow/agent_test.go
+++ b/flow/agent_test.go
@@ -189,6 +189,7 @@
 func TestLateCopyOfOpening(t *testing.T) {
 	is := is.New(t)
 	a := newAgent(serving())
+	a.SetClasses(flow.Classes{public: stated})
 	a.FromEntry(open(entryA), syn(1), 0)
 	is.Equal(a.FromEntry(open(entryA), syn(1), 0).Action, flow.Deliver) // the answer may be lost
 	a.FromTarget(synAck(1, firstA), 0)
