--- a/throttle/service.go
+++ b/throttle/service.go
@@ -16,10 +16,10 @@
 	// bucketWidth is the resolution of the window, which spans EvidenceAge.
 	bucketWidth = 20 * time.Millisecond
 	bucketCount = int64(EvidenceAge / bucketWidth)
-	// surplus is the passing share over the accepted one. A route of which targets return
-	// less than a third is not limited: it may be returned by chance, and what passes in
-	// excess keeps the queues beside the targets filled.
-	surplus = 1.5
+	// surplus is the passing share over the accepted one. A route of which targets return no
+	// more than half is not limited: it may be returned by chance, and what passes in excess
+	// keeps the queues beside the targets filled.
+	surplus = 2
 	// allowance is added to the accepted openings of a window, so that a host with few
 	// callers, or none accepted of late, learns when there is room.
 	allowance = 1
