--- a/flow/accept.go
+++ b/flow/accept.go
@@ -37,7 +37,7 @@
 }
 
 // lateCopy reports whether an opening is a copy of the one of a flow whose caller has the target's
-// answer. Routes that state nothing have none: their packets are handled as before they could.
+// answer. It is false for routes that state nothing, whose packets are handled as in earlier releases.
 func (a *Agent) lateCopy(f *agentFlow, p Packet) bool {
 	return f != nil && f.stage == stageOpened && f.openingSeq != 0 && f.openingSeq == p.Seq && a.classOf(p.Key).Stated()
 }
