--- a/review/internal/harness/foreign.go
+++ b/review/internal/harness/foreign.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"time"
 )
 
@@ -43,11 +44,12 @@
 	time.Sleep(d.site.stableWindow)
 	ackedAt, acked := leaving.drain(10 * time.Second)
 	if !acked {
-		d.record.line("the leaving was not acknowledged")
-		return 0, nil
+		return 0, errors.New("the leaving was not acknowledged")
 	}
 	d.record.line("the leaving of %s is acknowledged", leaving.id)
-	openFlows(q, &loan, 100, 100*time.Millisecond)
+	if flows := openFlows(q, &loan, 100, 100*time.Millisecond); len(flows) == 0 {
+		return 0, errors.New("no flow was opened")
+	}
 	return d.judgeDrain(leaving, ackedAt), nil
 }
 
--- a/review/internal/harness/judge.go
+++ b/review/internal/harness/judge.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -10,8 +11,11 @@
 
 // judgeFlows checks part (a) of FLOW: while its target lives, an open flow that is neither
 // older than flow_max_s nor was idle for longer than the idle timeout gets no reset that its
-// target did not send. It returns the number of breaks.
-func (d *deployment) judgeFlows(flows []*flow) int {
+// target did not send. It returns the number of breaks, and an error without flows.
+func (d *deployment) judgeFlows(flows []*flow) (int, error) {
+	if len(flows) == 0 {
+		return 0, errors.New("no flow was opened")
+	}
 	broken := 0
 	for _, f := range flows {
 		at, bySystem := f.wasReset()
@@ -25,7 +29,7 @@
 		}
 		d.record.line("reset of %s at %.3f s: %s", f.key, d.record.at(at), verdict)
 	}
-	return broken
+	return broken, nil
 }
 
 // excuse returns why a reset breaks no rule, empty if it does.
--- a/review/internal/harness/leaving.go
+++ b/review/internal/harness/leaving.go
@@ -46,5 +46,5 @@
 	}
 	time.Sleep(time.Until(ackedAt.Add(exitAfter)))
 	all.Wait()
-	return d.judgeFlows(flows), nil
+	return d.judgeFlows(flows)
 }
--- a/review/internal/harness/scenarios.go
+++ b/review/internal/harness/scenarios.go
@@ -110,5 +110,5 @@
 	d.record.line("%d flows are open", len(flows))
 	time.Sleep(pause)
 	useFlows(flows, &filingWatch)
-	return d.judgeFlows(flows), nil
+	return d.judgeFlows(flows)
 }
