subscriber: a restarted agent announces records newer than those of its earlier process

Cause: an agent that restarts gets the registration of before (number and incarnation), and its announcer began its records at sequence 1 again. Control hosts hold a higher sequence if the state of the target has changed (draining, silent for a while, cold again). They took the new record for outdated, renewed no lease and answered as if they had taken it, so the agent believed that it was announced. A lease later the target left the lists, and entry hosts reset its flows.

Ruled out: a lost registration (the agent logs the same number and incarnation), a list that is incomplete. The one difference between agents whose target stays and those whose target leaves is the sequence of the record.

Fix: the reply names the sequence of the newer record, refusal reason outdated_record. The agent continues after it and announces again at once; it counts announce_outdated and does not take the record for announced. The state of an outdated record is no longer recorded as a leaving.

--- a/internal/controld/directory.go
+++ b/internal/controld/directory.go
@@ -63,6 +63,14 @@
 	return d.dir.Announce(d.now(), r, membership.Direct)
 }
 
+// latestSequence returns the sequence of the newest record of an incarnation of a target, 0 if
+// there is none.
+func (d *directory) latestSequence(number, incarnation uint32) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dir.LatestSequence(number, incarnation)
+}
+
 // applySync merges a sync message of another control host.
 func (d *directory) applySync(host string, m *controlpb.DirectorySync) *controlpb.DirectorySyncReply {
 	d.recordLoad(host, m)
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -49,6 +49,7 @@
 	refusedIdentity   refusalReason = "identity"
 	refusedInvalid    refusalReason = "improper_record"
 	refusedFull       refusalReason = "directory_full"
+	refusedOutdated   refusalReason = "outdated_record"
 	refusedTable      refusalReason = "slot_table"
 	refusedStandby    refusalReason = "stands_by"
 )
@@ -390,39 +391,42 @@
 
 func (h *handler) announce(peer link.Peer, a *controlpb.Announce) *controlpb.Response {
 	reply := &controlpb.AnnounceReply{LeaseMs: uint32(h.directory.lease().Milliseconds())}
-	if reason, text := h.admitAnnouncement(peer, a); text != "" {
+	if reason := h.admitAnnouncement(peer, a, reply); reason != "" {
 		h.count(reason)
-		reply.Refusal = text
-	} else {
-		(*Daemon)(h).recordLeaving(a.GetRecord())
 	}
 	return &controlpb.Response{Body: &controlpb.Response_Announce{Announce: reply}}
 }
 
-// admitAnnouncement merges the record of an agent or returns the reason for its refusal.
-func (h *handler) admitAnnouncement(peer link.Peer, a *controlpb.Announce) (refusalReason, string) {
+// admitAnnouncement merges the record of an agent. If the record is not taken, it sets the
+// cause in the reply and returns the reason to count.
+func (h *handler) admitAnnouncement(peer link.Peer, a *controlpb.Announce, reply *controlpb.AnnounceReply) refusalReason {
 	r := a.GetRecord()
 	if h.belongsToOtherService(peer, r.GetService()) || h.conflictsWithRegistration(r) {
-		return refusedIdentity, RefusalIdentity
+		reply.Refusal = RefusalIdentity
+		return refusedIdentity
 	}
-	result := h.directory.announce(r)
-	if result.Accepted() {
-		h.directory.capacity.record(h.directory.now(), r, a.GetCapacity())
-	}
-	switch result {
+	switch h.directory.announce(r) {
 	case membership.Superseded:
 		if r.GetState() == controlpb.TargetState_TARGET_STATE_DRAINING {
 			// The older process is draining already.
-			return "", ""
+			return ""
 		}
-		return refusedSuperseded, RefusalSuperseded
+		reply.Refusal = RefusalSuperseded
+		return refusedSuperseded
 	case membership.Invalid:
-		return refusedInvalid, RefusalInvalid
+		reply.Refusal = RefusalInvalid
+		return refusedInvalid
 	case membership.AtCapacity:
-		return refusedFull, RefusalFull
-	}
-	// An outdated record was overtaken by a later announcement of the same process.
-	return "", ""
+		reply.Refusal = RefusalFull
+		return refusedFull
+	case membership.Outdated:
+		// The agent has restarted, or a later announcement has overtaken this one.
+		reply.NewerSequence = h.directory.latestSequence(r.GetNumber(), r.GetIncarnation())
+		return refusedOutdated
+	}
+	h.directory.capacity.record(h.directory.now(), r, a.GetCapacity())
+	(*Daemon)(h).recordLeaving(r)
+	return ""
 }
 
 // conflictsWithRegistration reports whether the target number of a record is registered for
--- a/internal/subscriber/announcer.go
+++ b/internal/subscriber/announcer.go
@@ -31,8 +31,12 @@
 	failuresPerMove = 2
 )
 
-// errRefused is returned if a control host refuses a registration or announcement.
-var errRefused = errors.New("refused by the control host")
+var (
+	// errRefused is returned if a control host refuses a registration or announcement.
+	errRefused = errors.New("refused by the control host")
+	// errOutdated is returned if a control host knows a newer record of this incarnation.
+	errOutdated = errors.New("the control host knows a newer record")
+)
 
 // Status is the variable part of an announced target.
 type Status struct {
@@ -325,6 +329,10 @@
 	if err := refusalError(reply != nil, reply.GetRefusal()); err != nil {
 		return 0, err
 	}
+	if newer := reply.GetNewerSequence(); newer > 0 {
+		a.continueAfter(newer)
+		return 0, errors.Wrapf(errOutdated, "sequence %d, here it is %d", newer, record.GetSequence())
+	}
 	a.mu.Lock()
 	a.announced = max(a.announced, record.GetSequence())
 	a.mu.Unlock()
@@ -334,6 +342,14 @@
 	return time.Duration(reply.GetLeaseMs()) * time.Millisecond, nil
 }
 
+// continueAfter makes the current record newer than one that an earlier process of this agent
+// has announced for the same incarnation. The next announcement has the new sequence.
+func (a *Announcer) continueAfter(sequence uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sequence = max(a.sequence, sequence+1)
+}
+
 func (a *Announcer) call(req *controlpb.Request) (*controlpb.Response, error) {
 	ctx, cancel := context.WithTimeout(a.ctx, a.opts.CallTimeout)
 	defer cancel()
@@ -380,7 +396,10 @@
 	}
 	reason := step + "_failed"
 	var fault *link.FaultError
-	if errors.Is(err, errRefused) || errors.As(err, &fault) {
+	switch {
+	case errors.Is(err, errOutdated):
+		reason = step + "_outdated"
+	case errors.Is(err, errRefused) || errors.As(err, &fault):
 		reason = step + "_refused"
 	}
 	byReason(a.opts.Scope, metricAnnounceFailures, reason).Inc(1)
--- a/internal/subscriber/announcer_test.go
+++ b/internal/subscriber/announcer_test.go
@@ -217,3 +217,36 @@
 	h.set(func() { h.unregister = func(int) *controlpb.Response { return nil } })
 	is.True(a.Unregister(ended) != nil) // returns with its context
 }
+
+// An agent that restarts beside a running backend server must announce records that count as
+// newer than those of its earlier process, or the target leaves the lists although it serves.
+func TestRestartedAgentContinuesAfterEarlierRecords(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	h := newControlHost(configuration(1), true)
+	newest := uint64(7) // announced by the earlier process
+	h.register = func(int) *controlpb.Response { return registered("") }
+	h.announce = func(n int) *controlpb.Response {
+		reply := &controlpb.AnnounceReply{LeaseMs: uint32(time.Hour.Milliseconds())}
+		if sequence := h.announces[n-1].GetSequence(); sequence < newest {
+			reply.NewerSequence = newest
+		} else {
+			newest = sequence
+		}
+		return &controlpb.Response{Body: &controlpb.Response_Announce{Announce: reply}}
+	}
+	a, scope := startAnnouncer(t, d.client(d.listen(anyPort, h)))
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	is.NoErr(a.WaitAnnounced(ctx))
+	is.Equal(count(scope, metricAnnounceFailures, "announce_outdated"), int64(1))
+	a.Update(Status{State: controlpb.TargetState_TARGET_STATE_DRAINING, Slots: 4})
+	is.NoErr(a.WaitAnnounced(ctx))
+	h.read(func() {
+		var sequences []uint64
+		for _, r := range h.announces {
+			sequences = append(sequences, r.GetSequence())
+		}
+		is.Equal(sequences, []uint64{1, 8, 9})
+	})
+}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -178,6 +178,16 @@
 	return t != nil && t.latest.GetIncarnation() >= incarnation
 }
 
+// LatestSequence returns the sequence of the newest record of an incarnation of a target, 0 if
+// there is none.
+func (d *Directory) LatestSequence(number, incarnation uint32) uint64 {
+	t := d.byID[number]
+	if t == nil || t.latest.GetIncarnation() != incarnation {
+		return 0
+	}
+	return t.latest.GetSequence()
+}
+
 // HasDomain reports whether there is a target in a failure domain.
 func (d *Directory) HasDomain(name string) bool {
 	for _, t := range d.byID {
