flowd: records of a restarted agent are newer also for hosts that its control host knows nothing of

Callers saw: after an agent and the control hosts had restarted, its target got no new flow until its state changed, and its open flows were reset as those of a target that is gone.

Cause: the answer of a control host mends the sequence of a restarted agent only if that host remembers the earlier one. Subscribers remember the versions of removed targets, so that an older list does not bring them back, and ignored the records of the new process: an entry host that had removed sequence 3 took no record with sequence 1 or 2.

Weighed: a number from each registration costs a replicated command for each start of an agent and is not to be had without a quorum; a new incarnation for each start of an agent would count its target as a new one (slow start, statistics, restarts of all). The wall clock of one machine orders two starts of its agent unless it steps back between them; then the answer of the control host decides. Both together fail only when the clock has stepped back, the agent has started twice since it stepped forward, and its control host remembers nothing.

Fix: an agent for packets starts its records at the milliseconds of the wall clock. The agent of the QUIC path registers each process anew and keeps 1.

--- a/internal/flowd/backendserver.go
+++ b/internal/flowd/backendserver.go
@@ -128,6 +128,7 @@
 		Address:       a.frames.local().String(),
 		Started:       coldStart(r.WarmupLeft),
 		Status:        a.status(r),
+		FirstSequence: subscriber.SequenceAt(time.Now()),
 		Capacity:      a.capacityState,
 		CallTimeout:   callTimeout,
 		RetryMax:      maxBackoff,
--- a/internal/subscriber/announcer.go
+++ b/internal/subscriber/announcer.go
@@ -66,6 +66,10 @@
 	Started time.Time
 	// Status is the initial status.
 	Status Status
+	// FirstSequence is the sequence of the first record, 1 if zero. If the target may have been
+	// announced before by an earlier process with the same Process, it should exceed the
+	// sequences of that one, see SequenceAt.
+	FirstSequence uint64
 	// Capacity returns the state of the target's capacity for each announcement. Nil reports
 	// none. It is not called with a lock held.
 	Capacity func() *controlpb.CapacityState
@@ -83,6 +87,7 @@
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	o.FirstSequence = max(o.FirstSequence, 1)
 	o.CallTimeout = cmp.Or(o.CallTimeout, DefaultCallTimeout)
 	o.RetryMin = cmp.Or(o.RetryMin, DefaultRetryMin)
 	o.RetryMax = cmp.Or(o.RetryMax, DefaultRetryMax)
@@ -121,13 +126,20 @@
 		changed:    make(chan struct{}, 1),
 		status:     opts.Status,
 		started:    opts.Started,
-		sequence:   1,
+		sequence:   opts.FirstSequence,
 	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.wg.Go(a.run)
 	return a
 }
 
+// SequenceAt returns the first sequence for an announcer that starts at a time of the wall
+// clock: its milliseconds. An earlier process of the agent has started before and has announced
+// fewer changes than milliseconds have passed since. So its records are older also for hosts
+// that remember them when the control host of the agent does not. If the clock was set back,
+// that control host names a newer sequence to continue after.
+func SequenceAt(t time.Time) uint64 { return uint64(max(t.UnixMilli(), 1)) }
+
 // Registered is closed once the target has a number and an incarnation.
 func (a *Announcer) Registered() <-chan struct{} { return a.registered }
 
