membership: a target whose lease has ended stays listed while it may run

Callers saw: open flows at a target that serves were reset (target_gone, held_nowhere) when its agent was away, or could reach no control host, for longer than a lease.

Cause: an entry host resets a flow whose target is not in a complete list and whose agent is silent for 150 ms. A list names the targets with a lease. The end of a lease says that an agent was not heard, not that its target has ended: a target holds its flows without its agent.

Evidence that a target has ended is its own word (its agent unregisters it), a newer incarnation of it, a packet that it returns, or that it was not heard for longer than flows may be idle.

Fix: control hosts list a target without a lease as lost, which counts as unhealthy, for retain_lost_ms (the idle time-out of flows, 20 s, on the users' platform; 0 by default), unless its registration has ended. It gets no new flows; its flows are not reset, and agents are asked for unknown flows like others. Hosts take it for lost when the host that it announced to does. Gauge control_targets_lost. A host that starts meanwhile does not know the target: it still takes an agent that is away and a restart of its control host to meet the former behaviour.

What it costs: flows of a host that is gone for good get no reset for 20 s more, and their callers wait until their time-out.

Ruled out as a mend: a longer silence alone (a target may work longer on a request than any bound that still helps a caller), or draining as evidence (a draining target serves for many seconds).

TestDirectoriesConverge also draws directories that retain lost targets.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"path/filepath"
 	"sync/atomic"
@@ -123,7 +122,7 @@
 		restartRequired: make(chan error, 1),
 		configs:         newConfigState(),
 		grants:          newGrantGroups(),
-		directory:       newDirectory(rand.Uint64()|1, time.Duration(s.GetReplica().GetLeaseMs())*time.Millisecond),
+		directory:       directoryFor(s.GetReplica()),
 		replicas:        map[controlpb.Group]*replica.Replica{},
 		confirmation:    confirmation{changed: newNotifier(), startedAt: time.Now()},
 		standby:         newStandby(),
--- a/internal/controld/directory.go
+++ b/internal/controld/directory.go
@@ -1,10 +1,12 @@
 package controld
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
 	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
@@ -25,10 +27,15 @@
 }
 
 func newDirectory(epoch uint64, lease time.Duration) *directory {
+	return newRetainingDirectory(epoch, lease, 0)
+}
+
+// newRetainingDirectory returns a directory that lists lost targets for a time.
+func newRetainingDirectory(epoch uint64, lease, retainLost time.Duration) *directory {
 	return &directory{
 		changed: newNotifier(),
 		start:   time.Now(),
-		dir:     membership.New(membership.Options{Epoch: epoch, Lease: lease}),
+		dir:     membership.New(membership.Options{Epoch: epoch, Lease: lease, RetainLost: retainLost}),
 
 		subscribers: newSubscribers(),
 		capacity:    newCapacityReports(),
@@ -36,6 +43,12 @@
 	}
 }
 
+// directoryFor returns the directory that the settings describe.
+func directoryFor(s *settingspb.Replica) *directory {
+	lease := time.Duration(s.GetLeaseMs()) * time.Millisecond
+	return newRetainingDirectory(rand.Uint64()|1, lease, time.Duration(s.GetRetainLostMs())*time.Millisecond)
+}
+
 func (d *directory) now() time.Duration { return time.Since(d.start) }
 
 // hasIncarnation reports whether the directory has an incarnation of a target or a later
@@ -97,6 +110,26 @@
 	}
 }
 
+// lost returns the targets that are listed without a lease.
+func (d *directory) lost() []membership.TargetID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dir.Lost()
+}
+
+// removeLost removes lost targets that are known to have ended.
+func (d *directory) removeLost(ended []membership.TargetID) {
+	if len(ended) == 0 {
+		return
+	}
+	d.mu.Lock()
+	for _, id := range ended {
+		d.dir.RemoveLost(d.now(), id)
+	}
+	d.mu.Unlock()
+	d.changed.notify()
+}
+
 func (d *directory) expireAll() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/controld/loops.go
+++ b/internal/controld/loops.go
@@ -9,6 +9,7 @@
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/grantpb"
 	"eelgrasswharf.example/eelgrasswharf/internal/link"
+	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
 // every calls f at each period until the daemon stops.
@@ -65,6 +66,7 @@
 	behind := d.scope.Gauge("subscribers_behind")
 	all := d.scope.Gauge("subscribers")
 	overloaded := d.scope.Gauge("targets_overloaded")
+	lost := d.scope.Gauge("targets_lost")
 	sent, received := d.scope.Counter("link_bytes_sent"), d.scope.Counter("link_bytes_received")
 	var last link.Traffic
 	peerSent, peerReceived := d.scope.Counter("peers_bytes_sent"), d.scope.Counter("peers_bytes_received")
@@ -75,6 +77,8 @@
 		received.Inc(int64(traffic.BytesReceived - last.BytesReceived))
 		last = traffic
 		d.directory.expire()
+		d.removeUnregistered()
+		lost.Update(float64(len(d.directory.lost())))
 		overloaded.Update(float64(d.directory.capacity.overloadedCount()))
 		if d.bootstrapped() {
 			d.peers.closeUnused(d.peerAddresses(), unusedPeerTimeout)
@@ -85,6 +89,18 @@
 	})
 }
 
+// removeUnregistered removes the lost targets whose registration has ended: they have said that
+// they stop, or a newer incarnation of them has registered.
+func (d *Daemon) removeUnregistered() {
+	var ended []membership.TargetID
+	for _, id := range d.directory.lost() {
+		if d.configs.target(id.Number).GetIncarnation() != id.Incarnation {
+			ended = append(ended, id)
+		}
+	}
+	d.directory.removeLost(ended)
+}
+
 func (d *Daemon) peerAddresses() map[string]bool {
 	out := map[string]bool{}
 	for _, address := range d.memberAddresses() {
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -72,6 +72,7 @@
 	"Replica.least_voters":     {defaultValue: "1", positive: true},
 	"Replica.gone_after_ms":    {defaultValue: "15000", positive: true},
 	"Replica.lease_ms":         {defaultValue: "9000", positive: true},
+	"Replica.retain_lost_ms":   {defaultValue: "0"},
 	"Replica.snapshot_bytes":   {defaultValue: "67108864", positive: true},
 
 	"Forwarding.public_ip":      {check: checkIP},
--- a/membership/converge_test.go
+++ b/membership/converge_test.go
@@ -50,12 +50,14 @@
 	queue       []envelope
 	// lastSeen is when each agent last announced to each host.
 	lastSeen [controlHosts]map[uint32]time.Duration
+	// retainLost is that of all hosts.
+	retainLost time.Duration
 	// knewSteady is set if a host has known steadyAgent since its last restart.
 	knewSteady [controlHosts]bool
 }
 
 func newNetwork(t *rapid.T, agents int) *network {
-	n := &network{t: t}
+	n := &network{t: t, retainLost: rapid.SampledFrom([]time.Duration{0, lease}).Draw(t, "retain lost")}
 	for i := range n.hosts {
 		n.restart(i)
 	}
@@ -68,7 +70,7 @@
 func (n *network) restart(host int) {
 	n.generations[host]++
 	n.hosts[host] = membership.New(membership.Options{
-		Epoch: uint64(100*(host+1) + n.generations[host]), Lease: lease, Start: n.now, Damping: noDamping,
+		Epoch: uint64(100*(host+1) + n.generations[host]), Lease: lease, Start: n.now, Damping: noDamping, RetainLost: n.retainLost,
 	})
 	n.lastSeen[host] = map[uint32]time.Duration{}
 	n.knewSteady[host] = false
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -41,11 +41,15 @@
 }
 
 // recordDigest hashes what identifies the published contents of a record: its version, and
-// whether it is damped, which may differ between control hosts. The age is not included.
+// whether it is damped or lost, which may differ between control hosts. The age is not
+// included.
 func recordDigest(r *controlpb.TargetRecord) uint64 {
 	d := digest(r.GetNumber(), versionOf(r))
 	if r.GetDamped() {
-		return mix(d)
+		d = mix(d)
+	}
+	if r.GetLost() {
+		d = mix(d + 1)
 	}
 	return d
 }
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -36,9 +36,12 @@
 	// Epoch identifies this instance of the directory. It is random and not zero.
 	Epoch uint64
 	// Start is when the directory was created.
-	Start      time.Duration
-	Lease      time.Duration
-	Hold       time.Duration
+	Start time.Duration
+	Lease time.Duration
+	Hold  time.Duration
+	// RetainLost is how long a target is still listed, as unhealthy, after its lease has ended:
+	// it may run and hold flows without its agent. 0 removes it with its lease.
+	RetainLost time.Duration
 	MaxTargets int
 	MaxRemoved int
 	Damping    Damping
@@ -79,8 +82,10 @@
 	byID map[uint32]*target
 	// changes has targets and removals in the order of their last change.
 	changes *list.List
-	// leases has targets in the order in which their leases end.
+	// leases has targets in the order in which their leases end, lost those whose lease has
+	// ended, in that order.
 	leases *list.List
+	lost   *list.List
 	// local has the claims of this host, peers those of other control hosts.
 	local local
 	peers map[Source]*peer
@@ -109,6 +114,9 @@
 	// ended. A target claimed only by other hosts has none.
 	leaseEnd time.Duration
 	lease    *list.Element
+	// lost is set while the target is listed without a lease, since lostAt.
+	lost   *list.Element
+	lostAt time.Duration
 	// graceUntil is how long the target is kept beyond the lease of its agent here.
 	graceUntil time.Duration
 	flaps      flaps
@@ -132,6 +140,7 @@
 		byID:        map[uint32]*target{},
 		changes:     list.New(),
 		leases:      list.New(),
+		lost:        list.New(),
 		local:       newLocal(),
 		peers:       map[Source]*peer{},
 		removals:    list.New(),
@@ -213,6 +222,9 @@
 // control host is kept until that host withdraws it or is unresponsive for too long. The
 // record must not be changed afterwards.
 func (d *Directory) Announce(now time.Duration, r *controlpb.TargetRecord, from Source) Result {
+	if from != Direct {
+		d.removeLostBefore(now, r)
+	}
 	t, result := d.accept(now, r)
 	switch {
 	case t == nil:
@@ -224,7 +236,11 @@
 		if result == Changed && d.local.held[r.GetNumber()] != versionOf(r) {
 			d.local.drop(r.GetNumber())
 		}
+		if result.Accepted() {
+			d.markFound(now, t)
+		}
 	case result.Accepted():
+		d.markFound(now, t)
 		d.local.put(r.GetNumber(), versionOf(r))
 		d.renewLease(now, t)
 	}
@@ -336,10 +352,10 @@
 // publish publishes the current record, damped if necessary, as a change.
 func (d *Directory) publish(now time.Duration, t *target) {
 	next := t.latest
-	if t.flaps.suppressed(now, &d.opts.Damping) {
+	damped := t.flaps.suppressed(now, &d.opts.Damping)
+	if damped || t.lost != nil {
 		next = proto.CloneOf(next)
-		next.Ill = true
-		next.Damped = true
+		next.Ill, next.Damped, next.Lost = true, damped, t.lost != nil
 	}
 	if t.published != nil && proto.Equal(t.published, next) {
 		return
--- a/membership/expire.go
+++ b/membership/expire.go
@@ -1,9 +1,14 @@
 package membership
 
-import "time"
+import (
+	"time"
+
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+)
 
 // Expire removes expired leases and unresponsive control hosts, and lifts the damping of
-// stable targets. It returns the number of targets removed.
+// stable targets. It returns the number of targets removed. With Options.RetainLost a target
+// whose lease has ended is lost first, and removed later.
 //
 // A target claimed by another control host needs no lease here: that host reports the end
 // of its lease. While the host is unresponsive its targets are kept for Hold, since their
@@ -17,6 +22,13 @@
 		}
 		d.endLease(now, t)
 	}
+	for e := d.lost.Front(); e != nil; e = d.lost.Front() {
+		t := e.Value.(*target)
+		if now-t.lostAt < d.opts.RetainLost {
+			break
+		}
+		d.remove(now, t)
+	}
 	d.expirePeers(now)
 	d.liftDamping(now)
 	return before - len(d.byID)
@@ -35,18 +47,86 @@
 		d.renewLease(now, t)
 		return
 	}
-	d.remove(now, t)
+	d.markLost(now, t)
+}
+
+// markLost lists a target that nobody claims as lost, or removes it if lost targets are not
+// retained.
+func (d *Directory) markLost(now time.Duration, t *target) {
+	if d.opts.RetainLost <= 0 {
+		d.remove(now, t)
+		return
+	}
+	if t.lost != nil {
+		return
+	}
+	t.lost, t.lostAt = d.lost.PushBack(t), now
+	d.dropPeerClaims(t)
+	t.flaps.add(now, &d.opts.Damping)
+	d.publish(now, t)
+}
+
+// markFound ends the loss of a target that is announced again.
+func (d *Directory) markFound(now time.Duration, t *target) {
+	if t.lost == nil {
+		return
+	}
+	d.lost.Remove(t.lost)
+	t.lost = nil
+	d.publish(now, t)
+}
+
+// removeLostBefore removes a lost target if another host claims an older record of it, which
+// replaces the one whose lease has ended.
+func (d *Directory) removeLostBefore(now time.Duration, r *controlpb.TargetRecord) {
+	t, known := d.byID[r.GetNumber()]
+	if known && t.lost != nil && valid(r) && !compare(t.latest, r).Accepted() {
+		d.remove(now, t)
+	}
+}
+
+// dropPeerClaims removes the claims of other hosts, which are of older records. They will send
+// them again.
+func (d *Directory) dropPeerClaims(t *target) {
+	for _, p := range d.peers {
+		p.claims.drop(t.latest.GetNumber())
+	}
+}
+
+// TargetID identifies an incarnation of a target.
+type TargetID struct {
+	Number, Incarnation uint32
+}
+
+// Lost returns the targets that are listed without a lease.
+func (d *Directory) Lost() []TargetID {
+	var out []TargetID
+	for e := d.lost.Front(); e != nil; e = e.Next() {
+		r := e.Value.(*target).latest
+		out = append(out, TargetID{Number: r.GetNumber(), Incarnation: r.GetIncarnation()})
+	}
+	return out
+}
+
+// RemoveLost removes a lost target that is known to have ended.
+func (d *Directory) RemoveLost(now time.Duration, id TargetID) {
+	t, known := d.byID[id.Number]
+	if known && t.lost != nil && t.latest.GetIncarnation() == id.Incarnation {
+		d.remove(now, t)
+	}
 }
 
 func (d *Directory) remove(now time.Duration, t *target) {
 	number := t.latest.GetNumber()
 	delete(d.byID, number)
-	// Claims of older records are removed as well. Their hosts will send them again.
-	for _, p := range d.peers {
-		p.claims.drop(number)
-	}
+	d.dropPeerClaims(t)
 	t.isRemoved = true
-	t.flaps.add(now, &d.opts.Damping)
+	if t.lost != nil {
+		d.lost.Remove(t.lost)
+		t.lost = nil
+	} else {
+		t.flaps.add(now, &d.opts.Damping)
+	}
 	d.logChange(t)
 	t.removal = d.removals.PushBack(t)
 	d.removedByID[number] = t
--- a/membership/services.go
+++ b/membership/services.go
@@ -1,10 +1,12 @@
 package membership
 
-// CountByService returns the number of targets of each service.
+// CountByService returns the number of targets of each service, without lost ones.
 func (d *Directory) CountByService() map[uint32]int {
 	out := map[uint32]int{}
 	for _, t := range d.byID {
-		out[t.latest.GetService()]++
+		if t.lost == nil {
+			out[t.latest.GetService()]++
+		}
 	}
 	return out
 }
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -116,7 +116,7 @@
 		if m.Whole&(1<<bucketOf(number)) == 0 {
 			m.Records = append(m.Records, t.withAge(now, t.latest))
 		}
-	case known:
+	case known && t.lost == nil:
 		m.Left = append(m.Left, number)
 	default:
 		m.Ended = append(m.Ended, number)
@@ -166,7 +166,9 @@
 // mergeRecords merges the records of a host that sends no summaries. Each gets a lease.
 func (d *Directory) mergeRecords(now time.Duration, records []*controlpb.TargetRecord) {
 	for _, r := range records {
+		d.removeLostBefore(now, r)
 		if t, result := d.accept(now, r); result.Accepted() {
+			d.markFound(now, t)
 			d.extendLease(now, t)
 		}
 	}
@@ -239,7 +241,7 @@
 		return
 	}
 	if t.lease == nil {
-		d.remove(now, t)
+		d.markLost(now, t)
 	}
 }
 
