flowd: an agent answers a probe while only its target knows whether it holds the flow

Cause: an entry host sends a packet whose target is not listed as a search and takes 150 ms of silence for the end of the target. An agent that has restarted since does not know the flow: it delivers the packet and sent nothing until its target did, which may take as long as a request.

Fix: such an agent answers a direct search with a report at once. Silence now means that no agent is there. A search that is sent to many agents gets no such answer.

TestProbeIsAnsweredBeforeTarget failed before (no frame in 10 s).

--- a/internal/flowd/agentpackets.go
+++ b/internal/flowd/agentpackets.go
@@ -45,13 +45,28 @@
 	a.located(m, v, p)
 	a.admit(now)
 	if m.Kind == flow.Search && (v.Action == flow.Deliver || v.Action == flow.Wait) {
-		a.notify(a.flows.HeldNotice(p.Key), now)
+		a.answerSearch(m, p.Key, now)
 		return
 	}
 	a.reportLoad(m.Entry, now)
 	a.reportToPeers(m, v, from, now)
 }
 
+// answerSearch tells the sender of a search that the target holds the flow. If only the target
+// knows, whose reply may take long, a direct search is answered with a report: the sender must
+// not conclude from silence that the agent is gone. The lock is held.
+func (a *Agent) answerSearch(m flow.Frame, key flow.Key, now time.Duration) {
+	if held := a.flows.HeldNotice(key); held != nil {
+		a.notify(held, now)
+		return
+	}
+	if m.Hops > 0 {
+		report := a.flows.LoadFrame()
+		report.Entry = m.Entry
+		a.notify(&report, now)
+	}
+}
+
 // located sends a Located frame to an entry host that searches. The lock is held.
 func (a *Agent) located(m flow.Frame, v flow.Verdict, p flow.Packet) {
 	if v.Holder.IsZero() {
