flowd: an agent denies unknown flows only if its target's first registration proves that there are none

Cause: an agent that restarts knows none of the flows that its target holds, and asks the target for 60 s. It left that out if the first report had a sequence number of 3 or less, or came after one of another instance, and denied all flows that it had not seen. Agents lose reports, restart within the first reports, and deliver openings to an instance whose first report they never get.

Fix: the replicated state tells whether a command has created a registration. Only the first incarnation of a target, created by this process's own call, proves that no earlier process of the agent delivered an opening; else the target is asked, for 60 s after the start of the agent. That costs a packet to the target and one back for each search of a flow that it does not hold. An answer that got lost, and control hosts of earlier releases, count as no proof.

--- a/config/machine.go
+++ b/config/machine.go
@@ -55,8 +55,12 @@
 		outcome := m.patch(body.Patch)
 		return &configpb.Result{Body: &configpb.Result_Outcome{Outcome: outcome}}
 	case *configpb.Command_Register:
+		known := m.FindRegistration(body.Register) != nil
 		registration := m.register(body.Register)
-		return &configpb.Result{Body: &configpb.Result_Registration{Registration: registration}}
+		return &configpb.Result{
+			Body:    &configpb.Result_Registration{Registration: registration},
+			Created: !known && registration.GetRefusal() == "",
+		}
 	case *configpb.Command_Unregister:
 		m.targets.unregister(body.Unregister)
 	case *configpb.Command_Leave:
--- a/config/machine_test.go
+++ b/config/machine_test.go
@@ -231,6 +231,29 @@
 	is.True(again.GetServiceNumber() != one.GetServiceNumber())
 }
 
+// Only a process that was not registered before may be told that its registration is a new one:
+// its agent concludes that the target holds no flows.
+func TestRegistrationIsCreatedOnce(t *testing.T) {
+	is := is.New(t)
+	m := config.New()
+	created := func(target, process string) bool {
+		command, err := proto.Marshal(&configpb.Command{Body: &configpb.Command_Register{Register: &configpb.RegisterTarget{
+			Service: "a", Target: target, Process: []byte(process),
+		}}})
+		is.NoErr(err)
+		result := new(configpb.Result)
+		is.NoErr(proto.Unmarshal(m.Apply(0, command), result))
+		return result.GetCreated()
+	}
+	is.True(!created("t1", "x")) // no such service
+	submit(t, m, patch("p1", 0, put(service("a", "192.0.2.1:443"))))
+	is.True(created("t1", "x"))
+	is.True(!created("t1", "x")) // a restarted agent
+	is.True(created("t1", "y"))
+	is.True(created("t2", "x"))
+	is.True(!created("t3", "")) // refused
+}
+
 // A target is recorded as leaving until another incarnation registers. A late record of an
 // earlier incarnation must not mark the next one, which may hold flows while it is missing.
 func TestLeavingTarget(t *testing.T) {
--- a/flow/agent.go
+++ b/flow/agent.go
@@ -162,8 +162,8 @@
 // Len returns the number of flows.
 func (a *Agent) Len() int { return len(a.flows) }
 
-// MarkComplete records that the target has started after the agent, so that it holds
-// no flow that the agent has not seen.
+// MarkComplete records that the target holds no flow that the agent has not seen. A wrong call
+// resets open flows.
 func (a *Agent) MarkComplete(now time.Duration) { a.completeAt = min(a.completeAt, now) }
 
 // Server returns the state of the target.
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -45,10 +45,6 @@
 	// rewarmMargin is how much later the reported end of the warmup has to be to count as
 	// a new cold start. It covers the delay of reports.
 	rewarmMargin = time.Second
-	// maxInitialSequence is the highest sequence number in the first report that arrives
-	// from a backend server that has just started: reports sent before the agent listens
-	// are lost.
-	maxInitialSequence = 3
 	// maxReportedEntries bounds the entry hosts whose last load report is remembered.
 	maxReportedEntries = 4096
 )
--- a/internal/flowd/backendserver.go
+++ b/internal/flowd/backendserver.go
@@ -45,9 +45,6 @@
 		a.unregister()
 	}
 	if result == incarnation.NewInstance {
-		if known || a.startedBefore(r) {
-			a.flows.MarkComplete(a.now())
-		}
 		a.announce(current)
 	}
 	a.refresh()
@@ -99,13 +96,6 @@
 	}
 }
 
-// startedBefore reports whether this agent is known to have started before the backend
-// server that sends its first report. A wrong true would reset open flows of the target.
-func (a *Agent) startedBefore(r incarnation.Report) bool {
-	startKnown := r.Instance.StartedMS != 0
-	return r.Sequence <= maxInitialSequence && (!startKnown || r.Instance.StartedMS >= a.startedAt.UnixMilli())
-}
-
 // announce registers a new instance of the target. The lock is held.
 func (a *Agent) announce(r incarnation.Report) {
 	if a.announcer != nil {
@@ -158,6 +148,9 @@
 	if a.announcer != announcer {
 		return
 	}
+	if isFirst(announcer.Registration()) {
+		a.flows.MarkComplete(a.now())
+	}
 	a.refresh()
 	if a.subscription == nil {
 		a.serviceNumber = announcer.Registration().GetServiceNumber()
@@ -174,6 +167,13 @@
 	}
 }
 
+// isFirst reports whether a registration proves that the backend server holds no flow that this
+// agent has not seen: no process of this agent has registered one before, and without any no
+// opening is delivered. Later incarnations prove less, since an earlier process may have
+// delivered openings to a backend server whose first report it did not get. Neither do low
+// sequence numbers nor the start time: reports get lost, and clocks step.
+func isFirst(r *configpb.Registration) bool { return r.GetCreated() && r.GetIncarnation() == 1 }
+
 // onView applies changes of the targets of the service and of its configuration.
 func (a *Agent) onView(v *subscriber.View) {
 	a.mu.Lock()
