flow: a caller is told when the agent that is named as the holder of its flow denies it

Cause: an agent at which a flow is registered names the holder in place of a denial. The entry host took only the holder's denial, so one agent of a small service never denied, and each packet went from the entry host to that agent, to the holder and back, until the caller gave up. In a service of more than 16 agents the lookup ends it after some retransmissions.

Fix: an agent that names another one as the holder does not hold the flow itself, so the holder's denial counts for both.

TestRegisteredHolderDeniesFlow failed before in both orders of the replies; a wrong name does not end a flow that another agent may hold (TestOtherAgentsAreAwaitedAfterWrongRegistration).

--- a/flow/entry_test.go
+++ b/flow/entry_test.go
@@ -225,7 +225,7 @@
 	p := &fixedPlacer{agents: all, gone: agentA}
 	e := flow.NewEntry(p, entryA)
 	e.Packet(request(1, firstA), 0)
-	e.Located(flow.Frame{Kind: flow.Located, Key: key(1), Alternate: agentA}, time.Millisecond)
+	e.Located(flow.Frame{Kind: flow.Located, Key: key(1), Alternate: agentA}, agentB, time.Millisecond)
 	v := e.Packet(request(1, firstA), 200*time.Millisecond)
 	is.Equal(v.Action, flow.Reset)
 }
@@ -305,3 +305,44 @@
 	e.Denied(denial(1), second, 212*time.Millisecond)
 	is.Equal(e.Packet(request(1, firstB), 230*time.Millisecond).Reason, flow.ReasonRegistered)
 }
+
+// An agent at which a flow is registered names its holder and does not deny the flow itself. If
+// the holder does, the caller must be told: otherwise each packet goes round from the entry host
+// to both agents until the caller's timeout.
+func TestRegisteredHolderDeniesFlow(t *testing.T) {
+	located := flow.Frame{Kind: flow.Located, Key: key(1), Alternate: agentB}
+	for _, test := range []struct {
+		name string
+		// deniedBefore: the holder has denied the flow before it was named.
+		deniedBefore bool
+	}{{"named first", false}, {"denied first", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA, agentB, agentC}}, entryA)
+			is.Equal(len(e.Packet(request(1, firstA), time.Second).All), 3)
+			v, _ := e.Denied(denial(1), agentC, time.Second)
+			is.Equal(v.Action, flow.Drop)
+			if test.deniedBefore {
+				v, _ = e.Denied(denial(1), agentB, time.Second)
+				is.Equal(v.Action, flow.Drop) // agentA has not answered yet
+			}
+			e.Located(located, agentA, time.Second)
+			v, p := e.Denied(denial(1), agentB, time.Second)
+			is.Equal(v.Action, flow.Reset)
+			is.Equal(v.Reason, flow.ReasonHeldNowhere)
+			is.Equal(p.Key, key(1))
+		})
+	}
+}
+
+// A holder that was named wrongly does not end the flow while another agent may hold it.
+func TestOtherAgentsAreAwaitedAfterWrongRegistration(t *testing.T) {
+	is := is.New(t)
+	e := flow.NewEntry(&fixedPlacer{agents: []flow.Endpoint{agentA, agentB, agentC}}, entryA)
+	e.Packet(request(1, firstA), time.Second)
+	e.Located(flow.Frame{Kind: flow.Located, Key: key(1), Alternate: agentB}, agentA, time.Second)
+	v, _ := e.Denied(denial(1), agentB, time.Second)
+	is.Equal(v.Action, flow.Drop)
+	e.Held(heldBy(1, firstA, true), agentC, time.Second)
+	is.Equal(e.Packet(request(1, firstA), time.Second).To, agentC)
+}
--- a/flow/lookup_test.go
+++ b/flow/lookup_test.go
@@ -157,7 +157,7 @@
 		}
 		c.toEntry++
 		if n.Frame.Kind == flow.Located {
-			c.entry.Located(n.Frame, c.now)
+			c.entry.Located(n.Frame, from, c.now)
 			continue
 		}
 		v, p := c.entry.HeldByNone(n.Frame, from, c.now)
--- a/flow/search.go
+++ b/flow/search.go
@@ -136,9 +136,7 @@
 		return Verdict{Action: Drop, Reason: ReasonKnown}, Packet{}
 	}
 	f.probed = f.probed || m.Probed
-	if !contains(f.denied, from) && len(f.denied) < maxDenials {
-		f.denied = append(f.denied, from)
-	}
+	f.recordDenied(from)
 	if f.asked != nil {
 		return e.nextStage(f, key)
 	}
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -297,7 +297,7 @@
 		e.updateLoad(m, from, now)
 	case flow.Located:
 		e.mu.Lock()
-		e.flows.Located(m, now)
+		e.flows.Located(m, from, now)
 		e.mu.Unlock()
 	case flow.Held:
 		e.updateLoad(m, from, now)
