soak: planned restarts of agents, slow targets, idle flows and targets that drain for long

Cause for the change: the soak did not show the faults of the review. Its figures that kept them out: targets answer at once (an entry host waits 150 ms), flows are idle for 0.4 s at most (a lease takes 3.5 s), a draining target ends after 1.5 s, agents are only killed, which excuses resets for 6 s, and never stopped as planned work.

Change: two kinds of planned work with a random stream of their own, so that the faults of each seed stay as they were: an agent is stopped, all agents are stopped in turn. Resets during planned work are never excused. Targets of the first service work for 230 ms, 16 further callers keep flows idle for up to 9 s, a draining target stays for up to 9.5 s.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -35,6 +35,9 @@
 	maxRequestInterval = 400 * time.Millisecond
 	// maxRequests is the maximum number of requests of a flow.
 	maxRequests = 25
+	// maxIdleInterval is the longest interval between requests of an idle flow. It exceeds two
+	// leases of a target and is below the idle timeout of flows.
+	maxIdleInterval = 9 * time.Second
 )
 
 // counts are the totals of callers and operators.
@@ -61,6 +64,8 @@
 	random  *rand.Rand
 	counts  *counts
 	number  int
+	// interval is the longest interval between requests of a flow.
+	interval time.Duration
 	// zoneOf returns the zone of a target's host.
 	zoneOf func(host string) string
 }
@@ -138,7 +143,7 @@
 
 func (c *caller) wait(ctx context.Context) {
 	select {
-	case <-time.After(time.Duration(c.random.Int64N(int64(maxRequestInterval)))):
+	case <-time.After(time.Duration(c.random.Int64N(int64(c.interval)))):
 	case <-ctx.Done():
 	}
 }
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -16,8 +17,11 @@
 const (
 	// stopTimeout bounds the time in which a process exits after SIGTERM.
 	stopTimeout = 10 * time.Second
-	// drainTime is how long a target runs after its draining was acknowledged.
+	// drainTime is how long a target runs at least after its draining was acknowledged.
 	drainTime = 1500 * time.Millisecond
+	// drainStretch is the factor of a fault's duration by which a target runs longer. Agents
+	// restart meanwhile, and leases end.
+	drainStretch = 2
 	// maxFileBytes is the file size limit that simulates a full disk.
 	maxFileBytes    = 4 << 10
 	lossProbability = 0.2
@@ -122,7 +126,9 @@
 	switch fault.Kind {
 	case KillEntry, StopEntry, FreezeEntry:
 		return in.applyToProcess(fault, in.deployment.EntryHosts)
-	case KillAgent, FreezeAgent:
+	case RollAgents:
+		return in.rollAgents(fault)
+	case KillAgent, FreezeAgent, StopAgent:
 		return in.applyToProcess(fault, in.deployment.Agents)
 	case KillControl, StopControl, FreezeControl, WipeControl, FillControl:
 		return in.applyToProcess(fault, in.deployment.ControlHosts)
@@ -144,6 +150,13 @@
 	if !in.acquire(p) {
 		return false
 	}
+	if fault.Kind == StopAgent {
+		in.steps.Go(func() {
+			defer in.release(p)
+			in.restartAsPlanned(p, fault)
+		})
+		return true
+	}
 	in.markDisturbed(fault.For, p)
 	in.steps.Go(func() {
 		defer in.release(p)
@@ -164,10 +177,36 @@
 	return true
 }
 
+// rollAgents stops each agent and starts it again, one after the other, without those that are
+// busy with another fault.
+func (in *injector) rollAgents(fault Fault) bool {
+	in.steps.Go(func() {
+		for _, p := range in.deployment.Agents {
+			if in.acquire(p) {
+				in.restartAsPlanned(p, fault)
+				in.release(p)
+			}
+		}
+	})
+	return true
+}
+
+// restartAsPlanned restarts a process as planned work.
+func (in *injector) restartAsPlanned(p *standin.Process, fault Fault) {
+	in.checker.RecordPlannedWork(p.Host, time.Now().Add(fault.For))
+	in.restart(p, fault)
+	in.checker.RecordPlannedWork(p.Host, time.Now())
+}
+
+// isStop reports whether a fault stops a process by a signal that it may handle.
+func isStop(k Kind) bool {
+	return slices.Contains([]Kind{StopEntry, StopControl, StopAgent, RollAgents}, k)
+}
+
 // restart stops a process as the fault requires and starts it after the fault's duration.
 func (in *injector) restart(p *standin.Process, fault Fault) {
 	in.setDown(p, true)
-	if fault.Kind == StopEntry || fault.Kind == StopControl {
+	if isStop(fault.Kind) {
 		begun := time.Now()
 		if err := p.Stop(stopTimeout + in.timeoutMargin); err != nil {
 			in.checker.AddViolation(RuleProcessExit, "%s on %s did not stop cleanly: %v", p.Role, p.Host, err)
@@ -242,7 +281,7 @@
 	in.steps.Go(func() {
 		defer in.release(t)
 		if fault.Kind == DrainTarget && in.drain(t) {
-			time.Sleep(drainTime)
+			time.Sleep(drainTime + drainStretch*fault.For)
 			if last, acked := t.LastOpened(), t.DrainAckedAt(); last.After(acked) {
 				in.checker.AddViolation(RuleDrain, "%s opened a flow %s after its agent had acknowledged the draining", t.Instance(), last.Sub(acked))
 			}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -31,13 +32,20 @@
 	CutPath       Kind = "cut the path to an entry host"
 	CutOperator   Kind = "cut an operator's path"
 	ResetOperator Kind = "reset an operator's connections"
+
+	// Planned work, during which no open flow may be reset.
+	StopAgent  Kind = "stop agent"
+	RollAgents Kind = "stop all agents in turn"
 )
 
-// faultWeights lists the kinds with their relative frequency.
-var faultWeights = []struct {
+// weightedKind is a kind with its relative frequency.
+type weightedKind struct {
 	kind   Kind
 	weight int
-}{
+}
+
+// faultWeights lists the kinds with their relative frequency.
+var faultWeights = []weightedKind{
 	{KillEntry, 4}, {StopEntry, 3}, {FreezeEntry, 3},
 	{KillAgent, 4}, {FreezeAgent, 3},
 	{KillControl, 4}, {StopControl, 2}, {FreezeControl, 3}, {WipeControl, 3}, {FillControl, 2},
@@ -46,13 +54,21 @@
 	{LosePackets, 3}, {DelayPackets, 3}, {CutPath, 2}, {CutOperator, 2}, {ResetOperator, 2},
 }
 
+// plannedWeights lists the kinds of planned work with their relative frequency.
+var plannedWeights = []weightedKind{{StopAgent, 3}, {RollAgents, 1}}
+
 const (
 	// faultInterval is the mean time between two faults. It lets some overlap.
 	faultInterval = 700 * time.Millisecond
+	// plannedInterval is the mean time between two items of planned work.
+	plannedInterval = 3 * time.Second
 	// minFaultTime and maxFaultTime bound the duration of a fault. The maximum exceeds
 	// the lease of a target and an election.
 	minFaultTime = 200 * time.Millisecond
 	maxFaultTime = 4 * time.Second
+	// maxPlannedTime bounds the time between the end of a process and its start in planned
+	// work.
+	maxPlannedTime = time.Second
 	// catchUpTime bounds the time in which a control host with an empty disk gets its vote.
 	catchUpTime = 6 * time.Second
 )
@@ -68,8 +84,31 @@
 	For time.Duration
 }
 
-// Plan generates the faults of a run. The same seed and length give the same plan.
+// Plan generates the faults and the planned work of a run. The same seed and length give the
+// same plan.
 func Plan(seed uint64, length time.Duration) []Fault {
+	plan := append(faults(seed, length), plannedWork(seed, length)...)
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// plannedWork generates the planned work, with a random stream of its own.
+func plannedWork(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, plannedStream))
+	var plan []Fault
+	for at := plannedInterval; at < length; at += time.Duration(random.Float64() * 2 * float64(plannedInterval)) {
+		plan = append(plan, Fault{
+			At:     at,
+			Kind:   randomKind(random, plannedWeights),
+			Victim: random.IntN(1 << 16),
+			For:    minFaultTime + time.Duration(random.Float64()*float64(maxPlannedTime-minFaultTime)),
+		})
+	}
+	return plan
+}
+
+// faults generates the faults.
+func faults(seed uint64, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, planStream))
 	var plan []Fault
 	// No control host is disturbed before nextControlFault, no disk is lost before nextWipe.
@@ -77,7 +116,7 @@
 	for at := faultInterval; at < length; at += time.Duration(random.Float64() * 2 * float64(faultInterval)) {
 		fault := Fault{
 			At:     at,
-			Kind:   randomKind(random),
+			Kind:   randomKind(random, faultWeights),
 			Victim: random.IntN(1 << 16),
 			For:    minFaultTime + time.Duration(random.Float64()*float64(maxFaultTime-minFaultTime)),
 		}
@@ -97,16 +136,19 @@
 	return plan
 }
 
-// planStream is the random stream of the plan.
-const planStream = 1
+// planStream is the random stream of the faults, plannedStream that of the planned work.
+const (
+	planStream    = 1
+	plannedStream = 5
+)
 
-func randomKind(random *rand.Rand) Kind {
+func randomKind(random *rand.Rand, weights []weightedKind) Kind {
 	total := 0
-	for _, w := range faultWeights {
+	for _, w := range weights {
 		total += w.weight
 	}
 	n := random.IntN(total)
-	for _, w := range faultWeights {
+	for _, w := range weights {
 		if n < w.weight {
 			return w.kind
 		}
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 			}
 		}
 	}
-	for _, w := range faultWeights {
+	for _, w := range append(slices.Clone(faultWeights), plannedWeights...) {
 		is.True(seen[w.kind] > 0) // each kind occurs
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -21,6 +21,11 @@
 	firstTargets  = 3
 	secondTargets = 2
 	callers       = 16
+	// idleCallers keep flows idle for long between requests.
+	idleCallers = 16
+	// slowWork is the time that a target of the first service works on a request. It is longer
+	// than the time until a caller retransmits.
+	slowWork = 230 * time.Millisecond
 	// RequiredIPs is the number of IP addresses of a run, including one for the callers.
 	RequiredIPs = controlHosts + entryHosts + firstTargets + secondTargets + 1
 )
@@ -68,7 +73,7 @@
 	}
 	deployment, err := standin.Start(standin.Options{
 		Binary: o.Binary, Dir: o.Dir, IPs: o.IPs, ControlHosts: controlHosts, EntryHosts: entryHosts, ToleratedLosses: 1, Zones: zones,
-		Services: []standin.Service{{Name: firstService, Targets: firstTargets}, {Name: secondService, Targets: secondTargets}},
+		Services: []standin.Service{{Name: firstService, Targets: firstTargets, Work: slowWork}, {Name: secondService, Targets: secondTargets}},
 	})
 	if err != nil {
 		return nil, err
@@ -127,8 +132,14 @@
 	defer stop()
 	operators := &operators{checker: r.checker, urls: in.urls(), random: r.random(operatorStream), counts: &r.counts, version: 1}
 	var load conc.WaitGroup
-	for i := range callers {
-		c := &caller{checker: r.checker, caller: from, random: r.random(callerStream + uint64(i)), counts: &r.counts, number: i, zoneOf: r.deployment.ZoneOf}
+	for i := range callers + idleCallers {
+		c := &caller{
+			checker: r.checker, caller: from, random: r.random(callerStream + uint64(i)), counts: &r.counts, number: i,
+			interval: maxRequestInterval, zoneOf: r.deployment.ZoneOf,
+		}
+		if i >= callers {
+			c.interval = maxIdleInterval
+		}
 		load.Go(func() { c.run(loadCtx) })
 	}
 	var changes conc.WaitGroup
