--- a/incarnation/incarnation.go
+++ b/incarnation/incarnation.go
@@ -38,8 +38,11 @@
 	NewInstance Result = "first"
 	// Update: a newer report of the current instance.
 	Update Result = "newer"
-	// Stale: an older report of the current instance.
+	// Stale: an older or repeated report of the current instance, which changes nothing.
 	Stale Result = "late"
+	// Overtaken: an older report of the current instance that says that it drains, which a newer
+	// one did not.
+	Overtaken Result = "overtaken"
 	// PreviousInstance: a report of an earlier instance.
 	PreviousInstance Result = "former_life"
 	// StoppedInstance: a report of the current instance after it has stopped.
@@ -52,6 +55,12 @@
 	StopUnconfirmed Result = "stop_unconfirmed"
 )
 
+// Taken reports whether what the report says is in effect, or is known and waits to be confirmed.
+// The sender of any other report must not be told that it was taken.
+func (r Result) Taken() bool {
+	return r == NewInstance || r == Update || r == Stale || r == StopUnconfirmed
+}
+
 const (
 	// maxPrevious bounds the previous instances that are remembered.
 	maxPrevious = 16
@@ -111,10 +120,14 @@
 	for i := range t.previous {
 		t.previous[i].newerReports = 0
 	}
-	if t.current.Stopped {
+	switch {
+	case t.current.Stopped && r.Stopped:
+		return Stale // repeated
+	case t.current.Stopped:
 		return StoppedInstance
-	}
-	if r.Sequence <= t.current.Sequence && !r.Stopped {
+	case r.Sequence <= t.current.Sequence && r.Draining && !r.Stopped && !t.current.Draining:
+		return Overtaken
+	case r.Sequence <= t.current.Sequence && !r.Stopped:
 		return Stale
 	}
 	r.Draining = r.Draining || t.current.Draining
--- a/incarnation/incarnation_test.go
+++ b/incarnation/incarnation_test.go
@@ -28,6 +28,9 @@
 		{"next", []incarnation.Report{report("a", 100, 1)}, report("a", 100, 2), incarnation.Update, false, false},
 		{"repeated", []incarnation.Report{report("a", 100, 2)}, report("a", 100, 2), incarnation.Stale, false, false},
 		{"older than a drain", []incarnation.Report{draining(report("a", 100, 3))}, report("a", 100, 2), incarnation.Stale, true, false},
+		{"repeated drain", []incarnation.Report{draining(report("a", 100, 3))}, draining(report("a", 100, 3)), incarnation.Stale, true, false},
+		{"late drain", []incarnation.Report{report("a", 100, 3)}, draining(report("a", 100, 2)), incarnation.Overtaken, false, false},
+		{"repeated stop", []incarnation.Report{stopped(report("a", 100, 9))}, stopped(report("a", 100, 0)), incarnation.Stale, false, true},
 		{"no return from a drain", []incarnation.Report{draining(report("a", 100, 3))}, report("a", 100, 4), incarnation.Update, true, false},
 		{"restart with the same name", []incarnation.Report{draining(report("a", 100, 9))}, report("a", 200, 1), incarnation.NewInstance, false, false},
 		{"drain of the previous instance", []incarnation.Report{report("a", 200, 1)}, draining(report("a", 100, 50)), incarnation.PreviousInstance, false, false},
@@ -63,6 +66,17 @@
 	}
 }
 
+// Whoever is told that a report was taken relies on its state.
+func TestIgnoredReportsAreNotTaken(t *testing.T) {
+	is := is.New(t)
+	for _, r := range []incarnation.Result{incarnation.NewInstance, incarnation.Update, incarnation.Stale, incarnation.StopUnconfirmed} {
+		is.True(r.Taken())
+	}
+	for _, r := range []incarnation.Result{incarnation.Overtaken, incarnation.PreviousInstance, incarnation.StoppedInstance, incarnation.Unordered} {
+		is.True(!r.Taken())
+	}
+}
+
 // A notice of the stop without a start may be a delayed one of an earlier instance of that
 // name. It is confirmed by silence, not if the instance reports again or another one starts.
 func TestConfirmStop(t *testing.T) {
