membership: a control host that has just started learns which targets are lost

Cause: a started host learns what the others claim. Nobody claims a lost target, so the complete list of the started host lacks it.

Fix: the first sync with a host and each repair have the lost targets. The receiver lists them for retain_lost_ms of its own, unless it knows them, has removed them, or their registration has ended.

TestStartedHostLearnsOfLostTargets failed before.

--- a/membership/expire.go
+++ b/membership/expire.go
@@ -66,6 +66,19 @@
 	d.publish(now, t)
 }
 
+// addLost lists a target that another host lists as lost, unless this directory knows it, or has
+// removed it itself.
+func (d *Directory) addLost(now time.Duration, r *controlpb.TargetRecord) {
+	_, known := d.byID[r.GetNumber()]
+	_, removed := d.removedByID[r.GetNumber()]
+	if known || removed || !valid(r) || len(d.byID) >= d.opts.MaxTargets || d.opts.RetainLost <= 0 {
+		return
+	}
+	t := d.create(r)
+	t.receivedAt = now
+	d.markLost(now, t)
+}
+
 // markFound ends the loss of a target that is announced again.
 func (d *Directory) markFound(now time.Duration, t *target) {
 	if t.lost == nil {
--- a/membership/lost_test.go
+++ b/membership/lost_test.go
@@ -145,3 +145,25 @@
 		is.Equal(records[0].GetLost(), step.lost)
 	}
 }
+
+// A host that has just started learns which targets are lost: its complete list would else say
+// that they are gone, and entry hosts would reset their flows.
+func TestStartedHostLearnsOfLostTargets(t *testing.T) {
+	is := is.New(t)
+	a := newRetainingDirectory(1)
+	a.Announce(0, record(1, 1, 1), membership.Direct)
+	a.Announce(0, record(2, 1, 1), membership.Direct)
+	a.Announce(1, record(2, 1, 1), membership.Direct)
+	a.Expire(lease)
+	started := membership.New(membership.Options{Epoch: 2, Start: lease, Lease: lease, RetainLost: retainLost, Damping: noDamping})
+	syncOnce(lease, a, started, "a", 0)
+	is.Equal(started.Lost(), []membership.TargetID{{Number: 1, Incarnation: 1}})
+	is.True(started.Full(2*lease, nil).GetPut()[0].GetLost())
+	is.True(!started.Full(2*lease, nil).GetPut()[1].GetLost())
+
+	// Once it has removed the target it does not take it again.
+	started.RemoveLost(lease, membership.TargetID{Number: 1, Incarnation: 1})
+	m, _ := a.Repair(lease, 0, nil)
+	started.ApplySync(lease, "a", m)
+	is.Equal(len(started.Lost()), 0)
+}
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -102,6 +102,9 @@
 	if mask != 0 {
 		d.appendBuckets(now, m, mask)
 	}
+	if mask != 0 || cursor == 0 {
+		d.appendLost(now, m)
+	}
 	slices.SortFunc(m.Records, byNumber)
 	slices.Sort(m.Ended)
 	slices.Sort(m.Left)
@@ -132,6 +135,14 @@
 	}
 }
 
+// appendLost adds the lost targets to a message.
+func (d *Directory) appendLost(now time.Duration, m *controlpb.DirectorySync) {
+	for e := d.lost.Front(); e != nil; e = e.Next() {
+		t := e.Value.(*target)
+		m.Lost = append(m.Lost, t.withAge(now, t.latest))
+	}
+}
+
 func (d *Directory) summary() *controlpb.DirectorySummary {
 	d.serial++
 	return &controlpb.DirectorySummary{
@@ -196,6 +207,9 @@
 	for _, r := range m.GetRecords() {
 		d.Announce(now, r, from)
 	}
+	for _, r := range m.GetLost() {
+		d.addLost(now, r)
+	}
 	if m.GetWhole() != 0 {
 		d.dropMissing(now, p, m.GetWhole(), m.GetRecords())
 	}
