--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,6 +28,9 @@
 	{54, 15 * time.Second},
 	// An agent queries its target for a flow that is open elsewhere.
 	{32, 15 * time.Second},
+	// A restarted agent announces records that count as outdated, or denies the flows of its
+	// target.
+	{4, 20 * time.Second},
 }
 
 // TestSeeds runs each seed without violations. The margin allows for tests that run
