--- a/membership/lost_test.go
+++ b/membership/lost_test.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// Without the target's own word only an older record may bring back what was lost: the agent
-// learns that a newer one is known and continues after it.
+// An outdated announcement neither ends a loss nor replaces the record: the agent learns that a
+// newer one is known and continues after it.
 func TestOutdatedRecordDoesNotEndLoss(t *testing.T) {
 	is := is.New(t)
 	d := newRetainingDirectory(1)
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -63,8 +63,6 @@
 	// fault on each host.
 	ended     map[string]bool
 	disturbed map[string]time.Time
-	// planned has the end of the last planned work on each host.
-	planned map[string]time.Time
 	// evacuated maps each evacuated zone to the time of the acknowledgement.
 	evacuated map[string]time.Time
 }
@@ -78,7 +76,7 @@
 func NewChecker(start time.Time, timeoutMargin time.Duration) *Checker {
 	return &Checker{
 		start: start, timeoutMargin: timeoutMargin, content: map[int]string{}, allowed: map[int][]string{},
-		ended: map[string]bool{}, disturbed: map[string]time.Time{}, planned: map[string]time.Time{}, evacuated: map[string]time.Time{},
+		ended: map[string]bool{}, disturbed: map[string]time.Time{}, evacuated: map[string]time.Time{},
 	}
 }
 
@@ -240,31 +238,19 @@
 	}
 }
 
-// RecordPlannedWork records planned work on a host that lasts until the time given. Unlike a
-// disturbance it is no reason for a reset.
-func (c *Checker) RecordPlannedWork(host string, until time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if until.After(c.planned[host]) {
-		c.planned[host] = until
-	}
-}
-
-// anyDisturbedSince reports whether any host was disturbed, or had planned work, after a time.
-// The lock must be held.
+// anyDisturbedSince reports whether any host was disturbed after a time. The lock must be
+// held.
 func (c *Checker) anyDisturbedSince(since time.Time) bool {
-	for _, hosts := range []map[string]time.Time{c.disturbed, c.planned} {
-		for _, until := range hosts {
-			if until.After(since) {
-				return true
-			}
+	for _, until := range c.disturbed {
+		if until.After(since) {
+			return true
 		}
 	}
 	return false
 }
 
 // CheckReset checks the reset of an open flow. It is valid if the target instance has
-// ended or the host of its agent was disturbed recently. Planned work is no excuse.
+// ended or the host of its agent was disturbed recently. Planned work is no disturbance.
 func (c *Checker) CheckReset(instance, host string, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -37,14 +37,6 @@
 		"no version's service":  {func(c *Checker) { c.CheckService("three", now) }, []string{RuleRoute}},
 		"reset of an open flow": {func(c *Checker) { c.CheckReset("instance", "h", now) }, []string{RuleNoReset}},
 		"reset after the end":   {func(c *Checker) { c.RecordInstanceEnd("instance"); c.CheckReset("instance", "h", now) }, nil},
-		"reset during planned work": {func(c *Checker) {
-			c.RecordPlannedWork("h", now)
-			c.CheckReset("instance", "h", now)
-		}, []string{RuleNoReset}},
-		"previous, planned work": {func(c *Checker) {
-			c.RecordPlannedWork("h", now)
-			c.CheckService("one", now)
-		}, nil},
 		"reset, host disturbed": {func(c *Checker) {
 			c.RecordDisturbance("h", now.Add(-time.Second))
 			c.CheckReset("instance", "h", now)
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -151,9 +151,10 @@
 		return false
 	}
 	if fault.Kind == StopAgent {
+		// Planned work is no disturbance: it excuses nothing.
 		in.steps.Go(func() {
 			defer in.release(p)
-			in.restartAsPlanned(p, fault)
+			in.restart(p, fault)
 		})
 		return true
 	}
@@ -183,7 +184,7 @@
 	in.steps.Go(func() {
 		for _, p := range in.deployment.Agents {
 			if in.acquire(p) {
-				in.restartAsPlanned(p, fault)
+				in.restart(p, fault)
 				in.release(p)
 			}
 		}
@@ -191,13 +192,6 @@
 	return true
 }
 
-// restartAsPlanned restarts a process as planned work.
-func (in *injector) restartAsPlanned(p *standin.Process, fault Fault) {
-	in.checker.RecordPlannedWork(p.Host, time.Now().Add(fault.For))
-	in.restart(p, fault)
-	in.checker.RecordPlannedWork(p.Host, time.Now())
-}
-
 // isStop reports whether a fault stops a process by a signal that it may handle.
 func isStop(k Kind) bool {
 	return slices.Contains([]Kind{StopEntry, StopControl, StopAgent, RollAgents}, k)
