controld: a repeated registration gets the same reply again

Cause: whether a call created a registration was part of the registration, so two calls of one process got different ones.

Fix: the reply says it beside the registration, which is as before. TestOnlyFirstCallCreatesRegistration is new.

--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -349,8 +349,10 @@
 	if registration == nil {
 		return h.fault(refusedRequest, controlpb.FaultKind_FAULT_NOT_DONE, "the registration was not understood")
 	}
-	registration.Created = result.GetCreated()
-	return &controlpb.Response{Body: &controlpb.Response_Registration{Registration: registration}}
+	return &controlpb.Response{
+		Body:                &controlpb.Response_Registration{Registration: registration},
+		RegistrationCreated: result.GetCreated(),
+	}
 }
 
 // grant applies a command of an agent in the group that owns its key.
--- a/internal/controld/roles_test.go
+++ b/internal/controld/roles_test.go
@@ -303,3 +303,13 @@
 		})
 	}
 }
+
+// An agent that starts beside a new target must learn that nobody has registered it before, and
+// only then: it denies unknown flows from then on.
+func TestOnlyFirstCallCreatesRegistration(t *testing.T) {
+	is := is.New(t)
+	d := newSingleHostWith(t, put("lodgement", "192.0.2.1:443"))
+	agent := d.link(keys.RoleAgent, "a1", "lodgement", "c1")
+	is.True(call(t, agent, registerRequest("lodgement", "t1", "x")).GetRegistrationCreated())
+	is.True(!call(t, agent, registerRequest("lodgement", "t1", "x")).GetRegistrationCreated())
+}
--- a/internal/flowd/backendserver.go
+++ b/internal/flowd/backendserver.go
@@ -148,7 +148,7 @@
 	if a.announcer != announcer {
 		return
 	}
-	if isFirst(announcer.Registration()) {
+	if isFirst(announcer.Registration(), announcer.CreatedRegistration()) {
 		a.flows.MarkComplete(a.now())
 	}
 	a.refresh()
@@ -167,12 +167,12 @@
 	}
 }
 
-// isFirst reports whether a registration proves that the backend server holds no flow that this
-// agent has not seen: no process of this agent has registered one before, and without any no
+// isFirst reports whether a registration, created by this agent or not, proves that the backend
+// server holds no flow that this agent has not seen: no process of this agent has registered one before, and without any no
 // opening is delivered. Later incarnations prove less, since an earlier process may have
 // delivered openings to a backend server whose first report it did not get. Neither do low
 // sequence numbers nor the start time: reports get lost, and clocks step.
-func isFirst(r *configpb.Registration) bool { return r.GetCreated() && r.GetIncarnation() == 1 }
+func isFirst(r *configpb.Registration, created bool) bool { return created && r.GetIncarnation() == 1 }
 
 // onView applies changes of the targets of the service and of its configuration.
 func (a *Agent) onView(v *subscriber.View) {
--- a/internal/flowd/search_test.go
+++ b/internal/flowd/search_test.go
@@ -63,8 +63,8 @@
 		{"a later instance, which an earlier process may not have heard of", true, 2, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			r := &configpb.Registration{TargetNumber: 7, Incarnation: test.incarnation, Created: test.created}
-			is.New(t).Equal(isFirst(r), test.want)
+			r := &configpb.Registration{TargetNumber: 7, Incarnation: test.incarnation}
+			is.New(t).Equal(isFirst(r, test.created), test.want)
 		})
 	}
 }
--- a/internal/subscriber/announcer.go
+++ b/internal/subscriber/announcer.go
@@ -102,6 +102,8 @@
 	wg           conc.WaitGroup
 	registered   chan struct{}
 	registration atomic.Pointer[configpb.Registration]
+	// created is set before registered is closed.
+	created atomic.Bool
 	// changed is signalled when the record has changed.
 	changed chan struct{}
 	// lastLoggedError is used by the goroutine of run only.
@@ -146,6 +148,10 @@
 // Registration returns the number and incarnation, nil before Registered.
 func (a *Announcer) Registration() *configpb.Registration { return a.registration.Load() }
 
+// CreatedRegistration reports whether the registration is known to be a new one, created by this
+// announcer. It is false before Registered.
+func (a *Announcer) CreatedRegistration() bool { return a.created.Load() }
+
 // Update announces a changed status immediately.
 func (a *Announcer) Update(s Status) {
 	a.mu.Lock()
@@ -309,6 +315,7 @@
 		}
 		if err == nil {
 			a.registration.Store(reg)
+			a.created.Store(res.GetRegistrationCreated())
 			close(a.registered)
 			a.opts.Log.Info("target registered",
 				zap.Uint32("number", reg.GetTargetNumber()),
--- a/soak/internal/mutants/defects.go
+++ b/soak/internal/mutants/defects.go
@@ -29,7 +29,7 @@
 	{"target that is not heard counts as gone", "platform/roles.go",
 		"RetainLostMs:     uint32(flowIdleTimeout.Milliseconds()),", "RetainLostMs:     0,"},
 	{"restarted agent denies unknown flows", "internal/flowd/backendserver.go",
-		"return r.GetCreated() && r.GetIncarnation() == 1", "return r != nil"},
+		"return created && r.GetIncarnation() == 1", "return r != nil"},
 	{"targets of another service", "internal/flowd/placer.go",
 		"table := p.tables[s.Service]", "table := p.tables[1]"},
 	{"routes never updated", "internal/flowd/placer.go",
