flow: a restarted agent does not deny an open flow because of a late copy of its opening

Callers saw: an open flow was reset (held_nowhere) although its target held it.

Cause: an entry host that had been frozen passed on an old copy of the opening after the flow's agent had restarted. The target answered it again, and the agent concluded from the caller's later acknowledgement that the flow had been opened with another target. It saw the flow only from the late copy on.

Ruled out: a target that had ended (it served the flow's packets), a list without the target.

Fix: while an agent may not know all flows, a packet that acknowledges more than the target's first number is delivered if its caller has sent data before and the number is near enough.

TestLateCopyAfterAgentRestart failed before and passes now.

--- a/flow/agent.go
+++ b/flow/agent.go
@@ -19,6 +19,10 @@
 	// notHeldFor is how long an agent remembers that its target does not hold a
 	// flow. It exceeds the longest retransmission interval, 1.6 s.
 	notHeldFor = 4 * time.Second
+	// maxAcknowledged bounds the bytes that a caller may have acknowledged on a flow that an agent
+	// finds open after its start: more than flows carry in their lifetime, and rare among the
+	// random initial sequence numbers of two targets.
+	maxAcknowledged = 1 << 22
 	// maxHops bounds how often an opening is forwarded.
 	maxHops = 3
 	// requestTimeout is when a request without a response no longer counts as in
@@ -203,7 +207,7 @@
 	case stageNotHeld:
 		return notHeldVerdict(m, p.Key, ReasonNotHeld)
 	case stageAnswered:
-		if f.firstKnown && !acknowledges(p.Ack, f.firstSeq) && !p.Flags.Has(SYN) {
+		if f.firstKnown && !a.mayAcknowledge(f, p, now) && !p.Flags.Has(SYN) {
 			a.openedElsewhere(f)
 			return notHeldVerdict(m, p.Key, ReasonOpenedElsewhere)
 		}
@@ -226,6 +230,17 @@
 	return Verdict{Action: Deliver, Reason: ReasonHeld}
 }
 
+// mayAcknowledge reports whether a caller's packet may belong to the flow that the target has
+// accepted. While this agent may not know all flows, a late copy of an opening may have met a
+// flow that has been open for long, whose caller has sent and acknowledged data since.
+func (a *Agent) mayAcknowledge(f *agentFlow, p Packet, now time.Duration) bool {
+	if acknowledges(p.Ack, f.firstSeq) {
+		return true
+	}
+	sentBefore := f.openingSeq != 0 && int32(p.Seq-f.openingSeq) > 1
+	return now < a.completeAt && sentBefore && p.Ack-f.firstSeq <= maxAcknowledged
+}
+
 // openedElsewhere records that the caller has opened a flow with another target. The
 // flow is kept while the own target may hold a half-open flow: the target would accept
 // packets that are meant for the other one.
--- a/flow/agent_test.go
+++ b/flow/agent_test.go
@@ -332,3 +332,23 @@
 	is.Equal(a.Len(), 0)
 	is.True(a.LoadFrame().LoadPermille == 0 || a.LoadFrame().LoadPermille < 1000)
 }
+
+// An entry host that was frozen passes on an old copy of an opening after the agent has restarted.
+// The target, which has held the flow for long, answers it again. The agent must not conclude from
+// what the caller has acknowledged since that the flow was opened with another target.
+func TestLateCopyAfterAgentRestart(t *testing.T) {
+	is := is.New(t)
+	a := flow.NewAgent(0)
+	a.SetServer(serving())
+	const now = time.Second
+	is.Equal(a.FromEntry(open(entryA), syn(1), now).Action, flow.Deliver)
+	a.FromTarget(synAck(1, firstA), now)
+	later := request(1, firstA)
+	later.Seq, later.Ack = opening+5000, firstA+1+40_000
+	is.Equal(a.FromEntry(data(entryA), later, now).Action, flow.Deliver)
+
+	// Of a flow that was opened with another target the numbers are far off.
+	is.Equal(a.FromEntry(open(entryA), syn(2), now).Action, flow.Deliver)
+	a.FromTarget(synAck(2, firstA), now)
+	is.Equal(a.FromEntry(data(entryA), request(2, 1<<30), now).Reason, flow.ReasonOpenedElsewhere)
+}
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -25,7 +27,9 @@
 	// maxFileBytes is the file size limit that simulates a full disk.
 	maxFileBytes    = 4 << 10
 	lossProbability = 0.2
-	packetDelay     = 40 * time.Millisecond
+	// startPoll is the time between two looks at the log of a process that starts.
+	startPoll   = 5 * time.Millisecond
+	packetDelay = 40 * time.Millisecond
 )
 
 // injector injects the faults of a plan into a deployment.
@@ -215,7 +219,18 @@
 		}
 	}
 	time.Sleep(fault.For)
+	starts := in.countStarts(p)
 	in.start(p)
+	in.awaitStart(p, starts)
+}
+
+// awaitStart waits until a process has logged another start. Before, it handles no signals, and
+// a stop that follows would end it with the status of the signal.
+func (in *injector) awaitStart(p *standin.Process, before int) {
+	deadline := time.Now().Add(startTimeout + in.timeoutMargin)
+	for in.countStarts(p) <= before && p.Running() && time.Now().Before(deadline) {
+		time.Sleep(startPoll)
+	}
 }
 
 func (in *injector) start(p *standin.Process) {
@@ -227,6 +242,15 @@
 	in.setDown(p, false)
 }
 
+// countStarts counts the starts that a process has logged.
+func (in *injector) countStarts(p *standin.Process) int {
+	log, err := os.ReadFile(in.deployment.LogFile(p))
+	if err != nil {
+		return 0 // it has not started yet
+	}
+	return bytes.Count(log, []byte(`"msg":"start"`))
+}
+
 // fill simulates a full disk of a control host.
 func (in *injector) fill(p *standin.Process, duration time.Duration) {
 	if err := p.LimitFiles(maxFileBytes); err != nil {
