--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if rule FLOW was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/second-review skipped-version review/4/record.txt
+exec target/second-review reused-address review/4/record.txt
--- a/review/internal/secondreview/caller_test.go
+++ b/review/internal/secondreview/caller_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -126,6 +127,8 @@
 	in     chan received
 	seq    uint32
 	ack    uint32
+	// answer is the last answer: the service, the instance of the target and the request.
+	answer string
 }
 
 // open opens a flow. Errors: errReset, errTimeout.
@@ -180,6 +183,7 @@
 		}
 		f.seq += uint32(len(id))
 		f.ack += uint32(p.Length)
+		f.answer = p.data
 		f.send(flow.Packet{Flags: flow.ACK, Seq: f.seq, Ack: f.ack}, "")
 		c.note("flow %s: request %s answered after %.3f s: %q", f.name, id, time.Since(began).Seconds(), p.data)
 		return nil
@@ -223,3 +227,10 @@
 	}
 	return fmt.Sprint(err)
 }
+
+// targetAddress returns the IP address of the target that has answered the flow.
+func (f *openFlow) targetAddress() string {
+	_, instance, _ := strings.Cut(f.answer, " i-")
+	address, _, _ := strings.Cut(instance, "/")
+	return address
+}
--- a/review/internal/secondreview/main_test.go
+++ b/review/internal/secondreview/main_test.go
@@ -22,6 +22,7 @@
 // cases has the function of each case by its name on the command line.
 var cases = map[string]func(*run) (broken bool, err error){
 	"idle-timeout":    idleTimeout,
+	"reused-address":  reusedAddress,
 	"skipped-version": skippedVersion,
 }
 
