--- a/review/internal/secondreview/main_test.go
+++ b/review/internal/secondreview/main_test.go
@@ -21,6 +21,7 @@
 
 // cases has the function of each case by its name on the command line.
 var cases = map[string]func(*run) (broken bool, err error){
+	"first-start":     firstStart,
 	"idle-timeout":    idleTimeout,
 	"reused-address":  reusedAddress,
 	"skipped-version": skippedVersion,
