--- a/review/internal/secondreview/idletimeout_test.go
+++ b/review/internal/secondreview/idletimeout_test.go
@@ -72,6 +72,7 @@
 		}
 		flows = append(flows, f)
 	}
+	defer func() { r.noteRuns(d.Targets) }()
 	return r.pauseAndAsk(flows, allowed)
 }
 
--- a/review/internal/secondreview/skippedversion_test.go
+++ b/review/internal/secondreview/skippedversion_test.go
@@ -59,6 +59,7 @@
 	if err := v.chooseMachine(); err != nil {
 		return false, err
 	}
+	defer func() { r.noteRuns(d.Targets) }()
 	flows, err := v.changeAndBack()
 	if err != nil {
 		return false, err
