config: routes list their former services, so that a missed version resets no flow

An entry host knew the services that a route had before only from versions that it had activated itself. Control hosts send the newest version, so one that was away, slow, or subscribed to a control host that stood still misses those in between. It asked only the agents of the present service and reset the flow once they had denied it. After a start it knew that it knew nothing for a constant of 60 s, whatever flow_max_s is.

The state machine adds to each route the numbers of its former services, and to the table how far back they reach. The constant is gone.

Ruled out: the list of targets, wrong denials.

TestEverHad checks more; NewRoute has one argument more.

Tests of config, placement, flowd, subscriber, controld, platform, standin pass.

--- a/config/filter.go
+++ b/config/filter.go
@@ -35,7 +35,7 @@
 	if t == nil {
 		return nil
 	}
-	filtered := &configpb.RouteTable{Revision: t.GetRevision(), IdleTimeoutMs: t.GetIdleTimeoutMs()}
+	filtered := &configpb.RouteTable{Revision: t.GetRevision(), IdleTimeoutMs: t.GetIdleTimeoutMs(), History: t.GetHistory()}
 	for _, r := range t.GetRoutes() {
 		if leadsTo(r, services) {
 			filtered.Routes = append(filtered.Routes, r)
--- a/config/routes.go
+++ b/config/routes.go
@@ -131,7 +131,7 @@
 		return &configpb.ReplaceOutcome{Verdict: configpb.ReplaceVerdict_REPLACE_VERDICT_SUPERSEDED, Revision: activeRevision}
 	}
 	next := m.withServices(r)
-	next.Table = canonicalTable(m.current.GetTable(), r.GetTable())
+	next.Table = canonicalTable(m.current, next, r.GetTable())
 	m.document = r.GetDocument()
 	m.publish(next, "")
 	return &configpb.ReplaceOutcome{
@@ -164,23 +164,22 @@
 	return assemble(m.current, m.current.GetVersion()+1, put, nil, retiredSet(m.current))
 }
 
-// canonicalTable returns a copy of a table with sorted routes. Unchanged routes are shared
-// with the previous table to save memory.
-func canonicalTable(before, table *configpb.RouteTable) *configpb.RouteTable {
-	existing := routesByAddress(before)
+// canonicalTable returns a copy of the table that follows that of version before in version
+// next, with sorted routes and their former services. Unchanged routes are shared with the
+// previous table to save memory.
+func canonicalTable(before, next *configpb.Configuration, table *configpb.RouteTable) *configpb.RouteTable {
+	existing := routesByAddress(before.GetTable())
 	out := &configpb.RouteTable{
 		Revision:      table.GetRevision(),
 		IdleTimeoutMs: table.GetIdleTimeoutMs(),
 		Routes:        make([]*configpb.Route, 0, len(table.GetRoutes())),
+		History:       nextHistory(before.GetTable()),
 	}
 	for _, r := range table.GetRoutes() {
 		address, _ := parsePublicAddress(r.GetAddress())
-		route := r
-		if text := address.String(); text != r.GetAddress() {
-			route = proto.CloneOf(r)
-			route.Address = text
-		}
-		if old := existing[route.GetAddress()]; old != nil && proto.Equal(old, route) {
+		old := existing[address.String()]
+		route := canonicalRoute(r, address.String(), formerServices(old, before, r, next))
+		if old != nil && proto.Equal(old, route) {
 			route = old
 		}
 		out.Routes = append(out.Routes, route)
@@ -189,6 +188,18 @@
 	return out
 }
 
+// canonicalRoute returns a route with its canonical address and its former services. An unchanged
+// route is not copied.
+func canonicalRoute(r *configpb.Route, address string, former routeHistory) *configpb.Route {
+	same := r.GetAddress() == address && r.GetFormerServicesOmitted() == former.omitted
+	if same && slices.Equal(r.GetFormerServices(), former.services) {
+		return r
+	}
+	route := proto.CloneOf(r)
+	route.Address, route.FormerServices, route.FormerServicesOmitted = address, former.services, former.omitted
+	return route
+}
+
 func routesByAddress(t *configpb.RouteTable) map[string]*configpb.Route {
 	out := make(map[string]*configpb.Route, len(t.GetRoutes()))
 	for _, r := range t.GetRoutes() {
@@ -202,7 +213,7 @@
 	if to == nil || from.GetRevision() == to.GetRevision() {
 		return nil
 	}
-	d := &controlpb.RouteTableDelta{Revision: to.GetRevision(), IdleTimeoutMs: to.GetIdleTimeoutMs()}
+	d := &controlpb.RouteTableDelta{Revision: to.GetRevision(), IdleTimeoutMs: to.GetIdleTimeoutMs(), History: to.GetHistory()}
 	before := routesByAddress(from)
 	after := routesByAddress(to)
 	for _, r := range to.GetRoutes() {
@@ -231,7 +242,7 @@
 	for _, r := range d.GetPut() {
 		routes[r.GetAddress()] = r
 	}
-	merged := &configpb.RouteTable{Revision: d.GetRevision(), IdleTimeoutMs: d.GetIdleTimeoutMs()}
+	merged := &configpb.RouteTable{Revision: d.GetRevision(), IdleTimeoutMs: d.GetIdleTimeoutMs(), History: d.GetHistory()}
 	for _, r := range routes {
 		merged.Routes = append(merged.Routes, r)
 	}
--- a/internal/controld/state.go
+++ b/internal/controld/state.go
@@ -339,6 +339,18 @@
 	return c.GetTable().GetRevision(), c != nil
 }
 
+// sameHistory reports whether the subscriber's version has as much of the former services of routes
+// as that version has here. A delta between versions with more would leave some out.
+func (s *configState) sameHistory(version uint64, req *controlpb.Subscribe) bool {
+	if req.TableHistory == nil {
+		return true
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	c := s.machine.Version(version)
+	return c == nil || c.GetTable().GetHistory() == req.GetTableHistory()
+}
+
 func copyDelta(u *controlpb.ConfigUpdate) *controlpb.ConfigUpdate {
 	return &controlpb.ConfigUpdate{
 		BaseVersion: u.GetBaseVersion(),
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -95,6 +95,9 @@
 			sub.sent = 0
 		}
 	}
+	if !d.configs.sameHistory(sub.sent, req) {
+		sub.sent = 0
+	}
 	d.subscribers.add(sub.remote)
 	defer d.subscribers.remove(sub.remote)
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/controld/subscription_test.go
+++ b/internal/controld/subscription_test.go
@@ -97,6 +97,43 @@
 	is.True(u.GetConfirmed())
 }
 
+// Guards against a delta for a subscriber whose version, from a control host of an earlier release,
+// lists fewer former services of routes: it would take what it has for complete.
+func TestSubscriberWithoutHistoryGetsSnapshot(t *testing.T) {
+	is := is.New(t)
+	d, _ := newSingleHost(t)
+	for revision := uint64(1); revision <= 2; revision++ {
+		service := fmt.Sprint("s", revision)
+		_, err := d.hosts["c1"].daemon.ReplaceRouteTable(t.Context(), &configpb.Replacement{
+			Services: []string{service},
+			Table: &configpb.RouteTable{Revision: revision, Routes: []*configpb.Route{{
+				Address: "198.18.0.1:443", TimeoutMs: 1, Services: []*configpb.WeightedService{{Service: service, Weight: 1}},
+			}}},
+		})
+		is.NoErr(err)
+	}
+	c := d.link(keys.RoleEntry, "e1", "", "c1")
+	for _, test := range []struct {
+		name    string
+		history *configpb.RouteHistory
+		delta   bool
+	}{
+		{"the same", configpb.RouteHistory_ROUTE_HISTORY_COMPLETE.Enum(), true},
+		{"less", configpb.RouteHistory_ROUTE_HISTORY_UNKNOWN.Enum(), false},
+		{"a subscriber of an earlier release", nil, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			u := d.subscribe(c, &controlpb.Subscribe{Version: 1, TableRevision: 1, TableHistory: test.history}).awaitVersion(2)
+			is.Equal(u.GetSnapshot() == nil, test.delta)
+			if test.delta {
+				is.Equal(u.GetTable().GetHistory(), configpb.RouteHistory_ROUTE_HISTORY_COMPLETE)
+				is.Equal(u.GetTable().GetPut()[0].GetFormerServices(), []uint32{1})
+			}
+		})
+	}
+}
+
 // restart restarts a host on its data directory.
 func (d *deployment) restart(name string) *host {
 	d.t.Helper()
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -115,7 +115,7 @@
 	e := &Entry{
 		opts:      o,
 		startedAt: time.Now(),
-		placer:    newPlacer(o.Log, scope),
+		placer:    newPlacer(o.Log, scope, o.Limits.Age),
 		callers:   callers,
 		agents:    agents,
 		counters:  newCounters(scope),
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -26,10 +26,6 @@
 	maxRegistrars = 16
 	// maxRedraws bounds the attempts to choose a target other than the one to avoid.
 	maxRedraws = 4
-	// historyUnknownFor is how long after its start an entry host considers all agents
-	// possible holders: it does not know to which services a route led before, and a flow
-	// stays with its service when the route moves to another one.
-	historyUnknownFor = 60 * time.Second
 )
 
 // placer chooses targets from the latest view. It is safe for concurrent use.
@@ -42,6 +38,7 @@
 	viewReceivedAt time.Time
 	table          *configpb.RouteTable
 	routes         map[flow.Endpoint]*placement.Route
+	history        placement.History
 	// directory has the targets that take new flows, tables the table of each service.
 	directory *targets.Directory
 	tables    map[uint32]*routing.Table
@@ -59,7 +56,8 @@
 	loadAge tally.Histogram
 }
 
-func newPlacer(log *zap.Logger, scope tally.Scope) *placer {
+// newPlacer returns a placer of flows that are at most maxFlowAge old.
+func newPlacer(log *zap.Logger, scope tally.Scope, maxFlowAge time.Duration) *placer {
 	loadAge := scope.Histogram("load_age_seconds", metrics.DurationBuckets)
 	return &placer{
 		log:       log,
@@ -67,6 +65,7 @@
 		startedAt: time.Now(),
 		loads:     routing.NewLoadReports(nil, nil),
 		routes:    map[flow.Endpoint]*placement.Route{},
+		history:   placement.NewHistory(maxFlowAge),
 		tables:    map[uint32]*routing.Table{},
 		agents:    newAgentSet(),
 	}
@@ -103,6 +102,7 @@
 		next[key] = routeFrom(r, numbers, p.routes[key])
 	}
 	p.routes, p.table = next, c.GetTable()
+	p.history.Observe(p.table.GetHistory(), time.Since(p.startedAt))
 	p.log.Info("routes applied",
 		zap.Uint64("revision", p.table.GetRevision()), zap.Uint64("version", c.GetVersion()), zap.Int("routes", len(next)))
 }
@@ -116,7 +116,8 @@
 			Weight:  uint64(s.GetWeight()),
 		})
 	}
-	return placement.NewRoute(services, previous)
+	former := placement.Former{Services: r.GetFormerServices(), Omitted: r.GetFormerServicesOmitted()}
+	return placement.NewRoute(services, former, previous)
 }
 
 func (p *placer) applyTargets(previous, v *subscriber.View, now time.Duration) {
@@ -272,19 +273,18 @@
 	if r == nil || p.view == nil {
 		return to
 	}
+	historyKnown := p.historyKnown()
 	for number, list := range p.agents.services {
-		if p.mayHold(r, number) {
+		if r.MayHold(number, historyKnown) {
 			to = append(to, list.agents[:min(len(list.agents), limit-len(to))]...)
 		}
 	}
 	return to
 }
 
-// mayHold reports whether the targets of a service may hold flows of a route. The lock is
+// historyKnown reports whether routes list the services that may hold their flows. The lock is
 // held.
-func (p *placer) mayHold(r *placement.Route, service uint32) bool {
-	return time.Since(p.startedAt) < historyUnknownFor || r.EverHad(service)
-}
+func (p *placer) historyKnown() bool { return p.history.Known(time.Since(p.startedAt)) }
 
 // HeldElsewhere implements flow.Placer.
 func (p *placer) HeldElsewhere(public flow.Endpoint, denied, heldByNone []flow.Endpoint) bool {
@@ -294,9 +294,9 @@
 	if r == nil || p.view == nil || !p.complete() {
 		return true
 	}
-	asked := false
+	asked, historyKnown := false, p.historyKnown()
 	for number, list := range p.agents.services {
-		if !p.mayHold(r, number) {
+		if !r.MayHold(number, historyKnown) {
 			continue
 		}
 		if !list.hasAny(heldByNone) && !list.allIn(denied) {
@@ -313,18 +313,18 @@
 }
 
 // appendFromServices appends the agents picked for a flow from each service that its route
-// has or has had. With includeFormer, a host that has just started includes all services,
-// since it does not know the earlier ones.
-func (p *placer) appendFromServices(to []flow.Endpoint, key flow.Key, includeFormer bool, pick func(to []flow.Endpoint, key flow.Key, list []flow.Endpoint) []flow.Endpoint) []flow.Endpoint {
+// is known to have had. With includeAll, those of all services that may hold the flow.
+func (p *placer) appendFromServices(to []flow.Endpoint, key flow.Key, includeAll bool, pick func(to []flow.Endpoint, key flow.Key, list []flow.Endpoint) []flow.Endpoint) []flow.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.routes[key.Public]
 	if r == nil {
 		return to
 	}
-	historyUnknown := includeFormer && time.Since(p.startedAt) < historyUnknownFor
+	historyKnown := p.historyKnown()
 	for number, list := range p.agents.services {
-		if (historyUnknown || r.EverHad(number)) && len(to) < maxRegistrars {
+		included := r.EverHad(number) || includeAll && r.MayHold(number, historyKnown)
+		if included && len(to) < maxRegistrars {
 			to = pick(to, key, list.agents)
 		}
 	}
--- a/internal/flowd/placer_test.go
+++ b/internal/flowd/placer_test.go
@@ -9,9 +9,11 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
+	"eelgrasswharf.example/eelgrasswharf/config"
 	"eelgrasswharf.example/eelgrasswharf/flow"
 	"eelgrasswharf.example/eelgrasswharf/internal/subscriber"
 )
@@ -45,7 +47,7 @@
 }
 
 func newTestPlacer(v *subscriber.View) *placer {
-	p := newPlacer(zap.NewNop(), tally.NoopScope)
+	p := newPlacer(zap.NewNop(), tally.NoopScope, time.Minute)
 	p.apply(v, 0)
 	return p
 }
@@ -146,3 +148,36 @@
 		t.Fatalf("%d of %d flows are on preferred agents after the release", n, all)
 	}
 }
+
+// Guards against a reset by a host that missed the version in which a route led to another service:
+// flows of that time stay with the targets of that service.
+func TestHostThatMissedVersionAsksFormerService(t *testing.T) {
+	is := is.New(t)
+	m := config.New()
+	leadTo := func(revision uint64, service string) *configpb.Configuration {
+		command, err := proto.Marshal(&configpb.Command{Body: &configpb.Command_Replacement{Replacement: &configpb.Replacement{
+			Services: []string{"lodgement", "certificates"},
+			Table: &configpb.RouteTable{Revision: revision, Routes: []*configpb.Route{{
+				Address: "198.18.0.1:443", TimeoutMs: 1, Services: []*configpb.WeightedService{{Service: service, Weight: 1}},
+			}}},
+		}}})
+		is.NoErr(err)
+		m.Apply(revision, command)
+		return m.Current()
+	}
+	targets := newTestView([]string{"a"}).Targets
+	targets[1].Service = 2
+	view := func(c *configpb.Configuration) *subscriber.View { return subscriber.NewView(c, targets, time.Now()) }
+
+	p := newTestPlacer(view(leadTo(1, "lodgement")))
+	p.startedAt = p.startedAt.Add(-time.Hour)
+	lodgementAgent, certificatesAgent := flow.Endpoint{IP: [4]byte{10, 0, 0, 1}, Port: 7000}, flow.Endpoint{IP: [4]byte{10, 0, 0, 2}, Port: 7000}
+	public := callerKey(1).Public
+	is.True(!p.HeldElsewhere(public, []flow.Endpoint{lodgementAgent}, nil)) // it led nowhere else
+
+	leadTo(2, "certificates")
+	p.apply(view(leadTo(3, "lodgement")), 0)
+	is.True(p.HeldElsewhere(public, []flow.Endpoint{lodgementAgent}, nil))
+	is.Equal(len(p.Holders(nil, public, 9)), 2)
+	is.True(!p.HeldElsewhere(public, []flow.Endpoint{lodgementAgent, certificatesAgent}, nil))
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -235,7 +235,8 @@
 	}
 	if !s.wantSnapshot {
 		req.Version = s.versions.latest().GetVersion()
-		req.TableRevision = s.versions.latest().GetTable().GetRevision()
+		table := s.versions.latest().GetTable()
+		req.TableRevision, req.TableHistory = table.GetRevision(), table.GetHistory().Enum()
 	}
 	position := s.targets.Position()
 	req.DirectoryEpoch, req.DirectorySequence = position.Epoch, position.Sequence
--- a/internal/subscriber/versions.go
+++ b/internal/subscriber/versions.go
@@ -48,7 +48,7 @@
 		next = &configpb.Configuration{}
 	}
 	if v.ready() {
-		changed := next.GetVersion() > v.active.GetVersion() || addsRoutes(v.active, next)
+		changed := next.GetVersion() > v.active.GetVersion() || addsRoutes(v.active, next) || addsHistory(v.active, next)
 		if changed {
 			v.active = next
 		}
@@ -69,6 +69,11 @@
 	return next.GetVersion() == active.GetVersion() && next.GetTable().GetRevision() != active.GetTable().GetRevision()
 }
 
+// addsHistory reports whether next is the same version with more of the former services of routes.
+func addsHistory(active, next *configpb.Configuration) bool {
+	return next.GetVersion() == active.GetVersion() && next.GetTable().GetHistory() > active.GetTable().GetHistory()
+}
+
 // activateConfirmed activates the candidate if a quorum confirmed it.
 func (v *versions) activateConfirmed() bool {
 	if v.candidate == nil || !v.confirmed || v.candidate.GetVersion() < v.minVersion {
--- a/placement/route.go
+++ b/placement/route.go
@@ -18,15 +18,27 @@
 type Route struct {
 	services    []WeightedService
 	totalWeight uint64
-	// history has the numbers of all services that the route has ever had. Open flows
-	// stay with them.
+	// history has the numbers of all services that the route is known to have had. Open
+	// flows stay with them.
 	history map[uint32]bool
+	// historyOmitted: the configuration does not list all former services.
+	historyOmitted bool
 }
 
-// NewRoute returns a route with these services. previous is the earlier route of the
-// address, nil if there was none.
-func NewRoute(services []WeightedService, previous *Route) *Route {
-	r := &Route{services: services, history: map[uint32]bool{}}
+// Former are the former services of a route that the configuration lists, by number.
+type Former struct {
+	Services []uint32
+	// Omitted: there were too many to list.
+	Omitted bool
+}
+
+// NewRoute returns a route with these services and former ones. previous is the earlier route
+// of the address, nil if there was none.
+func NewRoute(services []WeightedService, former Former, previous *Route) *Route {
+	r := &Route{services: services, history: map[uint32]bool{}, historyOmitted: former.Omitted}
+	for _, service := range former.Services {
+		r.history[service] = true
+	}
 	if previous != nil {
 		for service := range previous.history {
 			r.history[service] = true
@@ -39,9 +51,15 @@
 	return r
 }
 
-// EverHad reports whether the route has or has had a service.
+// EverHad reports whether the route has or is known to have had a service.
 func (r *Route) EverHad(service uint32) bool { return r.history[service] }
 
+// MayHold reports whether targets of a service may hold flows of the route. historyKnown: routes
+// list the former services that they have had.
+func (r *Route) MayHold(service uint32, historyKnown bool) bool {
+	return !historyKnown || r.historyOmitted || r.EverHad(service)
+}
+
 // RoutesTo reports whether new flows of the route may go to a service.
 func (r *Route) RoutesTo(service uint32) bool {
 	for _, s := range r.services {
--- a/placement/route_test.go
+++ b/placement/route_test.go
@@ -15,7 +15,7 @@
 		{Service: 1, Hash: 101, Weight: 90},
 		{Service: 2, Hash: 102, Weight: 10},
 		{Service: 3, Hash: 103, Weight: 0},
-	}, nil)
+	}, placement.Former{}, nil)
 }
 
 // loads returns a function that returns the candidate of a service with the load listed for
@@ -62,15 +62,21 @@
 // Open flows stay with the former services of a route.
 func TestEverHad(t *testing.T) {
 	is := is.New(t)
-	r := placement.NewRoute([]placement.WeightedService{{Service: 4, Weight: 1}}, route())
+	r := placement.NewRoute([]placement.WeightedService{{Service: 4, Weight: 1}}, placement.Former{Services: []uint32{6}}, route())
+	is.True(r.EverHad(6)) // listed by the configuration
 	is.True(r.EverHad(1))
 	is.True(r.EverHad(4))
 	is.True(!r.EverHad(5))
+	is.True(r.MayHold(6, true))
+	is.True(!r.MayHold(5, true))
+	is.True(r.MayHold(5, false))
+	r = placement.NewRoute(nil, placement.Former{Omitted: true}, r)
+	is.True(r.MayHold(5, true)) // not all are listed
 }
 
 func TestRouteWithoutWeights(t *testing.T) {
 	is := is.New(t)
-	r := placement.NewRoute([]placement.WeightedService{{Service: 1}}, nil)
+	r := placement.NewRoute([]placement.WeightedService{{Service: 1}}, placement.Former{}, nil)
 	_, reason := r.Choose(7, loads(0))
 	is.Equal(reason, flow.ReasonNoTarget)
 }
--- a/placement/services_test.go
+++ b/placement/services_test.go
@@ -27,6 +27,6 @@
 		is.True(ok)
 		is.Equal(s.Hash, placed.Service)
 	}
-	_, ok := placement.NewRoute([]placement.WeightedService{{Service: 1}}, nil).Select(7)
+	_, ok := placement.NewRoute([]placement.WeightedService{{Service: 1}}, placement.Former{}, nil).Select(7)
 	is.True(!ok)
 }
