flow: a clearance names its service, so that it clears no other one at the same address

HeldByNone carries the digest of the list that was queried, not the service. The entry host took the service from its own list by the sender's address. A lost target stays listed for 20 s, so an address that was reused is in the lists of two services; the digest fitted the later one and placer.HeldElsewhere counted the frame for both.

The frame names the service (flow.Clearance: service number and digest); it is kept with the flow and compared with the present list of that service when the flow would be reset. Frames of earlier releases name none and are no evidence. The log line of such a reset has what it rests on.

Same cause elsewhere: the throttle took the service of a load report from the sender's address; it takes that of the reported target now. Denials stay by address: only one agent can be there.

Changed for the new signature with the same checks: TestEvacuatedTargetsGetNoNewFlows, TestHeldByNoneFromOtherAgentList, TestHeldByNoneFrame, TestAgentListChangesDuringLookup.

--- a/flow/agent.go
+++ b/flow/agent.go
@@ -70,9 +70,10 @@
 	mostUrgent qos.Class
 	// peers are the agents of the other targets of the service that take new flows.
 	// serviceAgents are those of all its targets, including self. pending has its changes
-	// since the last registrations.
+	// since the last registrations. serviceNumber is that of the service.
 	peers         []Endpoint
 	serviceAgents agentList
+	serviceNumber uint32
 	self          Endpoint
 	pending       listChange
 	registry      registry
@@ -170,6 +171,9 @@
 // resets open flows.
 func (a *Agent) MarkComplete(now time.Duration) { a.completeAt = min(a.completeAt, now) }
 
+// SetServiceNumber sets the number of the service whose targets SetPeers lists.
+func (a *Agent) SetServiceNumber(number uint32) { a.serviceNumber = number }
+
 // Server returns the state of the target.
 func (a *Agent) Server() Server { return a.server }
 
--- a/flow/entry.go
+++ b/flow/entry.go
@@ -51,8 +51,8 @@
 	// most limit of them, none if the address has no route.
 	Holders(to []Endpoint, public Endpoint, limit int) []Endpoint
 	// HeldElsewhere reports whether a flow to that public address may be held by an agent
-	// that is neither in denied nor of the same service as one in heldByNone.
-	HeldElsewhere(public Endpoint, denied, heldByNone []Endpoint) bool
+	// that is neither in denied nor in a list of a service that heldByNone is about.
+	HeldElsewhere(public Endpoint, denied []Endpoint, heldByNone []Clearance) bool
 	// Registrars appends the agents at which a flow is registered.
 	Registrars(to []Endpoint, key Key) []Endpoint
 	// Preferred appends the agents that the flow was most likely placed on.
@@ -61,9 +61,6 @@
 	// looks it up among all agents of its service. Each turn selects other agents, in
 	// case both are lost.
 	Coordinators(to []Endpoint, key Key, turn int) []Endpoint
-	// ServiceDigest returns the Digest of all agents of an agent's service, itself
-	// included, and false if the agent is unknown.
-	ServiceDigest(agent Endpoint) (uint64, bool)
 	// Ready reports whether routes and targets are known. Before that, nothing can be
 	// concluded about unknown flows.
 	Ready() bool
@@ -123,8 +120,8 @@
 	// since it last denied the flow.
 	holder    Endpoint
 	locatedBy []Endpoint
-	// heldByNone has the agents that reported that no target of their service holds it.
-	heldByNone []Endpoint
+	// heldByNone has the services that an agent reported to have no target that holds it.
+	heldByNone []Clearance
 	// searchStage is the stage of a staged search, lookupRound counts its rounds of
 	// lookups, and stageStart is the start of the stage or round. asked are the agents
 	// that the stage was sent to, nil for lookups. probed: an agent had to ask its target.
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -44,7 +44,7 @@
 	NotHeld
 	MayHold
 	// HeldByNone reports to an entry host that searches for a flow that no target of
-	// the sender's service holds it.
+	// a service holds it.
 	HeldByNone
 
 	// KindCount is one more than the highest kind.
@@ -96,8 +96,8 @@
 	// the target was sent the packet.
 	Probed bool
 
-	// Digest identifies the list of agents that were queried, in HeldByNone.
-	Digest uint64
+	// Clearance is what HeldByNone reports.
+	Clearance Clearance
 
 	// Key of the flow, in Held, Denied, Located and HeldByNone.
 	Key Key
@@ -128,12 +128,14 @@
 
 // Lengths of the headers in bytes.
 const (
-	packetHeader     = 22
-	loadLength       = 12
-	heldLength       = loadLength + 24
-	deniedLength     = 14
-	locatedLength    = deniedLength + 6
+	packetHeader  = 22
+	loadLength    = 12
+	heldLength    = loadLength + 24
+	deniedLength  = 14
+	locatedLength = deniedLength + 6
+	// heldByNoneLength is that of releases that do not name the service.
 	heldByNoneLength = deniedLength + 8
+	clearanceLength  = heldByNoneLength + 4
 )
 
 // HopsLookup in a search asks the receiver to look the flow up among all agents of its
@@ -185,7 +187,8 @@
 		b = append(b, byte(f.Kind), 0)
 		b = appendEndpoint(b, f.Key.Caller)
 		b = appendEndpoint(b, f.Key.Public)
-		return binary.BigEndian.AppendUint64(b, f.Digest)
+		b = binary.BigEndian.AppendUint64(b, f.Clearance.Digest)
+		return binary.BigEndian.AppendUint32(b, f.Clearance.Service)
 	case Register, Query, NotHeld, MayHold:
 		return append(b, byte(f.Kind), f.registerBits())
 	case Located:
@@ -284,11 +287,14 @@
 		f.Alternate = parseEndpoint(b[14:20])
 		return f, nil, nil
 	case HeldByNone:
-		if len(b) != heldByNoneLength {
+		if len(b) != heldByNoneLength && len(b) != clearanceLength {
 			return Frame{}, nil, ErrFrame
 		}
 		f.Key = Key{Caller: parseEndpoint(b[2:8]), Public: parseEndpoint(b[8:14])}
-		f.Digest = binary.BigEndian.Uint64(b[14:22])
+		f.Clearance.Digest = binary.BigEndian.Uint64(b[14:22])
+		if len(b) == clearanceLength {
+			f.Clearance.Service = binary.BigEndian.Uint32(b[22:26])
+		}
 		return f, nil, nil
 	case Register, Query, NotHeld, MayHold:
 		if f.Kind == Register {
--- a/flow/helpers_test.go
+++ b/flow/helpers_test.go
@@ -80,11 +80,14 @@
 	return append(to, p.agents[:min(len(p.agents), limit)]...)
 }
 
-func (p *fixedPlacer) HeldElsewhere(_ flow.Endpoint, denied, heldByNone []flow.Endpoint) bool {
+// serviceNumber is that of the service of all agents of a fixedPlacer.
+const serviceNumber = 1
+
+func (p *fixedPlacer) HeldElsewhere(_ flow.Endpoint, denied []flow.Endpoint, heldByNone []flow.Clearance) bool {
 	among := func(list []flow.Endpoint) func(flow.Endpoint) bool {
 		return func(agent flow.Endpoint) bool { return slices.Contains(list, agent) }
 	}
-	covered := slices.ContainsFunc(heldByNone, among(p.agents))
+	covered := slices.Contains(heldByNone, flow.Clearance{Service: serviceNumber, Digest: flow.Digest(p.agents)})
 	all := !slices.ContainsFunc(p.agents, func(agent flow.Endpoint) bool { return !among(denied)(agent) })
 	return p.incomplete || len(p.agents) == 0 || !covered && !all
 }
@@ -99,10 +102,6 @@
 	return flow.AppendRegistrars(to, key, p.agents)
 }
 
-func (p *fixedPlacer) ServiceDigest(flow.Endpoint) (uint64, bool) {
-	return flow.Digest(p.agents), len(p.agents) > 0
-}
-
 func (p *fixedPlacer) Ready() bool { return !p.notReady }
 
 func (p *fixedPlacer) HasTarget(agent flow.Endpoint) (known, complete bool) {
--- a/flow/lookup_test.go
+++ b/flow/lookup_test.go
@@ -50,6 +50,7 @@
 				a.SetServer(flow.Server{State: flow.Serving, Service: lodgement, Slots: 4})
 			}
 		}
+		a.SetServiceNumber(serviceNumber)
 		a.SetPeers(nil, c.all, at)
 		c.agents[at] = a
 	}
@@ -160,7 +161,7 @@
 			c.entry.Located(n.Frame, from, c.now)
 			continue
 		}
-		v, p := c.entry.HeldByNone(n.Frame, from, c.now)
+		v, p := c.entry.HeldByNone(n.Frame, c.now)
 		c.applyEntryVerdict(v, p)
 	}
 }
@@ -270,11 +271,11 @@
 	all := manyAgents(40)
 	e := flow.NewEntry(&fixedPlacer{agents: all}, entryA)
 	e.Packet(request(1, firstA), 0)
-	heldByNone := flow.Frame{Kind: flow.HeldByNone, Key: key(1), Digest: flow.Digest(all[1:])}
-	v, _ := e.HeldByNone(heldByNone, all[5], 0)
+	heldByNone := flow.Frame{Kind: flow.HeldByNone, Key: key(1), Clearance: flow.Clearance{Service: serviceNumber, Digest: flow.Digest(all[1:])}}
+	v, _ := e.HeldByNone(heldByNone, 0)
 	is.Equal(v.Action, flow.Drop)
-	heldByNone.Digest = flow.Digest(all)
-	v, _ = e.HeldByNone(heldByNone, all[5], 0)
+	heldByNone.Clearance.Digest = flow.Digest(all)
+	v, _ = e.HeldByNone(heldByNone, 0)
 	is.Equal(v.Action, flow.Reset)
 }
 
@@ -309,7 +310,7 @@
 	notices := a.HandleNotHeld([]flow.Key{key(1)}, all[19])
 	is.Equal(len(notices), 1)
 	is.Equal(notices[0].Frame.Kind, flow.HeldByNone)
-	is.Equal(notices[0].Frame.Digest, flow.Digest(slices.Concat(all[:18], all[19:])))
+	is.Equal(notices[0].Frame.Clearance.Digest, flow.Digest(slices.Concat(all[:18], all[19:])))
 }
 
 // While targets are replaced between each search and the round of queries that it waits for,
@@ -361,7 +362,7 @@
 
 func TestHeldByNoneFrame(t *testing.T) {
 	is := is.New(t)
-	m := flow.Frame{Kind: flow.HeldByNone, Key: key(7), Digest: 1<<63 + 5}
+	m := flow.Frame{Kind: flow.HeldByNone, Key: key(7), Clearance: flow.Clearance{Service: 1<<24 - 1, Digest: 1<<63 + 5}}
 	b := m.Append(nil)
 	got, _, err := flow.ParseFrame(b)
 	is.NoErr(err)
@@ -370,6 +371,42 @@
 	is.Equal(err, flow.ErrFrame)
 }
 
+// Guards against a reset by a frame of a release that does not name the service: it is read, and
+// is no evidence.
+func TestHeldByNoneWithoutService(t *testing.T) {
+	is := is.New(t)
+	all := manyAgents(40)
+	e := flow.NewEntry(&fixedPlacer{agents: all}, entryA)
+	e.Packet(request(1, firstA), 0)
+	m := flow.Frame{Kind: flow.HeldByNone, Key: key(1), Clearance: flow.Clearance{Service: serviceNumber, Digest: flow.Digest(all)}}
+	b := m.Append(nil)
+	old, _, err := flow.ParseFrame(b[:len(b)-4])
+	is.NoErr(err)
+	is.Equal(old.Clearance, flow.Clearance{Digest: flow.Digest(all)})
+	v, _ := e.HeldByNone(old, 0)
+	is.Equal(v.Action, flow.Drop)
+}
+
+// Guards against a reset by a clearance that is no longer about all agents of the service: one may
+// have come back since, and hold the flow.
+func TestClearanceEndsWithChangeOfAgentList(t *testing.T) {
+	is := is.New(t)
+	all := manyAgents(41)
+	p := &fixedPlacer{agents: all[:40], incomplete: true}
+	e := flow.NewEntry(p, entryA)
+	e.Packet(request(1, firstA), 0)
+	clearance := func(agents []flow.Endpoint) flow.Frame {
+		return flow.Frame{Kind: flow.HeldByNone, Key: key(1), Clearance: flow.Clearance{Service: serviceNumber, Digest: flow.Digest(agents)}}
+	}
+	v, _ := e.HeldByNone(clearance(all[:40]), 0)
+	is.Equal(v.Action, flow.Drop) // another service may hold it
+	p.agents, p.incomplete = all, false
+	v, _ = e.Denied(denial(1), all[3], 0)
+	is.Equal(v.Action, flow.Drop)
+	v, _ = e.HeldByNone(clearance(all), 0)
+	is.Equal(v.Action, flow.Reset)
+}
+
 // While an agent does not reply, an entry host sends few copies of each packet, never one
 // to each agent of a large service.
 func TestSearchesSendFewCopies(t *testing.T) {
--- a/flow/play_test.go
+++ b/flow/play_test.go
@@ -374,7 +374,7 @@
 func (h *playHost) Holders(to []flow.Endpoint, _ flow.Endpoint, limit int) []flow.Endpoint {
 	return append(to, h.list[:min(len(h.list), limit)]...)
 }
-func (h *playHost) HeldElsewhere(flow.Endpoint, []flow.Endpoint, []flow.Endpoint) bool { return true }
+func (h *playHost) HeldElsewhere(flow.Endpoint, []flow.Endpoint, []flow.Clearance) bool { return true }
 func (h *playHost) Registrars(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
 	return flow.AppendRegistrars(to, key, h.list)
 }
@@ -384,7 +384,6 @@
 func (h *playHost) Coordinators(to []flow.Endpoint, key flow.Key, _ int) []flow.Endpoint {
 	return flow.AppendRegistrars(to, key, h.list)
 }
-func (h *playHost) ServiceDigest(flow.Endpoint) (uint64, bool)     { return flow.Digest(h.list), true }
 func (h *playHost) Ready() bool                                    { return true }
 func (h *playHost) HasTarget(flow.Endpoint) (known, complete bool) { return true, false }
 
--- a/flow/search.go
+++ b/flow/search.go
@@ -143,9 +143,9 @@
 	return e.resetIfHeldByNone(f, key)
 }
 
-// HeldByNone handles a HeldByNone frame. It only counts if the agent has queried the same
-// list of agents that this host knows.
-func (e *Entry) HeldByNone(m Frame, from Endpoint, now time.Duration) (Verdict, Packet) {
+// HeldByNone handles a HeldByNone frame. It only counts while this host knows the same list
+// of agents of the service that was queried.
+func (e *Entry) HeldByNone(m Frame, now time.Duration) (Verdict, Packet) {
 	f := e.flows[m.Key]
 	if !e.MayReset(now) {
 		return Verdict{Action: Drop, Reason: ReasonStalled}, Packet{}
@@ -153,13 +153,8 @@
 	if f == nil || f.count > 0 {
 		return Verdict{Action: Drop, Reason: ReasonKnown}, Packet{}
 	}
-	if digest, known := e.placer.ServiceDigest(from); !known || digest != m.Digest {
-		return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
-	}
 	f.asked = nil
-	if !contains(f.heldByNone, from) {
-		f.heldByNone = append(f.heldByNone, from)
-	}
+	f.recordClearance(m.Clearance)
 	return e.resetIfHeldByNone(f, m.Key)
 }
 
@@ -169,7 +164,8 @@
 		return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
 	}
 	delete(e.flows, key)
-	return Verdict{Action: Reset, Reason: ReasonHeldNowhere}, Packet{Key: key, Ack: f.lastAck}
+	evidence := Evidence{Denied: len(f.denied), HeldByNone: f.heldByNone}
+	return Verdict{Action: Reset, Reason: ReasonHeldNowhere, Evidence: evidence}, Packet{Key: key, Ack: f.lastAck}
 }
 
 // nextStage continues the search once all agents of its stage have denied the flow. Agents
--- a/flow/verdict.go
+++ b/flow/verdict.go
@@ -101,10 +101,20 @@
 	// Waiting describes the decision on an opening or request that waits, or is refused
 	// at once, beside the target.
 	Waiting Waiting
+	// Evidence is what a reset of a flow that no target holds rests on.
+	Evidence Evidence
 	// Holder is the agent to be named to the entry host in a Located frame, or zero.
 	Holder Endpoint
 }
 
+// Evidence is what an entry host knows of a flow that no target holds.
+type Evidence struct {
+	// Denied is the number of agents whose targets do not hold the flow, HeldByNone has the
+	// services none of whose targets does.
+	Denied     int
+	HeldByNone []Clearance
+}
+
 // Waiting has the inputs of a decision on what waits beside the target.
 type Waiting struct {
 	// Decided is set if the verdict ends the waiting or refuses it.
--- a/internal/flowd/agentset.go
+++ b/internal/flowd/agentset.go
@@ -11,14 +11,9 @@
 // agentSet has the agents of the targets of a view by service. A change costs what changed.
 type agentSet struct {
 	services map[uint32]*agentList
-	// uses has each agent with the number of its targets and the service of the last one:
+	// uses has each agent with the number of its targets. They may be of several services:
 	// an address may be reused while the former target is still listed.
-	uses map[flow.Endpoint]agentUse
-}
-
-type agentUse struct {
-	targets int
-	service uint32
+	uses map[flow.Endpoint]int
 }
 
 // agentList has the agents of one service, each once, in no order.
@@ -42,7 +37,7 @@
 }
 
 func newAgentSet() agentSet {
-	return agentSet{services: map[uint32]*agentList{}, uses: map[flow.Endpoint]agentUse{}}
+	return agentSet{services: map[uint32]*agentList{}, uses: map[flow.Endpoint]int{}}
 }
 
 // apply removes and adds targets; a changed one is in both lists. Targets are added first, so
@@ -79,9 +74,8 @@
 		s.services[service] = l
 	}
 	l.add(agent)
-	targets := s.uses[agent].targets + 1
-	s.uses[agent] = agentUse{targets: targets, service: service}
-	return targets == 1
+	s.uses[agent]++
+	return s.uses[agent] == 1
 }
 
 // remove removes a target of an agent. It reports whether it was the agent's last one.
@@ -93,10 +87,8 @@
 	if len(l.agents) == 0 {
 		delete(s.services, service)
 	}
-	use := s.uses[agent]
-	use.targets--
-	if use.targets > 0 {
-		s.uses[agent] = use
+	s.uses[agent]--
+	if s.uses[agent] > 0 {
 		return false
 	}
 	delete(s.uses, agent)
@@ -136,11 +128,6 @@
 	return true
 }
 
-// hasAny reports whether any of some agents is in the list.
-func (l *agentList) hasAny(agents []flow.Endpoint) bool {
-	return slices.ContainsFunc(agents, func(agent flow.Endpoint) bool { return l.entries[agent].targets > 0 })
-}
-
 // allIn reports whether all agents of the list are among some.
 func (l *agentList) allIn(agents []flow.Endpoint) bool {
 	if len(l.agents) > len(agents) {
@@ -157,18 +144,8 @@
 	return nil
 }
 
-// digestOfService returns the digest of the agents of an agent's service, and false if the
-// agent is unknown.
-func (s *agentSet) digestOfService(agent flow.Endpoint) (uint64, bool) {
-	l := s.services[s.uses[agent].service]
-	if l == nil || !l.hasAny([]flow.Endpoint{agent}) {
-		return 0, false
-	}
-	return l.digest, true
-}
-
 // has reports whether an agent has a target.
-func (s *agentSet) has(agent flow.Endpoint) bool { return s.uses[agent].targets > 0 }
+func (s *agentSet) has(agent flow.Endpoint) bool { return s.uses[agent] > 0 }
 
 // len returns the number of agents.
 func (s *agentSet) len() int { return len(s.uses) }
--- a/internal/flowd/backendserver.go
+++ b/internal/flowd/backendserver.go
@@ -154,6 +154,7 @@
 	a.refresh()
 	if a.subscription == nil {
 		a.serviceNumber = announcer.Registration().GetServiceNumber()
+		a.flows.SetServiceNumber(a.serviceNumber)
 		a.subscription = subscriber.Start(subscriber.Options{
 			Client:        a.client,
 			Log:           a.opts.Log,
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -311,7 +311,7 @@
 		e.mu.Unlock()
 	case flow.HeldByNone:
 		e.mu.Lock()
-		v, p := e.flows.HeldByNone(m, from, e.observeClocks())
+		v, p := e.flows.HeldByNone(m, e.observeClocks())
 		e.applyVerdict(v, p, nil)
 		e.mu.Unlock()
 	case flow.Missed:
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -287,7 +288,7 @@
 func (p *placer) historyKnown() bool { return p.history.Known(time.Since(p.startedAt)) }
 
 // HeldElsewhere implements flow.Placer.
-func (p *placer) HeldElsewhere(public flow.Endpoint, denied, heldByNone []flow.Endpoint) bool {
+func (p *placer) HeldElsewhere(public flow.Endpoint, denied []flow.Endpoint, heldByNone []flow.Clearance) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.routes[public]
@@ -299,7 +300,8 @@
 		if !r.MayHold(number, historyKnown) {
 			continue
 		}
-		if !list.hasAny(heldByNone) && !list.allIn(denied) {
+		cleared := slices.Contains(heldByNone, flow.Clearance{Service: number, Digest: list.digest})
+		if !cleared && !list.allIn(denied) {
 			return true
 		}
 		asked = true
@@ -343,13 +345,6 @@
 	})
 }
 
-// ServiceDigest implements flow.Placer.
-func (p *placer) ServiceDigest(agent flow.Endpoint) (uint64, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.agents.digestOfService(agent)
-}
-
 // decisionInputs returns the state behind a verdict for the log.
 func (p *placer) decisionInputs() []zap.Field {
 	p.mu.Lock()
--- a/internal/flowd/throttle.go
+++ b/internal/flowd/throttle.go
@@ -1,6 +1,8 @@
 package flowd
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -8,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"eelgrasswharf.example/eelgrasswharf/api/configpb"
+	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/flow"
 	"eelgrasswharf.example/eelgrasswharf/qos"
 	"eelgrasswharf.example/eelgrasswharf/throttle"
@@ -154,7 +157,7 @@
 	if len(t.services) == 0 {
 		return
 	}
-	number, available := t.placer.reporter(m, from, now)
+	number, available := t.placer.reporter(m, now)
 	if s := t.services[t.hashes[number]]; s != nil {
 		s.Report(from, m.LoadPermille, available && !m.Draining && !m.Unhealthy, now)
 	}
@@ -249,14 +252,21 @@
 	return out
 }
 
-// reporter returns the number of the service of an agent that has sent a report, zero if it is
-// unknown, and whether its target, in this incarnation, is listed and takes new flows.
-func (p *placer) reporter(m flow.Frame, from flow.Endpoint, now time.Duration) (service uint32, available bool) {
+// reporter returns the number of the service of the target in a report, zero if it is not listed,
+// and whether it takes new flows in this incarnation. The address of the sender does not tell:
+// targets of two services may be listed there.
+func (p *placer) reporter(m flow.Frame, now time.Duration) (service uint32, available bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.agents.has(from) || p.view == nil {
+	if p.view == nil {
+		return 0, false
+	}
+	i, listed := slices.BinarySearchFunc(p.view.Targets, m.Number, func(r *controlpb.TargetRecord, number uint32) int {
+		return cmp.Compare(r.GetNumber(), number)
+	})
+	if !listed {
 		return 0, false
 	}
 	_, available = p.loads.Latest(m.Number, m.Incarnation, now)
-	return p.agents.uses[from].service, available
+	return p.view.Targets[i].GetService(), available
 }
--- a/internal/flowd/trace.go
+++ b/internal/flowd/trace.go
@@ -69,6 +69,9 @@
 			zap.Duration("timeout", w.Class.Timeout), zap.Duration("waited", w.Waited), zap.Duration("work", w.Work),
 			zap.Duration("work_ahead", w.Ahead), zap.Bool("late", w.Late))
 	}
+	if v.Reason == flow.ReasonHeldNowhere {
+		fields = append(fields, zap.Int("denied", v.Evidence.Denied), zap.Uint32s("held_by_none", servicesOf(v.Evidence.HeldByNone)))
+	}
 	if !v.To.IsZero() {
 		fields = append(fields, zap.Stringer("to", v.To))
 	}
@@ -77,3 +80,12 @@
 	}
 	line.Write(fields...)
 }
+
+// servicesOf returns the numbers of the services of clearances.
+func servicesOf(clearances []flow.Clearance) []uint32 {
+	var numbers []uint32
+	for _, c := range clearances {
+		numbers = append(numbers, c.Service)
+	}
+	return numbers
+}
