flow: agents keep flows for the configured idle timeout

Cause. idle_timeout_ms was stored and read by no decision. Agents forgot flows after a constant of 20 s, and once they have run for 60 s they deny what they do not know. The denial rested on their own forgetting.

On the former code a flow idle for 28 s is in the NotHeld reply of its agent (trial of flowd.TestConfiguredIdleTimeout with the constant: "1 != 0").

Change. flow.IdleTimeout: the longest timeout that may be in force counts (none known, not confirmed for 5 s, just lowered). A started agent is complete after it, 60 s at least. A full table evicts idle flows, and neither that nor a flow that found no room leaves the agent complete. Flows that are not open at both ends still go after 20 s. Control hosts list lost targets for as long (max_retain_lost_ms bounds it). Entry hosts search for what they do not know, so they need none.

Ruled out: entry hosts' own forgetting (it only causes a search); the target (it holds the flow).

New: flowd.TestConfiguredIdleTimeout, flow.TestIdleFlowsAreNotDenied (drawn changes, cuts, restarts; finds a timeout that ignores missing confirmation after 6 to 14 histories), flow.TestIdleTimeout, TestStartedAgentDeniesAfterIdleTimeout, TestEvictedFlowIsNotDenied, TestFlowWithoutRoomIsNotDenied, TestFlowsThatAreNotOpenAreForgottenSoon, controld.TestLostTargetStaysForIdleTimeout, platform.TestIdleTimeoutOfConfig. None changed.

--- a/flow/accept.go
+++ b/flow/accept.go
@@ -50,7 +50,7 @@
 	if reason := a.refusalReason(m); reason != "" {
 		return a.forward(m.Alternate, m.Entry, m.Service, m.Hops, p.Key, reason)
 	}
-	if f == nil && a.tableFull() {
+	if f == nil && !a.makeRoom(now) {
 		return a.forward(m.Alternate, m.Entry, m.Service, m.Hops, p.Key, ReasonTableFull)
 	}
 	if f != nil {
--- a/flow/agent.go
+++ b/flow/agent.go
@@ -12,10 +12,6 @@
 	// MaxAgentFlows bounds the flows of an agent: several times what a backend server
 	// takes.
 	MaxAgentFlows = 16_384
-	// incompleteFor is how long after its start an agent may not know all flows that
-	// its target holds. It learns of each from its next packet, and flows that were idle
-	// for longer may be discarded.
-	incompleteFor = 60 * time.Second
 	// notHeldFor is how long an agent remembers that its target does not hold a
 	// flow. It exceeds the longest retransmission interval, 1.6 s.
 	notHeldFor = 4 * time.Second
@@ -60,9 +56,8 @@
 
 // Agent holds the flows of one target.
 type Agent struct {
-	// completeAt is when the agent knows all flows that its target holds.
-	completeAt time.Duration
-	server     Server
+	known  completeness
+	server Server
 	// incarnation is the last one of the target that was registered.
 	incarnation uint32
 	classes     Classes
@@ -85,6 +80,8 @@
 	// due is reused between calls.
 	due   []Registration
 	flows map[Key]*agentFlow
+	// evicted counts the flows that were evicted since the last TakeEvicted.
+	evicted int
 	// activeFlows is the number of flows that may carry requests, as of the last sweep.
 	activeFlows int
 	// running is the number of requests in progress, average its moving average as of
@@ -153,7 +150,7 @@
 // NewAgent returns the state of an agent that starts now.
 func NewAgent(now time.Duration) *Agent {
 	a := &Agent{
-		completeAt: now + incompleteFor,
+		known:      completeness{since: now},
 		averagedAt: now,
 		flows:      make(map[Key]*agentFlow),
 		waiting:    newWaiting(),
@@ -167,10 +164,6 @@
 // Len returns the number of flows.
 func (a *Agent) Len() int { return len(a.flows) }
 
-// MarkComplete records that the target holds no flow that the agent has not seen. A wrong call
-// resets open flows.
-func (a *Agent) MarkComplete(now time.Duration) { a.completeAt = min(a.completeAt, now) }
-
 // SetServiceNumber sets the number of the service whose targets SetPeers lists.
 func (a *Agent) SetServiceNumber(number uint32) { a.serviceNumber = number }
 
@@ -242,7 +235,7 @@
 		return true
 	}
 	sentBefore := f.openingSeq != 0 && int32(p.Seq-f.openingSeq) > 1
-	return now < a.completeAt && sentBefore && p.Ack-f.firstSeq <= maxAcknowledged
+	return !a.known.complete(now) && sentBefore && p.Ack-f.firstSeq <= maxAcknowledged
 }
 
 // openedElsewhere records that the caller has opened a flow with another target. The
@@ -266,18 +259,16 @@
 // agent's table may be incomplete, the packet is delivered to the target.
 func (a *Agent) handleUnknown(m Frame, p Packet, now time.Duration) Verdict {
 	other := m.Service != 0 && a.server.Service != 0 && m.Service != a.server.Service
-	if other || now >= a.completeAt {
+	if other || a.known.complete(now) {
 		return notHeldVerdict(m, p.Key, ReasonNotHeld)
 	}
-	if a.tableFull() {
+	if !a.makeRoom(now) {
 		return Verdict{Action: Drop, Reason: ReasonTableFull}
 	}
 	a.flows[p.Key] = &agentFlow{stage: stageUncertain, entry: m.Entry, fromSearch: m.Kind == Search, lastSeen: now, createdAt: now}
 	return Verdict{Action: Deliver, Reason: ReasonUncertain}
 }
 
-func (a *Agent) tableFull() bool { return len(a.flows) >= MaxAgentFlows }
-
 // FromTarget handles a packet that the target sent. Its key has the caller's endpoint
 // and the public one, as for packets of the caller.
 func (a *Agent) FromTarget(p Packet, now time.Duration) (v Verdict, notice *Frame) {
@@ -287,7 +278,8 @@
 		return a.handleReturned(f, p, now), nil
 	}
 	if f == nil {
-		if a.tableFull() {
+		if !a.makeRoom(now) {
+			a.known.missed(now)
 			return Verdict{Action: Reply, Reason: ReasonTableFull}, nil
 		}
 		// The agent has started after the flow was opened.
@@ -393,7 +385,7 @@
 			origin.Kind = Search
 		}
 		v := notHeldVerdict(origin, p.Key, ReasonNotHeld)
-		v.Frame.Probed = v.Action == Deny && now < a.completeAt
+		v.Frame.Probed = v.Action == Deny && !a.known.complete(now)
 		return v
 	}
 	return Verdict{Action: Drop, Reason: ReasonNotHeld}
@@ -406,7 +398,7 @@
 }
 
 // Sweep removes the flows without packets for longer than idle, and those older than
-// age.
+// age. Flows that are not open at both ends are not kept for longer than shortIdle.
 func (a *Agent) Sweep(now, idle, age time.Duration) {
 	a.updateAverage(now)
 	a.warmup.refuse(now)
@@ -416,8 +408,11 @@
 	a.lookups.sweep(now)
 	for key, f := range a.flows {
 		limit := idle
-		if f.stage == stageNotHeld && !f.openedElsewhere {
+		switch {
+		case f.stage == stageNotHeld && !f.openedElsewhere:
 			limit = notHeldFor
+		case f.stage != stageOpened || f.callerDone || f.targetDone:
+			limit = min(idle, shortIdle)
 		}
 		if now-f.lastSeen > limit || now-f.createdAt > age {
 			a.removeFlow(key, f)
--- a/flow/lookup.go
+++ b/flow/lookup.go
@@ -195,7 +195,7 @@
 func (a *Agent) AnswerQuery(keys []Key, now time.Duration) (notHeld, mayHold []Key) {
 	for _, key := range keys {
 		f := a.flows[key]
-		if f == nil && now >= a.completeAt || f != nil && f.stage == stageNotHeld {
+		if f == nil && a.known.complete(now) || f != nil && f.stage == stageNotHeld {
 			notHeld = append(notHeld, key)
 			continue
 		}
--- a/internal/controld/directory.go
+++ b/internal/controld/directory.go
@@ -7,6 +7,7 @@
 
 	"eelgrasswharf.example/eelgrasswharf/api/controlpb"
 	"eelgrasswharf.example/eelgrasswharf/api/settingspb"
+	"eelgrasswharf.example/eelgrasswharf/flow"
 	"eelgrasswharf.example/eelgrasswharf/membership"
 )
 
@@ -24,6 +25,8 @@
 	dir *membership.Directory
 	// loads has the subscriber counts reported by other control hosts.
 	loads map[string]hostLoad
+	// retainLost is how long lost targets stay listed, nil if they are not.
+	retainLost *flow.IdleTimeout
 }
 
 func newDirectory(epoch uint64, lease time.Duration) *directory {
@@ -46,7 +49,14 @@
 // directoryFor returns the directory that the settings describe.
 func directoryFor(s *settingspb.Replica) *directory {
 	lease := time.Duration(s.GetLeaseMs()) * time.Millisecond
-	return newRetainingDirectory(rand.Uint64()|1, lease, time.Duration(s.GetRetainLostMs())*time.Millisecond)
+	retain := time.Duration(s.GetRetainLostMs()) * time.Millisecond
+	d := newRetainingDirectory(rand.Uint64()|1, lease, retain)
+	if retain > 0 {
+		longest := time.Duration(s.GetMaxRetainLostMs()) * time.Millisecond
+		timeout := flow.NewIdleTimeout(retain, max(retain, longest))
+		d.retainLost = &timeout
+	}
+	return d
 }
 
 func (d *directory) now() time.Duration { return time.Since(d.start) }
@@ -102,6 +112,18 @@
 	return reply, d.dir.Sequence() != before
 }
 
+// setIdleTimeout sets the idle timeout of flows. A target that may hold idle ones stays listed
+// for that long after its lease.
+func (d *directory) setIdleTimeout(timeout time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.retainLost == nil {
+		return
+	}
+	d.retainLost.Set(timeout, d.now())
+	d.dir.SetRetainLost(d.retainLost.Configured(d.now()))
+}
+
 // expire ends leases and lifts damping.
 func (d *directory) expire() {
 	d.capacity.expire(d.now() - d.lease())
--- a/internal/controld/internal_test.go
+++ b/internal/controld/internal_test.go
@@ -177,6 +177,38 @@
 	is.Equal(len(m.GetRecords()), 0) // records of other hosts are not forwarded
 }
 
+// Guards against a list that leaves out a target whose lease has ended before its flows, which may
+// be idle for longer, may be discarded.
+func TestLostTargetStaysForIdleTimeout(t *testing.T) {
+	is := is.New(t)
+	const lease = 9 * time.Second
+	d := directoryFor(&settingspb.Replica{LeaseMs: 9_000, RetainLostMs: 20_000, MaxRetainLostMs: 80_000})
+	d.announce(record(1))
+	elapse := func(by time.Duration) int {
+		d.start = d.start.Add(-by)
+		d.expire()
+		return d.count()
+	}
+	d.setIdleTimeout(45 * time.Second)
+	is.Equal(elapse(lease+time.Second), 1)
+	is.Equal(len(d.lost()), 1)
+	is.Equal(elapse(45*time.Second), 1)
+	is.Equal(elapse(5*time.Second), 0)
+
+	d.announce(record(2))
+	d.setIdleTimeout(time.Hour) // flows are not that old
+	elapse(lease + time.Second)
+	is.Equal(elapse(79*time.Second), 1)
+	is.Equal(elapse(2*time.Second), 0)
+
+	unused := directoryFor(&settingspb.Replica{LeaseMs: 9_000})
+	unused.announce(record(3))
+	unused.setIdleTimeout(45 * time.Second)
+	unused.start = unused.start.Add(-lease - time.Second)
+	unused.expire()
+	is.Equal(unused.count(), 0) // not kept at all
+}
+
 func TestChangesAreSyncedOnce(t *testing.T) {
 	is := is.New(t)
 	d := newDirectory(7, 0)
--- a/internal/controld/loops.go
+++ b/internal/controld/loops.go
@@ -76,6 +76,9 @@
 		sent.Inc(int64(traffic.BytesSent - last.BytesSent))
 		received.Inc(int64(traffic.BytesReceived - last.BytesReceived))
 		last = traffic
+		if table := d.configs.routeTable(); table != nil {
+			d.directory.setIdleTimeout(time.Duration(table.GetIdleTimeoutMs()) * time.Millisecond)
+		}
 		d.directory.expire()
 		d.removeUnregistered()
 		lost.Update(float64(len(d.directory.lost())))
--- a/internal/controld/state.go
+++ b/internal/controld/state.go
@@ -209,6 +209,12 @@
 	return s.machine.RouteTableDocument(), s.machine.Current().GetTable().GetRevision()
 }
 
+// routeTable returns the active route table, nil if there is none.
+func (s *configState) routeTable() *configpb.RouteTable {
+	c, _ := s.current()
+	return c.GetTable()
+}
+
 // sinceApplied returns how long ago a version was applied here, if it is the current one.
 func (s *configState) sinceApplied(version uint64) (since time.Duration, current bool) {
 	s.mu.RLock()
--- a/internal/flowd/agent.go
+++ b/internal/flowd/agent.go
@@ -45,6 +45,9 @@
 	// rewarmMargin is how much later the reported end of the warmup has to be to count as
 	// a new cold start. It covers the delay of reports.
 	rewarmMargin = time.Second
+	// maxConfigAge is how old the proof may be that the idle timeout is that of the newest
+	// configuration: a little more than a change takes until it is in force.
+	maxConfigAge = 5 * time.Second
 	// maxReportedEntries bounds the entry hosts whose last load report is remembered.
 	maxReportedEntries = 4096
 )
@@ -110,10 +113,13 @@
 	unhealthy      bool
 	// stopSaidAt is when the backend server said that it stops, if that is not confirmed.
 	stopSaidAt time.Time
+	// evicting: flows were evicted for room since the last but one sweep.
+	evicting bool
 	// evacuated: the own failure domain takes no new flows.
 	evacuated bool
-	// warmup is the configuration of the service, valid if configKnown. warmUntil is
+	// idleTimeout and warmup are the configuration of the service, valid if configKnown. warmUntil is
 	// when the backend server expects to be warm.
+	idleTimeout flow.IdleTimeout
 	warmup      *configpb.Warmup
 	configKnown bool
 	warmUntil   time.Duration
@@ -168,6 +174,7 @@
 		loadReportedAt: map[flow.Endpoint]time.Duration{},
 		buffer:         make([]byte, 0, maxDatagram),
 		applied:        &subscriber.View{},
+		idleTimeout:    flow.NewIdleTimeout(o.Limits.Idle, o.Limits.Age),
 		serviceAgents:  newAgentSet(),
 		forwardTo:      newAgentSet(),
 	}
@@ -252,7 +259,7 @@
 		case <-ticker.C:
 		}
 		a.mu.Lock()
-		a.flows.Sweep(a.now(), a.opts.Limits.Idle, a.opts.Limits.Age)
+		a.sweepFlows(a.now())
 		unresponsive := !a.lastSeen.IsZero() && time.Since(a.lastSeen) > timeout
 		if unresponsive && !a.unhealthy {
 			a.unhealthy = true
@@ -274,3 +281,25 @@
 		a.counters.flows.Update(float64(count))
 	}
 }
+
+// sweepFlows removes the flows that may be discarded. The lock is held.
+func (a *Agent) sweepFlows(now time.Duration) {
+	a.flows.SetIdleTimeout(a.idleTimeout.Configured(now))
+	a.flows.Sweep(now, a.idleTimeout.Keep(now, a.configConfirmed()), a.opts.Limits.Age)
+	evicted := a.flows.TakeEvicted()
+	a.counters.evicted.Inc(int64(evicted))
+	if full := evicted > 0; full != a.evicting {
+		a.evicting = full
+		a.opts.Log.Warn("flow table state changed", zap.Bool("evicting", full), zap.Int("flows", a.flows.Len()))
+	}
+}
+
+// configConfirmed reports whether the configuration is known to have been the newest lately. The
+// lock is held.
+func (a *Agent) configConfirmed() bool {
+	if a.subscription == nil {
+		return false
+	}
+	age, known := a.subscription.ConfirmedAge()
+	return known && age <= maxConfigAge
+}
--- a/internal/flowd/backendserver.go
+++ b/internal/flowd/backendserver.go
@@ -181,6 +181,9 @@
 	defer a.mu.Unlock()
 	a.applyTargets(v)
 	a.applyClasses(v.Config.GetTable())
+	if v.Config.GetTable() != nil {
+		a.idleTimeout.Set(time.Duration(v.Config.GetTable().GetIdleTimeoutMs())*time.Millisecond, a.now())
+	}
 	a.warmup, a.configKnown = warmupOf(v.Config, a.opts.Service), v.Config != nil
 	a.applyWarmup()
 	a.setEvacuated(config.IsEvacuated(v.Config, a.opts.FailureDomain))
--- a/internal/flowd/counters.go
+++ b/internal/flowd/counters.go
@@ -15,7 +15,9 @@
 	overflow tally.Counter
 	// stalls counts the stalls of this process.
 	stalls tally.Counter
-	flows  tally.Gauge
+	// evicted counts the idle flows that an agent has evicted for room.
+	evicted tally.Counter
+	flows   tally.Gauge
 }
 
 type verdictKey struct {
@@ -30,6 +32,7 @@
 		malformed: scope.Counter("malformed_datagrams"),
 		overflow:  scope.Counter("waiting_packets_dropped"),
 		stalls:    scope.Counter("standstills"),
+		evicted:   scope.Counter("flows_evicted"),
 		flows:     scope.Gauge("flows"),
 	}
 }
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -47,6 +47,9 @@
 	Damping    Damping
 }
 
+// SetRetainLost changes Options.RetainLost.
+func (d *Directory) SetRetainLost(retain time.Duration) { d.opts.RetainLost = retain }
+
 // Result is the outcome of an announcement.
 type Result int
 
