flow: a flow is reset only after a confirmation that is later than its arrival

Nothing compared the age of the configuration and of the list with the flow.

Not seen on a deployment: it needs a move of the flow within 0.2 to 2.2 s of a version.

The host asks its control host for a confirmation by number (Heartbeat.confirm); the answer comes after a read that a quorum answered and after all targets that the control host knew, and resets the flows that wait. It does not rest on how long messages take. Probes of agents that are not in the list need one too.

--- a/flow/entry.go
+++ b/flow/entry.go
@@ -90,6 +90,8 @@
 	// group is that of the own failure domain, groupReaders are the agents that read it.
 	group        uint8
 	groupReaders map[Endpoint]bool
+	// confirmation is what the list of services and targets is known by.
+	confirmation confirmation
 	// longestStall is the longest stall that was not returned by ObserveClock yet.
 	longestStall time.Duration
 }
@@ -116,6 +118,8 @@
 	// acknowledgement of the caller.
 	denied  []Endpoint
 	lastAck uint32
+	// searchedSince is when the search for the flow began, 0 if there is none.
+	searchedSince time.Duration
 	// holder is the agent that was last named as the holder, locatedBy are those that named it
 	// since it last denied the flow.
 	holder    Endpoint
@@ -246,6 +250,13 @@
 	if f.probedAt == 0 || e.lastSeen[v.To] >= f.probedAt {
 		f.probedAt = max(now, 1)
 		v.Frame.Kind, v.Frame.Hops = Search, 1
+		e.confirmation.request()
+		return
+	}
+	if now-f.probedAt >= probeTimeout && !e.confirmation.covers(f.probedAt) {
+		// The list may be older than the target.
+		v.Frame.Kind, v.Frame.Hops = Search, 1
+		e.confirmation.request()
 		return
 	}
 	if now-f.probedAt >= probeTimeout {
@@ -344,6 +355,7 @@
 	}
 	f.lastSeen = now
 	e.recordAccepted(f, m.Key, now)
+	f.searchedSince = 0
 	f.denied, f.heldByNone, f.searchStage, f.lookupRound, f.asked, f.probed = nil, nil, 0, 0, nil, false
 	c := candidate{agent: from, service: m.Service, answered: true, first: m.First}
 	if m.Opened {
--- a/flow/search.go
+++ b/flow/search.go
@@ -35,6 +35,9 @@
 	}
 	f.searchCount++
 	f.lastAck = p.Ack
+	if f.searchedSince == 0 {
+		f.searchedSince = max(now, 1)
+	}
 	if staged {
 		return e.searchStaged(f, p, now)
 	}
@@ -163,6 +166,10 @@
 	if e.placer.HeldElsewhere(key.Public, f.denied, f.heldByNone) {
 		return Verdict{Action: Drop, Reason: ReasonNotHeld}, Packet{}
 	}
+	if !e.confirmation.covers(f.searchedSince) {
+		e.confirmation.await(key)
+		return Verdict{Action: Drop, Reason: ReasonViewUnconfirmed}, Packet{}
+	}
 	delete(e.flows, key)
 	evidence := Evidence{Denied: len(f.denied), HeldByNone: f.heldByNone}
 	return Verdict{Action: Reset, Reason: ReasonHeldNowhere, Evidence: evidence}, Packet{Key: key, Ack: f.lastAck}
--- a/flow/verdict.go
+++ b/flow/verdict.go
@@ -66,6 +66,7 @@
 	ReasonTargetGone      Reason = "target_gone"
 	ReasonUnconfirmed     Reason = "unconfirmed"
 	ReasonStalled         Reason = "stood_still"
+	ReasonViewUnconfirmed Reason = "view_unconfirmed"
 	ReasonOverflow        Reason = "overflow"
 	ReasonLinkFull        Reason = "link_full"
 	ReasonBusy            Reason = "busy"
--- a/internal/controld/confirmation_test.go
+++ b/internal/controld/confirmation_test.go
@@ -102,3 +102,30 @@
 	}
 	is.Equal(heartbeats, enough)
 }
+
+// Guards against an answer to a subscriber's request by a read that began before, or by none.
+func TestSubscriberRequestsConfirmation(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, "c1", "c2", "c3")
+	d.startAll("c1", "c2", "c3")
+	d.accept(d.operator("c1", "c2", "c3"), patch("p1", 0, put("lodgement", "192.0.2.1:443")))
+	w := d.subscribe(d.link(keys.RoleEntry, "e1", "", "c1"), &controlpb.Subscribe{})
+	w.awaitVersion(1)
+	answered := func(number uint64) func(*controlpb.SubscribeUpdate) bool {
+		return func(u *controlpb.SubscribeUpdate) bool {
+			h := u.GetHeartbeat()
+			return h.GetConfirm() == number && h != nil && h.GetVersion() == 1
+		}
+	}
+	for number := uint64(1); number <= 3; number++ {
+		is.NoErr(w.stream.Send(&controlpb.Heartbeat{Version: 1, Confirm: number}))
+		w.await("the answer", answered(number))
+	}
+	d.stop("c2")
+	d.stop("c3")
+	is.NoErr(w.stream.Send(&controlpb.Heartbeat{Version: 1, Confirm: 4}))
+	w.await("a heartbeat of the isolated host", func(u *controlpb.SubscribeUpdate) bool {
+		is.True(u.GetHeartbeat().GetConfirm() != 4)
+		return u.GetHeartbeat().GetIsolated()
+	})
+}
--- a/internal/controld/subscription.go
+++ b/internal/controld/subscription.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,6 +31,9 @@
 	remote *subscriber
 	// reports receives a value after each report of the subscriber.
 	reports chan struct{}
+	// confirmRequested is the number of the subscriber's last request for a confirmation that
+	// was not answered, 0 if there is none.
+	confirmRequested atomic.Uint64
 	// sent is the version that the subscriber has or was sent.
 	sent uint64
 	// scope has the services whose configuration is sent, nil for all.
@@ -127,6 +131,9 @@
 		if err != nil {
 			return
 		}
+		if number := heartbeat.GetConfirm(); number != 0 {
+			s.confirmRequested.Store(number)
+		}
 		if s.remote.recordReport(heartbeat.GetVersion()) {
 			s.daemon.recordActivation(heartbeat.GetVersion())
 		}
@@ -262,15 +269,24 @@
 
 // step sends what the subscriber lacks.
 func (s *subscription) step(ctx context.Context) error {
-	if s.confirmationDue(time.Now()) || s.needsVersion() {
+	// An isolated host would wait for its read to fail, and its heartbeats with it.
+	var request uint64
+	if !s.daemon.confirmation.isIsolated() {
+		request = s.confirmRequested.Swap(0)
+	}
+	if request != 0 || s.confirmationDue(time.Now()) || s.needsVersion() {
 		s.readBarrier(ctx)
 	}
+	if !s.unconfirmedSince.IsZero() {
+		request = 0
+	}
+	s.directoryPending = s.directoryPending || request != 0
 	if s.confirmationPending || s.needsVersion() && s.maySendVersion() {
 		if err := s.sendConfig(s.confirmed); err != nil {
 			return err
 		}
 	}
-	if s.directoryPending && (time.Since(s.directorySentAt) >= directoryInterval || s.allReturned()) {
+	if s.directoryPending && (request != 0 || time.Since(s.directorySentAt) >= directoryInterval || s.allReturned()) {
 		s.directoryPending = false
 		if err := s.sendDirectory(); err != nil {
 			return err
@@ -279,14 +295,16 @@
 	if err := s.sendHosts(); err != nil {
 		return err
 	}
-	if s.heartbeatDue() {
+	if request != 0 || s.heartbeatDue() {
 		if !s.complete {
 			// The directory may have become complete without a change of the list.
 			if err := s.sendDirectory(); err != nil {
 				return err
 			}
 		}
-		return s.send(&controlpb.SubscribeUpdate{Heartbeat: s.daemon.heartbeat()})
+		heartbeat := s.daemon.heartbeat()
+		heartbeat.Confirm = request
+		return s.send(&controlpb.SubscribeUpdate{Heartbeat: heartbeat})
 	}
 	return nil
 }
--- a/internal/flowd/entry.go
+++ b/internal/flowd/entry.go
@@ -21,6 +21,8 @@
 	refreshPeriod = 250 * time.Millisecond
 	// retryPeriod is the time between two attempts to handle undecided packets.
 	retryPeriod = 20 * time.Millisecond
+	// confirmInterval is the least time between two requests for a confirmation.
+	confirmInterval = 100 * time.Millisecond
 	// decayRounds is the number of refresh rounds between two sweeps of the flow table and
 	// halvings of the counts of unanswered flows.
 	decayRounds = 4
@@ -87,11 +89,13 @@
 	// subscription is set before packets are handled.
 	subscription *subscriber.Subscriber
 
-	// mu guards flows, throttle, suspends, undecided, searchCopies and buffer.
+	// mu guards flows, throttle, suspends, confirmRequestedAt, undecided, searchCopies and buffer.
 	mu       sync.Mutex
 	flows    *flow.Entry
 	throttle *throttler
 	suspends stall.SuspendDetector
+	// confirmRequestedAt is when a confirmation was last requested, 0 if none was.
+	confirmRequestedAt time.Duration
 	// undecided has the packets that cannot be decided on yet, searchCopies those of
 	// flows that are searched for.
 	undecided    flow.PacketBuffer
@@ -127,6 +131,7 @@
 	e.throttle = newThrottler(o.Log, scope, e.placer)
 	e.flows.SetThrottle(e.throttle)
 	e.flows.SetLinkRate(o.LinkBitsPerSecond, 0)
+	e.flows.RequireConfirmation()
 	e.flows.SetGroup(flow.GroupOf(o.FailureDomain))
 	return e, nil
 }
@@ -159,6 +164,7 @@
 		FailureDomain: e.opts.FailureDomain,
 		RetryMax:      maxBackoff,
 		OnView:        e.applyView,
+		OnConfirmed:   e.applyConfirmation,
 	})
 	defer sub.Close()
 	e.subscription = sub
@@ -178,6 +184,29 @@
 	e.throttle.apply(v.Config)
 }
 
+// applyConfirmation records that the view was the newest at a time, and resets the flows that
+// waited for that.
+func (e *Entry) applyConfirmation(at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.flows.Confirm(at.Sub(e.startedAt), e.observeClocks()) {
+		e.applyVerdict(r.Verdict, r.Packet, nil)
+	}
+}
+
+// requestConfirmation asks for a confirmation if flows wait for one, at most once in
+// confirmInterval.
+func (e *Entry) requestConfirmation() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	if !e.flows.AwaitsConfirmation() || e.confirmRequestedAt != 0 && now-e.confirmRequestedAt < confirmInterval {
+		return
+	}
+	e.confirmRequestedAt = now
+	e.subscription.RequestConfirmation()
+}
+
 // Ready reports whether new flows can be placed.
 func (e *Entry) Ready() bool { return e.placer.ready() }
 
@@ -232,6 +261,7 @@
 		case <-ticker.C:
 		}
 		e.detectStall()
+		e.requestConfirmation()
 		if e.placer.Ready() {
 			e.handleUndecided()
 		}
--- a/internal/flowd/trace.go
+++ b/internal/flowd/trace.go
@@ -28,7 +28,7 @@
 	{"flow reset", flow.Reset, []flow.Reason{flow.ReasonNoRoute, flow.ReasonNoTarget, flow.ReasonHeldNowhere, flow.ReasonLostByTarget, flow.ReasonHopLimit,
 		flow.ReasonDraining, flow.ReasonNoServer, flow.ReasonOtherService, flow.ReasonRefusedByTarget, flow.ReasonTableFull,
 		flow.ReasonQueueExpired, flow.ReasonTargetGone, flow.ReasonEvacuated, flow.ReasonNoRoom}},
-	{"packet dropped", flow.Drop, []flow.Reason{flow.ReasonNoRoute, flow.ReasonSearchLimit, flow.ReasonTableFull, flow.ReasonLinkFull, flow.ReasonStalled}},
+	{"packet dropped", flow.Drop, []flow.Reason{flow.ReasonNoRoute, flow.ReasonSearchLimit, flow.ReasonTableFull, flow.ReasonLinkFull, flow.ReasonStalled, flow.ReasonViewUnconfirmed}},
 	{"packet buffered", flow.Wait, []flow.Reason{flow.ReasonNotReady, flow.ReasonStalled}},
 }
 
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -46,6 +46,10 @@
 	// OnView is called with each new view, one call at a time. It must not block or
 	// close the subscriber.
 	OnView func(*View)
+	// OnConfirmed is called, in the order of OnView and under the same conditions, when the
+	// active version, and the targets in the view, are known to have been the newest at a later
+	// time than before. It does not rest on how long messages take.
+	OnConfirmed func(at time.Time)
 	// Services limits the directory to these service numbers; empty means all.
 	Services []uint32
 	// ScopedConfig limits the configuration to Services, too. The version number still
@@ -84,6 +88,9 @@
 	if o.OnView == nil {
 		o.OnView = func(*View) {}
 	}
+	if o.OnConfirmed == nil {
+		o.OnConfirmed = func(time.Time) {}
+	}
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
@@ -111,8 +118,9 @@
 	// confirmedAt is the latest time at which the active version is known to have been the
 	// newest, nil if there is none.
 	confirmedAt atomic.Pointer[time.Time]
-	// report is signalled when another version is activated.
-	report chan struct{}
+	// report is signalled when another version is activated, confirm when a confirmation is
+	// needed.
+	report, confirm chan struct{}
 
 	// mu guards the fields below and orders calls of OnView. It is acquired before the
 	// lock of link.Client, never after.
@@ -122,6 +130,8 @@
 	connected bool
 	// freshness decides when to leave the control host.
 	freshness *freshness.Tracker
+	// pending is the last request for a confirmation.
+	pending confirmRequest
 	// directoryComplete is the last value sent by the control host.
 	directoryComplete bool
 	// targetsRestarted and awaitedTargets are the last values sent by the control host.
@@ -144,6 +154,7 @@
 		ready:     make(chan struct{}),
 		candidate: make(chan struct{}),
 		report:    make(chan struct{}, 1),
+		confirm:   make(chan struct{}, 1),
 		freshness: freshness.NewTracker(opts.Freshness),
 
 		moveRequested: make(chan struct{}, 1),
@@ -248,14 +259,18 @@
 func (s *Subscriber) reportVersions(ctx context.Context, stream *link.ClientStream) {
 	ticker := time.NewTicker(s.opts.ReportPeriod)
 	defer ticker.Stop()
+	var request uint64
 	for {
 		version := s.View().Config.GetVersion()
-		if err := stream.Send(&controlpb.Heartbeat{Version: version}); err != nil {
+		if err := stream.Send(&controlpb.Heartbeat{Version: version, Confirm: request}); err != nil {
 			return
 		}
+		request = 0
 		select {
 		case <-ctx.Done():
 			return
+		case <-s.confirm:
+			request = s.newConfirmRequest(time.Now())
 		case <-s.report:
 		case <-ticker.C:
 		}
@@ -291,6 +306,9 @@
 	if changed {
 		s.publish()
 	}
+	if at, confirmed := s.confirmedBy(u.GetHeartbeat(), now); confirmed {
+		s.opts.OnConfirmed(at)
+	}
 	if u.GetMove() != nil {
 		s.requestMove(u.GetMove().GetAddress(), errMoveRequested)
 	}
