controld: a majority of the initial voters founds the groups

The initial voter whose name sorts first founded the groups alone, once it had the replica IDs of all others. If it was lost, or had not learned the ID of the lost one, nobody ever founded any.

With automatic members the initial voters with a disk agree on the first members by single-decree agreement (package founding; a vote is stored before it is sent). Groups with an operator are founded as before.

Tests. controld.TestGroupIsFoundedWithoutLostVoter (nine drawn moments, the lost host comes back with its disk), TestMinorityFoundsNothing, TestFoundingVoteIsStored, founding.TestVote.

Left: initial voters that all have no disk still need each of them; `status` does not name who is missing.

--- a/flow/doc.go
+++ b/flow/doc.go
@@ -14,6 +14,18 @@
 // retransmits it. After a stall an entry host resets no flow until it has processed
 // the updates that arrived meanwhile.
 //
+// That no target can hold a flow rests on all of these. Each is about one agent, list or
+// time, and counts for nothing else (docs/design/0024):
+//
+//   - Each agent of each service that the flow's route may have led to has denied the flow,
+//     or another agent has queried all of them (Clearance). An agent denies a flow that it
+//     does not know only if it knows all flows of its target (completeness), which it keeps
+//     for the longest idle timeout that may be in force (IdleTimeout).
+//   - The list of targets is complete, and the one that was queried.
+//   - The services and the list are confirmed as of a time after the flow's first packet
+//     arrived (Entry.Confirm).
+//   - The process has not just stalled.
+//
 // An agent admits new flows only as fast as the slots of its target allow. Further
 // openings are queued, newest first, and refused by the entry host when they expire. Those
 // of routes that state an objective or a timeout wait in the order of package waitqueue, and
--- a/internal/controld/bootstrap.go
+++ b/internal/controld/bootstrap.go
@@ -56,17 +56,19 @@
 
 // bootstrapLoop adds the replicas of an empty data directory to their groups.
 //
-// Exactly one host bootstraps a group: the first by name among the initial voters with a
-// durable log, once it has the replica IDs of all of them. If no initial voter has a
-// durable log, the first by name selects a joining host (see founderSelector). The others
-// adopt the membership. A host that lost its disk must not vote under its old replica ID,
-// so it waits to be added as a learner.
+// Exactly one membership bootstraps a group. With automatic members the initial voters with a
+// durable log agree on it (see founder). Without, the first of them by name bootstraps it
+// alone, once it has the replica IDs of all of them. If no initial voter has a durable log, the
+// first by name selects a joining host (see founderSelector). The others adopt the membership.
+// A host that lost its disk must not vote under its old replica ID, so it waits to be added as a
+// learner.
 func (d *Daemon) bootstrapLoop() {
 	if d.shouldJoin() {
 		d.joinLoop()
 		return
 	}
 	notMember := false
+	first := &founder{daemon: d, voters: d.enableFounding(), began: time.Now()}
 	for !d.bootstrapped() {
 		replies := d.queryVoters()
 		if d.standbyEnabled() && anyStandby(replies) {
@@ -76,14 +78,22 @@
 			d.joinLoop()
 			return
 		}
+		exists := false
 		for _, group := range d.groups {
-			if !d.replicas[group].Status().Formed && d.bootstrapGroup(group, replies) && !notMember {
+			if d.replicas[group].Status().Formed || !d.bootstrapGroup(group, replies) {
+				continue
+			}
+			exists = true
+			if !notMember {
 				notMember = true
 				d.scope.Counter("stranger_to_its_group").Inc(1)
 				d.log.Warn("the group exists without this replica: add this host as a learner",
 					zap.String("group", groupName(group)))
 			}
 		}
+		if !exists && !d.bootstrapped() {
+			first.found(replies)
+		}
 		if !d.sleep(bootstrapRetry) {
 			return
 		}
@@ -330,7 +340,7 @@
 	switch {
 	case len(m.GetMembers()) == 0 && d.initialVoters[0].name == d.name:
 		d.founderSelector.enable()
-	case len(m.GetMembers()) > 0 && m.GetMembers()[0].GetId() == self:
+	case len(m.GetMembers()) > 0 && m.GetMembers()[0].GetId() == self && d.foundingVoter.Load() == nil:
 		d.bootstrapWith(group, m)
 	}
 }
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -81,6 +81,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	loops  conc.WaitGroup
+	// foundingVoter has the vote on the first members, nil if this host has none.
+	foundingVoter atomic.Pointer[foundingVoter]
 	// stateConfirmed is set once a quorum has confirmed the local state since the start.
 	stateConfirmed atomic.Bool
 	// stopping is set when the shutdown begins.
--- a/internal/controld/handler.go
+++ b/internal/controld/handler.go
@@ -61,7 +61,7 @@
 func allowedRoles(req *controlpb.Request) []keys.Role {
 	switch req.GetBody().(type) {
 	case *controlpb.Request_Raft, *controlpb.Request_Propose, *controlpb.Request_DirectorySync, *controlpb.Request_Replicas,
-		*controlpb.Request_Join, *controlpb.Request_TakeOver, *controlpb.Request_Serving:
+		*controlpb.Request_Join, *controlpb.Request_TakeOver, *controlpb.Request_Serving, *controlpb.Request_Founding:
 		return []keys.Role{keys.RoleControl}
 	case *controlpb.Request_Register, *controlpb.Request_Announce, *controlpb.Request_Grant, *controlpb.Request_Unregister:
 		return []keys.Role{keys.RoleAgent}
@@ -101,6 +101,12 @@
 	case *controlpb.Request_Serving:
 		(*Daemon)(h).setServingHosts(body.Serving.GetAddresses())
 		return doneResponse()
+	case *controlpb.Request_Founding:
+		reply, err := (*Daemon)(h).handleFounding(body.Founding)
+		if err != nil {
+			return h.fault(refusedRequest, controlpb.FaultKind_FAULT_NOT_DONE, err.Error())
+		}
+		return &controlpb.Response{Body: &controlpb.Response_Founding{Founding: reply}}
 	case *controlpb.Request_Register:
 		return h.register(ctx, peer, body.Register)
 	case *controlpb.Request_Announce:
