controld: a plan for groups that this host does not have is passed over

Read in review of the change: the settings of another initial voter may name another number of groups, and the lookup of such a group would end the process. TestGroupIsFoundedWithoutLostVoter, TestMinorityFoundsNothing and TestFoundingVoteIsStored pass. The log line names the largest group's members.

--- a/internal/controld/founding.go
+++ b/internal/controld/founding.go
@@ -163,7 +163,8 @@
 	}
 	plan := f.propose(f.plan(durable, replies), needed)
 	for _, g := range plan.GetGroups() {
-		if hasMember(g.GetMembership(), f.daemon.replicas[g.GetGroup()].ID()) {
+		r := f.daemon.replicas[g.GetGroup()]
+		if r != nil && hasMember(g.GetMembership(), r.ID()) {
 			f.daemon.bootstrapWith(g.GetGroup(), g.GetMembership())
 		}
 	}
@@ -235,8 +236,12 @@
 	if len(f.ask(&controlpb.Founding{Ballot: ballot, Plan: plan})) < needed {
 		return nil
 	}
+	members := 0
+	for _, g := range plan.GetGroups() {
+		members = max(members, len(g.GetMembership().GetMembers()))
+	}
 	f.daemon.log.Info("first members agreed on", zap.Uint64("round", ballot.GetRound()), zap.Int("groups", len(plan.GetGroups())),
-		zap.Int("members", len(plan.GetGroups()[0].GetMembership().GetMembers())), zap.Int("initial_voters", len(f.voters)))
+		zap.Int("members", members), zap.Int("initial_voters", len(f.voters)))
 	return plan
 }
 
