flow: a denial for a whole service is named ServiceDenial

Clearance was a word of its own; denial is what agents send already.

The label "cleared" of the frame counter stays. No behaviour changed; tests of flow, flowd, repotest pass.

--- a/flow/doc.go
+++ b/flow/doc.go
@@ -18,7 +18,7 @@
 // time, and counts for nothing else (docs/design/0024):
 //
 //   - Each agent of each service that the flow's route may have led to has denied the flow,
-//     or another agent has queried all of them (Clearance). An agent denies a flow that it
+//     or another agent has queried all of them (ServiceDenial). An agent denies a flow that it
 //     does not know only if it knows all flows of its target (completeness), which it keeps
 //     for the longest idle timeout that may be in force (IdleTimeout).
 //   - The list of targets is complete, and the one that was queried.
--- a/flow/entry.go
+++ b/flow/entry.go
@@ -52,7 +52,7 @@
 	Holders(to []Endpoint, public Endpoint, limit int) []Endpoint
 	// HeldElsewhere reports whether a flow to that public address may be held by an agent
 	// that is neither in denied nor in a list of a service that heldByNone is about.
-	HeldElsewhere(public Endpoint, denied []Endpoint, heldByNone []Clearance) bool
+	HeldElsewhere(public Endpoint, denied []Endpoint, heldByNone []ServiceDenial) bool
 	// Registrars appends the agents at which a flow is registered.
 	Registrars(to []Endpoint, key Key) []Endpoint
 	// Preferred appends the agents that the flow was most likely placed on.
@@ -125,7 +125,7 @@
 	holder    Endpoint
 	locatedBy []Endpoint
 	// heldByNone has the services that an agent reported to have no target that holds it.
-	heldByNone []Clearance
+	heldByNone []ServiceDenial
 	// searchStage is the stage of a staged search, lookupRound counts its rounds of
 	// lookups, and stageStart is the start of the stage or round. asked are the agents
 	// that the stage was sent to, nil for lookups. probed: an agent had to ask its target.
--- a/flow/frame.go
+++ b/flow/frame.go
@@ -96,8 +96,8 @@
 	// the target was sent the packet.
 	Probed bool
 
-	// Clearance is what HeldByNone reports.
-	Clearance Clearance
+	// ServiceDenial is what HeldByNone reports.
+	ServiceDenial ServiceDenial
 
 	// Key of the flow, in Held, Denied, Located and HeldByNone.
 	Key Key
@@ -134,8 +134,8 @@
 	deniedLength  = 14
 	locatedLength = deniedLength + 6
 	// heldByNoneLength is that of releases that do not name the service.
-	heldByNoneLength = deniedLength + 8
-	clearanceLength  = heldByNoneLength + 4
+	heldByNoneLength    = deniedLength + 8
+	serviceDenialLength = heldByNoneLength + 4
 )
 
 // HopsLookup in a search asks the receiver to look the flow up among all agents of its
@@ -187,8 +187,8 @@
 		b = append(b, byte(f.Kind), 0)
 		b = appendEndpoint(b, f.Key.Caller)
 		b = appendEndpoint(b, f.Key.Public)
-		b = binary.BigEndian.AppendUint64(b, f.Clearance.Digest)
-		return binary.BigEndian.AppendUint32(b, f.Clearance.Service)
+		b = binary.BigEndian.AppendUint64(b, f.ServiceDenial.Digest)
+		return binary.BigEndian.AppendUint32(b, f.ServiceDenial.Service)
 	case Register, Query, NotHeld, MayHold:
 		return append(b, byte(f.Kind), f.registerBits())
 	case Located:
@@ -287,13 +287,13 @@
 		f.Alternate = parseEndpoint(b[14:20])
 		return f, nil, nil
 	case HeldByNone:
-		if len(b) != heldByNoneLength && len(b) != clearanceLength {
+		if len(b) != heldByNoneLength && len(b) != serviceDenialLength {
 			return Frame{}, nil, ErrFrame
 		}
 		f.Key = Key{Caller: parseEndpoint(b[2:8]), Public: parseEndpoint(b[8:14])}
-		f.Clearance.Digest = binary.BigEndian.Uint64(b[14:22])
-		if len(b) == clearanceLength {
-			f.Clearance.Service = binary.BigEndian.Uint32(b[22:26])
+		f.ServiceDenial.Digest = binary.BigEndian.Uint64(b[14:22])
+		if len(b) == serviceDenialLength {
+			f.ServiceDenial.Service = binary.BigEndian.Uint32(b[22:26])
 		}
 		return f, nil, nil
 	case Register, Query, NotHeld, MayHold:
--- a/flow/helpers_test.go
+++ b/flow/helpers_test.go
@@ -83,11 +83,11 @@
 // serviceNumber is that of the service of all agents of a fixedPlacer.
 const serviceNumber = 1
 
-func (p *fixedPlacer) HeldElsewhere(_ flow.Endpoint, denied []flow.Endpoint, heldByNone []flow.Clearance) bool {
+func (p *fixedPlacer) HeldElsewhere(_ flow.Endpoint, denied []flow.Endpoint, heldByNone []flow.ServiceDenial) bool {
 	among := func(list []flow.Endpoint) func(flow.Endpoint) bool {
 		return func(agent flow.Endpoint) bool { return slices.Contains(list, agent) }
 	}
-	covered := slices.Contains(heldByNone, flow.Clearance{Service: serviceNumber, Digest: flow.Digest(p.agents)})
+	covered := slices.Contains(heldByNone, flow.ServiceDenial{Service: serviceNumber, Digest: flow.Digest(p.agents)})
 	all := !slices.ContainsFunc(p.agents, func(agent flow.Endpoint) bool { return !among(denied)(agent) })
 	return p.incomplete || len(p.agents) == 0 || !covered && !all
 }
--- a/flow/lookup.go
+++ b/flow/lookup.go
@@ -146,14 +146,14 @@
 		return append(out, Notice{Key: key, To: l.entry, Frame: Frame{Kind: Located, Key: key, Alternate: l.holder}})
 	case l.pending == 0 && len(a.serviceAgents.agents) > 0:
 		l.reported = true
-		return append(out, Notice{Key: key, To: l.entry, Frame: Frame{Kind: HeldByNone, Key: key, Clearance: a.clearance()}})
+		return append(out, Notice{Key: key, To: l.entry, Frame: Frame{Kind: HeldByNone, Key: key, ServiceDenial: a.serviceDenial()}})
 	}
 	return out
 }
 
-// clearance returns the clearance of the own service.
-func (a *Agent) clearance() Clearance {
-	return Clearance{Service: a.serviceNumber, Digest: a.serviceAgents.digest}
+// serviceDenial returns the denial of the own service.
+func (a *Agent) serviceDenial() ServiceDenial {
+	return ServiceDenial{Service: a.serviceNumber, Digest: a.serviceAgents.digest}
 }
 
 // NextQueryIn returns the time until the next round of queries, false if none is
--- a/flow/lookup_test.go
+++ b/flow/lookup_test.go
@@ -271,10 +271,10 @@
 	all := manyAgents(40)
 	e := flow.NewEntry(&fixedPlacer{agents: all}, entryA)
 	e.Packet(request(1, firstA), 0)
-	heldByNone := flow.Frame{Kind: flow.HeldByNone, Key: key(1), Clearance: flow.Clearance{Service: serviceNumber, Digest: flow.Digest(all[1:])}}
+	heldByNone := flow.Frame{Kind: flow.HeldByNone, Key: key(1), ServiceDenial: flow.ServiceDenial{Service: serviceNumber, Digest: flow.Digest(all[1:])}}
 	v, _ := e.HeldByNone(heldByNone, 0)
 	is.Equal(v.Action, flow.Drop)
-	heldByNone.Clearance.Digest = flow.Digest(all)
+	heldByNone.ServiceDenial.Digest = flow.Digest(all)
 	v, _ = e.HeldByNone(heldByNone, 0)
 	is.Equal(v.Action, flow.Reset)
 }
@@ -310,7 +310,7 @@
 	notices := a.HandleNotHeld([]flow.Key{key(1)}, all[19])
 	is.Equal(len(notices), 1)
 	is.Equal(notices[0].Frame.Kind, flow.HeldByNone)
-	is.Equal(notices[0].Frame.Clearance.Digest, flow.Digest(slices.Concat(all[:18], all[19:])))
+	is.Equal(notices[0].Frame.ServiceDenial.Digest, flow.Digest(slices.Concat(all[:18], all[19:])))
 }
 
 // While targets are replaced between each search and the round of queries that it waits for,
@@ -362,7 +362,7 @@
 
 func TestHeldByNoneFrame(t *testing.T) {
 	is := is.New(t)
-	m := flow.Frame{Kind: flow.HeldByNone, Key: key(7), Clearance: flow.Clearance{Service: 1<<24 - 1, Digest: 1<<63 + 5}}
+	m := flow.Frame{Kind: flow.HeldByNone, Key: key(7), ServiceDenial: flow.ServiceDenial{Service: 1<<24 - 1, Digest: 1<<63 + 5}}
 	b := m.Append(nil)
 	got, _, err := flow.ParseFrame(b)
 	is.NoErr(err)
@@ -378,32 +378,32 @@
 	all := manyAgents(40)
 	e := flow.NewEntry(&fixedPlacer{agents: all}, entryA)
 	e.Packet(request(1, firstA), 0)
-	m := flow.Frame{Kind: flow.HeldByNone, Key: key(1), Clearance: flow.Clearance{Service: serviceNumber, Digest: flow.Digest(all)}}
+	m := flow.Frame{Kind: flow.HeldByNone, Key: key(1), ServiceDenial: flow.ServiceDenial{Service: serviceNumber, Digest: flow.Digest(all)}}
 	b := m.Append(nil)
 	old, _, err := flow.ParseFrame(b[:len(b)-4])
 	is.NoErr(err)
-	is.Equal(old.Clearance, flow.Clearance{Digest: flow.Digest(all)})
+	is.Equal(old.ServiceDenial, flow.ServiceDenial{Digest: flow.Digest(all)})
 	v, _ := e.HeldByNone(old, 0)
 	is.Equal(v.Action, flow.Drop)
 }
 
-// Guards against a reset by a clearance that is no longer about all agents of the service: one may
+// Guards against a reset by a denial that is no longer about all agents of the service: one may
 // have come back since, and hold the flow.
-func TestClearanceEndsWithChangeOfAgentList(t *testing.T) {
+func TestServiceDenialEndsWithChangeOfAgentList(t *testing.T) {
 	is := is.New(t)
 	all := manyAgents(41)
 	p := &fixedPlacer{agents: all[:40], incomplete: true}
 	e := flow.NewEntry(p, entryA)
 	e.Packet(request(1, firstA), 0)
-	clearance := func(agents []flow.Endpoint) flow.Frame {
-		return flow.Frame{Kind: flow.HeldByNone, Key: key(1), Clearance: flow.Clearance{Service: serviceNumber, Digest: flow.Digest(agents)}}
+	deniedBy := func(agents []flow.Endpoint) flow.Frame {
+		return flow.Frame{Kind: flow.HeldByNone, Key: key(1), ServiceDenial: flow.ServiceDenial{Service: serviceNumber, Digest: flow.Digest(agents)}}
 	}
-	v, _ := e.HeldByNone(clearance(all[:40]), 0)
+	v, _ := e.HeldByNone(deniedBy(all[:40]), 0)
 	is.Equal(v.Action, flow.Drop) // another service may hold it
 	p.agents, p.incomplete = all, false
 	v, _ = e.Denied(denial(1), all[3], 0)
 	is.Equal(v.Action, flow.Drop)
-	v, _ = e.HeldByNone(clearance(all), 0)
+	v, _ = e.HeldByNone(deniedBy(all), 0)
 	is.Equal(v.Action, flow.Reset)
 }
 
--- a/flow/play_test.go
+++ b/flow/play_test.go
@@ -374,7 +374,9 @@
 func (h *playHost) Holders(to []flow.Endpoint, _ flow.Endpoint, limit int) []flow.Endpoint {
 	return append(to, h.list[:min(len(h.list), limit)]...)
 }
-func (h *playHost) HeldElsewhere(flow.Endpoint, []flow.Endpoint, []flow.Clearance) bool { return true }
+func (h *playHost) HeldElsewhere(flow.Endpoint, []flow.Endpoint, []flow.ServiceDenial) bool {
+	return true
+}
 func (h *playHost) Registrars(to []flow.Endpoint, key flow.Key) []flow.Endpoint {
 	return flow.AppendRegistrars(to, key, h.list)
 }
--- a/flow/search.go
+++ b/flow/search.go
@@ -157,7 +157,7 @@
 		return Verdict{Action: Drop, Reason: ReasonKnown}, Packet{}
 	}
 	f.asked = nil
-	f.recordClearance(m.Clearance)
+	f.recordServiceDenial(m.ServiceDenial)
 	return e.resetIfHeldByNone(f, m.Key)
 }
 
--- a/flow/verdict.go
+++ b/flow/verdict.go
@@ -113,7 +113,7 @@
 	// Denied is the number of agents whose targets do not hold the flow, HeldByNone has the
 	// services none of whose targets does.
 	Denied     int
-	HeldByNone []Clearance
+	HeldByNone []ServiceDenial
 }
 
 // Waiting has the inputs of a decision on what waits beside the target.
--- a/internal/flowd/placer.go
+++ b/internal/flowd/placer.go
@@ -288,7 +288,7 @@
 func (p *placer) historyKnown() bool { return p.history.Known(time.Since(p.startedAt)) }
 
 // HeldElsewhere implements flow.Placer.
-func (p *placer) HeldElsewhere(public flow.Endpoint, denied []flow.Endpoint, heldByNone []flow.Clearance) bool {
+func (p *placer) HeldElsewhere(public flow.Endpoint, denied []flow.Endpoint, heldByNone []flow.ServiceDenial) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.routes[public]
@@ -300,8 +300,8 @@
 		if !r.MayHold(number, historyKnown) {
 			continue
 		}
-		cleared := slices.Contains(heldByNone, flow.Clearance{Service: number, Digest: list.digest})
-		if !cleared && !list.allIn(denied) {
+		allDenied := slices.Contains(heldByNone, flow.ServiceDenial{Service: number, Digest: list.digest})
+		if !allDenied && !list.allIn(denied) {
 			return true
 		}
 		asked = true
--- a/internal/flowd/placer_test.go
+++ b/internal/flowd/placer_test.go
@@ -91,7 +91,7 @@
 	is.Equal(len(p.Holders(nil, public, 3)), 3)
 	is.True(p.HeldElsewhere(public, holders[1:], nil))
 	is.True(!p.HeldElsewhere(public, holders, nil))
-	is.True(!p.HeldElsewhere(public, nil, []flow.Clearance{{Service: lodgement, Digest: flow.Digest(holders)}})) // the only service
+	is.True(!p.HeldElsewhere(public, nil, []flow.ServiceDenial{{Service: lodgement, Digest: flow.Digest(holders)}})) // the only service
 
 	p.apply(newTestView(domains), 0)
 	is.Equal(len(placeFlows(t, p, 6000)), 8)
--- a/internal/flowd/clearance_test.go
+++ b/internal/flowd/servicedenial_test.go
@@ -37,9 +37,9 @@
 	return subscriber.NewView(v.Config, records, time.Now())
 }
 
-// Guards against a reset of flows of a service by the clearance of another one, from an agent at an
+// Guards against a reset of flows of a service by the denial of another one, from an agent at an
 // address that is listed for both.
-func TestClearanceCountsForItsServiceOnly(t *testing.T) {
+func TestServiceDenialCountsForItsServiceOnly(t *testing.T) {
 	is := is.New(t)
 	const all, reused = 18, 4
 	v := reusedView(all, reused)
@@ -49,24 +49,24 @@
 	for i := range all {
 		agents = append(agents, flow.Endpoint{IP: [4]byte{10, 0, 0, byte(i + 1)}, Port: 7000})
 	}
-	ofCertificates := flow.Clearance{Service: certificates, Digest: flow.Digest(agents[:reused])}
-	ofLodgement := flow.Clearance{Service: lodgement, Digest: flow.Digest(agents)}
-	is.True(p.HeldElsewhere(public, agents[:reused], []flow.Clearance{ofCertificates}))
-	is.True(p.HeldElsewhere(public, nil, []flow.Clearance{ofLodgement}))
-	is.True(!p.HeldElsewhere(public, nil, []flow.Clearance{ofCertificates, ofLodgement}))
-	is.True(p.HeldElsewhere(public, nil, []flow.Clearance{ofCertificates, {Service: lodgement, Digest: ofCertificates.Digest}}))
+	ofCertificates := flow.ServiceDenial{Service: certificates, Digest: flow.Digest(agents[:reused])}
+	ofLodgement := flow.ServiceDenial{Service: lodgement, Digest: flow.Digest(agents)}
+	is.True(p.HeldElsewhere(public, agents[:reused], []flow.ServiceDenial{ofCertificates}))
+	is.True(p.HeldElsewhere(public, nil, []flow.ServiceDenial{ofLodgement}))
+	is.True(!p.HeldElsewhere(public, nil, []flow.ServiceDenial{ofCertificates, ofLodgement}))
+	is.True(p.HeldElsewhere(public, nil, []flow.ServiceDenial{ofCertificates, {Service: lodgement, Digest: ofCertificates.Digest}}))
 
 	// The same after the record of a lost target was sent again.
 	changed := slices.Clone(v.Targets)
 	changed[0] = &controlpb.TargetRecord{Service: lodgement, Number: 1, Incarnation: 1, Address: "10.0.0.1:7000", Lost: true, AgeMs: 5}
 	p.apply(withRecords(v, changed), 0)
-	is.True(p.HeldElsewhere(public, agents[:reused], []flow.Clearance{ofCertificates}))
+	is.True(p.HeldElsewhere(public, agents[:reused], []flow.ServiceDenial{ofCertificates}))
 	service, _ := p.reporter(flow.Frame{Number: all + 1, Incarnation: 1}, 0)
 	is.Equal(service, uint32(certificates)) // its target, whatever else is listed at the address
 }
 
 // Guards against a reset of a flow that a listed target holds: whichever services follow one another
-// at an address, the other agents' denials and the clearances of the other services do not cover it.
+// at an address, the other agents' denials and the denials of the other services do not cover it.
 func TestHolderIsNeverCovered(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		v := reusedView(0, 0)
@@ -91,7 +91,7 @@
 		}
 		holder := last[rapid.SampledFrom(slices.Sorted(maps.Keys(last))).Draw(t, "holder")]
 		var denied []flow.Endpoint
-		var cleared []flow.Clearance
+		var deniedServices []flow.ServiceDenial
 		for service, l := range p.agents.services {
 			for _, agent := range l.agents {
 				if agent.String() != holder.GetAddress() {
@@ -99,10 +99,10 @@
 				}
 			}
 			if service != holder.GetService() {
-				cleared = append(cleared, flow.Clearance{Service: service, Digest: flow.Digest(l.agents)})
+				deniedServices = append(deniedServices, flow.ServiceDenial{Service: service, Digest: flow.Digest(l.agents)})
 			}
 		}
-		if !p.HeldElsewhere(callerKey(1).Public, denied, cleared) {
+		if !p.HeldElsewhere(callerKey(1).Public, denied, deniedServices) {
 			t.Fatalf("the flow of target %d is reset", holder.GetNumber())
 		}
 	})
--- a/internal/flowd/trace.go
+++ b/internal/flowd/trace.go
@@ -81,10 +81,10 @@
 	line.Write(fields...)
 }
 
-// servicesOf returns the numbers of the services of clearances.
-func servicesOf(clearances []flow.Clearance) []uint32 {
+// servicesOf returns the numbers of the services of denials.
+func servicesOf(denials []flow.ServiceDenial) []uint32 {
 	var numbers []uint32
-	for _, c := range clearances {
+	for _, c := range denials {
 		numbers = append(numbers, c.Service)
 	}
 	return numbers
