founding: a majority has to answer for 2 s before it founds without the others

The wait for missing initial voters counted from the start of the host. After a slow start it was over, and the first majority that answered founded at once: c1 and c2, while c3 was only slow. c1 was stopped at that moment, and a group of two with one lost has no quorum and cannot take c3 in.

The log: nothing for 6 s after the start, then "control host stopping" of c1, "first members agreed on" members 2, "members changed" [c1 c2], and c3 "the group exists without this replica".

Change. founding.Turn: the same voters have to answer for the wait, which was patience and stagger in controld before.

--- a/internal/controld/founding.go
+++ b/internal/controld/founding.go
@@ -21,16 +21,8 @@
 	"eelgrasswharf.example/eelgrasswharf/internal/wal"
 )
 
-const (
-	// foundingPatience is how long initial voters wait for the others before a majority founds
-	// the groups without them. Those that come later join.
-	foundingPatience = 2 * time.Second
-	// foundingStagger is how much later each further initial voter proposes, so that their
-	// proposals do not end each other.
-	foundingStagger = 500 * time.Millisecond
-	// foundingVoteFile has the vote of an initial voter in its data directory.
-	foundingVoteFile = "founding-vote"
-)
+// foundingVoteFile has the vote of an initial voter in its data directory.
+const foundingVoteFile = "founding-vote"
 
 // errNoFoundingVote means that this host does not vote on the first members.
 var errNoFoundingVote = errors.New("this host does not vote on the first members of the groups")
@@ -136,6 +128,7 @@
 	// voters are the initial voters.
 	voters []seedHost
 	began  time.Time
+	turn   founding.Turn
 	// seen are the votes in refusals, for the next ballot.
 	seen []*controlpb.FoundingVote
 	// waiting is set once the lack of initial voters has been logged.
@@ -149,12 +142,11 @@
 		return
 	}
 	durable, missing := f.durableVoters(replies)
-	needed, wait := founding.Majority(len(durable)), time.Duration(0)
+	needed := founding.Majority(len(durable))
 	if len(missing) > 0 {
-		needed, wait = founding.Majority(len(f.voters)), foundingPatience
+		needed = founding.Majority(len(f.voters))
 	}
-	wait += time.Duration(slices.Index(durable, f.daemon.name)) * foundingStagger
-	if time.Since(f.began) < wait {
+	if !f.turn.Due(f.daemon.name, durable, len(missing), time.Since(f.began)) {
 		return
 	}
 	if len(durable) < needed {
